--- /dev/null
+++ b/src/admission.rs
@@ -0,0 +1,217 @@
+//! Lets in what can begin within its caller's patience, and nothing else.
+//!
+//! Each model has its own gate. Kinds of caller go by priority, customers of
+//! one kind by weighted fair queueing; a request that cannot begin in time is
+//! refused at once with a time to come back that spreads callers out. See
+//! `docs/ADMISSION.md`.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+
+use crate::error::{Error, ErrorKind};
+use crate::gate::{Entry, Gate, Permit};
+use crate::id::{CustomerId, ModelId};
+
+/// Service time that is assumed until one was seen.
+const SERVICE_GUESS: Duration = Duration::from_secs(1);
+/// Weight of the newest service time in the mean.
+const SERVICE_WEIGHT: f64 = 0.05;
+/// Units of virtual time for one token at weight one.
+const VIRTUAL_UNITS: u64 = 1000;
+/// Shortest time to come back.
+const RETURN_MIN: Duration = Duration::from_millis(250);
+/// Longest time to come back.
+const RETURN_MAX: Duration = Duration::from_secs(60);
+
+/// Order of waiting requests: priority first, then virtual start time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Ticket {
+    priority: u8,
+    virtual_start: u64,
+}
+
+/// What admission needs to know of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Applicant<'a> {
+    /// Customer that pays.
+    pub(crate) customer: &'a CustomerId,
+    /// Weight of the customer.
+    pub(crate) weight: u32,
+    /// Model it wants.
+    pub(crate) model: &'a ModelId,
+    /// Priority of its kind.
+    pub(crate) priority: u8,
+    /// How long it waits.
+    pub(crate) patience: Duration,
+    /// Tokens it asks for.
+    pub(crate) token_count: u64,
+}
+
+/// The gates of one node.
+#[derive(Debug, Default)]
+pub(crate) struct Admission {
+    pools: Mutex<BTreeMap<ModelId, Pool>>,
+}
+
+#[derive(Debug)]
+struct Pool {
+    gate: Arc<Gate<Ticket>>,
+    mean_service_s: f64,
+    virtual_time: u64,
+    finish_times: BTreeMap<CustomerId, u64>,
+    next_return: Instant,
+}
+
+/// A request that was let in, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Admitted {
+    admission: Arc<Admission>,
+    model: ModelId,
+    began_at: Instant,
+    _permit: Permit<Ticket>,
+}
+
+impl Admission {
+    /// Sets this node's share of the slots of a model.
+    pub(crate) fn set_slots(&self, model: &ModelId, slot_count: usize) {
+        let mut pools = self.pools();
+        let pool = pools
+            .entry(model.clone())
+            .or_insert_with(|| Pool::new(slot_count));
+        let gate = pool.gate.clone();
+        drop(pools);
+        gate.resize(slot_count);
+    }
+
+    /// Requests in flight and waiting, over all models.
+    pub(crate) fn demand_count(&self) -> usize {
+        self.pools().values().map(|p| p.gate.demand_count()).sum()
+    }
+
+    /// Lets a request in, makes it wait within its patience, or refuses it.
+    pub(crate) async fn admit(
+        self: &Arc<Self>,
+        applicant: &Applicant<'_>,
+    ) -> Result<Admitted, Error> {
+        let (entry, refused) = self.enter(applicant)?;
+        let permit = match entry {
+            Entry::Open(permit) => permit,
+            Entry::Wait(receiver) => {
+                let waited = tokio::time::timeout(applicant.patience, receiver).await;
+                waited.ok().and_then(Result::ok).ok_or(refused)?
+            }
+        };
+        Ok(Admitted {
+            admission: self.clone(),
+            model: applicant.model.clone(),
+            began_at: Instant::now(),
+            _permit: permit,
+        })
+    }
+
+    fn enter(&self, applicant: &Applicant<'_>) -> Result<(Entry<Ticket>, Error), Error> {
+        let mut pools = self.pools();
+        let Some(pool) = pools.get_mut(applicant.model) else {
+            return Err(Error::new(
+                ErrorKind::NoUpstream,
+                "no runner holds the model",
+            ));
+        };
+        let ticket = pool.ticket(applicant);
+        let crowd = pool.gate.crowd(ticket);
+        if crowd.slot_count == 0 {
+            return Err(Error::new(
+                ErrorKind::NoUpstream,
+                "no runner holds the model",
+            ));
+        }
+        let wait = pool.expected_wait(crowd.held_count, crowd.ahead_count, crowd.slot_count);
+        if wait > applicant.patience {
+            let return_in = pool.return_in(wait, applicant.patience, crowd.slot_count);
+            return Err(refusal(return_in));
+        }
+        let refused = refusal(wait.clamp(RETURN_MIN, RETURN_MAX));
+        pool.charge(applicant, ticket);
+        Ok((pool.gate.enter(ticket), refused))
+    }
+
+    fn pools(&self) -> MutexGuard<'_, BTreeMap<ModelId, Pool>> {
+        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Pool {
+    fn new(slot_count: usize) -> Self {
+        Self {
+            gate: Gate::new(slot_count),
+            mean_service_s: SERVICE_GUESS.as_secs_f64(),
+            virtual_time: 0,
+            finish_times: BTreeMap::new(),
+            next_return: Instant::now(),
+        }
+    }
+
+    fn ticket(&self, applicant: &Applicant<'_>) -> Ticket {
+        let last_finish = self.finish_times.get(applicant.customer).copied();
+        Ticket {
+            priority: applicant.priority,
+            virtual_start: last_finish.unwrap_or(0).max(self.virtual_time),
+        }
+    }
+
+    fn charge(&mut self, applicant: &Applicant<'_>, ticket: Ticket) {
+        let weight = u64::from(applicant.weight.max(1));
+        let cost = applicant.token_count.saturating_mul(VIRTUAL_UNITS) / weight;
+        let finish = ticket.virtual_start.saturating_add(cost);
+        self.finish_times.insert(applicant.customer.clone(), finish);
+        if self.gate.queued_count() == 0 {
+            // Nobody waits, so nobody is owed anything from before.
+            self.virtual_time = self.virtual_time.max(ticket.virtual_start);
+        }
+    }
+
+    fn expected_wait(&self, held: usize, ahead: usize, slots: usize) -> Duration {
+        if held < slots && ahead == 0 {
+            return Duration::ZERO;
+        }
+        let turns = (ahead + 1) as f64 / slots as f64;
+        Duration::from_secs_f64(turns * self.mean_service_s)
+    }
+
+    /// A time to come back at which there may be room; each caller that is
+    /// refused gets a later one, at the pace at which slots come free.
+    fn return_in(&mut self, wait: Duration, patience: Duration, slots: usize) -> Duration {
+        let now = Instant::now();
+        let earliest = now + wait.saturating_sub(patience);
+        let pace = Duration::from_secs_f64(self.mean_service_s / slots as f64);
+        let latest = now + RETURN_MAX;
+        self.next_return = (self.next_return + pace).clamp(earliest.min(latest), latest);
+        let spread = rand::rng().random_range(1.0..1.1);
+        let return_in = (self.next_return - now).mul_f64(spread);
+        return_in.clamp(RETURN_MIN, RETURN_MAX)
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        let service_s = self.began_at.elapsed().as_secs_f64();
+        if let Some(pool) = self.admission.pools().get_mut(&self.model) {
+            pool.mean_service_s += SERVICE_WEIGHT * (service_s - pool.mean_service_s);
+            let owed = pool.finish_times.values().copied().min();
+            pool.virtual_time = pool.virtual_time.max(owed.unwrap_or(0));
+            let virtual_time = pool.virtual_time;
+            pool.finish_times.retain(|_, finish| *finish > virtual_time);
+        }
+    }
+}
+
+fn refusal(return_in: Duration) -> Error {
+    Error::new(
+        ErrorKind::Overloaded,
+        "the wait would exceed this caller's patience",
+    )
+    .with_retry_after(return_in)
+}
--- /dev/null
+++ b/src/announcement.rs
@@ -0,0 +1,171 @@
+//! Small news that every node is to learn: leaving runners, convictions.
+//!
+//! Each item rides on datagrams a number of times that grows with the
+//! logarithm of the fleet, and is handed over whole to nodes that synchronise.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+
+use crate::id::Version;
+use crate::message::{AnnouncementRecord, MemberRecord};
+
+/// Times an item rides on datagrams, per doubling of the fleet.
+const RIDES_PER_DOUBLING: u32 = 3;
+
+/// Something that all nodes are to learn soon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Announcement {
+    /// Groups announcements of one kind.
+    pub topic: u32,
+    /// What the announcement is about.
+    pub key: String,
+    /// The higher version of a key replaces the lower.
+    pub version: Version,
+    /// How long it stays in force.
+    pub ttl: Duration,
+    /// Content.
+    pub body: Bytes,
+}
+
+/// The announcements in force at one node.
+#[derive(Debug, Default)]
+pub(crate) struct Announcements {
+    in_force: BTreeMap<(u32, String), (Announcement, Instant)>,
+}
+
+impl Announcements {
+    /// Takes in an announcement; false when it was known or outdated.
+    pub(crate) fn apply(&mut self, announcement: Announcement, now: Instant) -> bool {
+        let key = (announcement.topic, announcement.key.clone());
+        let known = self.in_force.get(&key);
+        if known.is_some_and(|(known, _)| known.version >= announcement.version) {
+            return false;
+        }
+        let until = now + announcement.ttl;
+        self.in_force.insert(key, (announcement, until));
+        true
+    }
+
+    /// Drops what is no longer in force.
+    pub(crate) fn expire(&mut self, now: Instant) {
+        self.in_force.retain(|_, (_, until)| *until > now);
+    }
+
+    /// Records of all that is in force, with the time that is left of it.
+    pub(crate) fn records(&self, now: Instant) -> Vec<AnnouncementRecord> {
+        let in_force = self.in_force.values();
+        in_force
+            .map(|(announcement, until)| {
+                let left = until.saturating_duration_since(now);
+                to_record(announcement, left)
+            })
+            .collect()
+    }
+
+    /// Those of one topic.
+    pub(crate) fn of_topic(&self, topic: u32) -> Vec<Announcement> {
+        let in_force = self.in_force.values();
+        let of_topic = in_force.filter(|(announcement, _)| announcement.topic == topic);
+        of_topic
+            .map(|(announcement, _)| announcement.clone())
+            .collect()
+    }
+
+    /// How many are in force.
+    pub(crate) fn count(&self) -> usize {
+        self.in_force.len()
+    }
+}
+
+/// Writes an announcement with the time left of it.
+pub(crate) fn to_record(announcement: &Announcement, left: Duration) -> AnnouncementRecord {
+    AnnouncementRecord {
+        topic: announcement.topic,
+        key: announcement.key.clone(),
+        version: announcement.version,
+        ttl_s: u32::try_from(left.as_secs()).unwrap_or(u32::MAX),
+        body: announcement.body.clone(),
+    }
+}
+
+/// Reads an announcement.
+pub(crate) fn from_record(record: AnnouncementRecord) -> Announcement {
+    Announcement {
+        topic: record.topic,
+        key: record.key,
+        version: record.version,
+        ttl: Duration::from_secs(record.ttl_s.into()),
+        body: record.body,
+    }
+}
+
+/// One thing that rides on datagrams.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Rider {
+    /// News of a member.
+    Member(MemberRecord),
+    /// News of something else.
+    Announcement(AnnouncementRecord),
+}
+
+impl Rider {
+    fn key(&self) -> (u32, String) {
+        match self {
+            Self::Member(record) => (0, record.node.clone()),
+            Self::Announcement(record) => (record.topic + 1, record.key.clone()),
+        }
+    }
+
+    fn encoded_bytes(&self) -> usize {
+        use prost::Message;
+        match self {
+            Self::Member(record) => record.encoded_len(),
+            Self::Announcement(record) => record.encoded_len(),
+        }
+    }
+}
+
+/// What still has to be spread, the least told first.
+#[derive(Debug, Default)]
+pub(crate) struct RiderQueue {
+    riders: BTreeMap<(u32, String), (u32, Rider)>,
+}
+
+impl RiderQueue {
+    /// Adds a rider in place of an older one about the same thing.
+    pub(crate) fn add(&mut self, rider: Rider) {
+        self.riders.insert(rider.key(), (0, rider));
+    }
+
+    /// Picks riders for one datagram of at most `budget_bytes`.
+    pub(crate) fn board(&mut self, fleet_count: usize, budget_bytes: usize) -> Vec<Rider> {
+        let doublings = usize::BITS - fleet_count.leading_zeros();
+        let rides_max = RIDES_PER_DOUBLING * doublings.max(1);
+        let mut waiting: Vec<(u32, (u32, String))> = self
+            .riders
+            .iter()
+            .map(|(key, (rides, _))| (*rides, key.clone()))
+            .collect();
+        waiting.sort();
+        let mut boarded = Vec::new();
+        let mut left_bytes = budget_bytes;
+        for (_, key) in waiting {
+            let Some((rides, rider)) = self.riders.get_mut(&key) else {
+                continue;
+            };
+            let size_bytes = rider.encoded_bytes() + 4;
+            if size_bytes > left_bytes {
+                continue;
+            }
+            left_bytes -= size_bytes;
+            boarded.push(rider.clone());
+            *rides += 1;
+            if *rides >= rides_max {
+                self.riders.remove(&key);
+            }
+        }
+        boarded
+    }
+}
--- /dev/null
+++ b/src/call.rs
@@ -0,0 +1,375 @@
+//! A caller: asks for addresses, resumes, and verifies its answer.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, HeaderName, HeaderValue};
+use hyper::{Method, Response};
+use serde::{Deserialize, Serialize};
+
+use crate::caller_api::{AddressAnswer, CALLER_KIND, LAST_EVENT_ID};
+use crate::error::{ErrorBody, ErrorDetail};
+use crate::http::{self, HttpClient};
+use crate::runner::DONE;
+use crate::service::IDEMPOTENCY_KEY;
+use crate::sse::{Event, EventBuffer, escaped_text, unescape};
+use crate::token_chain::TokenChain;
+
+/// How long a node may take to say which addresses to use.
+const ADDRESS_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a caller waits for the next event before it turns elsewhere.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(15);
+/// Pause before a caller turns to the next address.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
+/// Connections a caller makes for one answer.
+const CONNECTIONS_MAX: u32 = 60;
+
+/// Who calls, and through which nodes.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// Addresses at which the caller asks which addresses to use.
+    pub nodes: Vec<SocketAddr>,
+    /// The customer's key.
+    pub key: String,
+    /// Kind of caller.
+    pub kind: String,
+    client: HttpClient,
+}
+
+/// A completion that a caller wants.
+#[derive(Clone, Debug)]
+pub struct CompletionWish {
+    /// Model.
+    pub model: String,
+    /// Prompt.
+    pub prompt: String,
+    /// Tokens.
+    pub max_tokens: u64,
+    /// Whether the caller brings its text along when it resumes.
+    pub brings_text: bool,
+}
+
+/// What a caller saw of one completion.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct CompletionReport {
+    /// The whole text.
+    pub text: String,
+    /// Tokens received.
+    pub token_count: u64,
+    /// Attempts of the generation, as event ids tell.
+    pub attempt_count: u64,
+    /// Connections made.
+    pub connection_count: u64,
+    /// Generations begun; more than one when a text had to be dropped.
+    pub generation_count: u64,
+    /// Time until the first token.
+    pub first_token_ms: Option<f64>,
+    /// For each change of attempt or connection, the time without a token.
+    pub resume_ms: Vec<f64>,
+    /// Longest time between two tokens.
+    pub longest_gap_ms: f64,
+    /// The final error, if the answer did not end whole.
+    pub error: Option<ErrorDetail>,
+    /// Why the text is not one whole answer, if it is not.
+    pub broken: Option<String>,
+    /// Whether the answer ended whole.
+    pub ended: bool,
+}
+
+/// What a caller saw of one call to a plain service.
+#[derive(Clone, Debug)]
+pub enum CallReport {
+    /// The service's answer.
+    Answered {
+        /// Status.
+        status: u16,
+        /// Body.
+        body: Bytes,
+    },
+    /// The final error.
+    Failed(ErrorDetail),
+    /// The node gave no answer.
+    NoAnswer,
+}
+
+#[derive(Debug, Deserialize)]
+struct StartData {
+    generation: String,
+    index: u64,
+}
+
+/// The caller's side of one completion.
+struct Reading<'a> {
+    wish: &'a CompletionWish,
+    report: CompletionReport,
+    generation: String,
+    escaped_text: Vec<u8>,
+    last_id: Option<Bytes>,
+    last_attempt: Option<Bytes>,
+    began_at: Instant,
+    last_token_at: Option<Instant>,
+    reconnected: bool,
+}
+
+enum Connection {
+    Ended,
+    Refused,
+    Broken,
+}
+
+impl Caller {
+    /// Makes a caller that knows some nodes.
+    pub fn new(nodes: Vec<SocketAddr>, key: &str, kind: &str) -> Self {
+        Self {
+            nodes,
+            key: key.to_owned(),
+            kind: kind.to_owned(),
+            client: HttpClient::new(),
+        }
+    }
+
+    /// Asks which addresses to use; falls back on the known ones.
+    pub async fn addresses(&self) -> Vec<SocketAddr> {
+        for node in &self.nodes {
+            let request = http::request(Method::GET, *node, "/v1/addresses", Bytes::new());
+            let asked = self.client.exchange(*node, request, ADDRESS_TIMEOUT).await;
+            let answer = asked
+                .ok()
+                .and_then(|r| serde_json::from_slice::<AddressAnswer>(r.body()).ok());
+            match answer {
+                Some(answer) if !answer.addresses.is_empty() => return answer.addresses,
+                _ => {}
+            }
+        }
+        self.nodes.clone()
+    }
+
+    /// Has something generated, going on at another node when one fails.
+    pub async fn complete(&self, wish: &CompletionWish) -> CompletionReport {
+        let mut addresses = self.addresses().await;
+        let mut reading = Reading::new(wish);
+        for connection in 0..CONNECTIONS_MAX {
+            let address = addresses[connection as usize % addresses.len()];
+            match self.read_from(address, &mut reading).await {
+                Connection::Ended | Connection::Refused => break,
+                Connection::Broken => {
+                    reading.reconnected = true;
+                    tokio::time::sleep(RECONNECT_PAUSE).await;
+                    // The one that failed goes last, whatever the answer says.
+                    addresses = self.addresses().await;
+                    addresses.sort_by_key(|a| *a == address);
+                }
+            }
+        }
+        reading.finish()
+    }
+
+    /// Calls a plain service through one node.
+    pub async fn call_at(
+        &self,
+        node: SocketAddr,
+        service: &str,
+        path: &str,
+        idempotency_key: &str,
+        body: impl Into<Bytes>,
+    ) -> CallReport {
+        let path = format!("/v1/services/{service}/{path}");
+        let mut request = http::request(Method::POST, node, &path, body);
+        self.sign(request.headers_mut());
+        if let Ok(key) = HeaderValue::from_str(idempotency_key) {
+            let name = HeaderName::from_static(IDEMPOTENCY_KEY);
+            request.headers_mut().insert(name, key);
+        }
+        let called = self.client.exchange(node, request, EVENT_TIMEOUT * 2).await;
+        let Ok(response) = called else {
+            return CallReport::NoAnswer;
+        };
+        let status = response.status().as_u16();
+        let body = response.into_body();
+        match serde_json::from_slice::<ErrorBody>(&body) {
+            Ok(failed) => CallReport::Failed(failed.error),
+            Err(_) => CallReport::Answered { status, body },
+        }
+    }
+
+    async fn read_from(&self, address: SocketAddr, reading: &mut Reading<'_>) -> Connection {
+        reading.report.connection_count += 1;
+        let body = reading.body();
+        let mut request = http::request(Method::POST, address, "/v1/completions", body);
+        self.sign(request.headers_mut());
+        let last_id = reading.last_id.as_ref();
+        if let Some(id) = last_id.and_then(|id| HeaderValue::from_bytes(id).ok()) {
+            let name = HeaderName::from_static(LAST_EVENT_ID);
+            request.headers_mut().insert(name, id);
+        }
+        let sent = tokio::time::timeout(EVENT_TIMEOUT, self.client.send(address, request)).await;
+        let Ok(Ok(response)) = sent else {
+            return Connection::Broken;
+        };
+        if response.status().is_success() {
+            return reading.read_events(response).await;
+        }
+        let answer = http::read_answer(address, response).await;
+        let failed = answer
+            .ok()
+            .and_then(|r| serde_json::from_slice::<ErrorBody>(r.body()).ok());
+        match failed {
+            Some(failed) => {
+                reading.report.error = Some(failed.error);
+                Connection::Refused
+            }
+            None => Connection::Broken,
+        }
+    }
+
+    fn sign(&self, headers: &mut hyper::HeaderMap) {
+        if let Ok(key) = HeaderValue::from_str(&format!("Bearer {}", self.key)) {
+            headers.insert(AUTHORIZATION, key);
+        }
+        if let Ok(kind) = HeaderValue::from_str(&self.kind) {
+            headers.insert(HeaderName::from_static(CALLER_KIND), kind);
+        }
+    }
+}
+
+impl<'a> Reading<'a> {
+    fn new(wish: &'a CompletionWish) -> Self {
+        Self {
+            wish,
+            report: CompletionReport::default(),
+            generation: String::new(),
+            escaped_text: Vec::new(),
+            last_id: None,
+            last_attempt: None,
+            began_at: Instant::now(),
+            last_token_at: None,
+            reconnected: false,
+        }
+    }
+
+    fn body(&self) -> Vec<u8> {
+        let mut body = serde_json::json!({
+            "model": self.wish.model,
+            "prompt": self.wish.prompt,
+            "max_tokens": self.wish.max_tokens,
+            "stream": true,
+        });
+        if self.wish.brings_text && !self.escaped_text.is_empty() {
+            body["delivered_text"] = unescape(&self.escaped_text).into();
+        }
+        serde_json::to_vec(&body).unwrap_or_default()
+    }
+
+    async fn read_events(&mut self, response: Response<Incoming>) -> Connection {
+        let mut body = response.into_body();
+        let mut buffer = EventBuffer::default();
+        loop {
+            while let Some(event) = buffer.next() {
+                if event.data.as_ref() == DONE {
+                    self.report.ended = true;
+                    return Connection::Ended;
+                }
+                if self.take(&event).is_some() {
+                    return Connection::Refused;
+                }
+            }
+            let frame = tokio::time::timeout(EVENT_TIMEOUT, body.frame()).await;
+            let Ok(Some(Ok(frame))) = frame else {
+                return Connection::Broken;
+            };
+            if let Ok(data) = frame.into_data() {
+                let _ = buffer.push(&data);
+            }
+        }
+    }
+
+    /// Takes in an event; something when it is a final error.
+    fn take(&mut self, event: &Event) -> Option<()> {
+        match event.name.as_ref() {
+            b"start" => self.start(&event.data),
+            b"error" => {
+                let failed = serde_json::from_slice::<ErrorBody>(&event.data).ok();
+                self.report.error = failed.map(|f| f.error);
+                return Some(());
+            }
+            _ => self.take_token(event),
+        }
+        None
+    }
+
+    fn start(&mut self, data: &[u8]) {
+        let Ok(start) = serde_json::from_slice::<StartData>(data) else {
+            self.report.broken = Some("an unreadable start event".into());
+            return;
+        };
+        if start.generation != self.generation {
+            self.generation = start.generation;
+            self.report.generation_count += 1;
+            self.report.token_count = 0;
+            self.escaped_text.clear();
+        }
+        if start.index != self.report.token_count {
+            self.report.broken = Some(format!(
+                "started at {} after {} tokens",
+                start.index, self.report.token_count
+            ));
+        }
+    }
+
+    fn take_token(&mut self, event: &Event) {
+        let now = Instant::now();
+        let Some(text) = escaped_text(&event.data) else {
+            self.report.broken = Some("an event without text".into());
+            return;
+        };
+        let attempt = attempt_of(&event.id);
+        let changed = self
+            .last_attempt
+            .as_ref()
+            .is_some_and(|last| *last != attempt);
+        if let Some(last) = self.last_token_at {
+            let gap_ms = (now - last).as_secs_f64() * 1e3;
+            self.report.longest_gap_ms = self.report.longest_gap_ms.max(gap_ms);
+            if changed || self.reconnected {
+                self.report.resume_ms.push(gap_ms);
+            }
+        } else {
+            let first_ms = (now - self.began_at).as_secs_f64() * 1e3;
+            self.report.first_token_ms = Some(first_ms);
+        }
+        if changed || self.last_attempt.is_none() {
+            self.report.attempt_count += 1;
+        }
+        self.reconnected = false;
+        self.last_token_at = Some(now);
+        self.last_attempt = Some(attempt);
+        self.last_id = Some(event.id.clone());
+        self.escaped_text.extend_from_slice(&text);
+        self.report.token_count += 1;
+    }
+
+    /// Ends the report, with the stand-in runners' proof that it is whole.
+    fn finish(mut self) -> CompletionReport {
+        self.report.text = unescape(&self.escaped_text).unwrap_or_default();
+        let checked = TokenChain::check(&self.wish.prompt, &self.report.text);
+        let broken = match checked {
+            Err(broken) => Some(broken.to_string()),
+            Ok(count) if self.report.ended && count != self.wish.max_tokens => Some(format!(
+                "ended after {count} of {} tokens",
+                self.wish.max_tokens
+            )),
+            Ok(_) => None,
+        };
+        self.report.broken = self.report.broken.or(broken);
+        self.report
+    }
+}
+
+/// The part of an event id that names the attempt.
+fn attempt_of(id: &Bytes) -> Bytes {
+    let end = id.iter().rposition(|b| *b == b'.').unwrap_or(id.len());
+    id.slice(..end)
+}
--- /dev/null
+++ b/src/command.rs
@@ -0,0 +1,351 @@
+//! Carries out what the command line asks for.
+
+use std::fmt::Display;
+use std::io;
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use zinniawing::{
+    AuditRecord, Caller, CompletionReport, CompletionWish, Demo, DemoOptions, Intent, ModelVersion,
+    Node, Operator, OperatorError, RunnerProfile, Settings, SettingsError, StandIn,
+    StandInPlatform, StandInRunner, StandInService, Status, Vm,
+};
+
+use crate::cli::{CallArgs, Command, OperatorArgs, StandInArgs};
+
+/// Why a command failed, with the exit code it ends in.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Failure {
+    /// A file is wrong; nothing was started.
+    #[error("{0}")]
+    Settings(#[from] SettingsError),
+    /// Something could not be read, bound or reached.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    /// The node refused, or gave no answer.
+    #[error("{0}")]
+    Operator(#[from] OperatorError),
+    /// The answer did not end whole.
+    #[error("the answer is not whole")]
+    NotWhole,
+}
+
+impl Failure {
+    /// Exit codes as the README lists them.
+    pub(crate) fn exit_code(&self) -> ExitCode {
+        let code = match self {
+            Self::Settings(_) => 2,
+            Self::Io(_) => 3,
+            Self::Operator(_) => 4,
+            Self::NotWhole => 5,
+        };
+        ExitCode::from(code)
+    }
+}
+
+/// Runs one command to its end.
+pub(crate) async fn run(command: Command) -> Result<(), Failure> {
+    match command {
+        Command::Serve { settings } => serve(&settings).await,
+        Command::Check { intent, file } => check(intent, &file),
+        Command::Intent { operator, file } => {
+            let intent = load_intent(&file)?;
+            let plan = connect(&operator).state(&intent).await?;
+            print(operator.json, &plan)
+        }
+        Command::Plan { operator, id } => {
+            let plan = connect(&operator).plan(&id).await?;
+            print(operator.json, &plan)
+        }
+        Command::Confirm { operator, base, id } => {
+            let confirmed = connect(&operator).confirm(&id, base).await?;
+            let text = format!("confirmed as version {}", confirmed.version);
+            print(operator.json, &Shown(confirmed, text))
+        }
+        Command::Status { operator } => {
+            let status = connect(&operator).status().await?;
+            let text = describe_status(&status);
+            print(operator.json, &Shown(status, text))
+        }
+        Command::Audit { operator } => {
+            let records = connect(&operator).audit().await?;
+            let lines: Vec<String> = records.iter().map(describe_record).collect();
+            print(operator.json, &Shown(records, lines.join("\n")))
+        }
+        Command::Call { call } => complete(call).await,
+        Command::Demo {
+            tokens,
+            token_ms,
+            json,
+        } => demo(tokens, token_ms, json).await,
+        Command::StandIn { stand_in } => run_stand_in(stand_in).await,
+    }
+}
+
+async fn serve(path: &Path) -> Result<(), Failure> {
+    let settings = Settings::load(path)?;
+    let name = settings.node.clone();
+    let mut stops = StopSignals::new()?;
+    let node = Node::start(settings).await?;
+    log::info!("node {name} serves callers at {}", node.caller_address());
+    stops.next().await;
+    log::info!("leaving; a second signal skips the wait, a third stops at once");
+    let (hurry, hurried) = tokio::sync::oneshot::channel();
+    let drained = node.drain(async {
+        let _ = hurried.await;
+    });
+    tokio::select! {
+        () = drained => log::info!("every request in flight has ended"),
+        () = stops.hurry_then_stop(hurry) => log::warn!("stopped at once"),
+    }
+    Ok(())
+}
+
+/// The signals that ask a process to stop.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    fn new() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+
+    async fn hurry_then_stop(&mut self, hurry: tokio::sync::oneshot::Sender<()>) {
+        self.next().await;
+        let _ = hurry.send(());
+        self.next().await;
+    }
+}
+
+fn check(is_intent: bool, path: &Path) -> Result<(), Failure> {
+    if is_intent {
+        load_intent(path)?;
+    } else {
+        Settings::load(path)?;
+    }
+    println!("{}: nothing is wrong", path.display());
+    Ok(())
+}
+
+fn load_intent(path: &Path) -> Result<Intent, Failure> {
+    let intent: Intent = load_yaml(path)?;
+    let problems = intent.problems();
+    if problems.is_empty() {
+        return Ok(intent);
+    }
+    Err(SettingsError { problems }.into())
+}
+
+fn load_yaml<T: DeserializeOwned>(path: &Path) -> Result<T, Failure> {
+    let wrong = |e: String| SettingsError {
+        problems: vec![format!("{}: {e}", path.display())],
+    };
+    let text = std::fs::read_to_string(path).map_err(|e| wrong(e.to_string()))?;
+    let value = serde_saphyr::from_str(&text).map_err(|e| wrong(e.to_string()))?;
+    Ok(value)
+}
+
+fn connect(args: &OperatorArgs) -> Operator {
+    Operator::new(args.node, &args.key)
+}
+
+/// A value for programs beside its text for people.
+struct Shown<T>(T, String);
+
+impl<T: Serialize> Serialize for Shown<T> {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        self.0.serialize(serializer)
+    }
+}
+
+impl<T> Display for Shown<T> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.1)
+    }
+}
+
+fn print<T: Serialize + Display>(json: bool, value: &T) -> Result<(), Failure> {
+    if json {
+        let text = serde_json::to_string_pretty(value).map_err(io::Error::other)?;
+        println!("{text}");
+    } else {
+        println!("{value}");
+    }
+    Ok(())
+}
+
+fn describe_status(status: &Status) -> String {
+    let everywhere = if status.in_force_everywhere {
+        "everywhere"
+    } else {
+        "not everywhere"
+    };
+    let mut lines = vec![format!(
+        "version {} is in force {everywhere}",
+        status.version
+    )];
+    lines.push(format!(
+        "{:<12} {:<14} {:<22} {:>8} {:>8} {:>9}",
+        "node", "data centre", "callers", "version", "vm list", "in flight"
+    ));
+    for (name, node) in &status.nodes {
+        let number = |version: Option<u64>| version.map_or("?".to_owned(), |v| v.to_string());
+        let leaving = if node.leaving { "  leaving" } else { "" };
+        lines.push(format!(
+            "{name:<12} {:<14} {:<22} {:>8} {:>8} {:>9}{leaving}",
+            node.data_centre,
+            node.caller_address,
+            number(node.version),
+            number(node.vms_version),
+            node.in_flight_count
+        ));
+    }
+    lines.push(format!(
+        "{:<12} {:<14} {:<8} ready",
+        "runner", "data centre", "leaving"
+    ));
+    for (name, runner) in &status.runners {
+        let ready: Vec<String> = runner
+            .ready
+            .iter()
+            .map(|m| format!("{}@{}", m.model, m.version))
+            .collect();
+        lines.push(format!(
+            "{name:<12} {:<14} {:<8} {}",
+            runner.data_centre,
+            runner.leaving,
+            ready.join(", ")
+        ));
+    }
+    lines.join("\n")
+}
+
+fn describe_record(record: &AuditRecord) -> String {
+    format!(
+        "{} {} {} {} {} {:?} {}",
+        record.at_unix_ms,
+        record.node,
+        record.operator,
+        record.act,
+        record.subject,
+        record.outcome,
+        record.detail
+    )
+}
+
+async fn complete(args: CallArgs) -> Result<(), Failure> {
+    let caller = Caller::new(args.node, &args.key, &args.kind);
+    let wish = CompletionWish {
+        model: args.model,
+        prompt: args.prompt,
+        max_tokens: args.tokens,
+        brings_text: !args.without_text,
+    };
+    let report = caller.complete(&wish).await;
+    let whole = report.ended && report.broken.is_none();
+    let text = describe_completion(&report);
+    print(args.json, &Shown(report, text))?;
+    if whole {
+        Ok(())
+    } else {
+        Err(Failure::NotWhole)
+    }
+}
+
+fn describe_completion(report: &CompletionReport) -> String {
+    let mut lines = vec![
+        format!("answer whole   {}", report.ended && report.broken.is_none()),
+        format!("tokens         {}", report.token_count),
+        format!("attempts       {}", report.attempt_count),
+        format!("connections    {}", report.connection_count),
+        format!("generations    {}", report.generation_count),
+    ];
+    if let Some(first_ms) = report.first_token_ms {
+        lines.push(format!("first token    {first_ms:.1} ms"));
+    }
+    let resumes = report.resume_ms.iter();
+    lines.extend(resumes.map(|ms| format!("resumed after  {ms:.1} ms")));
+    if let Some(broken) = &report.broken {
+        lines.push(format!("broken         {broken}"));
+    }
+    if let Some(error) = &report.error {
+        lines.push(format!(
+            "error          {}: {}",
+            error.kind.name(),
+            error.message
+        ));
+    }
+    lines.join("\n")
+}
+
+async fn demo(tokens: u64, token_ms: u64, json: bool) -> Result<(), Failure> {
+    let options = DemoOptions {
+        token_count: tokens,
+        token_interval: Duration::from_millis(token_ms),
+    };
+    let report = Demo::new(options).run().await?;
+    print(json, &report)?;
+    if report.completion.ended && report.completion.broken.is_none() {
+        Ok(())
+    } else {
+        Err(Failure::NotWhole)
+    }
+}
+
+async fn run_stand_in(args: StandInArgs) -> Result<(), Failure> {
+    let running: StandIn = match args {
+        StandInArgs::Platform { listen, vms } => {
+            let vms: Vec<Vm> = load_yaml(&vms)?;
+            StandInPlatform::start(listen, &vms)?.1
+        }
+        StandInArgs::Runner {
+            listen,
+            token_ms,
+            slots,
+            model,
+            ignores_fence,
+        } => {
+            let profile = RunnerProfile {
+                slot_count: slots,
+                token_interval: Duration::from_millis(token_ms),
+                models: model.iter().map(|m| parse_model(m)).collect(),
+                checks_fence: !ignores_fence,
+                ..RunnerProfile::default()
+            };
+            StandInRunner::start(listen, profile)?.1
+        }
+        StandInArgs::Service { listen } => StandInService::start(listen)?.1,
+    };
+    log::info!("listening at {}", running.address());
+    let mut stops = StopSignals::new()?;
+    tokio::select! {
+        () = running.ended() => log::warn!("died of a fault"),
+        () = stops.next() => {}
+    }
+    Ok(())
+}
+
+fn parse_model(text: &str) -> ModelVersion {
+    let (model, version) = text.split_once('@').unwrap_or((text, "1"));
+    ModelVersion {
+        model: model.to_owned(),
+        version: version.to_owned(),
+        adapters: Vec::new(),
+    }
+}
--- /dev/null
+++ b/src/completion.rs
@@ -0,0 +1,116 @@
+//! What callers post to have something generated.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use sha2::{Digest, Sha256};
+
+use crate::config::{Config, Treatment};
+use crate::dispatch::{Job, fingerprint};
+use crate::error::{Error, ErrorKind};
+use crate::fleet::prefix_hash;
+use crate::id::{CustomerId, GenerationId, ModelId};
+
+/// Tokens of an answer when the caller names no number.
+const TOKENS_DEFAULT: u64 = 256;
+
+/// Body of a completion request, in the usual OpenAI-style shape.
+#[derive(Debug, Deserialize)]
+struct CompletionBody<'a> {
+    model: String,
+    #[serde(borrow)]
+    prompt: &'a RawValue,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default, borrow)]
+    delivered_text: Option<&'a RawValue>,
+}
+
+/// A completion request that was read and checked.
+#[derive(Clone, Debug)]
+pub(crate) struct CompletionRequest {
+    /// Model.
+    pub(crate) model: ModelId,
+    /// Prompt, as quoted JSON.
+    pub(crate) prompt: Bytes,
+    /// Tokens of the whole answer at most.
+    pub(crate) max_tokens: u64,
+    /// Whether events are wanted.
+    pub(crate) stream: bool,
+    /// Text that the caller already has, as escaped JSON.
+    pub(crate) delivered_text: Option<BytesMut>,
+}
+
+impl CompletionRequest {
+    /// Reads a body.
+    pub(crate) fn parse(body: &Bytes, tokens_max: u64) -> Result<Self, Error> {
+        let parsed: CompletionBody<'_> = serde_json::from_slice(body)
+            .map_err(|e| Error::new(ErrorKind::BadRequest, e.to_string()))?;
+        let max_tokens = parsed.max_tokens.unwrap_or(TOKENS_DEFAULT.min(tokens_max));
+        if !(1..=tokens_max).contains(&max_tokens) {
+            return Err(bad(format!(
+                "max_tokens: {max_tokens} is outside 1..={tokens_max}"
+            )));
+        }
+        let prompt = text(parsed.prompt).ok_or_else(|| bad("prompt: must be a string"))?;
+        let delivered_text = match parsed.delivered_text {
+            None => None,
+            Some(raw) => {
+                let quoted = text(raw).ok_or_else(|| bad("delivered_text: must be a string"))?;
+                Some(BytesMut::from(&quoted[1..quoted.len() - 1]))
+            }
+        };
+        Ok(Self {
+            model: parsed.model,
+            prompt: body.slice_ref(prompt),
+            max_tokens,
+            stream: parsed.stream,
+            delivered_text,
+        })
+    }
+
+    /// Makes a job of the request under a generation's name.
+    pub(crate) fn job(
+        &self,
+        generation: GenerationId,
+        customer: &CustomerId,
+        treatment: Treatment,
+        config: Arc<Config>,
+    ) -> Job {
+        Job {
+            generation,
+            model: self.model.clone(),
+            prompt: self.prompt.clone(),
+            max_tokens: self.max_tokens,
+            treatment,
+            request_hash: self.hash(customer),
+            fingerprint: fingerprint(customer, &self.model, &self.prompt),
+            prefix_hash: prefix_hash(&self.model, &self.prompt),
+            config,
+        }
+    }
+
+    fn hash(&self, customer: &CustomerId) -> [u8; 32] {
+        let mut hasher = Sha256::new();
+        for part in [customer.as_bytes(), self.model.as_bytes(), &self.prompt] {
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        hasher.update(self.max_tokens.to_le_bytes());
+        hasher.finalize().into()
+    }
+}
+
+/// The raw JSON of a value, if it is a string.
+fn text(raw: &RawValue) -> Option<&[u8]> {
+    let json = raw.get();
+    json.starts_with('"').then_some(json.as_bytes())
+}
+
+fn bad(message: impl Into<String>) -> Error {
+    Error::new(ErrorKind::BadRequest, message)
+}
--- /dev/null
+++ b/src/demo.rs
@@ -0,0 +1,159 @@
+//! The whole path on loopback inside one process, with a runner killed.
+
+use std::fmt;
+use std::io;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::call::{CallReport, CompletionReport, CompletionWish};
+use crate::intent::Intent;
+use crate::local_cluster::{ClusterPlan, LocalCluster};
+
+/// Intent of the demonstration.
+const INTENT: &str = include_str!("../examples/kestrel-intent.yaml");
+/// Key of a customer in that intent.
+const CUSTOMER_KEY: &str = "federation-key";
+/// Part of the answer after which the runner is killed.
+const KILL_AFTER_PART: u32 = 3;
+/// Longest wait for a caller to get that far.
+const KILL_WAIT_MAX: Duration = Duration::from_secs(10);
+
+/// What the demonstration does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DemoOptions {
+    /// Tokens of the answer.
+    pub token_count: u64,
+    /// Time between two tokens at a runner.
+    pub token_interval: Duration,
+}
+
+/// A demonstration.
+#[derive(Clone, Copy, Debug)]
+pub struct Demo {
+    options: DemoOptions,
+}
+
+/// What the demonstration's caller saw.
+#[derive(Clone, Debug, Serialize)]
+pub struct DemoReport {
+    /// The completion.
+    pub completion: CompletionReport,
+    /// Runner that was killed.
+    pub killed_runner: String,
+    /// Tokens that all runners generated.
+    pub generated_count: u64,
+    /// Tokens generated for nobody, as a share of those delivered.
+    pub extra_share: f64,
+    /// Answer to a disbursement, and to the same one sent again.
+    pub disbursements: [String; 2],
+    /// How often the payments service ran it.
+    pub executed_count: usize,
+}
+
+impl Demo {
+    /// Makes a demonstration.
+    pub fn new(options: DemoOptions) -> Self {
+        Self { options }
+    }
+
+    /// Runs it.
+    pub async fn run(self) -> io::Result<DemoReport> {
+        let intent: Intent = serde_saphyr::from_str(INTENT).map_err(io::Error::other)?;
+        let mut plan = ClusterPlan::new(2, 3, intent).with_service("payments", 2);
+        plan.runner_profile.token_interval = self.options.token_interval;
+        let mut cluster = LocalCluster::start(plan).await?;
+        let caller = cluster.caller(CUSTOMER_KEY, "steward");
+        let wish = CompletionWish {
+            model: "steward-chat".into(),
+            prompt: "Summarise this week's picket roll for the hardship committee.".into(),
+            max_tokens: self.options.token_count,
+            brings_text: true,
+        };
+        let calling = tokio::spawn(async move { caller.complete(&wish).await });
+        let killed = self.kill_in_mid_answer(&mut cluster).await;
+        let completion = calling.await.map_err(io::Error::other)?;
+        let generated_count = generated(&cluster);
+        let delivered = completion.token_count.max(1);
+        let extra = generated_count.saturating_sub(delivered);
+        let disbursements = [disburse(&cluster).await, disburse(&cluster).await];
+        let executed = cluster.services.iter().map(|(s, _)| s.ledger().len()).sum();
+        Ok(DemoReport {
+            killed_runner: killed,
+            generated_count,
+            extra_share: extra as f64 / delivered as f64,
+            completion,
+            disbursements,
+            executed_count: executed,
+        })
+    }
+
+    async fn kill_in_mid_answer(&self, cluster: &mut LocalCluster) -> String {
+        let wanted = self.options.token_count / u64::from(KILL_AFTER_PART);
+        let poll = Duration::from_millis(5);
+        let polls_max = KILL_WAIT_MAX.as_millis() / poll.as_millis();
+        for _ in 0..polls_max {
+            if generated(cluster) >= wanted {
+                break;
+            }
+            tokio::time::sleep(poll).await;
+        }
+        let busiest = cluster.busiest_runner();
+        cluster.kill_runner(busiest).await;
+        cluster.runners[busiest].name.clone()
+    }
+}
+
+fn generated(cluster: &LocalCluster) -> u64 {
+    let runners = cluster.runners.iter();
+    runners
+        .map(|runner| runner.engine.ledger().token_count)
+        .sum()
+}
+
+async fn disburse(cluster: &LocalCluster) -> String {
+    let caller = cluster.caller(CUSTOMER_KEY, "steward");
+    let node = cluster.caller_addresses()[0];
+    let body = r#"{"striker":"s-17","cents":15000}"#;
+    let report = caller.call_at(node, "payments", "disburse", "week-49-s-17", body);
+    match report.await {
+        CallReport::Answered { status, body } => {
+            format!("{status} {}", String::from_utf8_lossy(&body))
+        }
+        CallReport::Failed(error) => format!("{}: {}", error.kind.name(), error.message),
+        CallReport::NoAnswer => "no answer".into(),
+    }
+}
+
+impl fmt::Display for DemoReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let completion = &self.completion;
+        let whole = completion.ended && completion.broken.is_none();
+        writeln!(f, "killed runner       {}", self.killed_runner)?;
+        writeln!(f, "answer whole        {whole}")?;
+        if let Some(broken) = &completion.broken {
+            writeln!(f, "broken              {broken}")?;
+        }
+        if let Some(error) = &completion.error {
+            writeln!(
+                f,
+                "error               {}: {}",
+                error.kind.name(),
+                error.message
+            )?;
+        }
+        writeln!(f, "tokens              {}", completion.token_count)?;
+        writeln!(f, "attempts            {}", completion.attempt_count)?;
+        writeln!(f, "connections         {}", completion.connection_count)?;
+        let first_ms = completion.first_token_ms.unwrap_or(f64::NAN);
+        writeln!(f, "first token         {first_ms:.1} ms")?;
+        for resume_ms in &completion.resume_ms {
+            writeln!(f, "resumed after       {resume_ms:.1} ms")?;
+        }
+        writeln!(f, "tokens generated    {}", self.generated_count)?;
+        writeln!(f, "extra work          {:.1} %", self.extra_share * 100.0)?;
+        writeln!(f, "disbursement        {}", self.disbursements[0])?;
+        writeln!(f, "sent again          {}", self.disbursements[1])?;
+        write!(f, "executed            {} time(s)", self.executed_count)
+    }
+}
--- /dev/null
+++ b/src/document.rs
@@ -0,0 +1,64 @@
+//! Documents that only move forward: the configuration and the VM list.
+//!
+//! A node keeps the highest version it has ever seen and never takes a lower
+//! one, whether it comes from a stale read, a late watch or a peer.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use crate::id::Version;
+use crate::object_store::Object;
+
+/// The newest documents that one node holds, by name.
+#[derive(Debug, Default)]
+pub struct DocumentShelf {
+    documents: Mutex<BTreeMap<String, Object>>,
+}
+
+impl DocumentShelf {
+    /// Keeps `object` unless this or a higher version is held; true if kept.
+    ///
+    /// ```
+    /// use zinniawing::{DocumentShelf, Object};
+    ///
+    /// let shelf = DocumentShelf::default();
+    /// let object = |version| Object { version, body: "text".into() };
+    /// assert!(shelf.offer("config", object(2)));
+    /// assert!(!shelf.offer("config", object(1)));
+    /// assert_eq!(shelf.version("config"), 2);
+    /// ```
+    pub fn offer(&self, name: &str, object: Object) -> bool {
+        let mut documents = self.lock();
+        let held = documents.get(name).map_or(0, |held| held.version);
+        if object.version <= held {
+            return false;
+        }
+        documents.insert(name.to_owned(), object);
+        true
+    }
+
+    /// The document, if it is held.
+    pub fn get(&self, name: &str) -> Option<Object> {
+        self.lock().get(name).cloned()
+    }
+
+    /// Version held; zero when there is none.
+    pub fn version(&self, name: &str) -> Version {
+        self.lock().get(name).map_or(0, |held| held.version)
+    }
+
+    /// Names and versions of all that is held.
+    pub fn versions(&self) -> BTreeMap<String, Version> {
+        let documents = self.lock();
+        let pairs = documents.iter();
+        pairs
+            .map(|(name, held)| (name.clone(), held.version))
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Object>> {
+        self.documents
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/event_id.rs
@@ -0,0 +1,77 @@
+//! The id of every event towards callers: enough to resume at any node.
+
+use std::fmt;
+
+use sha2::{Digest, Sha256};
+
+use crate::config::hex;
+use crate::id::{AttemptNumber, GenerationId, RunnerId, TokenIndex};
+use crate::runner::StreamKey;
+
+/// Hexadecimal digits of a stream key.
+const KEY_DIGITS: usize = 40;
+
+/// Names one attempt of one generation at one runner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct AttemptId {
+    /// The generation.
+    pub(crate) generation: GenerationId,
+    /// Position of the attempt within the generation.
+    pub(crate) number: AttemptNumber,
+    /// Drawn for each attempt, because two nodes may count the same number.
+    pub(crate) salt: u32,
+    /// Runner that carries the attempt.
+    pub(crate) runner: RunnerId,
+}
+
+/// Names one token of one attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct EventId {
+    /// The attempt that gave the token.
+    pub(crate) attempt: AttemptId,
+    /// The token's index.
+    pub(crate) index: TokenIndex,
+}
+
+impl AttemptId {
+    /// The name of the attempt's stream at its runner.
+    ///
+    /// It can only be worked out from the very request that began the stream,
+    /// so another customer's id gives nothing away.
+    pub(crate) fn stream_key(&self, request_hash: &[u8; 32]) -> StreamKey {
+        let mut hasher = Sha256::new();
+        hasher.update(request_hash);
+        hasher.update(self.to_string().as_bytes());
+        let mut key = hex(&hasher.finalize());
+        key.truncate(KEY_DIGITS);
+        key
+    }
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}.{}.{:x}.{}",
+            self.generation, self.number, self.salt, self.runner
+        )
+    }
+}
+
+impl EventId {
+    /// Reads an id that a caller brought back.
+    pub(crate) fn parse(text: &str) -> Option<Self> {
+        let (attempt, index) = text.rsplit_once('.')?;
+        let mut parts = attempt.splitn(4, '.');
+        let attempt = AttemptId {
+            generation: parts.next().filter(|g| !g.is_empty())?.to_owned(),
+            number: parts.next()?.parse().ok()?,
+            salt: u32::from_str_radix(parts.next()?, 16).ok()?,
+            runner: parts.next()?.to_owned(),
+        };
+        Some(Self {
+            attempt,
+            index: index.parse().ok()?,
+        })
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,114 @@
+//! Serves long model generations whole on engines that fail.
+//!
+//! A [`Node`] runs on each entry VM. It takes callers' requests, chooses
+//! runners, goes on elsewhere when one is lost, and keeps calls that may not
+//! be repeated from running twice. What must last lives in the platform's
+//! object API; see `docs/DESIGN.md` for how the parts fit.
+//!
+//! The coordination parts can be embedded on their own: [`Membership`] and its
+//! announcements, at-most-once claims ([`take_claim`]), the fenced [`Lease`],
+//! and the [`DocumentShelf`] that never goes back.
+//!
+//! ```
+//! use zinniawing::{Intent, Plan};
+//!
+//! let current = Intent::default();
+//! let next = Intent { time_zone: "America/Port_of_Spain".into(), ..Intent::default() };
+//! let plan = Plan::new("i1".into(), 0, &current, &next);
+//! assert_eq!(plan.changes.len(), 1);
+//! ```
+
+#![deny(missing_docs, rust_2018_idioms, unsafe_code)]
+
+mod admission;
+mod announcement;
+mod attempt;
+mod audit;
+mod call;
+mod caller_api;
+mod claim;
+mod claim_book;
+mod claim_desk;
+mod claim_shard;
+mod clock;
+mod completion;
+mod config;
+mod configuration;
+mod demo;
+mod dispatch;
+mod document;
+mod document_keeper;
+mod error;
+mod event_id;
+mod fleet;
+mod gate;
+mod generation;
+mod hash;
+mod http;
+mod id;
+mod intent;
+mod lease;
+mod local_cluster;
+mod members;
+mod membership;
+mod message;
+mod metrics;
+mod node;
+mod node_state;
+mod object_store;
+mod operator;
+mod operator_api;
+mod orders;
+mod peer;
+mod plan;
+mod platform;
+mod retry_budget;
+mod runner;
+mod runner_watch;
+mod service;
+mod settings;
+mod shutdown;
+mod sse;
+mod stand_in;
+mod stand_in_platform;
+mod stand_in_runner;
+mod stand_in_service;
+mod suspects;
+mod token_chain;
+
+pub use announcement::Announcement;
+pub use audit::{AuditOutcome, AuditRecord};
+pub use call::{CallReport, Caller, CompletionReport, CompletionWish};
+pub use caller_api::AddressAnswer;
+pub use claim::{
+    Claim, ClaimWriter, Held, LocalClaims, Sent, Taken, WireOperation, WireReply, call_hash,
+    take_claim,
+};
+pub use claim_book::ClaimSettings;
+pub use config::{Config, ConfigRecord, Confirmation, key_hash};
+pub use demo::{Demo, DemoOptions, DemoReport};
+pub use document::DocumentShelf;
+pub use error::{Answer, Error, ErrorBody, ErrorDetail, ErrorKind, Execution};
+pub use id::{
+    AttemptNumber, CustomerId, DataCentreId, Fence, GenerationId, Incarnation, IntentId, KindId,
+    ModelId, NodeId, RunnerId, ServiceId, TokenIndex, Version,
+};
+pub use intent::{CustomerIntent, Intent, KindIntent, ModelIntent, PatienceIntent, ServiceIntent};
+pub use lease::Lease;
+pub use local_cluster::{ClusterPlan, ClusterRunner, LocalCluster, OPERATOR_KEY};
+pub use members::Member;
+pub use membership::{ControlTraffic, LinkFaults, Membership, MembershipSettings, News};
+pub use metrics::{Counter, Metrics};
+pub use node::Node;
+pub use object_store::{ABSENT, MemoryStore, Object, ObjectStore, StoreError};
+pub use operator::{Operator, OperatorError};
+pub use operator_api::{ConfirmBody, Confirmed, NodeStatus, RunnerStatus, Status};
+pub use plan::{Plan, PlannedChange};
+pub use platform::{Vm, VmRole, VmState};
+pub use runner::{ModelVersion, Order, RunnerReport};
+pub use settings::{Limits, Listen, Settings, SettingsError, Timing};
+pub use stand_in::StandIn;
+pub use stand_in_platform::{PlatformCounts, PlatformFaults, StandInPlatform};
+pub use stand_in_runner::{CRASH_MARK, RunnerFaults, RunnerLedger, RunnerProfile, StandInRunner};
+pub use stand_in_service::{Executed, Receipt, ServiceFaults, StandInService};
+pub use token_chain::{BrokenChain, TokenChain};
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,156 @@
+//! Every counter of the program, named once.
+//!
+//! Counters are plain atomics on the hot paths; a task hands what was added
+//! to `cadence` every few seconds. `docs/OPERATIONS.md` lists them, and a test
+//! holds that list against [`Counter::ALL`].
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use cadence::{Counted, StatsdClient, UdpMetricSink};
+
+/// Time between two deliveries of what was added.
+const FLUSH_INTERVAL: Duration = Duration::from_secs(5);
+/// Prefix of every counter's name.
+const PREFIX: &str = "zinniawing";
+
+/// One thing that is counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(usize)]
+pub enum Counter {
+    /// Requests for a completion.
+    Completions,
+    /// Requests refused because the wait would be too long.
+    Refused,
+    /// Tokens relayed to callers.
+    Tokens,
+    /// Tokens from runners that were dropped as repeated.
+    RepeatedTokens,
+    /// Attempts opened at runners.
+    Attempts,
+    /// Attempts opened beside one that had gone silent.
+    Standbys,
+    /// Attempts lost to a broken connection.
+    LostByReset,
+    /// Attempts lost to silence.
+    LostBySilence,
+    /// Generations that went on after a loss.
+    Resumes,
+    /// Milliseconds between the last token before a loss and the next one.
+    ResumeMs,
+    /// Generations given up.
+    GenerationsLost,
+    /// Requests convicted of crashing runners.
+    Convictions,
+    /// Requests refused by a conviction.
+    ConvictedRefusals,
+    /// Calls to plain services.
+    ServiceCalls,
+    /// Claims taken.
+    ClaimsTaken,
+    /// Calls answered from a claim that had ended.
+    ClaimsReplayed,
+    /// Calls whose outcome is unknown.
+    OutcomesUnknown,
+    /// Configurations put in force.
+    Configs,
+    /// Older configurations that were refused.
+    StaleConfigs,
+    /// Orders given to runners.
+    Orders,
+    /// Orders refused by their fence.
+    OrdersRefused,
+}
+
+impl Counter {
+    /// All counters, in the order of the list in the docs.
+    pub const ALL: [Self; 21] = [
+        Self::Completions,
+        Self::Refused,
+        Self::Tokens,
+        Self::RepeatedTokens,
+        Self::Attempts,
+        Self::Standbys,
+        Self::LostByReset,
+        Self::LostBySilence,
+        Self::Resumes,
+        Self::ResumeMs,
+        Self::GenerationsLost,
+        Self::Convictions,
+        Self::ConvictedRefusals,
+        Self::ServiceCalls,
+        Self::ClaimsTaken,
+        Self::ClaimsReplayed,
+        Self::OutcomesUnknown,
+        Self::Configs,
+        Self::StaleConfigs,
+        Self::Orders,
+        Self::OrdersRefused,
+    ];
+
+    /// Name and unit, as in `tokens_count` and `resume_ms`.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Completions => "completions_count",
+            Self::Refused => "refused_count",
+            Self::Tokens => "tokens_count",
+            Self::RepeatedTokens => "repeated_tokens_count",
+            Self::Attempts => "attempts_count",
+            Self::Standbys => "standbys_count",
+            Self::LostByReset => "lost_by_reset_count",
+            Self::LostBySilence => "lost_by_silence_count",
+            Self::Resumes => "resumes_count",
+            Self::ResumeMs => "resume_ms",
+            Self::GenerationsLost => "generations_lost_count",
+            Self::Convictions => "convictions_count",
+            Self::ConvictedRefusals => "convicted_refusals_count",
+            Self::ServiceCalls => "service_calls_count",
+            Self::ClaimsTaken => "claims_taken_count",
+            Self::ClaimsReplayed => "claims_replayed_count",
+            Self::OutcomesUnknown => "outcomes_unknown_count",
+            Self::Configs => "configs_count",
+            Self::StaleConfigs => "stale_configs_count",
+            Self::Orders => "orders_count",
+            Self::OrdersRefused => "orders_refused_count",
+        }
+    }
+}
+
+/// The counters of one node.
+#[derive(Debug, Default)]
+pub struct Metrics {
+    values: [AtomicU64; Counter::ALL.len()],
+}
+
+impl Metrics {
+    /// Adds to a counter.
+    pub fn add(&self, counter: Counter, amount: u64) {
+        self.values[counter as usize].fetch_add(amount, Ordering::Relaxed);
+    }
+
+    /// Reads a counter.
+    pub fn get(&self, counter: Counter) -> u64 {
+        self.values[counter as usize].load(Ordering::Relaxed)
+    }
+
+    /// Hands what is added to a StatsD collector until the task is dropped.
+    pub(crate) async fn deliver(self: Arc<Self>, collector: SocketAddr) -> std::io::Result<()> {
+        let socket = std::net::UdpSocket::bind("0.0.0.0:0")?;
+        socket.set_nonblocking(true)?;
+        let sink = UdpMetricSink::from(collector, socket).map_err(std::io::Error::other)?;
+        let client = StatsdClient::from_sink(PREFIX, sink);
+        let mut delivered = [0; Counter::ALL.len()];
+        loop {
+            tokio::time::sleep(FLUSH_INTERVAL).await;
+            for counter in Counter::ALL {
+                let total = self.get(counter);
+                let added = total - delivered[counter as usize];
+                delivered[counter as usize] = total;
+                // A collector that is away loses counts, never requests.
+                let _ = client.count(counter.name(), added as i64);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,408 @@
+//! One node: everything that runs on one entry VM.
+
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use tokio::sync::broadcast::error::RecvError;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio_util::task::TaskTracker;
+
+use crate::caller_api::CallerApi;
+use crate::claim_book::ClaimBook;
+use crate::claim_desk::ClaimDesk;
+use crate::clock::unix_ms;
+use crate::config::Config;
+use crate::configuration::Configuration;
+use crate::dispatch::{CONVICTION_TOPIC, CRASH_TOPIC, Dispatcher};
+use crate::document::DocumentShelf;
+use crate::document_keeper::DocumentKeeper;
+use crate::fleet::Fleet;
+use crate::hash::rendezvous_order;
+use crate::http::{HttpClient, serve};
+use crate::id::Version;
+use crate::members::Member;
+use crate::membership::{ControlTraffic, LinkFaults, Membership, MembershipSettings, News};
+use crate::metrics::{Counter, Metrics};
+use crate::node_state::{NodeState, PeerApi};
+use crate::operator_api::OperatorApi;
+use crate::orders::OrderGiver;
+use crate::peer::{PeerClient, serve_peers};
+use crate::platform::{CONFIG_KEY, Platform, VMS_KEY, Vm};
+use crate::runner::{RunnerClient, RunnerReport};
+use crate::runner_watch::{RUNNER_TOPIC, RunnerWatch};
+use crate::service::ServiceClient;
+use crate::settings::Settings;
+use crate::shutdown::{Shutdown, ShutdownTrigger, Stage};
+use crate::stand_in::bind;
+
+/// Time between looks at what orders are due.
+const ORDER_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between adjustments of this node's share of the slots.
+const SHARE_INTERVAL: Duration = Duration::from_millis(250);
+/// Every node gets at least the share of this much demand, so that one with
+/// none can begin.
+const SHARE_BASE: usize = 1;
+
+/// A running node.
+#[derive(Debug)]
+pub struct Node {
+    state: Arc<NodeState>,
+    trigger: Arc<ShutdownTrigger>,
+    doors: Vec<JoinHandle<()>>,
+}
+
+impl Node {
+    /// Binds all addresses of `settings` and starts to serve.
+    pub async fn start(settings: Settings) -> io::Result<Self> {
+        Self::start_with(settings, LinkFaults::default()).await
+    }
+
+    /// Starts a node whose links to its peers have faults that tests order.
+    pub async fn start_with(settings: Settings, faults: LinkFaults) -> io::Result<Self> {
+        let (trigger, shutdown) = Shutdown::channel();
+        let callers = bind(settings.listen.callers)?;
+        let operators = bind(settings.listen.operators)?;
+        let peers = bind(settings.listen.peers)?;
+        let (state, vms_keeper) = assemble(settings, faults, &shutdown).await?;
+        let background = Background {
+            state: state.clone(),
+            config_changed: state.config_keeper.changed.subscribe(),
+            vms_changed: vms_keeper.changed.subscribe(),
+        };
+        background.start(vms_keeper, &shutdown);
+        let peer_traffic = state.peers.traffic().clone();
+        let peer_api = Arc::new(PeerApi::new(state.clone()));
+        let for_peers = shutdown.clone();
+        let doors = vec![
+            tokio::spawn(serve(
+                callers,
+                Arc::new(CallerApi::new(state.clone())),
+                shutdown.clone(),
+            )),
+            tokio::spawn(serve(
+                operators,
+                Arc::new(OperatorApi::new(state.clone())),
+                shutdown.clone(),
+            )),
+            tokio::spawn(async move {
+                // The listener only ends with the node.
+                let _ = serve_peers(peers, peer_api, peer_traffic, for_peers).await;
+            }),
+        ];
+        Ok(Self {
+            state,
+            trigger: Arc::new(trigger),
+            doors,
+        })
+    }
+
+    /// Where callers reach the node.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.state.settings.listen.callers
+    }
+
+    /// Where operators reach the node.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.state.settings.listen.operators
+    }
+
+    /// Version of the configuration in force; zero when there is none.
+    pub fn config_version(&self) -> Version {
+        self.state.config.load().as_ref().map_or(0, |c| c.version)
+    }
+
+    /// The node's counters.
+    pub fn metrics(&self) -> Arc<Metrics> {
+        self.state.metrics.clone()
+    }
+
+    /// Messages and bytes between this node and its peers.
+    pub fn control_traffic(&self) -> ControlTraffic {
+        self.state.membership.traffic()
+    }
+
+    /// How many nodes this one believes to live, itself included.
+    pub fn alive_count(&self) -> usize {
+        self.state.membership.alive_count()
+    }
+
+    /// How many runners have told this node what they hold.
+    pub fn known_runner_count(&self) -> usize {
+        let views = self.state.fleet.views();
+        views.iter().filter(|view| !view.ready.is_empty()).count()
+    }
+
+    /// Begins to leave: callers are no longer sent here, and those that come
+    /// are still served.
+    pub fn leave(&self) {
+        self.state.membership.leave();
+        self.trigger.advance(Stage::Leaving);
+    }
+
+    /// Stops gracefully: leaves, waits until every address answer that names
+    /// this node has run out, takes no new connection, ends every request in
+    /// flight, and says goodbye. `hurry` cuts the wait short, nothing else.
+    pub async fn drain(self, hurry: impl Future<Output = ()>) {
+        self.leave();
+        tokio::select! {
+            () = tokio::time::sleep(self.state.settings.timing.address_keep) => {}
+            () = hurry => {}
+        }
+        self.trigger.advance(Stage::Closing);
+        for door in self.doors {
+            let _ = door.await;
+        }
+        self.state.tasks.close();
+        self.state.tasks.wait().await;
+        self.state.membership.say_goodbye();
+        self.trigger.abort();
+    }
+
+    /// Stops as a killed process would, cutting everything.
+    pub async fn kill(self) {
+        self.trigger.abort();
+        for door in self.doors {
+            let _ = door.await;
+        }
+    }
+}
+
+/// Builds the parts of a node, which do nothing yet.
+async fn assemble(
+    settings: Settings,
+    faults: LinkFaults,
+    shutdown: &Shutdown,
+) -> io::Result<(Arc<NodeState>, DocumentKeeper)> {
+    let http = HttpClient::new();
+    let peers = PeerClient::default();
+    let membership = Membership::start_with(
+        membership_settings(&settings, faults.clone()),
+        peers.clone(),
+        shutdown.clone(),
+    )
+    .await?;
+    let platform = Platform::new(settings.platform, http.clone());
+    let shelf = Arc::new(DocumentShelf::default());
+    let keeper = |name| DocumentKeeper {
+        name,
+        shelf: shelf.clone(),
+        platform: platform.clone(),
+        membership: membership.clone(),
+        peers: peers.clone(),
+        faults: faults.clone(),
+        changed: watch::Sender::new(0),
+    };
+    let metrics = Arc::new(Metrics::default());
+    let fleet = Arc::new(Fleet::default());
+    let dispatcher = Dispatcher::new(
+        fleet.clone(),
+        RunnerClient::new(http.clone()),
+        membership.clone(),
+        metrics.clone(),
+        settings.timing.leaving_bound,
+    );
+    let book = ClaimBook::start(&platform, settings.claims);
+    let state = NodeState {
+        config_keeper: keeper(CONFIG_KEY),
+        configuration: Configuration::new(platform.clone(), settings.node.clone()),
+        claims: ClaimDesk::new(book, membership.clone(), peers.clone(), faults.clone()),
+        services: ServiceClient::new(http.clone(), fleet.clone()),
+        dispatcher: Arc::new(dispatcher),
+        admission: Arc::default(),
+        config: ArcSwapOption::empty(),
+        tasks: TaskTracker::new(),
+        platform: platform.clone(),
+        membership: membership.clone(),
+        peers: peers.clone(),
+        shelf: shelf.clone(),
+        fleet,
+        metrics,
+        settings,
+    };
+    Ok((Arc::new(state), keeper(VMS_KEY)))
+}
+
+fn membership_settings(settings: &Settings, faults: LinkFaults) -> MembershipSettings {
+    MembershipSettings {
+        me: Member {
+            node: settings.node.clone(),
+            incarnation: unix_ms(),
+            peer_address: settings.listen.peers,
+            caller_address: settings.listen.callers,
+            data_centre: settings.data_centre.clone(),
+            leaving: false,
+            demand_count: 0,
+        },
+        seeds: settings.seeds.clone(),
+        interval: settings.timing.probe_interval,
+        faults,
+    }
+}
+
+/// The tasks of a node that no request started.
+struct Background {
+    state: Arc<NodeState>,
+    config_changed: watch::Receiver<Version>,
+    vms_changed: watch::Receiver<Version>,
+}
+
+impl Background {
+    fn start(self, vms_keeper: DocumentKeeper, shutdown: &Shutdown) {
+        let state = self.state;
+        let spawn = |task| spawn_until_aborted(shutdown, task);
+        spawn(Box::pin(state.config_keeper.clone().run()));
+        spawn(Box::pin(vms_keeper.run()));
+        spawn(Box::pin(apply_config(state.clone(), self.config_changed)));
+        spawn(Box::pin(apply_vms(state.clone(), self.vms_changed)));
+        spawn(Box::pin(follow_announcements(state.clone())));
+        spawn(Box::pin(watch_runners(state.clone())));
+        spawn(Box::pin(give_orders(state.clone())));
+        spawn(Box::pin(adjust_shares(state.clone())));
+        if let Some(collector) = state.settings.metrics {
+            let metrics = state.metrics.clone();
+            spawn(Box::pin(async move {
+                if let Err(error) = metrics.deliver(collector).await {
+                    log::error!("counters are not delivered: {error}");
+                }
+            }));
+        }
+    }
+}
+
+type BackgroundTask = std::pin::Pin<Box<dyn Future<Output = ()> + Send>>;
+
+fn spawn_until_aborted(shutdown: &Shutdown, task: BackgroundTask) {
+    let aborted = shutdown.aborted_handle();
+    tokio::spawn(async move {
+        aborted.run_until_cancelled(task).await;
+    });
+}
+
+async fn apply_config(state: Arc<NodeState>, mut changed: watch::Receiver<Version>) {
+    while changed.changed().await.is_ok() {
+        let Some(object) = state.shelf.get(CONFIG_KEY) else {
+            continue;
+        };
+        let in_force = state.config.load().as_ref().map_or(0, |c| c.version);
+        if object.version <= in_force {
+            state.metrics.add(Counter::StaleConfigs, 1);
+            continue;
+        }
+        match Config::from_object(&object) {
+            Some(config) => {
+                log::info!("configuration {} is in force", config.version);
+                state.metrics.add(Counter::Configs, 1);
+                state.config.store(Some(Arc::new(config)));
+            }
+            None => log::error!("configuration {} is unreadable", object.version),
+        }
+    }
+}
+
+async fn apply_vms(state: Arc<NodeState>, mut changed: watch::Receiver<Version>) {
+    while changed.changed().await.is_ok() {
+        let Some(object) = state.shelf.get(VMS_KEY) else {
+            continue;
+        };
+        match serde_json::from_slice::<Vec<Vm>>(&object.body) {
+            Ok(vms) => state.fleet.replace_vms(&vms),
+            Err(error) => log::error!("the VM list is unreadable: {error}"),
+        }
+        // Reports of runners that were not on the list yet count now.
+        for announcement in state.membership.announcements(RUNNER_TOPIC) {
+            learn_report(&state, &announcement.key, &announcement.body);
+        }
+    }
+}
+
+async fn follow_announcements(state: Arc<NodeState>) {
+    let mut news = state.membership.subscribe();
+    loop {
+        match news.recv().await {
+            Ok(News::Announced(announcement)) => match announcement.topic {
+                CRASH_TOPIC | CONVICTION_TOPIC => state.dispatcher.learn(&announcement),
+                RUNNER_TOPIC => learn_report(&state, &announcement.key, &announcement.body),
+                _ => {}
+            },
+            Ok(News::Document { .. }) | Err(RecvError::Lagged(_)) => {}
+            Err(RecvError::Closed) => return,
+        }
+    }
+}
+
+fn learn_report(state: &NodeState, runner: &str, body: &[u8]) {
+    if let Ok(report) = serde_json::from_slice::<RunnerReport>(body) {
+        state.fleet.announced(runner, &report);
+    }
+}
+
+async fn watch_runners(state: Arc<NodeState>) {
+    let client = RunnerClient::new(HttpClient::new());
+    let mut watch = RunnerWatch::new(state.fleet.clone(), client, state.membership.clone());
+    let interval = state.settings.timing.watch_interval;
+    loop {
+        let next = tokio::time::sleep(interval);
+        watch.look(interval).await;
+        next.await;
+    }
+}
+
+async fn give_orders(state: Arc<NodeState>) {
+    let mut giver = OrderGiver::new(
+        state.platform.clone(),
+        &state.membership.me().claimant(),
+        state.settings.timing.order_lease,
+        state.fleet.clone(),
+        RunnerClient::new(HttpClient::new()),
+        state.metrics.clone(),
+        state.settings.load_spacing,
+    );
+    loop {
+        tokio::time::sleep(ORDER_INTERVAL).await;
+        let Some(config) = state.config.load_full() else {
+            continue;
+        };
+        if is_order_holder(&state) {
+            giver.look(&config).await;
+        }
+    }
+}
+
+/// Only one node asks for the lease at a time; the lease, not this, is what
+/// keeps two from acting.
+fn is_order_holder(state: &NodeState) -> bool {
+    let alive = state.membership.alive();
+    let staying = alive.iter().filter(|member| !member.leaving);
+    let order = rendezvous_order(0, staying.map(|member| member.node.as_str()));
+    order.first() == Some(&state.settings.node.as_str())
+}
+
+/// Takes the share of each model's slots that this node's demand has in the
+/// demand of all, as far as it is known.
+async fn adjust_shares(state: Arc<NodeState>) {
+    loop {
+        tokio::time::sleep(SHARE_INTERVAL).await;
+        let own = state.admission.demand_count();
+        state.membership.set_demand(own as u32);
+        let Some(config) = state.config.load_full() else {
+            continue;
+        };
+        let alive = state.membership.alive();
+        let total: usize = alive
+            .iter()
+            .map(|m| m.demand_count as usize + SHARE_BASE)
+            .sum();
+        let share = (own + SHARE_BASE) as f64 / total.max(1) as f64;
+        let models: BTreeSet<&String> = config.intent().models.keys().collect();
+        for model in models {
+            let slots = state.fleet.slot_count(model, &config.versions(model));
+            let own_slots = (f64::from(slots) * share).ceil() as usize;
+            state.admission.set_slots(model, own_slots);
+        }
+    }
+}
--- /dev/null
+++ b/src/node_state.rs
@@ -0,0 +1,107 @@
+//! What the parts of one node share.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwapOption;
+use tokio_util::task::TaskTracker;
+
+use crate::admission::Admission;
+use crate::claim_desk::ClaimDesk;
+use crate::config::Config;
+use crate::configuration::Configuration;
+use crate::dispatch::Dispatcher;
+use crate::document::DocumentShelf;
+use crate::document_keeper::DocumentKeeper;
+use crate::error::{Error, ErrorKind};
+use crate::fleet::Fleet;
+use crate::membership::Membership;
+use crate::message::{DocumentReply, DocumentVersion, Question, ReplyBody, StatusReply};
+use crate::metrics::Metrics;
+use crate::peer::{PeerClient, PeerHandler};
+use crate::platform::Platform;
+use crate::service::ServiceClient;
+use crate::settings::Settings;
+
+/// The parts of one node.
+#[derive(Debug)]
+pub(crate) struct NodeState {
+    pub(crate) settings: Settings,
+    pub(crate) platform: Platform,
+    pub(crate) membership: Membership,
+    pub(crate) peers: PeerClient,
+    pub(crate) shelf: Arc<DocumentShelf>,
+    pub(crate) config_keeper: DocumentKeeper,
+    pub(crate) config: ArcSwapOption<Config>,
+    pub(crate) configuration: Configuration<Platform>,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) dispatcher: Arc<Dispatcher>,
+    pub(crate) admission: Arc<Admission>,
+    pub(crate) claims: ClaimDesk,
+    pub(crate) services: ServiceClient,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) tasks: TaskTracker,
+}
+
+impl NodeState {
+    /// The configuration in force here.
+    pub(crate) fn config(&self) -> Result<Arc<Config>, Error> {
+        self.config
+            .load_full()
+            .ok_or_else(|| Error::new(ErrorKind::NotReady, "no confirmed configuration yet"))
+    }
+
+    /// What this node has in force.
+    pub(crate) fn status_reply(&self) -> StatusReply {
+        // A document counts once it is applied, not when it has arrived.
+        let applied = self.config.load().as_ref().map_or(0, |c| c.version);
+        let versions = self.shelf.versions().into_iter();
+        StatusReply {
+            documents: versions
+                .map(|(name, version)| {
+                    let is_config = name == crate::platform::CONFIG_KEY;
+                    DocumentVersion {
+                        version: if is_config { applied } else { version },
+                        name,
+                    }
+                })
+                .collect(),
+            in_flight_count: self.admission.demand_count() as u32,
+        }
+    }
+
+    fn document(&self, wanted: &DocumentVersion) -> DocumentReply {
+        let held = self.shelf.get(&wanted.name);
+        let newer = held.filter(|object| object.version > wanted.version);
+        newer.map_or_else(DocumentReply::default, |object| DocumentReply {
+            version: object.version,
+            body: object.body,
+        })
+    }
+}
+
+/// Answers other nodes.
+#[derive(Debug)]
+pub(crate) struct PeerApi {
+    state: Arc<NodeState>,
+}
+
+impl PeerApi {
+    /// Answers for one node.
+    pub(crate) fn new(state: Arc<NodeState>) -> Self {
+        Self { state }
+    }
+}
+
+impl PeerHandler for PeerApi {
+    async fn answer(&self, question: Question) -> Option<ReplyBody> {
+        let reply = match question {
+            Question::Sync(_) => ReplyBody::Sync(self.state.membership.sync_reply()),
+            Question::Fetch(wanted) => ReplyBody::Document(self.state.document(&wanted)),
+            Question::Claim(operation) => {
+                ReplyBody::Claim(self.state.claims.apply_here(operation).await)
+            }
+            Question::Status(_) => ReplyBody::Status(self.state.status_reply()),
+        };
+        Some(reply)
+    }
+}
--- /dev/null
+++ b/src/object_store.rs
@@ -0,0 +1,86 @@
+//! What the coordination parts ask of the platform's object API.
+//!
+//! Safety in this system rests on one thing only: a conditional write that
+//! the platform accepted. See `docs/DESIGN.md`, "Truth and speed".
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+
+use crate::id::Version;
+
+/// The version of an object that does not exist.
+pub const ABSENT: Version = 0;
+
+/// One object as it was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Object {
+    /// Version of the accepted write that made this content.
+    pub version: Version,
+    /// Content.
+    pub body: Bytes,
+}
+
+/// Why the platform did not do what it was asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    /// The object is not at the expected version; nothing was written.
+    #[error("the object changed meanwhile")]
+    Conflict,
+    /// The request did not reach the platform, or the platform refused it.
+    #[error("the platform is away")]
+    Unavailable,
+    /// The reply is missing: a write may have taken effect.
+    #[error("the platform's reply is missing")]
+    Unknown,
+}
+
+/// Objects with versions and conditional updates.
+///
+/// ```
+/// use zinniawing::{ABSENT, MemoryStore, ObjectStore, StoreError};
+///
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// let store = MemoryStore::default();
+/// let version = store.put("key", ABSENT, "first".into()).await.unwrap();
+/// assert_eq!(store.put("key", ABSENT, "second".into()).await, Err(StoreError::Conflict));
+/// assert_eq!(store.get("key").await.unwrap().unwrap().version, version);
+/// # });
+/// ```
+pub trait ObjectStore: Clone + Send + Sync + 'static {
+    /// Reads an object.
+    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Object>, StoreError>> + Send;
+
+    /// Writes an object if it is still at `expected`, and gives its new version.
+    fn put(
+        &self,
+        key: &str,
+        expected: Version,
+        body: Bytes,
+    ) -> impl Future<Output = Result<Version, StoreError>> + Send;
+}
+
+/// An object store in memory, for tests and examples of embedding.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryStore {
+    objects: Arc<Mutex<BTreeMap<String, Object>>>,
+}
+
+impl ObjectStore for MemoryStore {
+    async fn get(&self, key: &str) -> Result<Option<Object>, StoreError> {
+        let objects = self.objects.lock().map_err(|_| StoreError::Unavailable)?;
+        Ok(objects.get(key).cloned())
+    }
+
+    async fn put(&self, key: &str, expected: Version, body: Bytes) -> Result<Version, StoreError> {
+        let mut objects = self.objects.lock().map_err(|_| StoreError::Unavailable)?;
+        let current = objects.get(key).map_or(ABSENT, |object| object.version);
+        if current != expected {
+            return Err(StoreError::Conflict);
+        }
+        let version = current + 1;
+        objects.insert(key.to_owned(), Object { version, body });
+        Ok(version)
+    }
+}
--- /dev/null
+++ b/src/operator_api.rs
@@ -0,0 +1,234 @@
+//! The door for operators: intents, plans, confirmations, status, audit.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::caller_api::bearer;
+use crate::config::key_hash;
+use crate::error::{Error, ErrorKind};
+use crate::http::{self, Handler, HttpResponse};
+use crate::id::{NodeId, Version};
+use crate::intent::Intent;
+use crate::members::Member;
+use crate::message::{Question, ReplyBody, StatusQuestion};
+use crate::metrics::Counter;
+use crate::node_state::NodeState;
+use crate::platform::{CONFIG_KEY, VMS_KEY};
+use crate::runner::ModelVersion;
+
+/// Largest intent.
+const INTENT_MAX_BYTES: usize = 512 * 1024;
+/// How long a node may take to tell its status.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(800);
+/// Audit records in one answer.
+const AUDIT_COUNT: usize = 50;
+
+/// Body of a confirmation.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConfirmBody {
+    /// Version that the plan was made for.
+    pub base: Version,
+}
+
+/// What a confirmation brought about.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmed {
+    /// Version of the configuration that holds the intent.
+    pub version: Version,
+}
+
+/// What is in force where.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Highest version of the configuration at any node that answered.
+    pub version: Version,
+    /// Whether every live node has it in force.
+    pub in_force_everywhere: bool,
+    /// Nodes, as this one sees them.
+    pub nodes: BTreeMap<NodeId, NodeStatus>,
+    /// Runners, as this node sees them.
+    pub runners: BTreeMap<String, RunnerStatus>,
+    /// This node's counters.
+    pub counters: BTreeMap<String, u64>,
+}
+
+/// One node's part of a [`Status`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// Where callers reach it.
+    pub caller_address: String,
+    /// Data centre it stands in.
+    pub data_centre: String,
+    /// Whether it drains.
+    pub leaving: bool,
+    /// Version in force; absent when it gave no answer.
+    pub version: Option<Version>,
+    /// Version of the VM list it holds.
+    pub vms_version: Option<Version>,
+    /// Requests in flight and waiting there.
+    pub in_flight_count: u32,
+}
+
+/// One runner's part of a [`Status`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerStatus {
+    /// Data centre it stands in.
+    pub data_centre: String,
+    /// Whether it is about to go.
+    pub leaving: bool,
+    /// Whether it refuses orders with an old fence.
+    pub checks_fence: bool,
+    /// Models it reported ready.
+    pub ready: Vec<ModelVersion>,
+}
+
+/// Answers operators.
+#[derive(Debug)]
+pub(crate) struct OperatorApi {
+    state: Arc<NodeState>,
+}
+
+impl OperatorApi {
+    /// Answers for one node.
+    pub(crate) fn new(state: Arc<NodeState>) -> Self {
+        Self { state }
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> Result<HttpResponse, Error> {
+        let operator = self.authenticate(&request)?;
+        let path = request.uri().path().to_owned();
+        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match (request.method(), parts.as_slice()) {
+            (&Method::POST, ["v1", "intents"]) => {
+                let body = http::read_body(request.into_body(), INTENT_MAX_BYTES).await?;
+                let intent: Intent = http::parse_json(&body)?;
+                let plan = self.state.configuration.state(&operator, intent).await?;
+                Ok(http::json(StatusCode::OK, &plan))
+            }
+            (&Method::GET, ["v1", "intents", id, "plan"]) => {
+                let plan = self.state.configuration.plan(&(*id).to_owned()).await?;
+                Ok(http::json(StatusCode::OK, &plan))
+            }
+            (&Method::POST, ["v1", "intents", id, "confirm"]) => {
+                let body = http::read_body(request.into_body(), INTENT_MAX_BYTES).await?;
+                let ConfirmBody { base } = http::parse_json(&body)?;
+                self.confirm(&operator, id, base).await
+            }
+            (&Method::GET, ["v1", "status"]) => {
+                Ok(http::json(StatusCode::OK, &self.status().await))
+            }
+            (&Method::GET, ["v1", "audit"]) => {
+                let platform = self.state.platform.clone();
+                let list = |prefix| async move { platform.list(prefix).await };
+                let records = self.state.configuration.audit(list, AUDIT_COUNT).await?;
+                Ok(http::json(StatusCode::OK, &records))
+            }
+            _ => Err(Error::new(ErrorKind::NotFound, "no such path")),
+        }
+    }
+
+    fn authenticate(&self, request: &Request<Incoming>) -> Result<String, Error> {
+        let hash = key_hash(bearer(request)?);
+        let mut operators = self.state.settings.operators.iter();
+        let found = operators.find(|(_, known)| known.eq_ignore_ascii_case(&hash));
+        found
+            .map(|(name, _)| name.clone())
+            .ok_or_else(|| Error::new(ErrorKind::Unauthorized, "the key belongs to no operator"))
+    }
+
+    async fn confirm(
+        &self,
+        operator: &str,
+        id: &str,
+        base: Version,
+    ) -> Result<HttpResponse, Error> {
+        let intent_id = id.to_owned();
+        let object = self
+            .state
+            .configuration
+            .confirm(operator, &intent_id, base)
+            .await?;
+        let version = object.version;
+        log::info!("{operator} confirmed intent {id} as version {version}");
+        self.state.config_keeper.offer(object);
+        Ok(http::json(StatusCode::OK, &Confirmed { version }))
+    }
+
+    async fn status(&self) -> Status {
+        let members = self.state.membership.alive();
+        let asked: Vec<_> = members
+            .into_iter()
+            .map(|member| tokio::spawn(ask_status(self.state.clone(), member)))
+            .collect();
+        let mut nodes = BTreeMap::new();
+        for answer in asked {
+            if let Ok((node, status)) = answer.await {
+                nodes.insert(node, status);
+            }
+        }
+        let version = nodes.values().filter_map(|n| n.version).max().unwrap_or(0);
+        let views = self.state.fleet.views().into_iter();
+        Status {
+            version,
+            in_force_everywhere: nodes.values().all(|n| n.version == Some(version)),
+            nodes,
+            runners: views
+                .map(|view| {
+                    let status = RunnerStatus {
+                        data_centre: view.data_centre,
+                        leaving: view.leaving,
+                        checks_fence: view.checks_fence,
+                        ready: view.ready,
+                    };
+                    (view.runner, status)
+                })
+                .collect(),
+            counters: Counter::ALL
+                .iter()
+                .map(|c| (c.name().to_owned(), self.state.metrics.get(*c)))
+                .collect(),
+        }
+    }
+}
+
+async fn ask_status(state: Arc<NodeState>, member: Member) -> (NodeId, NodeStatus) {
+    let is_me = member.node == state.settings.node;
+    let reply = if is_me {
+        Some(state.status_reply())
+    } else {
+        let question = Question::Status(StatusQuestion {});
+        let asked = state
+            .peers
+            .ask(member.peer_address, question, STATUS_TIMEOUT);
+        match asked.await {
+            Ok(ReplyBody::Status(reply)) => Some(reply),
+            _ => None,
+        }
+    };
+    let version_of = |name: &str| {
+        let documents = &reply.as_ref()?.documents;
+        documents.iter().find(|d| d.name == name).map(|d| d.version)
+    };
+    let status = NodeStatus {
+        caller_address: member.caller_address.to_string(),
+        data_centre: member.data_centre,
+        leaving: member.leaving,
+        version: version_of(CONFIG_KEY),
+        vms_version: version_of(VMS_KEY),
+        in_flight_count: reply.as_ref().map_or(0, |r| r.in_flight_count),
+    };
+    (member.node, status)
+}
+
+impl Handler for OperatorApi {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
+        let answered = self.route(request).await;
+        answered.unwrap_or_else(|error| http::failure(&error))
+    }
+}
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,183 @@
+//! The platform's object API over HTTP; no other module speaks its dialect.
+//!
+//! Versions travel as entity tags: `ETag` in answers, `If-Match` and
+//! `If-None-Match: *` in conditional updates. `docs/PROTOCOLS.md` gives the
+//! shapes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{ETAG, HeaderValue, IF_MATCH, IF_NONE_MATCH};
+use hyper::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::http::{self, HttpClient, SendError};
+use crate::id::{DataCentreId, Version};
+use crate::object_store::{ABSENT, Object, ObjectStore, StoreError};
+
+/// Key of the confirmed configuration.
+pub(crate) const CONFIG_KEY: &str = "config/current";
+/// Key under which the platform shows its list of VMs.
+pub(crate) const VMS_KEY: &str = "vms";
+
+/// How long a read or a write may take before its outcome counts as unknown.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// How much longer than its own wait a watch may take.
+const WATCH_SLACK: Duration = Duration::from_secs(2);
+
+/// What a VM on the platform's list is for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmRole {
+    /// Runs a model engine.
+    Runner {
+        /// Whether the engine refuses orders that carry an old fence.
+        checks_fence: bool,
+    },
+    /// Runs an instance of a plain service.
+    Service {
+        /// Name of the service.
+        service: String,
+    },
+}
+
+/// Whether a VM on the list stays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// The VM serves.
+    Live,
+    /// The VM is about to go and takes no new work.
+    Leaving,
+}
+
+/// One entry of the platform's list of VMs, which lags.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Vm {
+    /// Name of the VM, which is also its upstream's name.
+    pub vm: String,
+    /// Where its upstream listens.
+    pub address: SocketAddr,
+    /// Data centre it stands in.
+    pub data_centre: DataCentreId,
+    /// What it is for.
+    pub role: VmRole,
+    /// Whether it stays.
+    pub state: VmState,
+}
+
+/// A connection to the platform.
+#[derive(Clone, Debug)]
+pub(crate) struct Platform {
+    address: SocketAddr,
+    client: HttpClient,
+}
+
+impl Platform {
+    /// Makes a client; it connects when first used.
+    pub(crate) fn new(address: SocketAddr, client: HttpClient) -> Self {
+        Self { address, client }
+    }
+
+    /// Waits up to `wait` for a version above `after`.
+    pub(crate) async fn watch(
+        &self,
+        key: &str,
+        after: Version,
+        wait: Duration,
+    ) -> Result<Option<Object>, StoreError> {
+        let wait_ms = wait.as_millis();
+        let path = format!("/watch/{key}?after={after}&wait_ms={wait_ms}");
+        let response = self
+            .call(Method::GET, &path, Bytes::new(), None, wait + WATCH_SLACK)
+            .await?;
+        read_object(response)
+    }
+
+    /// Lists the keys that begin with `prefix`, in order.
+    pub(crate) async fn list(&self, prefix: &str) -> Result<Vec<String>, StoreError> {
+        let path = format!("/objects?prefix={prefix}");
+        let response = self
+            .call(Method::GET, &path, Bytes::new(), None, CALL_TIMEOUT)
+            .await?;
+        serde_json::from_slice(response.body()).map_err(|_| StoreError::Unavailable)
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        condition: Option<Version>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, StoreError> {
+        let mut request = http::request(method, self.address, path, body);
+        if let Some(expected) = condition {
+            set_condition(&mut request, expected);
+        }
+        let exchange = self.client.exchange(self.address, request, timeout);
+        let response = exchange.await.map_err(|e| match e {
+            SendError::NotSent(_) => StoreError::Unavailable,
+            SendError::NoAnswer(_) => StoreError::Unknown,
+        })?;
+        match response.status() {
+            StatusCode::PRECONDITION_FAILED => Err(StoreError::Conflict),
+            StatusCode::SERVICE_UNAVAILABLE => Err(StoreError::Unavailable),
+            status if status.is_server_error() => Err(StoreError::Unknown),
+            _ => Ok(response),
+        }
+    }
+}
+
+impl ObjectStore for Platform {
+    async fn get(&self, key: &str) -> Result<Option<Object>, StoreError> {
+        let path = format!("/objects/{key}");
+        let response = self
+            .call(Method::GET, &path, Bytes::new(), None, CALL_TIMEOUT)
+            .await?;
+        read_object(response)
+    }
+
+    async fn put(&self, key: &str, expected: Version, body: Bytes) -> Result<Version, StoreError> {
+        let path = format!("/objects/{key}");
+        let response = self
+            .call(Method::PUT, &path, body, Some(expected), CALL_TIMEOUT)
+            .await?;
+        version_of(&response).ok_or(StoreError::Unknown)
+    }
+}
+
+fn set_condition(request: &mut Request<Full<Bytes>>, expected: Version) {
+    let headers = request.headers_mut();
+    if expected == ABSENT {
+        headers.insert(IF_NONE_MATCH, HeaderValue::from_static("*"));
+        return;
+    }
+    if let Ok(tag) = HeaderValue::from_str(&format!("\"{expected}\"")) {
+        headers.insert(IF_MATCH, tag);
+    }
+}
+
+fn read_object(response: Response<Bytes>) -> Result<Option<Object>, StoreError> {
+    match response.status() {
+        StatusCode::OK => {
+            let version = version_of(&response).ok_or(StoreError::Unavailable)?;
+            let body = response.into_body();
+            Ok(Some(Object { version, body }))
+        }
+        StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED => Ok(None),
+        _ => Err(StoreError::Unavailable),
+    }
+}
+
+fn version_of(response: &Response<Bytes>) -> Option<Version> {
+    parse_tag(response.headers().get(ETAG)?)
+}
+
+/// Reads a version from an entity tag.
+pub(crate) fn parse_tag(tag: &HeaderValue) -> Option<Version> {
+    tag.to_str().ok()?.trim_matches('"').parse().ok()
+}
--- /dev/null
+++ b/src/sse.rs
@@ -0,0 +1,133 @@
+//! Server-sent events as they pass through a node.
+//!
+//! Tokens are relayed by the thousand, so events are cut out of the stream as
+//! byte slices, and a token's text is taken out of its JSON without parsing
+//! the whole of it.
+
+use bytes::{Bytes, BytesMut};
+
+/// Largest single event a peer may send.
+const EVENT_MAX_BYTES: usize = 64 * 1024;
+const END_OF_EVENT: &[u8] = b"\n\n";
+const TEXT_FIELD: &[u8] = b"\"text\":\"";
+
+/// One event, its fields as they came.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Event {
+    /// Value of the `id` field.
+    pub(crate) id: Bytes,
+    /// Value of the `event` field.
+    pub(crate) name: Bytes,
+    /// Value of the `data` field.
+    pub(crate) data: Bytes,
+}
+
+/// Cuts a byte stream into events.
+#[derive(Debug, Default)]
+pub(crate) struct EventBuffer {
+    bytes: BytesMut,
+}
+
+/// The peer sent an event without end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("an event exceeds {EVENT_MAX_BYTES} bytes")]
+pub(crate) struct EventTooLarge;
+
+impl EventBuffer {
+    /// Adds what the peer sent.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<(), EventTooLarge> {
+        self.bytes.extend_from_slice(bytes);
+        let unfinished =
+            self.bytes.len() > EVENT_MAX_BYTES && find(&self.bytes, END_OF_EVENT).is_none();
+        if unfinished {
+            return Err(EventTooLarge);
+        }
+        Ok(())
+    }
+
+    /// Takes the next whole event.
+    pub(crate) fn next(&mut self) -> Option<Event> {
+        let end = find(&self.bytes, END_OF_EVENT)?;
+        let raw = self.bytes.split_to(end + END_OF_EVENT.len()).freeze();
+        Some(parse_event(&raw.slice(..end)))
+    }
+
+    /// Puts the end of the answer back, so that it is taken once more.
+    pub(crate) fn put_back_done(&mut self) {
+        let rest = self.bytes.split();
+        self.bytes.extend_from_slice(b"data: [DONE]\n\n");
+        self.bytes.unsplit(rest);
+    }
+}
+
+fn parse_event(raw: &Bytes) -> Event {
+    let mut event = Event::default();
+    let mut start = 0;
+    for line in raw.split(|byte| *byte == b'\n') {
+        let end = start + line.len();
+        let field = |name: &[u8]| {
+            let value = line.strip_prefix(name)?;
+            let value = value.strip_prefix(b" ").unwrap_or(value);
+            Some(raw.slice(end - value.len()..end))
+        };
+        if let Some(data) = field(b"data:") {
+            event.data = data;
+        } else if let Some(id) = field(b"id:") {
+            event.id = id;
+        } else if let Some(name) = field(b"event:") {
+            event.name = name;
+        }
+        start = end + 1;
+    }
+    event
+}
+
+fn find(haystack: &[u8], needle: &[u8]) -> Option<usize> {
+    let first = *needle.first()?;
+    let mut from = 0;
+    while let Some(offset) = haystack[from..].iter().position(|byte| *byte == first) {
+        let at = from + offset;
+        if haystack[at..].starts_with(needle) {
+            return Some(at);
+        }
+        from = at + 1;
+    }
+    None
+}
+
+/// The still escaped text of a token's JSON, such as `\n` as two characters.
+///
+/// Escaped pieces can be joined without unescaping them, which keeps the
+/// delivered text ready for the body of a resume.
+pub(crate) fn escaped_text(data: &Bytes) -> Option<Bytes> {
+    let start = find(data, TEXT_FIELD)? + TEXT_FIELD.len();
+    let mut at = start;
+    while let Some(byte) = data.get(at) {
+        match byte {
+            b'"' => return Some(data.slice(start..at)),
+            b'\\' => at += 2,
+            _ => at += 1,
+        }
+    }
+    None
+}
+
+/// Turns escaped text into text.
+pub(crate) fn unescape(escaped: &[u8]) -> Option<String> {
+    let mut quoted = Vec::with_capacity(escaped.len() + 2);
+    quoted.push(b'"');
+    quoted.extend_from_slice(escaped);
+    quoted.push(b'"');
+    serde_json::from_slice(&quoted).ok()
+}
+
+/// Reads a decimal number as it stands in an event's id.
+pub(crate) fn parse_index(digits: &[u8]) -> Option<u64> {
+    if digits.is_empty() || digits.len() > 19 {
+        return None;
+    }
+    digits.iter().try_fold(0_u64, |value, byte| {
+        byte.is_ascii_digit()
+            .then(|| value * 10 + u64::from(byte - b'0'))
+    })
+}
--- /dev/null
+++ b/src/stand_in_runner.rs
@@ -0,0 +1,550 @@
+//! A stand-in for a model engine: batches, caches prefixes, resumes, cancels.
+//!
+//! Its text is a [`TokenChain`], so callers can prove that an answer is whole.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use http_body_util::channel::Channel;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::gate::Gate;
+use crate::http::{self, Handler, HttpResponse};
+use crate::id::{Fence, Incarnation};
+use crate::runner::{self, ModelVersion, Order, RunnerReport, StreamRequest};
+use crate::shutdown::{Shutdown, ShutdownTrigger};
+use crate::stand_in::{Freezer, StandIn, bind};
+use crate::stand_in_platform::status;
+use crate::token_chain::TokenChain;
+
+/// A prompt with this text kills each engine that runs it.
+pub const CRASH_MARK: &str = "CRASHES-THE-ENGINE";
+/// Tokens an engine gives of a crashing prompt before it dies.
+const CRASH_AFTER_TOKENS: u64 = 3;
+/// Largest request body an engine reads.
+const BODY_MAX_BYTES: usize = 4 * 1024 * 1024;
+/// Bytes of prompt that one cache block covers.
+const BLOCK_BYTES: usize = 64;
+/// Frames a slow reader may leave unread.
+const UNREAD_FRAMES: usize = 4;
+/// How long a finished stream can still be resumed.
+const FINISHED_KEEP: Duration = Duration::from_secs(30);
+
+/// How a stand-in engine behaves when nothing is wrong.
+#[derive(Clone, Debug)]
+pub struct RunnerProfile {
+    /// Streams that generate at once.
+    pub slot_count: u32,
+    /// Time between two tokens of a stream.
+    pub token_interval: Duration,
+    /// Time to take in one block of a prompt that is not cached.
+    pub block_interval: Duration,
+    /// Prompt blocks the cache holds.
+    pub cache_block_count: usize,
+    /// How long a stream that nobody reads goes on.
+    pub unread_keep: Duration,
+    /// Time to load a model.
+    pub load_time: Duration,
+    /// Models held from the start.
+    pub models: Vec<ModelVersion>,
+    /// Whether orders with an old fence are refused.
+    pub checks_fence: bool,
+}
+
+impl Default for RunnerProfile {
+    fn default() -> Self {
+        Self {
+            slot_count: 32,
+            token_interval: Duration::from_millis(20),
+            block_interval: Duration::from_micros(200),
+            cache_block_count: 4096,
+            unread_keep: Duration::from_secs(5),
+            load_time: Duration::from_millis(300),
+            models: Vec::new(),
+            checks_fence: true,
+        }
+    }
+}
+
+/// Faults a test can order an engine to have.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RunnerFaults {
+    /// Die at once, cutting every connection.
+    pub die: bool,
+    /// Stop answering and generating, with connections left open.
+    pub freeze: bool,
+    /// Factor on the time between tokens; 0 and 1 mean none.
+    pub slow_factor: u32,
+    /// Say that the engine is about to go, and take new work all the same.
+    pub leaving: bool,
+}
+
+/// What an engine has done, for checkers.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct RunnerLedger {
+    /// Tokens generated.
+    pub token_count: u64,
+    /// Prompt blocks taken in without the cache's help.
+    pub block_count: u64,
+    /// Prompt blocks found in the cache.
+    pub cached_block_count: u64,
+    /// Streams opened.
+    pub opened_count: u64,
+    /// Models loaded from the weight store.
+    pub load_count: u64,
+    /// Fences of the orders that were carried out.
+    pub fences: Vec<Fence>,
+}
+
+#[derive(Debug)]
+struct Stream {
+    events: Mutex<Vec<Bytes>>,
+    first_index: u64,
+    progress: watch::Sender<Progress>,
+    reader_count: AtomicUsize,
+    cancelled: AtomicBool,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    event_count: usize,
+    ended: bool,
+}
+
+#[derive(Debug, Default)]
+struct Engine {
+    faults: RunnerFaults,
+    streams: BTreeMap<String, Arc<Stream>>,
+    cache: BTreeSet<u64>,
+    ready: Vec<ModelVersion>,
+    fence: Fence,
+    ledger: RunnerLedger,
+    opened_at: Vec<Instant>,
+}
+
+/// A stand-in engine, shared by its connections.
+#[derive(Debug)]
+pub struct StandInRunner {
+    profile: RunnerProfile,
+    incarnation: Incarnation,
+    gate: Arc<Gate<u8>>,
+    engine: Mutex<Engine>,
+    token_count: AtomicU64,
+    freezer: Freezer,
+    trigger: Arc<ShutdownTrigger>,
+}
+
+impl StandInRunner {
+    /// Starts an engine on `address`.
+    pub fn start(address: SocketAddr, profile: RunnerProfile) -> io::Result<(Arc<Self>, StandIn)> {
+        let (trigger, shutdown) = Shutdown::channel();
+        let trigger = Arc::new(trigger);
+        let engine = Engine {
+            ready: profile.models.clone(),
+            ..Engine::default()
+        };
+        let runner = Arc::new(Self {
+            gate: Gate::new(profile.slot_count as usize),
+            incarnation: rand::random::<u32>().into(),
+            engine: Mutex::new(engine),
+            token_count: AtomicU64::new(0),
+            freezer: Freezer::new(),
+            trigger: trigger.clone(),
+            profile,
+        });
+        let stand_in = StandIn::start(bind(address)?, runner.clone(), trigger, shutdown)?;
+        Ok((runner, stand_in))
+    }
+
+    /// Orders the faults from now on.
+    pub fn set_faults(&self, faults: RunnerFaults) {
+        self.engine().faults = faults;
+        self.freezer.set(faults.freeze);
+        if faults.die {
+            self.trigger.abort();
+        }
+    }
+
+    /// What the engine has done so far.
+    pub fn ledger(&self) -> RunnerLedger {
+        let mut ledger = self.engine().ledger.clone();
+        ledger.token_count = self.token_count.load(Ordering::Relaxed);
+        ledger
+    }
+
+    /// Streams that generate now.
+    pub fn running_count(&self) -> usize {
+        self.gate.held_count()
+    }
+
+    /// When streams were opened, for checkers of leaving.
+    pub fn opened_at(&self) -> Vec<Instant> {
+        self.engine().opened_at.clone()
+    }
+
+    fn engine(&self) -> MutexGuard<'_, Engine> {
+        self.engine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn report(&self) -> RunnerReport {
+        let engine = self.engine();
+        RunnerReport {
+            incarnation: self.incarnation,
+            running_count: self.gate.held_count() as u32,
+            queued_count: self.gate.queued_count() as u32,
+            slot_count: self.profile.slot_count,
+            leaving: engine.faults.leaving,
+            ready: engine.ready.clone(),
+            fence: engine.fence,
+        }
+    }
+
+    async fn route(self: &Arc<Self>, request: Request<Incoming>) -> HttpResponse {
+        let path = request.uri().path().to_owned();
+        if let Some(order) = path.strip_prefix("/stand-in/") {
+            return self.control(order, request).await;
+        }
+        self.freezer.thawed().await;
+        match (request.method(), path.as_str()) {
+            (&Method::POST, runner::COMPLETIONS_PATH) => self.open(request).await,
+            (&Method::GET, runner::LOAD_PATH) => http::json(StatusCode::OK, &self.report()),
+            (&Method::POST, runner::ORDERS_PATH) => self.take_order(request).await,
+            (method, path) => match path.strip_prefix(runner::STREAMS_PATH) {
+                Some(key) if method == Method::DELETE => self.cancel(key),
+                Some(rest) => self.resume(rest, request.uri().query().unwrap_or("")),
+                None => status(StatusCode::NOT_FOUND),
+            },
+        }
+    }
+
+    async fn open(self: &Arc<Self>, request: Request<Incoming>) -> HttpResponse {
+        let key = http::header(&request, runner::STREAM_KEY.as_str()).map(str::to_owned);
+        let priority = http::header(&request, runner::PRIORITY.as_str())
+            .and_then(|p| p.parse().ok())
+            .unwrap_or(u8::MAX);
+        let body = match http::read_body(request.into_body(), BODY_MAX_BYTES).await {
+            Ok(body) => body,
+            Err(error) => return http::failure(&error),
+        };
+        let Ok(wanted) = serde_json::from_slice::<StreamRequest<'_>>(&body) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        if !self.holds(wanted.model, wanted.version) {
+            return status(StatusCode::NOT_FOUND);
+        }
+        let Ok(prompt) = serde_json::from_str::<String>(wanted.prompt.get()) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let Ok(resume_text) = serde_json::from_str::<String>(wanted.resume_text.get()) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let job = Job {
+            key: key.unwrap_or_else(|| uuid::Uuid::new_v4().simple().to_string()),
+            priority,
+            prompt,
+            resume_text,
+            first_index: wanted.resume_index,
+            end_index: wanted.max_tokens,
+        };
+        let stream = self.begin(job);
+        self.read_from(stream, 0)
+    }
+
+    fn holds(&self, model: &str, version: &str) -> bool {
+        let engine = self.engine();
+        let mut ready = engine.ready.iter();
+        ready.any(|held| held.model == model && held.version == version)
+    }
+
+    fn begin(self: &Arc<Self>, job: Job) -> Arc<Stream> {
+        let stream = Arc::new(Stream {
+            events: Mutex::new(Vec::new()),
+            first_index: job.first_index,
+            progress: watch::Sender::new(Progress::default()),
+            reader_count: AtomicUsize::new(0),
+            cancelled: AtomicBool::new(false),
+        });
+        let mut engine = self.engine();
+        engine.ledger.opened_count += 1;
+        engine.opened_at.push(Instant::now());
+        engine.streams.insert(job.key.clone(), stream.clone());
+        drop(engine);
+        let runner = self.clone();
+        let generated = stream.clone();
+        tokio::spawn(async move {
+            let key = job.key.clone();
+            // A killed engine generates nothing more.
+            let dead = runner.trigger.aborted();
+            dead.run_until_cancelled(runner.generate(job, &generated))
+                .await;
+            generated.progress.send_modify(|p| p.ended = true);
+            tokio::time::sleep(FINISHED_KEEP).await;
+            runner.engine().streams.remove(&key);
+        });
+        stream
+    }
+
+    async fn generate(&self, job: Job, stream: &Stream) {
+        let _slot = self.gate.acquire(job.priority).await;
+        self.take_in(&job).await;
+        let mut chain = TokenChain::new(&job.prompt);
+        chain.absorb(&job.resume_text);
+        let salt = rand::random();
+        let mut unread_since: Option<Instant> = None;
+        for index in job.first_index..job.end_index {
+            self.pace().await;
+            if self.is_unwanted(stream, &mut unread_since) {
+                return;
+            }
+            if job.prompt.contains(CRASH_MARK) && index >= CRASH_AFTER_TOKENS {
+                self.trigger.abort();
+                return;
+            }
+            self.token_count.fetch_add(1, Ordering::Relaxed);
+            let text = chain.write(index, salt);
+            let event = format!(
+                "id: {index}\ndata: {{\"choices\":[{{\"index\":0,\"text\":\"{text}\"}}]}}\n\n"
+            );
+            stream.push(event.into());
+        }
+        stream.push(Bytes::from_static(b"data: [DONE]\n\n"));
+    }
+
+    async fn pace(&self) {
+        self.freezer.thawed().await;
+        let slow_factor = self.engine().faults.slow_factor.max(1);
+        let interval = self.profile.token_interval * slow_factor;
+        if interval.is_zero() {
+            tokio::task::yield_now().await;
+        } else {
+            tokio::time::sleep(interval).await;
+        }
+        self.freezer.thawed().await;
+    }
+
+    fn is_unwanted(&self, stream: &Stream, unread_since: &mut Option<Instant>) -> bool {
+        if stream.cancelled.load(Ordering::Relaxed) {
+            return true;
+        }
+        if stream.reader_count.load(Ordering::Relaxed) > 0 {
+            *unread_since = None;
+            return false;
+        }
+        unread_since.get_or_insert_with(Instant::now).elapsed() > self.profile.unread_keep
+    }
+
+    async fn take_in(&self, job: &Job) {
+        let whole = format!("{}{}", job.prompt, job.resume_text);
+        let (missing, cached) = {
+            let mut engine = self.engine();
+            let blocks = block_hashes(&whole);
+            let missing = blocks.iter().filter(|b| !engine.cache.contains(b)).count() as u64;
+            let cached = blocks.len() as u64 - missing;
+            engine.cache.extend(blocks);
+            while engine.cache.len() > self.profile.cache_block_count {
+                engine.cache.pop_first();
+            }
+            engine.ledger.block_count += missing;
+            engine.ledger.cached_block_count += cached;
+            (missing, cached)
+        };
+        log::trace!("{missing} blocks taken in, {cached} from the cache");
+        tokio::time::sleep(self.profile.block_interval * missing as u32).await;
+    }
+
+    fn cancel(&self, key: &str) -> HttpResponse {
+        let stream = self.engine().streams.get(key).cloned();
+        match stream {
+            Some(stream) => {
+                stream.cancelled.store(true, Ordering::Relaxed);
+                status(StatusCode::OK)
+            }
+            None => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn resume(self: &Arc<Self>, rest: &str, query: &str) -> HttpResponse {
+        let key = rest.strip_suffix("/resume").unwrap_or(rest);
+        let from: u64 = query
+            .strip_prefix("from=")
+            .and_then(|from| from.parse().ok())
+            .unwrap_or(0);
+        let stream = self.engine().streams.get(key).cloned();
+        let resumable = stream.filter(|s| {
+            let wanted = !s.cancelled.load(Ordering::Relaxed);
+            wanted && from >= s.first_index && from <= s.first_index + s.event_count() as u64
+        });
+        match resumable {
+            Some(stream) => {
+                let skip = (from - stream.first_index) as usize;
+                self.read_from(stream, skip)
+            }
+            None => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn read_from(self: &Arc<Self>, stream: Arc<Stream>, skip: usize) -> HttpResponse {
+        let (sender, body) = Channel::new(UNREAD_FRAMES);
+        stream.reader_count.fetch_add(1, Ordering::Relaxed);
+        tokio::spawn(send_events(self.clone(), stream, skip, sender));
+        let mut response = Response::new(body.boxed_unsync());
+        let event_stream = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(CONTENT_TYPE, event_stream);
+        self.describe(&mut response);
+        response
+    }
+
+    fn describe(&self, response: &mut HttpResponse) {
+        let report = self.report();
+        let headers = response.headers_mut();
+        let load = format!(
+            "{}/{}",
+            report.running_count + report.queued_count,
+            report.slot_count
+        );
+        if let Ok(load) = HeaderValue::from_str(&load) {
+            headers.insert(runner::LOAD, load);
+        }
+        headers.insert(runner::INCARNATION, HeaderValue::from(report.incarnation));
+        let leaving = HeaderValue::from(u16::from(report.leaving));
+        headers.insert(runner::LEAVING, leaving);
+    }
+
+    async fn take_order(self: &Arc<Self>, request: Request<Incoming>) -> HttpResponse {
+        let body = match http::read_body(request.into_body(), BODY_MAX_BYTES).await {
+            Ok(body) => body,
+            Err(error) => return http::failure(&error),
+        };
+        let order: Order = match http::parse_json(&body) {
+            Ok(order) => order,
+            Err(error) => return http::failure(&error),
+        };
+        let missing = {
+            let mut engine = self.engine();
+            if self.profile.checks_fence && order.fence < engine.fence {
+                return status(StatusCode::CONFLICT);
+            }
+            engine.fence = engine.fence.max(order.fence);
+            engine.ledger.fences.push(order.fence);
+            engine.ready.retain(|held| order.models.contains(held));
+            let wanted = order.models.into_iter();
+            let missing: Vec<_> = wanted.filter(|m| !engine.ready.contains(m)).collect();
+            engine.ledger.load_count += missing.len() as u64;
+            missing
+        };
+        let runner = self.clone();
+        tokio::spawn(async move {
+            for model in missing {
+                tokio::time::sleep(runner.profile.load_time).await;
+                let mut engine = runner.engine();
+                if !engine.ready.contains(&model) {
+                    engine.ready.push(model);
+                }
+            }
+        });
+        status(StatusCode::OK)
+    }
+
+    async fn control(self: &Arc<Self>, order: &str, request: Request<Incoming>) -> HttpResponse {
+        if order == "ledger" {
+            return http::json(StatusCode::OK, &self.ledger());
+        }
+        let body = match http::read_body(request.into_body(), BODY_MAX_BYTES).await {
+            Ok(body) => body,
+            Err(error) => return http::failure(&error),
+        };
+        match http::parse_json(&body) {
+            Ok(faults) if order == "faults" => {
+                self.set_faults(faults);
+                status(StatusCode::OK)
+            }
+            Ok(_) => status(StatusCode::NOT_FOUND),
+            Err(error) => http::failure(&error),
+        }
+    }
+}
+
+impl Handler for StandInRunner {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
+        self.route(request).await
+    }
+}
+
+struct Job {
+    key: String,
+    priority: u8,
+    prompt: String,
+    resume_text: String,
+    first_index: u64,
+    end_index: u64,
+}
+
+impl Stream {
+    fn push(&self, event: Bytes) {
+        let mut events = self.events.lock().unwrap_or_else(PoisonError::into_inner);
+        events.push(event);
+        let event_count = events.len();
+        drop(events);
+        self.progress.send_modify(|p| p.event_count = event_count);
+    }
+
+    fn event_count(&self) -> usize {
+        self.progress.borrow().event_count
+    }
+
+    fn events_from(&self, position: usize) -> Bytes {
+        let events = self.events.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut joined = BytesMut::new();
+        for event in events.iter().skip(position) {
+            joined.extend_from_slice(event);
+        }
+        joined.freeze()
+    }
+}
+
+async fn send_events(
+    runner: Arc<StandInRunner>,
+    stream: Arc<Stream>,
+    skip: usize,
+    mut sender: http_body_util::channel::Sender<Bytes>,
+) {
+    let mut progress = stream.progress.subscribe();
+    let mut position = skip;
+    loop {
+        let ready = progress.wait_for(|p| p.event_count > position || p.ended);
+        let Ok(seen) = ready.await.map(|p| *p) else {
+            break;
+        };
+        runner.freezer.thawed().await;
+        let is_end = seen.ended && seen.event_count <= position;
+        let events = stream.events_from(position);
+        position = seen.event_count.max(position);
+        if is_end || sender.send_data(events).await.is_err() {
+            break;
+        }
+    }
+    stream.reader_count.fetch_sub(1, Ordering::Relaxed);
+}
+
+fn block_hashes(text: &str) -> Vec<u64> {
+    let mut chain = TokenChain::new("");
+    let bytes = text.as_bytes();
+    bytes
+        .chunks_exact(BLOCK_BYTES)
+        .map(|block| {
+            chain.absorb(&String::from_utf8_lossy(block));
+            chain.value()
+        })
+        .collect()
+}
--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,102 @@
+//! The whole path as separate processes, killed by hand.
+
+mod support;
+
+use std::time::Duration;
+
+use support::processes::{Deployment, WISH_TOKENS};
+
+#[test]
+fn an_answer_survives_the_death_of_its_runner_process() {
+    // Arrange
+    let mut deployment = Deployment::start(2, 3);
+    deployment.confirm_intent();
+
+    // Act
+    let caller = deployment.begin_call(true);
+    deployment.wait_for_tokens(20);
+    deployment.kill_busiest_runner();
+    let report = Deployment::end_call(caller);
+
+    // Assert
+    assert_eq!(report["ended"], true, "{report}");
+    assert_eq!(report["broken"], serde_json::Value::Null, "{report}");
+    assert_eq!(report["token_count"], WISH_TOKENS, "{report}");
+    assert_eq!(report["attempt_count"], 2, "{report}");
+}
+
+#[test]
+fn an_answer_survives_the_death_of_its_node_process() {
+    // Arrange
+    let mut deployment = Deployment::start(2, 2);
+    deployment.confirm_intent();
+
+    // Act
+    let caller = deployment.begin_call(true);
+    deployment.wait_for_tokens(20);
+    deployment.kill_serving_node();
+    let report = Deployment::end_call(caller);
+
+    // Assert
+    assert_eq!(report["ended"], true, "{report}");
+    assert_eq!(report["broken"], serde_json::Value::Null, "{report}");
+    assert_eq!(report["token_count"], WISH_TOKENS, "{report}");
+    assert_eq!(report["generation_count"], 1, "{report}");
+}
+
+#[test]
+fn an_answer_survives_the_death_of_its_node_and_runner_together() {
+    // Arrange
+    let mut deployment = Deployment::start(2, 3);
+    deployment.confirm_intent();
+
+    // Act
+    let caller = deployment.begin_call(true);
+    deployment.wait_for_tokens(20);
+    deployment.kill_busiest_runner();
+    deployment.kill_serving_node();
+    let report = Deployment::end_call(caller);
+
+    // Assert
+    assert_eq!(report["ended"], true, "{report}");
+    assert_eq!(report["broken"], serde_json::Value::Null, "{report}");
+    assert_eq!(report["token_count"], WISH_TOKENS, "{report}");
+}
+
+#[test]
+fn a_caller_without_its_text_is_given_a_new_generation_when_both_are_lost() {
+    // Arrange
+    let mut deployment = Deployment::start(2, 3);
+    deployment.confirm_intent();
+
+    // Act
+    let caller = deployment.begin_call(false);
+    deployment.wait_for_tokens(20);
+    deployment.kill_busiest_runner();
+    deployment.kill_serving_node();
+    let report = Deployment::end_call(caller);
+
+    // Assert
+    assert_eq!(report["ended"], true, "{report}");
+    assert_eq!(report["broken"], serde_json::Value::Null, "{report}");
+    assert_eq!(report["token_count"], WISH_TOKENS, "{report}");
+}
+
+#[test]
+fn a_node_told_to_stop_ends_what_is_in_flight() {
+    // Arrange
+    let mut deployment = Deployment::start(2, 2);
+    deployment.confirm_intent();
+
+    // Act
+    let caller = deployment.begin_call(true);
+    deployment.wait_for_tokens(20);
+    let stopped = deployment.terminate_serving_node();
+    let report = Deployment::end_call(caller);
+
+    // Assert
+    assert_eq!(report["ended"], true, "{report}");
+    assert_eq!(report["connection_count"], 1, "{report}");
+    assert_eq!(report["attempt_count"], 1, "{report}");
+    assert!(Deployment::exits_cleanly(stopped, Duration::from_secs(20)));
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,5 @@
+//! Fixtures that several test files share.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+pub mod processes;
--- /dev/null
+++ b/tests/support/processes.rs
@@ -0,0 +1,316 @@
+//! A deployment of separate processes, each ended by the test that began it.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+pub const WISH_TOKENS: u64 = 150;
+const TOKEN_MS: u64 = 20;
+const PATIENCE: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(20);
+const BINARY: &str = env!("CARGO_BIN_EXE_zinniawing");
+
+pub struct Deployment {
+    ip: String,
+    folder: PathBuf,
+    platform: Child,
+    nodes: Vec<Option<Child>>,
+    runners: Vec<Option<Child>>,
+}
+
+impl Deployment {
+    pub fn start(node_count: usize, runner_count: usize) -> Self {
+        let ip = fresh_ip();
+        let folder = std::env::temp_dir().join(format!("zinniawing-{}", ip.replace('.', "-")));
+        fs::create_dir_all(&folder).expect("a folder for settings");
+        let mut deployment = Self {
+            platform: spawn(&platform_args(&ip, &folder, runner_count)),
+            nodes: Vec::new(),
+            runners: Vec::new(),
+            ip,
+            folder,
+        };
+        for number in 0..runner_count {
+            let listen = deployment.runner_address(number);
+            let args = runner_args(&listen);
+            deployment.runners.push(Some(spawn(&args)));
+        }
+        for number in 0..node_count {
+            let settings = deployment.write_settings(number);
+            let args = ["serve".to_owned(), settings.display().to_string()];
+            deployment.nodes.push(Some(spawn(&args)));
+        }
+        for number in 0..node_count {
+            wait_until("a node answers", || {
+                answers(&deployment.node_address(number, 0))
+            });
+        }
+        deployment
+    }
+
+    pub fn confirm_intent(&self) {
+        let node = self.node_address(0, 1);
+        let file = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/kestrel-intent.yaml");
+        let operator = ["--node", &node, "--key", "operator-key", "--json"];
+        let stated = run_json(&[&["intent"], &operator[..], &[file]].concat());
+        let id = stated["intent_id"]
+            .as_str()
+            .expect("an intent id")
+            .to_owned();
+        let base = stated["base"].to_string();
+        run_json(&[&["confirm"], &operator[..], &["--base", &base, &id]].concat());
+        let ready = || {
+            let status = run_json(&[&["status"], &operator[..]].concat());
+            let runners = status["runners"].as_object().expect("runners");
+            let all_known = runners.values().all(|r| r["ready"] != Value::Array(vec![]));
+            let nodes = status["nodes"].as_object().expect("nodes").len();
+            status["in_force_everywhere"] == true
+                && nodes == self.nodes.len()
+                && runners.len() == self.runners.len()
+                && all_known
+        };
+        wait_until("the intent is in force", ready);
+    }
+
+    pub fn begin_call(&self, brings_text: bool) -> Child {
+        let tokens = WISH_TOKENS.to_string();
+        let mut args = vec!["call", "--json", "--key", "federation-key"];
+        args.extend([
+            "--kind",
+            "steward",
+            "--model",
+            "steward-chat",
+            "--tokens",
+            &tokens,
+        ]);
+        if !brings_text {
+            args.push("--without-text");
+        }
+        let nodes: Vec<String> = (0..self.nodes.len())
+            .map(|n| self.node_address(n, 0))
+            .collect();
+        for node in &nodes {
+            args.extend(["--node", node]);
+        }
+        args.push("How much strike pay does striker 17 get this week?");
+        Command::new(BINARY)
+            .args(args)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("a caller")
+    }
+
+    pub fn end_call(caller: Child) -> Value {
+        let output = caller.wait_with_output().expect("the caller ends");
+        parse(&output)
+    }
+
+    pub fn wait_for_tokens(&self, count: u64) {
+        wait_until("tokens are generated", || {
+            self.generated().iter().sum::<u64>() >= count
+        });
+    }
+
+    pub fn kill_busiest_runner(&mut self) {
+        let generated = self.generated();
+        let busiest = (0..generated.len())
+            .max_by_key(|n| generated[*n])
+            .expect("a runner");
+        kill(self.runners[busiest].take());
+    }
+
+    pub fn kill_serving_node(&mut self) {
+        let serving = self.serving_node();
+        kill(self.nodes[serving].take());
+    }
+
+    pub fn terminate_serving_node(&mut self) -> Child {
+        let serving = self.serving_node();
+        let node = self.nodes[serving].take().expect("a node");
+        let id = node.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status();
+        assert!(sent.expect("kill runs").success());
+        node
+    }
+
+    pub fn exits_cleanly(mut process: Child, within: Duration) -> bool {
+        let give_up_at = Instant::now() + within;
+        while Instant::now() < give_up_at {
+            if let Some(status) = process.try_wait().expect("the process can be asked") {
+                return status.success();
+            }
+            sleep(POLL);
+        }
+        kill(Some(process));
+        false
+    }
+
+    fn serving_node(&self) -> usize {
+        let in_flight = |number: usize| {
+            let node = self.node_address(number, 1);
+            let operator = ["--node", &node, "--key", "operator-key", "--json"];
+            let status = run_json(&[&["status"], &operator[..]].concat());
+            status["nodes"][format!("n{}", number + 1)]["in_flight_count"].as_u64()
+        };
+        let mut numbers = 0..self.nodes.len();
+        let serving = numbers.find(|n| self.nodes[*n].is_some() && in_flight(*n) > Some(0));
+        serving.expect("a node serves the call")
+    }
+
+    fn generated(&self) -> Vec<u64> {
+        let numbers = 0..self.runners.len();
+        let ledger = |n: usize| get(&self.runner_address(n), "/stand-in/ledger");
+        let count =
+            |text: String| serde_json::from_str::<Value>(&text).ok()?["token_count"].as_u64();
+        numbers
+            .map(|n| ledger(n).and_then(count).unwrap_or(0))
+            .collect()
+    }
+
+    fn write_settings(&self, number: usize) -> PathBuf {
+        let port = |offset| self.node_address(number, offset);
+        let hash = zinniawing::key_hash("operator-key");
+        let text = format!(
+            "node: n{}\ndata_centre: tt-south-{}\n\
+             listen: {{callers: {}, operators: {}, peers: {}}}\n\
+             platform: {}:7000\nseeds: [{}]\noperators: {{ops: {hash}}}\n\
+             timing: {{address_keep_ms: 500, probe_interval_ms: 200, watch_interval_ms: 200}}\n",
+            number + 1,
+            number % 3 + 1,
+            port(0),
+            port(1),
+            port(2),
+            self.ip,
+            self.node_address(0, 2),
+        );
+        let path = self.folder.join(format!("n{}.yaml", number + 1));
+        fs::write(&path, text).expect("settings are written");
+        path
+    }
+
+    fn runner_address(&self, number: usize) -> String {
+        format!("{}:{}", self.ip, 7200 + number)
+    }
+
+    fn node_address(&self, number: usize, offset: usize) -> String {
+        format!("{}:{}", self.ip, 9400 + 3 * number + offset)
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        let _ = self.platform.kill();
+        let _ = self.platform.wait();
+        for process in self.nodes.drain(..).chain(self.runners.drain(..)) {
+            kill(process);
+        }
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn platform_args(ip: &str, folder: &Path, runner_count: usize) -> Vec<String> {
+    let vms: Vec<Value> = (0..runner_count)
+        .map(|number| {
+            serde_json::json!({
+                "vm": format!("r{}", number + 1),
+                "address": format!("{ip}:{}", 7200 + number),
+                "data_centre": format!("tt-south-{}", number % 3 + 1),
+                "role": {"runner": {"checks_fence": true}},
+                "state": "live",
+            })
+        })
+        .collect();
+    let path = folder.join("vms.yaml");
+    fs::write(&path, Value::Array(vms).to_string()).expect("the VM list is written");
+    let listen = format!("{ip}:7000");
+    let vms = path.display().to_string();
+    ["stand-in", "platform", "--listen", &listen, "--vms", &vms]
+        .map(str::to_owned)
+        .into()
+}
+
+fn runner_args(listen: &str) -> Vec<String> {
+    let token_ms = TOKEN_MS.to_string();
+    let args = [
+        "stand-in",
+        "runner",
+        "--listen",
+        listen,
+        "--token-ms",
+        &token_ms,
+    ];
+    args.map(str::to_owned).into()
+}
+
+fn spawn(args: &[String]) -> Child {
+    Command::new(BINARY)
+        .args(args)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the program starts")
+}
+
+fn kill(process: Option<Child>) {
+    if let Some(mut process) = process {
+        let _ = process.kill();
+        let _ = process.wait();
+    }
+}
+
+fn run_json(args: &[&str]) -> Value {
+    let output = Command::new(BINARY)
+        .args(args)
+        .output()
+        .expect("the program runs");
+    assert!(
+        output.status.success(),
+        "{args:?}: {}",
+        String::from_utf8_lossy(&output.stderr)
+    );
+    parse(&output)
+}
+
+fn parse(output: &Output) -> Value {
+    let text = String::from_utf8_lossy(&output.stdout);
+    serde_json::from_str(&text).unwrap_or_else(|e| panic!("{e}: {text}"))
+}
+
+fn wait_until(what: &str, holds: impl Fn() -> bool) {
+    let give_up_at = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(
+            Instant::now() < give_up_at,
+            "{what}: not within {PATIENCE:?}"
+        );
+        sleep(POLL);
+    }
+}
+
+fn answers(address: &str) -> bool {
+    get(address, "/v1/addresses").is_some()
+}
+
+fn get(address: &str, path: &str) -> Option<String> {
+    use std::io::{Read, Write};
+    let address: SocketAddr = address.parse().ok()?;
+    let mut stream = std::net::TcpStream::connect_timeout(&address, POLL * 10).ok()?;
+    let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    let (_, body) = answer.split_once("\r\n\r\n")?;
+    Some(body.to_owned())
+}
+
+fn fresh_ip() -> String {
+    static DEPLOYMENTS: AtomicU8 = AtomicU8::new(100);
+    let number = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    format!("127.{}.{}.{number}", 1 + process / 250 % 250, process % 250)
+}
