Prove calls at most once by the service's ledger

Cause sought: does any storm of one key over all nodes, with lost replies, stale reads, dying services and killed nodes, run a key twice or deny one that ran? Judged by a linearizability checker over ledger and callers' answers.

Ruled out: double execution (one ledger entry each). A node that cannot look at a claim now says so (key_unchecked, execution unknown). Calls that ended are answered from the owner's copy while the platform is away.

--- a/src/caller_api.rs
+++ b/src/caller_api.rs
@@ -294,7 +294,13 @@
         rest: &str,
     ) -> Result<HttpResponse, Error> {
         self.state.metrics.add(Counter::ServiceCalls, 1);
-        let config = self.state.config()?;
+        let keyed = request.headers().contains_key(IDEMPOTENCY_KEY);
+        let config = self.state.config().map_err(|error| match keyed {
+            // An earlier call with the key may have run through another node,
+            // so a node that cannot look must not say "not run".
+            true => Error::new(ErrorKind::KeyUnchecked, error.message),
+            false => error,
+        })?;
         let caller = identify(&config, &request)?;
         let customer = caller.customer.clone();
         let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
@@ -366,9 +372,13 @@
             ErrorKind::KeyReused,
             "the key named another call before",
         )),
+        Taken::Full => Err(Error::new(
+            ErrorKind::Overloaded,
+            "too many keys are remembered to claim another; the call was not run",
+        )),
         Taken::Refused => Err(Error::new(
-            ErrorKind::PlatformAway,
-            "the key cannot be claimed now; the call was not run",
+            ErrorKind::KeyUnchecked,
+            "this call was not sent; whether an earlier one ran cannot be told now",
         )),
     }
 }
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -57,7 +57,10 @@
     },
     /// The key was used for another call.
     Reused,
-    /// The key cannot be claimed now; nothing was sent, and nothing will be.
+    /// The key is new, and no more keys can be remembered.
+    Full,
+    /// The platform cannot be asked. Nothing was sent, and nothing will be,
+    /// but an earlier call with the key may have run.
     Refused,
 }
 
@@ -140,7 +143,8 @@
             claimant: reply.claimant,
         },
         ClaimResult::Reused => Taken::Reused,
-        ClaimResult::Unavailable | ClaimResult::Full => Taken::Refused,
+        ClaimResult::Full => Taken::Full,
+        ClaimResult::Unavailable => Taken::Refused,
         ClaimResult::Unsure => {
             claim.release(writer);
             Taken::Refused
--- a/src/claim_book.rs
+++ b/src/claim_book.rs
@@ -58,6 +58,7 @@
                 settings,
                 object_key: format!("claims/{number:04}"),
                 held: None,
+                outdated: ClaimShard::default(),
             };
             tokio::spawn(writer.run(receiver));
             sender
@@ -93,6 +94,7 @@
     settings: ClaimSettings,
     object_key: String,
     held: Option<(Version, ClaimShard)>,
+    outdated: ClaimShard,
 }
 
 impl<S: ObjectStore> ShardWriter<S> {
@@ -116,14 +118,10 @@
         for _ in 0..TRIES_MAX {
             match self.try_write(operations).await {
                 Ok(replies) => return replies,
-                Err(StoreError::Conflict) => self.held = None,
-                Err(StoreError::Unavailable) => {
-                    self.held = None;
-                    break;
-                }
+                Err(StoreError::Conflict) => {}
+                Err(StoreError::Unavailable) => break,
                 Err(StoreError::Unknown) => {
                     may_be_written = true;
-                    self.held = None;
                     tokio::time::sleep(RESOLVE_PAUSE).await;
                 }
             }
@@ -133,7 +131,10 @@
         } else {
             ClaimResult::Unavailable
         };
-        operations.iter().map(|_| result(failed)).collect()
+        operations
+            .iter()
+            .map(|op| self.outdated.ended(op).unwrap_or(result(failed)))
+            .collect()
     }
 
     async fn try_write(
@@ -141,7 +142,10 @@
         operations: &[ClaimOperation],
     ) -> Result<Vec<ClaimReply>, StoreError> {
         let (version, shard) = match self.held.take() {
-            Some(held) => held,
+            Some(held) => {
+                self.outdated = held.1.clone();
+                held
+            }
             None => self.read().await?,
         };
         let mut changed = shard.clone();
--- a/src/claim_shard.rs
+++ b/src/claim_shard.rs
@@ -105,6 +105,16 @@
         }
     }
 
+    /// The answer to a take whose call has ended, which stays true however
+    /// old this copy of the shard is.
+    pub(crate) fn ended(&self, operation: &ClaimOperation) -> Option<ClaimReply> {
+        let entry = self.entries.get(&operation.key)?;
+        let is_ended = entry.state() == ClaimState::Ended;
+        let is_same = entry.call_hash == operation.call_hash;
+        let is_take = operation.action() == ClaimAction::Take;
+        (is_ended && is_same && is_take).then(|| ended(entry))
+    }
+
     fn take(&mut self, operation: &ClaimOperation) -> ClaimReply {
         let Some(entry) = self.entries.get(&operation.key) else {
             return self.insert_taken(operation);
@@ -120,11 +130,7 @@
                 claimant: entry.claimant.clone(),
                 ..reply(ClaimResult::Busy)
             },
-            ClaimState::Ended => ClaimReply {
-                status: entry.status,
-                answer: entry.answer.clone(),
-                ..reply(ClaimResult::Ended)
-            },
+            ClaimState::Ended => ended(entry),
         }
     }
 
@@ -179,6 +185,14 @@
     }
 }
 
+fn ended(entry: &ClaimEntry) -> ClaimReply {
+    ClaimReply {
+        status: entry.status,
+        answer: entry.answer.clone(),
+        ..reply(ClaimResult::Ended)
+    }
+}
+
 fn entry(operation: &ClaimOperation, state: ClaimState) -> ClaimEntry {
     ClaimEntry {
         key: operation.key.clone(),
--- a/src/error.rs
+++ b/src/error.rs
@@ -45,6 +45,9 @@
     KeyReused,
     /// Another call with this key has not ended.
     KeyInProgress,
+    /// This call was not sent, but whether an earlier one with its key ran
+    /// cannot be told while the platform is away.
+    KeyUnchecked,
     /// The call was sent and no answer came; it is never sent again.
     OutcomeUnknown,
     /// The wait would exceed this caller's patience.
@@ -80,7 +83,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order of the table in the docs.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::BadRequest,
         Self::Unauthorized,
         Self::Forbidden,
@@ -91,6 +94,7 @@
         Self::KeyMissing,
         Self::KeyReused,
         Self::KeyInProgress,
+        Self::KeyUnchecked,
         Self::OutcomeUnknown,
         Self::Overloaded,
         Self::NoUpstream,
@@ -123,6 +127,7 @@
             Self::KeyMissing => (400, NotRun, None),
             Self::KeyReused => (422, NotRun, None),
             Self::KeyInProgress => (409, Unknown, Some(1_000)),
+            Self::KeyUnchecked => (503, Unknown, Some(5_000)),
             Self::OutcomeUnknown => (504, Unknown, None),
             Self::Overloaded => (429, NotRun, Some(2_000)),
             Self::NoUpstream => (503, NotRun, Some(1_000)),
@@ -154,6 +159,7 @@
             Self::KeyMissing => "key_missing",
             Self::KeyReused => "key_reused",
             Self::KeyInProgress => "key_in_progress",
+            Self::KeyUnchecked => "key_unchecked",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::Overloaded => "overloaded",
             Self::NoUpstream => "no_upstream",
--- a/src/node.rs
+++ b/src/node.rs
@@ -168,9 +168,14 @@
         self.trigger.abort();
     }
 
-    /// Stops as a killed process would, cutting everything.
-    pub async fn kill(self) {
+    /// Cuts everything at once, as the death of the process would.
+    pub fn abort(&self) {
         self.trigger.abort();
+    }
+
+    /// Stops as a killed process would, and waits until all is cut.
+    pub async fn kill(self) {
+        self.abort();
         for door in self.doors {
             let _ = door.await;
         }
--- a/src/stand_in_service.rs
+++ b/src/stand_in_service.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -51,6 +51,7 @@
 struct Books {
     faults: ServiceFaults,
     ledger: Vec<Executed>,
+    executed_at: Vec<Instant>,
 }
 
 /// A stand-in service, shared by its connections.
@@ -89,6 +90,11 @@
         self.books().ledger.clone()
     }
 
+    /// When each call of the ledger was executed, for history checkers.
+    pub fn executed_at(&self) -> Vec<Instant> {
+        self.books().executed_at.clone()
+    }
+
     fn books(&self) -> MutexGuard<'_, Books> {
         self.books.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -128,6 +134,7 @@
         let receipt = {
             let mut books = self.books();
             books.ledger.push(call.clone());
+            books.executed_at.push(Instant::now());
             books.ledger.len()
         };
         if faults.die_after {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,4 +3,5 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod cluster;
+pub mod payments;
 pub mod processes;
