Freeze claimants before and after they send

Processes are stopped with SIGSTOP while the claim's reply is on its way, and while the service works; the same key goes through the other node meanwhile.

--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -20,6 +20,7 @@
     ip: String,
     folder: PathBuf,
     platform: Child,
+    service: Child,
     nodes: Vec<Option<Child>>,
     runners: Vec<Option<Child>>,
 }
@@ -31,6 +32,7 @@
         fs::create_dir_all(&folder).expect("a folder for settings");
         let mut deployment = Self {
             platform: spawn(&platform_args(&ip, &folder, runner_count)),
+            service: spawn(&service_args(&ip)),
             nodes: Vec::new(),
             runners: Vec::new(),
             ip,
@@ -133,12 +135,33 @@
     pub fn terminate_serving_node(&mut self) -> Child {
         let serving = self.serving_node();
         let node = self.nodes[serving].take().expect("a node");
-        let id = node.id().to_string();
-        let sent = Command::new("kill").args(["-TERM", &id]).status();
-        assert!(sent.expect("kill runs").success());
+        signal("-TERM", &node);
         node
     }
 
+    pub fn freeze_node(&self, number: usize, frozen: bool) {
+        let node = self.nodes[number].as_ref().expect("the node runs");
+        signal(if frozen { "-STOP" } else { "-CONT" }, node);
+    }
+
+    pub fn caller_address(&self, number: usize) -> SocketAddr {
+        self.node_address(number, 0).parse().expect("an address")
+    }
+
+    pub fn order_faults(&self, port: u16, faults: &str) {
+        let address = format!("{}:{port}", self.ip);
+        post(&address, "/stand-in/faults", faults).expect("the stand-in takes orders");
+    }
+
+    pub fn executed_keys(&self) -> Vec<String> {
+        let text = get(&format!("{}:9200", self.ip), "/stand-in/ledger").expect("a ledger");
+        let ledger: Value = serde_json::from_str(&text).expect("a ledger");
+        let calls = ledger.as_array().expect("calls").iter();
+        calls
+            .map(|call| call["key"].as_str().expect("a key").to_owned())
+            .collect()
+    }
+
     pub fn exits_cleanly(mut process: Child, within: Duration) -> bool {
         let give_up_at = Instant::now() + within;
         while Instant::now() < give_up_at {
@@ -205,8 +228,10 @@
 
 impl Drop for Deployment {
     fn drop(&mut self) {
-        let _ = self.platform.kill();
-        let _ = self.platform.wait();
+        for process in [&mut self.platform, &mut self.service] {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
         for process in self.nodes.drain(..).chain(self.runners.drain(..)) {
             kill(process);
         }
@@ -215,7 +240,7 @@
 }
 
 fn platform_args(ip: &str, folder: &Path, runner_count: usize) -> Vec<String> {
-    let vms: Vec<Value> = (0..runner_count)
+    let mut vms: Vec<Value> = (0..runner_count)
         .map(|number| {
             serde_json::json!({
                 "vm": format!("r{}", number + 1),
@@ -226,6 +251,13 @@
             })
         })
         .collect();
+    vms.push(serde_json::json!({
+        "vm": "payments-1",
+        "address": format!("{ip}:9200"),
+        "data_centre": "tt-south-1",
+        "role": {"service": {"service": "payments"}},
+        "state": "live",
+    }));
     let path = folder.join("vms.yaml");
     fs::write(&path, Value::Array(vms).to_string()).expect("the VM list is written");
     let listen = format!("{ip}:7000");
@@ -235,6 +267,13 @@
         .into()
 }
 
+fn service_args(ip: &str) -> Vec<String> {
+    let listen = format!("{ip}:9200");
+    ["stand-in", "service", "--listen", &listen]
+        .map(str::to_owned)
+        .into()
+}
+
 fn runner_args(listen: &str) -> Vec<String> {
     let token_ms = TOKEN_MS.to_string();
     let args = [
@@ -256,6 +295,13 @@
         .expect("the program starts")
 }
 
+fn signal(signal: &str, process: &Child) {
+    let sent = Command::new("kill")
+        .args([signal, &process.id().to_string()])
+        .status();
+    assert!(sent.expect("kill runs").success());
+}
+
 fn kill(process: Option<Child>) {
     if let Some(mut process) = process {
         let _ = process.kill();
@@ -297,10 +343,22 @@
 }
 
 fn get(address: &str, path: &str) -> Option<String> {
+    exchange(address, "GET", path, "")
+}
+
+fn post(address: &str, path: &str, body: &str) -> Option<String> {
+    exchange(address, "POST", path, body)
+}
+
+fn exchange(address: &str, method: &str, path: &str, body: &str) -> Option<String> {
     use std::io::{Read, Write};
     let address: SocketAddr = address.parse().ok()?;
     let mut stream = std::net::TcpStream::connect_timeout(&address, POLL * 10).ok()?;
-    let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    let length = body.len();
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+         content-length: {length}\r\n\r\n{body}"
+    );
     stream.write_all(request.as_bytes()).ok()?;
     let mut answer = String::new();
     stream.read_to_string(&mut answer).ok()?;
