Measure resume, claims, crashes, overload, configuration and control

One command prints each table from a seed; the counters come from the code that runs in a node.

Found on the way: a cluster whose runners are not all placed was never 'ready' for the experiment, because a runner without models counted as unknown (the first run of the experiment waited 20 s and gave up).

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::str::FromStr;
 
 use bpaf::Bpaf;
+use zinniawing::Experiment;
 
 /// What the user asked for.
 #[derive(Clone, Debug, Bpaf)]
@@ -91,6 +93,19 @@
         #[bpaf(long)]
         json: bool,
     },
+    /// Measure one thing and print a table
+    #[bpaf(command)]
+    Experiment {
+        /// Seed of everything that is drawn
+        #[bpaf(long, argument("SEED"), fallback(1))]
+        seed: u64,
+        /// How to print: text, csv or json
+        #[bpaf(long, argument("FORMAT"), fallback(Format::Text))]
+        format: Format,
+        /// resume, claims, crashes, overload, config, control or spread
+        #[bpaf(positional("NAME"))]
+        name: ExperimentName,
+    },
     /// Run a stand-in for an outside system
     #[bpaf(command("stand-in"))]
     StandIn {
@@ -182,3 +197,46 @@
         listen: SocketAddr,
     },
 }
+
+/// How a table is printed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Format {
+    Text,
+    Csv,
+    Json,
+}
+
+impl FromStr for Format {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "text" => Ok(Self::Text),
+            "csv" => Ok(Self::Csv),
+            "json" => Ok(Self::Json),
+            _ => Err(format!("'{text}' is none of text, csv, json")),
+        }
+    }
+}
+
+/// An experiment by its name.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ExperimentName(pub(crate) Experiment);
+
+impl FromStr for ExperimentName {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let experiment = match text {
+            "resume" => Experiment::Resume,
+            "claims" => Experiment::Claims,
+            "crashes" => Experiment::Crashes,
+            "overload" => Experiment::Overload,
+            "config" => Experiment::Config,
+            "control" => Experiment::Control,
+            "spread" => Experiment::Spread,
+            _ => return Err(format!("there is no experiment '{text}'")),
+        };
+        Ok(Self(experiment))
+    }
+}
--- a/src/command.rs
+++ b/src/command.rs
@@ -15,7 +15,7 @@
     StandInPlatform, StandInRunner, StandInService, Status, Vm,
 };
 
-use crate::cli::{CallArgs, Command, OperatorArgs, StandInArgs};
+use crate::cli::{CallArgs, Command, Format, OperatorArgs, StandInArgs};
 
 /// Why a command failed, with the exit code it ends in.
 #[derive(Debug, thiserror::Error)]
@@ -82,6 +82,15 @@
             token_ms,
             json,
         } => demo(tokens, token_ms, json).await,
+        Command::Experiment { seed, format, name } => {
+            let report = name.0.run(seed).await?;
+            match format {
+                Format::Text => print!("{report}"),
+                Format::Csv => print!("{}", report.to_csv()),
+                Format::Json => print(true, &report)?,
+            }
+            Ok(())
+        }
         Command::StandIn { stand_in } => run_stand_in(stand_in).await,
     }
 }
--- /dev/null
+++ b/src/experiment_claims.rs
@@ -0,0 +1,121 @@
+//! Platform writes per call as calls grow, and latency against unguarded calls.
+
+use std::io;
+use std::time::{Duration, Instant};
+
+use crate::call::{CallReport, Caller};
+use crate::experiment::Deployment;
+use crate::local_cluster::{ClusterPlan, LocalCluster};
+use crate::report::Report;
+use crate::sample::Sample;
+
+/// Calls a second that are offered.
+const RATES_PER_S: [u32; 6] = [1, 10, 50, 100, 250, 500];
+/// How long each rate lasts.
+const DURATION: Duration = Duration::from_secs(4);
+/// Delay of the platform's answers, as the brief gives it.
+const PLATFORM_DELAY_MS: u64 = 2;
+/// Time between writes of a shard, as in the example settings.
+const WRITE_SPACING: Duration = Duration::from_millis(20);
+
+/// Measures guarded and unguarded calls at each rate.
+pub(crate) async fn measure_claims() -> io::Result<Report> {
+    let columns = [
+        "calls_per_s",
+        "guarded",
+        "calls",
+        "answered",
+        "runs",
+        "writes_per_call",
+        "reads_per_call",
+        "writes_per_s",
+        "p50_ms",
+        "p99_ms",
+    ];
+    let mut report = Report::new("calls that run at most once", &columns);
+    for guarded in [true, false] {
+        let cluster = start(guarded).await?;
+        for rate_per_s in RATES_PER_S {
+            let row = measure(&cluster, guarded, rate_per_s).await?;
+            report.push(row);
+        }
+        cluster.stop().await;
+    }
+    Ok(report)
+}
+
+async fn start(guarded: bool) -> io::Result<LocalCluster> {
+    let kestrel = Deployment::Kestrel;
+    let mut intent = kestrel.intent()?;
+    if let Some(payments) = intent.services.get_mut("payments") {
+        payments.idempotent = !guarded;
+    }
+    let mut plan = ClusterPlan::new(kestrel.node_count(), 1, intent).with_service("payments", 3);
+    plan.claims.write_spacing = WRITE_SPACING;
+    let cluster = LocalCluster::start(plan).await?;
+    cluster
+        .platform
+        .set_faults(crate::stand_in_platform::PlatformFaults {
+            slow_ms: PLATFORM_DELAY_MS,
+            ..Default::default()
+        });
+    Ok(cluster)
+}
+
+async fn measure(
+    cluster: &LocalCluster,
+    guarded: bool,
+    rate_per_s: u32,
+) -> io::Result<Vec<String>> {
+    let nodes = cluster.caller_addresses();
+    let (key, kind, _) = Deployment::Kestrel.caller();
+    let caller = cluster.caller(key, kind);
+    let before = cluster.platform.counts();
+    let ran_before = executed(cluster);
+    let call_count = rate_per_s * DURATION.as_secs() as u32;
+    let mut ticks = tokio::time::interval(Duration::from_secs(1) / rate_per_s);
+    let mut calls = Vec::new();
+    let began_at = Instant::now();
+    for number in 0..call_count {
+        ticks.tick().await;
+        let node = nodes[number as usize % nodes.len()];
+        let name = format!("{guarded}-{rate_per_s}-{number}");
+        calls.push(tokio::spawn(timed_call(caller.clone(), node, name)));
+    }
+    let mut latency = Sample::new();
+    let mut answered = 0;
+    for call in calls {
+        let (was_answered, took_ms) = call.await.map_err(io::Error::other)?;
+        answered += u32::from(was_answered);
+        latency.add_ms(took_ms);
+    }
+    let took_s = began_at.elapsed().as_secs_f64();
+    let after = cluster.platform.counts();
+    let writes = (after.write_count - before.write_count) as f64;
+    let reads = (after.read_count - before.read_count) as f64;
+    Ok(vec![
+        rate_per_s.to_string(),
+        guarded.to_string(),
+        call_count.to_string(),
+        answered.to_string(),
+        (executed(cluster) - ran_before).to_string(),
+        format!("{:.2}", writes / f64::from(call_count)),
+        format!("{:.2}", reads / f64::from(call_count)),
+        format!("{:.0}", writes / took_s),
+        latency.quantile(0.5),
+        latency.quantile(0.99),
+    ])
+}
+
+fn executed(cluster: &LocalCluster) -> usize {
+    cluster.services.iter().map(|(s, _)| s.ledger().len()).sum()
+}
+
+async fn timed_call(caller: Caller, node: std::net::SocketAddr, key: String) -> (bool, f64) {
+    let began_at = Instant::now();
+    let report = caller
+        .call_at(node, "payments", "disburse", &key, "{}")
+        .await;
+    let took_ms = began_at.elapsed().as_secs_f64() * 1e3;
+    (matches!(report, CallReport::Answered { .. }), took_ms)
+}
--- /dev/null
+++ b/src/experiment_config.rs
@@ -0,0 +1,85 @@
+//! Time from a confirmation until every node has it in force.
+
+use std::io;
+use std::time::{Duration, Instant};
+
+use crate::experiment::Deployment;
+use crate::local_cluster::{ClusterPlan, LocalCluster};
+use crate::report::Report;
+use crate::sample::Sample;
+
+/// Sizes of the fleet.
+const NODE_COUNTS: [usize; 4] = [7, 21, 42, 84];
+/// Confirmations at each size.
+const CONFIRMATIONS: u32 = 20;
+/// Loss of datagrams, in a thousand.
+const LOSSES_PER_MILLE: [u32; 3] = [0, 50, 300];
+/// The users' bound, after which a node counts as not reached.
+const BOUND: Duration = Duration::from_secs(7);
+const POLL: Duration = Duration::from_millis(1);
+
+/// Measures each size at each loss.
+pub(crate) async fn measure_config() -> io::Result<Report> {
+    let columns = [
+        "nodes",
+        "loss_%",
+        "confirmations",
+        "p50_ms",
+        "p99_ms",
+        "max_ms",
+        "beyond_bound",
+    ];
+    let mut report = Report::new("configuration in force everywhere", &columns);
+    for node_count in NODE_COUNTS {
+        let mut plan = ClusterPlan::new(node_count, 1, Deployment::Kestrel.intent()?);
+        plan.timing.probe_interval = Duration::from_secs(1);
+        let cluster = LocalCluster::start(plan).await?;
+        for lost_per_mille in LOSSES_PER_MILLE {
+            cluster
+                .links
+                .iter()
+                .for_each(|links| links.lose(lost_per_mille));
+            report.push(measure(&cluster, node_count, lost_per_mille).await?);
+        }
+        cluster.stop().await;
+    }
+    Ok(report)
+}
+
+async fn measure(
+    cluster: &LocalCluster,
+    node_count: usize,
+    lost_per_mille: u32,
+) -> io::Result<Vec<String>> {
+    let mut times = Sample::new();
+    let mut beyond = 0;
+    for number in 0..CONFIRMATIONS {
+        let operator = cluster.operator(number as usize % node_count);
+        let mut intent = Deployment::Kestrel.intent()?;
+        if let Some(model) = intent.models.get_mut("steward-chat") {
+            model.runner_count = 2 + number + lost_per_mille;
+        }
+        let plan = operator.state(&intent).await.map_err(io::Error::other)?;
+        let confirming = operator.confirm(&plan.intent_id, plan.base).await;
+        let version = confirming.map_err(io::Error::other)?.version;
+        let confirmed_at = Instant::now();
+        let everywhere = || {
+            let mut nodes = cluster.nodes.iter().flatten();
+            nodes.all(|node| node.config_version() >= version)
+        };
+        while !everywhere() && confirmed_at.elapsed() < BOUND {
+            tokio::time::sleep(POLL).await;
+        }
+        beyond += u32::from(!everywhere());
+        times.add_ms(confirmed_at.elapsed().as_secs_f64() * 1e3);
+    }
+    Ok(vec![
+        node_count.to_string(),
+        format!("{}", lost_per_mille / 10),
+        CONFIRMATIONS.to_string(),
+        times.quantile(0.5),
+        times.quantile(0.99),
+        times.max(),
+        beyond.to_string(),
+    ])
+}
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -85,6 +85,8 @@
     pub(crate) checks_fence: bool,
     /// Whether it is about to go, by its own word or the platform's.
     pub(crate) leaving: bool,
+    /// Whether it has ever reported, to this node or to a peer.
+    pub(crate) known: bool,
     /// Models it reported ready.
     pub(crate) ready: Vec<ModelVersion>,
 }
@@ -306,6 +308,7 @@
             data_centre: row.data_centre.clone(),
             checks_fence: row.checks_fence,
             leaving: row.is_leaving(),
+            known: row.incarnation != 0,
             ready: row.ready.clone(),
         })
         .collect()
--- a/src/local_cluster.rs
+++ b/src/local_cluster.rs
@@ -187,6 +187,26 @@
         }
     }
 
+    /// Stops everything, cutting what is open.
+    pub async fn stop(self) {
+        for node in self.nodes.into_iter().flatten() {
+            node.kill().await;
+        }
+        for server in self.runners.into_iter().filter_map(|runner| runner.server) {
+            server.kill().await;
+        }
+        for (_, server) in self.services {
+            server.kill().await;
+        }
+        self.platform_server.kill().await;
+    }
+
+    /// Version of a model in the intent that was confirmed at the start.
+    pub(crate) fn model_version(&self, model: &str) -> String {
+        let model = self.plan.intent.models.get(model);
+        model.map(|m| m.version.clone()).unwrap_or_default()
+    }
+
     /// A caller that knows all nodes.
     pub fn caller(&self, key: &str, kind: &str) -> Caller {
         Caller::new(self.caller_addresses(), key, kind)
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -24,7 +24,7 @@
     SyncReply,
 };
 use crate::peer::{PeerClient, PeerHandler, serve_peers};
-use crate::shutdown::Shutdown;
+use crate::shutdown::{Shutdown, ShutdownTrigger};
 
 /// Largest datagram, below the smallest usual path limit.
 const DATAGRAM_MAX_BYTES: usize = 1200;
@@ -156,6 +156,7 @@
 #[derive(Clone, Debug)]
 pub struct Membership {
     shared: Arc<Shared>,
+    own_trigger: Option<Arc<ShutdownTrigger>>,
 }
 
 #[derive(Debug)]
@@ -171,20 +172,25 @@
 impl Membership {
     /// Binds the peer address and starts to probe.
     pub async fn start(settings: MembershipSettings) -> io::Result<Self> {
-        // Embedders stop the tasks by ending the runtime.
         let (trigger, shutdown) = Shutdown::channel();
         let listener = TcpListener::bind(settings.me.peer_address).await?;
         let peers = PeerClient::default();
         let traffic = peers.traffic().clone();
-        let membership = Self::start_with(settings, peers, shutdown.clone()).await?;
+        let mut membership = Self::start_with(settings, peers, shutdown.clone()).await?;
         let answers = Arc::new(SyncOnly(membership.clone()));
-        tokio::spawn(async move {
-            let _alive = trigger;
-            serve_peers(listener, answers, traffic, shutdown).await
-        });
+        tokio::spawn(serve_peers(listener, answers, traffic, shutdown));
+        membership.own_trigger = Some(Arc::new(trigger));
         Ok(membership)
     }
 
+    /// Stops a membership that [`Membership::start`] started, as the death of
+    /// its process would.
+    pub fn stop(&self) {
+        if let Some(trigger) = &self.own_trigger {
+            trigger.abort();
+        }
+    }
+
     pub(crate) async fn start_with(
         settings: MembershipSettings,
         peers: PeerClient,
@@ -210,6 +216,7 @@
                 peers,
                 traffic: Traffic::default(),
             }),
+            own_trigger: None,
         };
         let aborted = shutdown.aborted_handle();
         let receiver = membership.clone();
--- a/src/node.rs
+++ b/src/node.rs
@@ -134,7 +134,7 @@
     /// How many runners have told this node what they hold.
     pub fn known_runner_count(&self) -> usize {
         let views = self.state.fleet.views();
-        views.iter().filter(|view| !view.ready.is_empty()).count()
+        views.iter().filter(|view| view.known).count()
     }
 
     /// Whether requests for every model of the configuration can be served.
--- a/src/stand_in_runner.rs
+++ b/src/stand_in_runner.rs
@@ -189,6 +189,11 @@
         self.gate.held_count()
     }
 
+    /// Streams that generate or wait.
+    pub(crate) fn load_count(&self) -> usize {
+        self.gate.demand_count()
+    }
+
     /// Whether the engine has died of a fault or was killed.
     pub fn is_dead(&self) -> bool {
         self.trigger.aborted().is_cancelled()
