--- a/src/admission.rs
+++ b/src/admission.rs
@@ -35,7 +35,7 @@
 
 /// What admission needs to know of a request.
 #[derive(Clone, Debug)]
-pub(crate) struct Applicant<'a> {
+pub(crate) struct AdmissionRequest<'a> {
     /// Customer that pays.
     pub(crate) customer: &'a CustomerId,
     /// Weight of the customer.
@@ -101,50 +101,57 @@
     /// Lets a request in, makes it wait within its patience, or refuses it.
     pub(crate) async fn admit(
         self: &Arc<Self>,
-        applicant: &Applicant<'_>,
+        request: &AdmissionRequest<'_>,
     ) -> Result<Admitted, Error> {
-        let (entry, ticket, refused) = self.enter(applicant)?;
+        let (entry, ticket, refused) = self.enter(request)?;
         let permit = match entry {
             Entry::Open(permit) => permit,
             Entry::Wait(receiver) => {
-                let waited = tokio::time::timeout(applicant.patience, receiver).await;
+                let waited = tokio::time::timeout(request.patience, receiver).await;
                 waited.ok().and_then(Result::ok).ok_or(refused)?
             }
         };
-        if let Some(pool) = self.pools().get_mut(applicant.model) {
+        if let Some(pool) = self.pools().get_mut(request.model) {
             pool.let_in(ticket);
         }
         Ok(Admitted {
             admission: self.clone(),
-            model: applicant.model.clone(),
+            model: request.model.clone(),
             began_at: Instant::now(),
             _permit: permit,
         })
     }
 
-    fn enter(&self, applicant: &Applicant<'_>) -> Result<(Entry<Ticket>, Ticket, Error), Error> {
+    fn enter(
+        &self,
+        request: &AdmissionRequest<'_>,
+    ) -> Result<(Entry<Ticket>, Ticket, Error), Error> {
         let mut pools = self.pools();
-        let Some(pool) = pools.get_mut(applicant.model) else {
+        let Some(pool) = pools.get_mut(request.model) else {
             return Err(Error::new(
                 ErrorKind::NoUpstream,
                 "no runner holds the model",
             ));
         };
-        let ticket = pool.ticket(applicant);
-        let crowd = pool.gate.crowd(ticket);
-        if crowd.slot_count == 0 {
+        let ticket = pool.ticket(request);
+        let occupancy = pool.gate.occupancy(ticket);
+        if occupancy.slot_count == 0 {
             return Err(Error::new(
                 ErrorKind::NoUpstream,
                 "no runner holds the model",
             ));
         }
-        let wait = pool.expected_wait(crowd.held_count, crowd.ahead_count, crowd.slot_count);
-        if wait > applicant.patience {
-            let return_in = pool.return_in(wait, applicant.patience, crowd.slot_count);
+        let wait = pool.expected_wait(
+            occupancy.held_count,
+            occupancy.ahead_count,
+            occupancy.slot_count,
+        );
+        if wait > request.patience {
+            let return_in = pool.return_in(wait, request.patience, occupancy.slot_count);
             return Err(refusal(return_in));
         }
         let refused = refusal(wait.clamp(RETURN_MIN, RETURN_MAX));
-        pool.charge(applicant, ticket);
+        pool.charge(request, ticket);
         Ok((pool.gate.enter(ticket), ticket, refused))
     }
 
@@ -164,19 +171,19 @@
         }
     }
 
-    fn ticket(&self, applicant: &Applicant<'_>) -> Ticket {
-        let last_finish = self.finish_times.get(applicant.customer).copied();
+    fn ticket(&self, request: &AdmissionRequest<'_>) -> Ticket {
+        let last_finish = self.finish_times.get(request.customer).copied();
         Ticket {
-            priority: applicant.priority,
+            priority: request.priority,
             virtual_start: last_finish.unwrap_or(0).max(self.virtual_time),
         }
     }
 
-    fn charge(&mut self, applicant: &Applicant<'_>, ticket: Ticket) {
-        let weight = u64::from(applicant.weight.max(1));
-        let cost = applicant.token_count.saturating_mul(VIRTUAL_UNITS) / weight;
+    fn charge(&mut self, request: &AdmissionRequest<'_>, ticket: Ticket) {
+        let weight = u64::from(request.weight.max(1));
+        let cost = request.token_count.saturating_mul(VIRTUAL_UNITS) / weight;
         let finish = ticket.virtual_start.saturating_add(cost);
-        self.finish_times.insert(applicant.customer.clone(), finish);
+        self.finish_times.insert(request.customer.clone(), finish);
     }
 
     /// Moves virtual time on to the start tag of what is let in, as start-time
--- a/src/announcement.rs
+++ b/src/announcement.rs
@@ -1,6 +1,6 @@
 //! Small news that every node is to learn: leaving runners, convictions.
 //!
-//! Each item rides on datagrams a number of times that grows with the
+//! Each item sends on datagrams a number of times that grows with the
 //! logarithm of the fleet, and is handed over whole to nodes that synchronise.
 
 use std::collections::BTreeMap;
@@ -11,8 +11,8 @@
 use crate::id::Version;
 use crate::message::{AnnouncementRecord, MemberRecord};
 
-/// Times an item rides on datagrams, per doubling of the fleet.
-const RIDES_PER_DOUBLING: u32 = 3;
+/// Times an item sends on datagrams, per doubling of the fleet.
+const SENDS_PER_DOUBLING: u32 = 3;
 
 /// Something that all nodes are to learn soon.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -101,16 +101,16 @@
     }
 }
 
-/// One thing that rides on datagrams.
+/// One thing that sends on datagrams.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Rider {
+pub(crate) enum Update {
     /// News of a member.
     Member(MemberRecord),
     /// News of something else.
     Announcement(AnnouncementRecord),
 }
 
-impl Rider {
+impl Update {
     fn key(&self) -> (u32, String) {
         match self {
             Self::Member(record) => (0, record.node.clone()),
@@ -129,43 +129,43 @@
 
 /// What still has to be spread, the least told first.
 #[derive(Debug, Default)]
-pub(crate) struct RiderQueue {
-    riders: BTreeMap<(u32, String), (u32, Rider)>,
+pub(crate) struct UpdateQueue {
+    updates: BTreeMap<(u32, String), (u32, Update)>,
 }
 
-impl RiderQueue {
-    /// Adds a rider in place of an older one about the same thing.
-    pub(crate) fn add(&mut self, rider: Rider) {
-        self.riders.insert(rider.key(), (0, rider));
+impl UpdateQueue {
+    /// Adds a update in place of an older one about the same thing.
+    pub(crate) fn add(&mut self, update: Update) {
+        self.updates.insert(update.key(), (0, update));
     }
 
-    /// Picks riders for one datagram of at most `budget_bytes`.
-    pub(crate) fn board(&mut self, fleet_count: usize, budget_bytes: usize) -> Vec<Rider> {
+    /// Picks updates for one datagram of at most `budget_bytes`.
+    pub(crate) fn take_batch(&mut self, fleet_count: usize, budget_bytes: usize) -> Vec<Update> {
         let doublings = usize::BITS - fleet_count.leading_zeros();
-        let rides_max = RIDES_PER_DOUBLING * doublings.max(1);
+        let sends_max = SENDS_PER_DOUBLING * doublings.max(1);
         let mut waiting: Vec<(u32, (u32, String))> = self
-            .riders
+            .updates
             .iter()
-            .map(|(key, (rides, _))| (*rides, key.clone()))
+            .map(|(key, (sends, _))| (*sends, key.clone()))
             .collect();
         waiting.sort();
-        let mut boarded = Vec::new();
+        let mut batch = Vec::new();
         let mut left_bytes = budget_bytes;
         for (_, key) in waiting {
-            let Some((rides, rider)) = self.riders.get_mut(&key) else {
+            let Some((sends, update)) = self.updates.get_mut(&key) else {
                 continue;
             };
-            let size_bytes = rider.encoded_bytes() + 4;
+            let size_bytes = update.encoded_bytes() + 4;
             if size_bytes > left_bytes {
                 continue;
             }
             left_bytes -= size_bytes;
-            boarded.push(rider.clone());
-            *rides += 1;
-            if *rides >= rides_max {
-                self.riders.remove(&key);
+            batch.push(update.clone());
+            *sends += 1;
+            if *sends >= sends_max {
+                self.updates.remove(&key);
             }
         }
-        boarded
+        batch
     }
 }
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -14,7 +14,7 @@
 use hyper::body::Incoming;
 use tokio::task::JoinHandle;
 
-use crate::config::Treatment;
+use crate::config::CallerPolicy;
 use crate::event_id::AttemptId;
 use crate::fleet::InFlight;
 use crate::id::{Incarnation, TokenIndex};
@@ -85,7 +85,7 @@
     body: Incoming,
     buffer: EventBuffer,
     in_flight: InFlight,
-    silence: SilenceWatch,
+    silence: SilenceDetector,
     probe: Option<JoinHandle<Probe>>,
 }
 
@@ -114,7 +114,7 @@
 
 impl Attempt {
     /// Follows a stream that a runner has opened.
-    pub(crate) fn new(opened: OpenedStream, client: RunnerClient, treatment: Treatment) -> Self {
+    pub(crate) fn new(opened: OpenedStream, client: RunnerClient, policy: CallerPolicy) -> Self {
         Self {
             id_prefix: format!("id: {}.", opened.id),
             id: opened.id,
@@ -125,7 +125,7 @@
             body: opened.response.into_body(),
             buffer: EventBuffer::default(),
             in_flight: opened.in_flight,
-            silence: SilenceWatch::new(treatment, Instant::now()),
+            silence: SilenceDetector::new(policy, Instant::now()),
             probe: None,
         }
     }
@@ -321,8 +321,8 @@
 
 /// Decides when the silence of one stream is worth acting on.
 #[derive(Debug)]
-struct SilenceWatch {
-    treatment: Treatment,
+struct SilenceDetector {
+    policy: CallerPolicy,
     mean_gap_s: f64,
     silent_since: Instant,
     probe_at: Instant,
@@ -330,10 +330,10 @@
     prepared: bool,
 }
 
-impl SilenceWatch {
-    fn new(treatment: Treatment, now: Instant) -> Self {
+impl SilenceDetector {
+    fn new(policy: CallerPolicy, now: Instant) -> Self {
         let mut watch = Self {
-            treatment,
+            policy,
             mean_gap_s: 0.0,
             silent_since: now,
             probe_at: now,
@@ -359,7 +359,7 @@
 
     /// Half of the time to give up is silence, the other half a probe.
     fn probe_time(&self) -> Duration {
-        self.at_least_some_gaps(self.treatment.give_up_after / 2)
+        self.at_least_some_gaps(self.policy.give_up_after / 2)
     }
 
     fn at_least_some_gaps(&self, setting: Duration) -> Duration {
@@ -368,7 +368,7 @@
     }
 
     fn prepare_at(&self) -> Option<Instant> {
-        let prepare_after = self.treatment.prepare_after?;
+        let prepare_after = self.policy.prepare_after?;
         Some(self.silent_since + self.at_least_some_gaps(prepare_after))
     }
 
@@ -388,11 +388,11 @@
         if self.mean_gap_s == 0.0 {
             return FIRST_TOKEN_MAX;
         }
-        self.at_least_some_gaps(self.treatment.give_up_after) * STUCK_FACTOR
+        self.at_least_some_gaps(self.policy.give_up_after) * STUCK_FACTOR
     }
 
     fn lag_max(&self) -> Duration {
-        self.treatment.give_up_after / 4
+        self.policy.give_up_after / 4
     }
 
     fn wants_standby(&mut self, now: Instant) -> bool {
--- a/src/call.rs
+++ b/src/call.rs
@@ -41,7 +41,7 @@
 
 /// A completion that a caller wants.
 #[derive(Clone, Debug)]
-pub struct CompletionWish {
+pub struct CompletionParams {
     /// Model.
     pub model: String,
     /// Prompt.
@@ -103,7 +103,7 @@
 
 /// The caller's side of one completion.
 struct Reading<'a> {
-    wish: &'a CompletionWish,
+    params: &'a CompletionParams,
     report: CompletionReport,
     generation: String,
     escaped_text: Vec<u8>,
@@ -148,9 +148,9 @@
     }
 
     /// Has something generated, going on at another node when one fails.
-    pub async fn complete(&self, wish: &CompletionWish) -> CompletionReport {
+    pub async fn complete(&self, params: &CompletionParams) -> CompletionReport {
         let mut addresses = self.addresses().await;
-        let mut reading = Reading::new(wish);
+        let mut reading = Reading::new(params);
         for connection in 0..CONNECTIONS_MAX {
             let address = addresses[connection as usize % addresses.len()];
             match self.read_from(address, &mut reading).await {
@@ -236,9 +236,9 @@
 }
 
 impl<'a> Reading<'a> {
-    fn new(wish: &'a CompletionWish) -> Self {
+    fn new(params: &'a CompletionParams) -> Self {
         Self {
-            wish,
+            params,
             report: CompletionReport::default(),
             generation: String::new(),
             escaped_text: Vec::new(),
@@ -252,12 +252,12 @@
 
     fn body(&self) -> Vec<u8> {
         let mut body = serde_json::json!({
-            "model": self.wish.model,
-            "prompt": self.wish.prompt,
-            "max_tokens": self.wish.max_tokens,
+            "model": self.params.model,
+            "prompt": self.params.prompt,
+            "max_tokens": self.params.max_tokens,
             "stream": true,
         });
-        if self.wish.brings_text && !self.escaped_text.is_empty() {
+        if self.params.brings_text && !self.escaped_text.is_empty() {
             body["delivered_text"] = unescape(&self.escaped_text).into();
         }
         serde_json::to_vec(&body).unwrap_or_default()
@@ -354,12 +354,12 @@
     /// Ends the report, with the stand-in runners' proof that it is whole.
     fn finish(mut self) -> CompletionReport {
         self.report.text = unescape(&self.escaped_text).unwrap_or_default();
-        let checked = TokenChain::check(&self.wish.prompt, &self.report.text);
+        let checked = TokenChain::check(&self.params.prompt, &self.report.text);
         let broken = match checked {
             Err(broken) => Some(broken.to_string()),
-            Ok(count) if self.report.ended && count != self.wish.max_tokens => Some(format!(
+            Ok(count) if self.report.ended && count != self.params.max_tokens => Some(format!(
                 "ended after {count} of {} tokens",
-                self.wish.max_tokens
+                self.params.max_tokens
             )),
             Ok(_) => None,
         };
--- a/src/caller_api.rs
+++ b/src/caller_api.rs
@@ -1,4 +1,4 @@
-//! The door for callers: addresses, completions and plain services.
+//! The listener for callers: addresses, completions and plain services.
 
 use std::sync::Arc;
 
@@ -10,10 +10,11 @@
 use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use crate::admission::Applicant;
-use crate::claim::{Claim, Held, Taken, call_hash, take_claim};
+use crate::admission::{AdmissionRequest, Admitted};
+use crate::attempt::Attempt;
 use crate::completion::CompletionRequest;
 use crate::config::Config;
+use crate::dispatch::{Job, OpenFailure};
 use crate::error::{Error, ErrorKind};
 use crate::event_id::EventId;
 use crate::generation::{Generation, Sink, Start};
@@ -21,7 +22,7 @@
 use crate::id::{CustomerId, KindId};
 use crate::metrics::Counter;
 use crate::node_state::NodeState;
-use crate::service::{CallEnd, IDEMPOTENCY_KEY, ServiceCall};
+use crate::service_api::call_service;
 use crate::sse::unescape;
 
 /// Header that says which kind of caller asks.
@@ -34,8 +35,6 @@
 const ADDRESSES_MAX: usize = 3;
 /// Frames that may wait for a slow caller.
 const UNSENT_FRAMES: usize = 4;
-/// Longest idempotency key.
-const KEY_MAX_BYTES: usize = 128;
 
 /// Which addresses a caller should use, and how long it may keep the answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -52,8 +51,10 @@
     state: Arc<NodeState>,
 }
 
-struct Caller<'a> {
-    customer: &'a CustomerId,
+/// Who asks, as the configuration knows it.
+pub(crate) struct Caller<'a> {
+    /// Customer that the key belongs to.
+    pub(crate) customer: &'a CustomerId,
     weight: u32,
     kind: KindId,
 }
@@ -76,7 +77,7 @@
             (_, path) => match path.strip_prefix("/v1/services/") {
                 Some(rest) => {
                     let rest = rest.to_owned();
-                    self.call_service(request, &rest).await
+                    call_service(&self.state, request, &rest).await
                 }
                 None => Err(Error::new(ErrorKind::NotFound, "no such path")),
             },
@@ -147,7 +148,7 @@
         wanted: CompletionRequest,
         last: EventId,
     ) -> Result<HttpResponse, Error> {
-        let treatment = config.treatment(&caller.kind)?;
+        let policy = config.policy(&caller.kind)?;
         let generation = last.attempt.generation.clone();
         let start = Start {
             number: last.attempt.number + 1,
@@ -155,14 +156,8 @@
             has_text: wanted.delivered_text.is_some(),
             escaped_text: wanted.delivered_text.clone().unwrap_or_default(),
         };
-        let job = wanted.job(
-            generation.clone(),
-            caller.customer,
-            treatment,
-            config.clone(),
-        );
-        let convicted = self.state.dispatcher.check_verdict(job.fingerprint);
-        convicted.map_err(|failure| self.refuse(failure.into_error()))?;
+        let job = wanted.job(generation.clone(), caller.customer, policy, config.clone());
+        self.check_health(&job)?;
         let rejoined = self
             .state
             .dispatcher
@@ -193,21 +188,20 @@
         generation: String,
         start: Start,
     ) -> Result<HttpResponse, Error> {
-        let treatment = config.treatment(&caller.kind)?;
-        let job = wanted.job(generation, caller.customer, treatment, config);
-        let convicted = self.state.dispatcher.check_verdict(job.fingerprint);
-        convicted.map_err(|failure| self.refuse(failure.into_error()))?;
+        let policy = config.policy(&caller.kind)?;
+        let job = wanted.job(generation, caller.customer, policy, config);
+        self.check_health(&job)?;
         let is_resume = start.number > 0;
-        let applicant = Applicant {
+        let request = AdmissionRequest {
             customer: caller.customer,
             weight: caller.weight,
             model: &wanted.model,
             // Work that is half done goes before work that has not begun.
-            priority: if is_resume { 0 } else { treatment.priority },
-            patience: treatment.patience,
+            priority: if is_resume { 0 } else { policy.priority },
+            patience: policy.patience,
             token_count: wanted.max_tokens - start.index.min(wanted.max_tokens),
         };
-        let admitted = self.state.admission.admit(&applicant).await;
+        let admitted = self.state.admission.admit(&request).await;
         let admitted = admitted.map_err(|error| self.refuse(error))?;
         let mut generation = self.generation(job, start, Some(admitted));
         let opened = generation.open().await;
@@ -215,24 +209,25 @@
         self.respond(generation, attempt, wanted.stream).await
     }
 
-    fn generation(
-        &self,
-        job: crate::dispatch::Job,
-        start: Start,
-        admitted: Option<crate::admission::Admitted>,
-    ) -> Generation {
+    fn generation(&self, job: Job, start: Start, admitted: Option<Admitted>) -> Generation {
         Generation::new(
             job,
             self.state.dispatcher.clone(),
+            self.state.crashes.clone(),
             self.state.metrics.clone(),
             start,
             admitted,
         )
     }
 
+    fn check_health(&self, job: &Job) -> Result<(), Error> {
+        let checked = self.state.crashes.check(job.fingerprint);
+        checked.map_err(|blocked| self.refuse(OpenFailure::from(blocked).into_error()))
+    }
+
     fn refuse(&self, error: Error) -> Error {
         let counter = match error.kind {
-            ErrorKind::CrashesRunners => Counter::ConvictedRefusals,
+            ErrorKind::CrashesRunners => Counter::PoisonRefusals,
             _ => Counter::Refused,
         };
         self.state.metrics.add(counter, 1);
@@ -242,7 +237,7 @@
     async fn respond(
         &self,
         generation: Generation,
-        attempt: crate::attempt::Attempt,
+        attempt: Attempt,
         stream: bool,
     ) -> Result<HttpResponse, Error> {
         let id = generation.id().to_owned();
@@ -264,7 +259,7 @@
     fn respond_with_events(
         &self,
         generation: Generation,
-        attempt: crate::attempt::Attempt,
+        attempt: Attempt,
         id: &str,
     ) -> HttpResponse {
         let (mut sender, body) = Channel::new(UNSENT_FRAMES);
@@ -287,185 +282,13 @@
         response.headers_mut().insert(CONTENT_TYPE, event_stream);
         response
     }
-
-    async fn call_service(
-        &self,
-        request: Request<Incoming>,
-        rest: &str,
-    ) -> Result<HttpResponse, Error> {
-        self.state.metrics.add(Counter::ServiceCalls, 1);
-        let keyed = request.headers().contains_key(IDEMPOTENCY_KEY);
-        let config = self.state.config().map_err(|error| match keyed {
-            // An earlier call with the key may have run through another node,
-            // so a node that cannot look must not say "not run".
-            true => Error::new(ErrorKind::KeyUnchecked, error.message),
-            false => error,
-        })?;
-        let caller = identify(&config, &request)?;
-        let customer = caller.customer.clone();
-        let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
-        check_service(&config, &customer, service)?;
-        let query = request.uri().query();
-        let mut call = ServiceCall {
-            service: service.to_owned(),
-            method: request.method().clone(),
-            path: query.map_or(format!("/{path}"), |q| format!("/{path}?{q}")),
-            key: http::header(&request, IDEMPOTENCY_KEY).map(str::to_owned),
-            body: Bytes::new(),
-        };
-        let max_bytes = self.state.settings.limits.body_max_bytes;
-        call.body = http::read_body(request.into_body(), max_bytes).await?;
-        let service = config.intent().services.get(&call.service);
-        let idempotent = call.method == Method::GET || service.is_some_and(|s| s.idempotent);
-        let state = self.state.clone();
-        // A caller that leaves must not cut a claimed call in half.
-        let running = self.state.tasks.spawn(async move {
-            if idempotent {
-                call_idempotent(&state, &call).await
-            } else {
-                call_at_most_once(&state, &customer, &call).await
-            }
-        });
-        running
-            .await
-            .unwrap_or_else(|_| Err(Error::new(ErrorKind::OutcomeUnknown, "the call broke off")))
-    }
-}
-
-async fn call_idempotent(state: &NodeState, call: &ServiceCall) -> Result<HttpResponse, Error> {
-    match state.services.call_again(call).await {
-        CallEnd::Answered(response) => Ok(relay(response)),
-        CallEnd::NotSent => Err(no_instance(call)),
-        CallEnd::NoAnswer => Err(Error::new(
-            ErrorKind::UpstreamFailed,
-            format!("service '{}' gave no answer", call.service),
-        )),
-    }
-}
-
-async fn call_at_most_once(
-    state: &NodeState,
-    customer: &CustomerId,
-    call: &ServiceCall,
-) -> Result<HttpResponse, Error> {
-    let key = claim_key(customer, call)?;
-    let hash = call_hash(&call.path, &call.body);
-    let claimant = state.membership.me().claimant();
-    match take_claim(&state.claims, &key, hash, &claimant).await {
-        Taken::Granted(claim) => {
-            state.metrics.add(Counter::ClaimsTaken, 1);
-            send_claimed(state, call, claim).await
-        }
-        Taken::Ended { status: 0, .. } => Err(unknown_outcome(state)),
-        Taken::Ended { status, answer } => {
-            state.metrics.add(Counter::ClaimsReplayed, 1);
-            Ok(replay(status, answer))
-        }
-        Taken::Busy { claimant } if state.membership.is_claimant_alive(&claimant) => {
-            Err(Error::new(
-                ErrorKind::KeyInProgress,
-                "a call with this key is under way",
-            ))
-        }
-        Taken::Busy { .. } => Err(unknown_outcome(state)),
-        Taken::Reused => Err(Error::new(
-            ErrorKind::KeyReused,
-            "the key named another call before",
-        )),
-        Taken::Full => Err(Error::new(
-            ErrorKind::Overloaded,
-            "too many keys are remembered to claim another; the call was not run",
-        )),
-        Taken::Refused => Err(Error::new(
-            ErrorKind::KeyUnchecked,
-            "this call was not sent; whether an earlier one ran cannot be told now",
-        )),
-    }
-}
-
-async fn send_claimed(
-    state: &NodeState,
-    call: &ServiceCall,
-    claim: Claim<Held>,
-) -> Result<HttpResponse, Error> {
-    let Some(sent) = claim.send() else {
-        return Err(unknown_outcome(state));
-    };
-    match state.services.call_once(call).await {
-        CallEnd::Answered(response) => {
-            let kept_max = state.settings.limits.stored_answer_max_bytes;
-            let status = response.status().as_u16();
-            let kept = Some(response.body().clone()).filter(|body| body.len() <= kept_max);
-            match kept {
-                Some(answer) => sent.finish(&state.claims, status, answer).await,
-                None => sent.lose(&state.claims).await,
-            }
-            Ok(relay(response))
-        }
-        CallEnd::NotSent => {
-            sent.unsent().release(&state.claims);
-            Err(no_instance(call))
-        }
-        CallEnd::NoAnswer => {
-            sent.lose(&state.claims).await;
-            Err(unknown_outcome(state))
-        }
-    }
-}
-
-fn unknown_outcome(state: &NodeState) -> Error {
-    state.metrics.add(Counter::OutcomesUnknown, 1);
-    Error::new(
-        ErrorKind::OutcomeUnknown,
-        "the call may have run and is never sent again; ask the service for its state",
-    )
-}
-
-fn no_instance(call: &ServiceCall) -> Error {
-    let message = format!("no instance of service '{}' can be reached", call.service);
-    Error::new(ErrorKind::NoUpstream, message)
-}
-
-fn claim_key(customer: &CustomerId, call: &ServiceCall) -> Result<String, Error> {
-    let key = call.key.as_deref().unwrap_or("");
-    if key.is_empty() || key.len() > KEY_MAX_BYTES {
-        return Err(Error::new(
-            ErrorKind::KeyMissing,
-            format!("idempotency-key: needs 1 to {KEY_MAX_BYTES} bytes"),
-        ));
-    }
-    Ok(format!("{customer}/{}/{key}", call.service))
-}
-
-fn check_service(config: &Config, customer: &CustomerId, service: &str) -> Result<(), Error> {
-    let customer = config.intent().customers.get(customer);
-    let allowed = customer.is_some_and(|c| c.services.iter().any(|s| s == service));
-    if allowed {
-        return Ok(());
-    }
-    Err(Error::new(
-        ErrorKind::NotFound,
-        format!("no service '{service}' for this customer"),
-    ))
-}
-
-fn relay(response: Response<Bytes>) -> HttpResponse {
-    let (parts, body) = response.into_parts();
-    replay(parts.status.as_u16().into(), body)
-}
-
-fn replay(status: u32, answer: Bytes) -> HttpResponse {
-    let mut response = Response::new(http::full(answer));
-    let status = u16::try_from(status)
-        .ok()
-        .and_then(|s| StatusCode::from_u16(s).ok());
-    *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
-    let json_type = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(CONTENT_TYPE, json_type);
-    response
 }
 
-fn identify<'a>(config: &'a Config, request: &Request<Incoming>) -> Result<Caller<'a>, Error> {
+/// Finds out who asks.
+pub(crate) fn identify<'a>(
+    config: &'a Config,
+    request: &Request<Incoming>,
+) -> Result<Caller<'a>, Error> {
     let key = bearer(request)?;
     let (customer, intent) = config.customer(key)?;
     let kind = http::header(request, CALLER_KIND).unwrap_or(DEFAULT_KIND);
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 
-use crate::claim_book::{ClaimBook, ClaimSettings};
 use crate::clock::unix_ms;
+use crate::group_commit::{ClaimSettings, GroupCommit};
 use crate::hash::Fnv;
 use crate::message::{ClaimAction, ClaimOperation, ClaimReply, ClaimResult};
 use crate::object_store::ObjectStore;
@@ -84,21 +84,21 @@
 /// Claims written by this process itself.
 #[derive(Clone, Debug)]
 pub struct LocalClaims {
-    book: ClaimBook,
+    group_commit: GroupCommit,
 }
 
 impl LocalClaims {
     /// Keeps claims in `store`.
     pub fn start<S: ObjectStore>(store: &S, settings: ClaimSettings) -> Self {
         Self {
-            book: ClaimBook::start(store, settings),
+            group_commit: GroupCommit::start(store, settings),
         }
     }
 }
 
 impl ClaimWriter for LocalClaims {
     async fn write(&self, operation: WireOperation) -> WireReply {
-        WireReply(self.book.apply(operation.0).await)
+        WireReply(self.group_commit.apply(operation.0).await)
     }
 }
 
--- a/src/claim_desk.rs
+++ b/src/claim_forwarder.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::claim::{ClaimWriter, WireOperation, WireReply};
-use crate::claim_book::ClaimBook;
+use crate::group_commit::GroupCommit;
 use crate::hash::rendezvous_order;
 use crate::members::Member;
 use crate::membership::{LinkFaults, Membership};
@@ -18,23 +18,23 @@
 
 /// Carries out claims for one node.
 #[derive(Clone, Debug)]
-pub(crate) struct ClaimDesk {
-    book: ClaimBook,
+pub(crate) struct ClaimForwarder {
+    group_commit: GroupCommit,
     membership: Membership,
     peers: PeerClient,
     faults: LinkFaults,
 }
 
-impl ClaimDesk {
-    /// Makes a desk over this node's book and its peers.
+impl ClaimForwarder {
+    /// Makes a desk over this node's group_commit and its peers.
     pub(crate) fn new(
-        book: ClaimBook,
+        group_commit: GroupCommit,
         membership: Membership,
         peers: PeerClient,
         faults: LinkFaults,
     ) -> Self {
         Self {
-            book,
+            group_commit,
             membership,
             peers,
             faults,
@@ -43,7 +43,7 @@
 
     /// Carries out an operation that a peer sent here.
     pub(crate) async fn apply_here(&self, operation: ClaimOperation) -> ClaimReply {
-        self.book.apply(operation).await
+        self.group_commit.apply(operation).await
     }
 
     fn owner(&self, shard: u32) -> Option<Member> {
@@ -59,10 +59,10 @@
     }
 }
 
-impl ClaimWriter for ClaimDesk {
+impl ClaimWriter for ClaimForwarder {
     async fn write(&self, operation: WireOperation) -> WireReply {
         let WireOperation(operation) = operation;
-        let owner = self.owner(self.book.shard_of(&operation.key));
+        let owner = self.owner(self.group_commit.shard_of(&operation.key));
         let owner = owner.filter(|o| !self.faults.is_cut(&o.peer_address));
         if let Some(owner) = owner {
             let question = Question::Claim(operation.clone());
@@ -76,6 +76,6 @@
         }
         // Writing what the owner may have written is the same operation: its
         // mark makes the second application change nothing.
-        WireReply(self.book.apply(operation).await)
+        WireReply(self.group_commit.apply(operation).await)
     }
 }
--- a/src/command.rs
+++ b/src/command.rs
@@ -10,8 +10,8 @@
 use serde::de::DeserializeOwned;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use zinniawing::{
-    AuditRecord, Caller, CompletionReport, CompletionWish, Demo, DemoOptions, Intent, ModelVersion,
-    Node, Operator, OperatorError, RunnerProfile, Settings, SettingsError, StandIn,
+    AuditRecord, Caller, CompletionParams, CompletionReport, Demo, DemoOptions, Intent,
+    ModelVersion, Node, Operator, OperatorError, RunnerProfile, Settings, SettingsError, StandIn,
     StandInPlatform, StandInRunner, StandInService, Status, Vm,
 };
 
@@ -260,13 +260,13 @@
 
 async fn complete(args: CallArgs) -> Result<(), Failure> {
     let caller = Caller::new(args.node, &args.key, &args.kind);
-    let wish = CompletionWish {
+    let params = CompletionParams {
         model: args.model,
         prompt: args.prompt,
         max_tokens: args.tokens,
         brings_text: !args.without_text,
     };
-    let report = caller.complete(&wish).await;
+    let report = caller.complete(&params).await;
     let whole = report.ended && report.broken.is_none();
     let text = describe_completion(&report);
     print(args.json, &Shown(report, text))?;
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -7,7 +7,7 @@
 use serde_json::value::RawValue;
 use sha2::{Digest, Sha256};
 
-use crate::config::{Config, Treatment};
+use crate::config::{CallerPolicy, Config};
 use crate::dispatch::{Job, fingerprint};
 use crate::error::{Error, ErrorKind};
 use crate::fleet::prefix_hash;
@@ -78,7 +78,7 @@
         &self,
         generation: GenerationId,
         customer: &CustomerId,
-        treatment: Treatment,
+        policy: CallerPolicy,
         config: Arc<Config>,
     ) -> Job {
         Job {
@@ -86,7 +86,7 @@
             model: self.model.clone(),
             prompt: self.prompt.clone(),
             max_tokens: self.max_tokens,
-            treatment,
+            policy,
             request_hash: self.hash(customer),
             fingerprint: fingerprint(customer, &self.model, &self.prompt),
             prefix_hash: prefix_hash(&self.model, &self.prompt),
--- a/src/config.rs
+++ b/src/config.rs
@@ -93,7 +93,7 @@
 
 /// How a caller is treated, worked out from its kind and the hour.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Treatment {
+pub(crate) struct CallerPolicy {
     /// Lower goes first.
     pub(crate) priority: u8,
     /// How long the caller waits for the first token.
@@ -139,9 +139,9 @@
     }
 
     /// How a caller of a kind is treated now.
-    pub(crate) fn treatment(&self, kind: &KindId) -> Result<Treatment, Error> {
+    pub(crate) fn policy(&self, kind: &KindId) -> Result<CallerPolicy, Error> {
         let kind = self.kind(kind)?;
-        Ok(Treatment {
+        Ok(CallerPolicy {
             priority: kind.priority,
             patience: kind.patience_at(self.local_time()),
             prepare_after: kind.prepare_after_ms.map(Duration::from_millis),
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -6,7 +6,7 @@
 
 use serde::Serialize;
 
-use crate::call::{CallReport, CompletionReport, CompletionWish};
+use crate::call::{CallReport, CompletionParams, CompletionReport};
 use crate::intent::Intent;
 use crate::local_cluster::{ClusterPlan, LocalCluster};
 
@@ -64,13 +64,13 @@
         plan.runner_profile.token_interval = self.options.token_interval;
         let mut cluster = LocalCluster::start(plan).await?;
         let caller = cluster.caller(CUSTOMER_KEY, "steward");
-        let wish = CompletionWish {
+        let params = CompletionParams {
             model: "steward-chat".into(),
             prompt: "Summarise this week's picket roll for the hardship committee.".into(),
             max_tokens: self.options.token_count,
             brings_text: true,
         };
-        let calling = tokio::spawn(async move { caller.complete(&wish).await });
+        let calling = tokio::spawn(async move { caller.complete(&params).await });
         let killed = self.kill_in_mid_answer(&mut cluster).await;
         let completion = calling.await.map_err(io::Error::other)?;
         let generated_count = generated(&cluster);
--- a/src/document.rs
+++ b/src/document.rs
@@ -11,21 +11,21 @@
 
 /// The newest documents that one node holds, by name.
 #[derive(Debug, Default)]
-pub struct DocumentShelf {
+pub struct DocumentStore {
     documents: Mutex<BTreeMap<String, Object>>,
 }
 
-impl DocumentShelf {
+impl DocumentStore {
     /// Keeps `object` unless this or a higher version is held; true if kept.
     ///
     /// ```
-    /// use zinniawing::{DocumentShelf, Object};
+    /// use zinniawing::{DocumentStore, Object};
     ///
-    /// let shelf = DocumentShelf::default();
+    /// let documents = DocumentStore::default();
     /// let object = |version| Object { version, body: "text".into() };
-    /// assert!(shelf.offer("config", object(2)));
-    /// assert!(!shelf.offer("config", object(1)));
-    /// assert_eq!(shelf.version("config"), 2);
+    /// assert!(documents.offer("config", object(2)));
+    /// assert!(!documents.offer("config", object(1)));
+    /// assert_eq!(documents.version("config"), 2);
     /// ```
     pub fn offer(&self, name: &str, object: Object) -> bool {
         let mut documents = self.lock();
--- a/src/document_keeper.rs
+++ b/src/document_sync.rs
@@ -10,7 +10,7 @@
 use rand::RngExt;
 use tokio::sync::broadcast::error::RecvError;
 
-use crate::document::DocumentShelf;
+use crate::document::DocumentStore;
 use crate::hash::{Fnv, rendezvous_order};
 use crate::id::Version;
 use crate::membership::{LinkFaults, Membership, News};
@@ -34,11 +34,11 @@
 
 /// Keeps one document of one node up to date.
 #[derive(Clone, Debug)]
-pub(crate) struct DocumentKeeper {
+pub(crate) struct DocumentSync {
     /// Name of the document, which is its platform key.
     pub(crate) name: &'static str,
     /// Where it is kept.
-    pub(crate) shelf: Arc<DocumentShelf>,
+    pub(crate) documents: Arc<DocumentStore>,
     /// The platform.
     pub(crate) platform: Platform,
     /// The peers.
@@ -51,7 +51,7 @@
     pub(crate) changed: tokio::sync::watch::Sender<Version>,
 }
 
-impl DocumentKeeper {
+impl DocumentSync {
     /// Keeps the document until the task is dropped.
     pub(crate) async fn run(self) {
         tokio::join!(self.follow_peers(), self.follow_platform());
@@ -60,7 +60,7 @@
     /// Takes in a version, wherever it comes from; older ones are refused.
     pub(crate) fn offer(&self, object: Object) -> bool {
         let version = object.version;
-        let newer = self.shelf.offer(self.name, object);
+        let newer = self.documents.offer(self.name, object);
         if newer {
             self.changed.send_replace(version);
             self.membership.hold_document(self.name, version);
@@ -77,7 +77,7 @@
                     version,
                     peer_address,
                 }) if name == self.name => {
-                    if version > self.shelf.version(self.name) {
+                    if version > self.documents.version(self.name) {
                         self.fetch(peer_address).await;
                     }
                 }
@@ -93,7 +93,7 @@
         }
         let question = Question::Fetch(DocumentVersion {
             name: self.name.to_owned(),
-            version: self.shelf.version(self.name),
+            version: self.documents.version(self.name),
         });
         let asked = self.peers.ask(peer_address, question, FETCH_TIMEOUT).await;
         if let Ok(ReplyBody::Document(reply)) = asked {
@@ -113,7 +113,7 @@
                 continue;
             }
             // A node that peers could not help must not wait for its turn.
-            let has_none = self.shelf.version(self.name) == 0;
+            let has_none = self.documents.version(self.name) == 0;
             if has_none || Instant::now() >= next_read {
                 self.read_once().await;
                 let spread = rand::rng().random_range(0.8..1.2);
@@ -124,7 +124,7 @@
     }
 
     async fn watch_once(&self) {
-        let held = self.shelf.version(self.name);
+        let held = self.documents.version(self.name);
         match self.platform.watch(self.name, held, WATCH_WAIT).await {
             Ok(Some(object)) => {
                 self.offer(object);
--- a/src/experiment_crashes.rs
+++ b/src/experiment_crashes.rs
@@ -6,7 +6,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::call::CompletionWish;
+use crate::call::CompletionParams;
 use crate::error::ErrorKind;
 use crate::experiment::Deployment;
 use crate::local_cluster::{ClusterPlan, LocalCluster};
@@ -55,7 +55,7 @@
     );
     let cluster = LocalCluster::start(plan).await?;
     let (key, kind, model) = deployment.caller();
-    let wish = |prompt: String, max_tokens| CompletionWish {
+    let params = |prompt: String, max_tokens| CompletionParams {
         model: model.to_owned(),
         prompt,
         max_tokens,
@@ -64,14 +64,14 @@
     let innocents: Vec<_> = (0..INNOCENT_COUNT)
         .map(|number| {
             let caller = cluster.caller(key, kind);
-            let wish = wish(
+            let params = params(
                 format!("innocent {number} {}", draw.random::<u64>()),
                 TOKEN_COUNT,
             );
-            tokio::spawn(async move { caller.complete(&wish).await })
+            tokio::spawn(async move { caller.complete(&params).await })
         })
         .collect();
-    let crashing = wish(
+    let crashing = params(
         format!("{CRASH_MARK} {}", draw.random::<u64>()),
         TOKEN_COUNT,
     );
--- a/src/experiment_overload.rs
+++ b/src/experiment_overload.rs
@@ -9,7 +9,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::call::{Caller, CompletionWish};
+use crate::call::{Caller, CompletionParams};
 use crate::direct_caller::{DirectCaller, Recovery};
 use crate::error::ErrorKind;
 use crate::experiment::Deployment;
@@ -58,7 +58,7 @@
     }
 }
 
-/// One request of the crowd.
+/// One request of the occupancy.
 #[derive(Clone, Debug)]
 struct Request {
     customer: &'static str,
@@ -214,7 +214,7 @@
 }
 
 async fn send_to_nodes(caller: Caller, request: &Request) -> End {
-    let wish = CompletionWish {
+    let params = CompletionParams {
         model: "steward-chat".to_owned(),
         prompt: request.prompt.clone(),
         max_tokens: request.tokens(),
@@ -226,7 +226,7 @@
         let began_at = Instant::now();
         let mut at = caller.clone();
         at.nodes = addresses;
-        let report = at.complete(&wish).await;
+        let report = at.complete(&params).await;
         let patience_ms = request.patience().as_secs_f64() * 1e3;
         let in_time = report.first_token_ms.is_some_and(|ms| ms <= patience_ms);
         end.first_ms = report.first_token_ms;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -13,7 +13,7 @@
 use crate::id::{DataCentreId, Incarnation, RunnerId, ServiceId};
 use crate::platform::{Vm, VmRole, VmState};
 use crate::retry_budget::RetryBudget;
-use crate::runner::{Glimpse, ModelVersion, RunnerReport};
+use crate::runner::{LoadHint, ModelVersion, RunnerReport};
 
 /// How long a runner that could not be reached is left alone.
 const DOWN_TIME: Duration = Duration::from_millis(500);
@@ -36,7 +36,7 @@
 
 /// What a request wants of a runner.
 #[derive(Clone, Debug)]
-pub(crate) struct Wish<'a> {
+pub(crate) struct RouteQuery<'a> {
     /// Model.
     pub(crate) model: &'a str,
     /// Its versions that may serve, the wanted one first.
@@ -184,10 +184,14 @@
         services.get(service).cloned().unwrap_or_default()
     }
 
-    /// Orders the runners that can serve a wish, the best first.
-    pub(crate) fn candidates(&self, wish: &Wish<'_>, now: Instant) -> Vec<(Candidate, String)> {
-        for version in &wish.versions {
-            let found = self.candidates_at(wish, version, now);
+    /// Orders the runners that can serve a query, the best first.
+    pub(crate) fn candidates(
+        &self,
+        query: &RouteQuery<'_>,
+        now: Instant,
+    ) -> Vec<(Candidate, String)> {
+        for version in &query.versions {
+            let found = self.candidates_at(query, version, now);
             if !found.is_empty() {
                 let with_version = found.into_iter().map(|c| (c, (*version).to_owned()));
                 return with_version.collect();
@@ -196,24 +200,24 @@
         Vec::new()
     }
 
-    fn candidates_at(&self, wish: &Wish<'_>, version: &str, now: Instant) -> Vec<Candidate> {
+    fn candidates_at(&self, query: &RouteQuery<'_>, version: &str, now: Instant) -> Vec<Candidate> {
         let runners = self.runners();
         let usable: BTreeMap<&str, &Row> = runners
             .iter()
             .filter(|(name, row)| {
-                row.can_serve(wish.model, version, now) && !wish.avoid.contains(*name)
+                row.can_serve(query.model, version, now) && !query.avoid.contains(*name)
             })
             .map(|(name, row)| (name.as_str(), row))
             .collect();
-        let order = rendezvous_order(wish.prefix_hash, usable.keys().copied());
-        let sorted = if wish.is_suspect {
+        let order = rendezvous_order(query.prefix_hash, usable.keys().copied());
+        let sorted = if query.is_suspect {
             apart_from_suspects(order, &usable)
         } else {
             within_load_bound(order, &usable)
         };
         sorted
             .into_iter()
-            .map(|name| usable[name].candidate(name, wish.confirmed_within, now))
+            .map(|name| usable[name].candidate(name, query.confirmed_within, now))
             .collect()
     }
 
@@ -245,12 +249,12 @@
     }
 
     /// Takes in what the headers of an answer tell.
-    pub(crate) fn glimpsed(&self, runner: &str, glimpse: Glimpse) {
+    pub(crate) fn observed(&self, runner: &str, load_hint: LoadHint) {
         if let Some(row) = self.runners().get_mut(runner) {
-            row.seen_alive(glimpse.incarnation, glimpse.leaving);
-            row.reported_count = glimpse.running_count;
+            row.seen_alive(load_hint.incarnation, load_hint.leaving);
+            row.reported_count = load_hint.running_count;
             row.own_at_report = row.own_count;
-            row.slot_count = glimpse.slot_count;
+            row.slot_count = load_hint.slot_count;
         }
     }
 
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -38,7 +38,7 @@
 
 /// How full the gate is, as a newcomer with some ticket sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Crowd {
+pub(crate) struct Occupancy {
     /// Places in all.
     pub(crate) slot_count: usize,
     /// Places taken.
@@ -87,10 +87,10 @@
     }
 
     /// Counts what stands before a newcomer with `ticket`.
-    pub(crate) fn crowd(&self, ticket: T) -> Crowd {
+    pub(crate) fn occupancy(&self, ticket: T) -> Occupancy {
         let state = self.lock();
         let ahead = state.waiting.range(..(ticket, u64::MAX));
-        Crowd {
+        Occupancy {
             slot_count: state.slot_count,
             held_count: state.held_count,
             ahead_count: ahead.filter(|(_, sender)| !sender.is_closed()).count(),
--- a/src/generation.rs
+++ b/src/generation.rs
@@ -13,6 +13,7 @@
 
 use crate::admission::Admitted;
 use crate::attempt::{Attempt, Delivery, Loss, Step};
+use crate::crash_tracker::{Blocked, CrashTracker};
 use crate::dispatch::{Dispatcher, Job, OpenFailure, Progress};
 use crate::error::{Error, ErrorKind};
 use crate::id::{AttemptNumber, RunnerId, TokenIndex};
@@ -57,6 +58,7 @@
 pub(crate) struct Generation {
     job: Job,
     dispatcher: Arc<Dispatcher>,
+    crashes: Arc<CrashTracker>,
     metrics: Arc<Metrics>,
     delivery: Delivery,
     has_text: bool,
@@ -83,6 +85,7 @@
     pub(crate) fn new(
         job: Job,
         dispatcher: Arc<Dispatcher>,
+        crashes: Arc<CrashTracker>,
         metrics: Arc<Metrics>,
         start: Start,
         admitted: Option<Admitted>,
@@ -90,6 +93,7 @@
         Self {
             job,
             dispatcher,
+            crashes,
             metrics,
             delivery: Delivery {
                 next_index: start.index,
@@ -223,11 +227,12 @@
         self.lost_at.get_or_insert(self.last_token_at);
         self.loss_count += 1;
         self.avoid.insert(life.0.clone());
+        let fingerprint = self.job.fingerprint;
         if loss == Loss::Reset {
-            self.dispatcher.lost_at(&self.job, life).await;
+            self.crashes.connection_broke(fingerprint, life).await;
         }
-        let decided = self.dispatcher.await_verdict(self.job.fingerprint).await;
-        decided.map_err(|failure| Stop::Failed(failure.into_error()))?;
+        let decided = self.crashes.decide(fingerprint).await;
+        decided.map_err(|blocked| Stop::Failed(OpenFailure::from(blocked).into_error()))?;
         if self.loss_count > LOSSES_MAX || !self.has_text {
             return Err(Stop::Failed(lost_error()));
         }
@@ -240,8 +245,10 @@
         loop {
             match self.open().await {
                 Ok(attempt) => return Ok(attempt),
-                Err(OpenFailure::Accused(rest)) => tokio::time::sleep(rest).await,
-                Err(failure @ OpenFailure::Convicted(_)) => {
+                Err(OpenFailure::Blocked(Blocked::Quarantined(left))) => {
+                    tokio::time::sleep(left).await;
+                }
+                Err(failure @ OpenFailure::Blocked(Blocked::Poison(_))) => {
                     return Err(Stop::Failed(failure.into_error()));
                 }
                 Err(OpenFailure::NoRunner) if Instant::now() < give_up_at => {
--- a/src/claim_book.rs
+++ b/src/group_commit.rs
@@ -38,7 +38,7 @@
 
 /// The claims of one node, on any object store.
 #[derive(Clone, Debug)]
-pub(crate) struct ClaimBook {
+pub(crate) struct GroupCommit {
     shards: Arc<Vec<mpsc::Sender<Pending>>>,
 }
 
@@ -48,7 +48,7 @@
     reply: oneshot::Sender<ClaimReply>,
 }
 
-impl ClaimBook {
+impl GroupCommit {
     /// Starts a task for each shard.
     pub(crate) fn start<S: ObjectStore>(store: &S, settings: ClaimSettings) -> Self {
         let shards = (0..settings.shard_count).map(|number| {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! The coordination parts can be embedded on their own: [`Membership`] and its
 //! announcements, at-most-once claims ([`take_claim`]), the fenced [`Lease`],
-//! and the [`DocumentShelf`] that never goes back.
+//! and the [`DocumentStore`] that never goes back.
 //!
 //! ```
 //! use zinniawing::{Intent, Plan};
@@ -27,18 +27,18 @@
 mod call;
 mod caller_api;
 mod claim;
-mod claim_book;
-mod claim_desk;
+mod claim_forwarder;
 mod claim_shard;
 mod clock;
 mod completion;
 mod config;
 mod configuration;
+mod crash_tracker;
 mod demo;
 mod direct_caller;
 mod dispatch;
 mod document;
-mod document_keeper;
+mod document_sync;
 mod error;
 mod event_id;
 mod experiment;
@@ -51,6 +51,7 @@
 mod fleet;
 mod gate;
 mod generation;
+mod group_commit;
 mod hash;
 mod http;
 mod id;
@@ -70,12 +71,14 @@
 mod peer;
 mod plan;
 mod platform;
+mod poison;
 mod report;
 mod retry_budget;
 mod runner;
 mod runner_watch;
 mod sample;
 mod service;
+mod service_api;
 mod settings;
 mod shutdown;
 mod sse;
@@ -83,24 +86,23 @@
 mod stand_in_platform;
 mod stand_in_runner;
 mod stand_in_service;
-mod suspects;
 mod token_chain;
 mod usage;
 
 pub use announcement::Announcement;
 pub use audit::{AuditOutcome, AuditRecord};
-pub use call::{CallReport, Caller, CompletionReport, CompletionWish};
+pub use call::{CallReport, Caller, CompletionParams, CompletionReport};
 pub use caller_api::AddressAnswer;
 pub use claim::{
     Claim, ClaimWriter, Held, LocalClaims, Sent, Taken, WireOperation, WireReply, call_hash,
     take_claim,
 };
-pub use claim_book::ClaimSettings;
 pub use config::{Config, ConfigRecord, Confirmation, key_hash};
 pub use demo::{Demo, DemoOptions, DemoReport};
-pub use document::DocumentShelf;
+pub use document::DocumentStore;
 pub use error::{Answer, Error, ErrorBody, ErrorDetail, ErrorKind, Execution};
 pub use experiment::{Deployment, Experiment};
+pub use group_commit::ClaimSettings;
 pub use id::{
     AttemptNumber, CustomerId, DataCentreId, Fence, GenerationId, Incarnation, IntentId, KindId,
     ModelId, NodeId, RunnerId, ServiceId, TokenIndex, Version,
--- a/src/local_cluster.rs
+++ b/src/local_cluster.rs
@@ -11,8 +11,8 @@
 use std::time::{Duration, Instant};
 
 use crate::call::Caller;
-use crate::claim_book::ClaimSettings;
 use crate::config::key_hash;
+use crate::group_commit::ClaimSettings;
 use crate::intent::Intent;
 use crate::membership::LinkFaults;
 use crate::node::Node;
--- a/src/members.rs
+++ b/src/members.rs
@@ -9,7 +9,7 @@
 
 use crate::hash::Fnv;
 use crate::id::{DataCentreId, Incarnation, NodeId};
-use crate::message::{MemberRecord, Standing};
+use crate::message::{MemberRecord, MemberState};
 
 /// How long a dead node is remembered, so that a healed partition finds it.
 const DEAD_KEEP: Duration = Duration::from_secs(2 * 3600);
@@ -45,7 +45,7 @@
 #[derive(Clone, Debug)]
 struct Row {
     member: Member,
-    standing: Standing,
+    state: MemberState,
     since: Instant,
 }
 
@@ -85,7 +85,7 @@
 
     /// This node's own record.
     pub(crate) fn my_record(&self) -> MemberRecord {
-        record(&self.me, Standing::Alive)
+        record(&self.me, MemberState::Alive)
     }
 
     /// Notes how much this node has to do.
@@ -107,30 +107,30 @@
         let Some(member) = member(report) else {
             return Change::Nothing;
         };
-        let standing = report.standing();
+        let state = report.state();
         let Some(row) = self.rows.get_mut(&member.node) else {
-            self.insert(member, standing, now);
+            self.insert(member, state, now);
             return Change::Spread;
         };
-        let newer = (member.incarnation, standing) > (row.member.incarnation, row.standing);
+        let newer = (member.incarnation, state) > (row.member.incarnation, row.state);
         if !newer {
             if member.incarnation == row.member.incarnation {
                 row.member.demand_count = member.demand_count;
             }
             return Change::Nothing;
         }
-        if standing != row.standing {
+        if state != row.state {
             row.since = now;
         }
         row.member = member;
-        row.standing = standing;
+        row.state = state;
         Change::Spread
     }
 
     /// Takes in what a node says of itself, which proves that it lives.
     pub(crate) fn apply_from(&mut self, sender: &MemberRecord, now: Instant) -> Change {
         let revived = self.rows.get(&sender.node).is_some_and(|row| {
-            row.standing != Standing::Alive && row.member.incarnation == sender.incarnation
+            row.state != MemberState::Alive && row.member.incarnation == sender.incarnation
         });
         // The sender has not heard that others doubt it. Answering with that
         // doubt makes it raise its incarnation, which alone may clear it.
@@ -143,12 +143,12 @@
     /// Doubts a node that did not answer.
     pub(crate) fn suspect(&mut self, node: &str, now: Instant) -> Option<MemberRecord> {
         let row = self.rows.get_mut(node)?;
-        if row.standing != Standing::Alive {
+        if row.state != MemberState::Alive {
             return None;
         }
-        row.standing = Standing::Suspect;
+        row.state = MemberState::Suspect;
         row.since = now;
-        Some(record(&row.member, Standing::Suspect))
+        Some(record(&row.member, MemberState::Suspect))
     }
 
     /// Gives up nodes that were doubted for too long, and returns them.
@@ -156,15 +156,15 @@
         let limit = self.suspicion_time(interval);
         let mut given_up = Vec::new();
         for row in self.rows.values_mut() {
-            let doubted = row.standing == Standing::Suspect;
+            let doubted = row.state == MemberState::Suspect;
             if doubted && now.duration_since(row.since) >= limit {
-                row.standing = Standing::Dead;
+                row.state = MemberState::Dead;
                 row.since = now;
-                given_up.push(record(&row.member, Standing::Dead));
+                given_up.push(record(&row.member, MemberState::Dead));
             }
         }
         self.rows.retain(|_, row| {
-            let gone = row.standing >= Standing::Dead;
+            let gone = row.state >= MemberState::Dead;
             !gone || now.duration_since(row.since) < DEAD_KEEP
         });
         given_up
@@ -174,9 +174,9 @@
     pub(crate) fn doubt_about(&self, peer_address: SocketAddr) -> Option<MemberRecord> {
         let mut rows = self.rows.values();
         let row = rows.find(|row| {
-            row.standing != Standing::Alive && row.member.peer_address == peer_address
+            row.state != MemberState::Alive && row.member.peer_address == peer_address
         })?;
-        Some(record(&row.member, row.standing))
+        Some(record(&row.member, row.state))
     }
 
     /// Live nodes, this one first.
@@ -230,7 +230,7 @@
 
     /// A node that was given up, to see whether a partition has healed.
     pub(crate) fn random_dead(&self) -> Option<Member> {
-        self.random_where(|row| row.standing == Standing::Dead)
+        self.random_where(|row| row.state == MemberState::Dead)
     }
 
     /// Some live nodes other than `except`, near ones first.
@@ -251,7 +251,7 @@
     pub(crate) fn records(&self) -> Vec<MemberRecord> {
         let others = self.rows.values();
         std::iter::once(self.my_record())
-            .chain(others.map(|row| record(&row.member, row.standing)))
+            .chain(others.map(|row| record(&row.member, row.state)))
             .collect()
     }
 
@@ -269,7 +269,7 @@
     }
 
     fn apply_about_me(&mut self, report: &MemberRecord) -> Change {
-        let denied = report.standing() != Standing::Alive;
+        let denied = report.state() != MemberState::Alive;
         if denied && report.incarnation >= self.me.incarnation {
             self.me.incarnation = report.incarnation + 1;
             return Change::Refuted;
@@ -277,13 +277,13 @@
         Change::Nothing
     }
 
-    fn insert(&mut self, member: Member, standing: Standing, now: Instant) {
+    fn insert(&mut self, member: Member, state: MemberState, now: Instant) {
         let at = rand::rng().random_range(0..=self.probe_order.len());
         if member.data_centre == self.me.data_centre {
             self.probe_order.insert(at, member.node.clone());
         }
         let row = Row {
-            standing,
+            state,
             since: now,
             member,
         };
@@ -313,7 +313,7 @@
 
 impl Row {
     fn is_alive(&self) -> bool {
-        self.standing <= Standing::Suspect
+        self.state <= MemberState::Suspect
     }
 }
 
@@ -325,11 +325,11 @@
     current >= claimed && current - claimed < REFUTATIONS_PER_LIFE
 }
 
-fn record(member: &Member, standing: Standing) -> MemberRecord {
+fn record(member: &Member, state: MemberState) -> MemberRecord {
     MemberRecord {
         node: member.node.clone(),
         incarnation: member.incarnation,
-        standing: standing.into(),
+        state: state.into(),
         peer_address: member.peer_address.to_string(),
         caller_address: member.caller_address.to_string(),
         data_centre: member.data_centre.clone(),
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -16,20 +16,22 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{broadcast, oneshot};
 
-use crate::announcement::{Announcement, Announcements, Rider, RiderQueue, from_record, to_record};
+use crate::announcement::{
+    Announcement, Announcements, Update, UpdateQueue, from_record, to_record,
+};
 use crate::id::Version;
 use crate::members::{Change, Member, Members};
 use crate::message::{
-    Datagram, DocumentVersion, MemberRecord, Purpose, Question, ReplyBody, Standing, SyncQuestion,
-    SyncReply,
+    Datagram, DocumentVersion, MemberRecord, MemberState, Purpose, Question, ReplyBody,
+    SyncQuestion, SyncReply,
 };
 use crate::peer::{PeerClient, PeerHandler, serve_peers};
 use crate::shutdown::{Shutdown, ShutdownTrigger};
 
 /// Largest datagram, below the smallest usual path limit.
 const DATAGRAM_MAX_BYTES: usize = 1200;
-/// Bytes of a datagram left for riders.
-const RIDER_BYTES: usize = 800;
+/// Bytes of a datagram left for updates.
+const UPDATE_BYTES: usize = 800;
 /// Peers asked to try a node that did not answer.
 const HELPER_COUNT: usize = 3;
 /// Peers told at once of something new.
@@ -144,7 +146,7 @@
 struct State {
     members: Members,
     announcements: Announcements,
-    riders: RiderQueue,
+    updates: UpdateQueue,
     documents: BTreeMap<String, Version>,
     waiting: BTreeMap<u64, oneshot::Sender<()>>,
     next_sequence: u64,
@@ -200,7 +202,7 @@
         let state = State {
             members: Members::new(settings.me.clone()),
             announcements: Announcements::default(),
-            riders: RiderQueue::default(),
+            updates: UpdateQueue::default(),
             documents: BTreeMap::new(),
             waiting: BTreeMap::new(),
             next_sequence: 0,
@@ -258,7 +260,7 @@
         if !state.announcements.apply(announcement, Instant::now()) {
             return;
         }
-        state.riders.add(Rider::Announcement(record));
+        state.updates.add(Update::Announcement(record));
         drop(state);
         self.tell_soon();
     }
@@ -280,16 +282,16 @@
         let mut state = self.state();
         state.members.set_leaving();
         let record = state.members.my_record();
-        state.riders.add(Rider::Member(record));
+        state.updates.add(Update::Member(record));
         drop(state);
         self.tell_soon();
     }
 
     /// Tells peers that this node stops.
-    pub(crate) fn say_goodbye(&self) {
+    pub(crate) fn announce_left(&self) {
         let state = self.state();
         let mut record = state.members.my_record();
-        record.standing = Standing::Left.into();
+        record.state = MemberState::Left.into();
         let peers = state.members.random_alive(URGENT_FANOUT, "");
         let farewell = Datagram {
             purpose: Purpose::Ack.into(),
@@ -409,7 +411,7 @@
         for record in datagram.announcements {
             let announcement = from_record(record.clone());
             if state.announcements.apply(announcement.clone(), now) {
-                state.riders.add(Rider::Announcement(record));
+                state.updates.add(Update::Announcement(record));
                 news.push(News::Announced(announcement));
             }
         }
@@ -530,7 +532,7 @@
         let mut state = self.state();
         if let Some(doubt) = state.members.suspect(&member.node, Instant::now()) {
             count(&self.shared.traffic.suspicion_count, 1);
-            state.riders.add(Rider::Member(doubt));
+            state.updates.add(Update::Member(doubt));
         }
     }
 
@@ -581,7 +583,7 @@
         let given_up = state.members.expire(self.shared.settings.interval, now);
         for record in given_up {
             log::info!("node {} is given up", record.node);
-            state.riders.add(Rider::Member(record));
+            state.updates.add(Update::Member(record));
         }
         state.announcements.expire(now);
     }
@@ -627,10 +629,10 @@
             table_hash: state.members.table_hash(),
             ..Datagram::default()
         };
-        for rider in state.riders.board(fleet_count, RIDER_BYTES) {
-            match rider {
-                Rider::Member(record) => datagram.members.push(record),
-                Rider::Announcement(record) => datagram.announcements.push(record),
+        for update in state.updates.take_batch(fleet_count, UPDATE_BYTES) {
+            match update {
+                Update::Member(record) => datagram.members.push(record),
+                Update::Announcement(record) => datagram.announcements.push(record),
             }
         }
         datagram
@@ -666,10 +668,10 @@
 fn spread(state: &mut State, record: &MemberRecord, change: Change) {
     match change {
         Change::Nothing => {}
-        Change::Spread => state.riders.add(Rider::Member(record.clone())),
+        Change::Spread => state.updates.add(Update::Member(record.clone())),
         Change::Refuted => {
             let mine = state.members.my_record();
-            state.riders.add(Rider::Member(mine));
+            state.updates.add(Update::Member(mine));
         }
     }
 }
--- a/src/message.rs
+++ b/src/message.rs
@@ -21,7 +21,7 @@
 /// How a member stands, in the order in which one overrides the other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Enumeration)]
 #[repr(i32)]
-pub(crate) enum Standing {
+pub(crate) enum MemberState {
     /// Answers its peers.
     Alive = 0,
     /// Did not answer one of them.
@@ -41,9 +41,9 @@
     /// Which life of the node, raised further to refute suspicions.
     #[prost(uint64, tag = "2")]
     pub(crate) incarnation: u64,
-    /// A [`Standing`].
-    #[prost(enumeration = "Standing", tag = "3")]
-    pub(crate) standing: i32,
+    /// A [`MemberState`].
+    #[prost(enumeration = "MemberState", tag = "3")]
+    pub(crate) state: i32,
     /// Where peers reach it, over UDP and TCP.
     #[prost(string, tag = "4")]
     pub(crate) peer_address: String,
@@ -161,9 +161,9 @@
     /// The runners' lives that ended while it ran there.
     #[prost(message, repeated, tag = "2")]
     pub(crate) lives: Vec<RunnerLifeRecord>,
-    /// How long it is still refused; zero when it is not convicted.
+    /// How long it is still refused; zero when it may run.
     #[prost(uint64, tag = "3")]
-    pub(crate) convicted_ms: u64,
+    pub(crate) poison_ms: u64,
 }
 
 /// One life of one runner.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -42,10 +42,10 @@
     ResumeMs,
     /// Generations given up.
     GenerationsLost,
-    /// Requests convicted of crashing runners.
-    Convictions,
-    /// Requests refused by a conviction.
-    ConvictedRefusals,
+    /// Requests found to crash runners.
+    PoisonRequests,
+    /// Requests refused because they crash runners.
+    PoisonRefusals,
     /// Calls to plain services.
     ServiceCalls,
     /// Claims taken.
@@ -78,8 +78,8 @@
         Self::Resumes,
         Self::ResumeMs,
         Self::GenerationsLost,
-        Self::Convictions,
-        Self::ConvictedRefusals,
+        Self::PoisonRequests,
+        Self::PoisonRefusals,
         Self::ServiceCalls,
         Self::ClaimsTaken,
         Self::ClaimsReplayed,
@@ -104,8 +104,8 @@
             Self::Resumes => "resumes_count",
             Self::ResumeMs => "resume_ms",
             Self::GenerationsLost => "generations_lost_count",
-            Self::Convictions => "convictions_count",
-            Self::ConvictedRefusals => "convicted_refusals_count",
+            Self::PoisonRequests => "poison_requests_count",
+            Self::PoisonRefusals => "poison_refusals_count",
             Self::ServiceCalls => "service_calls_count",
             Self::ClaimsTaken => "claims_taken_count",
             Self::ClaimsReplayed => "claims_replayed_count",
--- a/src/node.rs
+++ b/src/node.rs
@@ -13,15 +13,16 @@
 use tokio_util::task::TaskTracker;
 
 use crate::caller_api::CallerApi;
-use crate::claim_book::ClaimBook;
-use crate::claim_desk::ClaimDesk;
+use crate::claim_forwarder::ClaimForwarder;
 use crate::clock::unix_ms;
 use crate::config::Config;
 use crate::configuration::Configuration;
-use crate::dispatch::{CONVICTION_TOPIC, CRASH_TOPIC, Dispatcher};
-use crate::document::DocumentShelf;
-use crate::document_keeper::DocumentKeeper;
+use crate::crash_tracker::{CRASH_TOPIC, CrashTracker, POISON_TOPIC};
+use crate::dispatch::Dispatcher;
+use crate::document::DocumentStore;
+use crate::document_sync::DocumentSync;
 use crate::fleet::Fleet;
+use crate::group_commit::GroupCommit;
 use crate::hash::rendezvous_order;
 use crate::http::{HttpClient, serve};
 use crate::id::Version;
@@ -30,7 +31,7 @@
 use crate::metrics::{Counter, Metrics};
 use crate::node_state::{NodeState, PeerApi};
 use crate::operator_api::OperatorApi;
-use crate::orders::OrderGiver;
+use crate::orders::OrderReconciler;
 use crate::peer::{PeerClient, serve_peers};
 use crate::platform::{CONFIG_KEY, Platform, VMS_KEY, Vm};
 use crate::runner::{RunnerClient, RunnerReport};
@@ -53,7 +54,7 @@
 pub struct Node {
     state: Arc<NodeState>,
     trigger: Arc<ShutdownTrigger>,
-    doors: Vec<JoinHandle<()>>,
+    listeners: Vec<JoinHandle<()>>,
 }
 
 impl Node {
@@ -68,17 +69,17 @@
         let callers = bind(settings.listen.callers)?;
         let operators = bind(settings.listen.operators)?;
         let peers = bind(settings.listen.peers)?;
-        let (state, vms_keeper) = assemble(settings, faults, &shutdown).await?;
+        let (state, vms_sync) = assemble(settings, faults, &shutdown).await?;
         let background = Background {
             state: state.clone(),
-            config_changed: state.config_keeper.changed.subscribe(),
-            vms_changed: vms_keeper.changed.subscribe(),
+            config_changed: state.config_sync.changed.subscribe(),
+            vms_changed: vms_sync.changed.subscribe(),
         };
-        background.start(vms_keeper, &shutdown);
+        background.start(vms_sync, &shutdown);
         let peer_traffic = state.peers.traffic().clone();
         let peer_api = Arc::new(PeerApi::new(state.clone()));
         let for_peers = shutdown.clone();
-        let doors = vec![
+        let listeners = vec![
             tokio::spawn(serve(
                 callers,
                 Arc::new(CallerApi::new(state.clone())),
@@ -97,7 +98,7 @@
         Ok(Self {
             state,
             trigger: Arc::new(trigger),
-            doors,
+            listeners,
         })
     }
 
@@ -159,12 +160,12 @@
             () = hurry => {}
         }
         self.trigger.advance(Stage::Closing);
-        for door in self.doors {
-            let _ = door.await;
+        for listener in self.listeners {
+            let _ = listener.await;
         }
         self.state.tasks.close();
         self.state.tasks.wait().await;
-        self.state.membership.say_goodbye();
+        self.state.membership.announce_left();
         self.trigger.abort();
     }
 
@@ -176,8 +177,8 @@
     /// Stops as a killed process would, and waits until all is cut.
     pub async fn kill(self) {
         self.abort();
-        for door in self.doors {
-            let _ = door.await;
+        for listener in self.listeners {
+            let _ = listener.await;
         }
         self.state.tasks.close();
         self.state.tasks.wait().await;
@@ -189,7 +190,7 @@
     settings: Settings,
     faults: LinkFaults,
     shutdown: &Shutdown,
-) -> io::Result<(Arc<NodeState>, DocumentKeeper)> {
+) -> io::Result<(Arc<NodeState>, DocumentSync)> {
     let http = HttpClient::new();
     let peers = PeerClient::default();
     let membership = Membership::start_with(
@@ -199,10 +200,10 @@
     )
     .await?;
     let platform = Platform::new(settings.platform, http.clone());
-    let shelf = Arc::new(DocumentShelf::default());
-    let keeper = |name| DocumentKeeper {
+    let documents = Arc::new(DocumentStore::default());
+    let sync = |name| DocumentSync {
         name,
-        shelf: shelf.clone(),
+        documents: documents.clone(),
         platform: platform.clone(),
         membership: membership.clone(),
         peers: peers.clone(),
@@ -211,21 +212,33 @@
     };
     let metrics = Arc::new(Metrics::default());
     let fleet = Arc::new(Fleet::default());
-    let dispatcher = Dispatcher::new(
+    let crashes = Arc::new(CrashTracker::new(
         fleet.clone(),
         RunnerClient::new(http.clone()),
         membership.clone(),
         peers.clone(),
         metrics.clone(),
+    ));
+    let dispatcher = Dispatcher::new(
+        fleet.clone(),
+        RunnerClient::new(http.clone()),
+        crashes.clone(),
+        metrics.clone(),
         settings.timing.leaving_bound,
     );
-    let book = ClaimBook::start(&platform, settings.claims);
+    let group_commit = GroupCommit::start(&platform, settings.claims);
     let state = NodeState {
-        config_keeper: keeper(CONFIG_KEY),
+        config_sync: sync(CONFIG_KEY),
         configuration: Configuration::new(platform.clone(), settings.node.clone()),
-        claims: ClaimDesk::new(book, membership.clone(), peers.clone(), faults.clone()),
+        claims: ClaimForwarder::new(
+            group_commit,
+            membership.clone(),
+            peers.clone(),
+            faults.clone(),
+        ),
         services: ServiceClient::new(http.clone(), fleet.clone()),
         dispatcher: Arc::new(dispatcher),
+        crashes,
         admission: Arc::default(),
         config: ArcSwapOption::empty(),
         tasks: TaskTracker::new(),
@@ -233,12 +246,12 @@
         platform: platform.clone(),
         membership: membership.clone(),
         peers: peers.clone(),
-        shelf: shelf.clone(),
+        documents: documents.clone(),
         fleet,
         metrics,
         settings,
     };
-    Ok((Arc::new(state), keeper(VMS_KEY)))
+    Ok((Arc::new(state), sync(VMS_KEY)))
 }
 
 fn membership_settings(settings: &Settings, faults: LinkFaults) -> MembershipSettings {
@@ -266,11 +279,11 @@
 }
 
 impl Background {
-    fn start(self, vms_keeper: DocumentKeeper, shutdown: &Shutdown) {
+    fn start(self, vms_sync: DocumentSync, shutdown: &Shutdown) {
         let state = self.state;
         let spawn = |task| spawn_until_aborted(shutdown, task);
-        spawn(Box::pin(state.config_keeper.clone().run()));
-        spawn(Box::pin(vms_keeper.run()));
+        spawn(Box::pin(state.config_sync.clone().run()));
+        spawn(Box::pin(vms_sync.run()));
         spawn(Box::pin(apply_config(state.clone(), self.config_changed)));
         spawn(Box::pin(apply_vms(state.clone(), self.vms_changed)));
         spawn(Box::pin(follow_announcements(state.clone())));
@@ -299,7 +312,7 @@
 
 async fn apply_config(state: Arc<NodeState>, mut changed: watch::Receiver<Version>) {
     while changed.changed().await.is_ok() {
-        let Some(object) = state.shelf.get(CONFIG_KEY) else {
+        let Some(object) = state.documents.get(CONFIG_KEY) else {
             continue;
         };
         let in_force = state.config.load().as_ref().map_or(0, |c| c.version);
@@ -320,7 +333,7 @@
 
 async fn apply_vms(state: Arc<NodeState>, mut changed: watch::Receiver<Version>) {
     while changed.changed().await.is_ok() {
-        let Some(object) = state.shelf.get(VMS_KEY) else {
+        let Some(object) = state.documents.get(VMS_KEY) else {
             continue;
         };
         match serde_json::from_slice::<Vec<Vm>>(&object.body) {
@@ -339,7 +352,7 @@
     loop {
         match news.recv().await {
             Ok(News::Announced(announcement)) => match announcement.topic {
-                CRASH_TOPIC | CONVICTION_TOPIC => state.dispatcher.learn(&announcement),
+                CRASH_TOPIC | POISON_TOPIC => state.crashes.learn(&announcement),
                 RUNNER_TOPIC => learn_report(&state, &announcement.key, &announcement.body),
                 _ => {}
             },
@@ -367,7 +380,7 @@
 }
 
 async fn give_orders(state: Arc<NodeState>) {
-    let mut giver = OrderGiver::new(
+    let mut giver = OrderReconciler::new(
         state.platform.clone(),
         &state.membership.me().claimant(),
         state.settings.timing.order_lease,
--- a/src/node_state.rs
+++ b/src/node_state.rs
@@ -7,12 +7,13 @@
 use tokio_util::task::TaskTracker;
 
 use crate::admission::Admission;
-use crate::claim_desk::ClaimDesk;
+use crate::claim_forwarder::ClaimForwarder;
 use crate::config::Config;
 use crate::configuration::Configuration;
+use crate::crash_tracker::CrashTracker;
 use crate::dispatch::Dispatcher;
-use crate::document::DocumentShelf;
-use crate::document_keeper::DocumentKeeper;
+use crate::document::DocumentStore;
+use crate::document_sync::DocumentSync;
 use crate::error::{Error, ErrorKind};
 use crate::fleet::Fleet;
 use crate::membership::Membership;
@@ -30,14 +31,15 @@
     pub(crate) platform: Platform,
     pub(crate) membership: Membership,
     pub(crate) peers: PeerClient,
-    pub(crate) shelf: Arc<DocumentShelf>,
-    pub(crate) config_keeper: DocumentKeeper,
+    pub(crate) documents: Arc<DocumentStore>,
+    pub(crate) config_sync: DocumentSync,
     pub(crate) config: ArcSwapOption<Config>,
     pub(crate) configuration: Configuration<Platform>,
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) dispatcher: Arc<Dispatcher>,
+    pub(crate) crashes: Arc<CrashTracker>,
     pub(crate) admission: Arc<Admission>,
-    pub(crate) claims: ClaimDesk,
+    pub(crate) claims: ClaimForwarder,
     pub(crate) services: ServiceClient,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) tasks: TaskTracker,
@@ -66,7 +68,7 @@
     pub(crate) fn status_reply(&self) -> StatusReply {
         // A document counts once it is applied, not when it has arrived.
         let applied = self.config.load().as_ref().map_or(0, |c| c.version);
-        let versions = self.shelf.versions().into_iter();
+        let versions = self.documents.versions().into_iter();
         StatusReply {
             documents: versions
                 .map(|(name, version)| {
@@ -82,7 +84,7 @@
     }
 
     fn document(&self, wanted: &DocumentVersion) -> DocumentReply {
-        let held = self.shelf.get(&wanted.name);
+        let held = self.documents.get(&wanted.name);
         let newer = held.filter(|object| object.version > wanted.version);
         newer.map_or_else(DocumentReply::default, |object| DocumentReply {
             version: object.version,
@@ -112,9 +114,7 @@
             Question::Claim(operation) => {
                 ReplyBody::Claim(self.state.claims.apply_here(operation).await)
             }
-            Question::Crashes(record) => {
-                ReplyBody::Crashes(self.state.dispatcher.exchange_crashes(&record))
-            }
+            Question::Crashes(record) => ReplyBody::Crashes(self.state.crashes.exchange(&record)),
             Question::Status(_) => ReplyBody::Status(self.state.status_reply()),
         };
         Some(reply)
--- a/src/operator_api.rs
+++ b/src/operator_api.rs
@@ -1,4 +1,4 @@
-//! The door for operators: intents, plans, confirmations, status, audit.
+//! The listener for operators: intents, plans, confirmations, status, audit.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -156,7 +156,7 @@
             .await?;
         let version = object.version;
         log::info!("{operator} confirmed intent {id} as version {version}");
-        self.state.config_keeper.offer(object);
+        self.state.config_sync.offer(object);
         Ok(http::json(StatusCode::OK, &Confirmed { version }))
     }
 
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -28,7 +28,7 @@
 
 /// Gives orders while this node holds the lease.
 #[derive(Debug)]
-pub(crate) struct OrderGiver<S> {
+pub(crate) struct OrderReconciler<S> {
     store: S,
     node: NodeId,
     lease: Lease<S>,
@@ -41,7 +41,7 @@
     ordered_at: BTreeMap<RunnerId, (Vec<ModelVersion>, Instant)>,
 }
 
-impl<S: ObjectStore> OrderGiver<S> {
+impl<S: ObjectStore> OrderReconciler<S> {
     /// Makes an order giver that does not hold the lease yet.
     pub(crate) fn new(
         store: S,
--- a/src/suspects.rs
+++ b/src/poison.rs
@@ -3,7 +3,7 @@
 //! A crash makes every request that was in flight there a suspect. Suspects
 //! resume apart from each other, so each further crash points at one of them.
 //! Two losses in a row can be bad luck, and must not cost an innocent request
-//! its answer. After the third a request is accused and rests for a moment: if
+//! its answer. After the third a request is quarantined for a moment: if
 //! runners go on dying without it, it is not the cause. See `docs/CRASHES.md`.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,20 +14,20 @@
 /// Hash of a customer, a model and a prompt.
 pub(crate) type Fingerprint = u64;
 
-/// Crashes that accuse a request.
-const ACCUSING_CRASHES: usize = 3;
-/// Crashes that accuse a request while runners are lost for other reasons.
-const ACCUSING_CRASHES_IN_TROUBLE: usize = 6;
-/// How long an accused request rests before its case is decided.
-pub(crate) const REST: Duration = Duration::from_secs(1);
+/// Crashes that quarantine a request.
+const QUARANTINE_CRASHES: usize = 3;
+/// Crashes that quarantine a request while runners are lost for other reasons.
+const QUARANTINE_CRASHES_IN_OUTAGE: usize = 6;
+/// How long a request is quarantined before its case is decided.
+pub(crate) const QUARANTINE: Duration = Duration::from_secs(1);
 /// How long a crash counts against a request.
 const SUSPICION_TTL: Duration = Duration::from_secs(600);
-/// How long a conviction is in force.
-pub(crate) const CONVICTION_TTL: Duration = Duration::from_secs(600);
+/// How long a poison request is refused.
+pub(crate) const POISON_TTL: Duration = Duration::from_secs(600);
 /// Time around a crash in which losses of other runners speak for a request.
-const TROUBLE_WINDOW: Duration = Duration::from_secs(10);
-/// Losses of other runners within the window that show other trouble.
-const TROUBLE_LOSSES: usize = 2;
+const OUTAGE_WINDOW: Duration = Duration::from_secs(10);
+/// Losses of other runners within the window that show an outage.
+const OUTAGE_LOSSES: usize = 2;
 
 /// One life of one runner.
 pub(crate) type RunnerLife = (RunnerId, Incarnation);
@@ -36,20 +36,20 @@
 #[derive(Debug, Default)]
 pub(crate) struct Suspects {
     crashes: BTreeMap<Fingerprint, (BTreeSet<RunnerLife>, Instant)>,
-    accused: BTreeMap<Fingerprint, Instant>,
-    convicted: BTreeMap<Fingerprint, Instant>,
+    quarantined: BTreeMap<Fingerprint, Instant>,
+    poison: BTreeMap<Fingerprint, Instant>,
     losses: BTreeMap<RunnerLife, Instant>,
 }
 
 /// How the case of a request stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Verdict {
+pub(crate) enum RequestHealth {
     /// The request may run.
-    Open,
-    /// The request rests for this long before its case is decided.
-    Accused(Duration),
-    /// The request is the cause, and is refused for this long.
-    Convicted(Duration),
+    Healthy,
+    /// The request may not run for this long, and is then decided on.
+    Quarantined(Duration),
+    /// The request is the cause of crashes, and is refused for this long.
+    Poison(Duration),
 }
 
 impl Suspects {
@@ -63,40 +63,45 @@
             .or_insert_with(|| (BTreeSet::new(), now));
         crashes.insert(life);
         *last = now;
-        if self.is_accusable(fingerprint) {
-            self.accused.entry(fingerprint).or_insert(now);
+        if self.exceeds_crash_limit(fingerprint) {
+            self.quarantined.entry(fingerprint).or_insert(now);
         }
     }
 
-    /// How the case of a request stands. A request that has rested is acquitted
-    /// for now if runners died without it meanwhile, and convicted otherwise.
-    pub(crate) fn verdict(&mut self, fingerprint: Fingerprint, now: Instant) -> Verdict {
-        if let Some(left) = self.conviction(fingerprint, now) {
-            return Verdict::Convicted(left);
+    /// How the case of a request stands. After its quarantine a
+    /// request is cleared for now if runners died without it meanwhile, and is
+    /// poison otherwise.
+    pub(crate) fn health(&mut self, fingerprint: Fingerprint, now: Instant) -> RequestHealth {
+        if let Some(left) = self.poison_time_left(fingerprint, now) {
+            return RequestHealth::Poison(left);
         }
-        let Some(accused_at) = self.accused.get(&fingerprint).copied() else {
-            return Verdict::Open;
+        let Some(since) = self.quarantined.get(&fingerprint).copied() else {
+            return RequestHealth::Healthy;
         };
-        let rested = now.saturating_duration_since(accused_at);
-        if rested < REST {
-            return Verdict::Accused(REST - rested);
+        let waited = now.saturating_duration_since(since);
+        if waited < QUARANTINE {
+            return RequestHealth::Quarantined(QUARANTINE - waited);
         }
-        self.accused.remove(&fingerprint);
-        if !self.is_accusable(fingerprint) {
-            return Verdict::Open;
+        self.quarantined.remove(&fingerprint);
+        if !self.exceeds_crash_limit(fingerprint) {
+            return RequestHealth::Healthy;
         }
-        self.convict(fingerprint, now + CONVICTION_TTL);
-        Verdict::Convicted(CONVICTION_TTL)
+        self.mark_poison(fingerprint, now + POISON_TTL);
+        RequestHealth::Poison(POISON_TTL)
     }
 
-    /// Takes over a conviction.
-    pub(crate) fn convict(&mut self, fingerprint: Fingerprint, until: Instant) {
-        self.convicted.insert(fingerprint, until);
+    /// Notes that a request is poison, as a peer found out.
+    pub(crate) fn mark_poison(&mut self, fingerprint: Fingerprint, until: Instant) {
+        self.poison.insert(fingerprint, until);
     }
 
     /// How long a request is still refused.
-    pub(crate) fn conviction(&self, fingerprint: Fingerprint, now: Instant) -> Option<Duration> {
-        let until = self.convicted.get(&fingerprint)?;
+    pub(crate) fn poison_time_left(
+        &self,
+        fingerprint: Fingerprint,
+        now: Instant,
+    ) -> Option<Duration> {
+        let until = self.poison.get(&fingerprint)?;
         until.checked_duration_since(now)
     }
 
@@ -119,21 +124,21 @@
         lives.map(|(runner, _)| runner).collect()
     }
 
-    fn is_accusable(&self, fingerprint: Fingerprint) -> bool {
+    fn exceeds_crash_limit(&self, fingerprint: Fingerprint) -> bool {
         let Some((crashes, _)) = self.crashes.get(&fingerprint) else {
             return false;
         };
-        let accusing = if self.is_in_trouble(crashes) {
-            ACCUSING_CRASHES_IN_TROUBLE
+        let limit = if self.is_in_outage(crashes) {
+            QUARANTINE_CRASHES_IN_OUTAGE
         } else {
-            ACCUSING_CRASHES
+            QUARANTINE_CRASHES
         };
-        crashes.len() >= accusing
+        crashes.len() >= limit
     }
 
     /// Losses of runners where the request did not run, at about the same
     /// time, speak for a rack or a switch and not for the request.
-    fn is_in_trouble(&self, crashes: &BTreeSet<RunnerLife>) -> bool {
+    fn is_in_outage(&self, crashes: &BTreeSet<RunnerLife>) -> bool {
         let times: Vec<Instant> = crashes
             .iter()
             .filter_map(|life| self.losses.get(life).copied())
@@ -141,20 +146,20 @@
         let near = |at: Instant| {
             times
                 .iter()
-                .any(|t| at.max(*t) - at.min(*t) < TROUBLE_WINDOW)
+                .any(|t| at.max(*t) - at.min(*t) < OUTAGE_WINDOW)
         };
         let others = self
             .losses
             .iter()
             .filter(|(life, at)| !crashes.contains(*life) && near(**at));
-        others.count() >= TROUBLE_LOSSES
+        others.count() >= OUTAGE_LOSSES
     }
 
     fn expire(&mut self, now: Instant) {
         let fresh = |at: &Instant| now.saturating_duration_since(*at) < SUSPICION_TTL;
         self.losses.retain(|_, at| fresh(at));
         self.crashes.retain(|_, (_, last)| fresh(last));
-        self.convicted.retain(|_, until| *until > now);
-        self.accused.retain(|_, at| fresh(at));
+        self.poison.retain(|_, until| *until > now);
+        self.quarantined.retain(|_, at| fresh(at));
     }
 }
--- a/src/runner.rs
+++ b/src/runner.rs
@@ -89,7 +89,7 @@
 
 /// The part of an answer's headers that tells of the engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Glimpse {
+pub(crate) struct LoadHint {
     /// Which life of the engine answered.
     pub(crate) incarnation: Incarnation,
     /// Streams that generate.
@@ -230,10 +230,10 @@
 }
 
 /// Reads what an answer's headers tell of the engine.
-pub(crate) fn glimpse<B>(response: &Response<B>) -> Option<Glimpse> {
+pub(crate) fn load_hint<B>(response: &Response<B>) -> Option<LoadHint> {
     let text = |name: &HeaderName| response.headers().get(name)?.to_str().ok();
     let (running, slots) = text(&LOAD)?.split_once('/')?;
-    Some(Glimpse {
+    Some(LoadHint {
         incarnation: text(&INCARNATION)?.parse().ok()?,
         running_count: running.parse().ok()?,
         slot_count: slots.parse().ok()?,
