Refuse early, share slots that others leave free, and answer before noting the end

Change: each line (customer and priority) is measured by how fast it lets in, waiters look again every 20 ms, the start keeps a margin for the first token, addresses are drawn by spare room instead of sorted, and a node takes slots that others leave free.

Cause: the answer waited for the second write and its spacing. A test that took the platform away right after an answer now waits until the end is written: a trace showed key_unchecked there, which is true of that moment.

Link faults and traffic have files of their own.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -10,15 +10,24 @@
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
+use tokio::sync::oneshot;
 
 use crate::error::{Error, ErrorKind};
-use crate::gate::{Entry, Gate, Permit};
+use crate::gate::{Entry, Gate, Occupancy, Permit};
 use crate::id::{CustomerId, ModelId};
 
 /// Service time that is assumed until one was seen.
 const SERVICE_GUESS: Duration = Duration::from_secs(1);
 /// Weight of the newest service time in the mean.
 const SERVICE_WEIGHT: f64 = 0.05;
+/// Weight of the newest gap between two that are let in, in the mean.
+const GAP_WEIGHT: f64 = 0.3;
+/// Factor on the expected wait of a request that is not in line yet.
+const ENTRY_CAUTION: f64 = 1.5;
+/// How often a waiting request looks whether waiting is still worth it.
+const RECHECK: Duration = Duration::from_millis(20);
+/// Part of a patience that is left for the runner to give the first token.
+const START_MARGIN: Duration = Duration::from_millis(100);
 /// Units of virtual time for one token at weight one.
 const VIRTUAL_UNITS: u64 = 1000;
 /// Shortest time to come back.
@@ -63,6 +72,58 @@
     virtual_time: u64,
     finish_times: BTreeMap<CustomerId, u64>,
     next_return: Instant,
+    classes: BTreeMap<ClassKey, Class>,
+}
+
+/// Requests that wait in one line: one customer's, of one priority.
+type ClassKey = (u8, CustomerId);
+
+/// How fast one line moves. It cannot be told from what stands ahead, because
+/// others that come later may go first.
+#[derive(Clone, Copy, Debug)]
+struct Class {
+    waiting_count: usize,
+    moved_at: Instant,
+    mean_gap_s: f64,
+}
+
+impl Class {
+    fn new(now: Instant) -> Self {
+        Self {
+            waiting_count: 0,
+            moved_at: now,
+            mean_gap_s: 0.0,
+        }
+    }
+
+    fn join(&mut self, now: Instant) {
+        if self.waiting_count == 0 {
+            self.moved_at = now;
+        }
+        self.waiting_count += 1;
+    }
+
+    fn let_in(&mut self, now: Instant) {
+        let gap_s = (now - self.moved_at).as_secs_f64();
+        self.mean_gap_s += GAP_WEIGHT * (gap_s - self.mean_gap_s);
+        self.moved_at = now;
+        self.waiting_count -= 1;
+    }
+
+    fn give_up(&mut self) {
+        self.waiting_count -= 1;
+    }
+
+    /// How long the line takes to let in `ahead_count` and one more. A line
+    /// that nobody stands in says nothing.
+    fn wait(&self, ahead_count: usize, now: Instant) -> Duration {
+        if self.waiting_count == 0 {
+            return Duration::ZERO;
+        }
+        let standing_s = (now - self.moved_at).as_secs_f64();
+        let gap_s = self.mean_gap_s.max(standing_s);
+        Duration::from_secs_f64(gap_s * (ahead_count + 1) as f64)
+    }
 }
 
 /// A request that was let in, until it is dropped.
@@ -103,13 +164,10 @@
         self: &Arc<Self>,
         request: &AdmissionRequest<'_>,
     ) -> Result<Admitted, Error> {
-        let (entry, ticket, refused) = self.enter(request)?;
+        let (entry, ticket) = self.enter(request)?;
         let permit = match entry {
             Entry::Open(permit) => permit,
-            Entry::Wait(receiver) => {
-                let waited = tokio::time::timeout(request.patience, receiver).await;
-                waited.ok().and_then(Result::ok).ok_or(refused)?
-            }
+            Entry::Wait(receiver) => self.wait(request, ticket, receiver).await?,
         };
         if let Some(pool) = self.pools().get_mut(request.model) {
             pool.let_in(ticket);
@@ -122,10 +180,8 @@
         })
     }
 
-    fn enter(
-        &self,
-        request: &AdmissionRequest<'_>,
-    ) -> Result<(Entry<Ticket>, Ticket, Error), Error> {
+    fn enter(&self, request: &AdmissionRequest<'_>) -> Result<(Entry<Ticket>, Ticket), Error> {
+        let now = Instant::now();
         let mut pools = self.pools();
         let Some(pool) = pools.get_mut(request.model) else {
             return Err(Error::new(
@@ -141,18 +197,65 @@
                 "no runner holds the model",
             ));
         }
-        let wait = pool.expected_wait(
-            occupancy.held_count,
-            occupancy.ahead_count,
-            occupancy.slot_count,
-        );
-        if wait > request.patience {
-            let return_in = pool.return_in(wait, request.patience, occupancy.slot_count);
-            return Err(refusal(return_in));
+        let ahead_count = pool.class(request, now).waiting_count;
+        let wait = pool.expected_wait(request, occupancy, ahead_count, now);
+        // Others may yet go first, and a refusal now is worth more than later.
+        if wait.mul_f64(ENTRY_CAUTION) > start_within(request.patience) {
+            return Err(pool.refuse(wait, request.patience, occupancy.slot_count));
         }
-        let refused = refusal(wait.clamp(RETURN_MIN, RETURN_MAX));
         pool.charge(request, ticket);
-        Ok((pool.gate.enter(ticket), ticket, refused))
+        let entry = pool.gate.enter(ticket);
+        if matches!(entry, Entry::Wait(_)) {
+            pool.class(request, now).join(now);
+        }
+        Ok((entry, ticket))
+    }
+
+    /// Waits in line, and looks now and then whether it is still worth it.
+    async fn wait(
+        &self,
+        request: &AdmissionRequest<'_>,
+        ticket: Ticket,
+        mut receiver: oneshot::Receiver<Permit<Ticket>>,
+    ) -> Result<Permit<Ticket>, Error> {
+        let began_at = Instant::now();
+        let mut place = Place {
+            admission: self,
+            request,
+            let_in: false,
+        };
+        loop {
+            let waited = tokio::time::timeout(RECHECK, &mut receiver).await;
+            if let Ok(Ok(permit)) = waited {
+                place.let_in = true;
+                return Ok(permit);
+            }
+            self.recheck(request, ticket, began_at)?;
+        }
+    }
+
+    fn recheck(
+        &self,
+        request: &AdmissionRequest<'_>,
+        ticket: Ticket,
+        began_at: Instant,
+    ) -> Result<(), Error> {
+        let now = Instant::now();
+        let left = start_within(request.patience).saturating_sub(now - began_at);
+        let mut pools = self.pools();
+        let Some(pool) = pools.get_mut(request.model) else {
+            return Err(Error::new(
+                ErrorKind::NoUpstream,
+                "no runner holds the model",
+            ));
+        };
+        // Whoever waits is itself in the line, and at worst its last.
+        let occupancy = pool.gate.occupancy_before(ticket);
+        let wait = pool.expected_wait(request, occupancy, 0, now);
+        if wait > left {
+            return Err(pool.refuse(wait, left, occupancy.slot_count));
+        }
+        Ok(())
     }
 
     fn pools(&self) -> MutexGuard<'_, BTreeMap<ModelId, Pool>> {
@@ -168,6 +271,7 @@
             virtual_time: 0,
             finish_times: BTreeMap::new(),
             next_return: Instant::now(),
+            classes: BTreeMap::new(),
         }
     }
 
@@ -194,12 +298,38 @@
         self.finish_times.retain(|_, finish| *finish > virtual_time);
     }
 
-    fn expected_wait(&self, held: usize, ahead: usize, slots: usize) -> Duration {
-        if held < slots && ahead == 0 {
+    fn class(&mut self, request: &AdmissionRequest<'_>, now: Instant) -> &mut Class {
+        let key = (request.priority, request.customer.clone());
+        self.classes.entry(key).or_insert_with(|| Class::new(now))
+    }
+
+    fn expected_wait(
+        &mut self,
+        request: &AdmissionRequest<'_>,
+        occupancy: Occupancy,
+        ahead_in_line: usize,
+        now: Instant,
+    ) -> Duration {
+        let Occupancy {
+            slot_count,
+            held_count,
+            ahead_count,
+        } = occupancy;
+        if held_count < slot_count && ahead_count == 0 {
             return Duration::ZERO;
         }
-        let turns = (ahead + 1) as f64 / slots as f64;
-        Duration::from_secs_f64(turns * self.mean_service_s)
+        let turns = (ahead_count + 1) as f64 / slot_count.max(1) as f64;
+        let by_slots = Duration::from_secs_f64(turns * self.mean_service_s);
+        by_slots.max(self.class(request, now).wait(ahead_in_line, now))
+    }
+
+    fn refuse(&mut self, wait: Duration, patience: Duration, slot_count: usize) -> Error {
+        let return_in = self.return_in(wait, patience, slot_count.max(1));
+        Error::new(
+            ErrorKind::Overloaded,
+            "the wait would exceed this caller's patience",
+        )
+        .with_retry_after(return_in)
     }
 
     /// A time to come back at which there may be room; each caller that is
@@ -225,10 +355,29 @@
     }
 }
 
-fn refusal(return_in: Duration) -> Error {
-    Error::new(
-        ErrorKind::Overloaded,
-        "the wait would exceed this caller's patience",
-    )
-    .with_retry_after(return_in)
+/// A place in line, which is left when it is dropped.
+struct Place<'a> {
+    admission: &'a Admission,
+    request: &'a AdmissionRequest<'a>,
+    let_in: bool,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        if let Some(pool) = self.admission.pools().get_mut(self.request.model) {
+            let class = pool.class(self.request, now);
+            if self.let_in {
+                class.let_in(now);
+            } else {
+                class.give_up();
+            }
+        }
+    }
+}
+
+/// Time within which a request must be let in, so that its first token comes
+/// within its caller's patience.
+fn start_within(patience: Duration) -> Duration {
+    patience.saturating_sub(START_MARGIN.min(patience / 4))
 }
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -239,8 +239,9 @@
             return;
         }
         let window = self.silence.probe_time();
-        if self.in_flight.runner_silence(now) < window {
-            // Other streams of the runner move, so it is alive.
+        if self.in_flight.runner_silence(now) < window / 2 {
+            // Other streams of the runner move, so it is alive. Streams that
+            // fell silent together had their last tokens a little apart.
             self.silence.probed(Probe::Alive, now);
             return;
         }
@@ -368,7 +369,9 @@
     }
 
     fn prepare_at(&self) -> Option<Instant> {
-        let prepare_after = self.policy.prepare_after?;
+        // Before the first token silence means a queue or a long prompt, and a
+        // second attempt would only add to it.
+        let prepare_after = self.policy.prepare_after.filter(|_| self.has_token())?;
         Some(self.silent_since + self.at_least_some_gaps(prepare_after))
     }
 
@@ -384,8 +387,12 @@
         }
     }
 
+    fn has_token(&self) -> bool {
+        self.mean_gap_s > 0.0
+    }
+
     fn stuck_after(&self) -> Duration {
-        if self.mean_gap_s == 0.0 {
+        if !self.has_token() {
             return FIRST_TOKEN_MAX;
         }
         self.at_least_some_gaps(self.policy.give_up_after) * STUCK_FACTOR
--- a/src/call.rs
+++ b/src/call.rs
@@ -151,8 +151,10 @@
     pub async fn complete(&self, params: &CompletionParams) -> CompletionReport {
         let mut addresses = self.addresses().await;
         let mut reading = Reading::new(params);
-        for connection in 0..CONNECTIONS_MAX {
-            let address = addresses[connection as usize % addresses.len()];
+        for _ in 0..CONNECTIONS_MAX {
+            let Some(address) = addresses.first().copied() else {
+                break;
+            };
             match self.read_from(address, &mut reading).await {
                 Connection::Ended | Connection::Refused => break,
                 Connection::Broken => {
--- a/src/caller_api.rs
+++ b/src/caller_api.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
 use crate::admission::{AdmissionRequest, Admitted};
@@ -33,6 +34,8 @@
 const DEFAULT_KIND: &str = "default";
 /// Addresses in one answer.
 const ADDRESSES_MAX: usize = 3;
+/// How much rather a node of this data centre is named than another.
+const NEAR_PREFERENCE: f64 = 2.0;
 /// Frames that may wait for a slow caller.
 const UNSENT_FRAMES: usize = 4;
 
@@ -84,14 +87,29 @@
         }
     }
 
+    /// Draws addresses by spare room. A strict order would send all callers
+    /// of one moment to the same node, because demand is known late.
     fn addresses(&self) -> AddressAnswer {
         let mut members = self.state.membership.alive();
-        let here = self.state.settings.data_centre.clone();
+        let here = &self.state.settings.data_centre;
         members.retain(|member| !member.leaving);
-        members.sort_by_key(|member| (member.data_centre != here, member.demand_count));
-        let best = members.into_iter().take(ADDRESSES_MAX);
+        let mut drawn: Vec<(f64, std::net::SocketAddr)> = members
+            .iter()
+            .map(|member| {
+                let nearness = if member.data_centre == *here {
+                    NEAR_PREFERENCE
+                } else {
+                    1.0
+                };
+                let weight = nearness / f64::from(member.demand_count + 1);
+                let chance: f64 = rand::rng().random_range(f64::EPSILON..1.0);
+                (chance.ln() / weight, member.caller_address)
+            })
+            .collect();
+        drawn.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+        let best = drawn.into_iter().take(ADDRESSES_MAX);
         AddressAnswer {
-            addresses: best.map(|member| member.caller_address).collect(),
+            addresses: best.map(|(_, address)| address).collect(),
             keep_ms: self.state.settings.timing.address_keep.as_millis() as u64,
         }
     }
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -146,7 +146,8 @@
         ClaimResult::Full => Taken::Full,
         ClaimResult::Unavailable => Taken::Refused,
         ClaimResult::Unsure => {
-            claim.release(writer);
+            let writer = writer.clone();
+            tokio::spawn(async move { claim.release(&writer).await });
             Taken::Refused
         }
     }
@@ -188,13 +189,14 @@
         })
     }
 
-    /// Gives the key back; the call has not left and never will.
-    pub fn release<W: ClaimWriter>(self, writer: &W) {
+    /// Gives the key back; the call has not left and never will. Ends once
+    /// this is written down, however long the platform is away.
+    pub async fn release<W: ClaimWriter>(self, writer: &W) {
         let operation = ClaimOperation {
             action: ClaimAction::Release.into(),
             ..self.operation
         };
-        tokio::spawn(settle(writer.clone(), operation));
+        settle(writer, operation).await;
     }
 }
 
@@ -208,8 +210,8 @@
         }
     }
 
-    /// Writes down the service's answer, and goes on trying in the background
-    /// when the platform is away.
+    /// Writes down the service's answer. Ends once this is done, however long
+    /// the platform is away.
     pub async fn finish<W: ClaimWriter>(self, writer: &W, status: u16, answer: Bytes) {
         let operation = ClaimOperation {
             action: ClaimAction::Finish.into(),
@@ -217,9 +219,7 @@
             answer,
             ..self.operation
         };
-        if !write_once(writer, &operation).await {
-            tokio::spawn(settle(writer.clone(), operation));
-        }
+        settle(writer, operation).await;
     }
 
     /// Writes down that no answer came, so that nobody waits for one.
@@ -237,9 +237,9 @@
     !is_open
 }
 
-async fn settle<W: ClaimWriter>(writer: W, operation: ClaimOperation) {
+async fn settle<W: ClaimWriter>(writer: &W, operation: ClaimOperation) {
     for _ in 0..SETTLE_TRIES {
-        if write_once(&writer, &operation).await {
+        if write_once(writer, &operation).await {
             return;
         }
         tokio::time::sleep(SETTLE_PAUSE).await;
--- a/src/claim_forwarder.rs
+++ b/src/claim_forwarder.rs
@@ -8,8 +8,9 @@
 use crate::claim::{ClaimWriter, WireOperation, WireReply};
 use crate::group_commit::GroupCommit;
 use crate::hash::rendezvous_order;
+use crate::link_faults::LinkFaults;
 use crate::members::Member;
-use crate::membership::{LinkFaults, Membership};
+use crate::membership::Membership;
 use crate::message::{ClaimOperation, ClaimReply, Question, ReplyBody};
 use crate::peer::PeerClient;
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -102,7 +102,7 @@
         /// How to print: text, csv or json
         #[bpaf(long, argument("FORMAT"), fallback(Format::Text))]
         format: Format,
-        /// resume, claims, crashes, overload, config, control or spread
+        /// resume, claims, crashes, overload, config, control, spread, idle or sizes
         #[bpaf(positional("NAME"))]
         name: ExperimentName,
     },
@@ -235,6 +235,8 @@
             "config" => Experiment::Config,
             "control" => Experiment::Control,
             "spread" => Experiment::Spread,
+            "idle" => Experiment::Idle,
+            "sizes" => Experiment::Sizes,
             _ => return Err(format!("there is no experiment '{text}'")),
         };
         Ok(Self(experiment))
--- a/src/direct_caller.rs
+++ b/src/direct_caller.rs
@@ -99,7 +99,7 @@
             if reading.report.ended || reading.is_too_late() {
                 break;
             }
-            reading.lost = true;
+            reading.lost = reading.furthest > 0;
             if self.recovery == Recovery::StartOver {
                 reading.text.clear();
                 reading.report.token_count = 0;
--- a/src/experiment.rs
+++ b/src/experiment.rs
@@ -6,8 +6,10 @@
 use crate::experiment_config::measure_config;
 use crate::experiment_control::{measure_control, measure_spread};
 use crate::experiment_crashes::measure_crashes;
+use crate::experiment_idle::measure_idle;
 use crate::experiment_overload::measure_overload;
 use crate::experiment_resume::measure_resume;
+use crate::experiment_sizes::measure_sizes;
 use crate::intent::Intent;
 use crate::report::Report;
 
@@ -31,6 +33,10 @@
     Control,
     /// Time until an announcement has reached every node.
     Spread,
+    /// Whole nodes that do nothing: platform calls, processor time, memory.
+    Idle,
+    /// Bytes of what travels, at the users' target size.
+    Sizes,
 }
 
 /// One of the two deployments of the brief, at its size.
@@ -99,6 +105,8 @@
             Self::Config => measure_config().await,
             Self::Control => measure_control().await,
             Self::Spread => measure_spread().await,
+            Self::Idle => measure_idle().await,
+            Self::Sizes => measure_sizes().await,
         }
     }
 }
--- a/src/experiment_control.rs
+++ b/src/experiment_control.rs
@@ -11,8 +11,10 @@
 
 use crate::announcement::Announcement;
 use crate::clock::unix_ms;
+use crate::control_traffic::ControlTraffic;
+use crate::link_faults::LinkFaults;
 use crate::members::Member;
-use crate::membership::{ControlTraffic, LinkFaults, Membership, MembershipSettings};
+use crate::membership::{Membership, MembershipSettings};
 use crate::report::Report;
 use crate::sample::Sample;
 use crate::usage::Usage;
--- a/src/experiment_overload.rs
+++ b/src/experiment_overload.rs
@@ -105,6 +105,7 @@
         "federation_share_%",
         "quick_p99_ms",
         "refusals",
+        "refusal_p50_ms",
         "refusal_p99_ms",
     ];
     let mut report = Report::new("goodput under overload", &columns);
@@ -307,6 +308,7 @@
         ),
         quick.quantile(0.99),
         refusals.count().to_string(),
+        refusals.quantile(0.5),
         refusals.quantile(0.99),
     ]
 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -9,6 +9,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use tokio::sync::Notify;
+
 use crate::hash::{Fnv, rendezvous_order};
 use crate::id::{DataCentreId, Incarnation, RunnerId, ServiceId};
 use crate::platform::{Vm, VmRole, VmState};
@@ -96,6 +98,7 @@
 pub(crate) struct Fleet {
     runners: Mutex<BTreeMap<RunnerId, Row>>,
     services: Mutex<BTreeMap<ServiceId, Vec<Instance>>>,
+    slots_changed: Notify,
 }
 
 /// One instance of a plain service.
@@ -178,6 +181,11 @@
         *self.services.lock().unwrap_or_else(PoisonError::into_inner) = services;
     }
 
+    /// Waits until some runner has other slots or models than before.
+    pub(crate) async fn slots_changed(&self) {
+        self.slots_changed.notified().await;
+    }
+
     /// Instances of a service, those that stay first.
     pub(crate) fn instances(&self, service: &str) -> Vec<Instance> {
         let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
@@ -264,8 +272,9 @@
             row.seen_alive(report.incarnation, report.leaving);
             row.reported_count = report.running_count + report.queued_count;
             row.own_at_report = row.own_count;
-            row.slot_count = report.slot_count;
-            row.ready.clone_from(&report.ready);
+            if row.take_slots(report) {
+                self.slots_changed.notify_one();
+            }
         }
     }
 
@@ -275,8 +284,9 @@
         if let Some(row) = self.runners().get_mut(runner) {
             row.leaving = report.leaving;
             row.incarnation = report.incarnation;
-            row.slot_count = report.slot_count;
-            row.ready.clone_from(&report.ready);
+            if row.take_slots(report) {
+                self.slots_changed.notify_one();
+            }
         }
     }
 
@@ -359,6 +369,14 @@
         self.confirmed_at = Some(Instant::now());
     }
 
+    /// Takes over slots and models; true when they are others than before.
+    fn take_slots(&mut self, report: &RunnerReport) -> bool {
+        let changed = self.slot_count != report.slot_count || self.ready != report.ready;
+        self.slot_count = report.slot_count;
+        self.ready.clone_from(&report.ready);
+        changed
+    }
+
     fn is_leaving(&self) -> bool {
         self.leaving || self.vm_leaving
     }
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -88,8 +88,17 @@
 
     /// Counts what stands before a newcomer with `ticket`.
     pub(crate) fn occupancy(&self, ticket: T) -> Occupancy {
+        self.occupancy_below((ticket, u64::MAX))
+    }
+
+    /// Counts what stands before a waiter with `ticket`, its equals left out.
+    pub(crate) fn occupancy_before(&self, ticket: T) -> Occupancy {
+        self.occupancy_below((ticket, 0))
+    }
+
+    fn occupancy_below(&self, bound: (T, u64)) -> Occupancy {
         let state = self.lock();
-        let ahead = state.waiting.range(..(ticket, u64::MAX));
+        let ahead = state.waiting.range(..bound);
         Occupancy {
             slot_count: state.slot_count,
             held_count: state.held_count,
--- a/src/local_cluster.rs
+++ b/src/local_cluster.rs
@@ -14,7 +14,7 @@
 use crate::config::key_hash;
 use crate::group_commit::ClaimSettings;
 use crate::intent::Intent;
-use crate::membership::LinkFaults;
+use crate::link_faults::LinkFaults;
 use crate::node::Node;
 use crate::operator::Operator;
 use crate::platform::{Vm, VmRole, VmState};
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -4,10 +4,9 @@
 //! gets no answer, and lets news ride on these datagrams. The work of a node
 //! does not grow with the fleet; `docs/CAPACITY.md` gives the slopes.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -19,7 +18,9 @@
 use crate::announcement::{
     Announcement, Announcements, Update, UpdateQueue, from_record, to_record,
 };
+use crate::control_traffic::{ControlTraffic, TrafficCounter};
 use crate::id::Version;
+use crate::link_faults::LinkFaults;
 use crate::members::{Change, Member, Members};
 use crate::message::{
     Datagram, DocumentVersion, MemberRecord, MemberState, Purpose, Question, ReplyBody,
@@ -62,46 +63,6 @@
     pub faults: LinkFaults,
 }
 
-/// Faults between nodes that tests order; none by default.
-#[derive(Clone, Debug, Default)]
-pub struct LinkFaults {
-    inner: Arc<Mutex<LinkFaultsInner>>,
-}
-
-#[derive(Debug, Default)]
-struct LinkFaultsInner {
-    lost_per_mille: u32,
-    cut: BTreeSet<SocketAddr>,
-}
-
-impl LinkFaults {
-    /// Loses this many of a thousand datagrams that arrive.
-    pub fn lose(&self, per_mille: u32) {
-        self.lock().lost_per_mille = per_mille.min(1000);
-    }
-
-    /// Cuts off all that comes from these peers.
-    pub fn cut(&self, peers: impl IntoIterator<Item = SocketAddr>) {
-        self.lock().cut = peers.into_iter().collect();
-    }
-
-    /// Whether calls to and from a peer are cut.
-    pub(crate) fn is_cut(&self, peer: &SocketAddr) -> bool {
-        self.lock().cut.contains(peer)
-    }
-
-    fn loses(&self, from: &SocketAddr) -> bool {
-        let inner = self.lock();
-        let unlucky =
-            inner.lost_per_mille > 0 && rand::rng().random_ratio(inner.lost_per_mille, 1000);
-        unlucky || inner.cut.contains(from)
-    }
-
-    fn lock(&self) -> MutexGuard<'_, LinkFaultsInner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// Something a node learnt from its peers.
 #[derive(Clone, Debug)]
 pub enum News {
@@ -118,30 +79,6 @@
     },
 }
 
-/// Messages and bytes of this node's control traffic.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ControlTraffic {
-    /// Datagrams sent.
-    pub sent_count: u64,
-    /// Bytes sent, calls between nodes included.
-    pub sent_bytes: u64,
-    /// Datagrams received.
-    pub received_count: u64,
-    /// Bytes received, calls between nodes included.
-    pub received_bytes: u64,
-    /// Times this node began to doubt another.
-    pub suspicion_count: u64,
-}
-
-#[derive(Debug, Default)]
-struct Traffic {
-    sent_count: AtomicU64,
-    sent_bytes: AtomicU64,
-    received_count: AtomicU64,
-    received_bytes: AtomicU64,
-    suspicion_count: AtomicU64,
-}
-
 #[derive(Debug)]
 struct State {
     members: Members,
@@ -168,7 +105,7 @@
     state: Mutex<State>,
     news: broadcast::Sender<News>,
     peers: PeerClient,
-    traffic: Traffic,
+    traffic: TrafficCounter,
 }
 
 impl Membership {
@@ -216,7 +153,7 @@
                 state: Mutex::new(state),
                 news: broadcast::Sender::new(NEWS_BACKLOG),
                 peers,
-                traffic: Traffic::default(),
+                traffic: TrafficCounter::default(),
             }),
             own_trigger: None,
         };
@@ -316,17 +253,7 @@
 
     /// Messages and bytes so far.
     pub fn traffic(&self) -> ControlTraffic {
-        let calls = self.shared.peers.traffic();
-        let own = &self.shared.traffic;
-        let sum =
-            |a: &AtomicU64, b: &AtomicU64| a.load(Ordering::Relaxed) + b.load(Ordering::Relaxed);
-        ControlTraffic {
-            sent_count: own.sent_count.load(Ordering::Relaxed),
-            sent_bytes: sum(&own.sent_bytes, &calls.sent_bytes),
-            received_count: own.received_count.load(Ordering::Relaxed),
-            received_bytes: sum(&own.received_bytes, &calls.received_bytes),
-            suspicion_count: own.suspicion_count.load(Ordering::Relaxed),
-        }
+        self.shared.traffic.totals(self.shared.peers.traffic())
     }
 
     /// Announcements of a topic that are in force here.
@@ -364,8 +291,7 @@
             if self.shared.settings.faults.loses(&from) {
                 continue;
             }
-            count(&self.shared.traffic.received_count, 1);
-            count(&self.shared.traffic.received_bytes, length as u64);
+            self.shared.traffic.received(length);
             // Garbage on the port is dropped.
             if let Ok(datagram) = Datagram::decode(&buffer[..length]) {
                 self.take_in(datagram, from);
@@ -377,7 +303,7 @@
         let purpose = datagram.purpose();
         let sequence = datagram.sequence;
         let target = datagram.target_address.parse().ok();
-        self.learn(datagram, from);
+        self.learn(datagram, from, Source::Datagram);
         match purpose {
             Purpose::Ping => {
                 let ack = self.datagram(Purpose::Ack, sequence);
@@ -396,22 +322,24 @@
         }
     }
 
-    fn learn(&self, datagram: Datagram, from: SocketAddr) {
+    fn learn(&self, datagram: Datagram, from: SocketAddr, source: Source) {
         let now = Instant::now();
         let mut news = Vec::new();
         let mut state = self.state();
         if let Some(sender) = &datagram.sender {
             let change = state.members.apply_from(sender, now);
-            spread(&mut state, sender, change);
+            spread(&mut state, sender, change, source);
         }
         for record in &datagram.members {
             let change = state.members.apply(record, now);
-            spread(&mut state, record, change);
+            spread(&mut state, record, change, source);
         }
         for record in datagram.announcements {
             let announcement = from_record(record.clone());
             if state.announcements.apply(announcement.clone(), now) {
-                state.updates.add(Update::Announcement(record));
+                if source == Source::Datagram {
+                    state.updates.add(Update::Announcement(record));
+                }
                 news.push(News::Announced(announcement));
             }
         }
@@ -434,7 +362,7 @@
         }
         drop(state);
         let announced = |item: &News| matches!(item, News::Announced(_));
-        if news.iter().any(announced) {
+        if source == Source::Datagram && news.iter().any(announced) {
             self.tell_soon();
         }
         for item in news {
@@ -456,7 +384,7 @@
             announcements: reply.announcements,
             ..Datagram::default()
         };
-        self.learn(all, peer);
+        self.learn(all, peer, Source::Synchronisation);
     }
 
     async fn help(self, sequence: u64, target: SocketAddr, asker: SocketAddr) {
@@ -531,7 +459,7 @@
         }
         let mut state = self.state();
         if let Some(doubt) = state.members.suspect(&member.node, Instant::now()) {
-            count(&self.shared.traffic.suspicion_count, 1);
+            self.shared.traffic.suspected();
             state.updates.add(Update::Member(doubt));
         }
     }
@@ -646,8 +574,7 @@
         let doubt = self.state().members.doubt_about(to);
         datagram.members.extend(doubt);
         let bytes = datagram.encode_to_vec();
-        count(&self.shared.traffic.sent_count, 1);
-        count(&self.shared.traffic.sent_bytes, bytes.len() as u64);
+        self.shared.traffic.sent(bytes.len());
         // A full socket buffer loses the datagram, as the network may.
         let _ = self.shared.socket.try_send_to(&bytes, to);
     }
@@ -665,9 +592,19 @@
     }
 }
 
-fn spread(state: &mut State, record: &MemberRecord, change: Change) {
+/// How something was learnt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// It travels from node to node, and is to travel on.
+    Datagram,
+    /// A peer handed over all it has; whoever lacks it will ask as well.
+    Synchronisation,
+}
+
+fn spread(state: &mut State, record: &MemberRecord, change: Change, source: Source) {
     match change {
         Change::Nothing => {}
+        Change::Spread if source == Source::Synchronisation => {}
         Change::Spread => state.updates.add(Update::Member(record.clone())),
         Change::Refuted => {
             let mine = state.members.my_record();
@@ -685,7 +622,3 @@
         })
         .collect()
 }
-
-fn count(counter: &AtomicU64, by: u64) {
-    counter.fetch_add(by, Ordering::Relaxed);
-}
--- a/src/node.rs
+++ b/src/node.rs
@@ -17,6 +17,7 @@
 use crate::clock::unix_ms;
 use crate::config::Config;
 use crate::configuration::Configuration;
+use crate::control_traffic::ControlTraffic;
 use crate::crash_tracker::{CRASH_TOPIC, CrashTracker, POISON_TOPIC};
 use crate::dispatch::Dispatcher;
 use crate::document::DocumentStore;
@@ -26,8 +27,9 @@
 use crate::hash::rendezvous_order;
 use crate::http::{HttpClient, serve};
 use crate::id::Version;
+use crate::link_faults::LinkFaults;
 use crate::members::Member;
-use crate::membership::{ControlTraffic, LinkFaults, Membership, MembershipSettings, News};
+use crate::membership::{Membership, MembershipSettings, News};
 use crate::metrics::{Counter, Metrics};
 use crate::node_state::{NodeState, PeerApi};
 use crate::operator_api::OperatorApi;
@@ -45,6 +47,8 @@
 const ORDER_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between adjustments of this node's share of the slots.
 const SHARE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time in which news of runners gathers before shares follow it.
+const SHARE_SETTLE: Duration = Duration::from_millis(5);
 /// Every node gets at least the share of this much demand, so that one with
 /// none can begin.
 const SHARE_BASE: usize = 1;
@@ -409,27 +413,58 @@
     order.first() == Some(&state.settings.node.as_str())
 }
 
-/// Takes the share of each model's slots that this node's demand has in the
-/// demand of all, as far as it is known.
+/// Takes this node's share of each model's slots, as far as the demand of the
+/// others is known.
 async fn adjust_shares(state: Arc<NodeState>) {
     loop {
-        tokio::time::sleep(SHARE_INTERVAL).await;
+        tokio::select! {
+            () = tokio::time::sleep(SHARE_INTERVAL) => {}
+            // A share of the few runners known a moment ago would turn callers
+            // away from a node that has just started.
+            () = state.fleet.slots_changed() => tokio::time::sleep(SHARE_SETTLE).await,
+        }
         let own = state.admission.demand_count();
         state.membership.set_demand(own as u32);
         let Some(config) = state.config.load_full() else {
             continue;
         };
-        let alive = state.membership.alive();
-        let total: usize = alive
-            .iter()
-            .map(|m| m.demand_count as usize + SHARE_BASE)
-            .sum();
-        let share = (own + SHARE_BASE) as f64 / total.max(1) as f64;
+        let shares = Shares::new(&state.membership, own);
         let models: BTreeSet<&String> = config.intent().models.keys().collect();
         for model in models {
             let slots = state.fleet.slot_count(model, &config.versions(model));
-            let own_slots = (f64::from(slots) * share).ceil() as usize;
-            state.admission.set_slots(model, own_slots);
+            state.admission.set_slots(model, shares.of(slots as usize));
+        }
+    }
+}
+
+/// This node's demand beside that of all others.
+struct Shares {
+    own_count: usize,
+    others_count: usize,
+    node_count: usize,
+}
+
+impl Shares {
+    fn new(membership: &Membership, own_count: usize) -> Self {
+        let me = membership.me().node;
+        let alive = membership.alive();
+        let others = alive.iter().filter(|member| member.node != me);
+        Self {
+            own_count,
+            others_count: others.map(|member| member.demand_count as usize).sum(),
+            node_count: alive.len(),
         }
     }
+
+    /// The part that this node's demand has in the demand of all, or whatever
+    /// the others leave free, if that is more.
+    fn of(&self, slot_count: usize) -> usize {
+        let base = self.node_count * SHARE_BASE;
+        let total = self.own_count + self.others_count + base;
+        let part = (self.own_count + SHARE_BASE) as f64 / total as f64;
+        let by_demand = (slot_count as f64 * part).round() as usize;
+        let left_free = slot_count.saturating_sub(self.others_count);
+        // A node with demand must be able to begin something.
+        by_demand.max(left_free).max(usize::from(slot_count > 0))
+    }
 }
--- a/src/sample.rs
+++ b/src/sample.rs
@@ -8,32 +8,48 @@
 const DIGITS: u8 = 3;
 
 /// Times in milliseconds.
+///
+/// ```
+/// use zinniawing::Sample;
+///
+/// let mut sample = Sample::new();
+/// (1..=100).for_each(|ms| sample.add_ms(f64::from(ms) * 10.0));
+/// assert_eq!(sample.quantile(0.5), "500.2");
+/// assert_eq!(sample.count(), 100);
+/// ```
 #[derive(Clone, Debug)]
-pub(crate) struct Sample {
+pub struct Sample {
     histogram: Histogram<u64>,
 }
 
+impl Default for Sample {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Sample {
     /// Makes an empty sample.
-    pub(crate) fn new() -> Self {
+
+    pub fn new() -> Self {
         // The only failure is a number of digits above five.
         let histogram = Histogram::new(DIGITS).expect("three digits are supported");
         Self { histogram }
     }
 
     /// Adds a time.
-    pub(crate) fn add_ms(&mut self, value_ms: f64) {
-        self.histogram
-            .saturating_record((value_ms * US_PER_MS) as u64);
+    pub fn add_ms(&mut self, value_ms: f64) {
+        // The histogram grows, so recording does not fail.
+        let _ = self.histogram.record((value_ms * US_PER_MS) as u64);
     }
 
     /// How many times were added.
-    pub(crate) fn count(&self) -> u64 {
+    pub fn count(&self) -> u64 {
         self.histogram.len()
     }
 
     /// The time that a part of all times does not exceed, as text.
-    pub(crate) fn quantile(&self, part: f64) -> String {
+    pub fn quantile(&self, part: f64) -> String {
         if self.histogram.is_empty() {
             return "-".to_owned();
         }
@@ -42,7 +58,7 @@
     }
 
     /// The longest time, as text.
-    pub(crate) fn max(&self) -> String {
+    pub fn max(&self) -> String {
         self.quantile(1.0)
     }
 }
--- a/src/service_api.rs
+++ b/src/service_api.rs
@@ -123,23 +123,32 @@
     let Some(sent) = claim.send() else {
         return Err(unknown_outcome(state));
     };
-    match state.services.call_once(call).await {
+    // The caller does not wait until the platform knows how the call ended.
+    // Should this node die first, the key answers `outcome_unknown` later.
+    let end = state.services.call_once(call).await;
+    let claims = state.claims.clone();
+    match end {
         CallEnd::Answered(response) => {
             let kept_max = state.settings.limits.stored_answer_max_bytes;
             let status = response.status().as_u16();
             let kept = Some(response.body().clone()).filter(|body| body.len() <= kept_max);
-            match kept {
-                Some(answer) => sent.finish(&state.claims, status, answer).await,
-                None => sent.lose(&state.claims).await,
-            }
+            state.tasks.spawn(async move {
+                match kept {
+                    Some(answer) => sent.finish(&claims, status, answer).await,
+                    None => sent.lose(&claims).await,
+                }
+            });
             Ok(relay(response))
         }
         CallEnd::NotSent => {
-            sent.unsent().release(&state.claims);
+            let unsent = sent.unsent();
+            state
+                .tasks
+                .spawn(async move { unsent.release(&claims).await });
             Err(no_instance(call))
         }
         CallEnd::NoAnswer => {
-            sent.lose(&state.claims).await;
+            state.tasks.spawn(async move { sent.lose(&claims).await });
             Err(unknown_outcome(state))
         }
     }
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -32,6 +32,24 @@
     (report, call)
 }
 
+/// Pays, and asks again until the platform knows how the call ended: a caller
+/// has its answer before that, and other nodes say `key_in_progress` meanwhile.
+async fn pay_until_known(caller: &Caller, node: std::net::SocketAddr, key: &str) -> Call {
+    let (_, first) = pay(caller, node, key).await;
+    assert!(matches!(first.told, Told::Receipt(_)), "{first:?}");
+    for _ in 0..200 {
+        let (report, again) = pay(caller, node, key).await;
+        if again.told == first.told {
+            return first;
+        }
+        let in_progress =
+            matches!(&report, CallReport::Failed(e) if e.kind == ErrorKind::KeyInProgress);
+        assert!(in_progress, "{report:?}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the end of {key} is not written down");
+}
+
 /// Sends each of `keys` to every node at the same time, several times over.
 async fn storm(cluster: &LocalCluster, keys: &[String], rounds: u32) -> Vec<Call> {
     let mut running = Vec::new();
@@ -128,7 +146,7 @@
     let cluster = start(payments_plan(2, 1)).await;
     let nodes = cluster.caller_addresses();
     let caller = steward(&cluster);
-    let (_, first) = pay(&caller, nodes[0], "own").await;
+    let first = pay_until_known(&caller, nodes[0], "own").await;
 
     let (_, again) = pay(&caller, nodes[1], "own").await;
     let other_body = caller
@@ -197,7 +215,7 @@
     let cluster = start(payments_plan(2, 1)).await;
     let caller = steward(&cluster);
     let nodes = cluster.caller_addresses();
-    let (_, before) = pay(&caller, nodes[0], "before").await;
+    let before = pay_until_known(&caller, nodes[0], "before").await;
     cluster.platform.set_faults(PlatformFaults {
         down: true,
         ..PlatformFaults::default()
