Give the state behind membership a file of its own

membership.rs had grown to 655 lines; what decides (when to synchronise, what to pass on) moves to membership_state.rs, what sends and receives stays.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,6 +64,7 @@
 mod local_cluster;
 mod members;
 mod membership;
+mod membership_state;
 mod message;
 mod metrics;
 mod node;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -21,10 +21,10 @@
 use crate::control_traffic::{ControlTraffic, TrafficCounter};
 use crate::id::Version;
 use crate::link_faults::LinkFaults;
-use crate::members::{Change, Member, Members};
+use crate::members::{Member, Members};
+use crate::membership_state::{Source, State, document_versions, spread};
 use crate::message::{
-    Datagram, DocumentVersion, MemberRecord, MemberState, Purpose, Question, ReplyBody,
-    SyncQuestion, SyncReply,
+    Datagram, MemberState, Purpose, Question, ReplyBody, SyncQuestion, SyncReply,
 };
 use crate::peer::{PeerClient, PeerHandler, serve_peers};
 use crate::shutdown::{Shutdown, ShutdownTrigger};
@@ -43,10 +43,6 @@
 const NEAR_PROBES_PER_FAR: u64 = 4;
 /// Intervals between looks for nodes that came back.
 const REVIVAL_INTERVALS: u64 = 5;
-/// Least time between two synchronisations where members differ.
-const SYNC_SPACING: Duration = Duration::from_secs(2);
-/// The same where only announcements differ, which mostly are on their way.
-const ANNOUNCEMENT_SYNC_SPACING: Duration = Duration::from_secs(5);
 /// How long a synchronisation may take.
 const SYNC_TIMEOUT: Duration = Duration::from_secs(3);
 /// News that a slow listener may leave unread.
@@ -81,39 +77,6 @@
     },
 }
 
-#[derive(Debug)]
-struct State {
-    members: Members,
-    announcements: Announcements,
-    updates: UpdateQueue,
-    documents: BTreeMap<String, Version>,
-    waiting: BTreeMap<u64, oneshot::Sender<()>>,
-    next_sequence: u64,
-    synced_at: Option<Instant>,
-    telling: bool,
-}
-
-impl State {
-    fn sync_question(&self) -> SyncQuestion {
-        SyncQuestion {
-            table_hash: self.members.table_hash(),
-            bucket_hashes: self.announcements.bucket_hashes(),
-        }
-    }
-
-    /// Whether a peer with these hashes is to be asked for what it has.
-    fn is_sync_due(&self, table_hash: u64, announcement_hash: u64, now: Instant) -> bool {
-        let spacing = if table_hash != self.members.table_hash() {
-            SYNC_SPACING
-        } else if announcement_hash != self.announcements.hash() {
-            ANNOUNCEMENT_SYNC_SPACING
-        } else {
-            return false;
-        };
-        self.synced_at.is_none_or(|at| now - at >= spacing)
-    }
-}
-
 /// A running membership.
 #[derive(Clone, Debug)]
 pub struct Membership {
@@ -622,34 +585,3 @@
         }
     }
 }
-
-/// How something was learnt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Source {
-    /// It travels from node to node, and is to travel on.
-    Datagram,
-    /// A peer handed over all it has; whoever lacks it will ask as well.
-    Synchronisation,
-}
-
-fn spread(state: &mut State, record: &MemberRecord, change: Change, source: Source) {
-    match change {
-        Change::Nothing => {}
-        Change::Spread if source == Source::Synchronisation => {}
-        Change::Spread => state.updates.add(Update::Member(record.clone())),
-        Change::Refuted => {
-            let mine = state.members.my_record();
-            state.updates.add(Update::Member(mine));
-        }
-    }
-}
-
-fn document_versions(documents: &BTreeMap<String, Version>) -> Vec<DocumentVersion> {
-    documents
-        .iter()
-        .map(|(name, version)| DocumentVersion {
-            name: name.clone(),
-            version: *version,
-        })
-        .collect()
-}
