--- a/src/admission.rs
+++ b/src/admission.rs
@@ -184,18 +184,12 @@
         let now = Instant::now();
         let mut pools = self.pools();
         let Some(pool) = pools.get_mut(request.model) else {
-            return Err(Error::new(
-                ErrorKind::NoUpstream,
-                "no runner holds the model",
-            ));
+            return Err(no_runner());
         };
         let ticket = pool.ticket(request);
         let occupancy = pool.gate.occupancy(ticket);
         if occupancy.slot_count == 0 {
-            return Err(Error::new(
-                ErrorKind::NoUpstream,
-                "no runner holds the model",
-            ));
+            return Err(no_runner());
         }
         let ahead_count = pool.class(request, now).waiting_count;
         let wait = pool.expected_wait(request, occupancy, ahead_count, now);
@@ -244,10 +238,7 @@
         let left = start_within(request.patience).saturating_sub(now - began_at);
         let mut pools = self.pools();
         let Some(pool) = pools.get_mut(request.model) else {
-            return Err(Error::new(
-                ErrorKind::NoUpstream,
-                "no runner holds the model",
-            ));
+            return Err(no_runner());
         };
         // Whoever waits is itself in the line, and at worst its last.
         let occupancy = pool.gate.occupancy_before(ticket);
@@ -381,3 +372,7 @@
 fn start_within(patience: Duration) -> Duration {
     patience.saturating_sub(START_MARGIN.min(patience / 4))
 }
+
+fn no_runner() -> Error {
+    Error::new(ErrorKind::NoUpstream, "no runner holds the model")
+}
--- a/src/caller_api.rs
+++ b/src/caller_api.rs
@@ -15,7 +15,7 @@
 use crate::attempt::Attempt;
 use crate::completion::CompletionRequest;
 use crate::config::Config;
-use crate::dispatch::{Job, OpenFailure};
+use crate::dispatch::{Job, OpenFailure, RESUME_PRIORITY};
 use crate::error::{Error, ErrorKind};
 use crate::event_id::EventId;
 use crate::generation::{Generation, Sink, Start};
@@ -215,7 +215,11 @@
             weight: caller.weight,
             model: &wanted.model,
             // Work that is half done goes before work that has not begun.
-            priority: if is_resume { 0 } else { policy.priority },
+            priority: if is_resume {
+                RESUME_PRIORITY
+            } else {
+                policy.priority
+            },
             patience: policy.patience,
             token_count: wanted.max_tokens - start.index.min(wanted.max_tokens),
         };
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -25,7 +25,7 @@
 /// Candidates that are tried before a request is turned away.
 const CANDIDATES_MAX: usize = 6;
 /// Priority of a generation that goes on after a loss.
-const RESUME_PRIORITY: u8 = 0;
+pub(crate) const RESUME_PRIORITY: u8 = 0;
 
 /// What a caller wants generated; it does not change while it runs.
 #[derive(Clone, Debug)]
--- a/src/experiment_control.rs
+++ b/src/experiment_control.rs
@@ -187,7 +187,6 @@
     let mut times = Sample::new();
     let mut missed = 0;
     let before = fleet.traffic();
-    let began_at = Instant::now();
     for number in 0..ANNOUNCEMENTS {
         let origin = &fleet.nodes[number as usize * 7 % fleet.nodes.len()];
         let key = format!("{lost_per_mille}-{number}");
@@ -210,7 +209,6 @@
     }
     let sent_bytes = (fleet.traffic().sent_bytes - before.sent_bytes) as f64;
     let each = sent_bytes / fleet.nodes.len() as f64 / ANNOUNCEMENTS as f64;
-    log::debug!("spread in {:?}", began_at.elapsed());
     vec![
         fleet.nodes.len().to_string(),
         (lost_per_mille / 10).to_string(),
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,5 @@
 //! One node: everything that runs on one entry VM.
 
-use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -430,8 +429,7 @@
             continue;
         };
         let shares = Shares::new(&state.membership, own);
-        let models: BTreeSet<&String> = config.intent().models.keys().collect();
-        for model in models {
+        for model in config.intent().models.keys() {
             let slots = state.fleet.slot_count(model, &config.versions(model));
             state.admission.set_slots(model, shares.of(slots as usize));
         }
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -1,6 +1,5 @@
 //! Local clusters and wishes, as most tests want them.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use zinniawing::{
@@ -84,7 +83,3 @@
     let running = numbered.find(|(_, r)| r.engine.running_count() > 0);
     running.expect("a runner runs the generation").0
 }
-
-pub fn shared<T>(value: T) -> Arc<T> {
-    Arc::new(value)
-}
