--- a/src/caller_api.rs
+++ b/src/caller_api.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::channel::Channel;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderName, HeaderValue};
@@ -299,7 +298,7 @@
             };
             aborted.run_until_cancelled(running).await;
         });
-        let mut response = Response::new(body.boxed_unsync());
+        let mut response = Response::new(http::boxed(body));
         let event_stream = HeaderValue::from_static("text/event-stream");
         response.headers_mut().insert(CONTENT_TYPE, event_stream);
         response
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -22,12 +22,25 @@
         #[bpaf(positional("SETTINGS"))]
         settings: PathBuf,
     },
+    /// Run one entry node on the platform until it is told to stop
+    #[bpaf(command)]
+    Edge {
+        /// Port of the machine at which counters are served
+        #[bpaf(long("metrics-port"), argument("PORT"), optional)]
+        metrics_port: Option<u16>,
+        /// Settings file that the platform wrote
+        #[bpaf(long, argument("FILE"), env("ZINNIAWING_SETTINGS"))]
+        settings: PathBuf,
+    },
     /// Check a settings file or an intent and list everything wrong with it
     #[bpaf(command)]
     Check {
         /// The file is an intent
         #[bpaf(long)]
         intent: bool,
+        /// The file is one that the platform wrote
+        #[bpaf(long)]
+        platform: bool,
         /// File to check
         #[bpaf(positional("FILE"))]
         file: PathBuf,
--- a/src/command.rs
+++ b/src/command.rs
@@ -2,17 +2,19 @@
 
 use std::fmt::Display;
 use std::io;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use zinniawing::{
-    AuditRecord, Caller, CompletionParams, CompletionReport, Demo, DemoOptions, Intent,
-    ModelVersion, Node, Operator, OperatorError, RunnerProfile, Settings, SettingsError, StandIn,
-    StandInPlatform, StandInRunner, StandInService, Status, Vm,
+    AuditRecord, Caller, CompletionParams, CompletionReport, Demo, DemoOptions, EdgeNode,
+    EdgeSettings, Intent, Metrics, ModelVersion, Node, Operator, OperatorError, RunnerProfile,
+    Settings, SettingsError, StandIn, StandInPlatform, StandInRunner, StandInService, Status, Vm,
 };
 
 use crate::cli::{CallArgs, Command, Format, OperatorArgs, StandInArgs};
@@ -48,10 +50,18 @@
 }
 
 /// Runs one command to its end.
-pub(crate) async fn run(command: Command) -> Result<(), Failure> {
+pub(crate) async fn run(command: Command, metrics: Arc<Metrics>) -> Result<(), Failure> {
     match command {
+        Command::Edge {
+            metrics_port,
+            settings,
+        } => edge(&settings, metrics, metrics_port).await,
         Command::Serve { settings } => serve(&settings).await,
-        Command::Check { intent, file } => check(intent, &file),
+        Command::Check {
+            intent,
+            platform,
+            file,
+        } => check(intent, platform, &file),
         Command::Intent { operator, file } => {
             let intent = load_intent(&file)?;
             let plan = connect(&operator).state(&intent).await?;
@@ -95,6 +105,44 @@
     }
 }
 
+async fn edge(
+    path: &Path,
+    metrics: Arc<Metrics>,
+    metrics_port: Option<u16>,
+) -> Result<(), Failure> {
+    let settings = EdgeSettings::load(path)?;
+    let mut stops = StopSignals::new()?;
+    let mut reloads = signal(SignalKind::hangup())?;
+    let metrics_address = metrics_port.map(|port| SocketAddr::new(settings.callers.ip(), port));
+    log::info!(
+        "event=start node={} dc={} callers={} peers={} store={} seeds={:?}",
+        settings.node,
+        settings.data_centre,
+        settings.callers,
+        settings.peers,
+        settings.store,
+        settings.seeds
+    );
+    let node = EdgeNode::start(settings, metrics, metrics_address).await?;
+    loop {
+        tokio::select! {
+            () = stops.next() => break,
+            _ = reloads.recv() => reload(path),
+        }
+    }
+    log::info!("event=stop cause=signal");
+    node.drain().await;
+    Ok(())
+}
+
+/// Checks the changed file; what it holds is taken up at the next start.
+fn reload(path: &Path) {
+    match EdgeSettings::load(path) {
+        Ok(settings) => log::info!("event=reload node={} outcome=checked", settings.node),
+        Err(error) => log::error!("event=reload outcome=refused cause={error:?}"),
+    }
+}
+
 async fn serve(path: &Path) -> Result<(), Failure> {
     let settings = Settings::load(path)?;
     let name = settings.node.clone();
@@ -142,9 +190,11 @@
     }
 }
 
-fn check(is_intent: bool, path: &Path) -> Result<(), Failure> {
+fn check(is_intent: bool, is_platform: bool, path: &Path) -> Result<(), Failure> {
     if is_intent {
         load_intent(path)?;
+    } else if is_platform {
+        EdgeSettings::load(path)?;
     } else {
         Settings::load(path)?;
     }
--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -15,9 +15,9 @@
 use crate::error::{Error, ErrorKind};
 use crate::id::{IntentId, NodeId, Version};
 use crate::intent::Intent;
+use crate::object_api::CONFIG_KEY;
 use crate::object_store::{ABSENT, Object, ObjectStore, StoreError, create};
 use crate::plan::Plan;
-use crate::platform::CONFIG_KEY;
 
 /// Times a confirmation is tried against lost replies.
 const TRIES_MAX: u32 = 6;
--- a/src/document.rs
+++ b/src/document.rs
@@ -7,6 +7,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use crate::id::Version;
+use crate::message::{DocumentReply, DocumentVersion};
 use crate::object_store::Object;
 
 /// The newest documents that one node holds, by name.
@@ -56,6 +57,16 @@
             .collect()
     }
 
+    /// What a peer gets that holds `wanted` or nothing.
+    pub(crate) fn reply(&self, wanted: &DocumentVersion) -> DocumentReply {
+        let held = self.get(&wanted.name);
+        let newer = held.filter(|object| object.version > wanted.version);
+        newer.map_or_else(DocumentReply::default, |object| DocumentReply {
+            version: object.version,
+            body: object.body,
+        })
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Object>> {
         self.documents
             .lock()
--- /dev/null
+++ b/src/edge/beliefs.rs
@@ -0,0 +1,112 @@
+//! What a node believes of itself and its surroundings, for its forwarder.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use crate::forward::forwarder::Surroundings;
+use crate::id::DataCentreId;
+use crate::members::Member;
+use crate::policy::freshness::Freshness;
+
+/// Time after the stop signal from which new streams are refused.
+const STREAMS_UNTIL: Duration = Duration::from_millis(1_500);
+/// Most addresses in one answer.
+const ADDRESSES_MAX: usize = 64;
+
+/// Beliefs that other tasks keep up to date.
+#[derive(Debug)]
+pub(crate) struct Beliefs {
+    started: Instant,
+    node_index: AtomicUsize,
+    node_count: AtomicUsize,
+    /// Milliseconds from the start to the stop signal, plus one; zero before it.
+    stopping_ms: AtomicU64,
+    freshness: Mutex<Freshness>,
+    nodes: Mutex<Vec<(DataCentreId, SocketAddr)>>,
+}
+
+impl Beliefs {
+    /// Begins with no other node known.
+    pub(crate) fn new() -> Self {
+        Self {
+            started: Instant::now(),
+            node_index: AtomicUsize::new(0),
+            node_count: AtomicUsize::new(1),
+            stopping_ms: AtomicU64::new(0),
+            freshness: Mutex::default(),
+            nodes: Mutex::default(),
+        }
+    }
+
+    /// Takes in which nodes live; `me` is one of them unless it leaves.
+    pub(crate) fn set_nodes(&self, me: &str, alive: &[Member]) {
+        let mut staying: Vec<&Member> = alive.iter().filter(|m| !m.leaving).collect();
+        staying.sort_by(|a, b| a.node.cmp(&b.node));
+        let index = staying.iter().position(|m| m.node == me);
+        self.node_index
+            .store(index.unwrap_or_default(), Ordering::Relaxed);
+        self.node_count
+            .store(staying.len().max(1), Ordering::Relaxed);
+        let nodes = staying.iter();
+        let nodes = nodes.map(|m| (m.data_centre.clone(), m.caller_address));
+        *self.nodes.lock().unwrap_or_else(PoisonError::into_inner) = nodes.collect();
+    }
+
+    /// Addresses for a caller, those of its data centre first.
+    pub(crate) fn addresses(&self, data_centre: Option<&str>) -> Vec<SocketAddr> {
+        let nodes = self.nodes.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_near = |dc: &DataCentreId| Some(dc.as_str()) == data_centre;
+        let near = nodes.iter().filter(|(dc, _)| is_near(dc));
+        let far = nodes.iter().filter(|(dc, _)| !is_near(dc));
+        let ordered = near.chain(far).map(|(_, address)| *address);
+        ordered.take(ADDRESSES_MAX).collect()
+    }
+
+    /// Notes whether the store's word on the configuration came.
+    pub(crate) fn store_answers(&self, answers: bool, now: Instant) {
+        let mut freshness = self
+            .freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        freshness.store_answers(answers, now);
+    }
+
+    /// Notes the stop signal.
+    pub(crate) fn begin_stop(&self) {
+        let ms = self.started.elapsed().as_millis() as u64 + 1;
+        self.stopping_ms.store(ms, Ordering::Relaxed);
+    }
+
+    fn stopping_for(&self) -> Option<Duration> {
+        let since = self.stopping_ms.load(Ordering::Relaxed).checked_sub(1)?;
+        let elapsed = self.started.elapsed();
+        Some(elapsed.saturating_sub(Duration::from_millis(since)))
+    }
+}
+
+impl Surroundings for Beliefs {
+    fn position(&self) -> (usize, usize) {
+        (
+            self.node_index.load(Ordering::Relaxed),
+            self.node_count.load(Ordering::Relaxed),
+        )
+    }
+
+    fn is_config_fresh(&self) -> bool {
+        let freshness = self
+            .freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        freshness.is_fresh(Instant::now())
+    }
+
+    fn is_draining(&self) -> bool {
+        self.stopping_for().is_some()
+    }
+
+    fn refuses_streams(&self) -> bool {
+        self.stopping_for().is_some_and(|t| t >= STREAMS_UNTIL)
+    }
+}
--- /dev/null
+++ b/src/edge/pages.rs
@@ -0,0 +1,71 @@
+//! What is asked of a node beside calls: its addresses, its readiness and its
+//! counters.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+
+use super::beliefs::Beliefs;
+use crate::error::{Error, ErrorKind};
+use crate::forward::forwarder::{Forwarder, Surroundings};
+use crate::http::{self, Handler, HttpResponse};
+use crate::metrics::Counter;
+use crate::platform::address::{self, ADDRESS_PATH, READY_PATH};
+
+/// Path of the counters.
+const METRICS_PATH: &str = "/metrics";
+/// How long callers are told to keep an address answer.
+const ADDRESS_KEEP: Duration = Duration::from_secs(2);
+
+/// Answers questions about one node.
+pub(crate) struct Pages {
+    pub(crate) forwarder: Arc<Forwarder<Beliefs>>,
+    pub(crate) address_keep_max: Duration,
+}
+
+impl Pages {
+    fn is_ready(&self) -> bool {
+        let has_config = self.forwarder.routing.load().is_some();
+        let has_upstreams = self.forwarder.directory.count() > 0;
+        has_config && has_upstreams && !self.forwarder.node.is_draining()
+    }
+
+    fn readiness(&self) -> HttpResponse {
+        if self.is_ready() {
+            return HttpResponse::new(http::full("ready"));
+        }
+        http::failure(&Error::new(ErrorKind::NotReady, "not ready"))
+    }
+
+    fn addresses(&self, query: Option<&str>) -> HttpResponse {
+        let data_centre = address::caller_data_centre(query);
+        let addresses = self.forwarder.node.addresses(data_centre);
+        if addresses.is_empty() {
+            return http::failure(&Error::new(ErrorKind::NotReady, "no node is known"));
+        }
+        address::answer(&addresses, ADDRESS_KEEP.min(self.address_keep_max))
+    }
+
+    fn counters(&self) -> HttpResponse {
+        let metrics = &self.forwarder.metrics;
+        let lines = Counter::ALL.map(|c| format!("zinniawing_{} {}\n", c.name(), metrics.get(c)));
+        HttpResponse::new(http::full(lines.concat()))
+    }
+}
+
+impl Handler for Pages {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
+        match request.uri().path() {
+            READY_PATH => self.readiness(),
+            ADDRESS_PATH => self.addresses(request.uri().query()),
+            METRICS_PATH => self.counters(),
+            _ => {
+                let mut response = http::failure(&Error::new(ErrorKind::NotFound, "no such page"));
+                *response.status_mut() = StatusCode::NOT_FOUND;
+                response
+            }
+        }
+    }
+}
--- a/src/experiment_sizes.rs
+++ b/src/experiment_sizes.rs
@@ -14,7 +14,7 @@
 use crate::intent::{CustomerIntent, Intent, ModelIntent};
 use crate::members::{Member, Members};
 use crate::message::{ClaimAction, ClaimOperation};
-use crate::platform::{Vm, VmRole, VmState};
+use crate::object_api::{Vm, VmRole, VmState};
 use crate::report::Report;
 use crate::runner::{ModelVersion, RunnerReport};
 
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -13,7 +13,7 @@
 
 use crate::hash::{Fnv, rendezvous_order};
 use crate::id::{DataCentreId, Incarnation, RunnerId, ServiceId};
-use crate::platform::{Vm, VmRole, VmState};
+use crate::object_api::{Vm, VmRole, VmState};
 use crate::retry_budget::RetryBudget;
 use crate::runner::{LoadHint, ModelVersion, RunnerReport};
 
--- /dev/null
+++ b/src/forward/directory.rs
@@ -0,0 +1,140 @@
+//! All upstreams that this node knows.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use tokio::sync::Notify;
+
+use super::upstream::{Upstream, UpstreamEntry, UpstreamId};
+use crate::policy::lapse::{Lapses, Verdict};
+
+/// The upstreams that registered themselves, and those that just lapsed.
+#[derive(Debug, Default)]
+pub(crate) struct Directory {
+    state: Mutex<State>,
+    alarm: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    upstreams: BTreeMap<UpstreamId, Arc<Upstream>>,
+    lapses: Lapses,
+}
+
+impl Directory {
+    /// Takes in an entry.
+    pub(crate) fn put(&self, entry: UpstreamEntry) {
+        let mut state = self.lock();
+        state.lapses.returned(&entry.id);
+        if let Some(known) = state.upstreams.get(&entry.id)
+            && known.is_same_life(&entry)
+        {
+            if known.is_draining() != entry.draining {
+                log::info!(
+                    "event=upstream_state upstream={} draining={}",
+                    entry.id,
+                    entry.draining
+                );
+            }
+            known.set_draining(entry.draining);
+            return;
+        }
+        log::info!(
+            "event=upstream_known upstream={} service={} address={} dc={} born={} draining={}",
+            entry.id,
+            entry.service,
+            entry.address,
+            entry.data_centre,
+            entry.born_unix_ms,
+            entry.draining
+        );
+        let id = entry.id.clone();
+        let earlier = state.upstreams.insert(id, Arc::new(Upstream::new(entry)));
+        drop(state);
+        if let Some(earlier) = earlier {
+            earlier.lose(Instant::now());
+        }
+    }
+
+    /// Takes in that an entry is gone.
+    pub(crate) fn gone(&self, id: &UpstreamId, now: Instant) {
+        let mut state = self.lock();
+        let Some(upstream) = state.upstreams.get(id) else {
+            return;
+        };
+        let service = upstream.entry.service.clone();
+        let peers = state.upstreams.values();
+        let service_size = peers.filter(|u| u.entry.service == service).count();
+        match state.lapses.gone(id, &service, service_size, now) {
+            Verdict::Left => {
+                log::info!("event=upstream_gone upstream={id}");
+                state.upstreams.remove(id);
+            }
+            Verdict::MayReturn(until) => {
+                let held = until.saturating_duration_since(now).as_millis();
+                log::info!("event=upstream_lapsed upstream={id} held_ms={held}");
+            }
+        }
+    }
+
+    /// Takes in a whole list.
+    pub(crate) fn replace(&self, entries: Vec<UpstreamEntry>, now: Instant) {
+        let listed: Vec<UpstreamId> = entries.iter().map(|entry| entry.id.clone()).collect();
+        for entry in entries {
+            self.put(entry);
+        }
+        let known: Vec<UpstreamId> = self.lock().upstreams.keys().cloned().collect();
+        for id in known.iter().filter(|id| !listed.contains(id)) {
+            self.gone(id, now);
+        }
+    }
+
+    /// Notes whether the store answers.
+    pub(crate) fn store_answers(&self, answers: bool, now: Instant) {
+        self.lock().lapses.store_answers(answers, now);
+    }
+
+    /// Drops upstreams whose time to return is over.
+    pub(crate) fn expire(&self, now: Instant) {
+        let mut state = self.lock();
+        for id in state.lapses.expired(now) {
+            log::info!("event=upstream_gone upstream={id} cause=did_not_return");
+            state.upstreams.remove(&id);
+        }
+    }
+
+    /// Upstreams of a service that take new calls.
+    pub(crate) fn serving(&self, service: &str) -> Vec<Arc<Upstream>> {
+        let state = self.lock();
+        let all = state.upstreams.values();
+        all.filter(|u| u.entry.service == service && !u.is_draining())
+            .cloned()
+            .collect()
+    }
+
+    /// How many upstreams are known.
+    pub(crate) fn count(&self) -> usize {
+        self.lock().upstreams.len()
+    }
+
+    /// Notes that an upstream is lost, and has all that waits look again.
+    pub(crate) fn lose(&self, upstream: &Upstream, cause: &str, now: Instant) {
+        log::warn!(
+            "event=upstream_lost upstream={} dc={} cause={cause}",
+            upstream.entry.id,
+            upstream.entry.data_centre
+        );
+        upstream.lose(now);
+        self.alarm.notify_waiters();
+    }
+
+    /// Wakes when any upstream is lost.
+    pub(crate) async fn alarm(&self) {
+        self.alarm.notified().await;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/forward/forwarder.rs
@@ -0,0 +1,237 @@
+//! Takes in a call, decides whether it may pass, and sees it to its end.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwapOption;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::{Request, StatusCode};
+use rand::RngExt;
+
+use super::directory::Directory;
+use super::request::Call;
+use super::retry_budgets::RetryBudgets;
+use super::route_table::{Admitted, Denied, RouteTable};
+use super::upstream::Upstream;
+use crate::error::{Error, ErrorKind};
+use crate::http::{self, HttpResponse, read_body};
+use crate::id::DataCentreId;
+use crate::metrics::{Counter, Metrics};
+use crate::platform::call;
+use crate::policy::placement::{Candidate, is_own};
+use crate::policy::refusal::{GivenUp, Progress, error_kind, retry_after};
+
+/// What the forwarder asks of the node that it runs in.
+pub(crate) trait Surroundings: Send + Sync + 'static {
+    /// Position of this node among all live nodes, and their number.
+    fn position(&self) -> (usize, usize);
+    /// Whether the configuration in force is known to be the newest.
+    fn is_config_fresh(&self) -> bool;
+    /// Whether this node is about to stop.
+    fn is_draining(&self) -> bool;
+    /// Whether streams that begin now could not end before this node stops.
+    fn refuses_streams(&self) -> bool;
+}
+
+/// Forwards calls by the configuration in force.
+pub(crate) struct Forwarder<S> {
+    /// The configuration in force.
+    pub(crate) routing: ArcSwapOption<RouteTable>,
+    /// All upstreams.
+    pub(crate) directory: Directory,
+    /// Repeated sends that are left.
+    pub(crate) budgets: RetryBudgets,
+    /// Counters.
+    pub(crate) metrics: Arc<Metrics>,
+    /// Data centre of this node.
+    pub(crate) data_centre: DataCentreId,
+    /// The node.
+    pub(crate) node: S,
+    /// Held by each call until it has ended.
+    pub(crate) in_flight: Arc<()>,
+}
+
+impl<S: Surroundings> Forwarder<S> {
+    /// Answers one call.
+    pub(crate) async fn forward(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
+        let arrived = Instant::now();
+        let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
+        let mut response = match self.admit(&request) {
+            Err(error) => self.reject(&request, &error),
+            Ok((table, admitted)) => self.accept(request, &table, admitted, arrived).await,
+        };
+        // Where a length stood beside the chunks it is gone by now, and what
+        // follows on this connection may be no request.
+        if is_chunked || self.node.is_draining() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+
+    fn admit(&self, request: &Request<Incoming>) -> Result<(Arc<RouteTable>, Admitted), Error> {
+        let not_ready = || Error::new(ErrorKind::NotReady, "no configuration yet");
+        let table = self.routing.load_full().ok_or_else(not_ready)?;
+        let host = http::header(request, HOST.as_str()).unwrap_or_default();
+        let headers = call::read(request.headers());
+        let admitted = table.admit(host, request.uri().path(), headers.api_key.as_deref());
+        let denied = match admitted {
+            Ok(admitted) => return Ok((table, admitted)),
+            Err(denied) => denied,
+        };
+        if !self.node.is_config_fresh() {
+            let text = "the configuration may have changed";
+            return Err(Error::new(ErrorKind::NotReady, text));
+        }
+        let error = match denied {
+            Denied::NoRoute => Error::new(ErrorKind::NotFound, "no route"),
+            Denied::NoCustomer => Error::new(ErrorKind::Unauthorized, "no customer has this key"),
+        };
+        Err(error)
+    }
+
+    fn reject(&self, request: &Request<Incoming>, error: &Error) -> HttpResponse {
+        self.metrics.add(Counter::CallsRejected, 1);
+        let headers = call::read(request.headers());
+        let id = headers.call_id.as_ref().and_then(|id| id.to_str().ok());
+        log::info!(
+            "event=call_rejected call={} kind={} config={} fresh={}",
+            id.unwrap_or("-"),
+            error.kind.name(),
+            self.routing
+                .load()
+                .as_ref()
+                .map_or(0, |table| table.version),
+            self.node.is_config_fresh()
+        );
+        let mut response = http::failure(error);
+        if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+            let patience = headers.patience.unwrap_or(Duration::from_secs(3));
+            set_retry_after(&mut response, retry_after(patience, draw()));
+        }
+        response
+    }
+
+    async fn accept(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        table: &RouteTable,
+        admitted: Admitted,
+        arrived: Instant,
+    ) -> HttpResponse {
+        let (parts, body) = request.into_parts();
+        let body = match read_body(body, table.limits.body_bytes).await {
+            Ok(body) => body,
+            Err(error) => {
+                let mut response = http::failure(&error);
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+                return response;
+            }
+        };
+        let headers = call::read(&parts.headers);
+        let Some(service) = admitted.route.service(rand::rng().random()).cloned() else {
+            return http::failure(&Error::new(
+                ErrorKind::NoUpstream,
+                "the route has no service",
+            ));
+        };
+        let kind = admitted.route.kind;
+        let mut call = Call::new(parts, headers, body, admitted, service, arrived);
+        call.in_flight = Some(self.in_flight.clone());
+        self.metrics.add(Counter::Calls, 1);
+        self.budgets.call(&call.service, arrived);
+        if kind.is_stream() && self.node.refuses_streams() {
+            return self.give_up(&call, GivenUp::NoUpstream, Progress::NotRun, "draining");
+        }
+        if kind.is_stream() {
+            self.stream(call).await
+        } else {
+            self.plain(call).await
+        }
+    }
+
+    /// The final answer to a call that is given up.
+    pub(crate) fn give_up(
+        &self,
+        call: &Call,
+        given_up: GivenUp,
+        progress: Progress,
+        cause: &str,
+    ) -> HttpResponse {
+        let kind = error_kind(given_up, progress);
+        self.metrics.add(Counter::CallsGivenUp, 1);
+        log::warn!(
+            "event=call_given_up call={} route={} service={} why={given_up:?} progress={progress:?} cause={cause:?} age_ms={} left_ms={} status={}",
+            call.id(),
+            call.admitted.route.name,
+            call.service,
+            call.age().as_millis(),
+            call.time_left(Instant::now()).as_millis(),
+            kind.answer().status.as_u16()
+        );
+        let mut response = http::failure(&Error::new(kind, cause));
+        if progress == Progress::NotRun {
+            let after = retry_after(call.time_left(Instant::now()), draw());
+            set_retry_after(&mut response, after);
+        }
+        response
+    }
+
+    /// Runs `choose` over the upstreams of a call's service.
+    pub(crate) fn choose(
+        &self,
+        service: &str,
+        tried: &[Arc<Upstream>],
+        choose: impl FnOnce(&[Candidate<'_>], u64) -> Option<usize>,
+    ) -> Option<Arc<Upstream>> {
+        let upstreams = self.directory.serving(service);
+        let (node_index, node_count) = self.node.position();
+        let now = Instant::now();
+        let candidates: Vec<Candidate<'_>> = upstreams
+            .iter()
+            .enumerate()
+            .map(|(index, upstream)| Candidate {
+                id: &upstream.entry.id,
+                data_centre: &upstream.entry.data_centre,
+                prompt_tokens: upstream.prompt_tokens(),
+                memory_tokens: upstream.memory_tokens(),
+                call_count: upstream.call_count(),
+                is_avoided: upstream.avoided_until(now).is_some(),
+                was_tried: tried.iter().any(|t| t.entry.id == upstream.entry.id),
+                is_own: is_own(index, upstreams.len(), node_index, node_count),
+            })
+            .collect();
+        let at = choose(&candidates, rand::rng().random())?;
+        upstreams.get(at).cloned()
+    }
+
+    /// Spends one repeated send of a call.
+    pub(crate) fn may_send_again(&self, call: &Call) -> bool {
+        let (_, node_count) = self.node.position();
+        let affordable = self
+            .budgets
+            .spend(&call.service, node_count, Instant::now());
+        if !affordable {
+            self.metrics.add(Counter::RetriesOverBudget, 1);
+            log::info!(
+                "event=retry_over_budget call={} service={}",
+                call.id(),
+                call.service
+            );
+        }
+        affordable
+    }
+}
+
+/// Sets a time to come back, with fractions of a second.
+fn set_retry_after(response: &mut HttpResponse, after: Duration) {
+    if let Ok(value) = HeaderValue::from_str(&format!("{:.2}", after.as_secs_f64())) {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+}
+
+fn draw() -> f64 {
+    rand::rng().random_range(0.0..1.0)
+}
--- /dev/null
+++ b/src/forward/mod.rs
@@ -0,0 +1,16 @@
+//! The routed forwarder: one call's way to an upstream and back.
+//!
+//! `docs/FORWARDING.md` follows a call through these modules.
+
+pub(crate) mod answer_body;
+pub(crate) mod connection;
+pub(crate) mod directory;
+pub(crate) mod forwarder;
+pub(crate) mod plain_call;
+pub(crate) mod probe;
+pub(crate) mod request;
+pub(crate) mod retry_budgets;
+pub(crate) mod route_table;
+pub(crate) mod send;
+pub(crate) mod stream_call;
+pub(crate) mod upstream;
--- /dev/null
+++ b/src/forward/plain_call.rs
@@ -0,0 +1,184 @@
+//! A call whose answer is one body.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::answer_body;
+use super::forwarder::{Forwarder, Surroundings};
+use super::request::Call;
+use super::send::{Answered, Attempt, SendOutcome};
+use super::upstream::{Upstream, Work};
+use crate::http::HttpResponse;
+use crate::metrics::Counter;
+use crate::platform::call::Dispatch;
+use crate::policy::placement::choose_plain;
+use crate::policy::refusal::{GivenUp, Progress};
+
+/// How long one upstream may take over a call that may go to another one.
+const TRY_TIMEOUT: Duration = Duration::from_millis(200);
+/// Sends that may fail before any byte leaves, or at another upstream's
+/// address, until a call is given up.
+const UNSENT_TRIES_MAX: u32 = 4;
+
+/// How far one plain call has come.
+#[derive(Debug)]
+struct Course {
+    tried: Vec<Arc<Upstream>>,
+    sent_count: u32,
+    unsent_count: u32,
+    progress: Progress,
+    /// An upstream's own failure, passed on where nothing better comes.
+    failure: Option<HttpResponse>,
+    cause: String,
+}
+
+impl Course {
+    fn new() -> Self {
+        Self {
+            tried: Vec::new(),
+            sent_count: 0,
+            unsent_count: 0,
+            progress: Progress::NotRun,
+            failure: None,
+            cause: String::from("no upstream is ready"),
+        }
+    }
+}
+
+impl<S: Surroundings> Forwarder<S> {
+    /// Answers a plain call.
+    pub(crate) async fn plain(&self, call: Call) -> HttpResponse {
+        let mut course = Course::new();
+        let deadline = call.deadline.into();
+        let served = tokio::time::timeout_at(deadline, self.try_plain(&call, &mut course)).await;
+        let given_up = match served {
+            Ok(Some(response)) => {
+                log::info!(
+                    "event=call_done call={} route={} service={} status={} sends={} age_ms={}",
+                    call.id(),
+                    call.admitted.route.name,
+                    call.service,
+                    response.status().as_u16(),
+                    course.sent_count,
+                    call.age().as_millis()
+                );
+                return response;
+            }
+            Ok(None) if course.tried.is_empty() => GivenUp::NoUpstream,
+            Ok(None) => GivenUp::UpstreamsFailed,
+            Err(_) => GivenUp::TimeOver,
+        };
+        match course.failure.take() {
+            Some(failure) => failure,
+            None => self.give_up(&call, given_up, course.progress, &course.cause),
+        }
+    }
+
+    async fn try_plain(&self, call: &Call, course: &mut Course) -> Option<HttpResponse> {
+        let kind = call.admitted.route.kind;
+        loop {
+            let is_first = course.sent_count == 0;
+            if !is_first && course.sent_count >= call.admitted.route.attempts_max {
+                return None;
+            }
+            if course.unsent_count >= UNSENT_TRIES_MAX {
+                return None;
+            }
+            let upstream = self.choose(&call.service, &course.tried, |candidates, draw| {
+                choose_plain(candidates, &self.data_centre, draw)
+            })?;
+            if !is_first && !self.may_send_again(call) {
+                return None;
+            }
+            course.tried.push(upstream.clone());
+            // From here on until the outcome is known, bytes may have left.
+            let before = course.progress;
+            course.progress = Progress::MayHaveRun;
+            course.sent_count += 1;
+            let may_move_on =
+                kind.may_repeat() && course.sent_count < call.admitted.route.attempts_max;
+            match self.try_upstream(call, &upstream, may_move_on).await {
+                Ok(response) if response.status().is_server_error() && kind.may_repeat() => {
+                    course.cause = format!("{} failed the call", upstream.entry.id);
+                    course.failure = Some(response);
+                }
+                Ok(response) => return Some(response),
+                Err(outcome) => {
+                    self.note(call, &upstream, &outcome);
+                    match outcome {
+                        SendOutcome::NotSent(cause) => {
+                            course.progress = before;
+                            course.sent_count -= 1;
+                            course.unsent_count += 1;
+                            course.cause = cause.to_owned();
+                        }
+                        SendOutcome::Misdirected => {
+                            course.progress = before;
+                            course.unsent_count += 1;
+                            course.cause = "another upstream has the address".to_owned();
+                        }
+                        SendOutcome::NotExecuted => {
+                            course.progress = before;
+                            course.cause = format!("{} is full", upstream.entry.id);
+                        }
+                        SendOutcome::MayHaveRun(cause) => {
+                            course.cause = cause;
+                            if !kind.may_repeat() {
+                                return None;
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    async fn try_upstream(
+        &self,
+        call: &Call,
+        upstream: &Arc<Upstream>,
+        may_move_on: bool,
+    ) -> Result<HttpResponse, SendOutcome> {
+        let Some(time_left) = call.time_for_upstream(Instant::now()) else {
+            return Err(SendOutcome::NotSent("no time is left"));
+        };
+        let request = call.request_to(&Dispatch {
+            upstream: &upstream.entry.id,
+            customer: call.admitted.customer.as_deref(),
+            time_left,
+            last_event: None,
+            replica: None,
+            copy: None,
+        });
+        self.metrics.add(Counter::UpstreamSends, 1);
+        let work = Work::call(upstream, 0, 0);
+        let attempt = Attempt::new(upstream.clone(), work, request);
+        let exchange = async {
+            let answered: Attempt<Answered> = attempt.send(call).await?;
+            let read = answer_body::read(answered).await;
+            read.map_err(|error| SendOutcome::MayHaveRun(error.to_string()))
+        };
+        if !may_move_on {
+            return exchange.await;
+        }
+        let in_time = tokio::time::timeout(TRY_TIMEOUT, exchange).await;
+        in_time.unwrap_or_else(|_| Err(SendOutcome::MayHaveRun("no answer in time".to_owned())))
+    }
+
+    /// Writes down why a send brought no answer, and draws the consequence.
+    pub(crate) fn note(&self, call: &Call, upstream: &Upstream, outcome: &SendOutcome) {
+        let now = Instant::now();
+        let heard_ms = upstream.silence(now).map(|silence| silence.as_millis());
+        log::info!(
+            "event=send_failed call={} upstream={} outcome={outcome:?} heard_ms_ago={heard_ms:?} age_ms={}",
+            call.id(),
+            upstream.entry.id,
+            call.age().as_millis()
+        );
+        match outcome {
+            SendOutcome::NotSent(_) | SendOutcome::Misdirected => upstream.avoid(now),
+            SendOutcome::MayHaveRun(_) => upstream.avoid(now),
+            SendOutcome::NotExecuted => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/forward/probe.rs
@@ -0,0 +1,94 @@
+//! Waiting for the loss of an upstream under a call.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, StatusCode};
+use tokio::sync::watch;
+
+use super::directory::Directory;
+use super::upstream::Upstream;
+use crate::metrics::{Counter, Metrics};
+use crate::platform::engine::{EngineReport, REPORT_PATH, read_report};
+use crate::policy::silence::{ALARM_TIME, Phase, pause_before_loss, pause_before_probe};
+
+/// How long an engine may take to show that it lives.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Largest report of an engine.
+const REPORT_MAX_BYTES: usize = 256 * 1024;
+
+/// Why a call is moved away from its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Loss {
+    /// The upstream is lost, as another call or the probe found.
+    Upstream,
+    /// The upstream lives, but the call makes no progress there.
+    NoProgress,
+}
+
+/// Waits until the call's upstream must be taken as lost.
+pub(crate) async fn wait_for_loss(
+    directory: &Directory,
+    upstream: &Upstream,
+    losses: &mut watch::Receiver<u64>,
+    phase: Phase,
+    metrics: &Metrics,
+) -> Loss {
+    let since = Instant::now();
+    let mut asked_at = since;
+    let mut alarmed_until: Option<Instant> = None;
+    loop {
+        let now = Instant::now();
+        let is_alarmed = alarmed_until.is_some_and(|until| until > now);
+        let pause = pause_before_probe(phase, is_alarmed);
+        let next_look = asked_at + pause;
+        tokio::select! {
+            _ = losses.changed() => return Loss::Upstream,
+            () = directory.alarm() => {
+                alarmed_until = Some(Instant::now() + ALARM_TIME);
+                continue;
+            }
+            () = tokio::time::sleep_until(next_look.into()) => {}
+        }
+        let now = Instant::now();
+        if now.saturating_duration_since(since) >= pause_before_loss(phase) {
+            return Loss::NoProgress;
+        }
+        asked_at = now;
+        if upstream.silence(now).is_some_and(|silence| silence < pause) {
+            continue;
+        }
+        metrics.add(Counter::EngineProbes, 1);
+        if ask(upstream).await.is_none() {
+            directory.lose(upstream, "no_report", Instant::now());
+            return Loss::Upstream;
+        }
+    }
+}
+
+/// Asks an engine for its report; none means that it is out of reach.
+pub(crate) async fn ask(upstream: &Upstream) -> Option<EngineReport> {
+    let asked = tokio::time::timeout(PROBE_TIMEOUT, fetch(upstream)).await;
+    let report = asked.ok().flatten();
+    if report.is_some() {
+        upstream.heard(Instant::now());
+    }
+    report
+}
+
+async fn fetch(upstream: &Upstream) -> Option<EngineReport> {
+    let mut connection = upstream.pool.take().await.ok()?;
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = REPORT_PATH.parse().ok()?;
+    let host = upstream.entry.address.to_string().parse().ok()?;
+    request.headers_mut().insert(hyper::header::HOST, host);
+    let response = connection.send(request).await.ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let body = Limited::new(response.into_body(), REPORT_MAX_BYTES);
+    let body = body.collect().await.ok()?.to_bytes();
+    upstream.pool.put(connection, None);
+    read_report(&body)
+}
--- /dev/null
+++ b/src/forward/stream_call.rs
@@ -0,0 +1,479 @@
+//! A call whose answer is a stream of events, which goes on at another
+//! upstream when the first is lost.
+//!
+//! The caller sees one response: the head of the first upstream, and each
+//! event once. `docs/RESUME.md` tells which ways of going on were weighed.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::header::CONTENT_LENGTH;
+use tokio::sync::{mpsc, watch};
+
+use super::answer_body;
+use super::connection::Connection;
+use super::forwarder::{Forwarder, Surroundings};
+use super::probe::{Loss, wait_for_loss};
+use super::request::Call;
+use super::send::{Answered, Attempt, SendOutcome};
+use super::upstream::{Upstream, Work};
+use crate::http::{BrokenOff, HttpResponse};
+use crate::metrics::Counter;
+use crate::platform::call::{CopyOf, Dispatch, strip_hop_headers};
+use crate::policy::placement::{Candidate, choose_engine, choose_replica};
+use crate::policy::refusal::{GivenUp, Progress};
+use crate::policy::silence::Phase;
+use crate::sse::EventBuffer;
+
+/// Events that may wait for a slow caller.
+const UNSENT_EVENTS: usize = 8;
+/// Sends that may fail before any byte leaves, until a call is given up.
+const UNSENT_TRIES_MAX: u32 = 6;
+/// Tokens that a resume from a copy still has to read.
+const COPY_REST_TOKENS: u64 = 300;
+
+/// A copy of the run's memory at a second upstream.
+#[derive(Debug)]
+struct Replica {
+    upstream: Arc<Upstream>,
+    _work: Work,
+}
+
+/// One upstream's part of the answer.
+#[derive(Debug)]
+struct Part {
+    upstream: Arc<Upstream>,
+    work: Work,
+    connection: Connection,
+    body: Incoming,
+    reuse: Option<Option<std::time::Duration>>,
+    losses: watch::Receiver<u64>,
+}
+
+/// Why no upstream began or went on.
+#[derive(Debug)]
+enum OpenFailure {
+    GivenUp(GivenUp, String),
+    /// An upstream's own final answer, which is no stream.
+    Answer(HttpResponse),
+}
+
+/// How one upstream's part ended.
+#[derive(Debug)]
+enum PartEnd {
+    Complete,
+    Lost(String),
+    CallerGone,
+    TimeOver,
+}
+
+type EventSender = mpsc::Sender<Result<Frame<Bytes>, BrokenOff>>;
+
+/// One stream, from its call to its last event.
+struct StreamRun<S> {
+    forwarder: Arc<Forwarder<S>>,
+    call: Call,
+    tried: Vec<Arc<Upstream>>,
+    sent_count: u32,
+    unsent_count: u32,
+    progress: Progress,
+    replica: Option<Replica>,
+    last_event: Option<u64>,
+    event_count: u64,
+    first_event_ms: Option<u128>,
+    longest_pause_ms: u128,
+    last_event_at: Option<Instant>,
+}
+
+impl<S: Surroundings> Forwarder<S> {
+    /// Answers a streaming call.
+    pub(crate) async fn stream(self: &Arc<Self>, call: Call) -> HttpResponse {
+        let mut run = StreamRun {
+            forwarder: self.clone(),
+            last_event: call.headers.last_event,
+            call,
+            tried: Vec::new(),
+            sent_count: 0,
+            unsent_count: 0,
+            progress: Progress::NotRun,
+            replica: None,
+            event_count: 0,
+            first_event_ms: None,
+            longest_pause_ms: 0,
+            last_event_at: None,
+        };
+        let deadline = run.call.deadline.into();
+        let opened = tokio::time::timeout_at(deadline, run.open()).await;
+        let timed_out = || OpenFailure::GivenUp(GivenUp::TimeOver, "no upstream began".to_owned());
+        match opened.unwrap_or_else(|_| Err(timed_out())) {
+            Ok(attempt) => run.respond(attempt),
+            Err(OpenFailure::Answer(answer)) => answer,
+            Err(OpenFailure::GivenUp(given_up, cause)) => {
+                self.give_up(&run.call, given_up, run.progress, &cause)
+            }
+        }
+    }
+}
+
+impl<S: Surroundings> StreamRun<S> {
+    /// Finds an upstream that begins the stream or goes on with it.
+    async fn open(&mut self) -> Result<Attempt<Answered>, OpenFailure> {
+        loop {
+            let (upstream, has_copy) = self.next_upstream()?;
+            self.tried.push(upstream.clone());
+            let before = self.progress;
+            self.progress = Progress::MayHaveRun;
+            self.sent_count += 1;
+            let outcome = match self.send(&upstream, has_copy).await {
+                Ok(attempt) if attempt.state.headers.status.is_success() => return Ok(attempt),
+                Ok(attempt) => self.take_answer(attempt).await?,
+                Err(outcome) => outcome,
+            };
+            self.forwarder.note(&self.call, &upstream, &outcome);
+            match outcome {
+                SendOutcome::NotSent(_) => {
+                    self.did_not_run(before);
+                    self.sent_count -= 1;
+                    self.unsent_count += 1;
+                }
+                SendOutcome::Misdirected => {
+                    self.did_not_run(before);
+                    self.unsent_count += 1;
+                }
+                SendOutcome::NotExecuted => self.did_not_run(before),
+                SendOutcome::MayHaveRun(cause) if !self.may_repeat() => {
+                    return Err(OpenFailure::GivenUp(GivenUp::UpstreamsFailed, cause));
+                }
+                SendOutcome::MayHaveRun(_) => {}
+            }
+        }
+    }
+
+    /// A run that never began has no copy either.
+    fn did_not_run(&mut self, before: Progress) {
+        self.progress = before;
+        self.replica = None;
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.call.admitted.route.kind.may_repeat()
+    }
+
+    /// Chooses where the call goes next: to the copy of its run, if there is
+    /// one, and to the least busy engine otherwise.
+    fn next_upstream(&mut self) -> Result<(Arc<Upstream>, bool), OpenFailure> {
+        let given_up = |why, cause: &str| OpenFailure::GivenUp(why, cause.to_owned());
+        let attempts_max = self.call.admitted.route.attempts_max;
+        if self.sent_count >= attempts_max || self.unsent_count >= UNSENT_TRIES_MAX {
+            return Err(given_up(GivenUp::UpstreamsFailed, "all attempts are used"));
+        }
+        let now = Instant::now();
+        let copy = self.replica.take().map(|replica| replica.upstream);
+        let usable = |u: &Arc<Upstream>| !u.is_draining() && u.avoided_until(now).is_none();
+        let copy = copy.filter(usable);
+        let has_copy = copy.is_some();
+        let forwarder = &self.forwarder;
+        let upstream = match copy {
+            Some(upstream) => upstream,
+            None => forwarder
+                .choose(&self.call.service, &self.tried, choose_engine)
+                .ok_or_else(|| given_up(GivenUp::NoUpstream, "no upstream is ready"))?,
+        };
+        if self.sent_count > 0 && !forwarder.may_send_again(&self.call) {
+            return Err(given_up(
+                GivenUp::UpstreamsFailed,
+                "the retry budget is used",
+            ));
+        }
+        Ok((upstream, has_copy))
+    }
+
+    /// Chooses who keeps a copy of the run at `upstream`.
+    fn choose_replica(&self, upstream: &Arc<Upstream>) -> Option<Replica> {
+        let forwarder = &self.forwarder;
+        let table = forwarder.routing.load_full()?;
+        let engine = table.service(&self.call.service).engine?;
+        if !engine.keeps_replicas || !self.may_repeat() {
+            return None;
+        }
+        let keeper = forwarder.choose(&self.call.service, &self.tried, |candidates, draw| {
+            let is_primary = |c: &&Candidate<'_>| c.id == upstream.entry.id;
+            let primary = candidates.iter().find(is_primary)?;
+            choose_replica(candidates, primary, draw)
+        })?;
+        let work = Work::copy(&keeper, self.call.memory_tokens());
+        Some(Replica {
+            upstream: keeper,
+            _work: work,
+        })
+    }
+
+    async fn send(
+        &mut self,
+        upstream: &Arc<Upstream>,
+        has_copy: bool,
+    ) -> Result<Attempt<Answered>, SendOutcome> {
+        let Some(time_left) = self.call.time_for_upstream(Instant::now()) else {
+            return Err(SendOutcome::NotSent("no time is left"));
+        };
+        self.replica = self.choose_replica(upstream);
+        let call_id = self.call.headers.call_id.as_ref().filter(|_| has_copy);
+        let request = self.call.request_to(&Dispatch {
+            upstream: &upstream.entry.id,
+            customer: self.call.admitted.customer.as_deref(),
+            time_left,
+            last_event: self.last_event,
+            replica: self.replica.as_ref().map(|r| r.upstream.entry.address),
+            copy: call_id.map(|call_id| CopyOf {
+                keeper: upstream.entry.address,
+                call_id,
+            }),
+        });
+        log::info!(
+            "event=stream_sent call={} upstream={} dc={} has_copy={has_copy} replica={} last_event={:?} own_prompt_tokens={} own_calls={} age_ms={}",
+            self.call.id(),
+            upstream.entry.id,
+            upstream.entry.data_centre,
+            self.replica
+                .as_ref()
+                .map_or("-", |r| r.upstream.entry.id.as_str()),
+            self.last_event,
+            upstream.prompt_tokens(),
+            upstream.call_count(),
+            self.call.age().as_millis()
+        );
+        let prompt_tokens = if has_copy {
+            COPY_REST_TOKENS
+        } else {
+            self.call.headers.prompt_tokens
+        };
+        let work = Work::call(upstream, prompt_tokens, self.call.memory_tokens());
+        let attempt = Attempt::new(upstream.clone(), work, request);
+        let forwarder = &self.forwarder;
+        forwarder.metrics.add(Counter::UpstreamSends, 1);
+        let mut losses = upstream.losses();
+        tokio::select! {
+            sent = attempt.send(&self.call) => sent,
+            loss = wait_for_loss(
+                &forwarder.directory,
+                upstream,
+                &mut losses,
+                Phase::Reading,
+                &forwarder.metrics,
+            ) => Err(SendOutcome::MayHaveRun(format!("{loss:?} before an answer"))),
+        }
+    }
+
+    /// Passes on an answer that is no stream, unless another upstream may do better.
+    async fn take_answer(
+        &mut self,
+        attempt: Attempt<Answered>,
+    ) -> Result<SendOutcome, OpenFailure> {
+        let status = attempt.state.headers.status;
+        let attempts_max = self.call.admitted.route.attempts_max;
+        let is_retried =
+            status.is_server_error() && self.may_repeat() && self.sent_count < attempts_max;
+        if is_retried {
+            let cause = format!("answered {}", status.as_u16());
+            return Ok(SendOutcome::MayHaveRun(cause));
+        }
+        match answer_body::read(attempt).await {
+            Ok(answer) => Err(OpenFailure::Answer(answer)),
+            Err(error) => Ok(SendOutcome::MayHaveRun(error.to_string())),
+        }
+    }
+
+    /// Gives the caller the head, and relays events from now on.
+    fn respond(self, attempt: Attempt<Answered>) -> HttpResponse {
+        let (mut parts, part) = Part::new(attempt);
+        strip_hop_headers(&mut parts.headers);
+        // How long the whole gets is not known where it may go on elsewhere.
+        parts.headers.remove(CONTENT_LENGTH);
+        let (sender, mut receiver) = mpsc::channel(UNSENT_EVENTS);
+        tokio::spawn(self.relay(part, sender));
+        let events = stream::poll_fn(move |cx| receiver.poll_recv(cx));
+        HttpResponse::from_parts(parts, StreamBody::new(events).boxed_unsync())
+    }
+
+    async fn relay(mut self, mut part: Part, sender: EventSender) {
+        loop {
+            let upstream = part.upstream.clone();
+            let cause = match self.relay_part(part, &sender).await {
+                PartEnd::Lost(cause) => cause,
+                end => return self.finish(&end, &sender).await,
+            };
+            let lost_at = Instant::now();
+            self.forwarder.metrics.add(Counter::StreamsLost, 1);
+            log::info!(
+                "event=stream_lost call={} upstream={} cause={cause:?} last_event={:?} age_ms={}",
+                self.call.id(),
+                upstream.entry.id,
+                self.last_event,
+                self.call.age().as_millis()
+            );
+            if !self.may_repeat() {
+                return self.finish(&PartEnd::Lost(cause), &sender).await;
+            }
+            let deadline = self.call.deadline.into();
+            let opened = tokio::select! {
+                opened = tokio::time::timeout_at(deadline, self.open()) => opened,
+                () = sender.closed() => return self.finish(&PartEnd::CallerGone, &sender).await,
+            };
+            part = match opened {
+                Ok(Ok(attempt)) => Part::new(attempt).1,
+                Ok(Err(failure)) => {
+                    let cause = format!("{failure:?}");
+                    return self.finish(&PartEnd::Lost(cause), &sender).await;
+                }
+                Err(_) => return self.finish(&PartEnd::TimeOver, &sender).await,
+            };
+            self.forwarder.metrics.add(Counter::StreamsResumed, 1);
+            log::info!(
+                "event=stream_resumed call={} upstream={} after_ms={}",
+                self.call.id(),
+                part.upstream.entry.id,
+                lost_at.elapsed().as_millis()
+            );
+        }
+    }
+
+    /// Relays what one upstream sends until it ends or is lost.
+    async fn relay_part(&mut self, part: Part, sender: &EventSender) -> PartEnd {
+        let Part {
+            upstream,
+            mut work,
+            connection,
+            mut body,
+            reuse,
+            mut losses,
+        } = part;
+        let forwarder = self.forwarder.clone();
+        let mut events = EventBuffer::default();
+        let mut phase = Phase::Reading;
+        let deadline = self.call.deadline.into();
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                loss = wait_for_loss(
+                    &forwarder.directory,
+                    &upstream,
+                    &mut losses,
+                    phase,
+                    &forwarder.metrics,
+                ) => {
+                    if loss == Loss::NoProgress {
+                        upstream.avoid(Instant::now());
+                    }
+                    return PartEnd::Lost(format!("{loss:?}"));
+                }
+                () = sender.closed() => return PartEnd::CallerGone,
+                () = tokio::time::sleep_until(deadline) => return PartEnd::TimeOver,
+            };
+            let data = match frame {
+                None if events.is_empty() => {
+                    if let Some(idle_timeout) = reuse {
+                        upstream.pool.put(connection, idle_timeout);
+                    }
+                    return PartEnd::Complete;
+                }
+                None => return PartEnd::Lost("ended inside an event".to_owned()),
+                Some(Err(error)) => {
+                    upstream.avoid(Instant::now());
+                    return PartEnd::Lost(error.to_string());
+                }
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            };
+            upstream.heard(Instant::now());
+            if events.push(&data).is_err() {
+                return PartEnd::Lost("an event without end".to_owned());
+            }
+            while let Some(event) = events.next_raw() {
+                phase = Phase::Running;
+                work.prompt_is_read();
+                if let Err(end) = self.relay_event(event.bytes, event.index, sender).await {
+                    return end;
+                }
+            }
+        }
+    }
+
+    /// Relays one event, unless the caller has it.
+    async fn relay_event(
+        &mut self,
+        bytes: Bytes,
+        index: Option<u64>,
+        sender: &EventSender,
+    ) -> Result<(), PartEnd> {
+        if let (Some(index), Some(last)) = (index, self.last_event) {
+            if index <= last {
+                return Ok(());
+            }
+            if index > last + 1 {
+                return Err(PartEnd::Lost(format!("event {index} follows {last}")));
+            }
+        }
+        let deadline = self.call.deadline.into();
+        let sent = tokio::time::timeout_at(deadline, sender.send(Ok(Frame::data(bytes)))).await;
+        match sent {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return Err(PartEnd::CallerGone),
+            Err(_) => return Err(PartEnd::TimeOver),
+        }
+        self.last_event = index.or(self.last_event);
+        self.count_event();
+        Ok(())
+    }
+
+    fn count_event(&mut self) {
+        let now = Instant::now();
+        if let Some(earlier) = self.last_event_at.replace(now) {
+            let pause_ms = now.saturating_duration_since(earlier).as_millis();
+            self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
+        }
+        if self.first_event_ms.is_none() {
+            self.first_event_ms = Some(self.call.age().as_millis());
+        }
+        self.event_count += 1;
+    }
+
+    /// Ends the response, so that an incomplete one does not look complete.
+    async fn finish(&self, end: &PartEnd, sender: &EventSender) {
+        log::info!(
+            "event=stream_done call={} route={} end={end:?} events={} sends={} first_event_ms={:?} longest_pause_ms={} age_ms={}",
+            self.call.id(),
+            self.call.admitted.route.name,
+            self.event_count,
+            self.sent_count,
+            self.first_event_ms,
+            self.longest_pause_ms,
+            self.call.age().as_millis()
+        );
+        if matches!(end, PartEnd::Complete) {
+            return;
+        }
+        self.forwarder.metrics.add(Counter::StreamsBrokenOff, 1);
+        // The caller may be gone already.
+        let _ = sender.send(Err(BrokenOff)).await;
+    }
+}
+
+impl Part {
+    fn new(attempt: Attempt<Answered>) -> (hyper::http::response::Parts, Self) {
+        let reuse = attempt.state.reuse();
+        let losses = attempt.upstream.losses();
+        let (parts, body) = attempt.state.response.into_parts();
+        let part = Self {
+            upstream: attempt.upstream,
+            work: attempt.work,
+            connection: attempt.state.connection,
+            body,
+            reuse,
+            losses,
+        };
+        (parts, part)
+    }
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -25,8 +25,14 @@
 use crate::error::{Error, ErrorKind};
 use crate::shutdown::Shutdown;
 
+/// A response that ends early and must not look complete, so that its
+/// connection is closed instead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the response ends early")]
+pub(crate) struct BrokenOff;
+
 /// Body of every response this program writes.
-pub(crate) type ResponseBody = UnsyncBoxBody<Bytes, Infallible>;
+pub(crate) type ResponseBody = UnsyncBoxBody<Bytes, BrokenOff>;
 /// A response as handlers return it.
 pub(crate) type HttpResponse = Response<ResponseBody>;
 
@@ -45,8 +51,31 @@
 /// Largest answer read whole into memory.
 pub(crate) const ANSWER_MAX_BYTES: usize = 2 * 1024 * 1024;
 
+/// What one connection may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ConnectionLimits {
+    /// Time from the start of waiting for a request to the end of its headers.
+    pub(crate) header_timeout: Duration,
+    /// Bytes that are buffered, which also bounds the headers.
+    pub(crate) buffer_bytes: usize,
+}
+
+impl Default for ConnectionLimits {
+    fn default() -> Self {
+        Self {
+            header_timeout: HEADER_TIMEOUT,
+            buffer_bytes: CONNECTION_BUFFER_BYTES,
+        }
+    }
+}
+
 /// Something that answers requests; one value serves all connections.
 pub(crate) trait Handler: Send + Sync + 'static {
+    /// Limits of a connection that opens now.
+    fn limits(&self) -> ConnectionLimits {
+        ConnectionLimits::default()
+    }
+
     /// Answers one request.
     fn handle(
         self: Arc<Self>,
@@ -80,14 +109,15 @@
 }
 
 async fn serve_connection<H: Handler>(stream: TcpStream, handler: Arc<H>, mut shutdown: Shutdown) {
+    let limits = handler.limits();
     let service = service_fn(move |request| {
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
-        .max_buf_size(CONNECTION_BUFFER_BYTES)
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.buffer_bytes)
         .half_close(false)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
@@ -142,7 +172,15 @@
 
 /// Wraps bytes as a whole response body.
 pub(crate) fn full(bytes: impl Into<Bytes>) -> ResponseBody {
-    Full::new(bytes.into()).boxed_unsync()
+    boxed(Full::new(bytes.into()))
+}
+
+/// Wraps a body that never ends early as a response body.
+pub(crate) fn boxed<B>(body: B) -> ResponseBody
+where
+    B: hyper::body::Body<Data = Bytes, Error = Infallible> + Send + 'static,
+{
+    body.map_err(|never| match never {}).boxed_unsync()
 }
 
 /// Answers with a JSON value.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -62,11 +62,33 @@
     Orders,
     /// Orders refused by their fence.
     OrdersRefused,
+    /// Calls taken in by the forwarder.
+    Calls,
+    /// Calls that no route or customer admits.
+    CallsRejected,
+    /// Calls that ended in an answer of this node's own.
+    CallsGivenUp,
+    /// Calls sent to upstreams, repeated ones included.
+    UpstreamSends,
+    /// Repeated sends that the budget did not allow.
+    RetriesOverBudget,
+    /// Engines asked whether they live.
+    EngineProbes,
+    /// Streams whose upstream was lost.
+    StreamsLost,
+    /// Streams that went on at another upstream.
+    StreamsResumed,
+    /// Streams that ended early.
+    StreamsBrokenOff,
+    /// Calls to the platform's store.
+    StoreCalls,
+    /// Log lines dropped because too many came at once.
+    LogLinesDropped,
 }
 
 impl Counter {
     /// All counters, in the order of the list in the docs.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 32] = [
         Self::Completions,
         Self::Refused,
         Self::Tokens,
@@ -88,6 +110,17 @@
         Self::StaleConfigs,
         Self::Orders,
         Self::OrdersRefused,
+        Self::Calls,
+        Self::CallsRejected,
+        Self::CallsGivenUp,
+        Self::UpstreamSends,
+        Self::RetriesOverBudget,
+        Self::EngineProbes,
+        Self::StreamsLost,
+        Self::StreamsResumed,
+        Self::StreamsBrokenOff,
+        Self::StoreCalls,
+        Self::LogLinesDropped,
     ];
 
     /// Name and unit, as in `tokens_count` and `resume_ms`.
@@ -114,6 +147,17 @@
             Self::StaleConfigs => "stale_configs_count",
             Self::Orders => "orders_count",
             Self::OrdersRefused => "orders_refused_count",
+            Self::Calls => "calls_count",
+            Self::CallsRejected => "calls_rejected_count",
+            Self::CallsGivenUp => "calls_given_up_count",
+            Self::UpstreamSends => "upstream_sends_count",
+            Self::RetriesOverBudget => "retries_over_budget_count",
+            Self::EngineProbes => "engine_probes_count",
+            Self::StreamsLost => "streams_lost_count",
+            Self::StreamsResumed => "streams_resumed_count",
+            Self::StreamsBrokenOff => "streams_broken_off_count",
+            Self::StoreCalls => "store_calls_count",
+            Self::LogLinesDropped => "log_lines_dropped_count",
         }
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -20,6 +20,7 @@
 use crate::crash_tracker::{CRASH_TOPIC, CrashTracker, POISON_TOPIC};
 use crate::dispatch::Dispatcher;
 use crate::document::DocumentStore;
+use crate::document_exchange::DocumentExchange;
 use crate::document_sync::DocumentSync;
 use crate::fleet::Fleet;
 use crate::group_commit::GroupCommit;
@@ -31,10 +32,10 @@
 use crate::membership::{Membership, MembershipSettings, News};
 use crate::metrics::{Counter, Metrics};
 use crate::node_state::{NodeState, PeerApi};
+use crate::object_api::{CONFIG_KEY, Platform, VMS_KEY, Vm};
 use crate::operator_api::OperatorApi;
 use crate::orders::OrderReconciler;
 use crate::peer::{PeerClient, serve_peers};
-use crate::platform::{CONFIG_KEY, Platform, VMS_KEY, Vm};
 use crate::runner::{RunnerClient, RunnerReport};
 use crate::runner_watch::{RUNNER_TOPIC, RunnerWatch};
 use crate::service::ServiceClient;
@@ -75,8 +76,8 @@
         let (state, vms_sync) = assemble(settings, faults, &shutdown).await?;
         let background = Background {
             state: state.clone(),
-            config_changed: state.config_sync.changed.subscribe(),
-            vms_changed: vms_sync.changed.subscribe(),
+            config_changed: state.config_sync.exchange.changed.subscribe(),
+            vms_changed: vms_sync.exchange.changed.subscribe(),
         };
         background.start(vms_sync, &shutdown);
         let peer_traffic = state.peers.traffic().clone();
@@ -205,13 +206,15 @@
     let platform = Platform::new(settings.platform, http.clone());
     let documents = Arc::new(DocumentStore::default());
     let sync = |name| DocumentSync {
-        name,
-        documents: documents.clone(),
+        exchange: DocumentExchange {
+            name,
+            documents: documents.clone(),
+            membership: membership.clone(),
+            peers: peers.clone(),
+            faults: faults.clone(),
+            changed: watch::Sender::new(0),
+        },
         platform: platform.clone(),
-        membership: membership.clone(),
-        peers: peers.clone(),
-        faults: faults.clone(),
-        changed: watch::Sender::new(0),
     };
     let metrics = Arc::new(Metrics::default());
     let fleet = Arc::new(Fleet::default());
--- a/src/node_state.rs
+++ b/src/node_state.rs
@@ -17,10 +17,10 @@
 use crate::error::{Error, ErrorKind};
 use crate::fleet::Fleet;
 use crate::membership::Membership;
-use crate::message::{DocumentReply, DocumentVersion, Question, ReplyBody, StatusReply};
+use crate::message::{DocumentVersion, Question, ReplyBody, StatusReply};
 use crate::metrics::Metrics;
+use crate::object_api::Platform;
 use crate::peer::{PeerClient, PeerHandler};
-use crate::platform::Platform;
 use crate::service::ServiceClient;
 use crate::settings::Settings;
 
@@ -72,7 +72,7 @@
         StatusReply {
             documents: versions
                 .map(|(name, version)| {
-                    let is_config = name == crate::platform::CONFIG_KEY;
+                    let is_config = name == crate::object_api::CONFIG_KEY;
                     DocumentVersion {
                         version: if is_config { applied } else { version },
                         name,
@@ -82,15 +82,6 @@
             in_flight_count: self.admission.demand_count() as u32,
         }
     }
-
-    fn document(&self, wanted: &DocumentVersion) -> DocumentReply {
-        let held = self.documents.get(&wanted.name);
-        let newer = held.filter(|object| object.version > wanted.version);
-        newer.map_or_else(DocumentReply::default, |object| DocumentReply {
-            version: object.version,
-            body: object.body,
-        })
-    }
 }
 
 /// Answers other nodes.
@@ -112,7 +103,7 @@
             Question::Sync(question) => {
                 ReplyBody::Sync(self.state.membership.sync_reply(&question))
             }
-            Question::Fetch(wanted) => ReplyBody::Document(self.state.document(&wanted)),
+            Question::Fetch(wanted) => ReplyBody::Document(self.state.documents.reply(&wanted)),
             Question::Claim(operation) => {
                 ReplyBody::Claim(self.state.claims.apply_here(operation).await)
             }
--- a/src/operator_api.rs
+++ b/src/operator_api.rs
@@ -18,7 +18,7 @@
 use crate::message::{Question, ReplyBody, StatusQuestion};
 use crate::metrics::Counter;
 use crate::node_state::NodeState;
-use crate::platform::{CONFIG_KEY, VMS_KEY};
+use crate::object_api::{CONFIG_KEY, VMS_KEY};
 use crate::runner::ModelVersion;
 
 /// Largest intent.
@@ -156,7 +156,7 @@
             .await?;
         let version = object.version;
         log::info!("{operator} confirmed intent {id} as version {version}");
-        self.state.config_sync.offer(object);
+        self.state.config_sync.exchange.offer(object);
         Ok(http::json(StatusCode::OK, &Confirmed { version }))
     }
 
--- /dev/null
+++ b/src/policy/placement.rs
@@ -0,0 +1,116 @@
+//! Which upstream gets a call, and which keeps a copy of its run.
+//!
+//! Answers this load: prompts of eight thousand tokens arrive at many nodes
+//! that do not see each other's work. A prompt holds an engine for a second,
+//! so that two on one engine make the second late. Each node therefore prefers
+//! engines of its own, whose work it knows, and goes to others only when its
+//! own are busy.
+
+/// What is known of one upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Candidate<'a> {
+    /// Its name.
+    pub(crate) id: &'a str,
+    /// Data centre it stands in.
+    pub(crate) data_centre: &'a str,
+    /// Tokens of this node's prompts that it still reads.
+    pub(crate) prompt_tokens: u64,
+    /// Tokens of memory that this node's runs and copies take.
+    pub(crate) memory_tokens: u64,
+    /// Calls of this node that it runs.
+    pub(crate) call_count: u32,
+    /// Whether it failed a short time ago.
+    pub(crate) is_avoided: bool,
+    /// Whether this call was already sent there.
+    pub(crate) was_tried: bool,
+    /// Whether it is one of this node's own.
+    pub(crate) is_own: bool,
+}
+
+/// Tokens of other nodes' prompts to be expected where they are not known.
+const UNKNOWN_PROMPT_TOKENS: u64 = 4_000;
+/// Tokens of prompt that slow a call as much as one running call does.
+const PROMPT_TOKENS_PER_CALL: u64 = 150;
+/// Calls of other nodes to be expected for each of this node's.
+const FAR_CALL_PENALTY: u64 = 1;
+
+/// Chooses an engine for a prompt; `draw` decides between equals.
+pub(crate) fn choose_engine(candidates: &[Candidate<'_>], draw: u64) -> Option<usize> {
+    choose(candidates, draw, |candidate| {
+        let unknown = if candidate.is_own {
+            0
+        } else {
+            UNKNOWN_PROMPT_TOKENS
+        };
+        candidate.prompt_tokens + unknown + u64::from(candidate.call_count) * PROMPT_TOKENS_PER_CALL
+    })
+}
+
+/// Chooses an upstream for a plain call, near ones before far ones.
+pub(crate) fn choose_plain(
+    candidates: &[Candidate<'_>],
+    data_centre: &str,
+    draw: u64,
+) -> Option<usize> {
+    choose(candidates, draw, |candidate| {
+        let far = candidate.data_centre != data_centre;
+        u64::from(candidate.call_count) * 2 + u64::from(far) * FAR_CALL_PENALTY
+    })
+}
+
+/// Chooses who keeps a copy of a run at `primary`: the least filled engine of
+/// another data centre, because a data centre is lost as a whole.
+pub(crate) fn choose_replica(
+    candidates: &[Candidate<'_>],
+    primary: &Candidate<'_>,
+    draw: u64,
+) -> Option<usize> {
+    let other_centre = |c: &Candidate<'_>| c.data_centre != primary.data_centre;
+    let score = |c: &Candidate<'_>| c.memory_tokens + c.prompt_tokens;
+    let usable: Vec<Candidate<'_>> = candidates
+        .iter()
+        .map(|c| Candidate {
+            was_tried: c.was_tried || c.is_avoided || c.id == primary.id,
+            ..*c
+        })
+        .collect();
+    let far: Vec<Candidate<'_>> = usable
+        .iter()
+        .map(|c| Candidate {
+            was_tried: c.was_tried || !other_centre(c),
+            ..*c
+        })
+        .collect();
+    choose(&far, draw, score).or_else(|| choose(&usable, draw, score))
+}
+
+/// The least score wins; avoided ones come after all others, tried ones never.
+fn choose(
+    candidates: &[Candidate<'_>],
+    draw: u64,
+    score: impl Fn(&Candidate<'_>) -> u64,
+) -> Option<usize> {
+    let usable = candidates.iter().enumerate().filter(|(_, c)| !c.was_tried);
+    let rank = |c: &Candidate<'_>| (c.is_avoided, score(c));
+    let best = usable.clone().map(|(_, c)| rank(c)).min()?;
+    let equals: Vec<usize> = usable
+        .filter(|(_, c)| rank(c) == best)
+        .map(|(at, _)| at)
+        .collect();
+    let pick = draw.checked_rem(equals.len() as u64)?;
+    equals.get(pick as usize).copied()
+}
+
+/// Whether an upstream is one of a node's own: nodes and upstreams are dealt
+/// out in the order of their names, so that all nodes agree without talking.
+pub(crate) fn is_own(
+    upstream_index: usize,
+    upstream_count: usize,
+    node_index: usize,
+    node_count: usize,
+) -> bool {
+    if node_count <= upstream_count {
+        return upstream_index % node_count.max(1) == node_index;
+    }
+    node_index % upstream_count.max(1) == upstream_index
+}
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -22,6 +22,15 @@
     pub(crate) data: Bytes,
 }
 
+/// One event as it came, with its index where it has one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct RawEvent {
+    /// The event with the blank line that ends it.
+    pub(crate) bytes: Bytes,
+    /// Value of the `id` field, if it is a number.
+    pub(crate) index: Option<u64>,
+}
+
 /// Cuts a byte stream into events.
 #[derive(Debug, Default)]
 pub(crate) struct EventBuffer {
@@ -52,6 +61,19 @@
         Some(parse_event(&raw.slice(..end)))
     }
 
+    /// Takes the next whole event as it came.
+    pub(crate) fn next_raw(&mut self) -> Option<RawEvent> {
+        let end = find(&self.bytes, END_OF_EVENT)?;
+        let bytes = self.bytes.split_to(end + END_OF_EVENT.len()).freeze();
+        let index = parse_index(&parse_event(&bytes.slice(..end)).id);
+        Some(RawEvent { bytes, index })
+    }
+
+    /// Whether nothing of an unfinished event is held.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
     /// Puts the end of the answer back, so that it is taken once more.
     pub(crate) fn put_back_done(&mut self) {
         let rest = self.bytes.split();
--- a/src/stand_in_platform.rs
+++ b/src/stand_in_platform.rs
@@ -17,8 +17,8 @@
 
 use crate::http::{self, Handler, HttpResponse};
 use crate::id::Version;
+use crate::object_api::{VMS_KEY, Vm, parse_tag};
 use crate::object_store::{ABSENT, Object};
-use crate::platform::{VMS_KEY, Vm, parse_tag};
 use crate::shutdown::Shutdown;
 use crate::stand_in::{StandIn, bind};
 
--- a/src/stand_in_runner.rs
+++ b/src/stand_in_runner.rs
@@ -10,7 +10,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
 use http_body_util::channel::Channel;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -423,7 +422,7 @@
         let (sender, body) = Channel::new(UNREAD_FRAMES);
         stream.reader_count.fetch_add(1, Ordering::Relaxed);
         tokio::spawn(send_events(self.clone(), stream, skip, sender));
-        let mut response = Response::new(body.boxed_unsync());
+        let mut response = Response::new(http::boxed(body));
         let event_stream = HeaderValue::from_static("text/event-stream");
         response.headers_mut().insert(CONTENT_TYPE, event_stream);
         self.describe(&mut response);
