Renew a run's copy when its keeper is lost, and end lives that another supersedes

Their copies had died with a data centre seconds before their own engine did, or were kept at entries whose life had ended (421). Change: an entry with a later start ends the earlier one at its address; a misdirected answer drops its entry; a guard asks the engine for a new copy.

--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -22,6 +22,33 @@
     lapses: Lapses,
 }
 
+impl State {
+    /// Whether another upstream started at this address after `entry` did. The
+    /// entry of a life that crashed stays for some heartbeats beside its
+    /// successor's.
+    fn has_later_life(&self, entry: &UpstreamEntry) -> bool {
+        self.upstreams.values().any(|known| {
+            known.entry.address == entry.address
+                && known.entry.id != entry.id
+                && known.entry.born_unix_ms > entry.born_unix_ms
+        })
+    }
+
+    fn take_earlier_lives(&mut self, entry: &UpstreamEntry) -> Vec<Arc<Upstream>> {
+        let is_over = |known: &Upstream| {
+            known.entry.address == entry.address
+                && known.entry.id != entry.id
+                && known.entry.born_unix_ms < entry.born_unix_ms
+        };
+        let over = self.upstreams.values().filter(|known| is_over(known));
+        let over: Vec<Arc<Upstream>> = over.cloned().collect();
+        for earlier in &over {
+            self.upstreams.remove(&earlier.entry.id);
+        }
+        over
+    }
+}
+
 impl Directory {
     /// Takes in an entry.
     pub(crate) fn put(&self, entry: UpstreamEntry) {
@@ -40,6 +67,9 @@
             known.set_draining(entry.draining);
             return;
         }
+        if state.has_later_life(&entry) {
+            return;
+        }
         log::info!(
             "event=upstream_known upstream={} service={} address={} dc={} born={} draining={}",
             entry.id,
@@ -50,10 +80,11 @@
             entry.draining
         );
         let id = entry.id.clone();
-        let earlier = state.upstreams.insert(id, Arc::new(Upstream::new(entry)));
+        let mut over = state.take_earlier_lives(&entry);
+        over.extend(state.upstreams.insert(id, Arc::new(Upstream::new(entry))));
         drop(state);
-        if let Some(earlier) = earlier {
-            earlier.lose(Instant::now());
+        for earlier in over {
+            self.lose(&earlier, "superseded", Instant::now());
         }
     }
 
@@ -129,6 +160,17 @@
         self.alarm.notify_waiters();
     }
 
+    /// Drops an upstream whose address turned out to be another one's.
+    pub(crate) fn forget(&self, upstream: &Upstream, now: Instant) {
+        let mut state = self.lock();
+        let known = state.upstreams.get(&upstream.entry.id);
+        if known.is_some_and(|known| known.is_same_life(&upstream.entry)) {
+            state.upstreams.remove(&upstream.entry.id);
+        }
+        drop(state);
+        self.lose(upstream, "misdirected", now);
+    }
+
     /// Wakes when any upstream is lost.
     pub(crate) async fn alarm(&self) {
         self.alarm.notified().await;
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod request;
 pub(crate) mod retry_budgets;
 pub(crate) mod route_table;
+pub(crate) mod run_copy;
 pub(crate) mod send;
 pub(crate) mod stream_call;
 pub(crate) mod upstream;
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -176,8 +176,8 @@
             call.age().as_millis()
         );
         match outcome {
-            SendOutcome::NotSent(_) | SendOutcome::Misdirected => upstream.avoid(now),
-            SendOutcome::MayHaveRun(_) => upstream.avoid(now),
+            SendOutcome::Misdirected => self.directory.forget(upstream, now),
+            SendOutcome::NotSent(_) | SendOutcome::MayHaveRun(_) => upstream.avoid(now),
             SendOutcome::NotExecuted => {}
         }
     }
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use tokio::sync::watch;
 
@@ -78,17 +79,24 @@
 }
 
 async fn fetch(upstream: &Upstream) -> Option<EngineReport> {
-    let mut connection = upstream.pool.take().await.ok()?;
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = REPORT_PATH.parse().ok()?;
+    let (status, body) = exchange(upstream, request).await?;
+    (status == StatusCode::OK).then(|| read_report(&body))?
+}
+
+/// Asks an upstream something beside its calls, and reads the whole answer.
+pub(crate) async fn exchange(
+    upstream: &Upstream,
+    mut request: Request<Full<Bytes>>,
+) -> Option<(StatusCode, Bytes)> {
+    let mut connection = upstream.pool.take().await.ok()?;
     let host = upstream.entry.address.to_string().parse().ok()?;
-    request.headers_mut().insert(hyper::header::HOST, host);
+    request.headers_mut().insert(HOST, host);
     let response = connection.send(request).await.ok()?;
-    if response.status() != StatusCode::OK {
-        return None;
-    }
+    let status = response.status();
     let body = Limited::new(response.into_body(), REPORT_MAX_BYTES);
     let body = body.collect().await.ok()?.to_bytes();
     upstream.pool.put(connection, None);
-    read_report(&body)
+    Some((status, body))
 }
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -19,12 +19,13 @@
 use super::forwarder::{Forwarder, Surroundings};
 use super::probe::{Loss, wait_for_loss};
 use super::request::Call;
+use super::run_copy::{CopyPlace, RunCopy, RunName, choose_keeper, free, guard, lock};
 use super::send::{Answered, Attempt, SendOutcome};
 use super::upstream::{Upstream, Work};
 use crate::http::{BrokenOff, HttpResponse};
 use crate::metrics::Counter;
-use crate::platform::call::{CopyOf, Dispatch, strip_hop_headers};
-use crate::policy::placement::{Candidate, choose_engine, choose_replica};
+use crate::platform::call::{CopyName, Dispatch, strip_hop_headers};
+use crate::policy::placement::choose_engine;
 use crate::policy::refusal::{GivenUp, Progress};
 use crate::policy::silence::Phase;
 use crate::sse::EventBuffer;
@@ -36,13 +37,6 @@
 /// Tokens that a resume from a copy still has to read.
 const COPY_REST_TOKENS: u64 = 300;
 
-/// A copy of the run's memory at a second upstream.
-#[derive(Debug)]
-struct Replica {
-    upstream: Arc<Upstream>,
-    _work: Work,
-}
-
 /// One upstream's part of the answer.
 #[derive(Debug)]
 struct Part {
@@ -81,7 +75,7 @@
     sent_count: u32,
     unsent_count: u32,
     progress: Progress,
-    replica: Option<Replica>,
+    copy: CopyPlace,
     last_event: Option<u64>,
     event_count: u64,
     first_event_ms: Option<u128>,
@@ -100,7 +94,7 @@
             sent_count: 0,
             unsent_count: 0,
             progress: Progress::NotRun,
-            replica: None,
+            copy: CopyPlace::default(),
             event_count: 0,
             first_event_ms: None,
             longest_pause_ms: 0,
@@ -123,12 +117,12 @@
     /// Finds an upstream that begins the stream or goes on with it.
     async fn open(&mut self) -> Result<Attempt<Answered>, OpenFailure> {
         loop {
-            let (upstream, has_copy) = self.next_upstream()?;
+            let (upstream, copy) = self.next_upstream()?;
             self.tried.push(upstream.clone());
             let before = self.progress;
             self.progress = Progress::MayHaveRun;
             self.sent_count += 1;
-            let outcome = match self.send(&upstream, has_copy).await {
+            let outcome = match self.send(&upstream, copy).await {
                 Ok(attempt) if attempt.state.headers.status.is_success() => return Ok(attempt),
                 Ok(attempt) => self.take_answer(attempt).await?,
                 Err(outcome) => outcome,
@@ -156,7 +150,7 @@
     /// A run that never began has no copy either.
     fn did_not_run(&mut self, before: Progress) {
         self.progress = before;
-        self.replica = None;
+        lock(&self.copy).take();
     }
 
     fn may_repeat(&self) -> bool {
@@ -165,20 +159,16 @@
 
     /// Chooses where the call goes next: to the copy of its run, if there is
     /// one, and to the least busy engine otherwise.
-    fn next_upstream(&mut self) -> Result<(Arc<Upstream>, bool), OpenFailure> {
+    fn next_upstream(&mut self) -> Result<(Arc<Upstream>, Option<RunCopy>), OpenFailure> {
         let given_up = |why, cause: &str| OpenFailure::GivenUp(why, cause.to_owned());
         let attempts_max = self.call.admitted.route.attempts_max;
         if self.sent_count >= attempts_max || self.unsent_count >= UNSENT_TRIES_MAX {
             return Err(given_up(GivenUp::UpstreamsFailed, "all attempts are used"));
         }
-        let now = Instant::now();
-        let copy = self.replica.take().map(|replica| replica.upstream);
-        let usable = |u: &Arc<Upstream>| !u.is_draining() && u.avoided_until(now).is_none();
-        let copy = copy.filter(usable);
-        let has_copy = copy.is_some();
+        let copy = lock(&self.copy).take().filter(RunCopy::is_usable);
         let forwarder = &self.forwarder;
-        let upstream = match copy {
-            Some(upstream) => upstream,
+        let upstream = match &copy {
+            Some(copy) => copy.keeper.clone(),
             None => forwarder
                 .choose(&self.call.service, &self.tried, choose_engine)
                 .ok_or_else(|| given_up(GivenUp::NoUpstream, "no upstream is ready"))?,
@@ -189,63 +179,72 @@
                 "the retry budget is used",
             ));
         }
-        Ok((upstream, has_copy))
+        Ok((upstream, copy))
     }
 
-    /// Chooses who keeps a copy of the run at `upstream`.
-    fn choose_replica(&self, upstream: &Arc<Upstream>) -> Option<Replica> {
-        let forwarder = &self.forwarder;
-        let table = forwarder.routing.load_full()?;
-        let engine = table.service(&self.call.service).engine?;
-        if !engine.keeps_replicas || !self.may_repeat() {
+    fn run_name(&self) -> RunName {
+        RunName {
+            call: self.call.id().to_owned(),
+            service: self.call.service.clone(),
+            memory_tokens: self.call.memory_tokens(),
+        }
+    }
+
+    /// Whether the service's engines can keep copies of this run.
+    fn can_be_copied(&self) -> bool {
+        let table = self.forwarder.routing.load();
+        let traits = table
+            .as_ref()
+            .map(|table| table.service(&self.call.service));
+        let engine = traits.and_then(|traits| traits.engine);
+        self.may_repeat() && engine.is_some_and(|engine| engine.keeps_replicas)
+    }
+
+    /// Chooses who is sent a copy of the run at `upstream` as it grows.
+    fn new_copy(&self, upstream: &Arc<Upstream>) -> Option<RunCopy> {
+        if !self.can_be_copied() {
             return None;
         }
-        let keeper = forwarder.choose(&self.call.service, &self.tried, |candidates, draw| {
-            let is_primary = |c: &&Candidate<'_>| c.id == upstream.entry.id;
-            let primary = candidates.iter().find(is_primary)?;
-            choose_replica(candidates, primary, draw)
-        })?;
-        let work = Work::copy(&keeper, self.call.memory_tokens());
-        Some(Replica {
-            upstream: keeper,
-            _work: work,
-        })
+        let service = &self.call.service;
+        let keeper = choose_keeper(&self.forwarder, service, upstream, &self.tried)?;
+        Some(RunCopy::sent_along(keeper, &self.run_name()))
     }
 
     async fn send(
         &mut self,
         upstream: &Arc<Upstream>,
-        has_copy: bool,
+        copy: Option<RunCopy>,
     ) -> Result<Attempt<Answered>, SendOutcome> {
         let Some(time_left) = self.call.time_for_upstream(Instant::now()) else {
             return Err(SendOutcome::NotSent("no time is left"));
         };
-        self.replica = self.choose_replica(upstream);
-        let call_id = self.call.headers.call_id.as_ref().filter(|_| has_copy);
+        let has_copy = copy.is_some();
+        let next_copy = self.new_copy(upstream);
         let request = self.call.request_to(&Dispatch {
             upstream: &upstream.entry.id,
             customer: self.call.admitted.customer.as_deref(),
             time_left,
             last_event: self.last_event,
-            replica: self.replica.as_ref().map(|r| r.upstream.entry.address),
-            copy: call_id.map(|call_id| CopyOf {
-                keeper: upstream.entry.address,
-                call_id,
+            replica: next_copy.as_ref().map(|copy| copy.host),
+            copy: copy.as_ref().map(|copy| CopyName {
+                host: copy.host,
+                name: &copy.name,
             }),
         });
         log::info!(
-            "event=stream_sent call={} upstream={} dc={} has_copy={has_copy} replica={} last_event={:?} own_prompt_tokens={} own_calls={} age_ms={}",
+            "event=stream_sent call={} upstream={} dc={} has_copy={has_copy} keeper={} last_event={:?} own_prompt_tokens={} own_calls={} age_ms={}",
             self.call.id(),
             upstream.entry.id,
             upstream.entry.data_centre,
-            self.replica
+            next_copy
                 .as_ref()
-                .map_or("-", |r| r.upstream.entry.id.as_str()),
+                .map_or("-", |copy| copy.keeper.entry.id.as_str()),
             self.last_event,
             upstream.prompt_tokens(),
             upstream.call_count(),
             self.call.age().as_millis()
         );
+        *lock(&self.copy) = next_copy;
         let prompt_tokens = if has_copy {
             COPY_REST_TOKENS
         } else {
@@ -354,6 +353,7 @@
         let forwarder = self.forwarder.clone();
         let mut events = EventBuffer::default();
         let mut phase = Phase::Reading;
+        let mut _guard = None;
         let deadline = self.call.deadline.into();
         loop {
             let frame = tokio::select! {
@@ -378,6 +378,9 @@
                     if let Some(idle_timeout) = reuse {
                         upstream.pool.put(connection, idle_timeout);
                     }
+                    if let Some(copy) = lock(&self.copy).take() {
+                        free(upstream, copy);
+                    }
                     return PartEnd::Complete;
                 }
                 None => return PartEnd::Lost("ended inside an event".to_owned()),
@@ -392,6 +395,10 @@
                 return PartEnd::Lost("an event without end".to_owned());
             }
             while let Some(event) = events.next_raw() {
+                if phase == Phase::Reading && self.can_be_copied() {
+                    let copy = self.copy.clone();
+                    _guard = Some(guard(&forwarder, self.run_name(), upstream.clone(), copy));
+                }
                 phase = Phase::Running;
                 work.prompt_is_read();
                 if let Err(end) = self.relay_event(event.bytes, event.index, sender).await {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -74,6 +74,8 @@
     RetriesOverBudget,
     /// Engines asked whether they live.
     EngineProbes,
+    /// Copies of runs that engines were asked for.
+    CopiesAskedFor,
     /// Streams whose upstream was lost.
     StreamsLost,
     /// Streams that went on at another upstream.
@@ -88,7 +90,7 @@
 
 impl Counter {
     /// All counters, in the order of the list in the docs.
-    pub const ALL: [Self; 32] = [
+    pub const ALL: [Self; 33] = [
         Self::Completions,
         Self::Refused,
         Self::Tokens,
@@ -116,6 +118,7 @@
         Self::UpstreamSends,
         Self::RetriesOverBudget,
         Self::EngineProbes,
+        Self::CopiesAskedFor,
         Self::StreamsLost,
         Self::StreamsResumed,
         Self::StreamsBrokenOff,
@@ -153,6 +156,7 @@
             Self::UpstreamSends => "upstream_sends_count",
             Self::RetriesOverBudget => "retries_over_budget_count",
             Self::EngineProbes => "engine_probes_count",
+            Self::CopiesAskedFor => "copies_asked_for_count",
             Self::StreamsLost => "streams_lost_count",
             Self::StreamsResumed => "streams_resumed_count",
             Self::StreamsBrokenOff => "streams_broken_off_count",
@@ -163,11 +167,19 @@
 }
 
 /// The counters of one node.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Metrics {
     values: [AtomicU64; Counter::ALL.len()],
 }
 
+impl Default for Metrics {
+    fn default() -> Self {
+        Self {
+            values: std::array::from_fn(|_| AtomicU64::new(0)),
+        }
+    }
+}
+
 impl Metrics {
     /// Adds to a counter.
     pub fn add(&self, counter: Counter, amount: u64) {
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -58,30 +58,24 @@
     })
 }
 
-/// Chooses who keeps a copy of a run at `primary`: the least filled engine of
-/// another data centre, because a data centre is lost as a whole.
+/// Chooses who keeps a copy of a run in `data_centre`: the least filled engine
+/// of another data centre, because a data centre is lost as a whole.
 pub(crate) fn choose_replica(
     candidates: &[Candidate<'_>],
-    primary: &Candidate<'_>,
+    primary: Option<&str>,
+    data_centre: &str,
     draw: u64,
 ) -> Option<usize> {
-    let other_centre = |c: &Candidate<'_>| c.data_centre != primary.data_centre;
     let score = |c: &Candidate<'_>| c.memory_tokens + c.prompt_tokens;
-    let usable: Vec<Candidate<'_>> = candidates
-        .iter()
-        .map(|c| Candidate {
-            was_tried: c.was_tried || c.is_avoided || c.id == primary.id,
-            ..*c
-        })
-        .collect();
-    let far: Vec<Candidate<'_>> = usable
-        .iter()
-        .map(|c| Candidate {
-            was_tried: c.was_tried || !other_centre(c),
+    let is_unfit = |c: &Candidate<'_>| c.was_tried || c.is_avoided || primary == Some(c.id);
+    let excluding = |is_excluded: &dyn Fn(&Candidate<'_>) -> bool| {
+        let kept = candidates.iter().map(|c| Candidate {
+            was_tried: is_excluded(c),
             ..*c
-        })
-        .collect();
-    choose(&far, draw, score).or_else(|| choose(&usable, draw, score))
+        });
+        choose(&kept.collect::<Vec<_>>(), draw, score)
+    };
+    excluding(&|c| is_unfit(c) || c.data_centre == data_centre).or_else(|| excluding(&is_unfit))
 }
 
 /// The least score wins; avoided ones come after all others, tried ones never.
