Replay the decisions' loads, and hold an entry node against stand-ins of the platform

Tests without the bench: forwarding, streams whose engines are lost, what a node knows from the store and from peers, and the policies. The stand-ins speak the published format by hand, so that they can break it.

--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -53,7 +53,7 @@
 enum OpenFailure {
     GivenUp(GivenUp, String),
     /// An upstream's own final answer, which is no stream.
-    Answer(HttpResponse),
+    Answer(Box<HttpResponse>),
 }
 
 /// How one upstream's part ended.
@@ -105,7 +105,7 @@
         let timed_out = || OpenFailure::GivenUp(GivenUp::TimeOver, "no upstream began".to_owned());
         match opened.unwrap_or_else(|_| Err(timed_out())) {
             Ok(attempt) => run.respond(attempt),
-            Err(OpenFailure::Answer(answer)) => answer,
+            Err(OpenFailure::Answer(answer)) => *answer,
             Err(OpenFailure::GivenUp(given_up, cause)) => {
                 self.give_up(&run.call, given_up, run.progress, &cause)
             }
@@ -281,7 +281,7 @@
             return Ok(SendOutcome::MayHaveRun(cause));
         }
         match answer_body::read(attempt).await {
-            Ok(answer) => Err(OpenFailure::Answer(answer)),
+            Ok(answer) => Err(OpenFailure::Answer(Box::new(answer))),
             Err(error) => Ok(SendOutcome::MayHaveRun(error.to_string())),
         }
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,3 +9,6 @@
 pub(crate) mod refusal;
 pub(crate) mod silence;
 pub(crate) mod spend;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/policy/tests/mod.rs
@@ -0,0 +1,7 @@
+//! Replays of the loads that the decisions answer.
+
+mod lapse;
+mod placement;
+mod refusal;
+mod silence;
+mod spend;
--- /dev/null
+++ b/tests/support/outside/mod.rs
@@ -0,0 +1,204 @@
+//! The platform, its upstreams and its callers, as an entry node meets them.
+//!
+//! These stand-ins speak the published wire format themselves, so that a
+//! mistake in the adapter cannot hide in them.
+
+pub mod caller;
+pub mod engine;
+pub mod raw;
+pub mod service;
+pub mod store;
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use zinniawing::{EdgeNode, EdgeSettings, Metrics};
+
+use caller::Caller;
+use engine::Engine;
+use service::Service;
+use store::Store;
+
+pub const HOST: &str = "pay.example";
+pub const KEY: &str = "federation-key";
+pub const CUSTOMER: &str = "federation";
+pub const STREAM_PATH: &str = "/chat/1";
+pub const SAFE_PATH: &str = "/balance/1";
+pub const UNSAFE_PATH: &str = "/disburse/1";
+pub const PUBLIC_PATH: &str = "/open/1";
+
+/// Ports that were free a moment ago.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+pub fn route(name: &str, prefix: &str, kind: &str, service: &str) -> Value {
+    json!({
+        "name": name, "hostname": HOST, "path-prefix": prefix, "type": kind,
+        "timeout-ms": 6000, "target-latency-ms": 100, "priority": 1, "service": service,
+        "max-attempts": if kind == "non_idempotent" { 1 } else { 4 },
+        "public": false, "resumable": kind == "streaming", "target-gap-ms": 700,
+    })
+}
+
+pub fn config(version: u64) -> Value {
+    let mut open = route("open", "/open/", "idempotent", "pay");
+    open["public"] = json!(true);
+    json!({
+        "version": version,
+        "routes": [
+            route("chat", "/chat/", "streaming", "llm"),
+            route("balance", "/balance/", "idempotent", "pay"),
+            route("disburse", "/disburse/", "non_idempotent", "pay"),
+            open,
+        ],
+        "services": [
+            { "name": "llm", "health-path": "/healthz", "max-connections": 100,
+              "engine": { "slots": 8, "kv-capacity": 88000, "replicas": true } },
+            { "name": "pay", "health-path": "/healthz", "max-connections": 100 },
+        ],
+        "limits": { "max-header-bytes": 16384, "max-body-bytes": 100000,
+                    "header-timeout-ms": 3000, "idle-timeout-ms": 15000 },
+        "tenants": [ { "name": CUSTOMER, "api-keys": [KEY] } ],
+    })
+}
+
+/// Addresses of one entry node: every node has a loopback address of its own,
+/// and all nodes use the same ports, as on the platform.
+#[derive(Clone, Debug)]
+pub struct NodePorts {
+    pub name: String,
+    pub data_centre: String,
+    pub callers: SocketAddr,
+    pub pages: SocketAddr,
+    pub readiness: SocketAddr,
+    pub peers: SocketAddr,
+    pub metrics_port: u16,
+    pub seeds: Vec<SocketAddr>,
+}
+
+static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+
+impl NodePorts {
+    pub fn new(name: &str, data_centre: &str) -> Self {
+        let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        let ip = [127, 1 + high % 254, low, host];
+        Self {
+            name: name.to_owned(),
+            data_centre: data_centre.to_owned(),
+            callers: (ip, 8227).into(),
+            pages: (ip, 8224).into(),
+            readiness: (ip, 8220).into(),
+            peers: (ip, 7340).into(),
+            metrics_port: 9464,
+            seeds: Vec::new(),
+        }
+    }
+
+    /// Names another node as a seed.
+    pub fn with_seed(mut self, other: &Self) -> Self {
+        self.seeds.push((other.peers.ip(), 8229).into());
+        self
+    }
+
+    /// The settings file as the platform writes it.
+    pub fn settings(&self, store: SocketAddr, grace_s: u32) -> String {
+        format!(
+            "node-name: \"{}\"\nrole: \"entry\"\nzone: \"{}\"\nip: \"{}\"\nunknown-field: [1]\n\
+             listen:\n  frontend: \"{}\"\n  readiness-addr: \"{}\"\n  directory-addr: \"{}\"\n\
+             internal-port-range:\n  - {}\n  - {}\nseed-nodes: {:?}\nlimits:\n  memory-mb: 110\n\
+             bounds:\n  grace-period-s: {grace_s}\n  retry-budget-ratio: 0.8\n  retry-window-s: 10\n  budget-slack: 150\n\
+             \x20 config-apply-ms: 2000\n  ttl_max_s: 5\nplatform:\n  address: \"{store}\"\n",
+            self.name,
+            self.data_centre,
+            self.callers.ip(),
+            self.callers,
+            self.readiness,
+            self.pages,
+            self.peers.port(),
+            self.peers.port() + 15,
+            self.seeds
+                .iter()
+                .map(ToString::to_string)
+                .collect::<Vec<_>>(),
+        )
+    }
+}
+
+/// A store, engines in two data centres, a service with two upstreams.
+pub struct World {
+    pub store: Arc<Store>,
+    pub engines: Vec<Arc<Engine>>,
+    pub services: Vec<Arc<Service>>,
+}
+
+impl World {
+    pub async fn start(engine_count: usize) -> Self {
+        let store = Store::start().await;
+        let fleet = engine::Fleet::default();
+        let mut engines = Vec::new();
+        for n in 0..engine_count {
+            let data_centre = if n % 2 == 0 { "dc-a" } else { "dc-b" };
+            let engine = Engine::start(&format!("e-{n}"), data_centre, &fleet).await;
+            store.put("servers", &engine.id(), engine.entry("ready"));
+            engines.push(engine);
+        }
+        let mut services = Vec::new();
+        for n in 0..2 {
+            let service = Service::start(&format!("p-{n}")).await;
+            store.put("servers", &service.id, service.entry("ready"));
+            services.push(service);
+        }
+        store.put("config", "main", config(1));
+        Self {
+            store,
+            engines,
+            services,
+        }
+    }
+
+    /// Starts a node in this process, and waits until it is ready.
+    pub async fn node(&self, name: &str) -> (EdgeNode, Caller) {
+        let ports = NodePorts::new(name, "dc-a");
+        let node = start_node(&ports, self.store.address).await;
+        let caller = Caller::new(&ports);
+        caller.wait_until_ready().await;
+        (node, caller)
+    }
+
+    pub fn running_engine(&self) -> &Arc<Engine> {
+        let mut engines = self.engines.iter();
+        let running = engines.find(|engine| engine.running_count() > 0);
+        running.expect("an engine runs the stream")
+    }
+
+    pub fn run_count(&self) -> usize {
+        self.engines.iter().map(|engine| engine.runs().len()).sum()
+    }
+
+    pub fn executed_count(&self) -> usize {
+        self.services.iter().map(|s| s.executed().len()).sum()
+    }
+}
+
+pub async fn start_node(ports: &NodePorts, store: SocketAddr) -> EdgeNode {
+    let settings = EdgeSettings::parse(&ports.settings(store, 8)).expect("good settings");
+    let metrics = Arc::new(Metrics::default());
+    EdgeNode::start(settings, metrics, None)
+        .await
+        .expect("the node starts")
+}
+
+/// Waits until `condition` holds, and fails after ten seconds.
+pub async fn eventually(what: &str, condition: impl Fn() -> bool) {
+    let since = Instant::now();
+    while !condition() {
+        assert!(since.elapsed() < Duration::from_secs(10), "never: {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- /dev/null
+++ b/tests/support/outside/raw.rs
@@ -0,0 +1,123 @@
+//! HTTP by hand, so that a test can break it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, JoinSet};
+
+/// One request as it came.
+#[derive(Clone, Debug, Default)]
+pub struct RawRequest {
+    pub method: String,
+    pub target: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl RawRequest {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+
+    pub fn number(&self, name: &str) -> Option<u64> {
+        self.header(name)?.parse().ok()
+    }
+
+    pub fn query(&self, name: &str) -> Option<String> {
+        let (_, query) = self.target.split_once('?')?;
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs
+            .find(|(key, _)| *key == name)
+            .map(|(_, v)| v.to_owned())
+    }
+
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+}
+
+/// Answers one request; false closes the connection.
+pub trait Answer: Send + Sync + 'static {
+    fn answer(
+        self: Arc<Self>,
+        request: RawRequest,
+        stream: &mut TcpStream,
+    ) -> impl Future<Output = bool> + Send;
+}
+
+/// Serves until the handle is aborted, which resets all connections.
+pub async fn serve<A: Answer>(address: SocketAddr, answer: Arc<A>) -> JoinHandle<()> {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.set_reuseaddr(true).expect("an option");
+    socket.bind(address).expect("the address is free");
+    let listener: TcpListener = socket.listen(256).expect("a listener");
+    tokio::spawn(async move {
+        let mut open = JoinSet::new();
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            open.spawn(serve_one(stream, answer.clone()));
+        }
+    })
+}
+
+async fn serve_one<A: Answer>(mut stream: TcpStream, answer: Arc<A>) {
+    let _ = stream.set_nodelay(true);
+    let mut buffer = Vec::new();
+    while let Some(request) = read_request(&mut stream, &mut buffer).await {
+        if !answer.clone().answer(request, &mut stream).await {
+            return;
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<RawRequest> {
+    let end = loop {
+        if let Some(at) = find(buffer, b"\r\n\r\n") {
+            break at;
+        }
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    };
+    let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
+    let mut lines = head.split("\r\n");
+    let mut first = lines.next()?.split(' ');
+    let mut request = RawRequest {
+        method: first.next()?.to_owned(),
+        target: first.next()?.to_owned(),
+        ..RawRequest::default()
+    };
+    for line in lines {
+        let (name, value) = line.split_once(':')?;
+        let name = name.to_ascii_lowercase();
+        request.headers.insert(name, value.trim().to_owned());
+    }
+    let length = request.number("content-length").unwrap_or(0) as usize;
+    while buffer.len() < end + 4 + length {
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+    request.body = buffer[end + 4..end + 4 + length].to_vec();
+    buffer.drain(..end + 4 + length);
+    Some(request)
+}
+
+pub fn find(haystack: &[u8], needle: &[u8]) -> Option<usize> {
+    haystack.windows(needle.len()).position(|w| w == needle)
+}
+
+/// Writes a whole answer.
+pub async fn reply(stream: &mut TcpStream, status: u16, headers: &str, body: &[u8]) -> bool {
+    let head = format!(
+        "HTTP/1.1 {status} X\r\ncontent-length: {}\r\n{headers}\r\n",
+        body.len()
+    );
+    let whole = [head.as_bytes(), body].concat();
+    stream.write_all(&whole).await.is_ok()
+}
