Let a few nodes ask the store for all, and pass news on between nodes

Change: nodes of a large fleet ask once for each data centre; what changed and the store's word spread over the exchange of documents, as what a peer lacks; a node that has not heard the word for 1.4 s asks for itself.

--- a/src/edge/beliefs.rs
+++ b/src/edge/beliefs.rs
@@ -1,14 +1,16 @@
 //! What a node believes of itself and its surroundings, for its forwarder.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use crate::forward::forwarder::Surroundings;
+use crate::hash::{Fnv, rendezvous_order};
 use crate::id::DataCentreId;
 use crate::members::Member;
 use crate::policy::freshness::Freshness;
+use crate::policy::watchers;
 
 /// Time after the stop signal from which new streams are refused.
 const STREAMS_UNTIL: Duration = Duration::from_millis(1_500);
@@ -21,6 +23,7 @@
     started: Instant,
     node_index: AtomicUsize,
     node_count: AtomicUsize,
+    is_watcher: AtomicBool,
     /// Milliseconds from the start to the stop signal, plus one; zero before it.
     stopping_ms: AtomicU64,
     freshness: Mutex<Freshness>,
@@ -34,6 +37,7 @@
             started: Instant::now(),
             node_index: AtomicUsize::new(0),
             node_count: AtomicUsize::new(1),
+            is_watcher: AtomicBool::new(true),
             stopping_ms: AtomicU64::new(0),
             freshness: Mutex::default(),
             nodes: Mutex::default(),
@@ -49,11 +53,29 @@
             .store(index.unwrap_or_default(), Ordering::Relaxed);
         self.node_count
             .store(staying.len().max(1), Ordering::Relaxed);
+        let rank = watch_rank(me, &staying);
+        let is_watcher = watchers::is_watcher(staying.len(), rank);
+        if self.is_watcher.swap(is_watcher, Ordering::Relaxed) != is_watcher {
+            log::info!(
+                "event=watcher is_watcher={is_watcher} nodes={}",
+                staying.len()
+            );
+        }
         let nodes = staying.iter();
         let nodes = nodes.map(|m| (m.data_centre.clone(), m.caller_address));
         *self.nodes.lock().unwrap_or_else(PoisonError::into_inner) = nodes.collect();
     }
 
+    /// Whether this node asks the store for others.
+    pub(crate) fn is_watcher(&self) -> bool {
+        self.is_watcher.load(Ordering::Relaxed)
+    }
+
+    /// How long a watch at the store waits.
+    pub(crate) fn watch_wait(&self) -> Duration {
+        watchers::watch_wait(self.node_count.load(Ordering::Relaxed))
+    }
+
     /// Addresses for a caller, those of its data centre first.
     pub(crate) fn addresses(&self, data_centre: Option<&str>) -> Vec<SocketAddr> {
         let nodes = self.nodes.lock().unwrap_or_else(PoisonError::into_inner);
@@ -110,3 +132,18 @@
         self.stopping_for().is_some_and(|t| t >= STREAMS_UNTIL)
     }
 }
+
+/// Place of `me` in the order in which the nodes of its data centre are to
+/// ask the store.
+fn watch_rank(me: &str, staying: &[&Member]) -> usize {
+    let Some(own) = staying.iter().find(|m| m.node == me) else {
+        return usize::MAX;
+    };
+    let near = staying.iter().filter(|m| m.data_centre == own.data_centre);
+    let key = Fnv::new().text(&own.data_centre).finish();
+    let order = rendezvous_order(key, near.map(|m| m.node.as_str()));
+    order
+        .iter()
+        .position(|name| *name == me)
+        .unwrap_or(usize::MAX)
+}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -10,3 +10,4 @@
 pub(crate) mod peers;
 pub(crate) mod settings;
 pub(crate) mod store_watch;
+pub(crate) mod upstream_log;
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -64,9 +64,15 @@
             node: Beliefs::new(),
             in_flight: Arc::default(),
         });
-        let exchange = exchange(&membership, &peers);
-        listen_to_peers(&settings, &membership, &exchange, &peers, &shutdown)?;
-        follow(&settings, &forwarder, &membership, exchange);
+        let watch = StoreWatch {
+            store: Store::new(settings.store),
+            forwarder: forwarder.clone(),
+            exchange: exchange(&membership, &peers),
+            upstreams: Arc::default(),
+            word: Arc::default(),
+        };
+        listen_to_peers(&settings, &watch, &shutdown)?;
+        follow(&settings, watch);
         let pages = Arc::new(Pages {
             forwarder: forwarder.clone(),
             address_keep_max: settings.address_keep,
@@ -139,44 +145,36 @@
 
 fn listen_to_peers(
     settings: &EdgeSettings,
-    membership: &Membership,
-    exchange: &DocumentExchange,
-    peers: &PeerClient,
+    watch: &StoreWatch,
     shutdown: &Shutdown,
 ) -> io::Result<()> {
+    let exchange = &watch.exchange;
     let api = Arc::new(EdgePeerApi {
-        membership: membership.clone(),
+        membership: exchange.membership.clone(),
         documents: exchange.documents.clone(),
+        upstreams: watch.upstreams.clone(),
     });
-    let traffic = peers.traffic().clone();
+    let traffic = exchange.peers.traffic().clone();
     let listener = bind(settings.peers)?;
     tokio::spawn(serve_peers(listener, api, traffic, shutdown.clone()));
     Ok(())
 }
 
-fn follow(
-    settings: &EdgeSettings,
-    forwarder: &Arc<Forwarder<Beliefs>>,
-    membership: &Membership,
-    exchange: DocumentExchange,
-) {
-    let watch = StoreWatch {
-        store: Store::new(settings.store),
-        forwarder: forwarder.clone(),
-        exchange: exchange.clone(),
-    };
-    tokio::spawn(watch.clone().follow_config());
-    tokio::spawn(watch.clone().follow_upstreams());
-    tokio::spawn(watch.clone().expire_upstreams());
-    tokio::spawn(watch.apply_configs());
-    tokio::spawn(async move { exchange.follow_peers().await });
-    let members = membership.clone();
+fn follow(settings: &EdgeSettings, watch: StoreWatch) {
+    let members = watch.exchange.membership.clone();
     let me = settings.node.clone();
-    let forwarder = forwarder.clone();
+    let forwarder = watch.forwarder.clone();
     tokio::spawn(async move {
         loop {
             forwarder.node.set_nodes(&me, &members.alive());
             tokio::time::sleep(MEMBERS_INTERVAL).await;
         }
     });
+    let exchange = watch.exchange.clone();
+    tokio::spawn(async move { exchange.follow_peers().await });
+    tokio::spawn(watch.clone().follow_peers());
+    tokio::spawn(watch.clone().follow_config());
+    tokio::spawn(watch.clone().follow_upstreams());
+    tokio::spawn(watch.clone().expire_upstreams());
+    tokio::spawn(watch.apply_configs());
 }
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -1,11 +1,12 @@
 //! Keeps a node's knowledge of the store new: configuration and upstreams.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
 
 use super::beliefs::Beliefs;
+use super::upstream_log::{UpstreamLog, UpstreamUpdate};
 use crate::document_exchange::DocumentExchange;
 use crate::forward::forwarder::Forwarder;
 use crate::id::Version;
@@ -13,13 +14,16 @@
 use crate::object_store::Object;
 use crate::platform::routing;
 use crate::platform::store::{Changes, ConfigText, Store, StoreFailure, UpstreamNews};
+use crate::policy::watchers::StoreWord;
 
 /// Name of the configuration among the documents that peers exchange.
 pub(crate) const ROUTING_DOCUMENT: &str = "routing";
-/// How long one watch of the configuration waits.
-const CONFIG_WAIT: Duration = Duration::from_millis(4_000);
-/// How long one watch of the upstreams waits.
-const UPSTREAM_WAIT: Duration = Duration::from_millis(8_000);
+/// Name of the upstreams among the documents that peers exchange.
+pub(crate) const UPSTREAMS_DOCUMENT: &str = "upstreams";
+/// Name of the store's word among the documents that peers name to each other.
+pub(crate) const WORD_DOCUMENT: &str = "store-word";
+/// Time between looks at whether it is this node's turn to ask the store.
+const TURN_INTERVAL: Duration = Duration::from_millis(100);
 /// Time in which changes of upstreams gather before they are asked for.
 const GATHER: Duration = Duration::from_millis(200);
 /// Least pause after the store failed.
@@ -35,9 +39,75 @@
     pub(crate) store: Store,
     pub(crate) forwarder: Arc<Forwarder<Beliefs>>,
     pub(crate) exchange: DocumentExchange,
+    pub(crate) upstreams: Arc<UpstreamLog>,
+    pub(crate) word: Arc<Mutex<StoreWord>>,
 }
 
 impl StoreWatch {
+    /// Waits until this node is to ask the store: it is one of those that ask
+    /// for all, it knows nothing, or it has not heard of the others for long.
+    async fn wait_for_turn(&self, knows_something: bool) {
+        let draw = rand::rng().random_range(0.0..1.0);
+        while knows_something && !self.forwarder.node.is_watcher() {
+            if self.word().is_overdue(draw, Instant::now()) {
+                return;
+            }
+            tokio::time::sleep(TURN_INTERVAL).await;
+        }
+    }
+
+    fn word(&self) -> MutexGuard<'_, StoreWord> {
+        self.word.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes an answer of the store, and passes the word on.
+    fn store_answered(&self, now: Instant) {
+        self.forwarder.directory.store_answers(true, now);
+        self.forwarder.node.store_answers(true, now);
+        let count = self.word().answered(now);
+        if let Some(count) = count {
+            let membership = &self.exchange.membership;
+            membership.hold_document(WORD_DOCUMENT, count);
+        }
+    }
+
+    /// Takes in the store's word from a peer.
+    pub(crate) fn hear_word(&self, count: Version) {
+        let now = Instant::now();
+        if self.word().heard(count, now) {
+            let membership = &self.exchange.membership;
+            membership.hold_document(WORD_DOCUMENT, count);
+            self.forwarder.directory.store_answers(true, now);
+            self.forwarder.node.store_answers(true, now);
+        }
+    }
+
+    /// Takes in what changed, and tells peers that it is known here.
+    pub(crate) fn take_in(&self, update: &UpstreamUpdate, now: Instant) {
+        if !self.upstreams.apply(update, now) {
+            return;
+        }
+        let directory = &self.forwarder.directory;
+        if update.is_whole {
+            let entries = update.news.iter().filter_map(|news| match news {
+                UpstreamNews::Entry(entry) => Some(entry.clone()),
+                UpstreamNews::Gone(_) => None,
+            });
+            directory.replace(entries.collect(), now);
+        } else {
+            for news in &update.news {
+                match news {
+                    UpstreamNews::Entry(entry) => directory.put(entry.clone()),
+                    UpstreamNews::Gone(id) => directory.gone(id, now),
+                }
+            }
+        }
+        if update.is_whole || !update.news.is_empty() {
+            let membership = &self.exchange.membership;
+            membership.hold_document(UPSTREAMS_DOCUMENT, update.revision);
+        }
+    }
+
     /// Takes in a configuration, wherever it comes from; older ones are refused.
     fn offer(&self, text: ConfigText, source: &str) {
         match routing::read(&text) {
@@ -91,14 +161,15 @@
         let mut revision = None;
         let mut is_away = false;
         loop {
+            self.wait_for_turn(self.exchange.version() > 0).await;
             let read = match revision {
                 None => self.counted(self.store.read_config()).await,
                 Some(revision) => {
-                    let watch = self.store.watch_config(revision, CONFIG_WAIT);
+                    let wait = self.forwarder.node.watch_wait();
+                    let watch = self.store.watch_config(revision, wait);
                     self.counted(watch).await
                 }
             };
-            let now = Instant::now();
             match read {
                 Ok(Changes {
                     changes,
@@ -108,11 +179,12 @@
                         self.offer(text, "store");
                     }
                     revision = Some(at);
-                    self.forwarder.node.store_answers(true, now);
+                    self.store_answered(Instant::now());
                     note_return(&mut is_away, "config");
                 }
                 Err(StoreFailure::HistoryGone) => revision = None,
                 Err(failure) => {
+                    let now = Instant::now();
                     self.forwarder.node.store_answers(false, now);
                     note_loss(&mut is_away, "config", failure);
                     away_pause().await;
@@ -123,25 +195,27 @@
 
     /// Follows the upstreams until the task is dropped.
     pub(crate) async fn follow_upstreams(self) {
-        let directory = &self.forwarder.directory;
-        let mut revision: Option<Version> = None;
+        let mut is_history_gone = false;
         let mut is_away = false;
         loop {
-            let followed = match revision {
-                None => self.list_upstreams().await,
-                Some(revision) => self.watch_upstreams(revision).await,
+            let revision = self.upstreams.revision();
+            self.wait_for_turn(revision > 0).await;
+            let is_list = revision == 0 || is_history_gone;
+            let followed = if is_list {
+                self.list_upstreams().await
+            } else {
+                self.watch_upstreams(self.upstreams.revision()).await
             };
             let now = Instant::now();
             match followed {
-                Ok(at) => {
-                    revision = Some(at);
-                    directory.store_answers(true, now);
+                Ok(()) => {
+                    is_history_gone = false;
                     note_return(&mut is_away, "upstreams");
                     tokio::time::sleep(GATHER).await;
                 }
-                Err(StoreFailure::HistoryGone) => revision = None,
+                Err(StoreFailure::HistoryGone) => is_history_gone = true,
                 Err(failure) => {
-                    directory.store_answers(false, now);
+                    self.forwarder.directory.store_answers(false, now);
                     note_loss(&mut is_away, "upstreams", failure);
                     away_pause().await;
                 }
@@ -149,26 +223,32 @@
         }
     }
 
-    async fn list_upstreams(&self) -> Result<Version, StoreFailure> {
+    async fn list_upstreams(&self) -> Result<(), StoreFailure> {
         let list = self.counted(self.store.list_upstreams()).await?;
-        let directory = &self.forwarder.directory;
-        directory.store_answers(true, Instant::now());
-        directory.replace(list.entries, Instant::now());
-        Ok(list.revision)
+        let now = Instant::now();
+        self.store_answered(now);
+        let update = UpstreamUpdate {
+            is_whole: true,
+            news: list.entries.into_iter().map(UpstreamNews::Entry).collect(),
+            revision: list.revision,
+        };
+        self.take_in(&update, now);
+        Ok(())
     }
 
-    async fn watch_upstreams(&self, revision: Version) -> Result<Version, StoreFailure> {
-        let watch = self.store.watch_upstreams(revision, UPSTREAM_WAIT);
+    async fn watch_upstreams(&self, revision: Version) -> Result<(), StoreFailure> {
+        let wait = self.forwarder.node.watch_wait();
+        let watch = self.store.watch_upstreams(revision, wait);
         let changes = self.counted(watch).await?;
-        let directory = &self.forwarder.directory;
-        directory.store_answers(true, Instant::now());
-        for news in changes.changes {
-            match news {
-                UpstreamNews::Entry(entry) => directory.put(entry),
-                UpstreamNews::Gone(id) => directory.gone(&id, Instant::now()),
-            }
-        }
-        Ok(changes.revision)
+        let now = Instant::now();
+        self.store_answered(now);
+        let update = UpstreamUpdate {
+            is_whole: false,
+            news: changes.changes,
+            revision: changes.revision,
+        };
+        self.take_in(&update, now);
+        Ok(())
     }
 
     /// Drops upstreams that did not return, until the task is dropped.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod refusal;
 pub(crate) mod silence;
 pub(crate) mod spend;
+pub(crate) mod watchers;
 
 #[cfg(test)]
 mod tests;
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -5,3 +5,4 @@
 mod refusal;
 mod silence;
 mod spend;
+mod watchers;
