Choose plain upstreams by expected answer time, and spend no send on an empty copy

Change: latency and failures of each upstream decide; a full one rests for 150 ms; a copy counts once its run has begun or was heard of for 250 ms; the budget's equal part follows the largest fleet seen.

--- a/src/edge/beliefs.rs
+++ b/src/edge/beliefs.rs
@@ -23,6 +23,7 @@
     started: Instant,
     node_index: AtomicUsize,
     node_count: AtomicUsize,
+    fleet_size: AtomicUsize,
     is_watcher: AtomicBool,
     /// Milliseconds from the start to the stop signal, plus one; zero before it.
     stopping_ms: AtomicU64,
@@ -37,6 +38,7 @@
             started: Instant::now(),
             node_index: AtomicUsize::new(0),
             node_count: AtomicUsize::new(1),
+            fleet_size: AtomicUsize::new(1),
             is_watcher: AtomicBool::new(true),
             stopping_ms: AtomicU64::new(0),
             freshness: Mutex::default(),
@@ -53,6 +55,7 @@
             .store(index.unwrap_or_default(), Ordering::Relaxed);
         self.node_count
             .store(staying.len().max(1), Ordering::Relaxed);
+        self.fleet_size.fetch_max(staying.len(), Ordering::Relaxed);
         let rank = watch_rank(me, &staying);
         let is_watcher = watchers::is_watcher(staying.len(), rank);
         if self.is_watcher.swap(is_watcher, Ordering::Relaxed) != is_watcher {
@@ -116,6 +119,10 @@
         )
     }
 
+    fn fleet_size(&self) -> usize {
+        self.fleet_size.load(Ordering::Relaxed)
+    }
+
     fn is_config_fresh(&self) -> bool {
         let freshness = self
             .freshness
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -52,6 +52,22 @@
 impl Directory {
     /// Takes in an entry.
     pub(crate) fn put(&self, entry: UpstreamEntry) {
+        if let Some(entry) = self.take_in(entry) {
+            log::info!(
+                "event=upstream_known upstream={} service={} address={} dc={} born={} draining={}",
+                entry.id,
+                entry.service,
+                entry.address,
+                entry.data_centre,
+                entry.born_unix_ms,
+                entry.draining
+            );
+        }
+    }
+
+    /// Takes in an entry, and gives it back when it names a life that was not
+    /// known.
+    fn take_in(&self, entry: UpstreamEntry) -> Option<UpstreamEntry> {
         let mut state = self.lock();
         state.lapses.returned(&entry.id);
         if let Some(known) = state.upstreams.get(&entry.id)
@@ -65,27 +81,19 @@
                 );
             }
             known.set_draining(entry.draining);
-            return;
+            return None;
         }
         if state.has_later_life(&entry) {
-            return;
+            return None;
         }
-        log::info!(
-            "event=upstream_known upstream={} service={} address={} dc={} born={} draining={}",
-            entry.id,
-            entry.service,
-            entry.address,
-            entry.data_centre,
-            entry.born_unix_ms,
-            entry.draining
-        );
-        let id = entry.id.clone();
         let mut over = state.take_earlier_lives(&entry);
-        over.extend(state.upstreams.insert(id, Arc::new(Upstream::new(entry))));
+        let upstream = Arc::new(Upstream::new(entry.clone()));
+        over.extend(state.upstreams.insert(entry.id.clone(), upstream));
         drop(state);
         for earlier in over {
             self.lose(&earlier, "superseded", Instant::now());
         }
+        Some(entry)
     }
 
     /// Takes in that an entry is gone.
@@ -112,9 +120,10 @@
     /// Takes in a whole list.
     pub(crate) fn replace(&self, entries: Vec<UpstreamEntry>, now: Instant) {
         let listed: Vec<UpstreamId> = entries.iter().map(|entry| entry.id.clone()).collect();
-        for entry in entries {
-            self.put(entry);
-        }
+        let listed_count = entries.len();
+        let new = entries.into_iter().filter_map(|entry| self.take_in(entry));
+        let new_count = new.count();
+        log::info!("event=upstreams_listed listed={listed_count} new={new_count}");
         let known: Vec<UpstreamId> = self.lock().upstreams.keys().cloned().collect();
         for id in known.iter().filter(|id| !listed.contains(id)) {
             self.gone(id, now);
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -26,6 +26,9 @@
 pub(crate) trait Surroundings: Send + Sync + 'static {
     /// Position of this node among all live nodes, and their number.
     fn position(&self) -> (usize, usize);
+    /// Most nodes that lived at once of late; those that cannot be seen now
+    /// may still spend their part of the retry budget.
+    fn fleet_size(&self) -> usize;
     /// Whether the configuration in force is known to be the newest.
     fn is_config_fresh(&self) -> bool;
     /// Whether this node is about to stop.
@@ -198,6 +201,8 @@
                 prompt_tokens: upstream.prompt_tokens(),
                 memory_tokens: upstream.memory_tokens(),
                 call_count: upstream.call_count(),
+                latency: upstream.latency(),
+                failure_share: upstream.failure_share(),
                 is_avoided: upstream.avoided_until(now).is_some(),
                 was_tried: tried.iter().any(|t| t.entry.id == upstream.entry.id),
                 is_own: is_own(index, upstreams.len(), node_index, node_count),
@@ -209,7 +214,7 @@
 
     /// Spends one repeated send of a call.
     pub(crate) fn may_send_again(&self, call: &Call) -> bool {
-        let (_, node_count) = self.node.position();
+        let node_count = self.node.fleet_size();
         let affordable = self
             .budgets
             .spend(&call.service, node_count, Instant::now());
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -97,7 +97,10 @@
             course.sent_count += 1;
             let may_move_on =
                 kind.may_repeat() && course.sent_count < call.admitted.route.attempts_max;
-            match self.try_upstream(call, &upstream, may_move_on).await {
+            let sent_at = Instant::now();
+            let outcome = self.try_upstream(call, &upstream, may_move_on).await;
+            learn(&upstream, sent_at, &outcome);
+            match outcome {
                 Ok(response) if response.status().is_server_error() && kind.may_repeat() => {
                     course.cause = format!("{} failed the call", upstream.entry.id);
                     course.failure = Some(response);
@@ -178,7 +181,17 @@
         match outcome {
             SendOutcome::Misdirected => self.directory.forget(upstream, now),
             SendOutcome::NotSent(_) | SendOutcome::MayHaveRun(_) => upstream.avoid(now),
-            SendOutcome::NotExecuted => {}
+            SendOutcome::NotExecuted => upstream.is_full(now),
         }
     }
 }
+
+/// Learns from a call that left this node, whatever became of it.
+fn learn(upstream: &Upstream, sent_at: Instant, outcome: &Result<HttpResponse, SendOutcome>) {
+    let is_failed = match outcome {
+        Ok(response) => response.status().is_server_error(),
+        Err(SendOutcome::MayHaveRun(_)) => true,
+        Err(_) => return,
+    };
+    upstream.learn(sent_at.elapsed(), is_failed);
+}
--- a/src/forward/run_copy.rs
+++ b/src/forward/run_copy.rs
@@ -26,6 +26,8 @@
 const REFRESH_INTERVAL: Duration = Duration::from_millis(2_400);
 /// Pause after a copy could not be made.
 const RETRY_PAUSE: Duration = Duration::from_millis(600);
+/// Time after which a run whose prompt is being read has something to copy.
+const FIRST_PART: Duration = Duration::from_millis(250);
 /// How long a copy may take to be made.
 const COPY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -86,6 +88,15 @@
         !is_lost && !self.keeper.is_draining()
     }
 
+    /// Whether there is anything in it, for all that is known: the run at
+    /// `source` has begun, or was heard of for long enough.
+    pub(crate) fn has_content(&self, has_begun: bool, source: &Upstream) -> bool {
+        let now = Instant::now();
+        let silence = source.silence(now).unwrap_or(Duration::MAX);
+        let heard_for = self.made_at.elapsed().saturating_sub(silence);
+        has_begun || heard_for >= FIRST_PART
+    }
+
     fn needs_refresh(&self) -> bool {
         self.is_asked_for && self.made_at.elapsed() >= REFRESH_INTERVAL
     }
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -78,6 +78,8 @@
     copy: CopyPlace,
     last_event: Option<u64>,
     event_count: u64,
+    /// Whether the upstream that serves now has sent an event.
+    has_part_begun: bool,
     first_event_ms: Option<u128>,
     longest_pause_ms: u128,
     last_event_at: Option<Instant>,
@@ -96,6 +98,7 @@
             progress: Progress::NotRun,
             copy: CopyPlace::default(),
             event_count: 0,
+            has_part_begun: false,
             first_event_ms: None,
             longest_pause_ms: 0,
             last_event_at: None,
@@ -122,6 +125,7 @@
             let before = self.progress;
             self.progress = Progress::MayHaveRun;
             self.sent_count += 1;
+            self.has_part_begun = false;
             let outcome = match self.send(&upstream, copy).await {
                 Ok(attempt) if attempt.state.headers.status.is_success() => return Ok(attempt),
                 Ok(attempt) => self.take_answer(attempt).await?,
@@ -165,7 +169,9 @@
         if self.sent_count >= attempts_max || self.unsent_count >= UNSENT_TRIES_MAX {
             return Err(given_up(GivenUp::UpstreamsFailed, "all attempts are used"));
         }
-        let copy = lock(&self.copy).take().filter(RunCopy::is_usable);
+        let copy = lock(&self.copy)
+            .take()
+            .filter(|copy| self.is_worth_a_send(copy));
         let forwarder = &self.forwarder;
         let upstream = match &copy {
             Some(copy) => copy.keeper.clone(),
@@ -182,6 +188,14 @@
         Ok((upstream, copy))
     }
 
+    /// Whether a run is likely to go on from its copy: a keeper without it
+    /// would refuse, and the send would be lost from the retry budget.
+    fn is_worth_a_send(&self, copy: &RunCopy) -> bool {
+        let has_begun = self.has_part_begun;
+        let source = self.tried.last();
+        copy.is_usable() && source.is_some_and(|s| copy.has_content(has_begun, s))
+    }
+
     fn run_name(&self) -> RunName {
         RunName {
             call: self.call.id().to_owned(),
@@ -370,7 +384,10 @@
                     }
                     return PartEnd::Lost(format!("{loss:?}"));
                 }
-                () = sender.closed() => return PartEnd::CallerGone,
+                () = sender.closed() => {
+                    self.free_copy(&upstream);
+                    return PartEnd::CallerGone;
+                }
                 () = tokio::time::sleep_until(deadline) => return PartEnd::TimeOver,
             };
             let data = match frame {
@@ -378,9 +395,7 @@
                     if let Some(idle_timeout) = reuse {
                         upstream.pool.put(connection, idle_timeout);
                     }
-                    if let Some(copy) = lock(&self.copy).take() {
-                        free(upstream, copy);
-                    }
+                    self.free_copy(&upstream);
                     return PartEnd::Complete;
                 }
                 None => return PartEnd::Lost("ended inside an event".to_owned()),
@@ -408,6 +423,12 @@
         }
     }
 
+    fn free_copy(&self, upstream: &Arc<Upstream>) {
+        if let Some(copy) = lock(&self.copy).take() {
+            free(upstream.clone(), copy);
+        }
+    }
+
     /// Relays one event, unless the caller has it.
     async fn relay_event(
         &mut self,
@@ -431,6 +452,7 @@
             Err(_) => return Err(PartEnd::TimeOver),
         }
         self.last_event = index.or(self.last_event);
+        self.has_part_begun = true;
         self.count_event();
         Ok(())
     }
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -18,6 +18,11 @@
 /// Longest time for which an upstream that failed is avoided.
 const AVOID_MAX: Duration = Duration::from_millis(3_200);
 
+/// Part of what is believed that one more call replaces.
+const LEARNING_RATE: f64 = 0.15;
+/// Pause for an upstream that is full.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
+
 /// What an upstream registered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct UpstreamEntry {
@@ -43,6 +48,8 @@
     heard_at: Option<Instant>,
     avoided_until: Option<Instant>,
     failure_count: u32,
+    latency: Duration,
+    failure_share: f64,
 }
 
 /// One life of one upstream.
@@ -116,6 +123,33 @@
         conduct.avoided_until = Some(now + pause);
     }
 
+    /// Learns from a call that ended, failed ones without an answer included.
+    pub(crate) fn learn(&self, took: Duration, is_failed: bool) {
+        let mut conduct = self.conduct();
+        let is_first = conduct.latency.is_zero();
+        let rate = if is_first { 1.0 } else { LEARNING_RATE };
+        conduct.latency = conduct.latency.mul_f64(1.0 - rate) + took.mul_f64(rate);
+        let failed = f64::from(u8::from(is_failed));
+        conduct.failure_share += LEARNING_RATE * (failed - conduct.failure_share);
+    }
+
+    /// Time that it takes over a call.
+    pub(crate) fn latency(&self) -> Duration {
+        self.conduct().latency
+    }
+
+    /// Share of calls that it fails.
+    pub(crate) fn failure_share(&self) -> f64 {
+        self.conduct().failure_share
+    }
+
+    /// Avoids it for a moment because it refused a call for want of room.
+    pub(crate) fn is_full(&self, now: Instant) {
+        let mut conduct = self.conduct();
+        let until = now + FULL_PAUSE;
+        conduct.avoided_until = Some(conduct.avoided_until.map_or(until, |at| at.max(until)));
+    }
+
     /// When it may be tried again, if it is avoided.
     pub(crate) fn avoided_until(&self, now: Instant) -> Option<Instant> {
         self.conduct().avoided_until.filter(|until| *until > now)
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -6,8 +6,10 @@
 //! engines of its own, whose work it knows, and goes to others only when its
 //! own are busy.
 
+use std::time::Duration;
+
 /// What is known of one upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Candidate<'a> {
     /// Its name.
     pub(crate) id: &'a str,
@@ -19,6 +21,10 @@
     pub(crate) memory_tokens: u64,
     /// Calls of this node that it runs.
     pub(crate) call_count: u32,
+    /// Time that it takes over a call, as this node saw of late.
+    pub(crate) latency: Duration,
+    /// Share of this node's calls that it failed of late.
+    pub(crate) failure_share: f64,
     /// Whether it failed a short time ago.
     pub(crate) is_avoided: bool,
     /// Whether this call was already sent there.
@@ -31,8 +37,10 @@
 const UNKNOWN_PROMPT_TOKENS: u64 = 4_000;
 /// Tokens of prompt that slow a call as much as one running call does.
 const PROMPT_TOKENS_PER_CALL: u64 = 150;
-/// Calls of other nodes to be expected for each of this node's.
-const FAR_CALL_PENALTY: u64 = 1;
+/// Time that a call to another data centre costs beside its way.
+const FAR_COST: Duration = Duration::from_millis(4);
+/// Time that a failed call costs, which has to go elsewhere.
+const FAILURE_COST: Duration = Duration::from_millis(60);
 
 /// Chooses an engine for a prompt; `draw` decides between equals.
 pub(crate) fn choose_engine(candidates: &[Candidate<'_>], draw: u64) -> Option<usize> {
@@ -46,15 +54,22 @@
     })
 }
 
-/// Chooses an upstream for a plain call, near ones before far ones.
+/// Chooses an upstream for a plain call: the one from which an answer is to be
+/// expected soonest, failures and the way included.
 pub(crate) fn choose_plain(
     candidates: &[Candidate<'_>],
     data_centre: &str,
     draw: u64,
 ) -> Option<usize> {
     choose(candidates, draw, |candidate| {
-        let far = candidate.data_centre != data_centre;
-        u64::from(candidate.call_count) * 2 + u64::from(far) * FAR_CALL_PENALTY
+        let turns = candidate.call_count + 1;
+        let mut expected = candidate.latency * turns;
+        expected += FAILURE_COST.mul_f64(candidate.failure_share);
+        if candidate.data_centre != data_centre {
+            expected += FAR_COST;
+        }
+        // Differences below a millisecond are chance.
+        expected.as_millis() as u64
     })
 }
 
--- a/src/policy/spend.rs
+++ b/src/policy/spend.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 /// Part of what is allowed that is left unspent, since nodes join and leave.
-const SAFETY: f64 = 0.9;
+const SAFETY: f64 = 0.97;
 /// Parts of the window by which calls are counted.
 const BUCKETS: u32 = 10;
 
--- a/src/policy/tests/placement.rs
+++ b/src/policy/tests/placement.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::policy::placement::{Candidate, choose_engine, choose_plain, choose_replica, is_own};
 
@@ -12,6 +13,8 @@
         prompt_tokens: 0,
         memory_tokens: 0,
         call_count: 0,
+        latency: Duration::from_millis(16),
+        failure_share: 0.0,
         is_avoided: false,
         was_tried: false,
         is_own: false,
@@ -123,3 +126,28 @@
 
     assert_eq!(choose_plain(&[near, far], "a", 3), Some(1));
 }
+
+/// Replays a service of three upstreams of which one has turned slow, or fails
+/// two of five calls while its health is good.
+#[test]
+fn a_slow_or_failing_upstream_gets_no_call_while_a_sound_one_is_there() {
+    let far = candidate("far", "b");
+    let mut slow = candidate("slow", "a");
+    slow.latency = Duration::from_millis(80);
+    let mut failing = candidate("failing", "a");
+    failing.failure_share = 0.4;
+
+    for draw in 0..10 {
+        assert_eq!(choose_plain(&[slow, failing, far], "a", draw), Some(2));
+    }
+}
+
+#[test]
+fn upstreams_that_fail_alike_are_not_told_apart_by_it() {
+    let mut near = candidate("near", "a");
+    let mut far = candidate("far", "b");
+    near.failure_share = 0.14;
+    far.failure_share = 0.14;
+
+    assert_eq!(choose_plain(&[near, far], "a", 3), Some(0));
+}
