--- a/src/admission.rs
+++ b/src/caller/admission.rs
@@ -12,8 +12,8 @@
 use rand::RngExt;
 use tokio::sync::oneshot;
 
+use crate::caller::gate::{Entry, Gate, Occupancy, Permit};
 use crate::error::{Error, ErrorKind};
-use crate::gate::{Entry, Gate, Occupancy, Permit};
 use crate::id::{CustomerId, ModelId};
 
 /// Service time that is assumed until one was seen.
--- a/src/call.rs
+++ b/src/caller/call.rs
@@ -10,13 +10,13 @@
 use hyper::{Method, Response};
 use serde::{Deserialize, Serialize};
 
-use crate::caller_api::{AddressAnswer, CALLER_KIND, LAST_EVENT_ID};
+use crate::caller::caller_api::{AddressAnswer, CALLER_KIND, LAST_EVENT_ID};
+use crate::caller::sse::{Event, EventBuffer, escaped_text, unescape};
 use crate::error::{ErrorBody, ErrorDetail};
+use crate::fleet::runner::DONE;
+use crate::fleet::service::IDEMPOTENCY_KEY;
+use crate::generation::token_chain::TokenChain;
 use crate::http::{self, HttpClient};
-use crate::runner::DONE;
-use crate::service::IDEMPOTENCY_KEY;
-use crate::sse::{Event, EventBuffer, escaped_text, unescape};
-use crate::token_chain::TokenChain;
 
 /// How long a node may take to say which addresses to use.
 const ADDRESS_TIMEOUT: Duration = Duration::from_secs(1);
--- a/src/caller_api.rs
+++ b/src/caller/caller_api.rs
@@ -10,20 +10,20 @@
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
-use crate::admission::{AdmissionRequest, Admitted};
-use crate::attempt::Attempt;
-use crate::completion::CompletionRequest;
-use crate::config::Config;
-use crate::dispatch::{Job, OpenFailure, RESUME_PRIORITY};
+use crate::caller::admission::{AdmissionRequest, Admitted};
+use crate::caller::completion::CompletionRequest;
+use crate::caller::event_id::EventId;
+use crate::caller::service_api::call_service;
+use crate::caller::sse::unescape;
+use crate::configuration::config::Config;
 use crate::error::{Error, ErrorKind};
-use crate::event_id::EventId;
-use crate::generation::{Generation, Sink, Start};
+use crate::generation::attempt::Attempt;
+use crate::generation::dispatch::{Job, OpenFailure, RESUME_PRIORITY};
+use crate::generation::run::{Generation, Sink, Start};
 use crate::http::{self, Handler, HttpResponse};
 use crate::id::{CustomerId, KindId};
-use crate::metrics::Counter;
 use crate::node_state::NodeState;
-use crate::service_api::call_service;
-use crate::sse::unescape;
+use crate::observe::metrics::Counter;
 
 /// Header that says which kind of caller asks.
 pub(crate) const CALLER_KIND: &str = "x-caller-kind";
--- a/src/completion.rs
+++ b/src/caller/completion.rs
@@ -7,10 +7,10 @@
 use serde_json::value::RawValue;
 use sha2::{Digest, Sha256};
 
-use crate::config::{CallerPolicy, Config};
-use crate::dispatch::{Job, fingerprint};
+use crate::configuration::config::{CallerPolicy, Config};
 use crate::error::{Error, ErrorKind};
-use crate::fleet::prefix_hash;
+use crate::fleet::table::prefix_hash;
+use crate::generation::dispatch::{Job, fingerprint};
 use crate::id::{CustomerId, GenerationId, ModelId};
 
 /// Tokens of an answer when the caller names no number.
--- a/src/direct_caller.rs
+++ b/src/caller/direct_caller.rs
@@ -10,9 +10,9 @@
 use rand::RngExt;
 use serde_json::value::RawValue;
 
+use crate::caller::sse::{EventBuffer, escaped_text, parse_index};
+use crate::fleet::runner::{DONE, RunnerClient, StreamRequest, quote, raw_json};
 use crate::http::HttpClient;
-use crate::runner::{DONE, RunnerClient, StreamRequest, quote, raw_json};
-use crate::sse::{EventBuffer, escaped_text, parse_index};
 
 /// Tries after which a direct caller gives up.
 const TRIES_MAX: u32 = 30;
--- a/src/event_id.rs
+++ b/src/caller/event_id.rs
@@ -4,9 +4,9 @@
 
 use sha2::{Digest, Sha256};
 
-use crate::config::hex;
+use crate::configuration::config::hex;
+use crate::fleet::runner::StreamKey;
 use crate::id::{AttemptNumber, GenerationId, RunnerId, TokenIndex};
-use crate::runner::StreamKey;
 
 /// Hexadecimal digits of a stream key.
 const KEY_DIGITS: usize = 40;
--- a/src/service_api.rs
+++ b/src/caller/service_api.rs
@@ -7,15 +7,15 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 
-use crate::caller_api::identify;
-use crate::claim::{Claim, Held, Taken, call_hash, take_claim};
-use crate::config::Config;
+use crate::caller::caller_api::identify;
+use crate::claims::claim::{Claim, Held, Taken, call_hash, take_claim};
+use crate::configuration::config::Config;
 use crate::error::{Error, ErrorKind};
+use crate::fleet::service::{CallEnd, IDEMPOTENCY_KEY, ServiceCall};
 use crate::http::{self, HttpResponse};
 use crate::id::CustomerId;
-use crate::metrics::Counter;
 use crate::node_state::NodeState;
-use crate::service::{CallEnd, IDEMPOTENCY_KEY, ServiceCall};
+use crate::observe::metrics::Counter;
 
 /// Longest idempotency key.
 const KEY_MAX_BYTES: usize = 128;
--- a/src/claim.rs
+++ b/src/claims/claim.rs
@@ -9,11 +9,11 @@
 
 use bytes::Bytes;
 
+use crate::claims::group_commit::{ClaimSettings, GroupCommit};
 use crate::clock::unix_ms;
-use crate::group_commit::{ClaimSettings, GroupCommit};
 use crate::hash::Fnv;
-use crate::message::{ClaimAction, ClaimOperation, ClaimReply, ClaimResult};
-use crate::object_store::ObjectStore;
+use crate::membership::message::{ClaimAction, ClaimOperation, ClaimReply, ClaimResult};
+use crate::store::object_store::ObjectStore;
 
 /// How long a claim may be held before it must not be sent any more. It only
 /// has to be far below the retention, after which a key may be claimed anew.
--- a/src/claim_forwarder.rs
+++ b/src/claims/forwarder.rs
@@ -5,14 +5,14 @@
 
 use std::time::Duration;
 
-use crate::claim::{ClaimWriter, WireOperation, WireReply};
-use crate::group_commit::GroupCommit;
+use crate::claims::claim::{ClaimWriter, WireOperation, WireReply};
+use crate::claims::group_commit::GroupCommit;
 use crate::hash::rendezvous_order;
-use crate::link_faults::LinkFaults;
-use crate::members::Member;
-use crate::membership::Membership;
-use crate::message::{ClaimOperation, ClaimReply, Question, ReplyBody};
-use crate::peer::PeerClient;
+use crate::membership::gossip::Membership;
+use crate::membership::link_faults::LinkFaults;
+use crate::membership::members::Member;
+use crate::membership::message::{ClaimOperation, ClaimReply, Question, ReplyBody};
+use crate::membership::peer::PeerClient;
 
 /// How long an owner may take before the operation is written here.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1500);
--- a/src/group_commit.rs
+++ b/src/claims/group_commit.rs
@@ -9,12 +9,12 @@
 
 use tokio::sync::{mpsc, oneshot};
 
-use crate::claim_shard::ClaimShard;
+use crate::claims::shard::ClaimShard;
 use crate::clock::unix_ms;
 use crate::hash::Fnv;
 use crate::id::Version;
-use crate::message::{ClaimOperation, ClaimReply, ClaimResult};
-use crate::object_store::{ABSENT, ObjectStore, StoreError};
+use crate::membership::message::{ClaimOperation, ClaimReply, ClaimResult};
+use crate::store::object_store::{ABSENT, ObjectStore, StoreError};
 
 /// Operations that may wait for one shard.
 const QUEUE_LENGTH: usize = 4096;
--- a/src/claim_shard.rs
+++ b/src/claims/shard.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use prost::{Enumeration, Message};
 
-use crate::message::{ClaimAction, ClaimOperation, ClaimReply, ClaimResult};
+use crate::membership::message::{ClaimAction, ClaimOperation, ClaimReply, ClaimResult};
 
 /// Largest encoded shard, below the platform's limit of a megabyte.
 const SHARD_MAX_BYTES: usize = 900 * 1024;
--- a/src/config.rs
+++ b/src/configuration/config.rs
@@ -9,11 +9,11 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use crate::configuration::intent::{CustomerIntent, Intent, KindIntent};
 use crate::error::{Error, ErrorKind};
+use crate::fleet::runner::ModelVersion;
 use crate::id::{CustomerId, IntentId, KindId, ModelId, Version};
-use crate::intent::{CustomerIntent, Intent, KindIntent};
-use crate::object_store::Object;
-use crate::runner::ModelVersion;
+use crate::store::object_store::Object;
 
 /// Confirmations kept in the object, to resolve lost replies.
 const CONFIRMATIONS_KEPT: usize = 64;
--- a/src/document.rs
+++ b/src/configuration/document.rs
@@ -7,8 +7,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use crate::id::Version;
-use crate::message::{DocumentReply, DocumentVersion};
-use crate::object_store::Object;
+use crate::membership::message::{DocumentReply, DocumentVersion};
+use crate::store::object_store::Object;
 
 /// The newest documents that one node holds, by name.
 #[derive(Debug, Default)]
--- a/src/document_exchange.rs
+++ b/src/configuration/document_exchange.rs
@@ -7,13 +7,13 @@
 use tokio::sync::broadcast::error::RecvError;
 use tokio::sync::watch;
 
-use crate::document::DocumentStore;
+use crate::configuration::document::DocumentStore;
 use crate::id::Version;
-use crate::link_faults::LinkFaults;
-use crate::membership::{Membership, News};
-use crate::message::{DocumentVersion, Question, ReplyBody};
-use crate::object_store::Object;
-use crate::peer::PeerClient;
+use crate::membership::gossip::{Membership, News};
+use crate::membership::link_faults::LinkFaults;
+use crate::membership::message::{DocumentVersion, Question, ReplyBody};
+use crate::membership::peer::PeerClient;
+use crate::store::object_store::Object;
 
 /// How long a peer may take to hand over a document.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
--- a/src/document_sync.rs
+++ b/src/configuration/document_sync.rs
@@ -7,10 +7,10 @@
 
 use rand::RngExt;
 
-use crate::document_exchange::DocumentExchange;
+use crate::configuration::document_exchange::DocumentExchange;
 use crate::hash::{Fnv, rendezvous_order};
-use crate::object_api::Platform;
-use crate::object_store::ObjectStore;
+use crate::store::object_api::Platform;
+use crate::store::object_store::ObjectStore;
 
 /// How long one watch waits at the platform.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
--- a/src/configuration.rs
+++ b/src/configuration/keeper.rs
@@ -9,15 +9,15 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::audit::{AUDIT_PREFIX, AuditOutcome, AuditRecord};
 use crate::clock::unix_ms;
-use crate::config::{ConfigRecord, Confirmation};
+use crate::configuration::config::{ConfigRecord, Confirmation};
+use crate::configuration::intent::Intent;
+use crate::configuration::plan::Plan;
 use crate::error::{Error, ErrorKind};
 use crate::id::{IntentId, NodeId, Version};
-use crate::intent::Intent;
-use crate::object_api::CONFIG_KEY;
-use crate::object_store::{ABSENT, Object, ObjectStore, StoreError, create};
-use crate::plan::Plan;
+use crate::observe::audit::{AUDIT_PREFIX, AuditOutcome, AuditRecord};
+use crate::store::object_api::CONFIG_KEY;
+use crate::store::object_store::{ABSENT, Object, ObjectStore, StoreError, create};
 
 /// Times a confirmation is tried against lost replies.
 const TRIES_MAX: u32 = 6;
--- a/src/plan.rs
+++ b/src/configuration/plan.rs
@@ -5,8 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::configuration::intent::Intent;
 use crate::id::{IntentId, Version};
-use crate::intent::Intent;
 
 /// One change that a plan announces.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/edge/beliefs.rs
+++ b/src/edge/beliefs.rs
@@ -8,7 +8,7 @@
 use crate::forward::forwarder::Surroundings;
 use crate::hash::{Fnv, rendezvous_order};
 use crate::id::DataCentreId;
-use crate::members::Member;
+use crate::membership::members::Member;
 use crate::policy::freshness::Freshness;
 use crate::policy::watchers;
 
--- a/src/edge/log_writer.rs
+++ b/src/edge/log_writer.rs
@@ -9,7 +9,7 @@
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::time::{Duration, Instant};
 
-use crate::metrics::{Counter, Metrics};
+use crate::observe::metrics::{Counter, Metrics};
 
 /// Lines that may wait to be written.
 const QUEUE_LINES: usize = 2_048;
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -16,20 +16,20 @@
 use super::settings::EdgeSettings;
 use super::store_watch::{ROUTING_DOCUMENT, StoreWatch};
 use crate::clock::unix_ms;
-use crate::document::DocumentStore;
-use crate::document_exchange::DocumentExchange;
+use crate::configuration::document::DocumentStore;
+use crate::configuration::document_exchange::DocumentExchange;
 use crate::forward::directory::Directory;
 use crate::forward::forwarder::Forwarder;
 use crate::forward::retry_budgets::RetryBudgets;
 use crate::http::serve;
-use crate::link_faults::LinkFaults;
-use crate::members::Member;
-use crate::membership::{Membership, MembershipSettings};
-use crate::metrics::Metrics;
-use crate::peer::{PeerClient, serve_peers};
+use crate::membership::gossip::{Membership, MembershipSettings};
+use crate::membership::link_faults::LinkFaults;
+use crate::membership::members::Member;
+use crate::membership::peer::{PeerClient, serve_peers};
+use crate::observe::metrics::Metrics;
 use crate::platform::store::Store;
 use crate::shutdown::{Shutdown, ShutdownTrigger};
-use crate::stand_in::bind;
+use crate::stand_in::server::bind;
 
 /// Time between probes of other nodes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
--- a/src/edge/pages.rs
+++ b/src/edge/pages.rs
@@ -11,7 +11,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::forward::forwarder::{Forwarder, Surroundings};
 use crate::http::{self, Handler, HttpResponse};
-use crate::metrics::Counter;
+use crate::observe::metrics::Counter;
 use crate::platform::address::{self, ADDRESS_PATH, READY_PATH};
 
 /// Path of the counters.
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -8,10 +8,10 @@
 
 use super::store_watch::{StoreWatch, UPSTREAMS_DOCUMENT, WORD_DOCUMENT};
 use super::upstream_log::{UpstreamLog, decode};
-use crate::document::DocumentStore;
-use crate::membership::{Membership, News};
-use crate::message::{DocumentReply, DocumentVersion, Question, ReplyBody};
-use crate::peer::PeerHandler;
+use crate::configuration::document::DocumentStore;
+use crate::membership::gossip::{Membership, News};
+use crate::membership::message::{DocumentReply, DocumentVersion, Question, ReplyBody};
+use crate::membership::peer::PeerHandler;
 
 /// How long a peer may take to tell what changed.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -7,14 +7,14 @@
 
 use super::beliefs::Beliefs;
 use super::upstream_log::{UpstreamLog, UpstreamUpdate};
-use crate::document_exchange::DocumentExchange;
+use crate::configuration::document_exchange::DocumentExchange;
 use crate::forward::forwarder::Forwarder;
 use crate::id::Version;
-use crate::metrics::Counter;
-use crate::object_store::Object;
+use crate::observe::metrics::Counter;
 use crate::platform::routing;
 use crate::platform::store::{Changes, ConfigText, Store, StoreFailure, UpstreamNews};
 use crate::policy::watchers::StoreWord;
+use crate::store::object_store::Object;
 
 /// Name of the configuration among the documents that peers exchange.
 pub(crate) const ROUTING_DOCUMENT: &str = "routing";
--- a/src/experiment.rs
+++ b/src/experiment/catalogue.rs
@@ -2,19 +2,19 @@
 
 use std::io;
 
-use crate::experiment_claims::measure_claims;
-use crate::experiment_config::measure_config;
-use crate::experiment_control::{measure_control, measure_spread};
-use crate::experiment_crashes::measure_crashes;
-use crate::experiment_idle::measure_idle;
-use crate::experiment_overload::measure_overload;
-use crate::experiment_resume::measure_resume;
-use crate::experiment_sizes::measure_sizes;
-use crate::intent::Intent;
-use crate::report::Report;
+use crate::configuration::intent::Intent;
+use crate::experiment::claims::measure_claims;
+use crate::experiment::config::measure_config;
+use crate::experiment::control::{measure_control, measure_spread};
+use crate::experiment::crashes::measure_crashes;
+use crate::experiment::idle::measure_idle;
+use crate::experiment::overload::measure_overload;
+use crate::experiment::resume::measure_resume;
+use crate::experiment::sizes::measure_sizes;
+use crate::observe::report::Report;
 
-const KESTREL_INTENT: &str = include_str!("../examples/kestrel-intent.yaml");
-const FARO_INTENT: &str = include_str!("../examples/faro-intent.yaml");
+const KESTREL_INTENT: &str = include_str!("../../examples/kestrel-intent.yaml");
+const FARO_INTENT: &str = include_str!("../../examples/faro-intent.yaml");
 
 /// What is measured.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/experiment_claims.rs
+++ b/src/experiment/claims.rs
@@ -3,11 +3,11 @@
 use std::io;
 use std::time::{Duration, Instant};
 
-use crate::call::{CallReport, Caller};
-use crate::experiment::Deployment;
-use crate::local_cluster::{ClusterPlan, LocalCluster};
-use crate::report::Report;
-use crate::sample::Sample;
+use crate::caller::call::{CallReport, Caller};
+use crate::experiment::catalogue::Deployment;
+use crate::experiment::local_cluster::{ClusterPlan, LocalCluster};
+use crate::observe::report::Report;
+use crate::observe::sample::Sample;
 
 /// Calls a second that are offered.
 const RATES_PER_S: [u32; 6] = [1, 10, 50, 100, 250, 500];
@@ -55,7 +55,7 @@
     let cluster = LocalCluster::start(plan).await?;
     cluster
         .platform
-        .set_faults(crate::stand_in_platform::PlatformFaults {
+        .set_faults(crate::stand_in::platform::PlatformFaults {
             slow_ms: PLATFORM_DELAY_MS,
             ..Default::default()
         });
--- a/src/experiment_config.rs
+++ b/src/experiment/config.rs
@@ -3,10 +3,10 @@
 use std::io;
 use std::time::{Duration, Instant};
 
-use crate::experiment::Deployment;
-use crate::local_cluster::{ClusterPlan, LocalCluster};
-use crate::report::Report;
-use crate::sample::Sample;
+use crate::experiment::catalogue::Deployment;
+use crate::experiment::local_cluster::{ClusterPlan, LocalCluster};
+use crate::observe::report::Report;
+use crate::observe::sample::Sample;
 
 /// Sizes of the fleet.
 const NODE_COUNTS: [usize; 4] = [7, 21, 42, 84];
--- a/src/experiment_control.rs
+++ b/src/experiment/control.rs
@@ -9,15 +9,15 @@
 
 use bytes::Bytes;
 
-use crate::announcement::Announcement;
 use crate::clock::unix_ms;
-use crate::control_traffic::ControlTraffic;
-use crate::link_faults::LinkFaults;
-use crate::members::Member;
-use crate::membership::{Membership, MembershipSettings};
-use crate::report::Report;
-use crate::sample::Sample;
-use crate::usage::Usage;
+use crate::membership::announcement::Announcement;
+use crate::membership::control_traffic::ControlTraffic;
+use crate::membership::gossip::{Membership, MembershipSettings};
+use crate::membership::link_faults::LinkFaults;
+use crate::membership::members::Member;
+use crate::observe::report::Report;
+use crate::observe::sample::Sample;
+use crate::observe::usage::Usage;
 
 /// Fleets that are measured; the last is the size of the users' target.
 const NODE_COUNTS: [usize; 5] = [24, 48, 96, 192, 390];
--- a/src/experiment_crashes.rs
+++ b/src/experiment/crashes.rs
@@ -6,13 +6,13 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::call::CompletionParams;
+use crate::caller::call::CompletionParams;
 use crate::error::ErrorKind;
-use crate::experiment::Deployment;
-use crate::local_cluster::{ClusterPlan, LocalCluster};
-use crate::report::Report;
-use crate::sample::Sample;
-use crate::stand_in_runner::CRASH_MARK;
+use crate::experiment::catalogue::Deployment;
+use crate::experiment::local_cluster::{ClusterPlan, LocalCluster};
+use crate::observe::report::Report;
+use crate::observe::sample::Sample;
+use crate::stand_in::runner::CRASH_MARK;
 
 /// Innocent answers under way.
 const INNOCENT_COUNT: usize = 100;
--- a/src/demo.rs
+++ b/src/experiment/demo.rs
@@ -6,12 +6,12 @@
 
 use serde::Serialize;
 
-use crate::call::{CallReport, CompletionParams, CompletionReport};
-use crate::intent::Intent;
-use crate::local_cluster::{ClusterPlan, LocalCluster};
+use crate::caller::call::{CallReport, CompletionParams, CompletionReport};
+use crate::configuration::intent::Intent;
+use crate::experiment::local_cluster::{ClusterPlan, LocalCluster};
 
 /// Intent of the demonstration.
-const INTENT: &str = include_str!("../examples/kestrel-intent.yaml");
+const INTENT: &str = include_str!("../../examples/kestrel-intent.yaml");
 /// Key of a customer in that intent.
 const CUSTOMER_KEY: &str = "federation-key";
 /// Part of the answer after which the runner is killed.
--- a/src/experiment_idle.rs
+++ b/src/experiment/idle.rs
@@ -3,11 +3,11 @@
 use std::io;
 use std::time::Duration;
 
-use crate::experiment::Deployment;
-use crate::local_cluster::{ClusterPlan, LocalCluster};
-use crate::report::Report;
-use crate::stand_in_platform::{PlatformCounts, PlatformFaults};
-use crate::usage::Usage;
+use crate::experiment::catalogue::Deployment;
+use crate::experiment::local_cluster::{ClusterPlan, LocalCluster};
+use crate::observe::report::Report;
+use crate::observe::usage::Usage;
+use crate::stand_in::platform::{PlatformCounts, PlatformFaults};
 
 /// Sizes of the fleet.
 const NODE_COUNTS: [usize; 3] = [7, 14, 21];
--- a/src/local_cluster.rs
+++ b/src/experiment/local_cluster.rs
@@ -10,20 +10,20 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
-use crate::call::Caller;
-use crate::config::key_hash;
-use crate::group_commit::ClaimSettings;
-use crate::intent::Intent;
-use crate::link_faults::LinkFaults;
+use crate::caller::call::Caller;
+use crate::claims::group_commit::ClaimSettings;
+use crate::configuration::config::key_hash;
+use crate::configuration::intent::Intent;
+use crate::fleet::runner::ModelVersion;
+use crate::membership::link_faults::LinkFaults;
 use crate::node::Node;
-use crate::object_api::{Vm, VmRole, VmState};
-use crate::operator::Operator;
-use crate::runner::ModelVersion;
+use crate::operator::client::Operator;
 use crate::settings::{Limits, Listen, Settings, Timing};
-use crate::stand_in::StandIn;
-use crate::stand_in_platform::StandInPlatform;
-use crate::stand_in_runner::{RunnerProfile, StandInRunner};
-use crate::stand_in_service::StandInService;
+use crate::stand_in::platform::StandInPlatform;
+use crate::stand_in::runner::{RunnerProfile, StandInRunner};
+use crate::stand_in::server::StandIn;
+use crate::stand_in::service::StandInService;
+use crate::store::object_api::{Vm, VmRole, VmState};
 
 /// Key of the operator of a local cluster.
 pub const OPERATOR_KEY: &str = "operator-key";
--- /dev/null
+++ b/src/experiment/mod.rs
@@ -0,0 +1,13 @@
+//! Experiments that measure one thing each, and the cluster they run on.
+
+pub(crate) mod catalogue;
+pub(crate) mod claims;
+pub(crate) mod config;
+pub(crate) mod control;
+pub(crate) mod crashes;
+pub(crate) mod demo;
+pub(crate) mod idle;
+pub(crate) mod local_cluster;
+pub(crate) mod overload;
+pub(crate) mod resume;
+pub(crate) mod sizes;
--- a/src/experiment_overload.rs
+++ b/src/experiment/overload.rs
@@ -9,15 +9,15 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::call::{Caller, CompletionParams};
-use crate::direct_caller::{DirectCaller, Recovery};
+use crate::caller::call::{Caller, CompletionParams};
+use crate::caller::direct_caller::{DirectCaller, Recovery};
+use crate::configuration::intent::{Intent, KindIntent, PatienceIntent};
 use crate::error::ErrorKind;
-use crate::experiment::Deployment;
-use crate::intent::{Intent, KindIntent, PatienceIntent};
-use crate::local_cluster::{ClusterPlan, LocalCluster};
-use crate::report::Report;
-use crate::sample::Sample;
-use crate::stand_in_runner::StandInRunner;
+use crate::experiment::catalogue::Deployment;
+use crate::experiment::local_cluster::{ClusterPlan, LocalCluster};
+use crate::observe::report::Report;
+use crate::observe::sample::Sample;
+use crate::stand_in::runner::StandInRunner;
 
 /// Offered load as a multiple of capacity.
 const LOADS: [f64; 4] = [0.5, 1.0, 2.0, 4.0];
--- a/src/experiment_resume.rs
+++ b/src/experiment/resume.rs
@@ -7,13 +7,13 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::call::CompletionParams;
-use crate::direct_caller::{DirectCaller, Recovery};
-use crate::experiment::Deployment;
-use crate::local_cluster::{ClusterPlan, LocalCluster};
-use crate::report::Report;
-use crate::sample::Sample;
-use crate::stand_in_runner::RunnerFaults;
+use crate::caller::call::CompletionParams;
+use crate::caller::direct_caller::{DirectCaller, Recovery};
+use crate::experiment::catalogue::Deployment;
+use crate::experiment::local_cluster::{ClusterPlan, LocalCluster};
+use crate::observe::report::Report;
+use crate::observe::sample::Sample;
+use crate::stand_in::runner::RunnerFaults;
 
 /// Answers under way when the fault comes.
 const CALL_COUNT: usize = 60;
--- a/src/experiment_sizes.rs
+++ b/src/experiment/sizes.rs
@@ -7,16 +7,16 @@
 
 use prost::Message;
 
-use crate::announcement::{Announcement, to_record};
 use crate::clock::unix_ms;
-use crate::config::{ConfigRecord, key_hash};
-use crate::experiment::Deployment;
-use crate::intent::{CustomerIntent, Intent, ModelIntent};
-use crate::members::{Member, Members};
-use crate::message::{ClaimAction, ClaimOperation};
-use crate::object_api::{Vm, VmRole, VmState};
-use crate::report::Report;
-use crate::runner::{ModelVersion, RunnerReport};
+use crate::configuration::config::{ConfigRecord, key_hash};
+use crate::configuration::intent::{CustomerIntent, Intent, ModelIntent};
+use crate::experiment::catalogue::Deployment;
+use crate::fleet::runner::{ModelVersion, RunnerReport};
+use crate::membership::announcement::{Announcement, to_record};
+use crate::membership::members::{Member, Members};
+use crate::membership::message::{ClaimAction, ClaimOperation};
+use crate::observe::report::Report;
+use crate::store::object_api::{Vm, VmRole, VmState};
 
 /// The users' target.
 const NODE_COUNT: usize = 390;
--- a/src/crash_tracker.rs
+++ b/src/fleet/crash_tracker.rs
@@ -5,17 +5,17 @@
 
 use bytes::Bytes;
 
-use crate::announcement::Announcement;
 use crate::clock::unix_ms;
-use crate::fleet::Fleet;
+use crate::fleet::poison::{Fingerprint, POISON_TTL, RequestHealth, RunnerLife, Suspects};
+use crate::fleet::runner::RunnerClient;
+use crate::fleet::table::Fleet;
 use crate::hash::rendezvous_order;
 use crate::id::{Incarnation, RunnerId};
-use crate::membership::Membership;
-use crate::message::{CrashRecord, Question, ReplyBody, RunnerLifeRecord};
-use crate::metrics::{Counter, Metrics};
-use crate::peer::PeerClient;
-use crate::poison::{Fingerprint, POISON_TTL, RequestHealth, RunnerLife, Suspects};
-use crate::runner::RunnerClient;
+use crate::membership::announcement::Announcement;
+use crate::membership::gossip::Membership;
+use crate::membership::message::{CrashRecord, Question, ReplyBody, RunnerLifeRecord};
+use crate::membership::peer::PeerClient;
+use crate::observe::metrics::{Counter, Metrics};
 
 /// Announcements of crashes that a request was in.
 pub(crate) const CRASH_TOPIC: u32 = 1;
--- a/src/runner_watch.rs
+++ b/src/fleet/runner_watch.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::announcement::Announcement;
 use crate::clock::unix_ms;
-use crate::fleet::{Fleet, RunnerView};
+use crate::fleet::runner::{RunnerClient, RunnerReport};
+use crate::fleet::table::{Fleet, RunnerView};
 use crate::hash::{Fnv, rendezvous_order};
 use crate::id::RunnerId;
-use crate::members::Member;
-use crate::membership::Membership;
-use crate::runner::{RunnerClient, RunnerReport};
+use crate::membership::announcement::Announcement;
+use crate::membership::gossip::Membership;
+use crate::membership::members::Member;
 
 /// Announcements of what a runner reports.
 pub(crate) const RUNNER_TOPIC: u32 = 3;
--- a/src/service.rs
+++ b/src/fleet/service.rs
@@ -7,7 +7,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{Method, Response, StatusCode};
 
-use crate::fleet::{Fleet, Instance};
+use crate::fleet::table::{Fleet, Instance};
 use crate::http::{self, HttpClient, SendError};
 
 /// Header that names a call which must run at most once.
--- a/src/fleet.rs
+++ b/src/fleet/table.rs
@@ -11,11 +11,11 @@
 
 use tokio::sync::Notify;
 
+use crate::fleet::retry_budget::RetryBudget;
+use crate::fleet::runner::{LoadHint, ModelVersion, RunnerReport};
 use crate::hash::{Fnv, rendezvous_order};
 use crate::id::{DataCentreId, Incarnation, RunnerId, ServiceId};
-use crate::object_api::{Vm, VmRole, VmState};
-use crate::retry_budget::RetryBudget;
-use crate::runner::{LoadHint, ModelVersion, RunnerReport};
+use crate::store::object_api::{Vm, VmRole, VmState};
 
 /// How long a runner that could not be reached is left alone.
 const DOWN_TIME: Duration = Duration::from_millis(500);
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -17,7 +17,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::http::{self, HttpResponse, read_body};
 use crate::id::DataCentreId;
-use crate::metrics::{Counter, Metrics};
+use crate::observe::metrics::{Counter, Metrics};
 use crate::platform::call;
 use crate::policy::placement::{Candidate, is_own};
 use crate::policy::refusal::{GivenUp, Progress, error_kind, retry_after};
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -9,7 +9,7 @@
 use super::send::{Answered, Attempt, SendOutcome};
 use super::upstream::{Upstream, Work};
 use crate::http::HttpResponse;
-use crate::metrics::Counter;
+use crate::observe::metrics::Counter;
 use crate::platform::call::Dispatch;
 use crate::policy::placement::choose_plain;
 use crate::policy::refusal::{GivenUp, Progress};
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -10,7 +10,7 @@
 
 use super::directory::Directory;
 use super::upstream::Upstream;
-use crate::metrics::{Counter, Metrics};
+use crate::observe::metrics::{Counter, Metrics};
 use crate::platform::engine::{EngineReport, REPORT_PATH, read_report};
 use crate::policy::silence::{ALARM_TIME, Phase, pause_before_loss, pause_before_probe};
 
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -8,10 +8,10 @@
 use hyper::{HeaderMap, Method, Request, Uri};
 
 use super::route_table::Admitted;
+use crate::fleet::poison::Fingerprint;
 use crate::hash::Fnv;
 use crate::id::ServiceId;
 use crate::platform::call::{self, CallHeaders, Dispatch};
-use crate::poison::Fingerprint;
 
 /// Time that an answer needs on its way back to the caller.
 const WAY_BACK: Duration = Duration::from_millis(8);
--- a/src/forward/run_copy.rs
+++ b/src/forward/run_copy.rs
@@ -16,7 +16,7 @@
 use super::probe::exchange;
 use super::upstream::{Upstream, Work};
 use crate::id::ServiceId;
-use crate::metrics::Counter;
+use crate::observe::metrics::Counter;
 use crate::platform::engine::{self, MoveReply};
 use crate::policy::placement::{Candidate, choose_replica};
 
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -22,13 +22,13 @@
 use super::run_copy::{CopyPlace, RunCopy, RunName, choose_keeper, free, guard, lock};
 use super::send::{Answered, Attempt, SendOutcome};
 use super::upstream::{Upstream, Work};
+use crate::caller::sse::EventBuffer;
 use crate::http::{BrokenOff, HttpResponse};
-use crate::metrics::Counter;
+use crate::observe::metrics::Counter;
 use crate::platform::call::{CopyName, Dispatch, strip_hop_headers};
 use crate::policy::placement::choose_engine;
 use crate::policy::refusal::{GivenUp, Progress};
 use crate::policy::silence::Phase;
-use crate::sse::EventBuffer;
 
 /// Events that may wait for a slow caller.
 const UNSENT_EVENTS: usize = 8;
--- a/src/attempt.rs
+++ b/src/generation/attempt.rs
@@ -14,12 +14,12 @@
 use hyper::body::Incoming;
 use tokio::task::JoinHandle;
 
-use crate::config::CallerPolicy;
-use crate::event_id::AttemptId;
-use crate::fleet::InFlight;
+use crate::caller::event_id::AttemptId;
+use crate::caller::sse::{Event, EventBuffer, escaped_text, parse_index};
+use crate::configuration::config::CallerPolicy;
+use crate::fleet::runner::{self, RunnerClient, StreamKey};
+use crate::fleet::table::InFlight;
 use crate::id::{Incarnation, TokenIndex};
-use crate::runner::{self, RunnerClient, StreamKey};
-use crate::sse::{Event, EventBuffer, escaped_text, parse_index};
 
 /// Weight of the newest gap between tokens in the mean.
 const GAP_WEIGHT: f64 = 0.1;
@@ -203,7 +203,10 @@
         tokio::spawn(async move { self.client.cancel(self.address, &self.key).await });
     }
 
-    fn take_frames(&mut self, first: Option<Bytes>) -> Result<(), crate::sse::EventTooLarge> {
+    fn take_frames(
+        &mut self,
+        first: Option<Bytes>,
+    ) -> Result<(), crate::caller::sse::EventTooLarge> {
         let mut data = first;
         loop {
             if let Some(data) = data {
--- a/src/dispatch.rs
+++ b/src/generation/dispatch.rs
@@ -6,17 +6,17 @@
 
 use bytes::Bytes;
 
-use crate::attempt::{Attempt, OpenedStream};
-use crate::config::{CallerPolicy, Config};
-use crate::crash_tracker::{Blocked, CrashTracker};
+use crate::caller::event_id::AttemptId;
+use crate::configuration::config::{CallerPolicy, Config};
 use crate::error::{Error, ErrorKind};
-use crate::event_id::AttemptId;
-use crate::fleet::{Candidate, Fleet, RouteQuery};
+use crate::fleet::crash_tracker::{Blocked, CrashTracker};
+use crate::fleet::poison::Fingerprint;
+use crate::fleet::runner::{self, OpenError, RunnerClient, StreamRequest};
+use crate::fleet::table::{Candidate, Fleet, RouteQuery};
+use crate::generation::attempt::{Attempt, OpenedStream};
 use crate::hash::Fnv;
 use crate::id::{AttemptNumber, GenerationId, Incarnation, ModelId, RunnerId, TokenIndex};
-use crate::metrics::{Counter, Metrics};
-use crate::poison::Fingerprint;
-use crate::runner::{self, OpenError, RunnerClient, StreamRequest};
+use crate::observe::metrics::{Counter, Metrics};
 
 /// How long a runner may take to say whether it stays.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
--- a/src/generation.rs
+++ b/src/generation/run.rs
@@ -11,13 +11,13 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::channel::Sender;
 
-use crate::admission::Admitted;
-use crate::attempt::{Attempt, Delivery, Loss, Step};
-use crate::crash_tracker::{Blocked, CrashTracker};
-use crate::dispatch::{Dispatcher, Job, OpenFailure, Progress};
+use crate::caller::admission::Admitted;
 use crate::error::{Error, ErrorKind};
+use crate::fleet::crash_tracker::{Blocked, CrashTracker};
+use crate::generation::attempt::{Attempt, Delivery, Loss, Step};
+use crate::generation::dispatch::{Dispatcher, Job, OpenFailure, Progress};
 use crate::id::{AttemptNumber, RunnerId, TokenIndex};
-use crate::metrics::{Counter, Metrics};
+use crate::observe::metrics::{Counter, Metrics};
 
 /// How long a generation looks for a runner to go on at.
 const RESUME_PATIENCE: Duration = Duration::from_secs(10);
--- a/src/announcement.rs
+++ b/src/membership/announcement.rs
@@ -10,7 +10,7 @@
 
 use crate::hash::Fnv;
 use crate::id::Version;
-use crate::message::{AnnouncementRecord, MemberRecord};
+use crate::membership::message::{AnnouncementRecord, MemberRecord};
 
 /// Times an item sends on datagrams, per doubling of the fleet.
 const SENDS_PER_DOUBLING: u32 = 3;
--- a/src/control_traffic.rs
+++ b/src/membership/control_traffic.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use crate::peer::PeerTraffic;
+use crate::membership::peer::PeerTraffic;
 
 /// Messages and bytes of this node's control traffic.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/src/membership.rs
+++ b/src/membership/gossip.rs
@@ -15,18 +15,18 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{broadcast, oneshot};
 
-use crate::announcement::{
+use crate::id::Version;
+use crate::membership::announcement::{
     Announcement, Announcements, Update, UpdateQueue, from_record, to_record,
 };
-use crate::control_traffic::{ControlTraffic, TrafficCounter};
-use crate::id::Version;
-use crate::link_faults::LinkFaults;
-use crate::members::{Member, Members};
-use crate::membership_state::{Source, State, document_versions, spread};
-use crate::message::{
+use crate::membership::control_traffic::{ControlTraffic, TrafficCounter};
+use crate::membership::link_faults::LinkFaults;
+use crate::membership::members::{Member, Members};
+use crate::membership::message::{
     Datagram, MemberState, Purpose, Question, ReplyBody, SyncQuestion, SyncReply,
 };
-use crate::peer::{PeerClient, PeerHandler, serve_peers};
+use crate::membership::peer::{PeerClient, PeerHandler, serve_peers};
+use crate::membership::state::{Source, State, document_versions, spread};
 use crate::shutdown::{Shutdown, ShutdownTrigger};
 
 /// Largest datagram, below the smallest usual path limit.
--- a/src/members.rs
+++ b/src/membership/members.rs
@@ -9,7 +9,7 @@
 
 use crate::hash::Fnv;
 use crate::id::{DataCentreId, Incarnation, NodeId};
-use crate::message::{MemberRecord, MemberState};
+use crate::membership::message::{MemberRecord, MemberState};
 
 /// How long a dead node is remembered, so that a healed partition finds it.
 const DEAD_KEEP: Duration = Duration::from_secs(2 * 3600);
--- a/src/peer.rs
+++ b/src/membership/peer.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::message::{PeerCall, PeerReply, Question, ReplyBody};
+use crate::membership::message::{PeerCall, PeerReply, Question, ReplyBody};
 use crate::shutdown::Shutdown;
 
 /// Largest frame between nodes: a platform value with its envelope.
--- a/src/membership_state.rs
+++ b/src/membership/state.rs
@@ -5,10 +5,10 @@
 
 use tokio::sync::oneshot;
 
-use crate::announcement::{Announcements, Update, UpdateQueue};
 use crate::id::Version;
-use crate::members::{Change, Members};
-use crate::message::{DocumentVersion, MemberRecord, SyncQuestion};
+use crate::membership::announcement::{Announcements, Update, UpdateQueue};
+use crate::membership::members::{Change, Members};
+use crate::membership::message::{DocumentVersion, MemberRecord, SyncQuestion};
 
 /// Least time between two synchronisations where members differ.
 const SYNC_SPACING: Duration = Duration::from_secs(2);
--- a/src/node_state.rs
+++ b/src/node_state.rs
@@ -6,23 +6,23 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::admission::Admission;
-use crate::claim_forwarder::ClaimForwarder;
-use crate::config::Config;
-use crate::configuration::Configuration;
-use crate::crash_tracker::CrashTracker;
-use crate::dispatch::Dispatcher;
-use crate::document::DocumentStore;
-use crate::document_sync::DocumentSync;
+use crate::caller::admission::Admission;
+use crate::claims::forwarder::ClaimForwarder;
+use crate::configuration::config::Config;
+use crate::configuration::document::DocumentStore;
+use crate::configuration::document_sync::DocumentSync;
+use crate::configuration::keeper::Configuration;
 use crate::error::{Error, ErrorKind};
-use crate::fleet::Fleet;
-use crate::membership::Membership;
-use crate::message::{DocumentVersion, Question, ReplyBody, StatusReply};
-use crate::metrics::Metrics;
-use crate::object_api::Platform;
-use crate::peer::{PeerClient, PeerHandler};
-use crate::service::ServiceClient;
+use crate::fleet::crash_tracker::CrashTracker;
+use crate::fleet::service::ServiceClient;
+use crate::fleet::table::Fleet;
+use crate::generation::dispatch::Dispatcher;
+use crate::membership::gossip::Membership;
+use crate::membership::message::{DocumentVersion, Question, ReplyBody, StatusReply};
+use crate::membership::peer::{PeerClient, PeerHandler};
+use crate::observe::metrics::Metrics;
 use crate::settings::Settings;
+use crate::store::object_api::Platform;
 
 /// The parts of one node.
 #[derive(Debug)]
@@ -72,7 +72,7 @@
         StatusReply {
             documents: versions
                 .map(|(name, version)| {
-                    let is_config = name == crate::object_api::CONFIG_KEY;
+                    let is_config = name == crate::store::object_api::CONFIG_KEY;
                     DocumentVersion {
                         version: if is_config { applied } else { version },
                         name,
--- a/src/audit.rs
+++ b/src/observe/audit.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::unix_ms;
-use crate::object_store::{ObjectStore, StoreError, create};
+use crate::store::object_store::{ObjectStore, StoreError, create};
 
 /// Where audit records stand in the platform.
 pub(crate) const AUDIT_PREFIX: &str = "audit/";
--- a/src/operator.rs
+++ b/src/operator/client.rs
@@ -8,13 +8,13 @@
 use hyper::header::{AUTHORIZATION, HeaderValue};
 use serde::de::DeserializeOwned;
 
-use crate::audit::AuditRecord;
+use crate::configuration::intent::Intent;
+use crate::configuration::plan::Plan;
 use crate::error::{ErrorBody, ErrorDetail};
 use crate::http::{self, HttpClient};
 use crate::id::Version;
-use crate::intent::Intent;
-use crate::operator_api::{ConfirmBody, Confirmed, Status};
-use crate::plan::Plan;
+use crate::observe::audit::AuditRecord;
+use crate::operator::operator_api::{ConfirmBody, Confirmed, Status};
 
 /// How long a node may take over an operator's request.
 const TIMEOUT: Duration = Duration::from_secs(30);
--- /dev/null
+++ b/src/operator/mod.rs
@@ -0,0 +1,4 @@
+//! What operators meet, and their client.
+
+pub(crate) mod client;
+pub(crate) mod operator_api;
--- a/src/operator_api.rs
+++ b/src/operator/operator_api.rs
@@ -8,18 +8,18 @@
 use hyper::{Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use crate::caller_api::bearer;
-use crate::config::key_hash;
+use crate::caller::caller_api::bearer;
+use crate::configuration::config::key_hash;
+use crate::configuration::intent::Intent;
 use crate::error::{Error, ErrorKind};
+use crate::fleet::runner::ModelVersion;
 use crate::http::{self, Handler, HttpResponse};
 use crate::id::{NodeId, Version};
-use crate::intent::Intent;
-use crate::members::Member;
-use crate::message::{Question, ReplyBody, StatusQuestion};
-use crate::metrics::Counter;
+use crate::membership::members::Member;
+use crate::membership::message::{Question, ReplyBody, StatusQuestion};
 use crate::node_state::NodeState;
-use crate::object_api::{CONFIG_KEY, VMS_KEY};
-use crate::runner::ModelVersion;
+use crate::observe::metrics::Counter;
+use crate::store::object_api::{CONFIG_KEY, VMS_KEY};
 
 /// Largest intent.
 const INTENT_MAX_BYTES: usize = 512 * 1024;
--- a/src/lease.rs
+++ b/src/orders/lease.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{Fence, Version};
-use crate::object_store::{ABSENT, ObjectStore, StoreError};
+use crate::store::object_store::{ABSENT, ObjectStore, StoreError};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct LeaseRecord {
--- a/src/orders.rs
+++ b/src/orders/reconciler.rs
@@ -9,15 +9,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::audit::{AuditOutcome, AuditRecord};
-use crate::config::Config;
-use crate::fleet::{Fleet, RunnerView};
+use crate::configuration::config::Config;
+use crate::fleet::runner::{ModelVersion, Order, RunnerClient};
+use crate::fleet::table::{Fleet, RunnerView};
 use crate::hash::{Fnv, rendezvous_order};
 use crate::id::{Fence, NodeId, RunnerId};
-use crate::lease::Lease;
-use crate::metrics::{Counter, Metrics};
-use crate::object_store::ObjectStore;
-use crate::runner::{ModelVersion, Order, RunnerClient};
+use crate::observe::audit::{AuditOutcome, AuditRecord};
+use crate::observe::metrics::{Counter, Metrics};
+use crate::orders::lease::Lease;
+use crate::store::object_store::ObjectStore;
 
 /// Key of the lease on orders.
 const LEASE_KEY: &str = "lease/orders";
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 
-use crate::group_commit::ClaimSettings;
+use crate::claims::group_commit::ClaimSettings;
 use crate::id::{DataCentreId, NodeId};
 
 /// What one node is told before it starts; every field's meaning and range
--- a/src/stand_in_platform.rs
+++ b/src/stand_in/platform.rs
@@ -17,10 +17,10 @@
 
 use crate::http::{self, Handler, HttpResponse};
 use crate::id::Version;
-use crate::object_api::{VMS_KEY, Vm, parse_tag};
-use crate::object_store::{ABSENT, Object};
 use crate::shutdown::Shutdown;
-use crate::stand_in::{StandIn, bind};
+use crate::stand_in::server::{StandIn, bind};
+use crate::store::object_api::{VMS_KEY, Vm, parse_tag};
+use crate::store::object_store::{ABSENT, Object};
 
 /// Largest value the platform holds.
 const VALUE_MAX_BYTES: usize = 1024 * 1024;
--- a/src/stand_in_runner.rs
+++ b/src/stand_in/runner.rs
@@ -17,14 +17,14 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-use crate::gate::Gate;
+use crate::caller::gate::Gate;
+use crate::fleet::runner::{self, ModelVersion, Order, RunnerReport, StreamRequest};
+use crate::generation::token_chain::TokenChain;
 use crate::http::{self, Handler, HttpResponse};
 use crate::id::{Fence, Incarnation};
-use crate::runner::{self, ModelVersion, Order, RunnerReport, StreamRequest};
 use crate::shutdown::{Shutdown, ShutdownTrigger};
-use crate::stand_in::{Freezer, StandIn, bind};
-use crate::stand_in_platform::status;
-use crate::token_chain::TokenChain;
+use crate::stand_in::platform::status;
+use crate::stand_in::server::{Freezer, StandIn, bind};
 
 /// A prompt with this text kills each engine that runs it.
 pub const CRASH_MARK: &str = "CRASHES-THE-ENGINE";
--- a/src/stand_in_service.rs
+++ b/src/stand_in/service.rs
@@ -12,11 +12,11 @@
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::service::IDEMPOTENCY_KEY;
 use crate::http::{self, Handler, HttpResponse};
-use crate::service::IDEMPOTENCY_KEY;
 use crate::shutdown::{Shutdown, ShutdownTrigger};
-use crate::stand_in::{Freezer, StandIn, bind};
-use crate::stand_in_platform::status;
+use crate::stand_in::platform::status;
+use crate::stand_in::server::{Freezer, StandIn, bind};
 
 const BODY_MAX_BYTES: usize = 1024 * 1024;
 
--- a/src/object_api.rs
+++ b/src/store/object_api.rs
@@ -15,7 +15,7 @@
 
 use crate::http::{self, HttpClient, SendError};
 use crate::id::{DataCentreId, Version};
-use crate::object_store::{ABSENT, Object, ObjectStore, StoreError};
+use crate::store::object_store::{ABSENT, Object, ObjectStore, StoreError};
 
 /// Key of the confirmed configuration.
 pub(crate) const CONFIG_KEY: &str = "config/current";
