--- a/src/caller/call.rs
+++ b/src/caller/call.rs
@@ -10,7 +10,8 @@
 use hyper::{Method, Response};
 use serde::{Deserialize, Serialize};
 
-use crate::caller::caller_api::{AddressAnswer, CALLER_KIND, LAST_EVENT_ID};
+use crate::caller::caller_api::{AddressAnswer, LAST_EVENT_ID};
+use crate::caller::identity::CALLER_KIND;
 use crate::caller::sse::{Event, EventBuffer, escaped_text, unescape};
 use crate::error::{ErrorBody, ErrorDetail};
 use crate::fleet::runner::DONE;
--- a/src/caller/caller_api.rs
+++ b/src/caller/caller_api.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::channel::Channel;
 use hyper::body::Incoming;
-use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
@@ -13,6 +13,7 @@
 use crate::caller::admission::{AdmissionRequest, Admitted};
 use crate::caller::completion::CompletionRequest;
 use crate::caller::event_id::EventId;
+use crate::caller::identity::{Caller, identify};
 use crate::caller::service_api::call_service;
 use crate::caller::sse::unescape;
 use crate::configuration::config::Config;
@@ -21,16 +22,11 @@
 use crate::generation::dispatch::{Job, OpenFailure, RESUME_PRIORITY};
 use crate::generation::run::{Generation, Sink, Start};
 use crate::http::{self, Handler, HttpResponse};
-use crate::id::{CustomerId, KindId};
 use crate::node_state::NodeState;
 use crate::observe::metrics::Counter;
 
-/// Header that says which kind of caller asks.
-pub(crate) const CALLER_KIND: &str = "x-caller-kind";
 /// Header by which a caller resumes, as browsers send it.
 pub(crate) const LAST_EVENT_ID: &str = "last-event-id";
-/// Kind of callers that name none.
-const DEFAULT_KIND: &str = "default";
 /// Addresses in one answer.
 const ADDRESSES_MAX: usize = 3;
 /// How much rather a node of this data centre is named than another.
@@ -53,14 +49,6 @@
     state: Arc<NodeState>,
 }
 
-/// Who asks, as the configuration knows it.
-pub(crate) struct Caller<'a> {
-    /// Customer that the key belongs to.
-    pub(crate) customer: &'a CustomerId,
-    weight: u32,
-    kind: KindId,
-}
-
 impl CallerApi {
     /// Answers for one node.
     pub(crate) fn new(state: Arc<NodeState>) -> Self {
@@ -305,28 +293,6 @@
     }
 }
 
-/// Finds out who asks.
-pub(crate) fn identify<'a>(
-    config: &'a Config,
-    request: &Request<Incoming>,
-) -> Result<Caller<'a>, Error> {
-    let key = bearer(request)?;
-    let (customer, intent) = config.customer(key)?;
-    let kind = http::header(request, CALLER_KIND).unwrap_or(DEFAULT_KIND);
-    Ok(Caller {
-        customer,
-        weight: intent.weight,
-        kind: kind.to_owned(),
-    })
-}
-
-/// The key of a caller or an operator.
-pub(crate) fn bearer(request: &Request<Incoming>) -> Result<&str, Error> {
-    http::header(request, AUTHORIZATION.as_str())
-        .and_then(|value| value.strip_prefix("Bearer "))
-        .ok_or_else(|| Error::new(ErrorKind::Unauthorized, "authorization: needs 'Bearer KEY'"))
-}
-
 fn new_generation_id() -> String {
     uuid::Uuid::new_v4().simple().to_string()
 }
--- a/src/caller/mod.rs
+++ b/src/caller/mod.rs
@@ -7,5 +7,6 @@
 pub(crate) mod direct_caller;
 pub(crate) mod event_id;
 pub(crate) mod gate;
+pub(crate) mod identity;
 pub(crate) mod service_api;
 pub(crate) mod sse;
--- a/src/caller/service_api.rs
+++ b/src/caller/service_api.rs
@@ -7,7 +7,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 
-use crate::caller::caller_api::identify;
+use crate::caller::identity::identify;
 use crate::claims::claim::{Claim, Held, Taken, call_hash, take_claim};
 use crate::configuration::config::Config;
 use crate::error::{Error, ErrorKind};
--- a/src/experiment/idle.rs
+++ b/src/experiment/idle.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::time::Duration;
 
-use crate::experiment::catalogue::Deployment;
+use crate::experiment::deployment::Deployment;
 use crate::experiment::local_cluster::{ClusterPlan, LocalCluster};
 use crate::observe::report::Report;
 use crate::observe::usage::Usage;
--- a/src/experiment/overload.rs
+++ b/src/experiment/overload.rs
@@ -13,7 +13,7 @@
 use crate::caller::direct_caller::{DirectCaller, Recovery};
 use crate::configuration::intent::{Intent, KindIntent, PatienceIntent};
 use crate::error::ErrorKind;
-use crate::experiment::catalogue::Deployment;
+use crate::experiment::deployment::Deployment;
 use crate::experiment::local_cluster::{ClusterPlan, LocalCluster};
 use crate::observe::report::Report;
 use crate::observe::sample::Sample;
--- a/src/experiment/resume.rs
+++ b/src/experiment/resume.rs
@@ -9,7 +9,7 @@
 
 use crate::caller::call::CompletionParams;
 use crate::caller::direct_caller::{DirectCaller, Recovery};
-use crate::experiment::catalogue::Deployment;
+use crate::experiment::deployment::Deployment;
 use crate::experiment::local_cluster::{ClusterPlan, LocalCluster};
 use crate::observe::report::Report;
 use crate::observe::sample::Sample;
--- a/src/experiment/sizes.rs
+++ b/src/experiment/sizes.rs
@@ -10,7 +10,7 @@
 use crate::clock::unix_ms;
 use crate::configuration::config::{ConfigRecord, key_hash};
 use crate::configuration::intent::{CustomerIntent, Intent, ModelIntent};
-use crate::experiment::catalogue::Deployment;
+use crate::experiment::deployment::Deployment;
 use crate::fleet::runner::{ModelVersion, RunnerReport};
 use crate::membership::announcement::{Announcement, to_record};
 use crate::membership::members::{Member, Members};
--- a/src/operator/operator_api.rs
+++ b/src/operator/operator_api.rs
@@ -8,7 +8,7 @@
 use hyper::{Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use crate::caller::caller_api::bearer;
+use crate::caller::identity::bearer;
 use crate::configuration::config::key_hash;
 use crate::configuration::intent::Intent;
 use crate::error::{Error, ErrorKind};
