Find engines that restart while the store is away by their refusals

Change: a misdirected refusal names the engine that has the address now; while the store cannot be asked, and only one service has engines, one that reports its models is taken into use. A plain upstream at that address is not.

--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -153,6 +153,11 @@
             .collect()
     }
 
+    /// Whether an upstream of this name is known.
+    pub(crate) fn knows(&self, id: &UpstreamId) -> bool {
+        self.lock().upstreams.contains_key(id)
+    }
+
     /// How many upstreams are known.
     pub(crate) fn count(&self) -> usize {
         self.lock().upstreams.len()
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -14,4 +14,5 @@
 pub(crate) mod run_copy;
 pub(crate) mod send;
 pub(crate) mod stream_call;
+pub(crate) mod successor;
 pub(crate) mod upstream;
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -47,7 +47,7 @@
 
 impl<S: Surroundings> Forwarder<S> {
     /// Answers a plain call.
-    pub(crate) async fn plain(&self, call: Call) -> HttpResponse {
+    pub(crate) async fn plain(self: &Arc<Self>, call: Call) -> HttpResponse {
         let mut course = Course::new();
         let deadline = call.deadline.into();
         let served = tokio::time::timeout_at(deadline, self.try_plain(&call, &mut course)).await;
@@ -74,7 +74,7 @@
         }
     }
 
-    async fn try_plain(&self, call: &Call, course: &mut Course) -> Option<HttpResponse> {
+    async fn try_plain(self: &Arc<Self>, call: &Call, course: &mut Course) -> Option<HttpResponse> {
         let kind = call.admitted.route.kind;
         loop {
             let is_first = course.sent_count == 0;
@@ -115,7 +115,7 @@
                             course.unsent_count += 1;
                             course.cause = cause.to_owned();
                         }
-                        SendOutcome::Misdirected => {
+                        SendOutcome::Misdirected(_) => {
                             course.progress = before;
                             course.unsent_count += 1;
                             course.cause = "another upstream has the address".to_owned();
@@ -169,7 +169,7 @@
     }
 
     /// Writes down why a send brought no answer, and draws the consequence.
-    pub(crate) fn note(&self, call: &Call, upstream: &Upstream, outcome: &SendOutcome) {
+    pub(crate) fn note(self: &Arc<Self>, call: &Call, upstream: &Upstream, outcome: &SendOutcome) {
         let now = Instant::now();
         let heard_ms = upstream.silence(now).map(|silence| silence.as_millis());
         log::info!(
@@ -179,7 +179,12 @@
             call.age().as_millis()
         );
         match outcome {
-            SendOutcome::Misdirected => self.directory.forget(upstream, now),
+            SendOutcome::Misdirected(actual) => {
+                self.directory.forget(upstream, now);
+                if let Some(actual) = actual {
+                    self.look_for(upstream.entry.clone(), actual.clone());
+                }
+            }
             SendOutcome::NotSent(_) | SendOutcome::MayHaveRun(_) => upstream.avoid(now),
             SendOutcome::NotExecuted => upstream.is_full(now),
         }
--- a/src/forward/route_table.rs
+++ b/src/forward/route_table.rs
@@ -214,6 +214,14 @@
         })
     }
 
+    /// Services whose upstreams are model engines.
+    pub(crate) fn engine_services(&self) -> impl Iterator<Item = &ServiceId> {
+        let services = self.services.iter();
+        services
+            .filter(|(_, traits)| traits.engine.is_some())
+            .map(|(service, _)| service)
+    }
+
     /// What is configured of a service.
     pub(crate) fn service(&self, service: &str) -> ServiceTraits {
         self.services.get(service).copied().unwrap_or_default()
--- a/src/forward/send.rs
+++ b/src/forward/send.rs
@@ -14,7 +14,7 @@
 
 use super::connection::{Connection, SendFailure};
 use super::request::Call;
-use super::upstream::{Upstream, Work};
+use super::upstream::{Upstream, UpstreamId, Work};
 use crate::platform::answer::{self, AnswerHeaders};
 use crate::policy::answer_class::{AnswerClass, classify};
 
@@ -53,8 +53,9 @@
     NotSent(&'static str),
     /// The upstream states that it did not run the call.
     NotExecuted,
-    /// The address belongs to another upstream, which did not run the call.
-    Misdirected,
+    /// The address belongs to another upstream, which did not run the call and
+    /// may have said its name.
+    Misdirected(Option<UpstreamId>),
     /// The upstream may have run the call.
     MayHaveRun(String),
 }
@@ -117,7 +118,10 @@
                 self.upstream.heard(Instant::now());
                 Err(SendOutcome::NotExecuted)
             }
-            AnswerClass::Misdirected => Err(SendOutcome::Misdirected),
+            AnswerClass::Misdirected => {
+                let actual = answer::actual_upstream(self.state.response.headers());
+                Err(SendOutcome::Misdirected(actual))
+            }
             AnswerClass::Foreign => Err(SendOutcome::MayHaveRun(format!(
                 "status {} of another call or no upstream's",
                 self.state.headers.status.as_u16()
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -138,7 +138,7 @@
                     self.sent_count -= 1;
                     self.unsent_count += 1;
                 }
-                SendOutcome::Misdirected => {
+                SendOutcome::Misdirected(_) => {
                     self.did_not_run(before);
                     self.unsent_count += 1;
                 }
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -84,8 +84,9 @@
 
     /// Whether `entry` speaks of this life.
     pub(crate) fn is_same_life(&self, entry: &UpstreamEntry) -> bool {
+        let born = (self.entry.born_unix_ms, entry.born_unix_ms);
         self.entry.id == entry.id
-            && self.entry.born_unix_ms == entry.born_unix_ms
+            && (born.0 == born.1 || born.0 == 0 || born.1 == 0)
             && self.entry.address == entry.address
             && self.entry.service == entry.service
     }
--- a/tests/store_and_peers.rs
+++ b/tests/store_and_peers.rs
@@ -243,3 +243,56 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn engines_that_restart_while_the_store_is_away_are_found_by_what_they_answer() {
+    let world = World::start(2).await;
+    let (_node, caller) = world.node("n1").await;
+    world.store.is_away.store(true, Ordering::Relaxed);
+    world.store.put("config", "ignored", json!({}));
+    world
+        .store
+        .put("servers", "stranger", json!({"service": 5}));
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    for engine in &world.engines {
+        engine.crash();
+        engine.restart().await;
+    }
+
+    let mut served = 0;
+    for _ in 0..12 {
+        served += usize::from(caller.stream(5).await.events() == vec![1, 2, 3, 4, 5]);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+
+    assert!(served >= 6, "{served} of 12");
+    let unnamed = world.engines.iter().flat_map(|e| e.runs()).filter(|run| {
+        let named = run.request.header("x-zinniawing-expect-instance");
+        !world.engines.iter().any(|e| named == Some(e.id().as_str()))
+    });
+    assert_eq!(unnamed.count(), 0, "each run names its engine");
+}
+
+#[tokio::test]
+async fn a_plain_upstream_at_an_engine_s_address_is_not_taken_for_one() {
+    let world = World::start(0).await;
+    let service = &world.services[0];
+    let mut entry = service.entry("ready");
+    entry["service"] = json!("llm");
+    world.store.put("servers", "e-9", entry);
+    world.store.delete("servers", &service.id);
+    let (_node, caller) = world.node("n1").await;
+    world.store.is_away.store(true, Ordering::Relaxed);
+    world.store.put("config", "ignored", json!({}));
+    tokio::time::sleep(Duration::from_millis(400)).await;
+
+    for _ in 0..4 {
+        service.will(support::outside::service::Next::Misdirects);
+        let got = caller.stream(5).await;
+        assert_eq!(got.status, 503, "{got:?}");
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+
+    let ran = service.executed();
+    assert!(ran.iter().all(|run| run.path() == "/report"), "{ran:?}");
+}
--- a/tests/support/outside/engine.rs
+++ b/tests/support/outside/engine.rs
@@ -210,10 +210,18 @@
         self.thaw().await;
         let expected = request.header("x-zinniawing-expect-instance");
         if expected.is_some_and(|expected| expected != self.id()) {
-            return reply(stream, 421, "", b"").await;
+            let own = format!("x-zinniawing-instance-id: {}\r\n", self.id());
+            return reply(stream, 421, &own, b"").await;
         }
         match request.path() {
-            "/report" => reply(stream, 200, "", b"{\"queued\":0,\"active\":1}").await,
+            "/report" => {
+                let report = json!({
+                    "phase": "mixed", "models": [{ "name": "m", "version": 1, "adapters": [] }],
+                    "queued": 0, "active": 1, "state": "ready",
+                    "born": 1000 + self.life.load(Ordering::Relaxed),
+                });
+                reply(stream, 200, "", report.to_string().as_bytes()).await
+            }
             "/kv-move" => self.copy(&request, stream).await,
             path if path.starts_with("/kv-handle/") => reply(stream, 200, "", b"{}").await,
             _ => self.run(request, stream).await,
--- a/tests/support/outside/raw.rs
+++ b/tests/support/outside/raw.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -50,10 +51,7 @@
 
 /// Serves until the handle is aborted, which resets all connections.
 pub async fn serve<A: Answer>(address: SocketAddr, answer: Arc<A>) -> JoinHandle<()> {
-    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
-    socket.set_reuseaddr(true).expect("an option");
-    socket.bind(address).expect("the address is free");
-    let listener: TcpListener = socket.listen(256).expect("a listener");
+    let listener = listen(address).await;
     tokio::spawn(async move {
         let mut open = JoinSet::new();
         loop {
@@ -65,6 +63,20 @@
     })
 }
 
+/// Listens as soon as an earlier life has let go of the address.
+async fn listen(address: SocketAddr) -> TcpListener {
+    for _ in 0..100 {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.set_reuseaddr(true).expect("an option");
+        let bound = socket.bind(address).and_then(|()| socket.listen(256));
+        if let Ok(listener) = bound {
+            return listener;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("{address} stays taken");
+}
+
 async fn serve_one<A: Answer>(mut stream: TcpStream, answer: Arc<A>) {
     let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
