Convict requests that crash the engines that begin to run them, at all nodes

A crash counts against a request only before its first event and only where the engine proves to be down; an event clears it; the third ends it, and the news rides on the announcements between nodes. Test: two nodes, one request that takes down each engine; nothing runs it a second after the third.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod beliefs;
 pub(crate) mod caller_entry;
+pub(crate) mod crash_news;
 pub(crate) mod drain;
 pub(crate) mod log_writer;
 pub(crate) mod node;
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -10,6 +10,7 @@
 
 use super::beliefs::Beliefs;
 use super::caller_entry::CallerEntry;
+use super::crash_news;
 use super::drain::wait_until_done;
 use super::pages::Pages;
 use super::peers::EdgePeerApi;
@@ -18,6 +19,7 @@
 use crate::clock::unix_ms;
 use crate::configuration::document::DocumentStore;
 use crate::configuration::document_exchange::DocumentExchange;
+use crate::forward::crashes::Crashes;
 use crate::forward::directory::Directory;
 use crate::forward::forwarder::Forwarder;
 use crate::forward::retry_budgets::RetryBudgets;
@@ -59,6 +61,7 @@
             routing: ArcSwapOption::empty(),
             directory: Directory::default(),
             budgets: RetryBudgets::new(settings.allowance()),
+            crashes: Crashes::default(),
             metrics,
             data_centre: settings.data_centre.clone(),
             node: Beliefs::new(),
@@ -171,6 +174,10 @@
         }
     });
     let exchange = watch.exchange.clone();
+    tokio::spawn(crash_news::exchange(
+        exchange.membership.clone(),
+        watch.forwarder.clone(),
+    ));
     tokio::spawn(async move { exchange.follow_peers().await });
     tokio::spawn(watch.clone().follow_peers());
     tokio::spawn(watch.clone().follow_config());
--- /dev/null
+++ b/src/forward/crashes.rs
@@ -0,0 +1,91 @@
+//! What this node knows of requests that crash their upstreams.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use tokio::sync::broadcast;
+
+use super::connection::CONNECT_TIMEOUT;
+use super::forwarder::{Forwarder, Surroundings};
+use super::request::Call;
+use super::upstream::{Upstream, UpstreamId};
+use crate::fleet::poison::Fingerprint;
+use crate::policy::conviction::Convictions;
+
+/// Crashes that may wait to be told.
+const UNTOLD_CRASHES: usize = 256;
+/// Pause after which a crashed upstream takes no connection any more.
+const CRASH_SHOWS: Duration = Duration::from_millis(20);
+
+/// Convictions, and whoever tells them to other nodes.
+#[derive(Debug)]
+pub(crate) struct Crashes {
+    convictions: Mutex<Convictions>,
+    found: broadcast::Sender<(Fingerprint, UpstreamId)>,
+}
+
+impl Default for Crashes {
+    fn default() -> Self {
+        Self {
+            convictions: Mutex::default(),
+            found: broadcast::Sender::new(UNTOLD_CRASHES),
+        }
+    }
+}
+
+impl Crashes {
+    /// What is held against requests.
+    pub(crate) fn convictions(&self) -> MutexGuard<'_, Convictions> {
+        self.convictions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Hears of crashes that this node finds out.
+    pub(crate) fn subscribe(&self) -> broadcast::Receiver<(Fingerprint, UpstreamId)> {
+        self.found.subscribe()
+    }
+
+    /// Whether a call may not run any more.
+    pub(crate) fn is_convicted(&self, call: &Call) -> bool {
+        let convictions = self.convictions();
+        !convictions.is_empty() && convictions.is_convicted(call.fingerprint())
+    }
+
+    /// Notes that a call made progress.
+    pub(crate) fn ran(&self, call: &Call) {
+        let mut convictions = self.convictions();
+        if !convictions.is_empty() {
+            convictions.ran(call.fingerprint());
+        }
+    }
+
+    async fn broke(&self, call: &Call, upstream: &Upstream) {
+        tokio::time::sleep(CRASH_SHOWS).await;
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, upstream.pool.open());
+        if matches!(connecting.await, Ok(Ok(_))) {
+            return;
+        }
+        let request = call.fingerprint();
+        let id = &upstream.entry.id;
+        let is_new = self.convictions().crashed(request, id, Instant::now());
+        let is_convicted = self.convictions().is_convicted(request);
+        log::warn!(
+            "event=crash_suspected call={} request={request:016x} upstream={id} convicted={is_convicted}",
+            call.id()
+        );
+        if is_new {
+            // Without a listener there is no other node to tell.
+            let _ = self.found.send((request, id.clone()));
+        }
+    }
+}
+
+impl<S: Surroundings> Forwarder<S> {
+    /// Holds it against a call that its upstream broke the connection before
+    /// any answer, once the upstream proves to be down.
+    pub(crate) fn suspect(self: &Arc<Self>, call: &Call, upstream: &Arc<Upstream>) {
+        let (forwarder, call, upstream) = (self.clone(), call.clone(), upstream.clone());
+        tokio::spawn(async move { forwarder.crashes.broke(&call, &upstream).await });
+    }
+}
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -9,6 +9,7 @@
 use hyper::{Request, StatusCode};
 use rand::RngExt;
 
+use super::crashes::Crashes;
 use super::directory::Directory;
 use super::request::Call;
 use super::retry_budgets::RetryBudgets;
@@ -45,6 +46,8 @@
     pub(crate) directory: Directory,
     /// Repeated sends that are left.
     pub(crate) budgets: RetryBudgets,
+    /// What is known of requests that crash their upstreams.
+    pub(crate) crashes: Crashes,
     /// Counters.
     pub(crate) metrics: Arc<Metrics>,
     /// Data centre of this node.
@@ -145,6 +148,14 @@
         call.in_flight = Some(self.in_flight.clone());
         self.metrics.add(Counter::Calls, 1);
         self.budgets.call(&call.service, arrived);
+        if self.crashes.is_convicted(&call) {
+            return self.give_up(
+                &call,
+                GivenUp::CrashesUpstreams,
+                Progress::MayHaveRun,
+                "convicted",
+            );
+        }
         if kind.is_stream() && self.node.refuses_streams() {
             return self.give_up(&call, GivenUp::NoUpstream, Progress::NotRun, "draining");
         }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod answer_body;
 pub(crate) mod connection;
+pub(crate) mod crashes;
 pub(crate) mod directory;
 pub(crate) mod forwarder;
 pub(crate) mod plain_call;
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -5,6 +5,7 @@
 
 use super::answer_body;
 use super::forwarder::{Forwarder, Surroundings};
+use super::probe::Loss;
 use super::request::Call;
 use super::send::{Answered, Attempt, SendOutcome};
 use super::upstream::{Upstream, Work};
@@ -81,7 +82,7 @@
             if !is_first && course.sent_count >= call.admitted.route.attempts_max {
                 return None;
             }
-            if course.unsent_count >= UNSENT_TRIES_MAX {
+            if course.unsent_count >= UNSENT_TRIES_MAX || self.crashes.is_convicted(call) {
                 return None;
             }
             let upstream = self.choose(&call.service, &course.tried, |candidates, draw| {
@@ -126,6 +127,13 @@
                         }
                         SendOutcome::MayHaveRun(cause) => {
                             course.cause = cause;
+                            self.suspect(call, &upstream);
+                            if !kind.may_repeat() {
+                                return None;
+                            }
+                        }
+                        SendOutcome::Silent(loss) => {
+                            course.cause = format!("{loss:?}");
                             if !kind.may_repeat() {
                                 return None;
                             }
@@ -165,7 +173,7 @@
             return exchange.await;
         }
         let in_time = tokio::time::timeout(TRY_TIMEOUT, exchange).await;
-        in_time.unwrap_or_else(|_| Err(SendOutcome::MayHaveRun("no answer in time".to_owned())))
+        in_time.unwrap_or(Err(SendOutcome::Silent(Loss::NoProgress)))
     }
 
     /// Writes down why a send brought no answer, and draws the consequence.
@@ -185,7 +193,9 @@
                     self.look_for(upstream.entry.clone(), actual.clone());
                 }
             }
-            SendOutcome::NotSent(_) | SendOutcome::MayHaveRun(_) => upstream.avoid(now),
+            SendOutcome::NotSent(_) | SendOutcome::MayHaveRun(_) | SendOutcome::Silent(_) => {
+                upstream.avoid(now);
+            }
             SendOutcome::NotExecuted => upstream.is_full(now),
         }
     }
@@ -195,7 +205,7 @@
 fn learn(upstream: &Upstream, sent_at: Instant, outcome: &Result<HttpResponse, SendOutcome>) {
     let is_failed = match outcome {
         Ok(response) => response.status().is_server_error(),
-        Err(SendOutcome::MayHaveRun(_)) => true,
+        Err(SendOutcome::MayHaveRun(_) | SendOutcome::Silent(_)) => true,
         Err(_) => return,
     };
     upstream.learn(sent_at.elapsed(), is_failed);
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -85,10 +85,6 @@
     }
 
     /// Hash of what makes two calls the same request.
-    #[expect(
-        dead_code,
-        reason = "waits for the conviction of requests that crash upstreams"
-    )]
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         let customer = self.admitted.customer.as_deref().unwrap_or_default();
         Fnv::new()
--- a/src/forward/send.rs
+++ b/src/forward/send.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, Response};
 
 use super::connection::{Connection, SendFailure};
+use super::probe::Loss;
 use super::request::Call;
 use super::upstream::{Upstream, UpstreamId, Work};
 use crate::platform::answer::{self, AnswerHeaders};
@@ -58,6 +59,8 @@
     Misdirected(Option<UpstreamId>),
     /// The upstream may have run the call.
     MayHaveRun(String),
+    /// The same, and the upstream fell silent or made no progress.
+    Silent(Loss),
 }
 
 impl Attempt<Unsent> {
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -143,14 +143,23 @@
                     self.unsent_count += 1;
                 }
                 SendOutcome::NotExecuted => self.did_not_run(before),
-                SendOutcome::MayHaveRun(cause) if !self.may_repeat() => {
-                    return Err(OpenFailure::GivenUp(GivenUp::UpstreamsFailed, cause));
-                }
-                SendOutcome::MayHaveRun(_) => {}
+                SendOutcome::MayHaveRun(_) => self.broke_before_event(&upstream),
+                SendOutcome::Silent(_) => {}
+            }
+            if self.progress == Progress::MayHaveRun && !self.may_repeat() {
+                let cause = "it may have run and may not run twice".to_owned();
+                return Err(OpenFailure::GivenUp(GivenUp::UpstreamsFailed, cause));
             }
         }
     }
 
+    /// Holds the loss against the call, unless it had made progress here.
+    fn broke_before_event(&self, upstream: &Arc<Upstream>) {
+        if !self.has_part_begun {
+            self.forwarder.suspect(&self.call, upstream);
+        }
+    }
+
     /// A run that never began has no copy either.
     fn did_not_run(&mut self, before: Progress) {
         self.progress = before;
@@ -165,6 +174,9 @@
     /// one, and to the least busy engine otherwise.
     fn next_upstream(&mut self) -> Result<(Arc<Upstream>, Option<RunCopy>), OpenFailure> {
         let given_up = |why, cause: &str| OpenFailure::GivenUp(why, cause.to_owned());
+        if self.forwarder.crashes.is_convicted(&self.call) {
+            return Err(given_up(GivenUp::CrashesUpstreams, "convicted"));
+        }
         let attempts_max = self.call.admitted.route.attempts_max;
         if self.sent_count >= attempts_max || self.unsent_count >= UNSENT_TRIES_MAX {
             return Err(given_up(GivenUp::UpstreamsFailed, "all attempts are used"));
@@ -277,7 +289,7 @@
                 &mut losses,
                 Phase::Reading,
                 &forwarder.metrics,
-            ) => Err(SendOutcome::MayHaveRun(format!("{loss:?} before an answer"))),
+            ) => Err(SendOutcome::Silent(loss)),
         }
     }
 
@@ -401,6 +413,7 @@
                 None => return PartEnd::Lost("ended inside an event".to_owned()),
                 Some(Err(error)) => {
                     upstream.avoid(Instant::now());
+                    self.broke_before_event(&upstream);
                     return PartEnd::Lost(error.to_string());
                 }
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -410,6 +423,9 @@
                 return PartEnd::Lost("an event without end".to_owned());
             }
             while let Some(event) = events.next_raw() {
+                if phase == Phase::Reading {
+                    forwarder.crashes.ran(&self.call);
+                }
                 if phase == Phase::Reading && self.can_be_copied() {
                     let copy = self.copy.clone();
                     _guard = Some(guard(&forwarder, self.run_name(), upstream.clone(), copy));
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,6 +3,7 @@
 //! Each module names the load that it answers; `tests` replay these loads.
 
 pub(crate) mod answer_class;
+pub(crate) mod conviction;
 pub(crate) mod freshness;
 pub(crate) mod lapse;
 pub(crate) mod placement;
--- a/src/policy/refusal.rs
+++ b/src/policy/refusal.rs
@@ -28,6 +28,8 @@
     TimeOver,
     /// Its upstreams failed it.
     UpstreamsFailed,
+    /// It crashes the upstreams that begin to run it.
+    CrashesUpstreams,
 }
 
 /// Earliest return.
@@ -38,6 +40,7 @@
 /// The answer for a call that was given up.
 pub(crate) fn error_kind(given_up: GivenUp, progress: Progress) -> ErrorKind {
     match (progress, given_up) {
+        (_, GivenUp::CrashesUpstreams) => ErrorKind::CrashesRunners,
         (Progress::NotRun, _) => ErrorKind::NoUpstream,
         (Progress::MayHaveRun, GivenUp::TimeOver) => ErrorKind::OutcomeUnknown,
         (Progress::MayHaveRun, _) => ErrorKind::UpstreamFailed,
--- a/tests/stream_resume.rs
+++ b/tests/stream_resume.rs
@@ -8,7 +8,7 @@
 
 use support::outside::caller::{Caller, Got, new_call};
 use support::outside::engine::Engine;
-use support::outside::{STREAM_PATH, World, eventually};
+use support::outside::{NodePorts, STREAM_PATH, World, eventually, start_node};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
@@ -233,3 +233,39 @@
     assert_eq!(later.events(), vec![1, 2, 3]);
     assert_eq!(leaving.runs().len(), 1);
 }
+
+#[tokio::test]
+async fn a_request_that_crashes_its_engines_is_refused_by_all_nodes_after_the_third() {
+    let world = World::start(8).await;
+    let first = NodePorts::new("n1", "dc-a");
+    let second = NodePorts::new("n2", "dc-b").with_seed(&first);
+    let _one = start_node(&first, world.store.address).await;
+    let _two = start_node(&second, world.store.address).await;
+    let callers = [Caller::new(&first), Caller::new(&second)];
+    for caller in &callers {
+        caller.wait_until_ready().await;
+    }
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let usage = "x-zinniawing-token-usage: 800,20\r\n";
+
+    let opening = callers[0].call("POST", "/chat/poison", usage).await;
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let before = world.run_count();
+    let mut statuses = Vec::new();
+    for _ in 0..4 {
+        for caller in &callers {
+            statuses.push(caller.call("POST", "/chat/poison", usage).await.status);
+        }
+    }
+    let sound = callers[1].stream(3).await;
+
+    assert_ne!(opening.status, 200);
+    assert!((3..=4).contains(&before), "{before} engines lost");
+    assert_eq!(
+        world.run_count() - 1,
+        before,
+        "only the sound one ran later"
+    );
+    assert_eq!(statuses, vec![422; 8]);
+    assert_eq!(sound.events(), vec![1, 2, 3]);
+}
--- a/tests/support/outside/engine.rs
+++ b/tests/support/outside/engine.rs
@@ -149,6 +149,10 @@
             had_copy,
             request: request.clone(),
         });
+        if request.path().contains("poison") {
+            self.crash();
+            std::future::pending::<()>().await;
+        }
         self.running.fetch_add(1, Ordering::Relaxed);
         let _running = Running(&self.running);
         if !had_copy {
