--- a/tests/support/outside/engine.rs
+++ b/tests/support/outside/engine.rs
@@ -22,12 +22,15 @@
 pub struct Run {
     pub call: String,
     pub from_event: u64,
+    pub at: std::time::Instant,
     pub had_copy: bool,
     pub request: RawRequest,
 }
 
 pub struct Engine {
     pub address: SocketAddr,
+    /// Where nodes reach it, which is a proxy's address in the soak.
+    pub public: Mutex<SocketAddr>,
     pub data_centre: String,
     pub reading: Mutex<Duration>,
     pub pause: Mutex<Duration>,
@@ -53,8 +56,10 @@
 
 impl Engine {
     pub async fn start(name: &str, data_centre: &str, fleet: &Fleet) -> Arc<Self> {
+        let address = free_address();
         let engine = Arc::new(Self {
-            address: free_address(),
+            address,
+            public: Mutex::new(address),
             data_centre: data_centre.to_owned(),
             reading: Mutex::new(Duration::from_millis(30)),
             pause: Mutex::new(Duration::from_millis(10)),
@@ -82,11 +87,15 @@
     }
 
     pub fn entry(&self, state: &str) -> Value {
-        json!({ "service": "llm", "address": self.address.to_string(), "zone": self.data_centre,
+        json!({ "service": "llm", "address": self.public().to_string(), "zone": self.data_centre,
                 "version": "v1", "slots": 8, "state": state, "sequence": 1,
                 "born": 1000 + self.life.load(Ordering::Relaxed) })
     }
 
+    pub fn public(&self) -> SocketAddr {
+        *self.public.lock().expect("unpoisoned")
+    }
+
     /// Runs that it began.
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().expect("unpoisoned").clone()
@@ -107,7 +116,8 @@
             server.abort();
         }
         let mut fleet = self.fleet.lock().expect("unpoisoned");
-        fleet.retain(|(keeper, _)| *keeper != self.address);
+        let public = self.public();
+        fleet.retain(|(keeper, _)| *keeper != public);
     }
 
     /// Starts again as another instance.
@@ -133,7 +143,7 @@
         let copy = request.header("kv-from").map(str::to_owned);
         if let Some(copy) = &copy {
             let (_, name) = copy.split_once('/').expect("an address and a name");
-            let key = (self.address, name.to_owned());
+            let key = (self.public(), name.to_owned());
             if !self.fleet.lock().expect("unpoisoned").remove(&key) {
                 return reply(stream, 503, "x-zinniawing-not-executed: 1\r\n", b"").await;
             }
@@ -146,6 +156,7 @@
         self.runs.lock().expect("unpoisoned").push(Run {
             call: call.clone(),
             from_event,
+            at: std::time::Instant::now(),
             had_copy,
             request: request.clone(),
         });
--- a/tests/support/outside/service.rs
+++ b/tests/support/outside/service.rs
@@ -38,6 +38,8 @@
 pub struct Service {
     pub id: String,
     pub address: SocketAddr,
+    /// Where nodes reach it, which is a proxy's address in the soak.
+    pub public: Mutex<SocketAddr>,
     next: Mutex<VecDeque<Next>>,
     seen: Mutex<Vec<RawRequest>>,
     executed: Mutex<Vec<RawRequest>>,
@@ -45,9 +47,11 @@
 
 impl Service {
     pub async fn start(id: &str) -> Arc<Self> {
+        let address = free_address();
         let service = Arc::new(Self {
             id: id.to_owned(),
-            address: free_address(),
+            address,
+            public: Mutex::new(address),
             next: Mutex::default(),
             seen: Mutex::default(),
             executed: Mutex::default(),
@@ -57,7 +61,7 @@
     }
 
     pub fn entry(&self, state: &str) -> Value {
-        json!({ "service": "pay", "address": self.address.to_string(), "zone": "dc-a",
+        json!({ "service": "pay", "address": self.public.lock().expect("unpoisoned").to_string(), "zone": "dc-a",
                 "version": "v1", "slots": 6, "state": state, "sequence": 1, "born": 1000 })
     }
 
