--- a/src/command.rs
+++ b/src/command.rs
@@ -132,6 +132,7 @@
     }
     log::info!("event=stop cause=signal");
     node.drain().await;
+    log::logger().flush();
     Ok(())
 }
 
--- a/src/edge/log_writer.rs
+++ b/src/edge/log_writer.rs
@@ -18,11 +18,22 @@
 /// Time in which lines gather before they are written together.
 const GATHER: Duration = Duration::from_millis(20);
 
+/// Longest wait for lines that are still to be written when the process ends.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// What the writing thread is handed.
+#[derive(Debug)]
+enum Item {
+    Line(Vec<u8>),
+    /// All lines before it are to be written now.
+    Flush(SyncSender<()>),
+}
+
 /// Takes formatted lines from the logger.
 #[derive(Debug)]
 pub struct LogWriter {
     line: Vec<u8>,
-    queue: SyncSender<Vec<u8>>,
+    queue: SyncSender<Item>,
     second: Instant,
     left_count: u32,
     metrics: Arc<Metrics>,
@@ -49,7 +60,7 @@
             self.second = now;
             self.left_count = LINES_PER_S;
         }
-        if self.left_count == 0 || self.queue.try_send(line).is_err() {
+        if self.left_count == 0 || self.queue.try_send(Item::Line(line)).is_err() {
             self.metrics.add(Counter::LogLinesDropped, 1);
             return;
         }
@@ -67,18 +78,35 @@
     }
 
     fn flush(&mut self) -> io::Result<()> {
+        let (done, written) = sync_channel(1);
+        let is_queued = self.queue.try_send(Item::Flush(done)).is_ok();
+        if is_queued {
+            // Whoever reads standard output too slowly misses the last lines.
+            let _ = written.recv_timeout(FLUSH_TIMEOUT);
+        }
         Ok(())
     }
 }
 
-fn write_all(lines: &Receiver<Vec<u8>>) {
-    while let Ok(mut batch) = lines.recv() {
-        std::thread::sleep(GATHER);
-        for line in lines.try_iter() {
-            batch.extend_from_slice(&line);
+fn write_all(items: &Receiver<Item>) {
+    while let Ok(first) = items.recv() {
+        if matches!(first, Item::Line(_)) {
+            std::thread::sleep(GATHER);
+        }
+        let mut batch = Vec::new();
+        let mut waiting = Vec::new();
+        for item in std::iter::once(first).chain(items.try_iter()) {
+            match item {
+                Item::Line(line) => batch.extend_from_slice(&line),
+                Item::Flush(done) => waiting.push(done),
+            }
         }
         let mut output = io::stdout().lock();
         // Nobody is left to tell when standard output is gone.
         let _ = output.write_all(&batch).and_then(|()| output.flush());
+        for done in waiting {
+            // The one that waited may have given up.
+            let _ = done.try_send(());
+        }
     }
 }
--- a/src/edge/pages.rs
+++ b/src/edge/pages.rs
@@ -11,7 +11,6 @@
 use crate::error::{Error, ErrorKind};
 use crate::forward::forwarder::{Forwarder, Surroundings};
 use crate::http::{self, Handler, HttpResponse};
-use crate::observe::metrics::Counter;
 use crate::platform::address::{self, ADDRESS_PATH, READY_PATH};
 
 /// Path of the counters.
@@ -49,9 +48,7 @@
     }
 
     fn counters(&self) -> HttpResponse {
-        let metrics = &self.forwarder.metrics;
-        let lines = Counter::ALL.map(|c| format!("zinniawing_{} {}\n", c.name(), metrics.get(c)));
-        HttpResponse::new(http::full(lines.concat()))
+        HttpResponse::new(http::full(self.forwarder.metrics.to_text()))
     }
 }
 
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -10,7 +10,7 @@
 use super::send::{Answered, Attempt, SendOutcome};
 use super::upstream::{Upstream, Work};
 use crate::http::HttpResponse;
-use crate::observe::metrics::Counter;
+use crate::observe::metrics::{Counter, Span};
 use crate::platform::call::Dispatch;
 use crate::policy::placement::choose_plain;
 use crate::policy::refusal::{GivenUp, Progress};
@@ -54,6 +54,7 @@
         let served = tokio::time::timeout_at(deadline, self.try_plain(&call, &mut course)).await;
         let given_up = match served {
             Ok(Some(response)) => {
+                self.metrics.record(Span::PlainCall, call.age());
                 log::info!(
                     "event=call_done call={} route={} service={} status={} sends={} age_ms={}",
                     call.id(),
@@ -82,6 +83,10 @@
             if !is_first && course.sent_count >= call.admitted.route.attempts_max {
                 return None;
             }
+            if call.time_for_upstream(Instant::now()).is_none() {
+                course.cause = "no time is left".to_owned();
+                return None;
+            }
             if course.unsent_count >= UNSENT_TRIES_MAX || self.crashes.is_convicted(call) {
                 return None;
             }
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -5,7 +5,7 @@
 //! event once. `docs/RESUME.md` tells which ways of going on were weighed.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -24,7 +24,7 @@
 use super::upstream::{Upstream, Work};
 use crate::caller::sse::EventBuffer;
 use crate::http::{BrokenOff, HttpResponse};
-use crate::observe::metrics::Counter;
+use crate::observe::metrics::{Counter, Span};
 use crate::platform::call::{CopyName, Dispatch, strip_hop_headers};
 use crate::policy::placement::choose_engine;
 use crate::policy::refusal::{GivenUp, Progress};
@@ -44,7 +44,7 @@
     work: Work,
     connection: Connection,
     body: Incoming,
-    reuse: Option<Option<std::time::Duration>>,
+    reuse: Option<Option<Duration>>,
     losses: watch::Receiver<u64>,
 }
 
@@ -177,6 +177,9 @@
         if self.forwarder.crashes.is_convicted(&self.call) {
             return Err(given_up(GivenUp::CrashesUpstreams, "convicted"));
         }
+        if self.call.time_for_upstream(Instant::now()).is_none() {
+            return Err(given_up(GivenUp::TimeOver, "no time is left"));
+        }
         let attempts_max = self.call.admitted.route.attempts_max;
         if self.sent_count >= attempts_max || self.unsent_count >= UNSENT_TRIES_MAX {
             return Err(given_up(GivenUp::UpstreamsFailed, "all attempts are used"));
@@ -356,7 +359,9 @@
                 }
                 Err(_) => return self.finish(&PartEnd::TimeOver, &sender).await,
             };
-            self.forwarder.metrics.add(Counter::StreamsResumed, 1);
+            let metrics = &self.forwarder.metrics;
+            metrics.add(Counter::StreamsResumed, 1);
+            metrics.record(Span::Resume, lost_at.elapsed());
             log::info!(
                 "event=stream_resumed call={} upstream={} after_ms={}",
                 self.call.id(),
@@ -481,12 +486,16 @@
         }
         if self.first_event_ms.is_none() {
             self.first_event_ms = Some(self.call.age().as_millis());
+            let metrics = &self.forwarder.metrics;
+            metrics.record(Span::FirstEvent, self.call.age());
         }
         self.event_count += 1;
     }
 
     /// Ends the response, so that an incomplete one does not look complete.
     async fn finish(&self, end: &PartEnd, sender: &EventSender) {
+        let pause = Duration::from_millis(self.longest_pause_ms as u64);
+        self.forwarder.metrics.record(Span::LongestPause, pause);
         log::info!(
             "event=stream_done call={} route={} end={end:?} events={} sends={} first_event_ms={:?} longest_pause_ms={} age_ms={}",
             self.call.id(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -81,7 +81,7 @@
 pub use membership::members::Member;
 pub use node::Node;
 pub use observe::audit::{AuditOutcome, AuditRecord};
-pub use observe::metrics::{Counter, Metrics};
+pub use observe::metrics::{Counter, Metrics, Span};
 pub use observe::report::Report;
 pub use observe::sample::Sample;
 pub use operator::client::{Operator, OperatorError};
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -5,11 +5,12 @@
 //! holds that list against [`Counter::ALL`].
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use cadence::{Counted, StatsdClient, UdpMetricSink};
+use hdrhistogram::Histogram;
 
 /// Time between two deliveries of what was added.
 const FLUSH_INTERVAL: Duration = Duration::from_secs(5);
@@ -166,16 +167,59 @@
     }
 }
 
-/// The counters of one node.
+/// One span of time whose distribution is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(usize)]
+pub enum Span {
+    /// From a plain call's arrival to its answer.
+    PlainCall,
+    /// From a stream's arrival to its first event.
+    FirstEvent,
+    /// Longest pause between two events of a stream.
+    LongestPause,
+    /// From the loss of a stream's upstream to its going on.
+    Resume,
+}
+
+impl Span {
+    /// All spans, in the order of the list in the docs.
+    pub const ALL: [Self; 4] = [
+        Self::PlainCall,
+        Self::FirstEvent,
+        Self::LongestPause,
+        Self::Resume,
+    ];
+
+    /// Name and unit.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::PlainCall => "plain_call_ms",
+            Self::FirstEvent => "first_event_ms",
+            Self::LongestPause => "longest_pause_ms",
+            Self::Resume => "stream_resume_ms",
+        }
+    }
+}
+
+/// Longest time that a histogram tells apart from longer ones.
+const SPAN_MAX_MS: u64 = 600_000;
+/// Digits to which a histogram is exact.
+const SPAN_DIGITS: u8 = 2;
+/// Quantiles that are served.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
+
+/// The counters and histograms of one node.
 #[derive(Debug)]
 pub struct Metrics {
     values: [AtomicU64; Counter::ALL.len()],
+    spans: [Mutex<Option<Histogram<u32>>>; Span::ALL.len()],
 }
 
 impl Default for Metrics {
     fn default() -> Self {
         Self {
             values: std::array::from_fn(|_| AtomicU64::new(0)),
+            spans: std::array::from_fn(|_| Mutex::new(None)),
         }
     }
 }
@@ -191,6 +235,45 @@
         self.values[counter as usize].load(Ordering::Relaxed)
     }
 
+    /// Notes how long something took.
+    pub fn record(&self, span: Span, took: Duration) {
+        let mut kept = self.span(span);
+        // Made when first needed, since each takes some kilobytes.
+        if kept.is_none() {
+            *kept = Histogram::new_with_max(SPAN_MAX_MS, SPAN_DIGITS).ok();
+        }
+        if let Some(histogram) = kept.as_mut() {
+            histogram.saturating_record(took.as_millis() as u64);
+        }
+    }
+
+    /// All counters and quantiles as text, a line each.
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        for counter in Counter::ALL {
+            text += &format!("{PREFIX}_{} {}\n", counter.name(), self.get(counter));
+        }
+        for span in Span::ALL {
+            let kept = self.span(span);
+            let Some(histogram) = kept.as_ref() else {
+                continue;
+            };
+            let name = span.name();
+            for quantile in QUANTILES {
+                let value = histogram.value_at_quantile(quantile);
+                text += &format!("{PREFIX}_{name}{{quantile=\"{quantile}\"}} {value}\n");
+            }
+            text += &format!("{PREFIX}_{name}_count {}\n", histogram.len());
+        }
+        text
+    }
+
+    fn span(&self, span: Span) -> MutexGuard<'_, Option<Histogram<u32>>> {
+        self.spans[span as usize]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Hands what is added to a StatsD collector until the task is dropped.
     pub(crate) async fn deliver(self: Arc<Self>, collector: SocketAddr) -> std::io::Result<()> {
         let socket = std::net::UdpSocket::bind("0.0.0.0:0")?;
