--- a/src/edge/beliefs.rs
+++ b/src/edge/beliefs.rs
@@ -5,6 +5,8 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use tokio_util::sync::CancellationToken;
+
 use crate::forward::forwarder::Surroundings;
 use crate::hash::{Fnv, rendezvous_order};
 use crate::id::DataCentreId;
@@ -27,6 +29,7 @@
     is_watcher: AtomicBool,
     /// Milliseconds from the start to the stop signal, plus one; zero before it.
     stopping_ms: AtomicU64,
+    cut_is_near: CancellationToken,
     freshness: Mutex<Freshness>,
     nodes: Mutex<Vec<(DataCentreId, SocketAddr)>>,
 }
@@ -41,6 +44,7 @@
             fleet_size: AtomicUsize::new(1),
             is_watcher: AtomicBool::new(true),
             stopping_ms: AtomicU64::new(0),
+            cut_is_near: CancellationToken::new(),
             freshness: Mutex::default(),
             nodes: Mutex::default(),
         }
@@ -104,6 +108,11 @@
         self.stopping_ms.store(ms, Ordering::Relaxed);
     }
 
+    /// Notes that what still runs will be cut soon.
+    pub(crate) fn say_cut_is_near(&self) {
+        self.cut_is_near.cancel();
+    }
+
     fn stopping_for(&self) -> Option<Duration> {
         let since = self.stopping_ms.load(Ordering::Relaxed).checked_sub(1)?;
         let elapsed = self.started.elapsed();
@@ -135,6 +144,10 @@
         self.stopping_for().is_some()
     }
 
+    async fn cut_is_near(&self) {
+        self.cut_is_near.cancelled().await;
+    }
+
     fn refuses_streams(&self) -> bool {
         self.stopping_for().is_some_and(|t| t >= STREAMS_UNTIL)
     }
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -24,6 +24,7 @@
 use crate::forward::directory::Directory;
 use crate::forward::forwarder::Forwarder;
 use crate::forward::retry_budgets::RetryBudgets;
+use crate::forward::sessions::Sessions;
 use crate::http::serve;
 use crate::membership::gossip::{Membership, MembershipSettings};
 use crate::membership::link_faults::LinkFaults;
@@ -63,6 +64,7 @@
             directory: Directory::default(),
             budgets: RetryBudgets::new(settings.allowance()),
             crashes: Crashes::default(),
+            sessions: Sessions::default(),
             metrics,
             data_centre: settings.data_centre.clone(),
             node: Beliefs::new(),
@@ -107,7 +109,9 @@
         self.forwarder.node.begin_stop();
         self.membership.leave();
         let in_flight = self.forwarder.in_flight.clone();
-        wait_until_done(self.settings.grace, || Arc::strong_count(&in_flight) - 2).await;
+        let node = &self.forwarder.node;
+        let count = || Arc::strong_count(&in_flight) - 2;
+        wait_until_done(self.settings.grace, count, || node.say_cut_is_near()).await;
         self.membership.announce_left();
         self.trigger.abort();
     }
--- a/src/edge/sightings.rs
+++ b/src/edge/sightings.rs
@@ -1,4 +1,5 @@
-//! Losses and finds of upstreams, told from node to node.
+//! Losses and finds of upstreams, and streams that a leaving node hands over,
+//! told from node to node.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -18,6 +19,10 @@
 const LOSS_TOPIC: u32 = 5;
 /// Announcements of upstreams that a node found while the store was away.
 const FIND_TOPIC: u32 = 6;
+/// Announcements of where a cut stream's prompt lies.
+const HANDOVER_TOPIC: u32 = 7;
+/// How long a handover is told; its caller comes back within moments.
+const HANDOVER_TTL: Duration = Duration::from_secs(8);
 /// How long a loss is told; it concerns the moment.
 const LOSS_TTL: Duration = Duration::from_secs(2);
 /// How long a find is told; the store tells it once it is back.
@@ -28,8 +33,20 @@
 pub(crate) async fn exchange(membership: Membership, forwarder: Arc<Forwarder<Beliefs>>) {
     let mut news = membership.subscribe();
     let mut own = forwarder.directory.sightings();
+    let mut handovers = forwarder.sessions.handovers();
     loop {
         tokio::select! {
+            handover = handovers.recv() => match handover {
+                Ok((session, upstream)) => membership.announce(Announcement {
+                    topic: HANDOVER_TOPIC,
+                    key: session,
+                    version: unix_ms(),
+                    ttl: HANDOVER_TTL,
+                    body: upstream.into_bytes().into(),
+                }),
+                Err(RecvError::Lagged(_)) => {}
+                Err(RecvError::Closed) => return,
+            },
             sighting = own.recv() => match sighting {
                 Ok(sighting) => membership.announce(announcement(&sighting)),
                 Err(RecvError::Lagged(_)) => {}
@@ -78,6 +95,11 @@
             Some(_) => {}
             None => log::error!("event=peer_unreadable what=find key={:?}", announced.key),
         },
+        HANDOVER_TOPIC => {
+            let upstream = String::from_utf8_lossy(&announced.body).into_owned();
+            let sessions = &forwarder.sessions;
+            sessions.read_at(&announced.key, &upstream, Instant::now());
+        }
         _ => {}
     }
 }
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -14,6 +14,7 @@
 use super::request::Call;
 use super::retry_budgets::RetryBudgets;
 use super::route_table::{Admitted, Denied, RouteTable};
+use super::sessions::Sessions;
 use super::upstream::Upstream;
 use crate::error::{Error, ErrorKind};
 use crate::http::{self, HttpResponse, read_body};
@@ -34,6 +35,8 @@
     fn is_config_fresh(&self) -> bool;
     /// Whether this node is about to stop.
     fn is_draining(&self) -> bool;
+    /// Wakes when streams that are still running will be cut soon.
+    fn cut_is_near(&self) -> impl Future<Output = ()> + Send;
     /// Whether streams that begin now could not end before this node stops.
     fn refuses_streams(&self) -> bool;
 }
@@ -48,6 +51,8 @@
     pub(crate) budgets: RetryBudgets,
     /// What is known of requests that crash their upstreams.
     pub(crate) crashes: Crashes,
+    /// Where the prompts of recent streams lie.
+    pub(crate) sessions: Sessions,
     /// Counters.
     pub(crate) metrics: Arc<Metrics>,
     /// Data centre of this node.
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod route_table;
 pub(crate) mod run_copy;
 pub(crate) mod send;
+pub(crate) mod sessions;
 pub(crate) mod stream_call;
 pub(crate) mod successor;
 pub(crate) mod upstream;
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -190,8 +190,9 @@
         let forwarder = &self.forwarder;
         let upstream = match &copy {
             Some(copy) => copy.keeper.clone(),
-            None => forwarder
-                .choose(&self.call.service, &self.tried, choose_engine)
+            None => self
+                .where_prompt_lies()
+                .or_else(|| forwarder.choose(&self.call.service, &self.tried, choose_engine))
                 .ok_or_else(|| given_up(GivenUp::NoUpstream, "no upstream is ready"))?,
         };
         if self.sent_count > 0 && !forwarder.may_send_again(&self.call) {
@@ -209,6 +210,19 @@
         self.has_part_begun && copy.is_usable()
     }
 
+    /// The engine that read this session's prompt a moment ago, if it can be
+    /// sent calls.
+    fn where_prompt_lies(&self) -> Option<Arc<Upstream>> {
+        let now = Instant::now();
+        let session = self.call.headers.session.as_ref()?;
+        let id = self.forwarder.sessions.place(session, now)?;
+        let was_tried = self.tried.iter().any(|tried| tried.entry.id == id);
+        let serving = self.forwarder.directory.serving(&self.call.service);
+        let holder = serving.into_iter().find(|u| u.entry.id == id)?;
+        let is_fit = !was_tried && holder.avoided_until(now).is_none();
+        is_fit.then_some(holder)
+    }
+
     fn run_name(&self) -> RunName {
         RunName {
             call: self.call.id().to_owned(),
@@ -384,8 +398,16 @@
         let mut phase = Phase::Reading;
         let mut _guard = None;
         let deadline = self.call.deadline.into();
+        let mut is_handed_over = false;
         loop {
             let frame = tokio::select! {
+                () = forwarder.node.cut_is_near(), if !is_handed_over => {
+                    is_handed_over = true;
+                    if let Some(session) = &self.call.headers.session {
+                        forwarder.sessions.hand_over(session, &upstream.entry.id);
+                    }
+                    continue;
+                }
                 frame = body.frame() => frame,
                 loss = wait_for_loss(
                     &forwarder.directory,
@@ -429,6 +451,10 @@
             while let Some(event) = events.next_raw() {
                 if phase == Phase::Reading {
                     forwarder.crashes.ran(&self.call);
+                    if let Some(session) = &self.call.headers.session {
+                        let now = Instant::now();
+                        forwarder.sessions.read_at(session, &upstream.entry.id, now);
+                    }
                 }
                 if phase == Phase::Reading && self.can_be_copied() {
                     let copy = self.copy.clone();
--- a/tests/stream_resume.rs
+++ b/tests/stream_resume.rs
@@ -8,7 +8,7 @@
 
 use support::outside::caller::{Caller, Got, new_call};
 use support::outside::engine::Engine;
-use support::outside::{NodePorts, STREAM_PATH, World, eventually, start_node};
+use support::outside::{NodePorts, STREAM_PATH, World, eventually, start_node, start_node_for};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
@@ -269,3 +269,36 @@
     assert_eq!(statuses, vec![422; 8]);
     assert_eq!(sound.events(), vec![1, 2, 3]);
 }
+
+#[tokio::test]
+async fn a_stream_that_a_leaving_node_cuts_goes_on_where_its_prompt_lies() {
+    let world = World::start(8).await;
+    let first = NodePorts::new("n1", "dc-a");
+    let second = NodePorts::new("n2", "dc-b").with_seed(&first);
+    let one = start_node_for(&first, world.store.address, 3).await;
+    let _two = start_node(&second, world.store.address).await;
+    let callers = [Caller::new(&first), Caller::new(&second)];
+    for caller in &callers {
+        caller.wait_until_ready().await;
+    }
+    for engine in &world.engines {
+        *engine.pause.lock().expect("unpoisoned") = Duration::from_millis(60);
+    }
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let session = "x-zinniawing-prefix-hash: aa:200,5e55:600\r\n";
+    let usage = format!("{session}x-zinniawing-token-usage: 800,{EVENTS}\r\n");
+    let (caller, extra) = (callers[0].clone(), usage.clone());
+    let stream = tokio::spawn(async move { caller.call("POST", STREAM_PATH, &extra).await });
+    wait_until_running(&world).await;
+    let engine = running_engine(&world);
+
+    one.drain().await;
+    let cut = stream.await.expect("no panic");
+    let last = cut.events().len();
+    let extra = format!("{usage}last-event-id: {last}\r\n");
+    let rest = callers[1].call("POST", STREAM_PATH, &extra).await;
+
+    assert!(!cut.is_whole, "{}", cut.head);
+    assert_eq!(rest.events().first(), Some(&(last as u64 + 1)));
+    assert_eq!(engine.runs().len(), 2, "both parts run at one engine");
+}
--- a/tests/support/outside/mod.rs
+++ b/tests/support/outside/mod.rs
@@ -187,7 +187,12 @@
 }
 
 pub async fn start_node(ports: &NodePorts, store: SocketAddr) -> EdgeNode {
-    let settings = EdgeSettings::parse(&ports.settings(store, 8)).expect("good settings");
+    start_node_for(ports, store, 8).await
+}
+
+/// Starts a node with a grace period in seconds.
+pub async fn start_node_for(ports: &NodePorts, store: SocketAddr, grace_s: u32) -> EdgeNode {
+    let settings = EdgeSettings::parse(&ports.settings(store, grace_s)).expect("good settings");
     let metrics = Arc::new(Metrics::default());
     EdgeNode::start(settings, metrics, None)
         .await
