--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -16,5 +16,6 @@
 pub(crate) mod send;
 pub(crate) mod sessions;
 pub(crate) mod stream_call;
+pub(crate) mod stream_relay;
 pub(crate) mod successor;
 pub(crate) mod upstream;
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -72,15 +72,8 @@
 async fn an_idempotent_call_goes_on_elsewhere_whatever_its_first_upstream_does() {
     let world = World::start(0).await;
     let (_node, caller) = world.node("n1").await;
-    let faults = [
-        Next::Fails,
-        Next::Sheds,
-        Next::Misdirects,
-        Next::Resets,
-        Next::Truncates,
-        Next::Hangs,
-        Next::AnswersAnother,
-    ];
+    let is_loss = |fault: &Next| !matches!(fault, Next::AnswersTwice | Next::Unframed);
+    let faults = Next::ALL.into_iter().filter(is_loss);
 
     for fault in faults {
         let before = world.services.iter().map(|s| s.seen().len()).sum::<usize>();
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -56,18 +56,6 @@
     Kind::ChangeConfig,
 ];
 
-const SERVICE_FAULTS: [Next; 9] = [
-    Next::Fails,
-    Next::Sheds,
-    Next::Misdirects,
-    Next::Resets,
-    Next::Truncates,
-    Next::Hangs,
-    Next::AnswersAnother,
-    Next::AnswersTwice,
-    Next::Unframed,
-];
-
 /// An engine that said it leaves.
 struct Leaving {
     engine: usize,
@@ -143,8 +131,8 @@
             Kind::CutEngineLink => fleet.engines[engine].1.set(mode),
             Kind::DrainEngine => self.drain(fleet, engine),
             Kind::ServiceFails => {
-                let fault = self.random.random_range(0..SERVICE_FAULTS.len());
-                fleet.services[service].0.will(SERVICE_FAULTS[fault]);
+                let fault = self.random.random_range(0..Next::ALL.len());
+                fleet.services[service].0.will(Next::ALL[fault]);
             }
             Kind::CutServiceLink => fleet.services[service].1.set(mode),
             Kind::ChangeConfig => {
--- a/tests/support/outside/service.rs
+++ b/tests/support/outside/service.rs
@@ -35,6 +35,20 @@
     Unframed,
 }
 
+impl Next {
+    pub const ALL: [Self; 9] = [
+        Self::Fails,
+        Self::Sheds,
+        Self::Misdirects,
+        Self::Resets,
+        Self::Truncates,
+        Self::Hangs,
+        Self::AnswersAnother,
+        Self::AnswersTwice,
+        Self::Unframed,
+    ];
+}
+
 pub struct Service {
     pub id: String,
     pub address: SocketAddr,
