--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -13,3 +13,6 @@
 pub(crate) mod sightings;
 pub(crate) mod store_watch;
 pub(crate) mod upstream_log;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/edge/tests/mod.rs
@@ -0,0 +1,95 @@
+//! What nodes tell each other about upstreams.
+
+use std::time::Instant;
+
+use crate::edge::upstream_log::{UpstreamLog, UpstreamUpdate, decode};
+use crate::forward::upstream::UpstreamEntry;
+use crate::platform::store::UpstreamNews;
+
+fn entry(id: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        id: id.to_owned(),
+        born_unix_ms: 5,
+        service: "llm".to_owned(),
+        address: ([10, 0, 0, 1], 80).into(),
+        data_centre: "a".to_owned(),
+        slot_count: 4,
+        draining: false,
+    }
+}
+
+fn known(id: &str) -> UpstreamNews {
+    UpstreamNews::Entry(entry(id))
+}
+
+fn gone(id: &str) -> UpstreamNews {
+    UpstreamNews::Gone(id.to_owned())
+}
+
+fn update(is_whole: bool, news: Vec<UpstreamNews>, revision: u64) -> UpstreamUpdate {
+    UpstreamUpdate {
+        is_whole,
+        news,
+        revision,
+    }
+}
+
+fn log(updates: Vec<UpstreamUpdate>) -> UpstreamLog {
+    let log = UpstreamLog::default();
+    for update in updates {
+        log.apply(&update, Instant::now());
+    }
+    log
+}
+
+fn told(log: &UpstreamLog, since: u64) -> UpstreamUpdate {
+    let (revision, body) = log.changes_since(since);
+    decode(revision, &body).expect("it can be read")
+}
+
+#[test]
+fn a_peer_is_told_just_what_it_lacks() {
+    let log = log(vec![
+        update(true, vec![known("a"), known("b")], 10),
+        update(false, vec![known("c")], 12),
+        update(false, vec![gone("a")], 15),
+    ]);
+
+    assert_eq!(told(&log, 12), update(false, vec![gone("a")], 15));
+    assert_eq!(told(&log, 15), update(false, vec![], 15));
+}
+
+#[test]
+fn a_peer_that_knows_too_little_is_told_everything() {
+    let log = log(vec![
+        update(true, vec![known("a"), known("b")], 10),
+        update(false, vec![gone("a")], 15),
+    ]);
+
+    assert_eq!(told(&log, 3), update(true, vec![known("b")], 15));
+}
+
+#[test]
+fn what_a_peer_tells_brings_another_node_to_the_same_knowledge() {
+    let one = log(vec![
+        update(true, vec![known("a"), known("b")], 10),
+        update(false, vec![gone("a"), known("c")], 15),
+    ]);
+    let two = log(vec![update(true, vec![known("a"), known("b")], 11)]);
+
+    let lacking = told(&one, two.revision());
+    two.apply(&lacking, Instant::now());
+
+    assert_eq!(told(&two, 0).news, told(&one, 0).news);
+    assert_eq!(two.revision(), 15);
+}
+
+#[test]
+fn an_older_word_changes_nothing() {
+    let log = log(vec![update(true, vec![known("a")], 10)]);
+
+    let is_taken = log.apply(&update(false, vec![gone("a")], 9), Instant::now());
+
+    assert!(!is_taken);
+    assert_eq!(told(&log, 0).news, vec![known("a")]);
+}
