--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -14,6 +14,8 @@
 
 /// Time within which a leaving engine gets no new work, where all is calm.
 const LEAVING_BOUND: Duration = Duration::from_secs(2);
+/// Time after the bound in which new work at a leaving engine would show.
+const LOOK_AFTER_BOUND: Duration = Duration::from_millis(2_000);
 /// Time without a fault around it in which that holds.
 const CALM_AROUND: Duration = Duration::from_secs(3);
 
@@ -203,6 +205,26 @@
         }
     }
 
+    /// Has half of the engines say that they leave while all is calm, and checks
+    /// that they get no new work after the bound.
+    pub async fn check_leaving_in_calm(&mut self, fleet: &mut Fleet) {
+        let now = Instant::now();
+        for at in (0..fleet.engines.len()).step_by(2) {
+            let (engine, _) = &fleet.engines[at];
+            fleet
+                .store
+                .put("servers", &engine.id(), engine.entry("draining"));
+            self.leaving.push(Leaving {
+                engine: at,
+                said_at: now,
+            });
+        }
+        tokio::time::sleep(LEAVING_BOUND + LOOK_AFTER_BOUND).await;
+        for leaving in std::mem::take(&mut self.leaving) {
+            self.check(&leaving, fleet);
+        }
+    }
+
     /// Promises that were broken.
     pub fn take_broken(&mut self) -> Vec<String> {
         std::mem::take(&mut self.late)
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -59,6 +59,7 @@
     }
     faults.heal(&mut fleet).await;
     fleet.tend_for(CALM).await;
+    faults.check_leaving_in_calm(&mut fleet).await;
     let mut broken = callers.check_recovery(&fleet).await;
     let summary = callers.stop(&fleet, &mut broken).await;
     broken.extend(faults.take_broken());
