Ask the store anew soon after silence, and lend repeated sends between nodes

Now watches wait 2 s in a small fleet, 0.2 s after a failure, over a new connection. A node now asks others to spend for it; the sum stays the same.

--- a/src/edge/beliefs.rs
+++ b/src/edge/beliefs.rs
@@ -7,9 +7,10 @@
 
 use tokio_util::sync::CancellationToken;
 
+use super::lenders::Lenders;
 use crate::forward::forwarder::Surroundings;
 use crate::hash::{Fnv, rendezvous_order};
-use crate::id::DataCentreId;
+use crate::id::{DataCentreId, ServiceId};
 use crate::membership::members::Member;
 use crate::policy::freshness::Freshness;
 use crate::policy::watchers;
@@ -32,11 +33,12 @@
     cut_is_near: CancellationToken,
     freshness: Mutex<Freshness>,
     nodes: Mutex<Vec<(DataCentreId, SocketAddr)>>,
+    lenders: Lenders,
 }
 
 impl Beliefs {
     /// Begins with no other node known.
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(lenders: Lenders) -> Self {
         Self {
             started: Instant::now(),
             node_index: AtomicUsize::new(0),
@@ -47,6 +49,7 @@
             cut_is_near: CancellationToken::new(),
             freshness: Mutex::default(),
             nodes: Mutex::default(),
+            lenders,
         }
     }
 
@@ -144,6 +147,10 @@
         self.stopping_for().is_some()
     }
 
+    async fn borrow_retry(&self, service: &ServiceId) -> bool {
+        self.lenders.borrow(service).await
+    }
+
     async fn cut_is_near(&self) {
         self.cut_is_near.cancelled().await;
     }
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -12,6 +12,7 @@
 use super::caller_entry::CallerEntry;
 use super::crash_news;
 use super::drain::wait_until_done;
+use super::lenders::Lenders;
 use super::pages::Pages;
 use super::peers::EdgePeerApi;
 use super::settings::EdgeSettings;
@@ -67,7 +68,10 @@
             sessions: Sessions::default(),
             metrics,
             data_centre: settings.data_centre.clone(),
-            node: Beliefs::new(),
+            node: Beliefs::new(Lenders {
+                membership: membership.clone(),
+                peers: peers.clone(),
+            }),
             in_flight: Arc::default(),
         });
         let watch = StoreWatch {
@@ -161,6 +165,7 @@
         membership: exchange.membership.clone(),
         documents: exchange.documents.clone(),
         upstreams: watch.upstreams.clone(),
+        forwarder: watch.forwarder.clone(),
     });
     let traffic = exchange.peers.traffic().clone();
     let listener = bind(settings.peers)?;
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -6,11 +6,13 @@
 
 use tokio::sync::broadcast::error::RecvError;
 
+use super::beliefs::Beliefs;
 use super::store_watch::{StoreWatch, UPSTREAMS_DOCUMENT, WORD_DOCUMENT};
 use super::upstream_log::{UpstreamLog, decode};
 use crate::configuration::document::DocumentStore;
+use crate::forward::forwarder::Forwarder;
 use crate::membership::gossip::{Membership, News};
-use crate::membership::message::{DocumentReply, DocumentVersion, Question, ReplyBody};
+use crate::membership::message::{DocumentReply, DocumentVersion, Question, ReplyBody, RetryReply};
 use crate::membership::peer::PeerHandler;
 
 /// How long a peer may take to tell what changed.
@@ -21,6 +23,7 @@
     pub(crate) membership: Membership,
     pub(crate) documents: Arc<DocumentStore>,
     pub(crate) upstreams: Arc<UpstreamLog>,
+    pub(crate) forwarder: Arc<Forwarder<Beliefs>>,
 }
 
 impl EdgePeerApi {
@@ -40,6 +43,9 @@
                 Some(ReplyBody::Sync(self.membership.sync_reply(&question)))
             }
             Question::Fetch(wanted) => Some(ReplyBody::Document(self.document(&wanted))),
+            Question::Retry(wanted) => Some(ReplyBody::Retry(RetryReply {
+                is_spent: self.forwarder.lend_retry(&wanted.service),
+            })),
             _ => None,
         }
     }
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -26,6 +26,9 @@
 const TURN_INTERVAL: Duration = Duration::from_millis(100);
 /// Time in which changes of upstreams gather before they are asked for.
 const GATHER: Duration = Duration::from_millis(200);
+/// How long a watch waits after the store failed: a longer one could be lost
+/// with the connection it went over, and would hold up what is new.
+const AWAY_WAIT: Duration = Duration::from_millis(200);
 /// Least pause after the store failed.
 const AWAY_PAUSE_MIN_MS: u64 = 150;
 /// Longest pause after the store failed.
@@ -168,8 +171,7 @@
             let read = match revision {
                 None => self.counted(self.store.read_config()).await,
                 Some(revision) => {
-                    let wait = self.forwarder.node.watch_wait();
-                    let watch = self.store.watch_config(revision, wait);
+                    let watch = self.store.watch_config(revision, self.wait(is_away));
                     self.counted(watch).await
                 }
             };
@@ -207,7 +209,8 @@
             let followed = if is_list {
                 self.list_upstreams().await
             } else {
-                self.watch_upstreams(self.upstreams.revision()).await
+                self.watch_upstreams(self.upstreams.revision(), self.wait(is_away))
+                    .await
             };
             let now = Instant::now();
             match followed {
@@ -239,8 +242,15 @@
         Ok(())
     }
 
-    async fn watch_upstreams(&self, revision: Version) -> Result<(), StoreFailure> {
-        let wait = self.forwarder.node.watch_wait();
+    fn wait(&self, is_away: bool) -> Duration {
+        if is_away {
+            AWAY_WAIT
+        } else {
+            self.forwarder.node.watch_wait()
+        }
+    }
+
+    async fn watch_upstreams(&self, revision: Version, wait: Duration) -> Result<(), StoreFailure> {
         let watch = self.store.watch_upstreams(revision, wait);
         let changes = self.counted(watch).await?;
         let now = Instant::now();
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -18,7 +18,7 @@
 use super::upstream::Upstream;
 use crate::error::{Error, ErrorKind};
 use crate::http::{self, HttpResponse, read_body};
-use crate::id::DataCentreId;
+use crate::id::{DataCentreId, ServiceId};
 use crate::observe::metrics::{Counter, Metrics};
 use crate::platform::call;
 use crate::policy::placement::{Candidate, is_own};
@@ -35,6 +35,8 @@
     fn is_config_fresh(&self) -> bool;
     /// Whether this node is about to stop.
     fn is_draining(&self) -> bool;
+    /// Has another node spend a repeated send for this one; true if it did.
+    fn borrow_retry(&self, service: &ServiceId) -> impl Future<Output = bool> + Send;
     /// Wakes when streams that are still running will be cut soon.
     fn cut_is_near(&self) -> impl Future<Output = ()> + Send;
     /// Whether streams that begin now could not end before this node stops.
@@ -229,21 +231,35 @@
         upstreams.get(at).cloned()
     }
 
-    /// Spends one repeated send of a call.
+    /// Spends one repeated send of a call from this node's own part.
     pub(crate) fn may_send_again(&self, call: &Call) -> bool {
         let node_count = self.node.fleet_size();
-        let affordable = self
-            .budgets
-            .spend(&call.service, node_count, Instant::now());
-        if !affordable {
+        let now = Instant::now();
+        let is_affordable = self.budgets.spend(&call.service, node_count, now);
+        if !is_affordable {
             self.metrics.add(Counter::RetriesOverBudget, 1);
-            log::info!(
-                "event=retry_over_budget call={} service={}",
-                call.id(),
-                call.service
-            );
         }
-        affordable
+        is_affordable
+    }
+
+    /// Spends one repeated send from this node's own part, or from another's.
+    pub(crate) async fn may_send_again_or_borrow(&self, call: &Call) -> bool {
+        if self.may_send_again(call) {
+            return true;
+        }
+        let is_lent = self.node.borrow_retry(&call.service).await;
+        log::info!(
+            "event=retry_over_budget call={} service={} borrowed={is_lent}",
+            call.id(),
+            call.service
+        );
+        is_lent
+    }
+
+    /// Spends one repeated send for another node, if enough is left here.
+    pub(crate) fn lend_retry(&self, service: &ServiceId) -> bool {
+        let node_count = self.node.fleet_size();
+        self.budgets.lend(service, node_count, Instant::now())
     }
 }
 
--- a/src/forward/retry_budgets.rs
+++ b/src/forward/retry_budgets.rs
@@ -37,6 +37,13 @@
         spending.spend(&self.allowance, node_count, now)
     }
 
+    /// Spends one repeated send for another node, if enough is left here.
+    pub(crate) fn lend(&self, service: &ServiceId, node_count: usize, now: Instant) -> bool {
+        let mut services = self.lock();
+        let spending = services.entry(service.clone()).or_default();
+        spending.lend(&self.allowance, node_count, now)
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<ServiceId, Spending>> {
         self.services.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -87,7 +87,7 @@
     /// Finds an upstream that begins the stream or goes on with it.
     pub(super) async fn open(&mut self) -> Result<Attempt<Answered>, OpenFailure> {
         loop {
-            let (upstream, copy) = self.next_upstream()?;
+            let (upstream, copy) = self.next_upstream().await?;
             self.tried.push(upstream.clone());
             let before = self.progress;
             self.progress = Progress::MayHaveRun;
@@ -139,7 +139,7 @@
 
     /// Chooses where the call goes next: to the copy of its run, if there is
     /// one, and to the least busy engine otherwise.
-    fn next_upstream(&mut self) -> Result<(Arc<Upstream>, Option<RunCopy>), OpenFailure> {
+    async fn next_upstream(&mut self) -> Result<(Arc<Upstream>, Option<RunCopy>), OpenFailure> {
         let given_up = |why, cause: &str| OpenFailure::GivenUp(why, cause.to_owned());
         if self.forwarder.crashes.is_convicted(&self.call) {
             return Err(given_up(GivenUp::CrashesUpstreams, "convicted"));
@@ -162,7 +162,7 @@
                 .or_else(|| forwarder.choose(&self.call.service, &self.tried, choose_engine))
                 .ok_or_else(|| given_up(GivenUp::NoUpstream, "no upstream is ready"))?,
         };
-        if self.sent_count > 0 && !forwarder.may_send_again(&self.call) {
+        if self.sent_count > 0 && !forwarder.may_send_again_or_borrow(&self.call).await {
             return Err(given_up(
                 GivenUp::UpstreamsFailed,
                 "the retry budget is used",
--- a/src/http.rs
+++ b/src/http.rs
@@ -274,16 +274,35 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, SendError> {
-        let exchange = async {
-            let response = self.send(address, request).await?;
-            read_answer(address, response).await
-        };
-        tokio::time::timeout(timeout, exchange)
-            .await
-            .unwrap_or(Err(SendError::NoAnswer(address)))
+        exchange_with(&self.pooled, address, request, timeout).await
+    }
+
+    /// The same over a new connection, where kept ones may be dead.
+    pub(crate) async fn exchange_fresh(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, SendError> {
+        exchange_with(&self.fresh, address, request, timeout).await
     }
 }
 
+async fn exchange_with(
+    client: &Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    timeout: Duration,
+) -> Result<Response<Bytes>, SendError> {
+    let exchange = async {
+        let response = send_with(client, address, request).await?;
+        read_answer(address, response).await
+    };
+    tokio::time::timeout(timeout, exchange)
+        .await
+        .unwrap_or(Err(SendError::NoAnswer(address)))
+}
+
 /// Reads a whole answer into memory, up to [`ANSWER_MAX_BYTES`].
 pub(crate) async fn read_answer(
     address: SocketAddr,
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -131,7 +131,7 @@
     #[prost(uint64, tag = "1")]
     pub(crate) id: u64,
     /// The question.
-    #[prost(oneof = "Question", tags = "2, 3, 4, 5, 6")]
+    #[prost(oneof = "Question", tags = "2, 3, 4, 5, 6, 7")]
     pub(crate) question: Option<Question>,
 }
 
@@ -153,6 +153,25 @@
     /// What is held against a request.
     #[prost(message, tag = "6")]
     Crashes(CrashRecord),
+    /// A repeated send that the receiver is to spend for the asker.
+    #[prost(message, tag = "7")]
+    Retry(RetryQuestion),
+}
+
+/// Asks for one repeated send of the receiver's part of the retry budget.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct RetryQuestion {
+    /// The service that is sent to.
+    #[prost(string, tag = "1")]
+    pub(crate) service: String,
+}
+
+/// Answers [`RetryQuestion`].
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct RetryReply {
+    /// Whether the send has been spent for the asker.
+    #[prost(bool, tag = "1")]
+    pub(crate) is_spent: bool,
 }
 
 /// Crashes that a request was in, as one node knows them.
@@ -202,7 +221,7 @@
     #[prost(uint64, tag = "1")]
     pub(crate) id: u64,
     /// The answer; absent when the receiver cannot give one.
-    #[prost(oneof = "ReplyBody", tags = "2, 3, 4, 5, 6")]
+    #[prost(oneof = "ReplyBody", tags = "2, 3, 4, 5, 6, 7")]
     pub(crate) body: Option<ReplyBody>,
 }
 
@@ -224,6 +243,9 @@
     /// Answers [`Question::Crashes`] with all that the receiver knows.
     #[prost(message, tag = "6")]
     Crashes(CrashRecord),
+    /// Answers [`Question::Retry`].
+    #[prost(message, tag = "7")]
+    Retry(RetryReply),
 }
 
 /// The members and announcements in which two nodes differ.
--- a/src/node_state.rs
+++ b/src/node_state.rs
@@ -109,6 +109,8 @@
             }
             Question::Crashes(record) => ReplyBody::Crashes(self.state.crashes.exchange(&record)),
             Question::Status(_) => ReplyBody::Status(self.state.status_reply()),
+            // These nodes keep no budget in common.
+            Question::Retry(_) => return None,
         };
         Some(reply)
     }
--- a/src/policy/spend.rs
+++ b/src/policy/spend.rs
@@ -3,7 +3,9 @@
 //! Answers this load: a data centre's engines are lost, and every node sends
 //! its streams once more within a second. The users bound what all nodes
 //! together send beyond the first time; each node takes the part that its own
-//! calls earn, and an equal part of the fixed rest.
+//! calls earn, and an equal part of the fixed rest. Losses don't follow these
+//! parts, so a node that has spent its own asks others to spend for it: the sum
+//! stays the same.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -13,6 +15,10 @@
 /// Parts of the window by which calls are counted.
 const BUCKETS: u32 = 10;
 
+/// Part of what a node may spend that it keeps for its own calls when another
+/// node asks for some of it.
+const KEPT_SHARE: f64 = 0.15;
+
 /// What all nodes together may spend.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Allowance {
@@ -45,12 +51,27 @@
 
     /// Spends one repeated send, if there is one.
     pub(crate) fn spend(&mut self, allowance: &Allowance, node_count: usize, now: Instant) -> bool {
+        self.spend_keeping(0.0, allowance, node_count, now)
+    }
+
+    /// Spends one repeated send for another node, if enough is left here.
+    pub(crate) fn lend(&mut self, allowance: &Allowance, node_count: usize, now: Instant) -> bool {
+        self.spend_keeping(KEPT_SHARE, allowance, node_count, now)
+    }
+
+    fn spend_keeping(
+        &mut self,
+        kept_share: f64,
+        allowance: &Allowance,
+        node_count: usize,
+        now: Instant,
+    ) -> bool {
         self.bucket(allowance, now);
         let calls: u32 = self.buckets.iter().map(|b| b.call_count).sum();
         let spent: u32 = self.buckets.iter().map(|b| b.spent_count).sum();
         let own_part = allowance.slack / node_count.max(1) as f64;
         let allowed = (f64::from(calls) * allowance.ratio + own_part) * SAFETY;
-        if f64::from(spent) + 1.0 > allowed {
+        if f64::from(spent) + 1.0 > allowed * (1.0 - kept_share) {
             return false;
         }
         self.bucket(allowance, now).spent_count += 1;
--- a/src/policy/tests/spend.rs
+++ b/src/policy/tests/spend.rs
@@ -63,3 +63,37 @@
 
     assert_eq!(resumed, 6);
 }
+
+/// Replays a second in which all losses fall on one node of eighty-nine: the
+/// others spend for it, and the sum keeps the bound.
+#[test]
+fn a_node_whose_streams_are_all_lost_is_helped_by_the_others_within_the_bound() {
+    let allowance = allowance();
+    let now = Instant::now();
+    let nodes = 89;
+    let mut fleet: Vec<Spending> = (0..nodes).map(|_| Spending::default()).collect();
+    for spending in &mut fleet {
+        for _ in 0..5 {
+            spending.call(&allowance, now);
+        }
+    }
+
+    let mut own = 0;
+    while fleet[0].spend(&allowance, nodes, now) {
+        own += 1;
+    }
+    let mut lent = 0;
+    for lender in &mut fleet[1..] {
+        while lender.lend(&allowance, nodes, now) {
+            lent += 1;
+        }
+        assert!(
+            lender.spend(&allowance, nodes, now),
+            "it keeps some for itself"
+        );
+    }
+
+    assert!(lent > 20 * own, "{lent} lent, {own} own");
+    let bound = f64::from(nodes as u32 * 5) * 0.8 + 150.0;
+    assert!(f64::from(own + lent) + 88.0 <= bound);
+}
--- a/src/policy/watchers.rs
+++ b/src/policy/watchers.rs
@@ -15,7 +15,7 @@
 /// for all nodes.
 const SHORT_WAIT: Duration = Duration::from_millis(600);
 /// The same in a small fleet, where nobody else waits for it.
-const LONG_WAIT: Duration = Duration::from_millis(4_000);
+const LONG_WAIT: Duration = Duration::from_millis(2_000);
 /// Age of the store's word above which a node asks for itself.
 const WORD_MAX_AGE: Duration = Duration::from_millis(1_400);
 /// Time over which nodes that ask for themselves are spread.
--- a/tests/store_and_peers.rs
+++ b/tests/store_and_peers.rs
@@ -296,3 +296,21 @@
     let ran = service.executed();
     assert!(ran.iter().all(|run| run.path() == "/report"), "{ran:?}");
 }
+
+/// A call that reached the silent store is never answered, also not once the
+/// store is back: waiting for it would cost the bound on new configurations.
+#[tokio::test]
+async fn a_node_asks_anew_soon_after_a_silent_store_is_back() {
+    let world = World::start(0).await;
+    let (_node, caller) = world.node("n1").await;
+
+    world.store.is_silent.store(true, Ordering::Relaxed);
+    world.store.put("config", "main", config(2));
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    world.store.is_silent.store(false, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    world.store.put("config", "main", with_route(3));
+    let took = wait_for_status(&caller, "/added/1", 200).await;
+
+    assert!(took < Duration::from_millis(2_000), "{took:?}");
+}
