--- a/src/configuration/document_exchange.rs
+++ b/src/configuration/document_exchange.rs
@@ -7,7 +7,7 @@
 use tokio::sync::broadcast::error::RecvError;
 use tokio::sync::watch;
 
-use crate::configuration::document::DocumentStore;
+use crate::configuration::document::{DocumentStore, unpack};
 use crate::id::Version;
 use crate::membership::gossip::{Membership, News};
 use crate::membership::link_faults::LinkFaults;
@@ -81,11 +81,24 @@
             version: self.version(),
         });
         let asked = self.peers.ask(peer_address, question, FETCH_TIMEOUT).await;
-        if let Ok(ReplyBody::Document(reply)) = asked {
-            self.offer(Object {
-                version: reply.version,
-                body: reply.body,
-            });
+        let Ok(ReplyBody::Document(reply)) = asked else {
+            return;
+        };
+        // A peer that holds nothing newer sends version zero and no body.
+        if reply.version == 0 {
+            return;
+        }
+        match unpack(&reply.body) {
+            Some(body) => {
+                self.offer(Object {
+                    version: reply.version,
+                    body,
+                });
+            }
+            None => log::error!(
+                "event=peer_unreadable peer={peer_address} what={}",
+                self.name
+            ),
         }
     }
 }
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -7,3 +7,6 @@
 pub(crate) mod intent;
 pub(crate) mod keeper;
 pub(crate) mod plan;
+
+#[cfg(test)]
+mod tests;
