--- a/src/configuration/config.rs
+++ b/src/configuration/config.rs
@@ -65,10 +65,12 @@
         }
     }
 
-    /// Whether an intent was confirmed, as far back as the record tells.
-    pub(crate) fn has_confirmed(&self, intent_id: &str) -> bool {
+    /// As which version an intent was confirmed, as far back as the record of
+    /// version `current` tells: the one that the next confirmation built on.
+    pub(crate) fn confirmed_as(&self, intent_id: &str, current: Version) -> Option<Version> {
         let mut confirmations = self.confirmations.iter();
-        confirmations.any(|c| c.intent_id == intent_id)
+        confirmations.find(|c| c.intent_id == intent_id)?;
+        Some(confirmations.next().map_or(current, |next| next.base))
     }
 
     /// Writes the record as the object's body.
--- a/src/configuration/keeper.rs
+++ b/src/configuration/keeper.rs
@@ -24,6 +24,16 @@
 /// Pause before a lost reply is resolved.
 const RESOLVE_PAUSE: Duration = Duration::from_millis(50);
 
+/// A confirmed intent: others may have been confirmed since, so that what is in
+/// force may be newer than the version it became.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ConfirmedConfig {
+    /// Version as which the intent was confirmed.
+    pub(crate) version: Version,
+    /// What is in force now.
+    pub(crate) in_force: Object,
+}
+
 /// An intent as it waits to be confirmed.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct StatedIntent {
@@ -83,7 +93,7 @@
         operator: &str,
         intent_id: &IntentId,
         base: Version,
-    ) -> Result<Object, Error> {
+    ) -> Result<ConfirmedConfig, Error> {
         let stated = self.stated(intent_id).await?;
         let audit = AuditRecord::now(&self.node, operator, "confirm", intent_id)
             .with_detail(format!("base {base}"));
@@ -129,7 +139,7 @@
         &self,
         intent: Intent,
         confirmation: Confirmation,
-    ) -> Result<Object, Error> {
+    ) -> Result<ConfirmedConfig, Error> {
         let mut may_be_written = false;
         for _ in 0..TRIES_MAX {
             let current = match self.current().await {
@@ -141,9 +151,13 @@
                 Err(error) => return Err(error),
             };
             let (version, record) = current;
-            if record.has_confirmed(&confirmation.intent_id) {
+            let confirmed_as = record.confirmed_as(&confirmation.intent_id, version);
+            if let Some(confirmed_as) = confirmed_as {
                 let body = record.encode();
-                return Ok(Object { version, body });
+                return Ok(ConfirmedConfig {
+                    version: confirmed_as,
+                    in_force: Object { version, body },
+                });
             }
             if version != confirmation.base {
                 return Err(conflict(confirmation.base, version));
@@ -152,7 +166,12 @@
                 .succeed(intent.clone(), confirmation.clone())
                 .encode();
             match self.store.put(CONFIG_KEY, version, body.clone()).await {
-                Ok(version) => return Ok(Object { version, body }),
+                Ok(version) => {
+                    return Ok(ConfirmedConfig {
+                        version,
+                        in_force: Object { version, body },
+                    });
+                }
                 Err(StoreError::Unavailable) if !may_be_written => return Err(platform_away()),
                 Err(StoreError::Conflict | StoreError::Unavailable) => {}
                 Err(StoreError::Unknown) => may_be_written = true,
--- a/src/configuration/tests/mod.rs
+++ b/src/configuration/tests/mod.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 
+use crate::configuration::config::{ConfigRecord, Confirmation};
 use crate::configuration::document::{DocumentStore, unpack};
 use crate::membership::message::DocumentVersion;
 use crate::store::object_store::Object;
@@ -49,3 +50,23 @@
 fn what_is_no_packed_document_is_refused() {
     assert_eq!(unpack(b"garbage"), None);
 }
+
+/// Replays an operator whose reply was lost and who looks again only after
+/// another one has confirmed the next version.
+#[test]
+fn an_intent_is_told_its_own_version_and_not_a_later_one() {
+    let confirmation = |intent: &str, base| Confirmation {
+        intent_id: intent.to_owned(),
+        operator: "o".to_owned(),
+        at_unix_ms: 0,
+        base,
+    };
+    let record = ConfigRecord {
+        confirmations: vec![confirmation("first", 1), confirmation("second", 2)],
+        ..ConfigRecord::default()
+    };
+
+    assert_eq!(record.confirmed_as("first", 3), Some(2));
+    assert_eq!(record.confirmed_as("second", 3), Some(3));
+    assert_eq!(record.confirmed_as("third", 3), None);
+}
--- a/src/operator/operator_api.rs
+++ b/src/operator/operator_api.rs
@@ -149,14 +149,14 @@
         base: Version,
     ) -> Result<HttpResponse, Error> {
         let intent_id = id.to_owned();
-        let object = self
+        let confirmed = self
             .state
             .configuration
             .confirm(operator, &intent_id, base)
             .await?;
-        let version = object.version;
+        let version = confirmed.version;
         log::info!("{operator} confirmed intent {id} as version {version}");
-        self.state.config_sync.exchange.offer(object);
+        self.state.config_sync.exchange.offer(confirmed.in_force);
         Ok(http::json(StatusCode::OK, &Confirmed { version }))
     }
 
