Tell all that a node finds out over one channel

Losses, finds, crashes and handovers had three channels and two exchange loops. One Sighting now serves all; an exchange that falls behind says so in the log. That one life precedes another at an address is one rule of UpstreamEntry. No change of behaviour; the tests of forwarding, streams and peers pass.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -3,7 +3,6 @@
 
 pub(crate) mod beliefs;
 pub(crate) mod caller_entry;
-pub(crate) mod crash_news;
 pub(crate) mod drain;
 pub(crate) mod lenders;
 pub(crate) mod log_writer;
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -10,7 +10,6 @@
 
 use super::beliefs::Beliefs;
 use super::caller_entry::CallerEntry;
-use super::crash_news;
 use super::drain::wait_until_done;
 use super::lenders::Lenders;
 use super::pages::Pages;
@@ -26,6 +25,7 @@
 use crate::forward::forwarder::Forwarder;
 use crate::forward::retry_budgets::RetryBudgets;
 use crate::forward::sessions::Sessions;
+use crate::forward::sighting::Sightings;
 use crate::http::serve;
 use crate::membership::gossip::{Membership, MembershipSettings};
 use crate::membership::link_faults::LinkFaults;
@@ -60,12 +60,14 @@
         let (trigger, shutdown) = Shutdown::channel();
         let peers = PeerClient::default();
         let membership = join(&settings, peers.clone(), shutdown.clone()).await?;
+        let sightings = Sightings::default();
         let forwarder = Arc::new(Forwarder {
             routing: ArcSwapOption::empty(),
-            directory: Directory::default(),
+            directory: Directory::new(sightings.clone()),
             budgets: RetryBudgets::new(settings.allowance()),
-            crashes: Crashes::default(),
-            sessions: Sessions::default(),
+            crashes: Crashes::new(sightings.clone()),
+            sessions: Sessions::new(sightings.clone()),
+            sightings,
             metrics,
             data_centre: settings.data_centre.clone(),
             node: Beliefs::new(Lenders {
@@ -184,10 +186,6 @@
         }
     });
     let exchange = watch.exchange.clone();
-    tokio::spawn(crash_news::exchange(
-        exchange.membership.clone(),
-        watch.forwarder.clone(),
-    ));
     let membership = exchange.membership.clone();
     tokio::spawn(sightings::exchange(membership, watch.forwarder.clone()));
     tokio::spawn(async move { exchange.follow_peers().await });
--- a/src/edge/sightings.rs
+++ b/src/edge/sightings.rs
@@ -1,5 +1,4 @@
-//! Losses and finds of upstreams, and streams that a leaving node hands over,
-//! told from node to node.
+//! What one node finds out, told from node to node.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -10,17 +9,23 @@
 use super::beliefs::Beliefs;
 use super::upstream_log::{decode_entry, encode_entry};
 use crate::clock::unix_ms;
-use crate::forward::directory::Sighting;
+use crate::fleet::poison::Fingerprint;
 use crate::forward::forwarder::{Forwarder, Surroundings};
+use crate::forward::sighting::Sighting;
 use crate::membership::announcement::Announcement;
 use crate::membership::gossip::{Membership, News};
 
+/// Announcements of crashes that a request was in.
+const CRASH_TOPIC: u32 = 4;
 /// Announcements of upstreams that a node lost.
 const LOSS_TOPIC: u32 = 5;
 /// Announcements of upstreams that a node found while the store was away.
 const FIND_TOPIC: u32 = 6;
 /// Announcements of where a cut stream's prompt lies.
 const HANDOVER_TOPIC: u32 = 7;
+
+/// How long news of a crash is told to new nodes.
+const CRASH_TTL: Duration = Duration::from_secs(120);
 /// How long a handover is told; its caller comes back within moments.
 const HANDOVER_TTL: Duration = Duration::from_secs(8);
 /// How long a loss is told; it concerns the moment.
@@ -28,46 +33,45 @@
 /// How long a find is told; the store tells it once it is back.
 const FIND_TTL: Duration = Duration::from_secs(20);
 
-/// Tells peers what this node sees, and takes in what they see, until the
+/// Tells peers what this node finds out, and takes in what they do, until the
 /// task is dropped.
 pub(crate) async fn exchange(membership: Membership, forwarder: Arc<Forwarder<Beliefs>>) {
     let mut news = membership.subscribe();
-    let mut own = forwarder.directory.sightings();
-    let mut handovers = forwarder.sessions.handovers();
+    let mut own = forwarder.sightings.subscribe();
     loop {
         tokio::select! {
-            handover = handovers.recv() => match handover {
-                Ok((session, upstream)) => membership.announce(Announcement {
-                    topic: HANDOVER_TOPIC,
-                    key: session,
-                    version: unix_ms(),
-                    ttl: HANDOVER_TTL,
-                    body: upstream.into_bytes().into(),
-                }),
-                Err(RecvError::Lagged(_)) => {}
-                Err(RecvError::Closed) => return,
-            },
             sighting = own.recv() => match sighting {
-                Ok(sighting) => membership.announce(announcement(&sighting)),
-                Err(RecvError::Lagged(_)) => {}
+                Ok(sighting) => membership.announce(announcement(sighting)),
+                Err(RecvError::Lagged(missed)) => log::warn!("event=sightings_missed own={missed}"),
                 Err(RecvError::Closed) => return,
             },
             item = news.recv() => match item {
                 Ok(News::Announced(announced)) => learn(&forwarder, &announced),
-                Ok(_) | Err(RecvError::Lagged(_)) => {}
+                Ok(_) => {}
+                Err(RecvError::Lagged(missed)) => log::warn!("event=sightings_missed peers={missed}"),
                 Err(RecvError::Closed) => return,
             },
         }
     }
 }
 
-fn announcement(sighting: &Sighting) -> Announcement {
+fn announcement(sighting: Sighting) -> Announcement {
     let (topic, key, ttl, body) = match sighting {
+        Sighting::Crash { request, upstream } => {
+            let key = crash_key(request, &upstream);
+            (CRASH_TOPIC, key, CRASH_TTL, Bytes::new())
+        }
         Sighting::Lost { id, data_centre } => {
-            let body = Bytes::copy_from_slice(data_centre.as_bytes());
-            (LOSS_TOPIC, id.clone(), LOSS_TTL, body)
+            (LOSS_TOPIC, id, LOSS_TTL, data_centre.into_bytes().into())
+        }
+        Sighting::Found(entry) => {
+            let body = encode_entry(&entry);
+            (FIND_TOPIC, entry.id, FIND_TTL, body)
+        }
+        Sighting::Handover { session, upstream } => {
+            let body = upstream.into_bytes().into();
+            (HANDOVER_TOPIC, session, HANDOVER_TTL, body)
         }
-        Sighting::Found(entry) => (FIND_TOPIC, entry.id.clone(), FIND_TTL, encode_entry(entry)),
     };
     Announcement {
         topic,
@@ -79,27 +83,42 @@
 }
 
 fn learn(forwarder: &Forwarder<Beliefs>, announced: &Announcement) {
-    let directory = &forwarder.directory;
+    let now = Instant::now();
+    let key = &announced.key;
+    let text = || String::from_utf8_lossy(&announced.body).into_owned();
     match announced.topic {
+        CRASH_TOPIC => match parse_crash_key(key) {
+            Some((request, upstream)) => {
+                let mut convictions = forwarder.crashes.convictions();
+                convictions.crashed(request, &upstream.to_owned(), now);
+            }
+            None => log::error!("event=peer_unreadable what=crash key={key:?}"),
+        },
         LOSS_TOPIC => {
-            let data_centre = String::from_utf8_lossy(&announced.body).into_owned();
-            directory.heard_of_loss(&data_centre, &announced.key, Instant::now());
+            forwarder.directory.heard_of_loss(&text(), key, now);
         }
         FIND_TOPIC => match decode_entry(&announced.body) {
             // With the store at hand its word goes first.
             Some(entry) if !forwarder.node.is_config_fresh() => {
-                if directory.has_earlier_life(&entry) {
-                    directory.put(entry);
+                if forwarder.directory.has_earlier_life(&entry) {
+                    forwarder.directory.put(entry);
                 }
             }
             Some(_) => {}
-            None => log::error!("event=peer_unreadable what=find key={:?}", announced.key),
+            None => log::error!("event=peer_unreadable what=find key={key:?}"),
         },
-        HANDOVER_TOPIC => {
-            let upstream = String::from_utf8_lossy(&announced.body).into_owned();
-            let sessions = &forwarder.sessions;
-            sessions.read_at(&announced.key, &upstream, Instant::now());
-        }
+        HANDOVER_TOPIC => forwarder.sessions.read_at(key, &text(), now),
         _ => {}
     }
 }
+
+/// A request crashes several upstreams, and each is news of its own.
+fn crash_key(request: Fingerprint, upstream: &str) -> String {
+    format!("{request:016x}/{upstream}")
+}
+
+fn parse_crash_key(key: &str) -> Option<(Fingerprint, &str)> {
+    let (request, upstream) = key.split_once('/')?;
+    let request = u64::from_str_radix(request, 16).ok()?;
+    Some((request, upstream))
+}
--- a/src/forward/crashes.rs
+++ b/src/forward/crashes.rs
@@ -3,17 +3,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use tokio::sync::broadcast;
-
 use super::connection::CONNECT_TIMEOUT;
 use super::forwarder::{Forwarder, Surroundings};
 use super::request::Call;
-use super::upstream::{Upstream, UpstreamId};
-use crate::fleet::poison::Fingerprint;
+use super::sighting::{Sighting, Sightings};
+use super::upstream::Upstream;
 use crate::policy::conviction::Convictions;
 
-/// Crashes that may wait to be told.
-const UNTOLD_CRASHES: usize = 256;
 /// Pause after which a crashed upstream takes no connection any more.
 const CRASH_SHOWS: Duration = Duration::from_millis(20);
 
@@ -21,19 +17,18 @@
 #[derive(Debug)]
 pub(crate) struct Crashes {
     convictions: Mutex<Convictions>,
-    found: broadcast::Sender<(Fingerprint, UpstreamId)>,
+    sightings: Sightings,
 }
 
-impl Default for Crashes {
-    fn default() -> Self {
+impl Crashes {
+    /// Holds nothing against anybody, and tells what it finds out.
+    pub(crate) fn new(sightings: Sightings) -> Self {
         Self {
             convictions: Mutex::default(),
-            found: broadcast::Sender::new(UNTOLD_CRASHES),
+            sightings,
         }
     }
-}
 
-impl Crashes {
     /// What is held against requests.
     pub(crate) fn convictions(&self) -> MutexGuard<'_, Convictions> {
         self.convictions
@@ -41,11 +36,6 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Hears of crashes that this node finds out.
-    pub(crate) fn subscribe(&self) -> broadcast::Receiver<(Fingerprint, UpstreamId)> {
-        self.found.subscribe()
-    }
-
     /// Whether a call may not run any more.
     pub(crate) fn is_convicted(&self, call: &Call) -> bool {
         let convictions = self.convictions();
@@ -75,8 +65,10 @@
             call.id()
         );
         if is_new {
-            // Without a listener there is no other node to tell.
-            let _ = self.found.send((request, id.clone()));
+            self.sightings.tell(Sighting::Crash {
+                request,
+                upstream: id.clone(),
+            });
         }
     }
 }
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -6,44 +6,21 @@
 
 use tokio::sync::broadcast;
 
+use super::sighting::{Sighting, Sightings};
 use super::upstream::{Upstream, UpstreamEntry, UpstreamId};
 use crate::id::DataCentreId;
 use crate::policy::alarm::Alarms;
 use crate::policy::lapse::{Lapses, Verdict};
 
-/// Sightings and alarms that a listener may leave unread.
+/// Alarms that a listener may leave unread.
 const UNREAD_MAX: usize = 256;
 
-/// Something that this node saw of an upstream and that others may not know.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Sighting {
-    /// It is out of reach or down.
-    Lost {
-        /// Its name.
-        id: UpstreamId,
-        /// Data centre it stands in.
-        data_centre: DataCentreId,
-    },
-    /// It runs, and the store could not be asked.
-    Found(UpstreamEntry),
-}
-
 /// The upstreams that registered themselves, and those that just lapsed.
 #[derive(Debug)]
 pub(crate) struct Directory {
     state: Mutex<State>,
     alarms: broadcast::Sender<DataCentreId>,
-    sightings: broadcast::Sender<Sighting>,
-}
-
-impl Default for Directory {
-    fn default() -> Self {
-        Self {
-            state: Mutex::default(),
-            alarms: broadcast::Sender::new(UNREAD_MAX),
-            sightings: broadcast::Sender::new(UNREAD_MAX),
-        }
-    }
+    sightings: Sightings,
 }
 
 #[derive(Debug, Default)]
@@ -54,24 +31,15 @@
 }
 
 impl State {
-    /// Whether another upstream started at this address after `entry` did. The
-    /// entry of a life that crashed stays for some heartbeats beside its
-    /// successor's.
+    /// Whether another upstream started at this address after `entry` did.
     fn has_later_life(&self, entry: &UpstreamEntry) -> bool {
-        self.upstreams.values().any(|known| {
-            known.entry.address == entry.address
-                && known.entry.id != entry.id
-                && known.entry.born_unix_ms > entry.born_unix_ms
-        })
+        let mut known = self.upstreams.values();
+        known.any(|known| entry.precedes(&known.entry))
     }
 
     fn take_earlier_lives(&mut self, entry: &UpstreamEntry) -> Vec<Arc<Upstream>> {
-        let is_over = |known: &Upstream| {
-            known.entry.address == entry.address
-                && known.entry.id != entry.id
-                && known.entry.born_unix_ms < entry.born_unix_ms
-        };
-        let over = self.upstreams.values().filter(|known| is_over(known));
+        let known = self.upstreams.values();
+        let over = known.filter(|known| known.entry.precedes(entry));
         let over: Vec<Arc<Upstream>> = over.cloned().collect();
         for earlier in &over {
             self.upstreams.remove(&earlier.entry.id);
@@ -81,6 +49,15 @@
 }
 
 impl Directory {
+    /// Makes a directory that knows no upstream and tells what it sees.
+    pub(crate) fn new(sightings: Sightings) -> Self {
+        Self {
+            state: Mutex::default(),
+            alarms: broadcast::Sender::new(UNREAD_MAX),
+            sightings,
+        }
+    }
+
     /// Takes in an entry.
     pub(crate) fn put(&self, entry: UpstreamEntry) {
         if let Some(entry) = self.take_in(entry) {
@@ -199,7 +176,7 @@
         self.end(upstream, cause, now);
         let entry = &upstream.entry;
         if self.heard_of_loss(&entry.data_centre, &entry.id, now) {
-            self.tell(Sighting::Lost {
+            self.sightings.tell(Sighting::Lost {
                 id: entry.id.clone(),
                 data_centre: entry.data_centre.clone(),
             });
@@ -244,27 +221,11 @@
         self.alarms.subscribe()
     }
 
-    /// Hears what this node sees of upstreams.
-    pub(crate) fn sightings(&self) -> broadcast::Receiver<Sighting> {
-        self.sightings.subscribe()
-    }
-
-    /// Has other nodes told of something seen.
-    pub(crate) fn tell(&self, sighting: Sighting) {
-        // Nobody listens in a node without peers.
-        let _ = self.sightings.send(sighting);
-    }
-
     /// Whether an earlier life at the entry's address and of its service is known.
     pub(crate) fn has_earlier_life(&self, entry: &UpstreamEntry) -> bool {
         let state = self.lock();
         let mut known = state.upstreams.values();
-        known.any(|u| {
-            u.entry.address == entry.address
-                && u.entry.service == entry.service
-                && u.entry.id != entry.id
-                && u.entry.born_unix_ms < entry.born_unix_ms
-        })
+        known.any(|u| u.entry.service == entry.service && u.entry.precedes(entry))
     }
 
     /// Drops an upstream whose address turned out to be another one's.
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -15,6 +15,7 @@
 use super::retry_budgets::RetryBudgets;
 use super::route_table::{Admitted, Denied, RouteTable};
 use super::sessions::Sessions;
+use super::sighting::Sightings;
 use super::upstream::Upstream;
 use crate::error::{Error, ErrorKind};
 use crate::http::{self, HttpResponse, read_body};
@@ -55,6 +56,8 @@
     pub(crate) crashes: Crashes,
     /// Where the prompts of recent streams lie.
     pub(crate) sessions: Sessions,
+    /// What this node finds out and others may not know.
+    pub(crate) sightings: Sightings,
     /// Counters.
     pub(crate) metrics: Arc<Metrics>,
     /// Data centre of this node.
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod run_copy;
 pub(crate) mod send;
 pub(crate) mod sessions;
+pub(crate) mod sighting;
 pub(crate) mod stream_call;
 pub(crate) mod stream_relay;
 pub(crate) mod successor;
--- a/src/forward/sessions.rs
+++ b/src/forward/sessions.rs
@@ -7,8 +7,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use tokio::sync::broadcast;
-
+use super::sighting::{Sighting, Sightings};
 use super::upstream::UpstreamId;
 
 /// Names the part of a prompt that belongs to one caller's session.
@@ -18,26 +17,23 @@
 const MEMORY: Duration = Duration::from_secs(12);
 /// Sessions that are remembered.
 const SESSIONS_MAX: usize = 2_048;
-/// Handovers that may wait to be told.
-const UNTOLD_MAX: usize = 512;
 
 /// The sessions of one node, and those that leaving nodes handed over.
 #[derive(Debug)]
 pub(crate) struct Sessions {
     places: Mutex<BTreeMap<SessionId, (UpstreamId, Instant)>>,
-    handovers: broadcast::Sender<(SessionId, UpstreamId)>,
+    sightings: Sightings,
 }
 
-impl Default for Sessions {
-    fn default() -> Self {
+impl Sessions {
+    /// Makes a memory of no session that tells what it hands over.
+    pub(crate) fn new(sightings: Sightings) -> Self {
         Self {
             places: Mutex::default(),
-            handovers: broadcast::Sender::new(UNTOLD_MAX),
+            sightings,
         }
     }
-}
 
-impl Sessions {
     /// Notes where a session's prompt has been read.
     pub(crate) fn read_at(&self, session: &SessionId, upstream: &UpstreamId, now: Instant) {
         let mut places = self.lock();
@@ -59,13 +55,10 @@
 
     /// Has other nodes told where a session's prompt lies.
     pub(crate) fn hand_over(&self, session: &SessionId, upstream: &UpstreamId) {
-        // Nobody listens in a node without peers.
-        let _ = self.handovers.send((session.clone(), upstream.clone()));
-    }
-
-    /// Hears what this node hands over.
-    pub(crate) fn handovers(&self) -> broadcast::Receiver<(SessionId, UpstreamId)> {
-        self.handovers.subscribe()
+        self.sightings.tell(Sighting::Handover {
+            session: session.clone(),
+            upstream: upstream.clone(),
+        });
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<SessionId, (UpstreamId, Instant)>> {
--- a/src/forward/successor.rs
+++ b/src/forward/successor.rs
@@ -7,10 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::directory::Sighting;
 use super::forwarder::{Forwarder, Surroundings};
 use super::probe::ask;
 use super::route_table::RouteTable;
+use super::sighting::Sighting;
 use super::upstream::{Upstream, UpstreamEntry, UpstreamId};
 use crate::platform::engine::EngineReport;
 
@@ -33,7 +33,7 @@
                     entry.id
                 );
                 forwarder.directory.put(entry.clone());
-                forwarder.directory.tell(Sighting::Found(entry));
+                forwarder.sightings.tell(Sighting::Found(entry));
             }
         });
     }
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -42,6 +42,16 @@
     pub(crate) draining: bool,
 }
 
+impl UpstreamEntry {
+    /// Whether another life began at this address after this one. The entry of
+    /// a life that crashed stays for some heartbeats beside its successor's.
+    pub(crate) fn precedes(&self, other: &Self) -> bool {
+        self.address == other.address
+            && self.id != other.id
+            && self.born_unix_ms < other.born_unix_ms
+    }
+}
+
 /// How an upstream behaved of late, as this node saw it.
 #[derive(Clone, Copy, Debug, Default)]
 struct Conduct {
@@ -84,9 +94,9 @@
 
     /// Whether `entry` speaks of this life.
     pub(crate) fn is_same_life(&self, entry: &UpstreamEntry) -> bool {
-        let born = (self.entry.born_unix_ms, entry.born_unix_ms);
+        let (known, told) = (self.entry.born_unix_ms, entry.born_unix_ms);
         self.entry.id == entry.id
-            && (born.0 == born.1 || born.0 == 0 || born.1 == 0)
+            && (known == told || known == 0 || told == 0)
             && self.entry.address == entry.address
             && self.entry.service == entry.service
     }
