Let one copy of a suspect begin at a time, in the whole fleet

Cause of sent_to_all_nodes_at_once (traced by the times at which each copy opened and broke): after the first crashes two copies at one node were kept apart like any two suspects, and each node began its own before the crashes of the others were known. Ruled out: a node that is not told (every consultation was answered).

The node that is asked about a suspect now lets one copy begin and holds the others for 300 ms; copies at one node join the first at its runner; the first trial waits 100 ms where several copies are about.

--- a/src/fleet/crash_tracker.rs
+++ b/src/fleet/crash_tracker.rs
@@ -1,12 +1,15 @@
 //! Brings together what all nodes know of requests that crash runners.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 
 use crate::clock::unix_ms;
-use crate::fleet::poison::{Fingerprint, POISON_TTL, RequestHealth, RunnerLife, Suspects};
+use crate::fleet::poison::{
+    Fingerprint, POISON_TTL, RequestCopy, RequestHealth, RunnerLife, Suspects,
+};
 use crate::fleet::runner::RunnerClient;
 use crate::fleet::table::Fleet;
 use crate::hash::rendezvous_order;
@@ -78,12 +81,24 @@
         self.suspects().crashed_runners(fingerprint)
     }
 
-    /// Notes that a runner's connection broke under a request.
-    pub(crate) async fn connection_broke(&self, fingerprint: Fingerprint, life: RunnerLife) {
+    /// Notes where a copy of a request begins to run.
+    pub(crate) fn note_begun(&self, fingerprint: Fingerprint, runner: &str) {
+        self.suspects()
+            .note_begun(fingerprint, runner, Instant::now());
+    }
+
+    /// Where another copy of a request began a moment ago.
+    pub(crate) fn begun_at(&self, fingerprint: Fingerprint) -> Option<RunnerId> {
+        self.suspects().begun_at(fingerprint, Instant::now())
+    }
+
+    /// Notes that a runner's connection broke under a copy of a request.
+    pub(crate) async fn connection_broke(&self, copy: RequestCopy, life: RunnerLife) {
         self.fleet.unreachable(&life.0, Instant::now());
         if !self.has_crashed(&life).await {
             return;
         }
+        let fingerprint = copy.fingerprint;
         let key = format!("{fingerprint:016x}/{}/{}", life.0, life.1);
         self.note_crash(fingerprint, life);
         self.membership.announce(Announcement {
@@ -93,37 +108,85 @@
             ttl: CRASH_TTL,
             body: Bytes::new(),
         });
-        self.consult(fingerprint).await;
+        self.consult(copy).await;
+    }
+
+    /// Waits until a copy of a request may begin to run. Of a suspect one copy
+    /// begins at a time, in the whole fleet, until it is known how it ends.
+    pub(crate) async fn may_begin(&self, copy: RequestCopy) -> Result<(), Blocked> {
+        loop {
+            let wait = self.ask_to_begin(copy).await;
+            self.check(copy.fingerprint)?;
+            if wait.is_zero() {
+                return Ok(());
+            }
+            tokio::time::sleep(wait).await;
+        }
+    }
+
+    async fn ask_to_begin(&self, copy: RequestCopy) -> Duration {
+        if !self.is_suspect(copy.fingerprint) {
+            return Duration::ZERO;
+        }
+        let mut question = self.record(copy);
+        question.wants_to_begin = true;
+        match self.ask_arbiter(question).await {
+            Some(answer) => Duration::from_millis(answer.wait_ms),
+            None => self.wait_before(copy),
+        }
     }
 
     /// Exchanges what is held against a suspect with the one node that all
     /// nodes ask about it, so that a caller that goes from node to node finds
     /// the decision there before it, however slowly news spreads.
-    pub(crate) async fn consult(&self, fingerprint: Fingerprint) {
-        if !self.is_suspect(fingerprint) {
-            return;
+    async fn consult(&self, copy: RequestCopy) {
+        if self.is_suspect(copy.fingerprint) {
+            self.suspects().note_copy(copy);
+            self.ask_arbiter(self.record(copy)).await;
         }
+    }
+
+    /// Gives nothing where this node is the one to ask, or that one is silent.
+    async fn ask_arbiter(&self, record: CrashRecord) -> Option<CrashRecord> {
+        let arbiter = self.arbiter(record.fingerprint)?;
+        let question = Question::Crashes(record);
+        let asked = self.peers.ask(arbiter, question, CONSULT_TIMEOUT).await;
+        let Ok(ReplyBody::Crashes(answer)) = asked else {
+            return None;
+        };
+        self.merge(&answer);
+        Some(answer)
+    }
+
+    /// Address of the node that all nodes ask about a request, unless it is
+    /// this one.
+    fn arbiter(&self, fingerprint: Fingerprint) -> Option<SocketAddr> {
         let alive = self.membership.alive();
         let names = alive.iter().map(|member| member.node.as_str());
-        let arbiter = rendezvous_order(fingerprint, names).into_iter().next();
-        let arbiter = alive.iter().find(|m| Some(m.node.as_str()) == arbiter);
-        let Some(arbiter) = arbiter.filter(|a| a.node != self.membership.me().node) else {
-            return;
-        };
-        let question = Question::Crashes(self.record(fingerprint));
-        let asked = self
-            .peers
-            .ask(arbiter.peer_address, question, CONSULT_TIMEOUT)
-            .await;
-        if let Ok(ReplyBody::Crashes(record)) = asked {
-            self.merge(&record);
-        }
+        let first = rendezvous_order(fingerprint, names).into_iter().next()?;
+        let arbiter = alive.iter().find(|member| member.node == first)?;
+        (arbiter.node != self.membership.me().node).then_some(arbiter.peer_address)
+    }
+
+    fn wait_before(&self, copy: RequestCopy) -> Duration {
+        let begun = self.suspects().begin(copy, Instant::now());
+        begun.err().unwrap_or_default()
     }
 
-    /// Takes in what another node knows of a request, and tells what is known here.
+    /// Takes in what another node knows of a request, and tells what is known
+    /// here and whether the copy that it asks for may begin.
     pub(crate) fn exchange(&self, record: &CrashRecord) -> CrashRecord {
         self.merge(record);
-        self.record(record.fingerprint)
+        let copy = RequestCopy {
+            fingerprint: record.fingerprint,
+            id: record.copy,
+        };
+        self.suspects().note_copy(copy);
+        let mut known = self.record(copy);
+        if record.wants_to_begin {
+            known.wait_ms = self.wait_before(copy).as_millis() as u64;
+        }
+        known
     }
 
     /// Takes in what a peer announced.
@@ -165,13 +228,13 @@
     }
 
     /// Waits until it is decided whether a request may go on after a crash.
-    pub(crate) async fn decide(&self, fingerprint: Fingerprint) -> Result<(), Blocked> {
+    pub(crate) async fn decide(&self, copy: RequestCopy) -> Result<(), Blocked> {
         loop {
-            match self.check(fingerprint) {
+            match self.check(copy.fingerprint) {
                 Err(Blocked::Quarantined(left)) => tokio::time::sleep(left).await,
                 Err(poison) => {
                     // The caller may go to another node with its answer.
-                    self.consult(fingerprint).await;
+                    self.consult(copy).await;
                     return Err(poison);
                 }
                 Ok(()) => return Ok(()),
@@ -210,7 +273,8 @@
         }
     }
 
-    fn record(&self, fingerprint: Fingerprint) -> CrashRecord {
+    fn record(&self, copy: RequestCopy) -> CrashRecord {
+        let fingerprint = copy.fingerprint;
         let suspects = self.suspects();
         let time_left = suspects.poison_time_left(fingerprint, Instant::now());
         let lives = suspects.lives(fingerprint).into_iter();
@@ -223,6 +287,9 @@
                 })
                 .collect(),
             poison_ms: time_left.map_or(0, |left| left.as_millis() as u64),
+            copy: copy.id,
+            wants_to_begin: false,
+            wait_ms: 0,
         }
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,3 +7,6 @@
 pub(crate) mod runner_watch;
 pub(crate) mod service;
 pub(crate) mod table;
+
+#[cfg(test)]
+mod tests;
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -29,16 +29,69 @@
 /// Losses of other runners within the window that show an outage.
 const OUTAGE_LOSSES: usize = 2;
 
+/// How long a suspect's run is watched before other copies of it may begin.
+/// A request that crashes runners does so when it begins to run.
+pub(crate) const TRIAL: Duration = Duration::from_millis(300);
+
+/// Requests that begin to run are forgotten in batches of this many.
+const BEGUN_MAX: usize = 256;
+
+/// How long the first trial waits where several copies are about, for news of
+/// crashes that they caused meanwhile.
+pub(crate) const SETTLE: Duration = Duration::from_millis(100);
+
+/// Names one generation among the copies of a request.
+pub(crate) type CopyId = u64;
+
+/// One of the generations that are made from the same request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RequestCopy {
+    /// The request.
+    pub(crate) fingerprint: Fingerprint,
+    /// The generation.
+    pub(crate) id: CopyId,
+}
+
 /// One life of one runner.
 pub(crate) type RunnerLife = (RunnerId, Incarnation);
 
 /// What is held against requests.
 #[derive(Debug, Default)]
 pub(crate) struct Suspects {
-    crashes: BTreeMap<Fingerprint, (BTreeSet<RunnerLife>, Instant)>,
+    cases: BTreeMap<Fingerprint, Case>,
     quarantined: BTreeMap<Fingerprint, Instant>,
     poison: BTreeMap<Fingerprint, Instant>,
     losses: BTreeMap<RunnerLife, Instant>,
+    trials: BTreeMap<Fingerprint, Trial>,
+    begun: BTreeMap<Fingerprint, (RunnerId, Instant)>,
+}
+
+/// What is held against one request.
+#[derive(Clone, Debug)]
+struct Case {
+    lives: BTreeSet<RunnerLife>,
+    copies: BTreeSet<CopyId>,
+    first_at: Instant,
+    last_at: Instant,
+}
+
+impl Case {
+    fn opened(now: Instant) -> Self {
+        Self {
+            lives: BTreeSet::new(),
+            copies: BTreeSet::new(),
+            first_at: now,
+            last_at: now,
+        }
+    }
+}
+
+/// The copy of a suspect that runs while the others wait for how it ends.
+#[derive(Clone, Copy, Debug)]
+struct Trial {
+    copy: CopyId,
+    since: Instant,
+    crash_count: usize,
 }
 
 /// How the case of a request stands.
@@ -57,12 +110,10 @@
     pub(crate) fn note_crash(&mut self, fingerprint: Fingerprint, life: RunnerLife, now: Instant) {
         self.expire(now);
         self.losses.entry(life.clone()).or_insert(now);
-        let (crashes, last) = self
-            .crashes
-            .entry(fingerprint)
-            .or_insert_with(|| (BTreeSet::new(), now));
-        crashes.insert(life);
-        *last = now;
+        let case = self.cases.entry(fingerprint);
+        let case = case.or_insert_with(|| Case::opened(now));
+        case.lives.insert(life);
+        case.last_at = now;
         if self.exceeds_crash_limit(fingerprint) {
             self.quarantined.entry(fingerprint).or_insert(now);
         }
@@ -90,6 +141,65 @@
         RequestHealth::Poison(POISON_TTL)
     }
 
+    /// Lets a copy of a request begin to run, or says how long it is to wait
+    /// for another. Copies that begin together would each take down a runner
+    /// before the crash of the first is known.
+    pub(crate) fn begin(&mut self, copy: RequestCopy, now: Instant) -> Result<(), Duration> {
+        let RequestCopy { fingerprint, id } = copy;
+        let Some(case) = self.cases.get_mut(&fingerprint) else {
+            return Ok(());
+        };
+        case.copies.insert(id);
+        let waited_since = |at: Instant| now.saturating_duration_since(at);
+        match self.trials.get(&fingerprint) {
+            None if case.copies.len() > 1 && waited_since(case.first_at) < SETTLE => {
+                return Err(SETTLE - waited_since(case.first_at));
+            }
+            Some(trial) if trial.copy != id && waited_since(trial.since) < TRIAL => {
+                return Err(TRIAL - waited_since(trial.since));
+            }
+            Some(trial) if trial.copy != id && trial.crash_count == case.lives.len() => {
+                return Ok(());
+            }
+            None | Some(_) => {}
+        }
+        let trial = Trial {
+            copy: id,
+            since: now,
+            crash_count: case.lives.len(),
+        };
+        self.trials.insert(fingerprint, trial);
+        Ok(())
+    }
+
+    /// Notes that a copy of a suspect is about.
+    pub(crate) fn note_copy(&mut self, copy: RequestCopy) {
+        if let Some(case) = self.cases.get_mut(&copy.fingerprint) {
+            case.copies.insert(copy.id);
+        }
+    }
+
+    /// Notes where a copy of a request begins to run.
+    pub(crate) fn note_begun(&mut self, fingerprint: Fingerprint, runner: &str, now: Instant) {
+        let is_on_trial = |at: &Instant| now.saturating_duration_since(*at) < TRIAL;
+        if self.begun.len() >= BEGUN_MAX {
+            self.begun.retain(|_, (_, at)| is_on_trial(at));
+        }
+        let begun = self.begun.entry(fingerprint);
+        let (first, at) = begun.or_insert_with(|| (runner.to_owned(), now));
+        if !is_on_trial(at) {
+            (*first, *at) = (runner.to_owned(), now);
+        }
+    }
+
+    /// Where a copy began so lately that it has not shown whether it crashes
+    /// its runner. Other copies that join it there put no second one at risk.
+    pub(crate) fn begun_at(&self, fingerprint: Fingerprint, now: Instant) -> Option<RunnerId> {
+        let (runner, at) = self.begun.get(&fingerprint)?;
+        let is_on_trial = now.saturating_duration_since(*at) < TRIAL;
+        is_on_trial.then(|| runner.clone())
+    }
+
     /// Notes that a request is poison, as a peer found out.
     pub(crate) fn mark_poison(&mut self, fingerprint: Fingerprint, until: Instant) {
         self.poison.insert(fingerprint, until);
@@ -107,15 +217,15 @@
 
     /// Whether a crash is held against a request.
     pub(crate) fn is_suspect(&self, fingerprint: Fingerprint, now: Instant) -> bool {
-        let held = self.crashes.get(&fingerprint);
-        held.is_some_and(|(_, last)| now.duration_since(*last) < SUSPICION_TTL)
+        let case = self.cases.get(&fingerprint);
+        case.is_some_and(|case| now.duration_since(case.last_at) < SUSPICION_TTL)
     }
 
     /// Runners' lives that ended while the request ran there.
     pub(crate) fn lives(&self, fingerprint: Fingerprint) -> Vec<RunnerLife> {
-        let held = self.crashes.get(&fingerprint);
-        let lives = held.into_iter().flat_map(|(lives, _)| lives);
-        lives.cloned().collect()
+        let case = self.cases.get(&fingerprint);
+        case.map(|case| case.lives.iter().cloned().collect())
+            .unwrap_or_default()
     }
 
     /// Runners that were lost while the request ran there.
@@ -125,15 +235,15 @@
     }
 
     fn exceeds_crash_limit(&self, fingerprint: Fingerprint) -> bool {
-        let Some((crashes, _)) = self.crashes.get(&fingerprint) else {
+        let Some(case) = self.cases.get(&fingerprint) else {
             return false;
         };
-        let limit = if self.is_in_outage(crashes) {
+        let limit = if self.is_in_outage(&case.lives) {
             QUARANTINE_CRASHES_IN_OUTAGE
         } else {
             QUARANTINE_CRASHES
         };
-        crashes.len() >= limit
+        case.lives.len() >= limit
     }
 
     /// Losses of runners where the request did not run, at about the same
@@ -158,8 +268,9 @@
     fn expire(&mut self, now: Instant) {
         let fresh = |at: &Instant| now.saturating_duration_since(*at) < SUSPICION_TTL;
         self.losses.retain(|_, at| fresh(at));
-        self.crashes.retain(|_, (_, last)| fresh(last));
+        self.cases.retain(|_, case| fresh(&case.last_at));
         self.poison.retain(|_, until| *until > now);
         self.quarantined.retain(|_, at| fresh(at));
+        self.trials.retain(|_, trial| fresh(&trial.since));
     }
 }
--- a/src/generation/dispatch.rs
+++ b/src/generation/dispatch.rs
@@ -10,7 +10,7 @@
 use crate::configuration::config::{CallerPolicy, Config};
 use crate::error::{Error, ErrorKind};
 use crate::fleet::crash_tracker::{Blocked, CrashTracker};
-use crate::fleet::poison::Fingerprint;
+use crate::fleet::poison::{Fingerprint, RequestCopy};
 use crate::fleet::runner::{self, OpenError, RunnerClient, StreamRequest};
 use crate::fleet::table::{Candidate, Fleet, RouteQuery};
 use crate::generation::attempt::{Attempt, OpenedStream};
@@ -50,6 +50,16 @@
     pub(crate) config: Arc<Config>,
 }
 
+impl Job {
+    /// The generation as one of those that its request may make.
+    pub(crate) fn copy(&self) -> RequestCopy {
+        RequestCopy {
+            fingerprint: self.fingerprint,
+            id: Fnv::new().text(&self.generation).finish(),
+        }
+    }
+}
+
 /// How far a generation has come when an attempt is to be opened.
 #[derive(Debug)]
 pub(crate) struct Progress<'a> {
@@ -113,8 +123,7 @@
         job: &Job,
         progress: &Progress<'_>,
     ) -> Result<Attempt, OpenFailure> {
-        self.crashes.consult(job.fingerprint).await;
-        self.crashes.check(job.fingerprint)?;
+        self.crashes.may_begin(job.copy()).await?;
         let mut tried = progress.avoid.clone();
         // An attempt in a runner's queue, kept while a free runner is sought.
         let mut queued: Option<Attempt> = None;
@@ -165,8 +174,9 @@
             }
             OpenError::NoAnswer => {
                 let life = (candidate.runner.clone(), candidate.incarnation);
-                self.crashes.connection_broke(job.fingerprint, life).await;
-                self.crashes.decide(job.fingerprint).await?;
+                self.crashes.connection_broke(job.copy(), life).await;
+                self.crashes.decide(job.copy()).await?;
+                self.crashes.may_begin(job.copy()).await?;
             }
             OpenError::Refused => {}
         }
@@ -243,7 +253,13 @@
             is_suspect,
             confirmed_within: self.leaving_bound,
         };
-        self.fleet.candidates(&query, now).into_iter().next()
+        let mut candidates = self.fleet.candidates(&query, now);
+        let begun_at = self.crashes.begun_at(job.fingerprint);
+        let beside = candidates
+            .iter()
+            .position(|(c, _)| Some(&c.runner) == begun_at.as_ref());
+        let at = beside.unwrap_or(0);
+        (at < candidates.len()).then(|| candidates.swap_remove(at))
     }
 
     async fn open_at(
@@ -278,6 +294,7 @@
         };
         let is_suspect = self.crashes.is_suspect(job.fingerprint);
         let in_flight = self.fleet.begin(&candidate.runner, is_suspect);
+        self.crashes.note_begun(job.fingerprint, &candidate.runner);
         self.metrics.add(Counter::Attempts, 1);
         let opening = self.client.open(candidate.address, &key, priority, &body);
         let response = tokio::time::timeout(OPEN_TIMEOUT, opening)
--- a/src/generation/run.rs
+++ b/src/generation/run.rs
@@ -227,11 +227,11 @@
         self.lost_at.get_or_insert(self.last_token_at);
         self.loss_count += 1;
         self.avoid.insert(life.0.clone());
-        let fingerprint = self.job.fingerprint;
+        let copy = self.job.copy();
         if loss == Loss::Reset {
-            self.crashes.connection_broke(fingerprint, life).await;
+            self.crashes.connection_broke(copy, life).await;
         }
-        let decided = self.crashes.decide(fingerprint).await;
+        let decided = self.crashes.decide(copy).await;
         decided.map_err(|blocked| Stop::Failed(OpenFailure::from(blocked).into_error()))?;
         if self.loss_count > LOSSES_MAX || !self.has_text {
             return Err(Stop::Failed(lost_error()));
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -186,6 +186,15 @@
     /// How long it is still refused; zero when it may run.
     #[prost(uint64, tag = "3")]
     pub(crate) poison_ms: u64,
+    /// The copy of the request that the asker runs.
+    #[prost(fixed64, tag = "4")]
+    pub(crate) copy: u64,
+    /// Whether that copy asks to begin to run.
+    #[prost(bool, tag = "5")]
+    pub(crate) wants_to_begin: bool,
+    /// How long that copy is to wait for another one.
+    #[prost(uint64, tag = "6")]
+    pub(crate) wait_ms: u64,
 }
 
 /// One life of one runner.
