Let nodes that start be told by peers, and not all wait at the store

A node that just started asks once and waits to find the others (1.2 s); the rest of a list of several answers is first awaited from peers.

--- a/src/edge/beliefs.rs
+++ b/src/edge/beliefs.rs
@@ -23,6 +23,7 @@
 /// Beliefs that other tasks keep up to date.
 #[derive(Debug)]
 pub(crate) struct Beliefs {
+    is_seed: bool,
     started: Instant,
     node_index: AtomicUsize,
     node_count: AtomicUsize,
@@ -38,13 +39,14 @@
 
 impl Beliefs {
     /// Begins with no other node known.
-    pub(crate) fn new(lenders: Lenders) -> Self {
+    pub(crate) fn new(is_seed: bool, lenders: Lenders) -> Self {
         Self {
+            is_seed,
             started: Instant::now(),
             node_index: AtomicUsize::new(0),
             node_count: AtomicUsize::new(1),
             fleet_size: AtomicUsize::new(1),
-            is_watcher: AtomicBool::new(true),
+            is_watcher: AtomicBool::new(is_seed),
             stopping_ms: AtomicU64::new(0),
             cut_is_near: CancellationToken::new(),
             freshness: Mutex::default(),
@@ -64,7 +66,8 @@
             .store(staying.len().max(1), Ordering::Relaxed);
         self.fleet_size.fetch_max(staying.len(), Ordering::Relaxed);
         let rank = watch_rank(me, &staying);
-        let is_watcher = watchers::is_watcher(staying.len(), rank);
+        let is_watcher = watchers::knows_fleet(self.is_seed, self.started.elapsed())
+            && watchers::is_watcher(staying.len(), rank);
         if self.is_watcher.swap(is_watcher, Ordering::Relaxed) != is_watcher {
             log::info!(
                 "event=watcher is_watcher={is_watcher} nodes={}",
@@ -76,6 +79,11 @@
         *self.nodes.lock().unwrap_or_else(PoisonError::into_inner) = nodes.collect();
     }
 
+    /// Whether other nodes look for this one first when they start.
+    pub(crate) fn is_seed(&self) -> bool {
+        self.is_seed
+    }
+
     /// Whether this node asks the store for others.
     pub(crate) fn is_watcher(&self) -> bool {
         self.is_watcher.load(Ordering::Relaxed)
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -70,10 +70,13 @@
             sightings,
             metrics,
             data_centre: settings.data_centre.clone(),
-            node: Beliefs::new(Lenders {
-                membership: membership.clone(),
-                peers: peers.clone(),
-            }),
+            node: Beliefs::new(
+                settings.is_seed(),
+                Lenders {
+                    membership: membership.clone(),
+                    peers: peers.clone(),
+                },
+            ),
             in_flight: Arc::default(),
         });
         let watch = StoreWatch {
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -56,6 +56,11 @@
         crate::platform::settings::read(text)
     }
 
+    /// Whether other nodes look for this one first, or it has no other to look for.
+    pub(crate) fn is_seed(&self) -> bool {
+        self.seeds.is_empty() || self.seeds.contains(&self.peers)
+    }
+
     /// What all nodes together may spend on repeated sends.
     pub(crate) fn allowance(&self) -> Allowance {
         Allowance {
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -13,7 +13,7 @@
 use crate::observe::metrics::Counter;
 use crate::platform::routing;
 use crate::platform::store::{Changes, ConfigText, Store, StoreFailure, UpstreamNews};
-use crate::policy::watchers::StoreWord;
+use crate::policy::watchers::{StoreWord, list_patience};
 use crate::store::object_store::Object;
 
 /// Name of the configuration among the documents that peers exchange.
@@ -24,6 +24,8 @@
 pub(crate) const WORD_DOCUMENT: &str = "store-word";
 /// Time between looks at whether it is this node's turn to ask the store.
 const TURN_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between looks at whether a peer told the upstreams.
+const TOLD_INTERVAL: Duration = Duration::from_millis(20);
 /// Time in which changes of upstreams gather before they are asked for.
 const GATHER: Duration = Duration::from_millis(200);
 /// How long a watch waits after the store failed: a longer one could be lost
@@ -230,18 +232,41 @@
     }
 
     async fn list_upstreams(&self) -> Result<(), StoreFailure> {
-        let list = self.counted(self.store.list_upstreams()).await?;
-        let now = Instant::now();
-        self.store_answered(now);
+        let first = self.counted(self.store.list_upstreams(None)).await?;
+        self.store_answered(Instant::now());
+        if first.next.is_some() && self.upstreams.revision() == 0 && self.told_by_peers().await {
+            return Ok(());
+        }
+        // Changes between two answers are heard again from the first one's revision.
+        let revision = first.revision;
+        let mut next = first.next;
+        let mut entries = first.entries;
+        while let Some(after) = next {
+            let page = self
+                .counted(self.store.list_upstreams(Some(&after)))
+                .await?;
+            entries.extend(page.entries);
+            next = page.next;
+        }
         let update = UpstreamUpdate {
             is_whole: true,
-            news: list.entries.into_iter().map(UpstreamNews::Entry).collect(),
-            revision: list.revision,
+            news: entries.into_iter().map(UpstreamNews::Entry).collect(),
+            revision,
         };
-        self.take_in(&update, now);
+        self.take_in(&update, Instant::now());
         Ok(())
     }
 
+    /// Waits to be told the upstreams by a peer; true when one did.
+    async fn told_by_peers(&self) -> bool {
+        let draw = rand::rng().random_range(0.0..1.0);
+        let give_up_at = Instant::now() + list_patience(self.forwarder.node.is_seed(), draw);
+        while self.upstreams.revision() == 0 && Instant::now() < give_up_at {
+            tokio::time::sleep(TOLD_INTERVAL).await;
+        }
+        self.upstreams.revision() > 0
+    }
+
     fn wait(&self, is_away: bool) -> Duration {
         if is_away {
             AWAY_WAIT
--- a/src/policy/tests/watchers.rs
+++ b/src/policy/tests/watchers.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use crate::policy::watchers::{StoreWord, is_watcher, watch_wait};
+use crate::policy::watchers::{StoreWord, is_watcher, knows_fleet, list_patience, watch_wait};
 
 /// Time in which a node must know that an upstream leaves.
 const LEAVING_BOUND: Duration = Duration::from_secs(3);
@@ -52,3 +52,43 @@
     assert!(second > first);
     assert!(one.heard(second, now + Duration::from_secs(1)));
 }
+
+/// Replays the start of all nodes at once, before upstreams that the store
+/// lists in sixty answers.
+#[test]
+fn nodes_that_start_together_leave_a_long_list_to_those_that_are_found_first() {
+    const NODES: usize = 300;
+    const SEEDS: usize = 3;
+    const ANSWERS: usize = 60;
+    /// Store calls a second that all nodes may make.
+    const STORE_RATE: usize = 6_000;
+    let told_after = Duration::from_millis(500);
+
+    let reads_on = |node: usize| {
+        let draw = node as f64 / NODES as f64;
+        list_patience(node < SEEDS, draw) < told_after
+    };
+    let readers = (0..NODES).filter(|node| reads_on(*node)).count();
+
+    assert_eq!(readers, SEEDS);
+    assert!(NODES + readers * ANSWERS < STORE_RATE / 2);
+    let patience = (0..NODES).map(|node| list_patience(false, node as f64 / NODES as f64));
+    assert!(patience.max().expect("one") <= Duration::from_secs(1));
+}
+
+/// In its first moments each of ninety nodes knows itself and the seeds, which
+/// is a small fleet.
+#[test]
+fn nodes_that_start_together_do_not_all_wait_at_the_store() {
+    let known = 4;
+    let just_started = Duration::from_millis(300);
+
+    let waits = |is_seed| knows_fleet(is_seed, just_started) && is_watcher(known, known - 1);
+
+    assert!(waits(true));
+    assert!(!waits(false));
+    assert!(
+        knows_fleet(false, LEAVING_BOUND / 2),
+        "one that finds nobody waits there in time"
+    );
+}
--- a/src/policy/watchers.rs
+++ b/src/policy/watchers.rs
@@ -20,9 +20,19 @@
 const WORD_MAX_AGE: Duration = Duration::from_millis(1_400);
 /// Time over which nodes that ask for themselves are spread.
 const SPREAD: Duration = Duration::from_millis(400);
+/// Time after its start in which a node finds the others.
+const JOIN_TIME: Duration = Duration::from_millis(1_200);
+/// How long a node that just started waits to be told a long list by peers.
+const LIST_PATIENCE: Duration = Duration::from_millis(600);
 /// Time between two passings-on of the store's word.
 const WORD_SPACING: Duration = Duration::from_millis(350);
 
+/// Whether a node may judge by the nodes that it knows whether it is to wait at
+/// the store. One that just started knows few others, and has asked once.
+pub(crate) fn knows_fleet(is_seed: bool, age: Duration) -> bool {
+    is_seed || age >= JOIN_TIME
+}
+
 /// Whether a node waits at the store: `rank` is its place in the order that
 /// all nodes of its data centre agree on.
 pub(crate) fn is_watcher(node_count: usize, rank: usize) -> bool {
@@ -38,6 +48,18 @@
     }
 }
 
+/// How long a node that knows no upstream waits for peers before it reads the
+/// rest of a list that the store gives in several answers. Three hundred nodes
+/// that start at once would ask for sixty answers each, where the first nodes
+/// to be found by others can tell them.
+pub(crate) fn list_patience(is_first_to_be_found: bool, draw: f64) -> Duration {
+    if is_first_to_be_found {
+        Duration::ZERO
+    } else {
+        LIST_PATIENCE + SPREAD.mul_f64(draw)
+    }
+}
+
 /// The store's word as it spreads from node to node: a count that rises with
 /// each answer of the store, whoever got it.
 #[derive(Clone, Copy, Debug, Default)]
--- a/tests/store_and_peers.rs
+++ b/tests/store_and_peers.rs
@@ -314,3 +314,36 @@
 
     assert!(took < Duration::from_millis(2_000), "{took:?}");
 }
+
+#[tokio::test]
+async fn a_node_that_starts_is_told_a_long_list_by_its_peers() {
+    let world = World::start(12).await;
+    let first_ports = NodePorts::new("n1", "dc-a");
+    let _first = start_node(&first_ports, world.store.address).await;
+    let first = Caller::new(&first_ports);
+    wait_for_status(&first, SAFE_PATH, 200).await;
+    let whole_list = world.store.page_count("servers");
+    let before = world.store.list_count();
+
+    let second_ports = NodePorts::new("n2", "dc-b").with_seed(&first_ports);
+    let _second = start_node(&second_ports, world.store.address).await;
+    let second = Caller::new(&second_ports);
+    let took = wait_for_status(&second, SAFE_PATH, 200).await;
+
+    assert!(whole_list > 3, "{whole_list} answers");
+    assert_eq!(world.store.list_count() - before, 1, "first answer only");
+    assert!(took < Duration::from_millis(600), "{took:?}");
+}
+
+#[tokio::test]
+async fn a_node_whose_peers_are_away_reads_the_list_itself() {
+    let world = World::start(12).await;
+    let gone = NodePorts::new("n1", "dc-a");
+    let ports = NodePorts::new("n2", "dc-b").with_seed(&gone);
+    let _node = start_node(&ports, world.store.address).await;
+    let caller = Caller::new(&ports);
+
+    let took = wait_for_status(&caller, SAFE_PATH, 200).await;
+
+    assert!(took < Duration::from_secs(2), "{took:?}");
+}
--- a/tests/support/outside/store.rs
+++ b/tests/support/outside/store.rs
@@ -32,6 +32,7 @@
     /// Answers nothing at all.
     pub is_silent: AtomicBool,
     pub call_count: AtomicUsize,
+    list_count: AtomicUsize,
 }
 
 impl Store {
@@ -43,6 +44,7 @@
             is_away: AtomicBool::new(false),
             is_silent: AtomicBool::new(false),
             call_count: AtomicUsize::new(0),
+            list_count: AtomicUsize::new(0),
         });
         serve(store.address, store.clone()).await;
         store
@@ -80,6 +82,18 @@
         self.changed.notify_waiters();
     }
 
+    /// Answers of lists of upstreams so far.
+    pub fn list_count(&self) -> usize {
+        self.list_count.load(Ordering::Relaxed)
+    }
+
+    /// Answers in which a kind is listed.
+    pub fn page_count(&self, kind: &str) -> usize {
+        let books = self.books.lock().expect("unpoisoned");
+        let of_kind = books.objects.keys().filter(|(k, _)| k == kind);
+        of_kind.count().div_ceil(PAGE)
+    }
+
     /// Forgets what happened, so that watches must list again.
     pub fn forget_history(&self) {
         let mut books = self.books.lock().expect("unpoisoned");
@@ -150,7 +164,11 @@
                 let wait = Duration::from_millis(number("wait-ms").unwrap_or(0));
                 self.watch(&kind, since, wait).await
             }
-            None => (200, self.list(&kind, request.query("after").as_deref())),
+            None => {
+                let listed = usize::from(kind == "servers");
+                self.list_count.fetch_add(listed, Ordering::Relaxed);
+                (200, self.list(&kind, request.query("after").as_deref()))
+            }
         };
         let json = "content-type: application/json\r\n";
         reply(stream, status, json, body.to_string().as_bytes()).await
