Watch an upstream across the frames of its answer, and count sends in one place

What a send's outcome says of a call stood in the plain and in the streaming path; Sends holds it for both, with tests. A call's headers are read once. The module doc named a page that does not exist.

--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -21,7 +21,7 @@
 use crate::http::{self, HttpResponse, read_body};
 use crate::id::{DataCentreId, ServiceId};
 use crate::observe::metrics::{Counter, Metrics};
-use crate::platform::call;
+use crate::platform::call::{self, CallHeaders};
 use crate::policy::placement::{Candidate, is_own};
 use crate::policy::refusal::{GivenUp, Progress, error_kind, retry_after};
 
@@ -68,14 +68,21 @@
     pub(crate) in_flight: Arc<()>,
 }
 
+/// A call that may pass, and the configuration that says so.
+struct Admission {
+    table: Arc<RouteTable>,
+    admitted: Admitted,
+}
+
 impl<S: Surroundings> Forwarder<S> {
     /// Answers one call.
     pub(crate) async fn forward(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
         let arrived = Instant::now();
         let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
-        let mut response = match self.admit(&request) {
-            Err(error) => self.reject(&request, &error),
-            Ok((table, admitted)) => self.accept(request, &table, admitted, arrived).await,
+        let headers = call::read(request.headers());
+        let mut response = match self.admit(&request, headers.api_key.as_deref()) {
+            Err(error) => self.reject(&headers, &error),
+            Ok(admission) => self.accept(request, headers, admission, arrived).await,
         };
         // Where a length stood beside the chunks it is gone by now, and what
         // follows on this connection may be no request.
@@ -86,14 +93,17 @@
         response
     }
 
-    fn admit(&self, request: &Request<Incoming>) -> Result<(Arc<RouteTable>, Admitted), Error> {
+    fn admit(
+        &self,
+        request: &Request<Incoming>,
+        api_key: Option<&[u8]>,
+    ) -> Result<Admission, Error> {
         let not_ready = || Error::new(ErrorKind::NotReady, "no configuration yet");
         let table = self.routing.load_full().ok_or_else(not_ready)?;
         let host = http::header(request, HOST.as_str()).unwrap_or_default();
-        let headers = call::read(request.headers());
-        let admitted = table.admit(host, request.uri().path(), headers.api_key.as_deref());
+        let admitted = table.admit(host, request.uri().path(), api_key);
         let denied = match admitted {
-            Ok(admitted) => return Ok((table, admitted)),
+            Ok(admitted) => return Ok(Admission { table, admitted }),
             Err(denied) => denied,
         };
         if !self.node.is_config_fresh() {
@@ -107,9 +117,8 @@
         Err(error)
     }
 
-    fn reject(&self, request: &Request<Incoming>, error: &Error) -> HttpResponse {
+    fn reject(&self, headers: &CallHeaders, error: &Error) -> HttpResponse {
         self.metrics.add(Counter::CallsRejected, 1);
-        let headers = call::read(request.headers());
         let id = headers.call_id.as_ref().and_then(|id| id.to_str().ok());
         log::info!(
             "event=call_rejected call={} kind={} config={} fresh={}",
@@ -132,10 +141,11 @@
     async fn accept(
         self: &Arc<Self>,
         request: Request<Incoming>,
-        table: &RouteTable,
-        admitted: Admitted,
+        headers: CallHeaders,
+        admission: Admission,
         arrived: Instant,
     ) -> HttpResponse {
+        let Admission { table, admitted } = admission;
         let (parts, body) = request.into_parts();
         let body = match read_body(body, table.limits.body_bytes).await {
             Ok(body) => body,
@@ -146,7 +156,6 @@
                 return response;
             }
         };
-        let headers = call::read(&parts.headers);
         let Some(service) = admitted.route.service(rand::rng().random()).cloned() else {
             return http::failure(&Error::new(
                 ErrorKind::NoUpstream,
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -1,6 +1,7 @@
 //! The routed forwarder: one call's way to an upstream and back.
 //!
-//! `docs/FORWARDING.md` follows a call through these modules.
+//! `docs/OPERATIONS.md` follows failed calls through their log lines, and
+//! `docs/RESUME.md` streams from one upstream to the next.
 
 pub(crate) mod answer_body;
 pub(crate) mod connection;
@@ -14,9 +15,13 @@
 pub(crate) mod route_table;
 pub(crate) mod run_copy;
 pub(crate) mod send;
+pub(crate) mod sends;
 pub(crate) mod sessions;
 pub(crate) mod sighting;
 pub(crate) mod stream_call;
 pub(crate) mod stream_relay;
 pub(crate) mod successor;
 pub(crate) mod upstream;
+
+#[cfg(test)]
+mod tests;
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -8,12 +8,13 @@
 use super::probe::Loss;
 use super::request::Call;
 use super::send::{Answered, Attempt, SendOutcome};
+use super::sends::Sends;
 use super::upstream::{Upstream, Work};
 use crate::http::HttpResponse;
 use crate::observe::metrics::{Counter, Span};
 use crate::platform::call::Dispatch;
 use crate::policy::placement::choose_plain;
-use crate::policy::refusal::{GivenUp, Progress};
+use crate::policy::refusal::GivenUp;
 
 /// How long one upstream may take over a call that may go to another one.
 const TRY_TIMEOUT: Duration = Duration::from_millis(200);
@@ -25,9 +26,7 @@
 #[derive(Debug)]
 struct Course {
     tried: Vec<Arc<Upstream>>,
-    sent_count: u32,
-    unsent_count: u32,
-    progress: Progress,
+    sends: Sends,
     /// An upstream's own failure, passed on where nothing better comes.
     failure: Option<HttpResponse>,
     cause: String,
@@ -37,9 +36,7 @@
     fn new() -> Self {
         Self {
             tried: Vec::new(),
-            sent_count: 0,
-            unsent_count: 0,
-            progress: Progress::NotRun,
+            sends: Sends::none(),
             failure: None,
             cause: String::from("no upstream is ready"),
         }
@@ -61,7 +58,7 @@
                     call.admitted.route.name,
                     call.service,
                     response.status().as_u16(),
-                    course.sent_count,
+                    course.sends.sent_count(),
                     call.age().as_millis()
                 );
                 return response;
@@ -72,22 +69,22 @@
         };
         match course.failure.take() {
             Some(failure) => failure,
-            None => self.give_up(&call, given_up, course.progress, &course.cause),
+            None => self.give_up(&call, given_up, course.sends.progress(), &course.cause),
         }
     }
 
     async fn try_plain(self: &Arc<Self>, call: &Call, course: &mut Course) -> Option<HttpResponse> {
         let kind = call.admitted.route.kind;
         loop {
-            let is_first = course.sent_count == 0;
-            if !is_first && course.sent_count >= call.admitted.route.attempts_max {
+            let is_first = course.sends.sent_count() == 0;
+            if !is_first && course.sends.sent_count() >= call.admitted.route.attempts_max {
                 return None;
             }
             if call.time_for_upstream(Instant::now()).is_none() {
                 course.cause = "no time is left".to_owned();
                 return None;
             }
-            if course.unsent_count >= UNSENT_TRIES_MAX || self.crashes.is_convicted(call) {
+            if course.sends.unsent_count() >= UNSENT_TRIES_MAX || self.crashes.is_convicted(call) {
                 return None;
             }
             let upstream = self.choose(&call.service, &course.tried, |candidates, draw| {
@@ -97,12 +94,9 @@
                 return None;
             }
             course.tried.push(upstream.clone());
-            // From here on until the outcome is known, bytes may have left.
-            let before = course.progress;
-            course.progress = Progress::MayHaveRun;
-            course.sent_count += 1;
+            course.sends.begin();
             let may_move_on =
-                kind.may_repeat() && course.sent_count < call.admitted.route.attempts_max;
+                kind.may_repeat() && course.sends.sent_count() < call.admitted.route.attempts_max;
             let sent_at = Instant::now();
             let outcome = self.try_upstream(call, &upstream, may_move_on).await;
             learn(&upstream, sent_at, &outcome);
@@ -114,35 +108,13 @@
                 Ok(response) => return Some(response),
                 Err(outcome) => {
                     self.note(call, &upstream, &outcome);
-                    match outcome {
-                        SendOutcome::NotSent(cause) => {
-                            course.progress = before;
-                            course.sent_count -= 1;
-                            course.unsent_count += 1;
-                            course.cause = cause.to_owned();
-                        }
-                        SendOutcome::Misdirected(_) => {
-                            course.progress = before;
-                            course.unsent_count += 1;
-                            course.cause = "another upstream has the address".to_owned();
-                        }
-                        SendOutcome::NotExecuted => {
-                            course.progress = before;
-                            course.cause = format!("{} is full", upstream.entry.id);
-                        }
-                        SendOutcome::MayHaveRun(cause) => {
-                            course.cause = cause;
-                            self.suspect(call, &upstream);
-                            if !kind.may_repeat() {
-                                return None;
-                            }
-                        }
-                        SendOutcome::Silent(loss) => {
-                            course.cause = format!("{loss:?}");
-                            if !kind.may_repeat() {
-                                return None;
-                            }
-                        }
+                    let did_not_run = course.sends.end(&outcome);
+                    course.cause = format!("{}: {outcome}", upstream.entry.id);
+                    if matches!(outcome, SendOutcome::MayHaveRun(_)) {
+                        self.suspect(call, &upstream);
+                    }
+                    if !did_not_run && !kind.may_repeat() {
+                        return None;
                     }
                 }
             }
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -7,11 +7,12 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use tokio::sync::watch;
+use tokio::sync::{broadcast, watch};
 
 use super::directory::Directory;
 use super::forwarder::{Forwarder, Surroundings};
 use super::upstream::Upstream;
+use crate::id::DataCentreId;
 use crate::observe::metrics::{Counter, Metrics};
 use crate::platform::engine::{EngineReport, REPORT_PATH, read_report};
 use crate::policy::silence::{ALARM_TIME, Phase, pause_before_loss, pause_before_probe};
@@ -30,45 +31,64 @@
     NoProgress,
 }
 
-/// Waits until the call's upstream must be taken as lost.
-pub(crate) async fn wait_for_loss(
-    directory: &Directory,
-    upstream: &Upstream,
-    losses: &mut watch::Receiver<u64>,
-    phase: Phase,
-    metrics: &Metrics,
-) -> Loss {
-    let since = Instant::now();
-    let mut asked_at = since;
-    let mut alarms = directory.alarms();
-    let mut alarmed_until: Option<Instant> = None;
-    loop {
-        let now = Instant::now();
-        let is_alarmed = alarmed_until.is_some_and(|until| until > now);
-        let pause = pause_before_probe(phase, is_alarmed);
-        let next_look = asked_at + pause;
-        tokio::select! {
-            _ = losses.changed() => return Loss::Upstream,
-            alarm = alarms.recv() => {
-                if alarm.is_ok_and(|centre| centre == upstream.entry.data_centre) {
-                    alarmed_until = Some(Instant::now() + ALARM_TIME);
+/// Watches the upstream of one call. It outlives the frames of the answer, so
+/// that what is heard between two of them is not missed.
+#[derive(Debug)]
+pub(crate) struct LossWatch {
+    upstream: Arc<Upstream>,
+    losses: watch::Receiver<u64>,
+    alarms: broadcast::Receiver<DataCentreId>,
+    alarmed_until: Option<Instant>,
+}
+
+impl LossWatch {
+    /// Begins to watch.
+    pub(crate) fn new(directory: &Directory, upstream: Arc<Upstream>) -> Self {
+        Self {
+            losses: upstream.losses(),
+            alarms: directory.alarms(),
+            alarmed_until: None,
+            upstream,
+        }
+    }
+
+    /// Waits until the upstream must be taken as lost, counted from now.
+    pub(crate) async fn wait(
+        &mut self,
+        directory: &Directory,
+        phase: Phase,
+        metrics: &Metrics,
+    ) -> Loss {
+        let since = Instant::now();
+        let mut asked_at = since;
+        loop {
+            let is_alarmed = self.alarmed_until.is_some_and(|at| at > Instant::now());
+            let pause = pause_before_probe(phase, is_alarmed);
+            let next_look = asked_at + pause;
+            tokio::select! {
+                _ = self.losses.changed() => return Loss::Upstream,
+                alarm = self.alarms.recv() => {
+                    if alarm.is_ok_and(|centre| centre == self.upstream.entry.data_centre) {
+                        self.alarmed_until = Some(Instant::now() + ALARM_TIME);
+                    }
+                    continue;
                 }
+                () = tokio::time::sleep_until(next_look.into()) => {}
+            }
+            let now = Instant::now();
+            if now.saturating_duration_since(since) >= pause_before_loss(phase) {
+                return Loss::NoProgress;
+            }
+            asked_at = now;
+            let silence = self.upstream.silence(now);
+            if silence.is_some_and(|silence| silence < pause) {
                 continue;
             }
-            () = tokio::time::sleep_until(next_look.into()) => {}
-        }
-        let now = Instant::now();
-        if now.saturating_duration_since(since) >= pause_before_loss(phase) {
-            return Loss::NoProgress;
-        }
-        asked_at = now;
-        if upstream.silence(now).is_some_and(|silence| silence < pause) {
-            continue;
-        }
-        metrics.add(Counter::EngineProbes, 1);
-        if ask(upstream).await.is_none() {
-            directory.lose(upstream, "no_report", Instant::now());
-            return Loss::Upstream;
+            metrics.add(Counter::EngineProbes, 1);
+            if ask(&self.upstream).await.is_none() {
+                directory.lose(&self.upstream, "no_report", Instant::now());
+                return Loss::Upstream;
+            }
         }
     }
 }
--- a/src/forward/send.rs
+++ b/src/forward/send.rs
@@ -48,18 +48,23 @@
 }
 
 /// What is known after a sending that brought no answer to pass on.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
 pub(crate) enum SendOutcome {
     /// No byte left this node.
+    #[error("nothing was sent: {0}")]
     NotSent(&'static str),
     /// The upstream states that it did not run the call.
+    #[error("it did not run the call")]
     NotExecuted,
     /// The address belongs to another upstream, which did not run the call and
     /// may have said its name.
+    #[error("another upstream has its address")]
     Misdirected(Option<UpstreamId>),
     /// The upstream may have run the call.
+    #[error("it may have run the call: {0}")]
     MayHaveRun(String),
     /// The same, and the upstream fell silent or made no progress.
+    #[error("it fell silent: {0:?}")]
     Silent(Loss),
 }
 
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -9,10 +9,11 @@
 
 use super::answer_body;
 use super::forwarder::{Forwarder, Surroundings};
-use super::probe::wait_for_loss;
+use super::probe::LossWatch;
 use super::request::Call;
 use super::run_copy::{CopyPlace, RunCopy, RunName, choose_keeper, lock};
 use super::send::{Answered, Attempt, SendOutcome};
+use super::sends::Sends;
 use super::upstream::{Upstream, Work};
 use crate::http::HttpResponse;
 use crate::observe::metrics::Counter;
@@ -39,9 +40,7 @@
     pub(super) forwarder: Arc<Forwarder<S>>,
     pub(super) call: Call,
     pub(super) tried: Vec<Arc<Upstream>>,
-    pub(super) sent_count: u32,
-    pub(super) unsent_count: u32,
-    pub(super) progress: Progress,
+    pub(super) sends: Sends,
     pub(super) copy: CopyPlace,
     pub(super) last_event: Option<u64>,
     pub(super) event_count: u64,
@@ -60,9 +59,7 @@
             last_event: call.headers.last_event,
             call,
             tried: Vec::new(),
-            sent_count: 0,
-            unsent_count: 0,
-            progress: Progress::NotRun,
+            sends: Sends::none(),
             copy: CopyPlace::default(),
             event_count: 0,
             has_part_begun: false,
@@ -77,7 +74,7 @@
             Ok(attempt) => run.respond(attempt),
             Err(OpenFailure::Answer(answer)) => *answer,
             Err(OpenFailure::GivenUp(given_up, cause)) => {
-                self.give_up(&run.call, given_up, run.progress, &cause)
+                self.give_up(&run.call, given_up, run.sends.progress(), &cause)
             }
         }
     }
@@ -89,9 +86,7 @@
         loop {
             let (upstream, copy) = self.next_upstream().await?;
             self.tried.push(upstream.clone());
-            let before = self.progress;
-            self.progress = Progress::MayHaveRun;
-            self.sent_count += 1;
+            self.sends.begin();
             self.has_part_begun = false;
             let outcome = match self.send(&upstream, copy).await {
                 Ok(attempt) if attempt.state.headers.status.is_success() => return Ok(attempt),
@@ -99,21 +94,13 @@
                 Err(outcome) => outcome,
             };
             self.forwarder.note(&self.call, &upstream, &outcome);
-            match outcome {
-                SendOutcome::NotSent(_) => {
-                    self.did_not_run(before);
-                    self.sent_count -= 1;
-                    self.unsent_count += 1;
-                }
-                SendOutcome::Misdirected(_) => {
-                    self.did_not_run(before);
-                    self.unsent_count += 1;
-                }
-                SendOutcome::NotExecuted => self.did_not_run(before),
-                SendOutcome::MayHaveRun(_) => self.broke_before_event(&upstream),
-                SendOutcome::Silent(_) => {}
+            if self.sends.end(&outcome) {
+                // A run that never began has no copy either.
+                lock(&self.copy).take();
+            } else if matches!(outcome, SendOutcome::MayHaveRun(_)) {
+                self.broke_before_event(&upstream);
             }
-            if self.progress == Progress::MayHaveRun && !self.may_repeat() {
+            if self.sends.progress() == Progress::MayHaveRun && !self.may_repeat() {
                 let cause = "it may have run and may not run twice".to_owned();
                 return Err(OpenFailure::GivenUp(GivenUp::UpstreamsFailed, cause));
             }
@@ -127,12 +114,6 @@
         }
     }
 
-    /// A run that never began has no copy either.
-    fn did_not_run(&mut self, before: Progress) {
-        self.progress = before;
-        lock(&self.copy).take();
-    }
-
     pub(super) fn may_repeat(&self) -> bool {
         self.call.admitted.route.kind.may_repeat()
     }
@@ -148,7 +129,8 @@
             return Err(given_up(GivenUp::TimeOver, "no time is left"));
         }
         let attempts_max = self.call.admitted.route.attempts_max;
-        if self.sent_count >= attempts_max || self.unsent_count >= UNSENT_TRIES_MAX {
+        if self.sends.sent_count() >= attempts_max || self.sends.unsent_count() >= UNSENT_TRIES_MAX
+        {
             return Err(given_up(GivenUp::UpstreamsFailed, "all attempts are used"));
         }
         let copy = lock(&self.copy)
@@ -162,7 +144,7 @@
                 .or_else(|| forwarder.choose(&self.call.service, &self.tried, choose_engine))
                 .ok_or_else(|| given_up(GivenUp::NoUpstream, "no upstream is ready"))?,
         };
-        if self.sent_count > 0 && !forwarder.may_send_again_or_borrow(&self.call).await {
+        if self.sends.sent_count() > 0 && !forwarder.may_send_again_or_borrow(&self.call).await {
             return Err(given_up(
                 GivenUp::UpstreamsFailed,
                 "the retry budget is used",
@@ -262,16 +244,10 @@
         let attempt = Attempt::new(upstream.clone(), work, request);
         let forwarder = &self.forwarder;
         forwarder.metrics.add(Counter::UpstreamSends, 1);
-        let mut losses = upstream.losses();
+        let mut watch = LossWatch::new(&forwarder.directory, upstream.clone());
         tokio::select! {
             sent = attempt.send(&self.call) => sent,
-            loss = wait_for_loss(
-                &forwarder.directory,
-                upstream,
-                &mut losses,
-                Phase::Reading,
-                &forwarder.metrics,
-            ) => Err(SendOutcome::Silent(loss)),
+            loss = watch.wait(&forwarder.directory, Phase::Reading, &forwarder.metrics) => Err(SendOutcome::Silent(loss)),
         }
     }
 
@@ -283,7 +259,7 @@
         let status = attempt.state.headers.status;
         let attempts_max = self.call.admitted.route.attempts_max;
         let is_retried =
-            status.is_server_error() && self.may_repeat() && self.sent_count < attempts_max;
+            status.is_server_error() && self.may_repeat() && self.sends.sent_count() < attempts_max;
         if is_retried {
             let cause = format!("answered {}", status.as_u16());
             return Ok(SendOutcome::MayHaveRun(cause));
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -8,11 +8,12 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_LENGTH;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 
 use super::connection::Connection;
+use super::directory::Directory;
 use super::forwarder::Surroundings;
-use super::probe::{Loss, wait_for_loss};
+use super::probe::{Loss, LossWatch};
 use super::run_copy::{free, guard, lock};
 use super::send::{Answered, Attempt};
 use super::stream_call::StreamRun;
@@ -34,7 +35,7 @@
     connection: Connection,
     body: Incoming,
     reuse: Option<Option<Duration>>,
-    losses: watch::Receiver<u64>,
+    watch: LossWatch,
 }
 
 /// How one upstream's part ended.
@@ -51,7 +52,7 @@
 impl<S: Surroundings> StreamRun<S> {
     /// Gives the caller the head, and relays events from now on.
     pub(super) fn respond(self, attempt: Attempt<Answered>) -> HttpResponse {
-        let (mut parts, part) = Part::new(attempt);
+        let (mut parts, part) = Part::new(&self.forwarder.directory, attempt);
         strip_hop_headers(&mut parts.headers);
         // How long the whole gets is not known where it may go on elsewhere.
         parts.headers.remove(CONTENT_LENGTH);
@@ -86,7 +87,7 @@
                 () = sender.closed() => return self.finish(&PartEnd::CallerGone, &sender).await,
             };
             part = match opened {
-                Ok(Ok(attempt)) => Part::new(attempt).1,
+                Ok(Ok(attempt)) => Part::new(&self.forwarder.directory, attempt).1,
                 Ok(Err(failure)) => {
                     let cause = format!("{failure:?}");
                     return self.finish(&PartEnd::Lost(cause), &sender).await;
@@ -113,7 +114,7 @@
             connection,
             mut body,
             reuse,
-            mut losses,
+            mut watch,
         } = part;
         let forwarder = self.forwarder.clone();
         let mut events = EventBuffer::default();
@@ -131,13 +132,7 @@
                     continue;
                 }
                 frame = body.frame() => frame,
-                loss = wait_for_loss(
-                    &forwarder.directory,
-                    &upstream,
-                    &mut losses,
-                    phase,
-                    &forwarder.metrics,
-                ) => {
+                loss = watch.wait(&forwarder.directory, phase, &forwarder.metrics) => {
                     if loss == Loss::NoProgress {
                         upstream.avoid(Instant::now());
                     }
@@ -248,7 +243,7 @@
             self.call.id(),
             self.call.admitted.route.name,
             self.event_count,
-            self.sent_count,
+            self.sends.sent_count(),
             self.first_event_ms,
             self.longest_pause_ms,
             self.call.age().as_millis()
@@ -263,9 +258,12 @@
 }
 
 impl Part {
-    fn new(attempt: Attempt<Answered>) -> (hyper::http::response::Parts, Self) {
+    fn new(
+        directory: &Directory,
+        attempt: Attempt<Answered>,
+    ) -> (hyper::http::response::Parts, Self) {
         let reuse = attempt.state.reuse();
-        let losses = attempt.upstream.losses();
+        let watch = LossWatch::new(directory, attempt.upstream.clone());
         let (parts, body) = attempt.state.response.into_parts();
         let part = Self {
             upstream: attempt.upstream,
@@ -273,7 +271,7 @@
             connection: attempt.state.connection,
             body,
             reuse,
-            losses,
+            watch,
         };
         (parts, part)
     }
--- /dev/null
+++ b/src/forward/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Parts of the forwarder without callers.
+
+mod probe;
+mod sends;
