--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -15,7 +15,6 @@
 use crate::proxy::{Mode, Proxy};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_zinniawing");
-const NODES: usize = 3;
 const ENGINES: usize = 8;
 const GRACE_S: u32 = 4;
 
@@ -104,7 +103,7 @@
 }
 
 impl Fleet {
-    pub async fn start(seed: u64) -> Self {
+    pub async fn start(seed: u64, node_count: usize) -> Self {
         let process = std::process::id();
         let folder = std::env::temp_dir().join(format!("zinniawing-soak-{process}-{seed}"));
         fs::create_dir_all(&folder).expect("a folder");
@@ -138,7 +137,7 @@
         }
         fleet.store.put("config", "main", config(1));
         let mut ports: Vec<NodePorts> = Vec::new();
-        for n in 0..NODES {
+        for n in 0..node_count {
             let mut next = NodePorts::new(&format!("n{n}"), ["dc-a", "dc-b"][n % 2]);
             if let Some(first) = ports.first() {
                 next = next.with_seed(first);
