--- a/src/cli.rs
+++ b/src/cli.rs
@@ -115,7 +115,8 @@
         /// How to print: text, csv or json
         #[bpaf(long, argument("FORMAT"), fallback(Format::Text))]
         format: Format,
-        /// resume, claims, crashes, overload, config, control, spread, idle or sizes
+        /// resume, claims, crashes, overload, config, control, spread, idle, sizes,
+        /// placement or losses
         #[bpaf(positional("NAME"))]
         name: ExperimentName,
     },
@@ -250,6 +251,8 @@
             "spread" => Experiment::Spread,
             "idle" => Experiment::Idle,
             "sizes" => Experiment::Sizes,
+            "placement" => Experiment::Placement,
+            "losses" => Experiment::Losses,
             _ => return Err(format!("there is no experiment '{text}'")),
         };
         Ok(Self(experiment))
--- a/src/experiment/catalogue.rs
+++ b/src/experiment/catalogue.rs
@@ -8,6 +8,7 @@
 use crate::experiment::crashes::measure_crashes;
 use crate::experiment::idle::measure_idle;
 use crate::experiment::overload::measure_overload;
+use crate::experiment::placement::{measure_losses, measure_placement};
 use crate::experiment::resume::measure_resume;
 use crate::experiment::sizes::measure_sizes;
 use crate::observe::report::Report;
@@ -33,6 +34,10 @@
     Idle,
     /// Bytes of what travels, at the users' target size.
     Sizes,
+    /// Ways to place prompts, on the model of engines.
+    Placement,
+    /// Ways to go on after a loss, on the model of engines.
+    Losses,
 }
 
 impl Experiment {
@@ -48,6 +53,8 @@
             Self::Spread => measure_spread().await,
             Self::Idle => measure_idle().await,
             Self::Sizes => measure_sizes().await,
+            Self::Placement => measure_placement(seed),
+            Self::Losses => measure_losses(seed),
         }
     }
 }
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -10,5 +10,6 @@
 pub(crate) mod idle;
 pub(crate) mod local_cluster;
 pub(crate) mod overload;
+pub(crate) mod placement;
 pub(crate) mod resume;
 pub(crate) mod sizes;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 mod http;
 mod id;
 mod membership;
+mod model;
 mod node;
 mod node_state;
 mod observe;
