--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -23,7 +23,7 @@
 use crate::observe::metrics::{Counter, Metrics};
 use crate::platform::call::{self, CallHeaders};
 use crate::policy::placement::{Candidate, is_own};
-use crate::policy::refusal::{GivenUp, Progress, error_kind, retry_after};
+use crate::policy::refusal::{GivenUp, Missing, Progress, error_kind, retry_after};
 
 /// What the forwarder asks of the node that it runs in.
 pub(crate) trait Surroundings: Send + Sync + 'static {
@@ -133,7 +133,12 @@
         let mut response = http::failure(error);
         if response.status() == StatusCode::SERVICE_UNAVAILABLE {
             let patience = headers.patience.unwrap_or(Duration::from_secs(3));
-            set_retry_after(&mut response, retry_after(patience, draw()));
+            let missing = if self.routing.load().is_some() {
+                Missing::Upstreams
+            } else {
+                Missing::Configuration
+            };
+            set_retry_after(&mut response, retry_after(missing, patience, draw()));
         }
         response
     }
@@ -206,7 +211,8 @@
         );
         let mut response = http::failure(&Error::new(kind, cause));
         if progress == Progress::NotRun {
-            let after = retry_after(call.time_left(Instant::now()), draw());
+            let time_left = call.time_left(Instant::now());
+            let after = retry_after(Missing::Upstreams, time_left, draw());
             set_retry_after(&mut response, after);
         }
         response
