--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod runner_watch;
 pub(crate) mod service;
 pub(crate) mod table;
+pub(crate) mod trial;
 
 #[cfg(test)]
 mod tests;
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use super::trial::{Standing, Trials};
 use crate::id::{Incarnation, RunnerId};
 
 /// Hash of a customer, a model and a prompt.
@@ -29,17 +30,6 @@
 /// Losses of other runners within the window that show an outage.
 const OUTAGE_LOSSES: usize = 2;
 
-/// How long a suspect's run is watched before other copies of it may begin.
-/// A request that crashes runners does so when it begins to run.
-pub(crate) const TRIAL: Duration = Duration::from_millis(300);
-
-/// Requests that begin to run are forgotten in batches of this many.
-const BEGUN_MAX: usize = 256;
-
-/// How long the first trial waits where several copies are about, for news of
-/// crashes that they caused meanwhile.
-pub(crate) const SETTLE: Duration = Duration::from_millis(100);
-
 /// Names one generation among the copies of a request.
 pub(crate) type CopyId = u64;
 
@@ -62,8 +52,7 @@
     quarantined: BTreeMap<Fingerprint, Instant>,
     poison: BTreeMap<Fingerprint, Instant>,
     losses: BTreeMap<RunnerLife, Instant>,
-    trials: BTreeMap<Fingerprint, Trial>,
-    begun: BTreeMap<Fingerprint, (RunnerId, Instant)>,
+    trials: Trials,
 }
 
 /// What is held against one request.
@@ -86,14 +75,6 @@
     }
 }
 
-/// The copy of a suspect that runs while the others wait for how it ends.
-#[derive(Clone, Copy, Debug)]
-struct Trial {
-    copy: CopyId,
-    since: Instant,
-    crash_count: usize,
-}
-
 /// How the case of a request stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RequestHealth {
@@ -145,31 +126,16 @@
     /// for another. Copies that begin together would each take down a runner
     /// before the crash of the first is known.
     pub(crate) fn begin(&mut self, copy: RequestCopy, now: Instant) -> Result<(), Duration> {
-        let RequestCopy { fingerprint, id } = copy;
-        let Some(case) = self.cases.get_mut(&fingerprint) else {
+        let Some(case) = self.cases.get_mut(&copy.fingerprint) else {
             return Ok(());
         };
-        case.copies.insert(id);
-        let waited_since = |at: Instant| now.saturating_duration_since(at);
-        match self.trials.get(&fingerprint) {
-            None if case.copies.len() > 1 && waited_since(case.first_at) < SETTLE => {
-                return Err(SETTLE - waited_since(case.first_at));
-            }
-            Some(trial) if trial.copy != id && waited_since(trial.since) < TRIAL => {
-                return Err(TRIAL - waited_since(trial.since));
-            }
-            Some(trial) if trial.copy != id && trial.crash_count == case.lives.len() => {
-                return Ok(());
-            }
-            None | Some(_) => {}
-        }
-        let trial = Trial {
-            copy: id,
-            since: now,
+        case.copies.insert(copy.id);
+        let standing = Standing {
+            is_alone: case.copies.len() == 1,
             crash_count: case.lives.len(),
+            first_crash_at: case.first_at,
         };
-        self.trials.insert(fingerprint, trial);
-        Ok(())
+        self.trials.begin(copy, standing, now)
     }
 
     /// Notes that a copy of a suspect is about.
@@ -181,23 +147,13 @@
 
     /// Notes where a copy of a request begins to run.
     pub(crate) fn note_begun(&mut self, fingerprint: Fingerprint, runner: &str, now: Instant) {
-        let is_on_trial = |at: &Instant| now.saturating_duration_since(*at) < TRIAL;
-        if self.begun.len() >= BEGUN_MAX {
-            self.begun.retain(|_, (_, at)| is_on_trial(at));
-        }
-        let begun = self.begun.entry(fingerprint);
-        let (first, at) = begun.or_insert_with(|| (runner.to_owned(), now));
-        if !is_on_trial(at) {
-            (*first, *at) = (runner.to_owned(), now);
-        }
+        self.trials.note_begun(fingerprint, runner, now);
     }
 
     /// Where a copy began so lately that it has not shown whether it crashes
     /// its runner. Other copies that join it there put no second one at risk.
     pub(crate) fn begun_at(&self, fingerprint: Fingerprint, now: Instant) -> Option<RunnerId> {
-        let (runner, at) = self.begun.get(&fingerprint)?;
-        let is_on_trial = now.saturating_duration_since(*at) < TRIAL;
-        is_on_trial.then(|| runner.clone())
+        self.trials.begun_at(fingerprint, now)
     }
 
     /// Notes that a request is poison, as a peer found out.
@@ -271,6 +227,6 @@
         self.cases.retain(|_, case| fresh(&case.last_at));
         self.poison.retain(|_, until| *until > now);
         self.quarantined.retain(|_, at| fresh(at));
-        self.trials.retain(|_, trial| fresh(&trial.since));
+        self.trials.forget_before(now, SUSPICION_TTL);
     }
 }
--- a/src/fleet/tests/poison.rs
+++ b/src/fleet/tests/poison.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, Instant};
 
 use crate::fleet::poison::{
-    Fingerprint, QUARANTINE, RequestCopy, RequestHealth, RunnerLife, SETTLE, Suspects, TRIAL,
+    Fingerprint, QUARANTINE, RequestCopy, RequestHealth, RunnerLife, Suspects,
 };
+use crate::fleet::trial::{SETTLE, TRIAL};
 
 const REQUEST: Fingerprint = 7;
 const FIRST: RequestCopy = copy(1);
