--- a/src/experiment/resume.rs
+++ b/src/experiment/resume.rs
@@ -13,7 +13,7 @@
 use crate::experiment::local_cluster::{ClusterPlan, LocalCluster};
 use crate::observe::report::Report;
 use crate::observe::sample::Sample;
-use crate::stand_in::runner::RunnerFaults;
+use crate::stand_in::runner_profile::RunnerFaults;
 
 /// Answers under way when the fault comes.
 const CALL_COUNT: usize = 60;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -90,7 +90,8 @@
 pub use orders::lease::Lease;
 pub use settings::{Limits, Listen, Settings, SettingsError, Timing};
 pub use stand_in::platform::{PlatformCounts, PlatformFaults, StandInPlatform};
-pub use stand_in::runner::{CRASH_MARK, RunnerFaults, RunnerLedger, RunnerProfile, StandInRunner};
+pub use stand_in::runner::{CRASH_MARK, StandInRunner};
+pub use stand_in::runner_profile::{RunnerFaults, RunnerLedger, RunnerProfile};
 pub use stand_in::server::StandIn;
 pub use stand_in::service::{Executed, Receipt, ServiceFaults, StandInService};
 pub use store::object_api::{Vm, VmRole, VmState};
--- a/src/stand_in/mod.rs
+++ b/src/stand_in/mod.rs
@@ -2,5 +2,7 @@
 
 pub(crate) mod platform;
 pub(crate) mod runner;
+pub(crate) mod runner_profile;
+pub(crate) mod runner_stream;
 pub(crate) mod server;
 pub(crate) mod service;
--- a/src/stand_in/runner.rs
+++ b/src/stand_in/runner.rs
@@ -5,17 +5,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::channel::Channel;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
-use serde::{Deserialize, Serialize};
-use tokio::sync::watch;
 
 use crate::caller::gate::Gate;
 use crate::fleet::runner::{self, ModelVersion, Order, RunnerReport, StreamRequest};
@@ -24,6 +22,8 @@
 use crate::id::{Fence, Incarnation};
 use crate::shutdown::{Shutdown, ShutdownTrigger};
 use crate::stand_in::platform::status;
+use crate::stand_in::runner_profile::{RunnerFaults, RunnerLedger, RunnerProfile};
+use crate::stand_in::runner_stream::RunnerStream;
 use crate::stand_in::server::{Freezer, StandIn, bind};
 
 /// A prompt with this text kills each engine that runs it.
@@ -39,92 +39,10 @@
 /// How long a finished stream can still be resumed.
 const FINISHED_KEEP: Duration = Duration::from_secs(30);
 
-/// How a stand-in engine behaves when nothing is wrong.
-#[derive(Clone, Debug)]
-pub struct RunnerProfile {
-    /// Streams that generate at once.
-    pub slot_count: u32,
-    /// Time between two tokens of a stream.
-    pub token_interval: Duration,
-    /// Time to take in one block of a prompt that is not cached.
-    pub block_interval: Duration,
-    /// Prompt blocks the cache holds.
-    pub cache_block_count: usize,
-    /// How long a stream that nobody reads goes on.
-    pub unread_keep: Duration,
-    /// Time to load a model.
-    pub load_time: Duration,
-    /// Models held from the start.
-    pub models: Vec<ModelVersion>,
-    /// Whether orders with an old fence are refused.
-    pub checks_fence: bool,
-}
-
-impl Default for RunnerProfile {
-    fn default() -> Self {
-        Self {
-            slot_count: 32,
-            token_interval: Duration::from_millis(20),
-            block_interval: Duration::from_micros(200),
-            cache_block_count: 4096,
-            unread_keep: Duration::from_secs(5),
-            load_time: Duration::from_millis(300),
-            models: Vec::new(),
-            checks_fence: true,
-        }
-    }
-}
-
-/// Faults a test can order an engine to have.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct RunnerFaults {
-    /// Die at once, cutting every connection.
-    pub die: bool,
-    /// Stop answering and generating, with connections left open.
-    pub freeze: bool,
-    /// Factor on the time between tokens; 0 and 1 mean none.
-    pub slow_factor: u32,
-    /// Say that the engine is about to go, and take new work all the same.
-    pub leaving: bool,
-}
-
-/// What an engine has done, for checkers.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct RunnerLedger {
-    /// Tokens generated.
-    pub token_count: u64,
-    /// Prompt blocks taken in without the cache's help.
-    pub block_count: u64,
-    /// Prompt blocks found in the cache.
-    pub cached_block_count: u64,
-    /// Streams opened.
-    pub opened_count: u64,
-    /// Models loaded from the weight store.
-    pub load_count: u64,
-    /// Fences of the orders that were carried out.
-    pub fences: Vec<Fence>,
-}
-
-#[derive(Debug)]
-struct Stream {
-    events: Mutex<Vec<Bytes>>,
-    first_index: u64,
-    progress: watch::Sender<Progress>,
-    reader_count: AtomicUsize,
-    cancelled: AtomicBool,
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct Progress {
-    event_count: usize,
-    ended: bool,
-}
-
 #[derive(Debug, Default)]
 struct Engine {
     faults: RunnerFaults,
-    streams: BTreeMap<String, Arc<Stream>>,
+    streams: BTreeMap<String, Arc<RunnerStream>>,
     cache: BTreeSet<u64>,
     ready: Vec<ModelVersion>,
     fence: Fence,
@@ -291,14 +209,8 @@
         ready.any(|held| held.model == model && held.version == version)
     }
 
-    fn begin(self: &Arc<Self>, job: Job) -> Arc<Stream> {
-        let stream = Arc::new(Stream {
-            events: Mutex::new(Vec::new()),
-            first_index: job.first_index,
-            progress: watch::Sender::new(Progress::default()),
-            reader_count: AtomicUsize::new(0),
-            cancelled: AtomicBool::new(false),
-        });
+    fn begin(self: &Arc<Self>, job: Job) -> Arc<RunnerStream> {
+        let stream = Arc::new(RunnerStream::new(job.first_index));
         let mut engine = self.engine();
         engine.ledger.opened_count += 1;
         engine.opened_at.push(Instant::now());
@@ -312,14 +224,14 @@
             let dead = runner.trigger.aborted();
             dead.run_until_cancelled(runner.generate(job, &generated))
                 .await;
-            generated.progress.send_modify(|p| p.ended = true);
+            generated.end();
             tokio::time::sleep(FINISHED_KEEP).await;
             runner.engine().streams.remove(&key);
         });
         stream
     }
 
-    async fn generate(&self, job: Job, stream: &Stream) {
+    async fn generate(&self, job: Job, stream: &RunnerStream) {
         let _slot = self.gate.acquire(job.priority).await;
         self.take_in(&job).await;
         let mut chain = TokenChain::new(&job.prompt);
@@ -357,11 +269,11 @@
         self.freezer.thawed().await;
     }
 
-    fn is_unwanted(&self, stream: &Stream, unread_since: &mut Option<Instant>) -> bool {
-        if stream.cancelled.load(Ordering::Relaxed) {
+    fn is_unwanted(&self, stream: &RunnerStream, unread_since: &mut Option<Instant>) -> bool {
+        if stream.is_cancelled() {
             return true;
         }
-        if stream.reader_count.load(Ordering::Relaxed) > 0 {
+        if stream.is_read() {
             *unread_since = None;
             return false;
         }
@@ -391,7 +303,7 @@
         let stream = self.engine().streams.get(key).cloned();
         match stream {
             Some(stream) => {
-                stream.cancelled.store(true, Ordering::Relaxed);
+                stream.cancel();
                 status(StatusCode::OK)
             }
             None => status(StatusCode::NOT_FOUND),
@@ -406,22 +318,22 @@
             .unwrap_or(0);
         let stream = self.engine().streams.get(key).cloned();
         let resumable = stream.filter(|s| {
-            let wanted = !s.cancelled.load(Ordering::Relaxed);
-            wanted && from >= s.first_index && from <= s.first_index + s.event_count() as u64
+            let wanted = !s.is_cancelled();
+            wanted && from >= s.first_index() && from <= s.first_index() + s.event_count() as u64
         });
         match resumable {
             Some(stream) => {
-                let skip = (from - stream.first_index) as usize;
+                let skip = (from - stream.first_index()) as usize;
                 self.read_from(stream, skip)
             }
             None => status(StatusCode::NOT_FOUND),
         }
     }
 
-    fn read_from(self: &Arc<Self>, stream: Arc<Stream>, skip: usize) -> HttpResponse {
+    fn read_from(self: &Arc<Self>, stream: Arc<RunnerStream>, skip: usize) -> HttpResponse {
         let (sender, body) = Channel::new(UNREAD_FRAMES);
-        stream.reader_count.fetch_add(1, Ordering::Relaxed);
-        tokio::spawn(send_events(self.clone(), stream, skip, sender));
+        stream.add_reader();
+        tokio::spawn(stream.send_to(sender, skip, self.freezer.clone()));
         let mut response = Response::new(http::boxed(body));
         let event_stream = HeaderValue::from_static("text/event-stream");
         response.headers_mut().insert(CONTENT_TYPE, event_stream);
@@ -530,53 +442,6 @@
     end_index: u64,
 }
 
-impl Stream {
-    fn push(&self, event: Bytes) {
-        let mut events = self.events.lock().unwrap_or_else(PoisonError::into_inner);
-        events.push(event);
-        let event_count = events.len();
-        drop(events);
-        self.progress.send_modify(|p| p.event_count = event_count);
-    }
-
-    fn event_count(&self) -> usize {
-        self.progress.borrow().event_count
-    }
-
-    fn events_from(&self, position: usize) -> Bytes {
-        let events = self.events.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut joined = BytesMut::new();
-        for event in events.iter().skip(position) {
-            joined.extend_from_slice(event);
-        }
-        joined.freeze()
-    }
-}
-
-async fn send_events(
-    runner: Arc<StandInRunner>,
-    stream: Arc<Stream>,
-    skip: usize,
-    mut sender: http_body_util::channel::Sender<Bytes>,
-) {
-    let mut progress = stream.progress.subscribe();
-    let mut position = skip;
-    loop {
-        let ready = progress.wait_for(|p| p.event_count > position || p.ended);
-        let Ok(seen) = ready.await.map(|p| *p) else {
-            break;
-        };
-        runner.freezer.thawed().await;
-        let is_end = seen.ended && seen.event_count <= position;
-        let events = stream.events_from(position);
-        position = seen.event_count.max(position);
-        if is_end || sender.send_data(events).await.is_err() {
-            break;
-        }
-    }
-    stream.reader_count.fetch_sub(1, Ordering::Relaxed);
-}
-
 fn block_hashes(text: &str) -> Vec<u64> {
     let mut chain = TokenChain::new("");
     let bytes = text.as_bytes();
