Describe an engine to the model's choices in one place

fleet.rs built the same candidate twice, once for the engine of a prompt and once for the keeper of its copy. Behaviour as before: the tests of the model pass.

--- a/src/model/fleet.rs
+++ b/src/model/fleet.rs
@@ -281,28 +281,16 @@
 
     fn choose(&mut self, node: usize) -> Option<usize> {
         let draw = self.random.random();
-        let own = self.own_work(node);
+        let count = self.engines.len();
+        let own_work = self.own_work(node);
         let seen = |uses_tokens: bool, uses_own: bool| -> Vec<Candidate<'_>> {
-            let count = self.engines.len();
-            let engines = self.names.iter().enumerate();
-            engines
-                .map(|(engine, name)| Candidate {
-                    id: name,
-                    data_centre: centre_name(engine % self.plan.centre_count),
-                    prompt_tokens: if uses_tokens {
-                        own[engine].prompt_tokens
-                    } else {
-                        0
-                    },
-                    memory_tokens: 0,
-                    call_count: own[engine].call_count,
-                    latency: Duration::ZERO,
-                    failure_share: 0.0,
-                    is_avoided: self.is_down[engine],
-                    was_tried: false,
-                    is_own: !uses_own || is_own(engine, count, node, self.plan.node_count),
-                })
-                .collect()
+            let own = own_work.iter().enumerate();
+            own.map(|(engine, own)| Candidate {
+                prompt_tokens: if uses_tokens { own.prompt_tokens } else { 0 },
+                is_own: !uses_own || is_own(engine, count, node, self.plan.node_count),
+                ..self.candidate(engine, *own)
+            })
+            .collect()
         };
         match self.plan.placement {
             Placement::OwnFirst => choose_engine(&seen(true, true), draw),
@@ -319,26 +307,31 @@
     }
 
     fn choose_keeper(&self, node: usize, primary: usize) -> Option<usize> {
-        let own = self.own_work(node);
-        let engines = self.names.iter().enumerate();
-        let candidates: Vec<Candidate<'_>> = engines
-            .map(|(engine, name)| Candidate {
-                id: name,
-                data_centre: centre_name(engine % self.plan.centre_count),
-                prompt_tokens: own[engine].prompt_tokens,
-                memory_tokens: 0,
-                call_count: own[engine].call_count,
-                latency: Duration::ZERO,
-                failure_share: 0.0,
-                is_avoided: self.is_down[engine],
-                was_tried: false,
-                is_own: false,
-            })
+        let own_work = self.own_work(node);
+        let own = own_work.iter().enumerate();
+        let candidates: Vec<Candidate<'_>> = own
+            .map(|(engine, own)| self.candidate(engine, *own))
             .collect();
         let centre = centre_name(primary % self.plan.centre_count);
         choose_replica(&candidates, Some(&self.names[primary]), centre, 0)
     }
 
+    /// An engine as a node sees it that knows its own work alone.
+    fn candidate(&self, engine: usize, own: OwnWork) -> Candidate<'_> {
+        Candidate {
+            id: &self.names[engine],
+            data_centre: centre_name(engine % self.plan.centre_count),
+            prompt_tokens: own.prompt_tokens,
+            memory_tokens: 0,
+            call_count: own.call_count,
+            latency: Duration::ZERO,
+            failure_share: 0.0,
+            is_avoided: self.is_down[engine],
+            was_tried: false,
+            is_own: false,
+        }
+    }
+
     fn own_work(&self, node: usize) -> Vec<OwnWork> {
         let mut own = vec![OwnWork::default(); self.engines.len()];
         for place in self.places.values().filter(|place| place.node == node) {
