--- a/tests/store_and_peers.rs
+++ b/tests/store_and_peers.rs
@@ -10,6 +10,7 @@
 use support::outside::{
     NodePorts, PUBLIC_PATH, SAFE_PATH, World, config, eventually, route, start_node,
 };
+use zinniawing::EdgeNode;
 
 async fn wait_for_status(caller: &Caller, path: &str, status: u16) -> Duration {
     let since = std::time::Instant::now();
@@ -23,6 +24,11 @@
     }
 }
 
+async fn start_with_caller(ports: &NodePorts, world: &World) -> (EdgeNode, Caller) {
+    let node = start_node(ports, world.store.address).await;
+    (node, Caller::new(ports))
+}
+
 fn with_route(version: u64) -> serde_json::Value {
     let mut changed = config(version);
     let added = route("added", "/added/", "idempotent", "pay");
@@ -95,8 +101,7 @@
     let world = World::start(0).await;
     world.store.is_away.store(true, Ordering::Relaxed);
     let ports = NodePorts::new("n1", "dc-a");
-    let _node = start_node(&ports, world.store.address).await;
-    let caller = Caller::new(&ports);
+    let (_node, caller) = start_with_caller(&ports, &world).await;
 
     let got = caller.call("GET", SAFE_PATH, "").await;
     let ready = get(caller.readiness, "/readyz").await.expect("an answer");
@@ -189,8 +194,7 @@
             .put("servers", &service.id, service.entry("ready"));
     }
     let _one = start_node(&first, world.store.address).await;
-    let _two = start_node(&second, lonely_store.store.address).await;
-    let caller = Caller::new(&second);
+    let (_two, caller) = start_with_caller(&second, &lonely_store).await;
     caller.wait_until_ready().await;
     lonely_store.store.is_silent.store(true, Ordering::Relaxed);
     tokio::time::sleep(Duration::from_millis(1_000)).await;
@@ -319,15 +323,13 @@
 async fn a_node_that_starts_is_told_a_long_list_by_its_peers() {
     let world = World::start(12).await;
     let first_ports = NodePorts::new("n1", "dc-a");
-    let _first = start_node(&first_ports, world.store.address).await;
-    let first = Caller::new(&first_ports);
+    let (_first, first) = start_with_caller(&first_ports, &world).await;
     wait_for_status(&first, SAFE_PATH, 200).await;
     let whole_list = world.store.page_count("servers");
     let before = world.store.list_count();
 
     let second_ports = NodePorts::new("n2", "dc-b").with_seed(&first_ports);
-    let _second = start_node(&second_ports, world.store.address).await;
-    let second = Caller::new(&second_ports);
+    let (_second, second) = start_with_caller(&second_ports, &world).await;
     let took = wait_for_status(&second, SAFE_PATH, 200).await;
 
     assert!(whole_list > 3, "{whole_list} answers");
@@ -340,8 +342,7 @@
     let world = World::start(12).await;
     let gone = NodePorts::new("n1", "dc-a");
     let ports = NodePorts::new("n2", "dc-b").with_seed(&gone);
-    let _node = start_node(&ports, world.store.address).await;
-    let caller = Caller::new(&ports);
+    let (_node, caller) = start_with_caller(&ports, &world).await;
 
     let took = wait_for_status(&caller, SAFE_PATH, 200).await;
 
--- a/tests/stream_resume.rs
+++ b/tests/stream_resume.rs
@@ -11,10 +11,12 @@
 use support::outside::{NodePorts, STREAM_PATH, World, eventually, start_node, start_node_for};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use zinniawing::EdgeNode;
 
 const EVENTS: u64 = 120;
 
-fn begin(caller: &Caller) -> tokio::task::JoinHandle<Got> {
+fn begin(caller: &Caller) -> JoinHandle<Got> {
     let caller = caller.clone();
     tokio::spawn(async move { caller.stream(EVENTS).await })
 }
@@ -25,6 +27,15 @@
     tokio::time::sleep(Duration::from_millis(250)).await;
 }
 
+/// A world whose one node has just begun to relay a stream.
+async fn world_with_running_stream(engine_count: usize) -> (World, EdgeNode, JoinHandle<Got>) {
+    let world = World::start(engine_count).await;
+    let (node, caller) = world.node("n1").await;
+    let stream = begin(&caller);
+    wait_until_running(&world).await;
+    (world, node, stream)
+}
+
 fn assert_whole(got: &Got) {
     assert_eq!(got.status, 200, "{}", got.head);
     assert!(got.is_whole, "{}", got.body);
@@ -39,10 +50,7 @@
 
 #[tokio::test]
 async fn a_crashed_engine_s_stream_goes_on_from_its_copy_in_another_data_centre() {
-    let world = World::start(4).await;
-    let (_node, caller) = world.node("n1").await;
-    let stream = begin(&caller);
-    wait_until_running(&world).await;
+    let (world, _node, stream) = world_with_running_stream(4).await;
 
     let lost = running_engine(&world);
     lost.crash();
@@ -65,10 +73,7 @@
 
 #[tokio::test]
 async fn a_silent_engine_s_stream_goes_on_before_its_caller_minds() {
-    let world = World::start(4).await;
-    let (_node, caller) = world.node("n1").await;
-    let stream = begin(&caller);
-    wait_until_running(&world).await;
+    let (world, _node, stream) = world_with_running_stream(4).await;
 
     running_engine(&world).freeze(true);
     let got = stream.await.expect("no panic");
@@ -97,10 +102,7 @@
 
 #[tokio::test]
 async fn an_engine_that_breaks_off_inside_an_event_leaves_no_half_of_it() {
-    let world = World::start(4).await;
-    let (_node, caller) = world.node("n1").await;
-    let stream = begin(&caller);
-    wait_until_running(&world).await;
+    let (world, _node, stream) = world_with_running_stream(4).await;
 
     running_engine(&world).tears.store(true, Ordering::Relaxed);
     let got = stream.await.expect("no panic");
@@ -152,10 +154,7 @@
 
 #[tokio::test]
 async fn a_second_loss_during_the_resume_is_survived() {
-    let world = World::start(6).await;
-    let (_node, caller) = world.node("n1").await;
-    let stream = begin(&caller);
-    wait_until_running(&world).await;
+    let (world, _node, stream) = world_with_running_stream(6).await;
 
     running_engine(&world).crash();
     tokio::time::sleep(Duration::from_millis(120)).await;
@@ -170,10 +169,7 @@
 
 #[tokio::test]
 async fn without_an_engine_left_the_stream_does_not_look_complete() {
-    let world = World::start(2).await;
-    let (_node, caller) = world.node("n1").await;
-    let stream = begin(&caller);
-    wait_until_running(&world).await;
+    let (world, _node, stream) = world_with_running_stream(2).await;
 
     for engine in &world.engines {
         engine.crash();
