Log calls that get no answer, and the silence before a lost stream

Change: event=call_unanswered and calls_unanswered_count for a call whose handler is dropped before it answers; event=stream_lost names the silence, the sends so far and their maximum. No logic changes.

--- a/src/edge/caller_handler.rs
+++ b/src/edge/caller_handler.rs
@@ -6,6 +6,7 @@
 use hyper::body::Incoming;
 
 use super::cluster_view::ClusterView;
+use super::unanswered_call::UnansweredCall;
 use crate::forward::forwarder::Forwarder;
 use crate::forward::route_table::CallerLimits;
 use crate::http::{ConnectionLimits, Handler, HttpResponse};
@@ -33,6 +34,9 @@
     }
 
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
-        self.forwarder.clone().forward(request).await
+        let unanswered = UnansweredCall::new(&request, self.forwarder.metrics.clone());
+        let response = self.forwarder.clone().forward(request).await;
+        unanswered.answered();
+        response
     }
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod settings;
 pub(crate) mod status_api;
 pub(crate) mod store_watch;
+pub(crate) mod unanswered_call;
 pub(crate) mod upstream_log;
 
 #[cfg(test)]
--- /dev/null
+++ b/src/edge/unanswered_call.rs
@@ -0,0 +1,54 @@
+//! Reports calls whose connection closed before this node answered.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use hyper::Request;
+use hyper::body::Incoming;
+
+use crate::observe::metrics::{Counter, Metrics};
+use crate::platform::call;
+
+/// A call that has no answer yet.
+///
+/// The HTTP server drops the handler of a call when the caller disconnects, or
+/// when this node aborts its connections. Without this guard such a call would
+/// leave no trace in the log, see `docs/OPERATIONS.md`.
+#[derive(Debug)]
+pub(crate) struct UnansweredCall {
+    id: String,
+    arrived_at: Instant,
+    metrics: Arc<Metrics>,
+    is_answered: bool,
+}
+
+impl UnansweredCall {
+    /// Creates the guard of a call that has just arrived.
+    pub(crate) fn new(request: &Request<Incoming>, metrics: Arc<Metrics>) -> Self {
+        Self {
+            id: call::id(request.headers()).to_owned(),
+            arrived_at: Instant::now(),
+            metrics,
+            is_answered: false,
+        }
+    }
+
+    /// Records that the call has an answer.
+    pub(crate) fn answered(mut self) {
+        self.is_answered = true;
+    }
+}
+
+impl Drop for UnansweredCall {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        self.metrics.add(Counter::CallsUnanswered, 1);
+        log::warn!(
+            "event=call_unanswered call={} age_ms={}",
+            self.id,
+            self.arrived_at.elapsed().as_millis()
+        );
+    }
+}
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -82,10 +82,13 @@
             let lost_at = Instant::now();
             self.forwarder.metrics.add(Counter::StreamsLost, 1);
             log::info!(
-                "event=stream_lost call={} upstream={} cause={cause:?} last_event={:?} age_ms={}",
+                "event=stream_lost call={} upstream={} cause={cause:?} last_event={:?} silent_ms={} sends={} sends_max={} age_ms={}",
                 self.call.id(),
                 upstream.entry.id,
                 self.last_event,
+                self.silence().as_millis(),
+                self.sends.sent_count(),
+                self.call.matched.route.attempts_max,
                 self.call.age().as_millis()
             );
             if !self.may_repeat() {
@@ -240,6 +243,12 @@
         Ok(())
     }
 
+    /// Time since the last event was passed on, or since the call arrived.
+    fn silence(&self) -> Duration {
+        self.last_event_at
+            .map_or_else(|| self.call.age(), |at| at.elapsed())
+    }
+
     fn record_event(&mut self) {
         let now = Instant::now();
         if let Some(previous) = self.last_event_at.replace(now) {
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -75,6 +75,8 @@
     CallsRejected,
     /// Admitted calls that this node gave up and answered with an error.
     CallsGivenUp,
+    /// Calls whose connection closed before this node answered.
+    CallsUnanswered,
     /// Sends of calls to upstreams, including retries.
     UpstreamSends,
     /// Retries that the retry budget did not allow.
@@ -97,7 +99,7 @@
 
 impl Counter {
     /// All counters, in the order of the list in `docs/OPERATIONS.md`.
-    pub const ALL: [Self; 33] = [
+    pub const ALL: [Self; 34] = [
         Self::Completions,
         Self::Refused,
         Self::Tokens,
@@ -122,6 +124,7 @@
         Self::Calls,
         Self::CallsRejected,
         Self::CallsGivenUp,
+        Self::CallsUnanswered,
         Self::UpstreamSends,
         Self::RetriesOverBudget,
         Self::EngineProbes,
@@ -161,6 +164,7 @@
             Self::Calls => "calls_count",
             Self::CallsRejected => "calls_rejected_count",
             Self::CallsGivenUp => "calls_given_up_count",
+            Self::CallsUnanswered => "calls_unanswered_count",
             Self::UpstreamSends => "upstream_sends_count",
             Self::RetriesOverBudget => "retries_over_budget_count",
             Self::EngineProbes => "engine_probes_count",
