Keep a stream at its silent upstream until another one can take it

Cause: a node gave a silent upstream up first and looked for the next one afterwards. A stream whose next engines were silent as well used up its attempts or the retry budget, or found no upstream left, and was cut. A stream that must not run twice was cut at once. The class of fault: a resource that works is released before its replacement is secured, on a suspicion that may be false.

Change: a stream leaves a silent upstream only when its next send is certain: allowed by the route, paid for from the retry budget, and to an upstream that sent something in the last 250 ms or answers a probe. Otherwise it stays until events arrive, its connection breaks or its deadline passes, and looks again after 300 ms. A broken connection ends a segment as before.

Why it works: the suspicion can no longer end an answer; it can only start a send that is known to be possible.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -10,11 +10,11 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 
 use super::connection::{Connection, SendFailure};
 use super::probe::LossReason;
-use super::request::Call;
 use super::upstream::{Upstream, UpstreamId, Work};
 use crate::platform::answer::{self, AnswerHeaders};
 use crate::policy::answer_class::{AnswerClass, classify};
@@ -78,10 +78,14 @@
         }
     }
 
-    /// Sends the call and waits for the head of the answer.
+    /// Sends the call, whose caller gave it `call_id`, and waits for the head of the
+    /// answer.
     ///
     /// Dropping the future closes the connection, which cancels the call.
-    pub(crate) async fn send(self, call: &Call) -> Result<Attempt<Answered>, AttemptFailure> {
+    pub(crate) async fn send(
+        self,
+        call_id: Option<&HeaderValue>,
+    ) -> Result<Attempt<Answered>, AttemptFailure> {
         let Self {
             upstream,
             work,
@@ -98,11 +102,7 @@
             sent => sent,
         };
         let response = sent.map_err(AttemptFailure::from)?;
-        let headers = answer::read(
-            response.status(),
-            response.headers(),
-            call.headers.call_id.as_ref(),
-        );
+        let headers = answer::read(response.status(), response.headers(), call_id);
         let attempt = Attempt {
             upstream,
             work,
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -29,6 +29,7 @@
 pub(crate) mod send_history;
 pub(crate) mod sessions;
 pub(crate) mod stream_call;
+pub(crate) mod stream_move;
 pub(crate) mod stream_relay;
 pub(crate) mod successor;
 pub(crate) mod upstream;
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -159,7 +159,7 @@
         let work = Work::call(upstream, 0, 0);
         let attempt = Attempt::new(upstream.clone(), work, request);
         let send_and_read = async {
-            let answered: Attempt<Answered> = attempt.send(call).await?;
+            let answered: Attempt<Answered> = attempt.send(call.headers.call_id.as_ref()).await?;
             let read = answer_body::read(answered).await;
             read.map_err(|error| AttemptFailure::MayHaveRun(error.to_string()))
         };
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -22,6 +22,9 @@
 
 /// How long an engine may take to answer a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// How long a call stays at a silent upstream after no other upstream could take
+/// it.
+const HOLD_DURATION: Duration = Duration::from_millis(300);
 /// Largest answer of an engine to a probe or control request.
 const CONTROL_ANSWER_MAX_BYTES: usize = 256 * 1024;
 
@@ -44,6 +47,8 @@
     /// Until this time the upstream is probed after a shorter silence, because an
     /// outage of its data centre was suspected.
     outage_alert_until: Option<Instant>,
+    /// Until this time the call stays at its upstream, whatever happens to it.
+    held_until: Option<Instant>,
 }
 
 impl LossWatch {
@@ -52,11 +57,27 @@
             losses: upstream.subscribe_losses(),
             outages: directory.subscribe_outages(),
             outage_alert_until: None,
+            held_until: None,
             upstream,
         }
     }
 
-    /// Waits until the call must be moved away from its upstream: until the
+    /// Keeps the call at its upstream for [`HOLD_DURATION`], because it can't be
+    /// moved to another one now.
+    pub(crate) fn hold(&mut self) {
+        self.held_until = Some(Instant::now() + HOLD_DURATION);
+    }
+
+    async fn wait_while_held(&mut self) {
+        let Some(held_until) = self.held_until else {
+            return;
+        };
+        tokio::time::sleep_until(held_until.into()).await;
+        self.held_until = None;
+        self.losses.mark_unchanged();
+    }
+
+    /// Waits until the call should be moved away from its upstream: until the
     /// upstream is lost, or has sent nothing for too long since the start of this
     /// wait. A silent engine is probed before that.
     pub(crate) async fn wait_for_loss(
@@ -65,6 +86,7 @@
         phase: StreamPhase,
         metrics: &Metrics,
     ) -> LossReason {
+        self.wait_while_held().await;
         let started_at = Instant::now();
         let mut checked_at = started_at;
         loop {
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -42,6 +42,15 @@
     Answer(Box<HttpResponse>),
 }
 
+/// The upstream to which a stream is sent next. If this is a retry, the retry
+/// budget is already spent.
+#[derive(Debug)]
+pub(super) struct NextUpstream {
+    pub(super) upstream: Arc<Upstream>,
+    /// The replica at the upstream from which the run resumes, if there is one.
+    pub(super) replica: Option<RunReplica>,
+}
+
 /// State of a streaming call across its upstreams.
 pub(super) struct StreamRun<N> {
     pub(super) forwarder: Arc<Forwarder<N>>,
@@ -49,6 +58,8 @@
     pub(super) tried: Vec<Arc<Upstream>>,
     pub(super) sends: SendHistory,
     pub(super) replica: ReplicaSlot,
+    /// Set when the stream was moved away from a silent upstream.
+    pub(super) next: Option<NextUpstream>,
     /// Index of the last event that the caller has received.
     pub(super) last_event: Option<u64>,
     pub(super) event_count: u64,
@@ -60,6 +71,12 @@
     pub(super) last_event_at: Option<Instant>,
 }
 
+impl OpenFailure {
+    pub(super) fn given_up(reason: GiveUpReason, cause: &str) -> Self {
+        Self::GivenUp(reason, cause.to_owned())
+    }
+}
+
 impl<N: NodeContext> Forwarder<N> {
     /// Forwards a streaming call and returns its answer.
     pub(crate) async fn forward_stream(self: &Arc<Self>, call: Call) -> HttpResponse {
@@ -70,6 +87,7 @@
             tried: Vec::new(),
             sends: SendHistory::new(),
             replica: ReplicaSlot::default(),
+            next: None,
             event_count: 0,
             has_upstream_sent_event: false,
             first_event_ms: None,
@@ -99,7 +117,11 @@
     /// resumes the stream.
     pub(super) async fn open(&mut self) -> Result<Attempt<Answered>, OpenFailure> {
         loop {
-            let (upstream, replica) = self.next_upstream().await?;
+            let next = match self.next.take() {
+                Some(next) => next,
+                None => self.next_upstream().await?,
+            };
+            let NextUpstream { upstream, replica } = next;
             self.tried.push(upstream.clone());
             self.sends.begin();
             self.has_upstream_sent_event = false;
@@ -136,19 +158,24 @@
         self.call.matched.route.kind.may_repeat()
     }
 
-    /// Chooses the next upstream: the holder of the run's replica if there is
-    /// one, otherwise the engine that has the prompt cached, otherwise the
-    /// least busy engine.
-    async fn next_upstream(&mut self) -> Result<(Arc<Upstream>, Option<RunReplica>), OpenFailure> {
-        let given_up = |reason, cause: &str| OpenFailure::GivenUp(reason, cause.to_owned());
+    /// Chooses the next upstream, and spends a retry if the call was sent before.
+    async fn next_upstream(&mut self) -> Result<NextUpstream, OpenFailure> {
+        self.check_may_send()?;
+        let upstream = self.choose_upstream()?;
+        self.spend_retry().await?;
+        Ok(self.next_at(upstream))
+    }
+
+    /// Checks whether the call may be sent to another upstream.
+    pub(super) fn check_may_send(&self) -> Result<(), OpenFailure> {
         if self.forwarder.request_crashes.is_poison(&self.call) {
-            return Err(given_up(
+            return Err(OpenFailure::given_up(
                 GiveUpReason::CrashesUpstreams,
                 "poison request: it crashed its upstreams",
             ));
         }
         if self.call.time_for_upstream(Instant::now()).is_none() {
-            return Err(given_up(
+            return Err(OpenFailure::given_up(
                 GiveUpReason::TimeOver,
                 "no time is left for an upstream to answer",
             ));
@@ -157,36 +184,50 @@
         if self.sends.sent_count() >= attempts_max
             || self.sends.undelivered_count() >= UNDELIVERED_SENDS_MAX
         {
-            return Err(given_up(
+            return Err(OpenFailure::given_up(
                 GiveUpReason::UpstreamsFailed,
                 "the maximum number of attempts or of undelivered sends is reached",
             ));
         }
-        let replica = lock(&self.replica)
-            .take()
-            .filter(|replica| self.can_resume_from(replica));
+        Ok(())
+    }
+
+    /// Chooses the holder of the run's replica if there is one, otherwise the
+    /// engine that has the prompt cached, otherwise the least busy engine.
+    pub(super) fn choose_upstream(&self) -> Result<Arc<Upstream>, OpenFailure> {
+        let holder = lock(&self.replica)
+            .as_ref()
+            .filter(|replica| self.can_resume_from(replica))
+            .map(|replica| replica.holder.clone());
         let forwarder = &self.forwarder;
-        let upstream = match &replica {
-            Some(replica) => replica.holder.clone(),
-            None => self
-                .upstream_with_cached_prompt()
-                .or_else(|| {
-                    forwarder.choose_upstream(&self.call.service, &self.tried, choose_engine)
-                })
-                .ok_or_else(|| {
-                    given_up(
-                        GiveUpReason::NoUpstream,
-                        "no upstream of the service accepts calls",
-                    )
-                })?,
-        };
-        if self.sends.sent_count() > 0 && !forwarder.spend_or_borrow_retry(&self.call).await {
-            return Err(given_up(
-                GiveUpReason::UpstreamsFailed,
-                "the retry budget is exhausted",
-            ));
+        holder
+            .or_else(|| self.upstream_with_cached_prompt())
+            .or_else(|| forwarder.choose_upstream(&self.call.service, &self.tried, choose_engine))
+            .ok_or_else(|| {
+                OpenFailure::given_up(
+                    GiveUpReason::NoUpstream,
+                    "no upstream of the service accepts calls",
+                )
+            })
+    }
+
+    /// Spends a retry, unless the call has not been sent yet.
+    pub(super) async fn spend_retry(&self) -> Result<(), OpenFailure> {
+        if self.sends.sent_count() == 0 || self.forwarder.spend_or_borrow_retry(&self.call).await {
+            return Ok(());
         }
-        Ok((upstream, replica))
+        Err(OpenFailure::given_up(
+            GiveUpReason::UpstreamsFailed,
+            "the retry budget is exhausted",
+        ))
+    }
+
+    /// Takes the run's replica, which is used only if `upstream` holds it.
+    pub(super) fn next_at(&self, upstream: Arc<Upstream>) -> NextUpstream {
+        let replica = lock(&self.replica).take().filter(|replica| {
+            Arc::ptr_eq(&replica.holder, &upstream) && self.can_resume_from(replica)
+        });
+        NextUpstream { upstream, replica }
     }
 
     /// Whether the run can resume from its replica. Before the first event the
@@ -284,9 +325,19 @@
         let forwarder = &self.forwarder;
         forwarder.metrics.add(Counter::UpstreamSends, 1);
         let mut loss_watch = LossWatch::new(&forwarder.directory, upstream.clone());
-        tokio::select! {
-            sent = attempt.send(&self.call) => sent,
-            loss = loss_watch.wait_for_loss(&forwarder.directory, StreamPhase::Prefill, &forwarder.metrics) => Err(AttemptFailure::Abandoned(loss)),
+        let call_id = self.call.headers.call_id.clone();
+        let sending = attempt.send(call_id.as_ref());
+        tokio::pin!(sending);
+        loop {
+            let forwarder = self.forwarder.clone();
+            let loss = tokio::select! {
+                sent = &mut sending => return sent,
+                loss = loss_watch.wait_for_loss(&forwarder.directory, StreamPhase::Prefill, &forwarder.metrics) => loss,
+            };
+            if self.prepare_move().await {
+                return Err(AttemptFailure::Abandoned(loss));
+            }
+            loss_watch.hold();
         }
     }
 
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -146,6 +146,14 @@
                 }
                 frame = body.frame() => frame,
                 loss = loss_watch.wait_for_loss(&forwarder.directory, phase, &forwarder.metrics) => {
+                    let is_moved = tokio::select! {
+                        is_moved = self.prepare_move() => is_moved,
+                        () = sender.closed() => false,
+                    };
+                    if !is_moved {
+                        loss_watch.hold();
+                        continue;
+                    }
                     if loss == LossReason::NoProgress {
                         upstream.avoid(Instant::now());
                     }
@@ -244,7 +252,7 @@
     }
 
     /// Time since the last event was passed on, or since the call arrived.
-    fn silence(&self) -> Duration {
+    pub(super) fn silence(&self) -> Duration {
         self.last_event_at
             .map_or_else(|| self.call.age(), |at| at.elapsed())
     }
