--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -38,6 +38,8 @@
     pub event_interval: Mutex<Duration>,
     /// Cuts the next event of any run in half and closes the connection.
     pub truncates_event: AtomicBool,
+    /// Resets new connections; open ones are served.
+    pub refuses_connections: AtomicBool,
     name: String,
     incarnation: AtomicU64,
     held_replicas: HeldReplicas,
@@ -66,6 +68,7 @@
             prefill_time: Mutex::new(Duration::from_millis(30)),
             event_interval: Mutex::new(Duration::from_millis(10)),
             truncates_event: AtomicBool::new(false),
+            refuses_connections: AtomicBool::new(false),
             name: name.to_owned(),
             incarnation: AtomicU64::new(1),
             held_replicas: held_replicas.clone(),
@@ -229,6 +232,10 @@
 }
 
 impl RequestHandler for Engine {
+    fn accepts_connections(&self) -> bool {
+        !self.refuses_connections.load(Ordering::Relaxed)
+    }
+
     async fn handle(self: Arc<Self>, request: RawRequest, stream: &mut TcpStream) -> bool {
         self.wait_until_unfrozen().await;
         let expected = request.header("x-zinniawing-expect-instance");
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -27,6 +27,8 @@
 pub const API_KEY: &str = "federation-key";
 pub const CUSTOMER: &str = "federation";
 pub const STREAM_PATH: &str = "/chat/1";
+/// A stream on this path may run only once.
+pub const SINGLE_RUN_STREAM_PATH: &str = "/summary/1";
 pub const IDEMPOTENT_PATH: &str = "/balance/1";
 pub const NON_IDEMPOTENT_PATH: &str = "/disburse/1";
 pub const PUBLIC_PATH: &str = "/open/1";
@@ -49,6 +51,8 @@
 pub fn config(version: u64) -> Value {
     let mut open = route("open", "/open/", "idempotent", "pay");
     open["public"] = json!(true);
+    let mut summary = route("summary", "/summary/", "streaming", "llm");
+    summary["resumable"] = json!(false);
     json!({
         "version": version,
         "routes": [
@@ -56,6 +60,7 @@
             route("balance", "/balance/", "idempotent", "pay"),
             route("disburse", "/disburse/", "non_idempotent", "pay"),
             open,
+            summary,
         ],
         "services": [
             { "name": "llm", "health-path": "/healthz", "max-connections": 100,
--- a/tests/support/edge_environment/raw.rs
+++ b/tests/support/edge_environment/raw.rs
@@ -44,6 +44,11 @@
 /// Handles one request and writes its response; returns false to close the
 /// connection.
 pub trait RequestHandler: Send + Sync + 'static {
+    /// Whether a new connection is served; if not, it is reset.
+    fn accepts_connections(&self) -> bool {
+        true
+    }
+
     fn handle(
         self: Arc<Self>,
         request: RawRequest,
@@ -60,7 +65,11 @@
             let Ok((stream, _)) = listener.accept().await else {
                 continue;
             };
-            open.spawn(serve_one(stream, handler.clone()));
+            if handler.accepts_connections() {
+                open.spawn(serve_one(stream, handler.clone()));
+            } else {
+                reset_on_close(&stream);
+            }
         }
     })
 }
@@ -81,6 +90,11 @@
     panic!("{address} is still in use after 100 attempts to bind it");
 }
 
+/// Makes closing the stream send a TCP reset.
+pub fn reset_on_close(stream: &TcpStream) {
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
 async fn serve_one<H: RequestHandler>(mut stream: TcpStream, handler: Arc<H>) {
     let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
--- a/tests/support/edge_environment/service.rs
+++ b/tests/support/edge_environment/service.rs
@@ -54,11 +54,23 @@
     ];
 }
 
+/// An answer that is sent in two halves.
+#[derive(Clone, Copy, Debug)]
+pub struct LongAnswer {
+    pub bytes: usize,
+    /// Pause between the halves.
+    pub pause: Duration,
+}
+
 pub struct Service {
     pub id: String,
     pub address: SocketAddr,
     /// Address in its entry in the store; in the soak it is the address of a proxy.
     pub advertised_address: Mutex<SocketAddr>,
+    /// Time from the start of a call's execution to its answer.
+    pub answer_time: Mutex<Duration>,
+    /// If set, answers have this many bytes, and pause in the middle.
+    pub long_answer: Mutex<Option<LongAnswer>>,
     next_faults: Mutex<VecDeque<NextFault>>,
     received: Mutex<Vec<RawRequest>>,
     executed: Mutex<Vec<RawRequest>>,
@@ -71,6 +83,8 @@
             id: id.to_owned(),
             address,
             advertised_address: Mutex::new(address),
+            answer_time: Mutex::default(),
+            long_answer: Mutex::default(),
             next_faults: Mutex::default(),
             received: Mutex::default(),
             executed: Mutex::default(),
@@ -112,6 +126,17 @@
     )
 }
 
+async fn send_long_answer(stream: &mut TcpStream, headers: &str, answer: LongAnswer) -> bool {
+    let half = vec![b'x'; answer.bytes / 2];
+    let head = format!(
+        "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n{headers}\r\n",
+        half.len() * 2
+    );
+    let started = stream.write_all(&[head.as_bytes(), &half].concat()).await;
+    tokio::time::sleep(answer.pause).await;
+    started.is_ok() && stream.write_all(&half).await.is_ok()
+}
+
 impl RequestHandler for Service {
     async fn handle(self: Arc<Self>, request: RawRequest, stream: &mut TcpStream) -> bool {
         self.received
@@ -133,7 +158,13 @@
             .lock()
             .expect("unpoisoned")
             .push(request.clone());
+        let answer_time = *self.answer_time.lock().expect("unpoisoned");
+        tokio::time::sleep(answer_time).await;
         let headers = answer_headers(&call_id);
+        let long_answer = *self.long_answer.lock().expect("unpoisoned");
+        if let Some(long_answer) = long_answer {
+            return send_long_answer(stream, &headers, long_answer).await;
+        }
         let body = format!("done {call_id}");
         match fault {
             Some(NextFault::ServerError) => reply(stream, 500, &headers, b"failed").await,
