Keep a plain call at its silent upstream until another one can take it

What callers saw: 502 after 400 ms for an idempotent call with seconds left, while both upstreams were sound and answered after 1.2 s.

A call that may be repeated left a silent upstream after 200 ms, before it was known whether an untried upstream, an attempt and a retry were left; without them it was given up.

Change: the next upstream is chosen and its retry spent before the call leaves the present one; without a next upstream it waits on and looks again every 200 ms.

Why it works: an upstream's silence starts the next send or nothing.

--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -28,6 +28,9 @@
 struct PlainCallState {
     tried: Vec<Arc<Upstream>>,
     sends: SendHistory,
+    /// The upstream of the next send, if it was chosen before the last send was
+    /// abandoned. Its retry is already spent.
+    next: Option<Arc<Upstream>>,
     /// The last server error of an upstream, which is passed on if no other
     /// upstream succeeds.
     server_error: Option<HttpResponse>,
@@ -40,6 +43,7 @@
         Self {
             tried: Vec::new(),
             sends: SendHistory::new(),
+            next: None,
             server_error: None,
             cause: String::from("no upstream of the service accepts calls"),
         }
@@ -86,32 +90,14 @@
     ) -> Option<HttpResponse> {
         let kind = call.matched.route.kind;
         loop {
-            let is_first = state.sends.sent_count() == 0;
-            if !is_first && state.sends.sent_count() >= call.matched.route.attempts_max {
-                return None;
-            }
-            if call.time_for_upstream(Instant::now()).is_none() {
-                state.cause = "no time is left for an upstream to answer".to_owned();
-                return None;
-            }
-            if state.sends.undelivered_count() >= UNDELIVERED_SENDS_MAX
-                || self.request_crashes.is_poison(call)
-            {
-                return None;
-            }
-            let upstream =
-                self.choose_upstream(&call.service, &state.tried, |candidates, draw| {
-                    choose_for_plain_call(candidates, &self.data_centre, draw)
-                })?;
-            if !is_first && !self.spend_own_retry(call) {
-                return None;
-            }
+            let upstream = match state.next.take() {
+                Some(upstream) => upstream,
+                None => self.next_upstream(call, state)?,
+            };
             state.tried.push(upstream.clone());
             state.sends.begin();
-            let may_send_elsewhere =
-                kind.may_repeat() && state.sends.sent_count() < call.matched.route.attempts_max;
             let sent_at = Instant::now();
-            let result = self.try_upstream(call, &upstream, may_send_elsewhere).await;
+            let result = self.try_upstream(call, &upstream, state).await;
             record_result(&upstream, sent_at, &result);
             match result {
                 Ok(response) if response.status().is_server_error() && kind.may_repeat() => {
@@ -134,13 +120,38 @@
         }
     }
 
-    /// Sends a plain call to one upstream. A call that may be sent elsewhere
-    /// gets a shorter time-out.
+    /// Chooses the upstream of the next send, and spends a retry unless it is the
+    /// first. Returns `None`, with the cause in `state`, if the call must not be sent
+    /// any more or no upstream is left.
+    fn next_upstream(&self, call: &Call, state: &mut PlainCallState) -> Option<Arc<Upstream>> {
+        let sent_count = state.sends.sent_count();
+        let is_first = sent_count == 0;
+        if !is_first && sent_count >= call.matched.route.attempts_max {
+            return None;
+        }
+        if call.time_for_upstream(Instant::now()).is_none() {
+            state.cause = "no time is left for an upstream to answer".to_owned();
+            return None;
+        }
+        if state.sends.undelivered_count() >= UNDELIVERED_SENDS_MAX
+            || self.request_crashes.is_poison(call)
+        {
+            return None;
+        }
+        let upstream = self.choose_upstream(&call.service, &state.tried, |candidates, draw| {
+            choose_for_plain_call(candidates, &self.data_centre, draw)
+        })?;
+        (is_first || self.spend_own_retry(call)).then_some(upstream)
+    }
+
+    /// Sends a plain call to one upstream. A call that may be repeated is abandoned
+    /// after [`REPEATABLE_SEND_TIMEOUT`], but only if its next send is certain: a
+    /// silent upstream may still answer.
     async fn try_upstream(
         &self,
         call: &Call,
         upstream: &Arc<Upstream>,
-        may_send_elsewhere: bool,
+        state: &mut PlainCallState,
     ) -> Result<HttpResponse, AttemptFailure> {
         let Some(time_left) = call.time_for_upstream(Instant::now()) else {
             return Err(AttemptFailure::NotSent(
@@ -163,11 +174,21 @@
             let read = answer_body::read(answered).await;
             read.map_err(|error| AttemptFailure::MayHaveRun(error.to_string()))
         };
-        if !may_send_elsewhere {
+        if !call.matched.route.kind.may_repeat() {
             return send_and_read.await;
         }
-        let result = tokio::time::timeout(REPEATABLE_SEND_TIMEOUT, send_and_read).await;
-        result.unwrap_or(Err(AttemptFailure::Abandoned(LossReason::NoProgress)))
+        tokio::pin!(send_and_read);
+        loop {
+            let answered =
+                tokio::time::timeout(REPEATABLE_SEND_TIMEOUT, send_and_read.as_mut()).await;
+            if let Ok(result) = answered {
+                return result;
+            }
+            state.next = self.next_upstream(call, state);
+            if state.next.is_some() {
+                return Err(AttemptFailure::Abandoned(LossReason::NoProgress));
+            }
+        }
     }
 
     /// Logs why an attempt failed, and updates the state of the upstream: it is
--- a/tests/silent_upstreams.rs
+++ b/tests/silent_upstreams.rs
@@ -7,7 +7,7 @@
 
 use serde_json::json;
 use support::edge_environment::caller::{Caller, Response};
-use support::edge_environment::{TestEnvironment, config, eventually};
+use support::edge_environment::{IDEMPOTENT_PATH, TestEnvironment, config, eventually};
 use tokio::task::JoinHandle;
 use zinniawing::EdgeNode;
 
@@ -113,3 +113,17 @@
 
     assert_complete(vec![stream]).await;
 }
+
+#[tokio::test]
+async fn an_idempotent_call_is_answered_when_all_upstreams_are_silent_for_a_second() {
+    let environment = TestEnvironment::start(1).await;
+    let (_node, caller) = environment.start_ready_node("n1").await;
+    for service in &environment.services {
+        *service.answer_time.lock().expect("unpoisoned") = SILENCE;
+    }
+
+    let got = caller.call("GET", IDEMPOTENT_PATH, "").await;
+
+    assert_eq!(got.status, 200, "{} {}", got.head, got.body);
+    assert_eq!(environment.executed_count(), environment.services.len());
+}
