Let a stopping node finish the answers that it is sending

Cause: a call counts as in flight until its handler returns. The rest of a long answer, and the last bytes of any answer, are written after that; a node that counted none in flight aborted all connections. The class of fault: the end of a drain is decided by a count that is not the thing waited for.

Evidence: a_long_answer_that_a_stopping_node_passes_on_is_not_cut failed five times of five; event=call_done at 3 ms, then event=drained in_flight=0.

Change: the server for callers has a shutdown of its own.

Why it works: the HTTP server knows of every answer until its last byte.

--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -4,14 +4,15 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 use super::caller_handler::CallerHandler;
 use super::cluster_view::ClusterView;
-use super::drain::wait_until_drained;
+use super::drain::{ABORT_MARGIN, wait_until_drained};
 use super::observations;
 use super::peer_api::EdgePeerApi;
 use super::peer_retry_budget::PeerRetryBudget;
@@ -34,7 +35,7 @@
 use crate::membership::peer::{PeerClient, serve_peers};
 use crate::observe::metrics::Metrics;
 use crate::platform::store::Store;
-use crate::shutdown::{Shutdown, ShutdownTrigger};
+use crate::shutdown::{Shutdown, ShutdownStage, ShutdownTrigger};
 use crate::stand_in::server::bind;
 
 /// Interval at which other nodes are probed for liveness.
@@ -48,9 +49,35 @@
     settings: EdgeSettings,
     membership: Membership,
     forwarder: Arc<Forwarder<ClusterView>>,
+    caller_server: CallerServer,
     trigger: ShutdownTrigger,
 }
 
+/// The server for callers, which stops before the other tasks of the node.
+#[derive(Debug)]
+struct CallerServer {
+    trigger: ShutdownTrigger,
+    /// Ends when all connections are closed.
+    task: JoinHandle<()>,
+}
+
+impl CallerServer {
+    fn start(address: SocketAddr, handler: CallerHandler) -> io::Result<Self> {
+        let (trigger, shutdown) = Shutdown::channel();
+        let task = tokio::spawn(serve(bind(address)?, Arc::new(handler), shutdown));
+        Ok(Self { trigger, task })
+    }
+
+    /// Closes each connection after the answer in progress, and aborts those that
+    /// are open after `timeout`.
+    async fn close(self, timeout: Duration) {
+        self.trigger.advance(ShutdownStage::Closing);
+        // Fails if answers are still being sent, whose connections are then aborted.
+        let _ = tokio::time::timeout(timeout, self.task).await;
+        self.trigger.abort();
+    }
+}
+
 impl EdgeNode {
     /// Binds all addresses and starts to serve. Counters are also served at
     /// `metrics_address`, if one is given.
@@ -102,21 +129,24 @@
         for address in status_addresses.into_iter().flatten() {
             tokio::spawn(serve(bind(address)?, status_api.clone(), shutdown.clone()));
         }
-        let caller_handler = Arc::new(CallerHandler {
+        let handler = CallerHandler {
             forwarder: forwarder.clone(),
-        });
-        tokio::spawn(serve(bind(settings.callers)?, caller_handler, shutdown));
+        };
+        let caller_server = CallerServer::start(settings.callers, handler)?;
         Ok(Self {
             settings,
             membership,
             forwarder,
+            caller_server,
             trigger,
         })
     }
 
     /// Leaves the cluster, waits within the grace period for calls in flight to
-    /// end, and aborts the rest.
+    /// end and for their answers to be sent, and aborts the rest.
     pub async fn drain(self) {
+        let drain_time = self.settings.grace.saturating_sub(ABORT_MARGIN);
+        let aborts_at = Instant::now() + drain_time;
         self.forwarder.node.begin_stop();
         self.membership.leave();
         let in_flight = self.forwarder.in_flight.clone();
@@ -127,6 +157,8 @@
             node.announce_shutdown_imminent()
         })
         .await;
+        let time_left = aborts_at.saturating_duration_since(Instant::now());
+        self.caller_server.close(time_left).await;
         self.membership.announce_left();
         self.trigger.abort();
     }
