Answer or refuse plain calls that reach a node late in its shutdown

Cause: streams were refused from 1.5 s after the stop signal, plain calls were taken until the abort, with a deadline beyond it. The class of fault: work is accepted with a deadline that the process can't keep.

Evidence: a_call_sent_late_to_a_stopping_node_is_answered_or_refused failed five times of five; event=drained in_flight=2 after_ms=3530, and no line for the call.

Change: the deadline of a plain call at a stopping node ends 50 ms before the abort, and a call that might need more is refused with 503 when less than 500 ms are left until then.

Why it works: every plain call now ends before its connection does.

--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -4,8 +4,8 @@
 //! changes on to the others.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use tokio_util::sync::CancellationToken;
@@ -20,9 +20,19 @@
 
 /// Time after the stop signal at which the node starts to refuse new streams.
 const NEW_STREAMS_PERIOD: Duration = Duration::from_millis(1_500);
+/// Time before the abort of calls in flight at which plain calls must be answered.
+const ANSWER_MARGIN: Duration = Duration::from_millis(50);
 /// Maximum number of node addresses that a caller gets.
 const ADDRESSES_MAX: usize = 64;
 
+/// The times of this node's shutdown.
+#[derive(Clone, Copy, Debug)]
+struct Stop {
+    signalled_at: Instant,
+    /// Time at which the calls that are still in flight are aborted.
+    aborts_at: Instant,
+}
+
 /// The cluster as this node sees it; updated by background tasks, read by the
 /// forwarder.
 #[derive(Debug)]
@@ -35,9 +45,8 @@
     /// Largest number of nodes seen alive at once.
     peak_node_count: AtomicUsize,
     is_watcher: AtomicBool,
-    /// Milliseconds from the start to the stop signal, plus one; zero before
-    /// the stop signal.
-    stop_signal_ms: AtomicU64,
+    /// Set by the stop signal.
+    stop: OnceLock<Stop>,
     shutdown_imminent: CancellationToken,
     freshness: Mutex<ConfigFreshness>,
     /// Data centre of each live node and the address at which the node listens
@@ -56,7 +65,7 @@
             node_count: AtomicUsize::new(1),
             peak_node_count: AtomicUsize::new(1),
             is_watcher: AtomicBool::new(is_seed),
-            stop_signal_ms: AtomicU64::new(0),
+            stop: OnceLock::new(),
             shutdown_imminent: CancellationToken::new(),
             freshness: Mutex::default(),
             nodes: Mutex::default(),
@@ -127,21 +136,18 @@
     }
 
     /// Records the time of the stop signal.
-    pub(crate) fn begin_stop(&self) {
-        let ms = self.started_at.elapsed().as_millis() as u64 + 1;
-        self.stop_signal_ms.store(ms, Ordering::Relaxed);
+    pub(crate) fn begin_stop(&self, aborts_at: Instant) {
+        // A second signal does not extend the first.
+        let _ = self.stop.set(Stop {
+            signalled_at: Instant::now(),
+            aborts_at,
+        });
     }
 
     /// Notifies the streams in flight that they will soon be aborted.
     pub(crate) fn announce_shutdown_imminent(&self) {
         self.shutdown_imminent.cancel();
     }
-
-    fn time_since_stop_signal(&self) -> Option<Duration> {
-        let signal_at_ms = self.stop_signal_ms.load(Ordering::Relaxed).checked_sub(1)?;
-        let elapsed = self.started_at.elapsed();
-        Some(elapsed.saturating_sub(Duration::from_millis(signal_at_ms)))
-    }
 }
 
 impl NodeContext for ClusterView {
@@ -165,7 +171,7 @@
     }
 
     fn is_draining(&self) -> bool {
-        self.time_since_stop_signal().is_some()
+        self.stop.get().is_some()
     }
 
     async fn borrow_retry(&self, service: &ServiceId) -> bool {
@@ -177,8 +183,13 @@
     }
 
     fn refuses_streams(&self) -> bool {
-        self.time_since_stop_signal()
-            .is_some_and(|t| t >= NEW_STREAMS_PERIOD)
+        let stop = self.stop.get();
+        stop.is_some_and(|stop| stop.signalled_at.elapsed() >= NEW_STREAMS_PERIOD)
+    }
+
+    fn plain_call_deadline(&self) -> Option<Instant> {
+        let stop = self.stop.get()?;
+        Some(stop.aborts_at - ANSWER_MARGIN)
     }
 }
 
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -147,7 +147,7 @@
     pub async fn drain(self) {
         let drain_time = self.settings.grace.saturating_sub(ABORT_MARGIN);
         let aborts_at = Instant::now() + drain_time;
-        self.forwarder.node.begin_stop();
+        self.forwarder.node.begin_stop(aborts_at);
         self.membership.leave();
         let in_flight = self.forwarder.in_flight.clone();
         let node = &self.forwarder.node;
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -27,6 +27,10 @@
 };
 use crate::policy::placement::{Candidate, is_assigned};
 
+/// Shortest time before the shutdown of this node in which a plain call is begun
+/// that might not end before it.
+const CALL_TIME_MIN: Duration = Duration::from_millis(500);
+
 /// The forwarder's view of its node and of the cluster.
 pub(crate) trait NodeContext: Send + Sync + 'static {
     /// Index of this node among the live nodes that are not leaving, sorted by
@@ -48,6 +52,8 @@
     /// Whether new streams are refused, because this node shuts down before they
     /// could end.
     fn refuses_streams(&self) -> bool;
+    /// Time by which plain calls must be answered, if this node shuts down.
+    fn plain_call_deadline(&self) -> Option<Instant>;
 }
 
 /// Forwards calls according to the configuration in force.
@@ -190,7 +196,7 @@
                 "poison request: it crashed its upstreams",
             );
         }
-        if kind.is_stream() && self.node.refuses_streams() {
+        if !self.has_time_before_shutdown(&mut call) {
             return self.give_up(
                 &call,
                 GiveUpReason::NoUpstream,
@@ -205,6 +211,25 @@
         }
     }
 
+    /// Whether the call can be served before this node shuts down. Moves the deadline
+    /// of a plain call so that it is answered before its connection is closed.
+    fn has_time_before_shutdown(&self, call: &mut Call) -> bool {
+        if call.matched.route.kind.is_stream() {
+            return !self.node.refuses_streams();
+        }
+        let Some(answered_by) = self.node.plain_call_deadline() else {
+            return true;
+        };
+        if call.deadline <= answered_by {
+            return true;
+        }
+        if answered_by.saturating_duration_since(Instant::now()) < CALL_TIME_MIN {
+            return false;
+        }
+        call.deadline = answered_by;
+        true
+    }
+
     /// Builds the final answer to a call that is given up, and logs it.
     pub(crate) fn give_up(
         &self,
