Apply a changed idle time-out to open connections

Cause: the idle time-out was read once, when a connection opened, and given to the HTTP library. The class of fault: a copy of a setting outlives the setting.

Evidence: a_kept_connection_stays_open_for_a_raised_idle_limit failed five times of five: 400 ms raised to 15 s, closed after 900 ms of idle time. The trace shows no call that was read and not answered; whether the users' request ended this way is not known.

Change: the server tracks the requests of each connection until their answers are sent, and closes a connection that has been idle for the limit in force when it expires. A request that has arrived is read first.

Why it works: no copy of the limit is kept.

--- a/src/edge/caller_handler.rs
+++ b/src/edge/caller_handler.rs
@@ -26,9 +26,7 @@
             .as_ref()
             .map_or_else(CallerLimits::default, |table| table.limits);
         ConnectionLimits {
-            // Waiting for the next request's header is idle time, so the idle
-            // time-out applies to it.
-            header_timeout: limits.idle_timeout,
+            idle_timeout: limits.idle_timeout,
             buffer_bytes: limits.header_bytes.max(BUFFER_MIN_BYTES),
         }
     }
--- a/src/http.rs
+++ b/src/http.rs
@@ -24,6 +24,7 @@
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::connection_activity::ConnectionActivity;
 use crate::error::{Error, ErrorKind};
 use crate::shutdown::Shutdown;
 
@@ -38,8 +39,8 @@
 /// A response as handlers return it.
 pub(crate) type HttpResponse = Response<ResponseBody>;
 
-/// Time within which a client must send the headers of a request.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time within which a client must send the headers of its next request.
+const CONNECTION_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time within which a client must send the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Maximum read buffer of a connection, which also limits the size of the
@@ -58,18 +59,18 @@
 /// Limits of one connection to the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ConnectionLimits {
-    /// Time from the start of waiting for a request until its headers are
-    /// complete.
-    pub(crate) header_timeout: Duration,
+    /// Time from the end of a request until the headers of the next one are
+    /// complete. A change applies to open connections.
+    pub(crate) idle_timeout: Duration,
     /// Maximum size of the read buffer, which also limits the size of the
-    /// headers.
+    /// headers. It is fixed when a connection opens.
     pub(crate) buffer_bytes: usize,
 }
 
 impl Default for ConnectionLimits {
     fn default() -> Self {
         Self {
-            header_timeout: HEADER_TIMEOUT,
+            idle_timeout: CONNECTION_IDLE_TIMEOUT,
             buffer_bytes: CONNECTION_BUFFER_BYTES,
         }
     }
@@ -77,7 +78,7 @@
 
 /// Handles the requests of all connections of a server.
 pub(crate) trait Handler: Send + Sync + 'static {
-    /// Returns the limits for a new connection.
+    /// Returns the limits of connections that are in force.
     fn limits(&self) -> ConnectionLimits {
         ConnectionLimits::default()
     }
@@ -116,24 +117,31 @@
 }
 
 async fn serve_connection<H: Handler>(stream: TcpStream, handler: Arc<H>, mut shutdown: Shutdown) {
-    let limits = handler.limits();
-    let service = service_fn(move |request| {
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+    let activity = ConnectionActivity::new();
+    let service = service_fn(|request| {
+        let (handler, active) = (handler.clone(), activity.begin_request());
+        async move {
+            let response = handler.handle(request).await;
+            Ok::<_, Infallible>(response.map(|body| active.track(body)))
+        }
     });
     let connection = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_timeout)
-        .max_buf_size(limits.buffer_bytes)
+        // The idle time-out below covers it.
+        .header_read_timeout(None)
+        .max_buf_size(handler.limits().buffer_bytes)
         .half_close(false)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let abort = shutdown.abort_token();
+    // A request that has arrived is read before the connection counts as idle.
     tokio::select! {
+        biased;
         _ = connection.as_mut() => return,
         () = abort.cancelled() => return,
-        () = shutdown.wait_for_closing() => connection.as_mut().graceful_shutdown(),
+        () = shutdown.wait_for_closing() => {}
+        () = activity.wait_until_idle_for(|| handler.limits().idle_timeout) => {}
     }
+    connection.as_mut().graceful_shutdown();
     tokio::select! {
         _ = connection => {}
         () = abort.cancelled() => {}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 mod claims;
 mod clock;
 mod configuration;
+mod connection_activity;
 mod edge;
 mod error;
 mod experiment;
