Leave a silent upstream only after another one has answered

The next send was certain to be allowed, but not to be accepted: the next engine refused it for want of a replica or of a connection, and the stream had left the engine that went on a second later.

The new test fails on: cut after 8 events while the other engines refuse.

Change: the silent engine's connection is kept until another engine has answered. Whichever sends first goes on; the other connection is closed.

Why it works: the stream always has one upstream that may go on. An engine answers with its first token, so the call does not run at two at once.

--- a/src/forward/stream_move.rs
+++ b/src/forward/stream_move.rs
@@ -2,19 +2,24 @@
 //!
 //! A silent upstream may be lost, or it may go on after a second. Moving its
 //! streams early keeps their pauses short if it is lost, but a stream that leaves
-//! it and finds no other upstream is cut for nothing. A stream therefore leaves a
-//! silent upstream only when the next send is certain: it is allowed, its retry is
-//! paid for, and its upstream responds. Otherwise the stream stays until its
-//! upstream goes on, its connection breaks, or its deadline passes.
+//! it and finds no other upstream is cut for nothing. A stream therefore stays at
+//! its silent upstream until another one has answered, and whichever sends first
+//! goes on. The other one is cancelled at once, so the call never runs at both.
 //! `docs/RESUME.md` compares this with other ways.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming};
+
+use super::attempt::{Answered, Attempt};
 use super::forwarder::{Forwarder, NodeContext};
 use super::probe::probe_engine;
 use super::run_replica::lock;
 use super::stream_call::{NextUpstream, OpenFailure, StreamRun};
+use super::stream_relay::EventSender;
 use super::upstream::Upstream;
 use crate::observe::metrics::Counter;
 use crate::policy::failure_response::GiveUpReason;
@@ -25,10 +30,22 @@
 /// before a stream moves to it.
 const CONTACT_MAX_AGE: Duration = Duration::from_millis(250);
 
+/// How the attempt to move a stream ended.
+pub(super) enum MoveOutcome {
+    /// Another upstream has answered.
+    Moved(Box<Attempt<Answered>>),
+    /// The present upstream sent the next frame of its answer, or its answer ended.
+    GoesOn(Option<Result<Frame<Bytes>, hyper::Error>>),
+    /// No other upstream can take the stream.
+    Stays,
+    CallerGone,
+    /// The deadline of the call has passed.
+    TimeOver,
+}
+
 impl<N: NodeContext> StreamRun<N> {
-    /// Prepares the move of the stream to another upstream, and returns whether it
-    /// can move. The caller then leaves the present upstream and calls
-    /// [`Self::open`].
+    /// Chooses and pays for the next upstream, and returns whether there is one. The
+    /// next [`Self::open`] uses it.
     pub(super) async fn prepare_move(&mut self) -> bool {
         match self.next_responsive_upstream().await {
             Ok(next) => {
@@ -48,6 +65,60 @@
         }
     }
 
+    /// Opens the stream at another upstream while the present one, whose answer is
+    /// `body`, is silent.
+    pub(super) async fn try_move(
+        &mut self,
+        body: &mut Incoming,
+        sender: &EventSender,
+    ) -> MoveOutcome {
+        let tried_count = self.tried.len();
+        let had_upstream_sent_event = self.has_upstream_sent_event;
+        let outcome = self.race_move(body, sender).await;
+        if !matches!(outcome, MoveOutcome::Moved(_)) && self.tried.len() > tried_count {
+            // The slot has the replica of a run that did not begin.
+            lock(&self.replica).take();
+            self.has_upstream_sent_event = had_upstream_sent_event;
+        }
+        outcome
+    }
+
+    async fn race_move(&mut self, body: &mut Incoming, sender: &EventSender) -> MoveOutcome {
+        let deadline = self.call.deadline.into();
+        let opening = self.open_elsewhere();
+        tokio::pin!(opening);
+        let mut error = None;
+        loop {
+            let opened = tokio::select! {
+                frame = body.frame(), if error.is_none() => match frame {
+                    Some(Err(broken)) => {
+                        error = Some(broken);
+                        continue;
+                    }
+                    frame => return MoveOutcome::GoesOn(frame),
+                },
+                opened = &mut opening => opened,
+                () = sender.closed() => return MoveOutcome::CallerGone,
+                () = tokio::time::sleep_until(deadline) => return MoveOutcome::TimeOver,
+            };
+            return match (opened, error) {
+                (Ok(attempt), _) => MoveOutcome::Moved(Box::new(attempt)),
+                (Err(_), Some(error)) => MoveOutcome::GoesOn(Some(Err(error))),
+                (Err(_), None) => MoveOutcome::Stays,
+            };
+        }
+    }
+
+    async fn open_elsewhere(&mut self) -> Result<Attempt<Answered>, OpenFailure> {
+        if !self.prepare_move().await {
+            return Err(OpenFailure::given_up(
+                GiveUpReason::UpstreamsFailed,
+                "the stream cannot move",
+            ));
+        }
+        self.open().await
+    }
+
     async fn next_responsive_upstream(&self) -> Result<NextUpstream, OpenFailure> {
         if !self.may_repeat() {
             return Err(OpenFailure::given_up(
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -21,6 +21,7 @@
 use super::probe::{LossReason, LossWatch};
 use super::run_replica::{free_replica, lock, maintain_replica};
 use super::stream_call::StreamRun;
+use super::stream_move::MoveOutcome;
 use super::upstream::{Upstream, Work};
 use crate::caller::sse::EventBuffer;
 use crate::http::{HttpResponse, TruncatedResponse};
@@ -44,18 +45,27 @@
     loss_watch: LossWatch,
 }
 
+/// The move of a stream to another upstream.
+#[derive(Debug)]
+struct Move {
+    attempt: Attempt<Answered>,
+    began_at: Instant,
+}
+
 /// How a segment, or the whole stream, ended.
 #[derive(Debug)]
 enum SegmentEnd {
     Complete,
     /// The upstream was lost, for the given cause.
     Lost(String),
+    /// Another upstream has answered, while this one was silent.
+    Moved(Box<Move>),
     CallerGone,
     /// The deadline of the call has passed.
     TimeOver,
 }
 
-type EventSender = mpsc::Sender<Result<Frame<Bytes>, TruncatedResponse>>;
+pub(super) type EventSender = mpsc::Sender<Result<Frame<Bytes>, TruncatedResponse>>;
 
 impl<N: NodeContext> StreamRun<N> {
     /// Returns the response to the caller, with the head of the first upstream's
@@ -75,50 +85,70 @@
     async fn relay(mut self, mut segment: Segment, sender: EventSender) {
         loop {
             let upstream = segment.upstream.clone();
-            let cause = match self.relay_segment(segment, &sender).await {
-                SegmentEnd::Lost(cause) => cause,
-                end => return self.finish(&end, &sender).await,
-            };
-            let lost_at = Instant::now();
-            self.forwarder.metrics.add(Counter::StreamsLost, 1);
-            log::info!(
-                "event=stream_lost call={} upstream={} cause={cause:?} last_event={:?} silent_ms={} sends={} sends_max={} age_ms={}",
-                self.call.id(),
-                upstream.entry.id,
-                self.last_event,
-                self.silence().as_millis(),
-                self.sends.sent_count(),
-                self.call.matched.route.attempts_max,
-                self.call.age().as_millis()
-            );
-            if !self.may_repeat() {
-                return self.finish(&SegmentEnd::Lost(cause), &sender).await;
-            }
-            let deadline = self.call.deadline.into();
-            let opened = tokio::select! {
-                opened = tokio::time::timeout_at(deadline, self.open()) => opened,
-                () = sender.closed() => return self.finish(&SegmentEnd::CallerGone, &sender).await,
-            };
-            segment = match opened {
-                Ok(Ok(attempt)) => Segment::new(&self.forwarder.directory, attempt).1,
-                Ok(Err(failure)) => {
-                    let cause = format!("{failure:?}");
-                    return self.finish(&SegmentEnd::Lost(cause), &sender).await;
+            let (lost_at, attempt) = match self.relay_segment(segment, &sender).await {
+                SegmentEnd::Moved(moved) => (moved.began_at, moved.attempt),
+                SegmentEnd::Lost(cause) => {
+                    self.record_loss(&upstream, &cause);
+                    let lost_at = Instant::now();
+                    match self.reopen(cause, &sender).await {
+                        Ok(attempt) => (lost_at, attempt),
+                        Err(end) => return self.finish(&end, &sender).await,
+                    }
                 }
-                Err(_) => return self.finish(&SegmentEnd::TimeOver, &sender).await,
+                end => return self.finish(&end, &sender).await,
             };
-            let metrics = &self.forwarder.metrics;
-            metrics.add(Counter::StreamsResumed, 1);
-            metrics.record(Span::Resume, lost_at.elapsed());
-            log::info!(
-                "event=stream_resumed call={} upstream={} after_ms={}",
-                self.call.id(),
-                segment.upstream.entry.id,
-                lost_at.elapsed().as_millis()
-            );
+            segment = Segment::new(&self.forwarder.directory, attempt).1;
+            self.record_resume(&segment.upstream, lost_at);
         }
     }
 
+    /// Opens the stream again after its upstream was lost.
+    async fn reopen(
+        &mut self,
+        cause: String,
+        sender: &EventSender,
+    ) -> Result<Attempt<Answered>, SegmentEnd> {
+        if !self.may_repeat() {
+            return Err(SegmentEnd::Lost(cause));
+        }
+        let deadline = self.call.deadline.into();
+        let opened = tokio::select! {
+            opened = tokio::time::timeout_at(deadline, self.open()) => opened,
+            () = sender.closed() => return Err(SegmentEnd::CallerGone),
+        };
+        match opened {
+            Ok(Ok(attempt)) => Ok(attempt),
+            Ok(Err(failure)) => Err(SegmentEnd::Lost(format!("{failure:?}"))),
+            Err(_) => Err(SegmentEnd::TimeOver),
+        }
+    }
+
+    fn record_loss(&self, upstream: &Upstream, cause: &str) {
+        self.forwarder.metrics.add(Counter::StreamsLost, 1);
+        log::info!(
+            "event=stream_lost call={} upstream={} cause={cause:?} last_event={:?} silent_ms={} sends={} sends_max={} age_ms={}",
+            self.call.id(),
+            upstream.entry.id,
+            self.last_event,
+            self.silence().as_millis(),
+            self.sends.sent_count(),
+            self.call.matched.route.attempts_max,
+            self.call.age().as_millis()
+        );
+    }
+
+    fn record_resume(&self, upstream: &Upstream, lost_at: Instant) {
+        let metrics = &self.forwarder.metrics;
+        metrics.add(Counter::StreamsResumed, 1);
+        metrics.record(Span::Resume, lost_at.elapsed());
+        log::info!(
+            "event=stream_resumed call={} upstream={} after_ms={}",
+            self.call.id(),
+            upstream.entry.id,
+            lost_at.elapsed().as_millis()
+        );
+    }
+
     /// Relays the events of one upstream until its segment ends.
     async fn relay_segment(&mut self, segment: Segment, sender: &EventSender) -> SegmentEnd {
         let Segment {
@@ -146,18 +176,27 @@
                 }
                 frame = body.frame() => frame,
                 loss = loss_watch.wait_for_loss(&forwarder.directory, phase, &forwarder.metrics) => {
-                    let is_moved = tokio::select! {
-                        is_moved = self.prepare_move() => is_moved,
-                        () = sender.closed() => false,
-                    };
-                    if !is_moved {
-                        loss_watch.hold();
-                        continue;
-                    }
-                    if loss == LossReason::NoProgress {
-                        upstream.avoid(Instant::now());
+                    let began_at = Instant::now();
+                    match self.try_move(&mut body, sender).await {
+                        MoveOutcome::GoesOn(frame) => frame,
+                        MoveOutcome::Stays => {
+                            loss_watch.hold();
+                            continue;
+                        }
+                        MoveOutcome::Moved(attempt) => {
+                            if loss == LossReason::NoProgress {
+                                upstream.avoid(Instant::now());
+                            }
+                            self.record_loss(&upstream, &format!("{loss:?}"));
+                            let attempt = *attempt;
+                            return SegmentEnd::Moved(Box::new(Move { attempt, began_at }));
+                        }
+                        MoveOutcome::CallerGone => {
+                            self.free_current_replica(&upstream);
+                            return SegmentEnd::CallerGone;
+                        }
+                        MoveOutcome::TimeOver => return SegmentEnd::TimeOver,
                     }
-                    return SegmentEnd::Lost(format!("{loss:?}"));
                 }
                 () = sender.closed() => {
                     self.free_current_replica(&upstream);
--- a/tests/silent_upstreams.rs
+++ b/tests/silent_upstreams.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use serde_json::json;
@@ -90,6 +91,22 @@
     assert_complete(streams).await;
 }
 
+#[tokio::test]
+async fn a_stream_is_not_cut_when_the_upstreams_that_it_could_move_to_refuse_it() {
+    let (environment, _node, streams) =
+        start_with_running_streams(4, |route| route["max-attempts"] = json!(2)).await;
+    for engine in &environment.engines {
+        engine.refuses_runs.store(true, Ordering::Relaxed);
+    }
+    let silent = environment.running_engine();
+
+    silent.set_frozen(true);
+    tokio::time::sleep(SILENCE).await;
+    silent.set_frozen(false);
+
+    assert_complete(streams).await;
+}
+
 #[tokio::test]
 async fn a_stream_that_may_not_be_resumed_is_not_cut_by_a_silence() {
     let (environment, _node, streams) =
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -40,6 +40,8 @@
     pub truncates_event: AtomicBool,
     /// Resets new connections; open ones are served.
     pub refuses_connections: AtomicBool,
+    /// Refuses every run for lack of capacity.
+    pub refuses_runs: AtomicBool,
     name: String,
     incarnation: AtomicU64,
     held_replicas: HeldReplicas,
@@ -69,6 +71,7 @@
             event_interval: Mutex::new(Duration::from_millis(10)),
             truncates_event: AtomicBool::new(false),
             refuses_connections: AtomicBool::new(false),
+            refuses_runs: AtomicBool::new(false),
             name: name.to_owned(),
             incarnation: AtomicU64::new(1),
             held_replicas: held_replicas.clone(),
@@ -143,6 +146,9 @@
     }
 
     async fn run(&self, request: RawRequest, stream: &mut TcpStream) -> bool {
+        if self.refuses_runs.load(Ordering::Relaxed) {
+            return reply(stream, 503, "x-zinniawing-not-executed: 1\r\n", b"").await;
+        }
         let call_id = request
             .header("x-zinniawing-attempt-id")
             .unwrap_or("-")
