Write the reply that carries only a result once

Cause: bare_reply stood in claims/shard.rs and claims/group_commit.rs, line by line the same.

Change: one From<ClaimResult> for ClaimReply beside the message.

--- a/src/claims/group_commit.rs
+++ b/src/claims/group_commit.rs
@@ -89,11 +89,11 @@
             reply: sender,
         };
         if shard.try_send(pending).is_err() {
-            return bare_reply(ClaimResult::Unavailable);
+            return ClaimReply::from(ClaimResult::Unavailable);
         }
         receiver
             .await
-            .unwrap_or(bare_reply(ClaimResult::OutcomeUnknown))
+            .unwrap_or(ClaimReply::from(ClaimResult::OutcomeUnknown))
     }
 }
 
@@ -149,7 +149,7 @@
             .map(|op| {
                 self.last_known
                     .replay_if_ended(op)
-                    .unwrap_or(bare_reply(failed))
+                    .unwrap_or(ClaimReply::from(failed))
             })
             .collect()
     }
@@ -201,11 +201,3 @@
         }
     }
 }
-
-/// A reply that carries nothing but its result.
-pub(crate) fn bare_reply(claim_result: ClaimResult) -> ClaimReply {
-    ClaimReply {
-        result: claim_result.into(),
-        ..ClaimReply::default()
-    }
-}
--- a/src/claims/shard.rs
+++ b/src/claims/shard.rs
@@ -127,15 +127,15 @@
         };
         let is_same_attempt = entry.nonce == operation.nonce;
         match entry.state() {
-            ClaimState::Taken if is_same_attempt => bare_reply(ClaimResult::Accepted),
+            ClaimState::Taken if is_same_attempt => ClaimReply::from(ClaimResult::Accepted),
             // The attempt to claim the key that made this operation has already
             // released it.
-            ClaimState::Released if is_same_attempt => bare_reply(ClaimResult::Unavailable),
+            ClaimState::Released if is_same_attempt => ClaimReply::from(ClaimResult::Unavailable),
             ClaimState::Released => self.insert_taken(operation),
-            _ if entry.call_hash != operation.call_hash => bare_reply(ClaimResult::Reused),
+            _ if entry.call_hash != operation.call_hash => ClaimReply::from(ClaimResult::Reused),
             ClaimState::Taken => ClaimReply {
                 claimant: entry.claimant.clone(),
-                ..bare_reply(ClaimResult::Busy)
+                ..ClaimReply::from(ClaimResult::Busy)
             },
             ClaimState::Ended => ended_reply(entry),
         }
@@ -143,10 +143,10 @@
 
     fn insert_taken(&mut self, operation: &ClaimOperation) -> ClaimReply {
         if self.size_bytes >= SHARD_MAX_BYTES {
-            return bare_reply(ClaimResult::Full);
+            return ClaimReply::from(ClaimResult::Full);
         }
         self.insert(entry(operation, ClaimState::Taken));
-        bare_reply(ClaimResult::Accepted)
+        ClaimReply::from(ClaimResult::Accepted)
     }
 
     fn finish(&mut self, operation: &ClaimOperation) -> ClaimReply {
@@ -158,10 +158,12 @@
             finished.status = 0;
         }
         match self.entries.get(&operation.key) {
-            Some(existing) if existing.nonce != operation.nonce => bare_reply(ClaimResult::Busy),
+            Some(existing) if existing.nonce != operation.nonce => {
+                ClaimReply::from(ClaimResult::Busy)
+            }
             _ => {
                 self.insert(finished);
-                bare_reply(ClaimResult::Accepted)
+                ClaimReply::from(ClaimResult::Accepted)
             }
         }
     }
@@ -171,13 +173,15 @@
     /// gives the shard a newer version, so that the late write fails.
     fn release(&mut self, operation: &ClaimOperation) -> ClaimReply {
         match self.entries.get(&operation.key) {
-            Some(existing) if existing.nonce != operation.nonce => bare_reply(ClaimResult::Busy),
+            Some(existing) if existing.nonce != operation.nonce => {
+                ClaimReply::from(ClaimResult::Busy)
+            }
             Some(existing) if existing.state() == ClaimState::Ended => {
-                bare_reply(ClaimResult::Busy)
+                ClaimReply::from(ClaimResult::Busy)
             }
             _ => {
                 self.insert(entry(operation, ClaimState::Released));
-                bare_reply(ClaimResult::Accepted)
+                ClaimReply::from(ClaimResult::Accepted)
             }
         }
     }
@@ -199,7 +203,7 @@
     ClaimReply {
         status: entry.status,
         answer: entry.answer.clone(),
-        ..bare_reply(ClaimResult::Ended)
+        ..ClaimReply::from(ClaimResult::Ended)
     }
 }
 
@@ -220,10 +224,3 @@
     let strings_bytes = entry.key.len() + entry.nonce.len() + entry.claimant.len();
     ENTRY_OVERHEAD_BYTES + strings_bytes + entry.answer.len()
 }
-
-fn bare_reply(result: ClaimResult) -> ClaimReply {
-    ClaimReply {
-        result: result.into(),
-        ..ClaimReply::default()
-    }
-}
--- a/src/membership/message/claim.rs
+++ b/src/membership/message/claim.rs
@@ -85,3 +85,13 @@
     #[prost(bytes = "bytes", tag = "4")]
     pub(crate) answer: Bytes,
 }
+
+impl From<ClaimResult> for ClaimReply {
+    /// A reply that carries nothing but its result.
+    fn from(result: ClaimResult) -> Self {
+        Self {
+            result: result.into(),
+            ..Self::default()
+        }
+    }
+}
