Move bind out of the stand-ins

Cause: both kinds of node bound their listeners with a function of stand_in/server.rs, so that the program in use depended on what tests use.

Change: a module listener; the stand-ins and the nodes import it from there.

--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -28,6 +28,7 @@
 use crate::forward::retry_budgets::RetryBudgets;
 use crate::forward::sessions::Sessions;
 use crate::http::serve;
+use crate::listener::bind;
 use crate::membership::gossip::{Membership, MembershipSettings};
 use crate::membership::link_faults::LinkFaults;
 use crate::membership::members::Member;
@@ -35,7 +36,6 @@
 use crate::observe::metrics::Metrics;
 use crate::platform::store::Store;
 use crate::shutdown::{Shutdown, ShutdownTrigger};
-use crate::stand_in::server::bind;
 
 /// Interval at which other nodes are probed for liveness.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 mod hash;
 mod http;
 mod id;
+mod listener;
 mod membership;
 mod node;
 mod node_state;
--- a/src/node.rs
+++ b/src/node.rs
@@ -30,6 +30,7 @@
 use crate::hash::rendezvous_order;
 use crate::http::{HttpClient, serve};
 use crate::id::Version;
+use crate::listener::bind;
 use crate::membership::control_traffic::ControlTraffic;
 use crate::membership::gossip::{Membership, MembershipEvent, MembershipSettings};
 use crate::membership::link_faults::LinkFaults;
@@ -41,7 +42,6 @@
 use crate::orders::reconciler::OrderReconciler;
 use crate::settings::Settings;
 use crate::shutdown::{Shutdown, ShutdownStage, ShutdownTrigger};
-use crate::stand_in::server::bind;
 use crate::store::object_api::{CONFIG_KEY, PlatformClient, VMS_KEY, Vm};
 
 /// Time between two checks whether runners must be ordered to load other models.
--- a/src/stand_in/platform.rs
+++ b/src/stand_in/platform.rs
@@ -22,8 +22,9 @@
 
 use crate::http::{self, Handler, HttpResponse};
 use crate::id::Version;
+use crate::listener::bind;
 use crate::shutdown::Shutdown;
-use crate::stand_in::server::{StandIn, bind};
+use crate::stand_in::server::StandIn;
 use crate::store::object_api::{VMS_KEY, Vm, parse_entity_tag};
 use crate::store::object_store::{ABSENT, Object};
 
--- a/src/stand_in/runner.rs
+++ b/src/stand_in/runner.rs
@@ -22,11 +22,12 @@
 use crate::generation::token_chain::TokenChain;
 use crate::http::{self, Handler, HttpResponse};
 use crate::id::{Fence, Incarnation};
+use crate::listener::bind;
 use crate::shutdown::{Shutdown, ShutdownTrigger};
 use crate::stand_in::platform::empty_response;
 use crate::stand_in::runner_profile::{RunnerFaults, RunnerLedger, RunnerProfile};
 use crate::stand_in::runner_stream::RunnerStream;
-use crate::stand_in::server::{FreezeSwitch, StandIn, bind};
+use crate::stand_in::server::{FreezeSwitch, StandIn};
 
 /// A stand-in runner crashes when it generates for a prompt that contains this
 /// text.
--- a/src/stand_in/server.rs
+++ b/src/stand_in/server.rs
@@ -2,23 +2,19 @@
 //! a stand-in.
 //!
 //! The stand-ins take the place of the platform, of runners and of services in
-//! tests, experiments and the demonstration. Nodes use only the function `bind`
-//! of this module.
+//! tests, experiments and the demonstration.
 
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::http::{Handler, serve};
 use crate::shutdown::{Shutdown, ShutdownTrigger};
 
-/// Largest number of connections that wait at a listener to be accepted.
-const ACCEPT_BACKLOG: u32 = 1024;
-
 /// The server of one stand-in, by which the stand-in can be killed.
 #[derive(Debug)]
 pub struct StandIn {
@@ -63,19 +59,6 @@
     }
 }
 
-/// Binds a listener, also at an address that a process used which has just
-/// ended.
-pub(crate) fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if address.is_ipv4() {
-        TcpSocket::new_v4()?
-    } else {
-        TcpSocket::new_v6()?
-    };
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(ACCEPT_BACKLOG)
-}
-
 /// Switch that freezes a stand-in: while it is on, tasks that wait for it do
 /// not proceed.
 #[derive(Clone, Debug)]
--- a/src/stand_in/service.rs
+++ b/src/stand_in/service.rs
@@ -16,9 +16,10 @@
 
 use crate::fleet::service::IDEMPOTENCY_KEY;
 use crate::http::{self, Handler, HttpResponse};
+use crate::listener::bind;
 use crate::shutdown::{Shutdown, ShutdownTrigger};
 use crate::stand_in::platform::empty_response;
-use crate::stand_in::server::{FreezeSwitch, StandIn, bind};
+use crate::stand_in::server::{FreezeSwitch, StandIn};
 
 const BODY_MAX_BYTES: usize = 1024 * 1024;
 
