--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::str::FromStr;
 
-use bpaf::Bpaf;
+use bpaf::{Bpaf, Parser};
 use zinniawing::Experiment;
 
 /// A command with its arguments.
@@ -35,12 +35,8 @@
     /// Check a settings file or an intent and list all errors in it
     #[bpaf(command)]
     Check {
-        /// Check the file as an intent
-        #[bpaf(long)]
-        intent: bool,
-        /// Check the file as settings written by the platform
-        #[bpaf(long)]
-        platform: bool,
+        #[bpaf(external(file_kind))]
+        kind: FileKind,
         /// File to check
         #[bpaf(positional("FILE"))]
         file: PathBuf,
@@ -237,6 +233,35 @@
     }
 }
 
+/// Kind of file that the command `check` reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FileKind {
+    /// Settings of a node of the command `serve`.
+    Settings,
+    /// Settings of a node of the command `edge`, as the platform writes them.
+    PlatformSettings,
+    /// An intent.
+    Intent,
+}
+
+#[derive(Clone, Copy, Debug, Bpaf)]
+struct FileKindFlags {
+    /// Check the file as an intent
+    #[bpaf(long)]
+    intent: bool,
+    /// Check the file as settings written by the platform
+    #[bpaf(long)]
+    platform: bool,
+}
+
+fn file_kind() -> impl Parser<FileKind> {
+    file_kind_flags().map(|flags| match flags {
+        FileKindFlags { intent: true, .. } => FileKind::Intent,
+        FileKindFlags { platform: true, .. } => FileKind::PlatformSettings,
+        FileKindFlags { .. } => FileKind::Settings,
+    })
+}
+
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ExperimentName(pub(crate) Experiment);
 
--- a/src/command.rs
+++ b/src/command.rs
@@ -17,7 +17,7 @@
     Settings, SettingsError, StandIn, StandInPlatform, StandInRunner, StandInService, Status, Vm,
 };
 
-use crate::cli::{CallArgs, Command, Format, OperatorArgs, StandInArgs};
+use crate::cli::{CallArgs, Command, FileKind, Format, OperatorArgs, StandInArgs};
 
 /// Why a command failed. Each variant has its own exit code.
 #[derive(Debug, thiserror::Error)]
@@ -58,11 +58,7 @@
             settings,
         } => edge(&settings, metrics, metrics_port).await,
         Command::Serve { settings } => serve(&settings).await,
-        Command::Check {
-            intent,
-            platform,
-            file,
-        } => check(intent, platform, &file),
+        Command::Check { kind, file } => check(kind, &file),
         Command::Intent { operator, file } => {
             let intent = load_intent(&file)?;
             let plan = connect(&operator).state_intent(&intent).await?;
@@ -200,13 +196,17 @@
     }
 }
 
-fn check(is_intent: bool, is_platform: bool, path: &Path) -> Result<(), Failure> {
-    if is_intent {
-        load_intent(path)?;
-    } else if is_platform {
-        EdgeSettings::load(path)?;
-    } else {
-        Settings::load(path)?;
+fn check(kind: FileKind, path: &Path) -> Result<(), Failure> {
+    match kind {
+        FileKind::Settings => {
+            Settings::load(path)?;
+        }
+        FileKind::PlatformSettings => {
+            EdgeSettings::load(path)?;
+        }
+        FileKind::Intent => {
+            load_intent(path)?;
+        }
     }
     println!("{}: nothing is wrong", path.display());
     Ok(())
