Name the experiment's module for what it measures

Cause: experiment/config.rs holds no configuration; it measures how long the rollout of one takes.

Change: module rollout and measure_rollout. The experiment's name on the command line stays 'config', as does the variant of the exported enum.

--- a/src/experiment/catalogue.rs
+++ b/src/experiment/catalogue.rs
@@ -3,13 +3,13 @@
 use std::io;
 
 use crate::experiment::claims::measure_claims;
-use crate::experiment::config::measure_config;
 use crate::experiment::control::{measure_control, measure_spread};
 use crate::experiment::crashes::measure_crashes;
 use crate::experiment::idle::measure_idle;
 use crate::experiment::overload::measure_overload;
 use crate::experiment::placement::{measure_losses, measure_placement};
 use crate::experiment::resume::measure_resume;
+use crate::experiment::rollout::measure_rollout;
 use crate::experiment::sizes::measure_sizes;
 use crate::observe::report::Report;
 
@@ -55,7 +55,7 @@
             Self::Claims => measure_claims().await,
             Self::Crashes => measure_crashes(seed).await,
             Self::Overload => measure_overload(seed).await,
-            Self::Config => measure_config().await,
+            Self::Config => measure_rollout().await,
             Self::Control => measure_control().await,
             Self::Spread => measure_spread().await,
             Self::Idle => measure_idle().await,
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -4,7 +4,6 @@
 
 pub(crate) mod catalogue;
 pub(crate) mod claims;
-pub(crate) mod config;
 pub(crate) mod control;
 pub(crate) mod crashes;
 pub(crate) mod demo;
@@ -14,4 +13,5 @@
 pub(crate) mod overload;
 pub(crate) mod placement;
 pub(crate) mod resume;
+pub(crate) mod rollout;
 pub(crate) mod sizes;
--- a/src/experiment/config.rs
+++ b/src/experiment/rollout.rs
@@ -1,5 +1,5 @@
-//! Time from the confirmation of an intent until its configuration is in force
-//! on every node.
+//! Rollout of a configuration: the time from the confirmation of an intent until
+//! its configuration is in force on every node.
 //!
 //! An intent is what operators want to run: models, customers and services. Once
 //! an operator confirms it, a new version of the configuration is made from it,
@@ -26,7 +26,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Measures each number of nodes at each loss rate.
-pub(crate) async fn measure_config() -> io::Result<Report> {
+pub(crate) async fn measure_rollout() -> io::Result<Report> {
     let columns = [
         "nodes",
         "loss_%",
