Separate what commands print from what they do

Change: module output with print and the descriptions of results. print returns an io::Error, which commands turn into their failure as before.

--- a/src/command.rs
+++ b/src/command.rs
@@ -1,6 +1,5 @@
 //! Runs the commands of the command line.
 
-use std::fmt::Display;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -8,16 +7,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use zinniawing::{
-    AuditRecord, Caller, CompletionParams, CompletionReport, Demo, DemoOptions, EdgeNode,
-    EdgeSettings, Intent, Metrics, ModelVersion, Node, Operator, OperatorError, RunnerProfile,
-    Settings, SettingsError, StandIn, StandInPlatform, StandInRunner, StandInService, Status, Vm,
+    Caller, CompletionParams, Demo, DemoOptions, EdgeNode, EdgeSettings, Intent, Metrics,
+    ModelVersion, Node, Operator, OperatorError, RunnerProfile, Settings, SettingsError, StandIn,
+    StandInPlatform, StandInRunner, StandInService, Vm,
 };
 
 use crate::cli::{CallArgs, Command, FileKind, Format, OperatorArgs, StandInArgs};
+use crate::output::{WithText, describe_completion, describe_record, describe_status, print};
 
 /// Why a command failed. Each variant has its own exit code.
 #[derive(Debug, thiserror::Error)]
@@ -62,26 +61,26 @@
         Command::Intent { operator, file } => {
             let intent = load_intent(&file)?;
             let plan = connect(&operator).state_intent(&intent).await?;
-            print(operator.json, &plan)
+            Ok(print(operator.json, &plan)?)
         }
         Command::Plan { operator, id } => {
             let plan = connect(&operator).plan(&id).await?;
-            print(operator.json, &plan)
+            Ok(print(operator.json, &plan)?)
         }
         Command::Confirm { operator, base, id } => {
             let confirmed = connect(&operator).confirm(&id, base).await?;
             let text = format!("confirmed as version {}", confirmed.version);
-            print(operator.json, &WithText(confirmed, text))
+            Ok(print(operator.json, &WithText(confirmed, text))?)
         }
         Command::Status { operator } => {
             let status = connect(&operator).status().await?;
             let text = describe_status(&status);
-            print(operator.json, &WithText(status, text))
+            Ok(print(operator.json, &WithText(status, text))?)
         }
         Command::Audit { operator } => {
             let records = connect(&operator).audit().await?;
             let lines: Vec<String> = records.iter().map(describe_record).collect();
-            print(operator.json, &WithText(records, lines.join("\n")))
+            Ok(print(operator.json, &WithText(records, lines.join("\n")))?)
         }
         Command::Call { call } => generate(call).await,
         Command::Demo {
@@ -234,90 +233,6 @@
     Operator::new(args.node, &args.key)
 }
 
-/// A value to print as JSON, and the text to print without `--json`.
-struct WithText<T>(T, String);
-
-impl<T: Serialize> Serialize for WithText<T> {
-    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        self.0.serialize(serializer)
-    }
-}
-
-impl<T> Display for WithText<T> {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(&self.1)
-    }
-}
-
-fn print<T: Serialize + Display>(json: bool, value: &T) -> Result<(), Failure> {
-    if json {
-        let text = serde_json::to_string_pretty(value).map_err(io::Error::other)?;
-        println!("{text}");
-    } else {
-        println!("{value}");
-    }
-    Ok(())
-}
-
-fn describe_status(status: &Status) -> String {
-    let everywhere = if status.in_force_everywhere {
-        "everywhere"
-    } else {
-        "not everywhere"
-    };
-    let mut lines = vec![format!(
-        "version {} is in force {everywhere}",
-        status.version
-    )];
-    lines.push(format!(
-        "{:<12} {:<14} {:<22} {:>8} {:>8} {:>9}",
-        "node", "data centre", "callers", "version", "vm list", "in flight"
-    ));
-    for (name, node) in &status.nodes {
-        let number = |version: Option<u64>| version.map_or("?".to_owned(), |v| v.to_string());
-        let leaving = if node.leaving { "  leaving" } else { "" };
-        lines.push(format!(
-            "{name:<12} {:<14} {:<22} {:>8} {:>8} {:>9}{leaving}",
-            node.data_centre,
-            node.caller_address,
-            number(node.version),
-            number(node.vms_version),
-            node.in_flight_count
-        ));
-    }
-    lines.push(format!(
-        "{:<12} {:<14} {:<8} ready",
-        "runner", "data centre", "leaving"
-    ));
-    for (name, runner) in &status.runners {
-        let ready: Vec<String> = runner
-            .ready
-            .iter()
-            .map(|m| format!("{}@{}", m.model, m.version))
-            .collect();
-        lines.push(format!(
-            "{name:<12} {:<14} {:<8} {}",
-            runner.data_centre,
-            runner.leaving,
-            ready.join(", ")
-        ));
-    }
-    lines.join("\n")
-}
-
-fn describe_record(record: &AuditRecord) -> String {
-    format!(
-        "{} {} {} {} {} {:?} {}",
-        record.at_unix_ms,
-        record.node,
-        record.operator,
-        record.act,
-        record.subject,
-        record.outcome,
-        record.detail
-    )
-}
-
 async fn generate(args: CallArgs) -> Result<(), Failure> {
     let caller = Caller::new(args.node, &args.key, &args.kind);
     let params = CompletionParams {
@@ -337,32 +252,6 @@
     }
 }
 
-fn describe_completion(report: &CompletionReport) -> String {
-    let mut lines = vec![
-        format!("answer whole   {}", report.ended && report.broken.is_none()),
-        format!("tokens         {}", report.token_count),
-        format!("attempts       {}", report.attempt_count),
-        format!("connections    {}", report.connection_count),
-        format!("generations    {}", report.generation_count),
-    ];
-    if let Some(first_ms) = report.first_token_ms {
-        lines.push(format!("first token    {first_ms:.1} ms"));
-    }
-    let resumes = report.resume_ms.iter();
-    lines.extend(resumes.map(|ms| format!("resumed after  {ms:.1} ms")));
-    if let Some(broken) = &report.broken {
-        lines.push(format!("broken         {broken}"));
-    }
-    if let Some(error) = &report.error {
-        lines.push(format!(
-            "error          {}: {}",
-            error.kind.name(),
-            error.message
-        ));
-    }
-    lines.join("\n")
-}
-
 async fn demo(tokens: u64, token_ms: u64, json: bool) -> Result<(), Failure> {
     let options = DemoOptions {
         token_count: tokens,
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 
 mod cli;
 mod command;
+mod output;
 
 use std::process::ExitCode;
 use std::sync::Arc;
