--- a/src/membership/members.rs
+++ b/src/membership/members/mod.rs
@@ -6,12 +6,13 @@
 //! the order of [`MemberState`] decides. A node that learns that it is suspected
 //! raises its incarnation, and so refutes the suspicion.
 
+mod peer_choice;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
-use rand::seq::{IndexedRandom, SliceRandom};
 
 use crate::hash::Fnv;
 use crate::id::{DataCentreId, Incarnation, NodeId};
@@ -238,48 +239,6 @@
         })
     }
 
-    /// The next node of this data centre to probe. Each is probed once before
-    /// any is probed again.
-    pub(crate) fn next_probe(&mut self) -> Option<Member> {
-        loop {
-            let Some(node) = self.probe_order.pop() else {
-                self.refill_probe_order();
-                let node = self.probe_order.pop()?;
-                return Some(self.entries.get(&node)?.member.clone());
-            };
-            if let Some(entry) = self.entries.get(&node).filter(|entry| entry.is_alive()) {
-                return Some(entry.member.clone());
-            }
-        }
-    }
-
-    /// A random live node of another data centre.
-    pub(crate) fn random_remote(&self) -> Option<Member> {
-        self.random_where(|entry| {
-            entry.is_alive() && entry.member.data_centre != self.me.data_centre
-        })
-    }
-
-    /// A random dead node, to ping it in case a network partition has ended.
-    pub(crate) fn random_dead(&self) -> Option<Member> {
-        self.random_where(|entry| entry.state == MemberState::Dead)
-    }
-
-    /// Up to `count` random live nodes other than `excluded`, those of this
-    /// data centre first.
-    pub(crate) fn random_alive(&self, count: usize, excluded: &str) -> Vec<Member> {
-        let mut rng = rand::rng();
-        let mut candidates: Vec<&Member> = self
-            .entries
-            .values()
-            .filter(|entry| entry.is_alive() && entry.member.node != excluded)
-            .map(|entry| &entry.member)
-            .collect();
-        candidates.shuffle(&mut rng);
-        candidates.sort_by_key(|member| member.data_centre != self.me.data_centre);
-        candidates.into_iter().take(count).cloned().collect()
-    }
-
     /// The records of all nodes.
     pub(crate) fn records(&self) -> Vec<MemberRecord> {
         let others = self.entries.values();
@@ -324,25 +283,6 @@
         self.entries.insert(entry.member.node.clone(), entry);
     }
 
-    fn refill_probe_order(&mut self) {
-        let local = self
-            .entries
-            .values()
-            .filter(|entry| entry.is_alive() && entry.member.data_centre == self.me.data_centre);
-        self.probe_order = local.map(|entry| entry.member.node.clone()).collect();
-        self.probe_order.shuffle(&mut rand::rng());
-    }
-
-    fn random_where(&self, predicate: impl Fn(&MemberEntry) -> bool) -> Option<Member> {
-        let candidates: Vec<&MemberEntry> = self
-            .entries
-            .values()
-            .filter(|entry| predicate(entry))
-            .collect();
-        let entry = candidates.choose(&mut rand::rng())?;
-        Some(entry.member.clone())
-    }
-
     fn suspicion_time(&self, interval: Duration) -> Duration {
         let doublings = usize::BITS - self.alive_count().leading_zeros();
         interval * SUSPICION_INTERVALS_MIN.max(doublings)
