--- a/src/generation/attempt.rs
+++ b/src/generation/attempt.rs
@@ -6,9 +6,9 @@
 //! be mistaken for a dead one. See `docs/RESUME.md`.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::FutureExt;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -16,26 +16,14 @@
 use tokio::task::JoinHandle;
 
 use crate::caller::event_id::AttemptId;
-use crate::caller::sse::{Event, EventBuffer, escaped_text, parse_index};
+use crate::caller::sse::{EventBuffer, EventTooLarge};
 use crate::configuration::config::CallerPolicy;
 use crate::fleet::runner::{self, RunnerClient, StreamKey};
 use crate::fleet::table::InFlightStream;
-use crate::id::{Incarnation, TokenIndex};
-
-/// Weight of the newest gap between tokens in the moving average of the gaps.
-const GAP_EWMA_WEIGHT: f64 = 0.1;
-/// A stream counts as silent after this many mean gaps between tokens at the
-/// earliest, even if the caller's policy sets a shorter time.
-const SILENCE_MIN_GAPS: f64 = 4.0;
-/// Upper limit of the silence that is derived from the mean gap.
-const GAP_SILENCE_MAX: Duration = Duration::from_secs(5);
-/// While a runner answers probes, its silent stream counts as lost only after
-/// this many times the silence that is allowed if the runner does not answer.
-const STALL_FACTOR: u32 = 10;
-
-/// How long a runner that answers probes may take to send the first token,
-/// including the time in its queue.
-const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(60);
+use crate::generation::delivery::{Added, Delivery};
+use crate::generation::runner_probe::{ProbeResult, probe_result, probe_runner};
+use crate::generation::silence::SilenceDetector;
+use crate::id::Incarnation;
 
 /// What happened to an attempt; outcome of [`Attempt::next_step`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,19 +53,6 @@
     Protocol,
 }
 
-/// The tokens of one generation, as received from runners for the caller.
-#[derive(Debug, Default)]
-pub(crate) struct Delivery {
-    /// Index of the next token.
-    pub(crate) next_index: TokenIndex,
-    /// Text of all tokens before `next_index`, as escaped JSON.
-    pub(crate) escaped_text: BytesMut,
-    /// Events not yet sent to the caller.
-    pub(crate) unsent: BytesMut,
-    /// Number of tokens that were received again and dropped.
-    pub(crate) repeated_count: u64,
-}
-
 /// An attempt whose stream is open: reads the stream and detects its loss.
 #[derive(Debug)]
 pub(crate) struct Attempt {
@@ -112,13 +87,6 @@
     pub(crate) response: Response<Incoming>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ProbeResult {
-    Alive,
-    Gone,
-    Inconclusive,
-}
-
 impl Attempt {
     /// Makes the attempt that reads a stream which a runner has opened.
     pub(crate) fn new(opened: OpenedStream, client: RunnerClient, policy: CallerPolicy) -> Self {
@@ -212,10 +180,7 @@
         tokio::spawn(async move { self.client.cancel(self.address, &self.key).await });
     }
 
-    fn buffer_frames(
-        &mut self,
-        first: Option<Bytes>,
-    ) -> Result<(), crate::caller::sse::EventTooLarge> {
+    fn buffer_frames(&mut self, first: Option<Bytes>) -> Result<(), EventTooLarge> {
         let mut data = first;
         loop {
             if let Some(data) = data {
@@ -272,39 +237,11 @@
         let incarnation = self.incarnation;
         self.silence.probe_started();
         self.probe = Some(tokio::spawn(async move {
-            probe(client, address, incarnation, window).await
+            probe_runner(client, address, incarnation, window).await
         }));
     }
 }
 
-/// Asks a runner for a report within `window` to find out whether the
-/// incarnation that holds the stream is still running.
-async fn probe(
-    client: RunnerClient,
-    address: SocketAddr,
-    incarnation: Incarnation,
-    window: Duration,
-) -> ProbeResult {
-    let asked_at = Instant::now();
-    let report = client.report(address, window).await;
-    match report {
-        Ok(report) if report.incarnation == incarnation || incarnation == 0 => ProbeResult::Alive,
-        // The runner has restarted since it opened the stream.
-        Ok(_) => ProbeResult::Gone,
-        // The time-out fired far too late, so this process was paused.
-        Err(_) if asked_at.elapsed() > window * 2 => ProbeResult::Inconclusive,
-        Err(_) => ProbeResult::Gone,
-    }
-}
-
-/// Waits for the result of the probe; waits for ever if none is running.
-async fn probe_result(probe: &mut Option<JoinHandle<ProbeResult>>) -> ProbeResult {
-    match probe {
-        Some(handle) => handle.await.unwrap_or(ProbeResult::Inconclusive),
-        None => std::future::pending().await,
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Drained {
     Nothing,
@@ -312,156 +249,3 @@
     Ended,
     Invalid,
 }
-
-enum Added {
-    Token,
-    Repeated,
-    Invalid,
-}
-
-impl Delivery {
-    fn add(&mut self, event: &Event, id_prefix: &str) -> Added {
-        let Some(index) = parse_index(&event.id) else {
-            return Added::Invalid;
-        };
-        if index < self.next_index {
-            self.repeated_count += 1;
-            return Added::Repeated;
-        }
-        if index > self.next_index {
-            return Added::Invalid;
-        }
-        let Some(text) = escaped_text(&event.data) else {
-            return Added::Invalid;
-        };
-        self.escaped_text.extend_from_slice(&text);
-        self.unsent.extend_from_slice(id_prefix.as_bytes());
-        self.unsent.extend_from_slice(&event.id);
-        self.unsent.extend_from_slice(b"\ndata: ");
-        self.unsent.extend_from_slice(&event.data);
-        self.unsent.extend_from_slice(b"\n\n");
-        self.next_index += 1;
-        Added::Token
-    }
-}
-
-/// Decides when the silence of one stream calls for a standby attempt or a
-/// probe, and when the stream is lost.
-#[derive(Debug)]
-struct SilenceDetector {
-    policy: CallerPolicy,
-    mean_gap_s: f64,
-    silent_since: Instant,
-    probe_at: Instant,
-    probe_running: bool,
-    standby_requested: bool,
-}
-
-impl SilenceDetector {
-    fn new(policy: CallerPolicy, now: Instant) -> Self {
-        let mut detector = Self {
-            policy,
-            mean_gap_s: 0.0,
-            silent_since: now,
-            probe_at: now,
-            probe_running: false,
-            standby_requested: false,
-        };
-        detector.restart(now);
-        detector
-    }
-
-    fn token_received(&mut self, now: Instant) {
-        let gap_s = (now - self.silent_since).as_secs_f64();
-        self.mean_gap_s += GAP_EWMA_WEIGHT * (gap_s - self.mean_gap_s);
-        self.restart(now);
-    }
-
-    fn restart(&mut self, now: Instant) {
-        self.silent_since = now;
-        self.probe_at = now + self.probe_window();
-        self.probe_running = false;
-        self.standby_requested = false;
-    }
-
-    /// Half of `give_up_after`: the silence before a probe, and the time that
-    /// the probe may take.
-    fn probe_window(&self) -> Duration {
-        self.extend_to_min_gaps(self.policy.give_up_after / 2)
-    }
-
-    /// Extends a time from the policy to [`SILENCE_MIN_GAPS`] mean gaps, so that a
-    /// slow stream is not taken for a silent one.
-    fn extend_to_min_gaps(&self, setting: Duration) -> Duration {
-        let gaps = Duration::from_secs_f64(self.mean_gap_s * SILENCE_MIN_GAPS);
-        setting.max(gaps.min(GAP_SILENCE_MAX))
-    }
-
-    fn standby_at(&self) -> Option<Instant> {
-        // Before the first token, silence means that the request is queued or
-        // that a long prompt is in prefill; a second attempt would only add load.
-        let prepare_after = self.policy.prepare_after.filter(|_| self.has_token())?;
-        Some(self.silent_since + self.extend_to_min_gaps(prepare_after))
-    }
-
-    fn wake_at(&self, may_open_standby: bool) -> Instant {
-        let probe_at = if self.probe_running {
-            // While a probe runs, its result normally wakes the attempt before
-            // this time. If the silence has already lasted until this time, the
-            // attempt polls the probe without a pause.
-            self.silent_since + GAP_SILENCE_MAX * STALL_FACTOR
-        } else {
-            self.probe_at
-        };
-        match self
-            .standby_at()
-            .filter(|_| may_open_standby && !self.standby_requested)
-        {
-            Some(standby_at) => standby_at.min(probe_at),
-            None => probe_at,
-        }
-    }
-
-    fn has_token(&self) -> bool {
-        self.mean_gap_s > 0.0
-    }
-
-    fn stall_timeout(&self) -> Duration {
-        if !self.has_token() {
-            return FIRST_TOKEN_TIMEOUT;
-        }
-        self.extend_to_min_gaps(self.policy.give_up_after) * STALL_FACTOR
-    }
-
-    /// Maximum delay of a wake-up; a longer one shows that this process was
-    /// paused.
-    fn wake_delay_max(&self) -> Duration {
-        self.policy.give_up_after / 4
-    }
-
-    /// Whether a standby attempt should be opened; true once per silence.
-    fn request_standby_if_due(&mut self, now: Instant) -> bool {
-        let is_due = !self.standby_requested && self.standby_at().is_some_and(|at| at <= now);
-        self.standby_requested |= is_due;
-        is_due
-    }
-
-    fn is_probe_due(&self, now: Instant) -> bool {
-        !self.probe_running && self.probe_at <= now
-    }
-
-    fn probe_started(&mut self) {
-        self.probe_running = true;
-    }
-
-    fn apply_probe_result(&mut self, result: ProbeResult, now: Instant) -> Option<Loss> {
-        self.probe_running = false;
-        self.probe_at = now + self.probe_window();
-        let stall_timeout = self.stall_timeout();
-        match result {
-            ProbeResult::Gone => Some(Loss::Silence),
-            ProbeResult::Alive if now - self.silent_since > stall_timeout => Some(Loss::Stalled),
-            ProbeResult::Alive | ProbeResult::Inconclusive => None,
-        }
-    }
-}
--- a/src/generation/mod.rs
+++ b/src/generation/mod.rs
@@ -3,6 +3,9 @@
 //! and continues where the attempt before it was lost.
 
 pub(crate) mod attempt;
+pub(crate) mod delivery;
 pub(crate) mod dispatch;
 pub(crate) mod run;
+pub(crate) mod runner_probe;
+pub(crate) mod silence;
 pub(crate) mod token_chain;
--- /dev/null
+++ b/src/generation/runner_probe.rs
@@ -0,0 +1,48 @@
+//! Probe of a runner whose stream is silent.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use tokio::task::JoinHandle;
+
+use crate::fleet::runner::RunnerClient;
+use crate::id::Incarnation;
+
+/// What a probe showed about the incarnation that holds the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ProbeResult {
+    /// It is running.
+    Alive,
+    /// It does not answer, or the runner has restarted since.
+    Gone,
+    /// Nothing, because this process was paused during the probe.
+    Inconclusive,
+}
+
+/// Asks a runner for a report within `window` to find out whether the
+/// incarnation that holds the stream is still running.
+pub(crate) async fn probe_runner(
+    client: RunnerClient,
+    address: SocketAddr,
+    incarnation: Incarnation,
+    window: Duration,
+) -> ProbeResult {
+    let asked_at = Instant::now();
+    let report = client.report(address, window).await;
+    match report {
+        Ok(report) if report.incarnation == incarnation || incarnation == 0 => ProbeResult::Alive,
+        // The runner has restarted since it opened the stream.
+        Ok(_) => ProbeResult::Gone,
+        // The time-out fired far too late, so this process was paused.
+        Err(_) if asked_at.elapsed() > window * 2 => ProbeResult::Inconclusive,
+        Err(_) => ProbeResult::Gone,
+    }
+}
+
+/// Waits for the result of the probe; waits for ever if none is running.
+pub(crate) async fn probe_result(probe: &mut Option<JoinHandle<ProbeResult>>) -> ProbeResult {
+    match probe {
+        Some(handle) => handle.await.unwrap_or(ProbeResult::Inconclusive),
+        None => std::future::pending().await,
+    }
+}
