Don't wake an attempt while only a probe's result is awaited

What callers would see: nothing but a slower node. While a probe ran, the attempt's wake-up was silent_since + 50 s. A stream may be silent for longer: 60 s are allowed before the first token, and give_up_after may be an hour. From then on the wake-up lay in the past, and the loop went round without a pause until the probe ended.

Cause: the wake-up during a probe was a fixed time, meant to be later than any result.

Evidence: the first test of generation/tests/silence.rs failed before ('wake_at(false) > now' at 55 s of silence).

Why it works: while a probe runs, the attempt wakes for the probe's result, which comes within the probe's own time-out, for the stream, or for a standby that is due; there is no other wake-up to miss.

The tests pass the time in: the loop uses the clock of the standard library, and tokio's paused clock would need its feature test-util in all builds of tests. 68 unit tests and 9 of tests/resume.rs pass.

--- a/src/generation/attempt.rs
+++ b/src/generation/attempt.rs
@@ -135,7 +135,8 @@
                 Drained::Invalid => return Step::Lost(Loss::Protocol),
             }
             let waiting_since = Instant::now();
-            let wake_at = self.silence.wake_at(may_open_standby).max(waiting_since);
+            let wake_at = self.silence.wake_at(may_open_standby);
+            let wake_at = wake_at.map(|at| at.max(waiting_since));
             tokio::select! {
                 biased;
                 frame = self.body.frame() => {
@@ -152,7 +153,7 @@
                         return Step::Lost(loss);
                     }
                 }
-                () = tokio::time::sleep_until(wake_at.into()) => {
+                wake_at = sleep_until(wake_at) => {
                     let now = Instant::now();
                     if now - wake_at > self.silence.wake_delay_max() {
                         // This process was paused and could not read the stream, so
@@ -242,6 +243,17 @@
     }
 }
 
+/// Sleeps until `wake_at` and returns it; waits for ever if there is none.
+async fn sleep_until(wake_at: Option<Instant>) -> Instant {
+    match wake_at {
+        Some(at) => {
+            tokio::time::sleep_until(at.into()).await;
+            at
+        }
+        None => std::future::pending().await,
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Drained {
     Nothing,
--- a/src/generation/mod.rs
+++ b/src/generation/mod.rs
@@ -9,3 +9,6 @@
 pub(crate) mod runner_probe;
 pub(crate) mod silence;
 pub(crate) mod token_chain;
+
+#[cfg(test)]
+mod tests;
--- a/src/generation/silence.rs
+++ b/src/generation/silence.rs
@@ -81,23 +81,14 @@
         Some(self.silent_since + self.extend_to_min_gaps(prepare_after))
     }
 
-    /// When the attempt has to check the stream if nothing arrives before.
-    pub(crate) fn wake_at(&self, may_open_standby: bool) -> Instant {
-        let probe_at = if self.probe_running {
-            // While a probe runs, its result normally wakes the attempt before
-            // this time. If the silence has already lasted until this time, the
-            // attempt polls the probe without a pause.
-            self.silent_since + GAP_SILENCE_MAX * STALL_FACTOR
-        } else {
-            self.probe_at
-        };
-        match self
-            .standby_at()
-            .filter(|_| may_open_standby && !self.standby_requested)
-        {
-            Some(standby_at) => standby_at.min(probe_at),
-            None => probe_at,
-        }
+    /// When the attempt has to check the stream if nothing arrives before. `None`
+    /// while only the result of a probe is awaited, which comes within
+    /// [`Self::probe_window`].
+    pub(crate) fn wake_at(&self, may_open_standby: bool) -> Option<Instant> {
+        let probe_at = (!self.probe_running).then_some(self.probe_at);
+        let may_open_standby = may_open_standby && !self.standby_requested;
+        let standby_at = self.standby_at().filter(|_| may_open_standby);
+        probe_at.into_iter().chain(standby_at).min()
     }
 
     fn has_token(&self) -> bool {
--- /dev/null
+++ b/src/generation/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of the detection of silent streams.
+
+mod silence;
