Say what the node of an audit record holds

Cause: the comment said 'node that acted'; a record of an order holds the claimant, node@incarnation, and one of a confirmation the plain name.

Change: the comment only. To write one form would change stored records and what 'audit' prints.

--- a/src/observe/audit.rs
+++ b/src/observe/audit.rs
@@ -32,7 +32,8 @@
 pub struct AuditRecord {
     /// Time of the record, by the clock of the node that wrote it.
     pub at_unix_ms: u64,
-    /// Node that acted.
+    /// Node that acted: its name for a confirmation, and `node@incarnation`, as in
+    /// the lease on orders, for an order.
     pub node: String,
     /// Operator for whom the node acted, or `order holder` for an order that the
     /// node sent to a runner without an operator.
