Check at which moment a claimant is frozen

Cause: the two tests froze the node 200 ms after the start of a call, whatever the call had reached by then. With the claims in a shard that the node had read before, a platform slowed by 150 ms grants the claim earlier: the test of a freeze before the send froze after it.

Change: each test checks the moment. Before the send: nothing has run 0.5 s after the freeze. After it: the call runs while the node is frozen. The platform and the service are slowed by 0.9 s, and the freeze comes after 0.3 s. The checks of runs and answers are as they were.

--- a/tests/frozen_claimant.rs
+++ b/tests/frozen_claimant.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use support::processes::Deployment;
 use zinniawing::{CallReport, Caller, Execution};
@@ -13,6 +13,12 @@
 const KEY_COUNT: usize = 4;
 const PLATFORM_PORT: u16 = 7000;
 const SERVICE_PORT: u16 = 9200;
+/// Time from the start of a call until its node is frozen.
+const FREEZE_DELAY: Duration = Duration::from_millis(300);
+/// Time within which a call that was sent is executed.
+const EXECUTION_TIME_MAX: Duration = Duration::from_millis(500);
+/// Time within which a call that was sent is executed at the slowed service.
+const SLOW_EXECUTION_TIME_MAX: Duration = Duration::from_secs(3);
 
 fn start_deployment() -> Deployment {
     let deployment = Deployment::start(2, 1);
@@ -35,19 +41,41 @@
     })
 }
 
+/// When a claimant is frozen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FreezeMoment {
+    /// Before it has sent its call to the service.
+    BeforeSend,
+    /// After it has sent its call, and before the service has executed it.
+    AfterSend,
+}
+
 /// For each key, starts a call through node 0, freezes that node after
-/// `freeze_after`, sends the same key through node 1 and thaws node 0. Checks both
-/// answers against the ledger of the service.
-async fn assert_no_second_run(deployment: &Deployment, name: &str, freeze_after: Duration) {
+/// [`FREEZE_DELAY`], sends the same key through node 1 and thaws node 0. Checks
+/// that node 0 was frozen at `moment`, and both answers against the ledger of the
+/// service.
+async fn assert_no_second_run(deployment: &Deployment, name: &str, moment: FreezeMoment) {
     let mut reports: BTreeMap<String, Vec<CallReport>> = BTreeMap::new();
     for number in 0..KEY_COUNT {
         let key = format!("{name}-{number}");
         let first = spawn_call(deployment, 0, &key);
-        tokio::time::sleep(freeze_after).await;
+        tokio::time::sleep(FREEZE_DELAY).await;
         deployment.set_node_frozen(0, true);
+        assert!(
+            !is_executed(deployment, &key),
+            "{key} ran before the freeze"
+        );
+        if moment == FreezeMoment::BeforeSend {
+            // A call that had been sent would run by then.
+            tokio::time::sleep(EXECUTION_TIME_MAX).await;
+            assert!(!is_executed(deployment, &key), "{key} was sent");
+        }
         let second = spawn_call(deployment, 1, &key)
             .await
             .expect("the call ends");
+        if moment == FreezeMoment::AfterSend {
+            wait_until_executed(deployment, &key).await;
+        }
         deployment.set_node_frozen(0, false);
         let first = first.await.expect("the call ends");
         reports.insert(key, vec![first, second]);
@@ -73,18 +101,34 @@
     }
 }
 
+fn is_executed(deployment: &Deployment, key: &str) -> bool {
+    deployment.executed_keys().iter().any(|ran| ran == key)
+}
+
+/// Waits until a call that node 0 sent before its freeze has been executed.
+async fn wait_until_executed(deployment: &Deployment, key: &str) {
+    let deadline = Instant::now() + SLOW_EXECUTION_TIME_MAX;
+    while !is_executed(deployment, key) {
+        assert!(
+            Instant::now() < deadline,
+            "{key} was not sent before the freeze"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_claimant_frozen_before_it_sends_does_not_cause_a_second_run() {
     let deployment = start_deployment();
-    deployment.set_faults(PLATFORM_PORT, r#"{"slow_ms":150}"#);
+    deployment.set_faults(PLATFORM_PORT, r#"{"slow_ms":900}"#);
 
-    assert_no_second_run(&deployment, "before", Duration::from_millis(200)).await;
+    assert_no_second_run(&deployment, "before", FreezeMoment::BeforeSend).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_claimant_frozen_after_it_sent_does_not_cause_a_second_run() {
     let deployment = start_deployment();
-    deployment.set_faults(SERVICE_PORT, r#"{"slow_ms":400}"#);
+    deployment.set_faults(SERVICE_PORT, r#"{"slow_ms":900}"#);
 
-    assert_no_second_run(&deployment, "after", Duration::from_millis(200)).await;
+    assert_no_second_run(&deployment, "after", FreezeMoment::AfterSend).await;
 }
