Check that a caller's disconnect ends its call upstream

Cause: the test of a disconnect checked only that no retry is sent; that the first send ends, which spares the upstream its work, was not checked.

Change: a test with upstreams that record when connections end. Within 0.5 s of the caller's disconnect the call's connection ends, and no retry follows. The earlier test stays.

--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -3,17 +3,22 @@
 
 mod support;
 
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use support::edge_environment::caller::{Caller, get, new_call_id, read_response, send_request};
+use support::edge_environment::raw::{RawRequest, RequestHandler, reply, serve};
 use support::edge_environment::service::NextFault;
 use support::edge_environment::{
     CUSTOMER, IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, PUBLIC_PATH, TestEnvironment, config,
-    eventually, route,
+    eventually, free_address, route,
 };
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+/// Time within which an upstream must learn that a caller has disconnected.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+
 fn queue_fault_at_all_services(environment: &TestEnvironment, next: NextFault) {
     for service in &environment.services {
         service.queue_fault(next);
@@ -298,6 +303,93 @@
     assert_eq!(environment.executed_count(), 1);
 }
 
+/// An upstream that never answers, and records when calls arrive and when their
+/// connections end.
+#[derive(Default)]
+struct SilentUpstream {
+    arrived: Mutex<Vec<Instant>>,
+    closed: Mutex<Vec<Instant>>,
+}
+
+impl SilentUpstream {
+    fn arrived_count(&self) -> usize {
+        self.arrived.lock().expect("unpoisoned").len()
+    }
+
+    fn closed(&self) -> Vec<Instant> {
+        self.closed.lock().expect("unpoisoned").clone()
+    }
+}
+
+impl RequestHandler for SilentUpstream {
+    async fn handle(self: Arc<Self>, request: RawRequest, stream: &mut TcpStream) -> bool {
+        if request.path() != SILENT_PATH {
+            return reply(stream, 200, "", b"").await;
+        }
+        self.arrived
+            .lock()
+            .expect("unpoisoned")
+            .push(Instant::now());
+        // The node sends nothing more on this connection, so the read ends with it.
+        let _ = stream.read(&mut [0]).await;
+        self.closed.lock().expect("unpoisoned").push(Instant::now());
+        false
+    }
+}
+
+const SILENT_PATH: &str = "/silent/1";
+
+/// Adds two upstreams that never answer, with a route of their own.
+async fn add_silent_upstreams(environment: &TestEnvironment) -> Vec<Arc<SilentUpstream>> {
+    let mut changed = config(2);
+    let silent = route("silent", "/silent/", "idempotent", "silent");
+    changed["routes"]
+        .as_array_mut()
+        .expect("routes")
+        .push(silent);
+    environment.store.put("config", "main", changed);
+    let mut upstreams = Vec::new();
+    for id in ["s-0", "s-1"] {
+        let upstream = Arc::new(SilentUpstream::default());
+        let address = free_address();
+        serve(address, upstream.clone()).await;
+        let entry = serde_json::json!({
+            "service": "silent", "address": address.to_string(), "zone": "dc-a", "version": "v1",
+            "slots": 6, "state": "ready", "sequence": 1, "born": 1000,
+        });
+        environment.store.put("servers", id, entry);
+        upstreams.push(upstream);
+    }
+    upstreams
+}
+
+#[tokio::test]
+async fn a_callers_disconnect_ends_its_call_at_the_upstream() {
+    let environment = TestEnvironment::start(0).await;
+    let upstreams = add_silent_upstreams(&environment).await;
+    let (_node, caller) = environment.start_ready_node("n1").await;
+    let headers = "x-zinniawing-deadline-ms: 5000\r\n";
+    let head = caller.head("GET", SILENT_PATH, &new_call_id(), headers);
+    let mut stream = TcpStream::connect(caller.address).await.expect("connected");
+    let request = format!("{head}\r\n");
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let arrived_count = || upstreams.iter().map(|u| u.arrived_count()).sum::<usize>();
+    eventually("the call arrives", || arrived_count() == 1).await;
+
+    drop(stream);
+    let left_at = Instant::now();
+    tokio::time::sleep(Duration::from_millis(800)).await;
+
+    let closed: Vec<Instant> = upstreams.iter().flat_map(|u| u.closed()).collect();
+    assert_eq!(closed.len(), 1);
+    assert!(
+        closed[0] - left_at < CLOSE_TIMEOUT,
+        "{:?}",
+        closed[0] - left_at
+    );
+    assert_eq!(arrived_count(), 1);
+}
+
 #[tokio::test]
 async fn a_call_without_an_upstream_is_answered_503_at_once_with_retry_after() {
     let environment = TestEnvironment::start(0).await;
