Check whose text a resumed answer holds

Cause: that an event id of another customer gives none of its text was promised by an earlier test's name and checked by none: no id was sent. Callers with the same prompt were checked one by one, not against each other. The test of a second loss passed without one.

Change: a test sends a seen event id with both customers' keys: its own customer gets the rest of the stream, the other one a new generation from index 0 with a text and event ids of its own. Answers to the same prompt must differ, and as many tokens must be generated as all callers receive. The second loss is counted.

--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -3,15 +3,18 @@
 
 mod support;
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use support::cluster::{
-    assert_complete, cluster_plan, generating_runner, params, set_frozen, slow_down,
-    spawn_completion, start, steward_caller, wait_for_tokens,
+    CUSTOMER_KEY, MODEL, OTHER_KEY, assert_complete, cluster_plan, generating_runner, params,
+    set_frozen, slow_down, spawn_completion, start, steward_caller, wait_for_tokens,
 };
-use zinniawing::Counter;
+use support::edge_environment::caller::send_request;
+use zinniawing::{Counter, LocalCluster, TokenChain};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_killed_runner_loses_no_token() {
@@ -88,6 +91,8 @@
     cluster.kill_runner(second).await;
 
     assert_complete(&call.await.expect("the call ends"), 200);
+    let metrics = cluster.nodes[0].as_ref().expect("the node runs").metrics();
+    assert_eq!(metrics.get(Counter::LostByReset), 2);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -102,9 +107,22 @@
     let lost = cluster.busiest_runner();
     cluster.kill_runner(lost).await;
 
+    let mut texts = BTreeSet::new();
     for call in calls {
-        assert_complete(&call.await.expect("the call ends"), 80);
+        let report = call.await.expect("the call ends");
+        assert_complete(&report, 80);
+        texts.insert(report.text);
     }
+    // A token that reaches two callers is generated once.
+    assert!(generated_count(&cluster) >= 8 * 80);
+    // Two streams of the same text differ only in a random salt of 16 bits, so
+    // that two texts may be the same by chance, but hardly three or two pairs.
+    assert!(texts.len() >= 7, "{texts:?}");
+}
+
+fn generated_count(cluster: &LocalCluster) -> u64 {
+    let runners = cluster.runners.iter();
+    runners.map(|r| r.engine.ledger().token_count).sum()
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -122,6 +140,84 @@
     assert_ne!(own.text, report.text);
 }
 
+/// A streamed answer as one connection received it.
+#[derive(Debug)]
+struct StreamedAnswer {
+    generation: String,
+    start_index: u64,
+    event_ids: Vec<String>,
+    text: String,
+}
+
+/// Requests the rest of an answer after the event `last_event`, without the text
+/// before it; the whole answer if there is no such event.
+async fn stream_answer(
+    node: SocketAddr,
+    key: &str,
+    prompt: &str,
+    last_event: Option<&str>,
+) -> StreamedAnswer {
+    let body = serde_json::json!({
+        "model": MODEL, "prompt": prompt, "max_tokens": 60, "stream": true,
+    })
+    .to_string();
+    let last_event = last_event.map_or(String::new(), |id| format!("last-event-id: {id}\r\n"));
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\n\
+         x-caller-kind: steward\r\n{last_event}content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let response = send_request(node, request.as_bytes()).await;
+    assert_eq!(response.status, 200, "{response:?}");
+    assert!(response.body.ends_with("data: [DONE]\n\n"), "{response:?}");
+    parse_answer(&response.body)
+}
+
+fn parse_answer(body: &str) -> StreamedAnswer {
+    let values = |field: &'static str| body.lines().filter_map(move |l| l.strip_prefix(field));
+    let mut data = values("data: ").filter(|data| *data != "[DONE]");
+    let parse = |data: &str| -> serde_json::Value { serde_json::from_str(data).expect("JSON") };
+    let start = parse(data.next().expect("a start event"));
+    let token_text = |data| {
+        let token = parse(data);
+        token["choices"][0]["text"]
+            .as_str()
+            .expect("a text")
+            .to_owned()
+    };
+    StreamedAnswer {
+        generation: start["generation"].as_str().expect("a name").to_owned(),
+        start_index: start["index"].as_u64().expect("an index"),
+        event_ids: values("id: ").map(str::to_owned).collect(),
+        text: data.map(token_text).collect(),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_event_id_of_another_customer_begins_a_new_generation_with_a_text_of_its_own() {
+    let cluster = start(cluster_plan(1, 2)).await;
+    let node = cluster.caller_addresses()[0];
+    let prompt = "private words";
+    let own = stream_answer(node, CUSTOMER_KEY, prompt, None).await;
+    let seen_id = own.event_ids[9].as_str();
+
+    let resumed = stream_answer(node, CUSTOMER_KEY, prompt, Some(seen_id)).await;
+    let other = stream_answer(node, OTHER_KEY, prompt, Some(seen_id)).await;
+
+    // The runner still holds the stream and gives it to the customer it is for.
+    assert_eq!(resumed.generation, own.generation);
+    assert_eq!(resumed.start_index, 10);
+    assert!(own.text.ends_with(&resumed.text), "{own:?}, {resumed:?}");
+    assert_eq!(resumed.event_ids, own.event_ids[10..]);
+    // Another customer gets an answer from its beginning, of another generation.
+    assert_ne!(other.generation, own.generation);
+    assert_eq!(other.start_index, 0);
+    assert_eq!(TokenChain::check(prompt, &other.text), Ok(60));
+    assert_ne!(other.text, own.text);
+    let is_own = |id: &String| id.starts_with(&format!("{}.", other.generation));
+    assert!(other.event_ids.iter().all(is_own), "{other:?}");
+}
+
 /// Runs calls while runners and nodes have random faults, drawn from `seed`, and
 /// checks that no answer mixes tokens of different generations. The check needs
 /// only the text, in which each token carries a hash of all tokens before it.
