Check that a rack failure convicts no request

Cause: the test killed five runners by number, whether they ran anything, and checked only that the calls complete; a request marked as poison by mistake could have gone unseen.

Change: each kill takes the runner with the most streams, and the counters of poison requests and refusals stay at zero on all nodes.

--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -7,7 +7,7 @@
 use support::cluster::{
     assert_complete, cluster_plan, params, spawn_completion, start, steward_caller, wait_for_tokens,
 };
-use zinniawing::{CRASH_MARK, ErrorKind, LocalCluster};
+use zinniawing::{CRASH_MARK, Counter, ErrorKind, LocalCluster};
 
 /// Maximum number of runners that one poison request may crash, whichever nodes it
 /// is sent to.
@@ -86,12 +86,19 @@
         .collect();
     wait_for_tokens(&cluster, 200).await;
 
-    for number in 0..5 {
-        cluster.kill_runner(number).await;
+    for _ in 0..5 {
+        let lost = cluster.busiest_runner();
+        assert!(cluster.runners[lost].engine.running_count() > 0);
+        cluster.kill_runner(lost).await;
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
 
     for call in calls {
         assert_complete(&call.await.expect("the call ends"), 250);
     }
+    for node in cluster.nodes.iter().flatten() {
+        let metrics = node.metrics();
+        assert_eq!(metrics.get(Counter::PoisonRequests), 0);
+        assert_eq!(metrics.get(Counter::PoisonRefusals), 0);
+    }
 }
