Separate the state and the ranking of runners from their table

Change: runner_state.rs, in_flight.rs and ranking.rs. The guard tells the table that its stream ended instead of reaching into it; else no code changes.

--- a/src/caller/completion.rs
+++ b/src/caller/completion.rs
@@ -10,7 +10,7 @@
 
 use crate::configuration::config::{CallerPolicy, Config};
 use crate::error::{Error, ErrorKind};
-use crate::fleet::table::prefix_hash;
+use crate::fleet::ranking::prefix_hash;
 use crate::generation::dispatch::{Job, fingerprint};
 use crate::id::{CustomerId, GenerationId, ModelId};
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,9 +3,12 @@
 
 pub(crate) mod canary;
 pub(crate) mod crash_tracker;
+pub(crate) mod in_flight;
 pub(crate) mod poison;
+pub(crate) mod ranking;
 pub(crate) mod retry_budget;
 pub(crate) mod runner;
+mod runner_state;
 pub(crate) mod runner_watch;
 pub(crate) mod service;
 pub(crate) mod table;
--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -5,85 +5,21 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
 
-use crate::fleet::retry_budget::RetryBudget;
+use crate::fleet::in_flight::InFlightStream;
+use crate::fleet::ranking::{Candidate, RouteQuery, by_suspect_count, within_load_bound};
 use crate::fleet::runner::{LoadHeaders, ModelVersion, RunnerReport};
-use crate::hash::{Fnv, rendezvous_order};
+use crate::fleet::runner_state::RunnerState;
+use crate::hash::rendezvous_order;
 use crate::id::{DataCentreId, Incarnation, RunnerId, ServiceId};
 use crate::store::object_api::{Vm, VmRole, VmState};
 
 /// Time for which a runner gets no requests after it could not be reached.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(500);
-/// Ratio of a runner's load per slot to the mean from which on the runner's
-/// prompts go to the next runner in the rendezvous order.
-const LOAD_BOUND: f64 = 1.25;
-
-/// A runner that can serve a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Candidate {
-    pub(crate) runner: RunnerId,
-    pub(crate) address: SocketAddr,
-    /// Last known incarnation; zero if none is known.
-    pub(crate) incarnation: Incarnation,
-    /// Whether the runner reported its state to this node within
-    /// [`RouteQuery::report_max_age`]. If not, the node has to ask whether the
-    /// runner is leaving before it opens a stream.
-    pub(crate) has_recent_report: bool,
-}
-
-/// Criteria by which the runner for a request is chosen.
-#[derive(Clone, Debug)]
-pub(crate) struct RouteQuery<'a> {
-    pub(crate) model: &'a str,
-    /// Acceptable versions of the model, the preferred one first.
-    pub(crate) versions: Vec<&'a str>,
-    /// Hash of the prompt's prefix; all nodes derive the same order of runners
-    /// from it.
-    pub(crate) prefix_hash: u64,
-    /// Runners to exclude, because the request already failed there.
-    pub(crate) avoid: &'a BTreeSet<RunnerId>,
-    /// Whether the request is suspected of crashing runners. A suspect goes to
-    /// the runner with the fewest other suspects.
-    pub(crate) is_suspect: bool,
-    /// Time for which a report that a runner is not leaving stays valid.
-    pub(crate) report_max_age: Duration,
-}
-
-/// Last known state of one runner.
-#[derive(Clone, Debug)]
-struct RunnerState {
-    address: SocketAddr,
-    data_centre: DataCentreId,
-    checks_fence: bool,
-    /// Whether the platform lists the VM as leaving.
-    vm_leaving: bool,
-    incarnation: Incarnation,
-    /// Whether the runner itself reported that it is leaving.
-    leaving: bool,
-    unreachable_until: Option<Instant>,
-    slot_count: u32,
-    /// Number of streams that all nodes together have at the runner, by its last
-    /// report or response headers. Headers count running streams only, a report
-    /// also those that are queued.
-    reported_count: u32,
-    /// Number of streams that this node has at the runner now.
-    own_count: u32,
-    /// Number of streams that this node had at the runner when the last report or
-    /// response headers arrived.
-    own_count_at_report: u32,
-    /// Number of streams that this node has at the runner and whose requests are
-    /// suspects, that is, were in flight when a runner crashed.
-    suspect_count: u32,
-    ready: Vec<ModelVersion>,
-    last_report_at: Option<Instant>,
-    last_token: Arc<TokenClock>,
-    retry_budget: RetryBudget,
-}
 
 /// State of a runner for operators and for the node that gives orders.
 #[derive(Clone, Debug)]
@@ -118,51 +54,6 @@
     pub(crate) leaving: bool,
 }
 
-/// Guard that counts one stream which this node has at a runner, until the guard
-/// is dropped.
-#[derive(Debug)]
-pub(crate) struct InFlightStream {
-    fleet: Arc<Fleet>,
-    runner: RunnerId,
-    is_suspect: bool,
-    last_token: Arc<TokenClock>,
-}
-
-/// Time of the last token of all streams that this node has at one runner. An
-/// atomic is used instead of a lock, because every token of every stream updates
-/// the time.
-#[derive(Debug)]
-struct TokenClock {
-    origin: Instant,
-    /// Milliseconds from `origin` to the last token.
-    last_ms: AtomicU64,
-}
-
-impl Default for TokenClock {
-    fn default() -> Self {
-        Self {
-            origin: Instant::now(),
-            last_ms: AtomicU64::new(0),
-        }
-    }
-}
-
-impl InFlightStream {
-    /// Records that the runner sent a token.
-    pub(crate) fn record_token(&self, now: Instant) {
-        let since_origin = now.saturating_duration_since(self.last_token.origin);
-        let now_ms = since_origin.as_millis() as u64;
-        self.last_token.last_ms.store(now_ms, Ordering::Relaxed);
-    }
-
-    /// Time since the last token of all streams that this node has at the runner.
-    pub(crate) fn runner_silence(&self, now: Instant) -> Duration {
-        let last_ms = self.last_token.last_ms.load(Ordering::Relaxed);
-        let last = self.last_token.origin + Duration::from_millis(last_ms);
-        now.saturating_duration_since(last)
-    }
-}
-
 impl Fleet {
     /// Replaces the list of VMs by the platform's current one. A runner that is
     /// no longer listed is kept while this node has streams at the runner.
@@ -358,124 +249,16 @@
         Some((state.address, state.incarnation))
     }
 
-    fn runners(&self) -> MutexGuard<'_, BTreeMap<RunnerId, RunnerState>> {
-        self.runners.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-impl RunnerState {
-    fn new(vm: &Vm, checks_fence: bool) -> Self {
-        Self {
-            address: vm.address,
-            data_centre: vm.data_centre.clone(),
-            checks_fence,
-            vm_leaving: false,
-            incarnation: 0,
-            leaving: false,
-            unreachable_until: None,
-            slot_count: 0,
-            reported_count: 0,
-            own_count: 0,
-            own_count_at_report: 0,
-            suspect_count: 0,
-            ready: Vec::new(),
-            last_report_at: None,
-            last_token: Arc::default(),
-            retry_budget: RetryBudget::default(),
-        }
-    }
-
-    fn mark_reachable(&mut self, incarnation: Incarnation, leaving: bool) {
-        self.incarnation = incarnation;
-        self.leaving = leaving;
-        self.unreachable_until = None;
-        self.last_report_at = Some(Instant::now());
-    }
-
-    /// Updates the slots and the ready models; true if they changed.
-    fn update_slots(&mut self, report: &RunnerReport) -> bool {
-        let changed = self.slot_count != report.slot_count || self.ready != report.ready;
-        self.slot_count = report.slot_count;
-        self.ready.clone_from(&report.ready);
-        changed
-    }
-
-    fn is_leaving(&self) -> bool {
-        self.leaving || self.vm_leaving
-    }
-
-    fn can_serve(&self, model: &str, version: &str, now: Instant) -> bool {
-        let is_unreachable = self.unreachable_until.is_some_and(|until| until > now);
-        let is_match = |ready: &ModelVersion| ready.model == model && ready.version == version;
-        !self.is_leaving() && !is_unreachable && self.ready.iter().any(is_match)
-    }
-
-    /// Estimated number of streams at the runner: those that other nodes had by
-    /// the last report, and those that this node has now.
-    fn load_count(&self) -> u32 {
-        let others = self.reported_count.saturating_sub(self.own_count_at_report);
-        others + self.own_count
-    }
-
-    fn candidate(&self, name: &str, report_max_age: Duration, now: Instant) -> Candidate {
-        let is_recent = |at: Instant| now.duration_since(at) < report_max_age;
-        Candidate {
-            runner: name.to_owned(),
-            address: self.address,
-            incarnation: self.incarnation,
-            has_recent_report: self.last_report_at.is_some_and(is_recent),
-        }
-    }
-}
-
-impl Drop for InFlightStream {
-    fn drop(&mut self) {
-        if let Some(state) = self.fleet.runners().get_mut(&self.runner) {
+    /// Stops counting a stream of this node at `runner`.
+    pub(super) fn stream_ended(&self, runner: &str, is_suspect: bool) {
+        if let Some(state) = self.runners().get_mut(runner) {
             state.own_count = state.own_count.saturating_sub(1);
-            let suspects = u32::from(self.is_suspect);
+            let suspects = u32::from(is_suspect);
             state.suspect_count = state.suspect_count.saturating_sub(suspects);
         }
     }
-}
-
-/// Keeps the rendezvous order, but moves runners whose load per slot reaches
-/// `LOAD_BOUND` times the mean to the end, the least loaded of them first.
-fn within_load_bound<'a>(
-    order: Vec<&'a str>,
-    states: &BTreeMap<&str, &RunnerState>,
-) -> Vec<&'a str> {
-    let load: u32 = states.values().map(|state| state.load_count()).sum();
-    let slots: u32 = states.values().map(|state| state.slot_count).sum();
-    let mean = f64::from(load + 1) / f64::from(slots.max(1));
-    let is_full = |name: &str| {
-        let state = states[name];
-        let bound = (mean * LOAD_BOUND * f64::from(state.slot_count)).ceil();
-        f64::from(state.load_count()) >= bound.max(1.0)
-    };
-    let (mut sorted, mut full): (Vec<&str>, Vec<&str>) =
-        order.into_iter().partition(|name| !is_full(name));
-    full.sort_by_key(|name| states[name].load_count());
-    sorted.append(&mut full);
-    sorted
-}
-
-/// Sorts runners by the number of suspects that this node has in flight at
-/// each, the fewest first, so that a crash points at few of them.
-fn by_suspect_count<'a>(
-    order: Vec<&'a str>,
-    states: &BTreeMap<&str, &RunnerState>,
-) -> Vec<&'a str> {
-    let mut sorted = order;
-    sorted.sort_by_key(|name| states[name].suspect_count);
-    sorted
-}
-
-/// Number of bytes of a prompt that determine its preferred runner.
-const PREFIX_MAX_BYTES: usize = 256;
 
-/// Hash of a model and the first bytes of a prompt. Prompts with the same
-/// prefix prefer the same runner, which may have the prefix in its KV cache.
-pub(crate) fn prefix_hash(model: &str, prompt: &[u8]) -> u64 {
-    let prefix = &prompt[..prompt.len().min(PREFIX_MAX_BYTES)];
-    Fnv::new().text(model).bytes(prefix).finish()
+    fn runners(&self) -> MutexGuard<'_, BTreeMap<RunnerId, RunnerState>> {
+        self.runners.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
