Separate the queue of a model and its flows from admission

Change: admission/model_queue.rs and admission/flow.rs. The queue records a service time itself; else no code changes.

Result: 68 unit tests and tests/resume.rs (10), bad_input (6), configuration (7) and docs (3) pass; clippy clean.

--- a/src/caller/admission.rs
+++ b/src/caller/admission/mod.rs
@@ -8,23 +8,20 @@
 //! once, with a retry time that spreads the refused callers out. See
 //! `docs/ADMISSION.md`.
 
+mod flow;
+mod model_queue;
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use rand::RngExt;
 use tokio::sync::oneshot;
 
-use crate::caller::priority_semaphore::{Acquisition, Occupancy, Permit, PrioritySemaphore};
+use crate::caller::admission::model_queue::{ModelQueue, Ticket};
+use crate::caller::priority_semaphore::{Acquisition, Permit};
 use crate::error::{Error, ErrorKind};
 use crate::id::{CustomerId, ModelId};
 
-/// Mean service time that is assumed before the first request has finished.
-const INITIAL_SERVICE_TIME: Duration = Duration::from_secs(1);
-/// Weight of the newest service time in its moving average.
-const SERVICE_TIME_EWMA_WEIGHT: f64 = 0.05;
-/// Weight of the newest gap between two admissions in its moving average.
-const GAP_EWMA_WEIGHT: f64 = 0.3;
 /// Safety factor on the expected wait of a request that is not queued yet. Later
 /// requests may go first.
 const UNQUEUED_WAIT_FACTOR: f64 = 1.5;
@@ -33,19 +30,6 @@
 /// Part of the maximum wait that is reserved for the runner to generate the
 /// first token, but never more than a quarter of the maximum wait.
 const FIRST_TOKEN_RESERVE: Duration = Duration::from_millis(100);
-/// Virtual time that one token costs a customer of weight 1.
-const VIRTUAL_TIME_PER_TOKEN: u64 = 1000;
-/// Shortest retry time that a refused caller gets.
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(250);
-/// Longest retry time that a refused caller gets.
-const RETRY_AFTER_MAX: Duration = Duration::from_secs(60);
-
-/// Order of queued requests: by priority, then by virtual start time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Ticket {
-    priority: u8,
-    virtual_start: u64,
-}
 
 /// The properties of a request that decide its admission.
 #[derive(Clone, Debug)]
@@ -70,69 +54,6 @@
     queues: Mutex<BTreeMap<ModelId, ModelQueue>>,
 }
 
-#[derive(Debug)]
-struct ModelQueue {
-    slots: Arc<PrioritySemaphore<Ticket>>,
-    mean_service_s: f64,
-    virtual_time: u64,
-    /// Virtual time at which the latest request of each customer finishes.
-    finish_times: BTreeMap<CustomerId, u64>,
-    /// Retry time that the last refused caller got, without jitter.
-    next_retry_at: Instant,
-    flows: BTreeMap<FlowKey, Flow>,
-}
-
-/// Identifies a flow: the requests of one customer at one priority.
-type FlowKey = (u8, CustomerId);
-
-/// Measures how fast requests of one flow are admitted. The number of requests
-/// ahead does not show it, because requests that arrive later may go first.
-#[derive(Clone, Copy, Debug)]
-struct Flow {
-    waiting_count: usize,
-    last_progress_at: Instant,
-    mean_gap_s: f64,
-}
-
-impl Flow {
-    fn new(now: Instant) -> Self {
-        Self {
-            waiting_count: 0,
-            last_progress_at: now,
-            mean_gap_s: 0.0,
-        }
-    }
-
-    fn add_waiting(&mut self, now: Instant) {
-        if self.waiting_count == 0 {
-            self.last_progress_at = now;
-        }
-        self.waiting_count += 1;
-    }
-
-    fn record_admission(&mut self, now: Instant) {
-        let gap_s = (now - self.last_progress_at).as_secs_f64();
-        self.mean_gap_s += GAP_EWMA_WEIGHT * (gap_s - self.mean_gap_s);
-        self.last_progress_at = now;
-        self.waiting_count -= 1;
-    }
-
-    fn remove_waiting(&mut self) {
-        self.waiting_count -= 1;
-    }
-
-    /// Expected time until `ahead_count` requests of the flow and one more are
-    /// admitted; zero for a flow without waiting requests, whose rate is unknown.
-    fn expected_wait(&self, ahead_count: usize, now: Instant) -> Duration {
-        if self.waiting_count == 0 {
-            return Duration::ZERO;
-        }
-        let stalled_s = (now - self.last_progress_at).as_secs_f64();
-        let gap_s = self.mean_gap_s.max(stalled_s);
-        Duration::from_secs_f64(gap_s * (ahead_count + 1) as f64)
-    }
-}
-
 /// Slot of an admitted request. Dropping it frees the slot and records the
 /// request's service time.
 #[derive(Debug)]
@@ -273,100 +194,11 @@
     }
 }
 
-impl ModelQueue {
-    fn new(slot_count: usize) -> Self {
-        Self {
-            slots: PrioritySemaphore::new(slot_count),
-            mean_service_s: INITIAL_SERVICE_TIME.as_secs_f64(),
-            virtual_time: 0,
-            finish_times: BTreeMap::new(),
-            next_retry_at: Instant::now(),
-            flows: BTreeMap::new(),
-        }
-    }
-
-    fn ticket(&self, request: &AdmissionRequest<'_>) -> Ticket {
-        let last_finish = self.finish_times.get(request.customer).copied();
-        Ticket {
-            priority: request.priority,
-            virtual_start: last_finish.unwrap_or(0).max(self.virtual_time),
-        }
-    }
-
-    /// Adds the cost of a request to its customer's virtual finish time.
-    fn charge(&mut self, request: &AdmissionRequest<'_>, ticket: Ticket) {
-        let weight = u64::from(request.weight.max(1));
-        let cost = request.token_count.saturating_mul(VIRTUAL_TIME_PER_TOKEN) / weight;
-        let finish = ticket.virtual_start.saturating_add(cost);
-        self.finish_times.insert(request.customer.clone(), finish);
-    }
-
-    /// Advances virtual time to the start tag of an admitted request, as in
-    /// start-time fair queueing. Finish times that have passed are dropped, so
-    /// that a customer earns no credit while it is idle.
-    fn advance_virtual_time(&mut self, ticket: Ticket) {
-        self.virtual_time = self.virtual_time.max(ticket.virtual_start);
-        let virtual_time = self.virtual_time;
-        self.finish_times.retain(|_, finish| *finish > virtual_time);
-    }
-
-    fn flow(&mut self, request: &AdmissionRequest<'_>, now: Instant) -> &mut Flow {
-        let key = (request.priority, request.customer.clone());
-        self.flows.entry(key).or_insert_with(|| Flow::new(now))
-    }
-
-    fn expected_wait(
-        &mut self,
-        request: &AdmissionRequest<'_>,
-        occupancy: Occupancy,
-        ahead_in_flow_count: usize,
-        now: Instant,
-    ) -> Duration {
-        let Occupancy {
-            permit_count,
-            held_count,
-            ahead_count,
-        } = occupancy;
-        if held_count < permit_count && ahead_count == 0 {
-            return Duration::ZERO;
-        }
-        let turn_count = (ahead_count + 1) as f64 / permit_count.max(1) as f64;
-        let wait_by_slots = Duration::from_secs_f64(turn_count * self.mean_service_s);
-        wait_by_slots.max(
-            self.flow(request, now)
-                .expected_wait(ahead_in_flow_count, now),
-        )
-    }
-
-    fn refuse(&mut self, wait: Duration, time_left: Duration, slot_count: usize) -> Error {
-        let retry_after = self.retry_after(wait, time_left, slot_count.max(1));
-        Error::new(
-            ErrorKind::Overloaded,
-            "the expected wait in the queue exceeds this caller's maximum wait",
-        )
-        .with_retry_after(retry_after)
-    }
-
-    /// Time after which a refused caller may find a free slot. Each refused
-    /// caller gets a later time, at the rate at which slots become free.
-    fn retry_after(&mut self, wait: Duration, time_left: Duration, slot_count: usize) -> Duration {
-        let now = Instant::now();
-        let earliest = now + wait.saturating_sub(time_left);
-        let slot_interval = Duration::from_secs_f64(self.mean_service_s / slot_count as f64);
-        let latest = now + RETRY_AFTER_MAX;
-        self.next_retry_at =
-            (self.next_retry_at + slot_interval).clamp(earliest.min(latest), latest);
-        let jitter = rand::rng().random_range(1.0..1.1);
-        let retry_after = (self.next_retry_at - now).mul_f64(jitter);
-        retry_after.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
-    }
-}
-
 impl Drop for AdmissionPermit {
     fn drop(&mut self) {
         let service_s = self.began_at.elapsed().as_secs_f64();
         if let Some(queue) = self.admission.queues().get_mut(&self.model) {
-            queue.mean_service_s += SERVICE_TIME_EWMA_WEIGHT * (service_s - queue.mean_service_s);
+            queue.record_service_time(service_s);
         }
     }
 }
