Check the new generation of a caller that brings no text

Cause: the test of a caller without its text never checked that a new generation began, and killed the runner so long before the node that the node might have resumed the answer. The test of a terminated node didn't check that the answer was whole. The three assertions for that stood four times.

Change: assert_whole in all five tests; generation_count is 2 for the caller without text, whose runner and node are now killed one right after the other. The test of both deaths with text keeps the kills in sequence.

--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -5,8 +5,15 @@
 
 use std::time::Duration;
 
+use serde_json::Value;
 use support::processes::{ANSWER_TOKENS, Deployment};
 
+fn assert_whole(report: &Value) {
+    assert_eq!(report["ended"], true, "{report}");
+    assert_eq!(report["broken"], Value::Null, "{report}");
+    assert_eq!(report["token_count"], ANSWER_TOKENS, "{report}");
+}
+
 #[test]
 fn an_answer_survives_the_death_of_its_runner_process() {
     // Arrange
@@ -20,9 +27,7 @@
     let report = Deployment::wait_for_report(caller);
 
     // Assert
-    assert_eq!(report["ended"], true, "{report}");
-    assert_eq!(report["broken"], serde_json::Value::Null, "{report}");
-    assert_eq!(report["token_count"], ANSWER_TOKENS, "{report}");
+    assert_whole(&report);
     assert_eq!(report["attempt_count"], 2, "{report}");
 }
 
@@ -39,9 +44,7 @@
     let report = Deployment::wait_for_report(caller);
 
     // Assert
-    assert_eq!(report["ended"], true, "{report}");
-    assert_eq!(report["broken"], serde_json::Value::Null, "{report}");
-    assert_eq!(report["token_count"], ANSWER_TOKENS, "{report}");
+    assert_whole(&report);
     assert_eq!(report["generation_count"], 1, "{report}");
 }
 
@@ -59,9 +62,7 @@
     let report = Deployment::wait_for_report(caller);
 
     // Assert
-    assert_eq!(report["ended"], true, "{report}");
-    assert_eq!(report["broken"], serde_json::Value::Null, "{report}");
-    assert_eq!(report["token_count"], ANSWER_TOKENS, "{report}");
+    assert_whole(&report);
 }
 
 #[test]
@@ -73,14 +74,12 @@
     // Act
     let caller = deployment.begin_call(false);
     deployment.wait_for_tokens(20);
-    deployment.kill_busiest_runner();
-    deployment.kill_serving_node();
+    deployment.kill_busiest_runner_and_serving_node();
     let report = Deployment::wait_for_report(caller);
 
     // Assert
-    assert_eq!(report["ended"], true, "{report}");
-    assert_eq!(report["broken"], serde_json::Value::Null, "{report}");
-    assert_eq!(report["token_count"], ANSWER_TOKENS, "{report}");
+    assert_whole(&report);
+    assert_eq!(report["generation_count"], 2, "{report}");
 }
 
 #[test]
@@ -96,7 +95,7 @@
     let report = Deployment::wait_for_report(caller);
 
     // Assert
-    assert_eq!(report["ended"], true, "{report}");
+    assert_whole(&report);
     assert_eq!(report["connection_count"], 1, "{report}");
     assert_eq!(report["attempt_count"], 1, "{report}");
     assert!(Deployment::exits_cleanly(stopped, Duration::from_secs(20)));
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -146,13 +146,20 @@
 
     /// Kills the runner that has generated the most tokens.
     pub fn kill_busiest_runner(&mut self) {
-        let generated_counts = self.generated_counts();
-        let busiest = (0..generated_counts.len())
-            .max_by_key(|n| generated_counts[*n])
-            .expect("a runner");
+        let busiest = self.busiest_runner();
         kill(self.runners[busiest].take());
     }
 
+    /// Kills the runner that has generated the most tokens and the node that has
+    /// the call in flight, so shortly after each other that the node cannot resume
+    /// the call at another runner.
+    pub fn kill_busiest_runner_and_serving_node(&mut self) {
+        let busiest = self.busiest_runner();
+        let serving = self.serving_node();
+        kill(self.runners[busiest].take());
+        kill(self.nodes[serving].take());
+    }
+
     pub fn kill_serving_node(&mut self) {
         let serving = self.serving_node();
         kill(self.nodes[serving].take());
@@ -234,6 +241,13 @@
         serving.expect("a node has the call in flight")
     }
 
+    fn busiest_runner(&self) -> usize {
+        let generated_counts = self.generated_counts();
+        (0..generated_counts.len())
+            .max_by_key(|n| generated_counts[*n])
+            .expect("a runner")
+    }
+
     /// Number of tokens that each runner has generated; 0 for runners that do not
     /// answer.
     fn generated_counts(&self) -> Vec<u64> {
