--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -8,7 +8,9 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use support::cluster::{CUSTOMER_KEY, OTHER_KEY, cluster_plan, start, steward_caller};
+use support::cluster::{
+    CUSTOMER_KEY, OTHER_KEY, cluster_plan, restart_node, start, steward_caller,
+};
 use support::payments::{
     Call, ExecutionRecord, ReportedOutcome, assert_at_most_once, executions, is_at_most_once,
     reported_outcome,
@@ -306,15 +308,7 @@
         });
         calls.extend(calls_of_round);
         if kills_node {
-            cluster.nodes[victim]
-                .take()
-                .expect("the node ran")
-                .kill()
-                .await;
-            cluster
-                .start_node(victim)
-                .await
-                .expect("the node starts again");
+            restart_node(&mut cluster, victim).await;
         }
     }
     let ran = executions(&cluster);
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use support::cluster::{cluster_plan, kestrel_intent, start};
+use support::cluster::{cluster_plan, kestrel_intent, restart_node, start};
 use support::register::{ConfirmAttempt, ConfirmOutcome, is_linearizable};
 use zinniawing::{
     AuditOutcome, ErrorKind, Intent, LocalCluster, Operator, OperatorError, PlatformFaults,
@@ -140,15 +140,7 @@
         let version = version.expect("a version");
         let before: Vec<u64> = versions(&cluster);
         let victim = 1 + round as usize % 3;
-        cluster.nodes[victim]
-            .take()
-            .expect("the node runs")
-            .kill()
-            .await;
-        cluster
-            .start_node(victim)
-            .await
-            .expect("the node starts again");
+        restart_node(&mut cluster, victim).await;
         let in_force = cluster
             .wait_for("the version", |c| all_at_least(c, version))
             .await;
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -26,6 +26,14 @@
     LocalCluster::start(plan).await.expect("the cluster starts")
 }
 
+/// Kills a running node and starts it again.
+pub async fn restart_node(cluster: &mut LocalCluster, number: usize) {
+    let node = cluster.nodes[number].take().expect("the node runs");
+    node.kill().await;
+    let started = cluster.start_node(number).await;
+    started.expect("the node starts again");
+}
+
 pub fn params(prompt: &str, max_tokens: u64) -> CompletionParams {
     CompletionParams {
         model: MODEL.to_owned(),
