Add failing tests of upstreams and callers that are given up too soon

Streams and calls still leave an upstream that would have gone on, for one that is full, accepts no connection or has no time left; a stream that its upstream continues during the probes is moved; an upstream that was tried is never chosen again.

--- /dev/null
+++ b/tests/leaving_upstreams.rs
@@ -0,0 +1,156 @@
+//! Calls that leave a sound upstream, because it is silent, for one that turns out
+//! not to serve them.
+
+mod support;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use support::edge_environment::caller::{Caller, Response};
+use support::edge_environment::{IDEMPOTENT_PATH, TestEnvironment, eventually};
+use tokio::task::JoinHandle;
+use zinniawing::EdgeNode;
+
+const EVENT_COUNT: u64 = 100;
+const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+fn spawn_stream(caller: &Caller) -> JoinHandle<Response> {
+    let caller = caller.clone();
+    tokio::spawn(async move { caller.stream(EVENT_COUNT).await })
+}
+
+/// Starts a node and a stream that has sent its first events.
+async fn start_with_running_stream(
+    engine_count: usize,
+) -> (TestEnvironment, EdgeNode, Caller, JoinHandle<Response>) {
+    let environment = TestEnvironment::start(engine_count).await;
+    for engine in &environment.engines {
+        *engine.event_interval.lock().expect("unpoisoned") = EVENT_INTERVAL;
+    }
+    let (node, caller) = environment.start_ready_node("n1").await;
+    let stream = spawn_stream(&caller);
+    eventually("the stream runs", || {
+        environment.engines.iter().any(|e| e.running_count() > 0)
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(250)).await;
+    (environment, node, caller, stream)
+}
+
+fn assert_complete(got: &Response) {
+    let event_count = got.event_ids().len();
+    assert!(
+        got.is_complete,
+        "cut after event {event_count} and {:?}",
+        got.elapsed
+    );
+    assert_eq!(got.event_ids(), (1..=EVENT_COUNT).collect::<Vec<u64>>());
+}
+
+#[tokio::test]
+async fn a_stream_is_not_cut_when_its_engine_is_silent_and_the_others_are_full() {
+    let (environment, _node, _caller, stream) = start_with_running_stream(6).await;
+    let silent = environment.running_engine().clone();
+    let others = environment
+        .engines
+        .iter()
+        .filter(|e| e.address != silent.address);
+
+    for engine in others {
+        engine.is_full.store(true, Ordering::Relaxed);
+    }
+    silent.set_frozen(true);
+    tokio::time::sleep(SILENCE).await;
+    silent.set_frozen(false);
+    let got = stream.await.expect("no panic");
+
+    assert_complete(&got);
+}
+
+#[tokio::test]
+async fn a_stream_is_not_cut_when_its_engine_is_silent_and_the_others_accept_no_connection() {
+    let (environment, _node, caller, stream) = start_with_running_stream(2).await;
+    let silent = environment.running_engine().clone();
+    let other = environment
+        .engines
+        .iter()
+        .find(|e| e.address != silent.address)
+        .expect("two");
+    let second = spawn_stream(&caller);
+    eventually("the other engine runs a stream", || {
+        other.running_count() > 0
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    other.refuses_connections.store(true, Ordering::Relaxed);
+    silent.set_frozen(true);
+    tokio::time::sleep(SILENCE).await;
+    silent.set_frozen(false);
+    let got = stream.await.expect("no panic");
+    let second = second.await.expect("no panic");
+
+    assert_complete(&second);
+    assert_complete(&got);
+}
+
+#[tokio::test]
+async fn a_stream_returns_to_an_engine_that_was_silent_when_its_next_engine_crashes() {
+    let (environment, _node, _caller, stream) = start_with_running_stream(2).await;
+    let silent = environment.running_engine().clone();
+    let other = environment
+        .engines
+        .iter()
+        .find(|e| e.address != silent.address)
+        .expect("two");
+
+    silent.set_frozen(true);
+    eventually("the stream moved", || other.running_count() > 0).await;
+    silent.set_frozen(false);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    other.crash();
+    let got = stream.await.expect("no panic");
+
+    assert_complete(&got);
+}
+
+#[tokio::test]
+async fn a_stream_stays_at_an_engine_that_goes_on_while_others_are_probed() {
+    let (environment, _node, _caller, stream) = start_with_running_stream(4).await;
+
+    let silent = environment.running_engine().clone();
+    for engine in &environment.engines {
+        engine.set_frozen(true);
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    silent.set_frozen(false);
+    tokio::time::sleep(Duration::from_millis(60)).await;
+    for engine in &environment.engines {
+        engine.set_frozen(false);
+    }
+    let got = stream.await.expect("no panic");
+
+    assert_complete(&got);
+    assert_eq!(
+        environment.run_count(),
+        1,
+        "longest pause {:?}",
+        got.longest_pause
+    );
+}
+
+#[tokio::test]
+async fn a_call_keeps_its_upstream_when_no_time_is_left_for_another_one() {
+    let environment = TestEnvironment::start(1).await;
+    let (_node, caller) = environment.start_ready_node("n1").await;
+    for service in &environment.services {
+        *service.answer_time.lock().expect("unpoisoned") = Duration::from_millis(260);
+    }
+
+    let got = caller
+        .call("GET", IDEMPOTENT_PATH, "x-zinniawing-deadline-ms: 400\r\n")
+        .await;
+
+    assert_eq!(got.status, 200, "{} {}", got.head, got.body);
+}
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -40,6 +40,8 @@
     pub truncates_event: AtomicBool,
     /// Resets new connections; open ones are served.
     pub refuses_connections: AtomicBool,
+    /// Refuses new runs with status 503 and the header that says they did not run.
+    pub is_full: AtomicBool,
     name: String,
     incarnation: AtomicU64,
     held_replicas: HeldReplicas,
@@ -69,6 +71,7 @@
             event_interval: Mutex::new(Duration::from_millis(10)),
             truncates_event: AtomicBool::new(false),
             refuses_connections: AtomicBool::new(false),
+            is_full: AtomicBool::new(false),
             name: name.to_owned(),
             incarnation: AtomicU64::new(1),
             held_replicas: held_replicas.clone(),
@@ -147,6 +150,9 @@
             .header("x-zinniawing-attempt-id")
             .unwrap_or("-")
             .to_owned();
+        if self.is_full.load(Ordering::Relaxed) {
+            return reply(stream, 503, "x-zinniawing-not-executed: 1\r\n", b"").await;
+        }
         let replica = request.header("kv-from").map(str::to_owned);
         if let Some(replica) = &replica {
             let (_, name) = replica
