Close a connection whose first request stays incomplete

What callers saw: nothing; a caller that sends half a request head could hold a connection of a node for ever, and delay the node's stop to the end of the grace period.

Cause: since the HTTP library no longer limits the time for a head. At the idle limit, and since at the stop, the node asks for a graceful shutdown, which waits for the rest of a first request.

Change: a connection on which no whole request has arrived is dropped at the idle limit and at the stop. A request that has arrived is read first, as before.

Why it works: such a connection has no answer that could be cut.

--- a/src/connection_activity.rs
+++ b/src/connection_activity.rs
@@ -23,6 +23,8 @@
 #[derive(Debug)]
 struct State {
     request_count: usize,
+    /// Whether a request has begun since the connection opened.
+    is_used: bool,
     /// End of the last request, or the time at which the connection opened.
     idle_since: Instant,
 }
@@ -32,6 +34,7 @@
     pub(crate) fn new() -> Self {
         let state = State {
             request_count: 0,
+            is_used: false,
             idle_since: Instant::now(),
         };
         Self {
@@ -41,10 +44,18 @@
 
     /// Records the start of a request, which lasts until the result is dropped.
     pub(crate) fn begin_request(&self) -> ActiveRequest {
-        self.lock().request_count += 1;
+        let mut state = self.lock();
+        state.request_count += 1;
+        state.is_used = true;
+        drop(state);
         ActiveRequest(self.clone())
     }
 
+    /// Whether a whole request has arrived since the connection opened.
+    pub(crate) fn is_used(&self) -> bool {
+        self.lock().is_used
+    }
+
     /// Waits until the connection has been idle for the time-out, which is read
     /// each time that it could expire.
     pub(crate) async fn wait_until_idle_for(&self, timeout: impl Fn() -> Duration) {
--- a/src/http.rs
+++ b/src/http.rs
@@ -141,6 +141,11 @@
         () = shutdown.wait_for_closing() => {}
         () = activity.wait_until_idle_for(|| handler.limits().idle_timeout) => {}
     }
+    if !activity.is_used() {
+        // The first request may be incomplete, and a graceful shutdown would wait
+        // for the rest of it.
+        return;
+    }
     connection.as_mut().graceful_shutdown();
     tokio::select! {
         _ = connection => {}
