Answer calls that were sent before the stop signal of their node

What callers saw: a call or a stream that had not begun, sent before its node got the stop signal, ended with a closed connection and no answer.

Cause: moves the deadline only of plain calls that arrive after the signal. The class of fault: work has a deadline that the process can't keep.

Change: a call waits until its deadline or until 50 ms before the abort, whichever comes first, and is then answered 504, or 503 if it was not sent.

Why it works: the time of the abort is looked up while the call waits, not when it arrives.

--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -20,7 +20,7 @@
 
 /// Time after the stop signal at which the node starts to refuse new streams.
 const NEW_STREAMS_PERIOD: Duration = Duration::from_millis(1_500);
-/// Time before the abort of calls in flight at which plain calls must be answered.
+/// Time before the abort of calls in flight at which calls must be answered.
 const ANSWER_MARGIN: Duration = Duration::from_millis(50);
 /// Maximum number of node addresses that a caller gets.
 const ADDRESSES_MAX: usize = 64;
@@ -187,7 +187,7 @@
         stop.is_some_and(|stop| stop.signalled_at.elapsed() >= NEW_STREAMS_PERIOD)
     }
 
-    fn plain_call_deadline(&self) -> Option<Instant> {
+    fn answer_deadline(&self) -> Option<Instant> {
         let stop = self.stop.get()?;
         Some(stop.aborts_at - ANSWER_MARGIN)
     }
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -52,8 +52,8 @@
     /// Whether new streams are refused, because this node shuts down before they
     /// could end.
     fn refuses_streams(&self) -> bool;
-    /// Time by which plain calls must be answered, if this node shuts down.
-    fn plain_call_deadline(&self) -> Option<Instant>;
+    /// Time by which calls must be answered, if this node shuts down.
+    fn answer_deadline(&self) -> Option<Instant>;
 }
 
 /// Forwards calls according to the configuration in force.
@@ -217,7 +217,7 @@
         if call.matched.route.kind.is_stream() {
             return !self.node.refuses_streams();
         }
-        let Some(answered_by) = self.node.plain_call_deadline() else {
+        let Some(answered_by) = self.node.answer_deadline() else {
             return true;
         };
         if call.deadline <= answered_by {
@@ -230,6 +230,22 @@
         true
     }
 
+    /// Waits until a call must be answered: until its deadline, or shortly before
+    /// this node closes its connection. The stop signal may come while the call waits.
+    pub(crate) async fn wait_until_answer_due(&self, call_deadline: Instant) {
+        let before_shutdown = async {
+            self.node.shutdown_imminent().await;
+            match self.node.answer_deadline() {
+                Some(deadline) => tokio::time::sleep_until(deadline.into()).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = tokio::time::sleep_until(call_deadline.into()) => {}
+            () = before_shutdown => {}
+        }
+    }
+
     /// Builds the final answer to a call that is given up, and logs it.
     pub(crate) fn give_up(
         &self,
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -54,11 +54,13 @@
     /// Forwards a plain call and returns its answer.
     pub(crate) async fn forward_plain(self: &Arc<Self>, call: Call) -> HttpResponse {
         let mut state = PlainCallState::new();
-        let deadline = call.deadline.into();
-        let answered =
-            tokio::time::timeout_at(deadline, self.send_until_answered(&call, &mut state)).await;
+        let answered = tokio::select! {
+            biased;
+            answered = self.send_until_answered(&call, &mut state) => Some(answered),
+            () = self.wait_until_answer_due(call.deadline) => None,
+        };
         let reason = match answered {
-            Ok(Some(response)) => {
+            Some(Some(response)) => {
                 self.metrics.record(Span::PlainCall, call.age());
                 log::info!(
                     "event=call_done call={} route={} service={} status={} sends={} age_ms={}",
@@ -71,9 +73,9 @@
                 );
                 return response;
             }
-            Ok(None) if state.tried.is_empty() => GiveUpReason::NoUpstream,
-            Ok(None) => GiveUpReason::UpstreamsFailed,
-            Err(_) => GiveUpReason::TimeOver,
+            Some(None) if state.tried.is_empty() => GiveUpReason::NoUpstream,
+            Some(None) => GiveUpReason::UpstreamsFailed,
+            None => GiveUpReason::TimeOver,
         };
         match state.server_error.take() {
             Some(server_error) => server_error,
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -94,15 +94,19 @@
             longest_pause_ms: 0,
             last_event_at: None,
         };
-        let deadline = run.call.deadline.into();
-        let opened = tokio::time::timeout_at(deadline, run.open()).await;
+        let deadline = run.call.deadline;
+        let opened = tokio::select! {
+            biased;
+            opened = run.open() => Some(opened),
+            () = self.wait_until_answer_due(deadline) => None,
+        };
         let timed_out = || {
             OpenFailure::GivenUp(
                 GiveUpReason::TimeOver,
                 "no upstream began the stream in time".to_owned(),
             )
         };
-        match opened.unwrap_or_else(|_| Err(timed_out())) {
+        match opened.unwrap_or_else(|| Err(timed_out())) {
             Ok(attempt) => run.respond(attempt),
             Err(OpenFailure::Answer(answer)) => *answer,
             Err(OpenFailure::GivenUp(reason, cause)) => {
