Keep a stream at an engine that goes on while others are probed

What callers saw: a stream that moved to another engine, with a pause of up to 0.45 s more and its prompt read again, though its own engine had gone on.

Cause: the probes of a move take up to 150 ms for each of three engines. During that time nothing was read from the present one, and the deadline of the stream was not checked. A crash that broke the connection meanwhile was not counted against its request.

Change: events, the end of the connection and the deadline are awaited while a move is prepared, and go before it.

Why it works: the present engine is given up only if it is silent until the moment of the move.

--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -335,10 +335,16 @@
         loop {
             let forwarder = self.forwarder.clone();
             let loss = tokio::select! {
+                biased;
                 sent = &mut sending => return sent,
                 loss = loss_watch.wait_for_loss(&forwarder.directory, StreamPhase::Prefill, &forwarder.metrics) => loss,
             };
-            if self.prepare_move().await {
+            let is_moved = tokio::select! {
+                biased;
+                sent = &mut sending => return sent,
+                is_moved = self.prepare_move() => is_moved,
+            };
+            if is_moved {
                 return Err(AttemptFailure::Abandoned(loss));
             }
             loss_watch.hold();
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -146,18 +146,23 @@
                 }
                 frame = body.frame() => frame,
                 loss = loss_watch.wait_for_loss(&forwarder.directory, phase, &forwarder.metrics) => {
-                    let is_moved = tokio::select! {
-                        is_moved = self.prepare_move() => is_moved,
-                        () = sender.closed() => false,
-                    };
-                    if !is_moved {
-                        loss_watch.hold();
-                        continue;
+                    // The upstream may go on while the move is prepared.
+                    tokio::select! {
+                        biased;
+                        frame = body.frame() => frame,
+                        () = sender.closed() => continue,
+                        () = tokio::time::sleep_until(deadline) => return SegmentEnd::TimeOver,
+                        is_moved = self.prepare_move() => {
+                            if !is_moved {
+                                loss_watch.hold();
+                                continue;
+                            }
+                            if loss == LossReason::NoProgress {
+                                upstream.avoid(Instant::now());
+                            }
+                            return SegmentEnd::Lost(format!("{loss:?}"));
+                        }
                     }
-                    if loss == LossReason::NoProgress {
-                        upstream.avoid(Instant::now());
-                    }
-                    return SegmentEnd::Lost(format!("{loss:?}"));
                 }
                 () = sender.closed() => {
                     self.free_current_replica(&upstream);
--- a/tests/leaving_upstreams.rs
+++ b/tests/leaving_upstreams.rs
@@ -6,8 +6,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use serde_json::json;
 use support::edge_environment::caller::{Caller, Response};
-use support::edge_environment::{IDEMPOTENT_PATH, TestEnvironment, eventually};
+use support::edge_environment::{IDEMPOTENT_PATH, TestEnvironment, config, eventually};
 use tokio::task::JoinHandle;
 use zinniawing::EdgeNode;
 
@@ -154,3 +155,27 @@
 
     assert_eq!(got.status, 200, "{} {}", got.head, got.body);
 }
+
+#[tokio::test]
+async fn a_stream_that_may_be_sent_once_stays_at_its_silent_engine_although_others_respond() {
+    let environment = TestEnvironment::start(4).await;
+    let mut config = config(2);
+    config["routes"][0]["max-attempts"] = json!(1);
+    environment.store.put("config", "main", config);
+    for engine in &environment.engines {
+        *engine.event_interval.lock().expect("unpoisoned") = EVENT_INTERVAL;
+    }
+    let (_node, caller) = environment.start_ready_node("n1").await;
+    let stream = spawn_stream(&caller);
+    eventually("the stream runs", || environment.run_count() > 0).await;
+    tokio::time::sleep(Duration::from_millis(250)).await;
+
+    let silent = environment.running_engine().clone();
+    silent.set_frozen(true);
+    tokio::time::sleep(SILENCE).await;
+    silent.set_frozen(false);
+    let got = stream.await.expect("no panic");
+
+    assert_complete(&got);
+    assert_eq!(environment.run_count(), 1);
+}
