--- a/tests/answers_are_not_cut.rs
+++ b/tests/answers_are_not_cut.rs
@@ -173,6 +173,7 @@
     let got = stream.await.expect("no panic");
 
     assert_complete(&got);
+    assert_eq!(environment.run_count(), 1, "it was sent without a retry");
 }
 
 #[tokio::test]
