--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -94,15 +94,19 @@
             longest_pause_ms: 0,
             last_event_at: None,
         };
-        let deadline = run.call.deadline.into();
-        let opened = tokio::time::timeout_at(deadline, run.open()).await;
+        let deadline = run.call.deadline;
+        let opened = tokio::select! {
+            biased;
+            opened = run.open() => Some(opened),
+            () = self.wait_until_answer_due(deadline) => None,
+        };
         let timed_out = || {
             OpenFailure::GivenUp(
                 GiveUpReason::TimeOver,
                 "no upstream began the stream in time".to_owned(),
             )
         };
-        match opened.unwrap_or_else(|_| Err(timed_out())) {
+        match opened.unwrap_or_else(|| Err(timed_out())) {
             Ok(attempt) => run.respond(attempt),
             Err(OpenFailure::Answer(answer)) => *answer,
             Err(OpenFailure::GivenUp(reason, cause)) => {
@@ -331,10 +335,16 @@
         loop {
             let forwarder = self.forwarder.clone();
             let loss = tokio::select! {
+                biased;
                 sent = &mut sending => return sent,
                 loss = loss_watch.wait_for_loss(&forwarder.directory, StreamPhase::Prefill, &forwarder.metrics) => loss,
             };
-            if self.prepare_move().await {
+            let is_moved = tokio::select! {
+                biased;
+                sent = &mut sending => return sent,
+                is_moved = self.prepare_move() => is_moved,
+            };
+            if is_moved {
                 return Err(AttemptFailure::Abandoned(loss));
             }
             loss_watch.hold();
--- a/src/forward/stream_move.rs
+++ b/src/forward/stream_move.rs
@@ -32,8 +32,9 @@
 
 /// How the attempt to move a stream ended.
 pub(super) enum MoveOutcome {
-    /// Another upstream has answered.
-    Moved(Box<Attempt<Answered>>),
+    /// Another upstream has answered. The connection to the present one may have
+    /// broken in the meantime.
+    Moved(Box<Attempt<Answered>>, Option<hyper::Error>),
     /// The present upstream sent the next frame of its answer, or its answer ended.
     GoesOn(Option<Result<Frame<Bytes>, hyper::Error>>),
     /// No other upstream can take the stream.
@@ -75,7 +76,7 @@
         let tried_count = self.tried.len();
         let had_upstream_sent_event = self.has_upstream_sent_event;
         let outcome = self.race_move(body, sender).await;
-        if !matches!(outcome, MoveOutcome::Moved(_)) && self.tried.len() > tried_count {
+        if !matches!(outcome, MoveOutcome::Moved(..)) && self.tried.len() > tried_count {
             // The slot has the replica of a run that did not begin.
             lock(&self.replica).take();
             self.has_upstream_sent_event = had_upstream_sent_event;
@@ -102,7 +103,7 @@
                 () = tokio::time::sleep_until(deadline) => return MoveOutcome::TimeOver,
             };
             return match (opened, error) {
-                (Ok(attempt), _) => MoveOutcome::Moved(Box::new(attempt)),
+                (Ok(attempt), error) => MoveOutcome::Moved(Box::new(attempt), error),
                 (Err(_), Some(error)) => MoveOutcome::GoesOn(Some(Err(error))),
                 (Err(_), None) => MoveOutcome::Stays,
             };
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -183,10 +183,13 @@
                             loss_watch.hold();
                             continue;
                         }
-                        MoveOutcome::Moved(attempt) => {
+                        MoveOutcome::Moved(attempt, error) => {
                             if loss == LossReason::NoProgress {
                                 upstream.avoid(Instant::now());
                             }
+                            if error.is_some() {
+                                self.handle_disconnect(&upstream, phase);
+                            }
                             self.record_loss(&upstream, &format!("{loss:?}"));
                             let attempt = *attempt;
                             return SegmentEnd::Moved(Box::new(Move { attempt, began_at }));
@@ -214,9 +217,7 @@
                 }
                 None => return SegmentEnd::Lost("the answer ended within an event".to_owned()),
                 Some(Err(error)) => {
-                    upstream.avoid(Instant::now());
-                    self.check_for_crash_unless_event_sent(&upstream);
-                    self.forwarder.probe_after_disconnect(&upstream);
+                    self.handle_disconnect(&upstream, phase);
                     return SegmentEnd::Lost(error.to_string());
                 }
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -253,6 +254,16 @@
         }
     }
 
+    /// Checks what became of an upstream whose connection broke in this phase of the
+    /// stream. One that had sent an event survived the start of the call.
+    fn handle_disconnect(&self, upstream: &Arc<Upstream>, phase: StreamPhase) {
+        upstream.avoid(Instant::now());
+        if phase == StreamPhase::Prefill {
+            self.forwarder.check_for_crash(&self.call, upstream);
+        }
+        self.forwarder.probe_after_disconnect(upstream);
+    }
+
     fn free_current_replica(&self, upstream: &Arc<Upstream>) {
         if let Some(replica) = lock(&self.replica).take() {
             free_replica(upstream.clone(), replica);
--- a/tests/silent_upstreams.rs
+++ b/tests/silent_upstreams.rs
@@ -96,7 +96,7 @@
     let (environment, _node, streams) =
         start_with_running_streams(4, |route| route["max-attempts"] = json!(2)).await;
     for engine in &environment.engines {
-        engine.refuses_runs.store(true, Ordering::Relaxed);
+        engine.is_full.store(true, Ordering::Relaxed);
     }
     let silent = environment.running_engine();
 
