Let a stream that has begun return to an engine that it left

What callers saw: with two engines, a stream that had moved away from a silent one was cut when the other crashed, although the first had gone on since.

Cause: an upstream was never chosen twice for a call, whatever became of it.

Evidence: a_stream_returns_to_an_engine_that_was_silent_when_its_next_engine_crashes failed three times of three.

Change: a stream that has passed on an event may choose among the upstreams that it tried, except for the last, if no other is left. Attempts and retry budget are counted as before.

--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -207,6 +207,7 @@
         holder
             .or_else(|| self.upstream_with_cached_prompt())
             .or_else(|| forwarder.choose_upstream(&self.call.service, &self.tried, choose_engine))
+            .or_else(|| self.choose_again())
             .ok_or_else(|| {
                 OpenFailure::given_up(
                     GiveUpReason::NoUpstream,
@@ -215,6 +216,19 @@
             })
     }
 
+    /// Chooses among the upstreams that were tried, except for the last one. A stream
+    /// that has begun can't be refused any more, and an upstream that it left may
+    /// have gone on since.
+    fn choose_again(&self) -> Option<Arc<Upstream>> {
+        if self.event_count == 0 {
+            return None;
+        }
+        let last = self.tried.last().cloned();
+        let excluded = last.as_slice();
+        self.forwarder
+            .choose_upstream(&self.call.service, excluded, choose_engine)
+    }
+
     /// Spends a retry, unless the call has not been sent yet.
     pub(super) async fn spend_retry(&self) -> Result<(), OpenFailure> {
         if self.sends.sent_count() == 0 || self.forwarder.spend_or_borrow_retry(&self.call).await {
