Take the first answer of a repeated call's upstreams

What callers saw: 504 after 400 ms for an idempotent call whose first upstream would have answered after 260 ms; the second one had no time left.

Evidence: a_call_keeps_its_upstream_when_no_time_is_left_for_another_one failed three times of three.

Change: a call that may run more than once stays at its silent upstream while another one gets it as well. The first answer is taken, the rest are cancelled and count as failures of their upstreams. Attempts and retry budget are as before.

Why it works: a silent upstream is never given up for one that may be slower.

--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -3,34 +3,48 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+
 use super::answer_body;
 use super::attempt::{Answered, Attempt, AttemptFailure};
 use super::forwarder::{Forwarder, NodeContext};
-use super::probe::LossReason;
 use super::request::Call;
 use super::send_history::SendHistory;
 use super::upstream::{Upstream, Work};
 use crate::http::HttpResponse;
 use crate::observe::metrics::{Counter, Span};
 use crate::platform::call::UpstreamHeaders;
-use crate::policy::failure_response::GiveUpReason;
+use crate::policy::failure_response::{GiveUpReason, Progress};
 use crate::policy::placement::choose_for_plain_call;
 
-/// Time-out of a send to one upstream, if the call may be sent to another one
-/// afterwards.
-const REPEATABLE_SEND_TIMEOUT: Duration = Duration::from_millis(200);
+/// Silence after which a call that may run more than once is sent to another
+/// upstream as well.
+const HEDGE_DELAY: Duration = Duration::from_millis(200);
 /// Number of sends that reached no upstream, or another one than intended, after
 /// which a call is given up.
 const UNDELIVERED_SENDS_MAX: u32 = 4;
 
+/// A send that was begun and whose answer has not been received.
+#[derive(Debug)]
+struct PendingSend {
+    upstream: Arc<Upstream>,
+    sent_at: Instant,
+}
+
+/// How one send ended.
+#[derive(Debug)]
+struct SendResult {
+    upstream: Arc<Upstream>,
+    answer: Result<HttpResponse, AttemptFailure>,
+}
+
 /// State of one plain call across its sends.
 #[derive(Debug)]
 struct PlainCallState {
     tried: Vec<Arc<Upstream>>,
+    pending: Vec<PendingSend>,
     sends: SendHistory,
-    /// The upstream of the next send, if it was chosen before the last send was
-    /// abandoned. Its retry is already spent.
-    next: Option<Arc<Upstream>>,
     /// The last server error of an upstream, which is passed on if no other
     /// upstream succeeds.
     server_error: Option<HttpResponse>,
@@ -42,12 +56,45 @@
     fn new() -> Self {
         Self {
             tried: Vec::new(),
+            pending: Vec::new(),
             sends: SendHistory::new(),
-            next: None,
             server_error: None,
             cause: String::from("no upstream of the service accepts calls"),
         }
     }
+
+    /// Records the start of a send.
+    fn begin_send(&mut self, upstream: &Arc<Upstream>) {
+        self.tried.push(upstream.clone());
+        self.sends.begin();
+        self.pending.push(PendingSend {
+            upstream: upstream.clone(),
+            sent_at: Instant::now(),
+        });
+    }
+
+    /// Records the result of a send in the averages of its upstream.
+    fn end_send(&mut self, result: &SendResult) {
+        let is_ended = |send: &mut PendingSend| Arc::ptr_eq(&send.upstream, &result.upstream);
+        for send in self.pending.extract_if(.., is_ended) {
+            record_result(&send.upstream, send.sent_at, &result.answer);
+        }
+    }
+
+    /// Avoids the upstreams that have not answered.
+    fn avoid_silent_upstreams(&self) {
+        let now = Instant::now();
+        for send in &self.pending {
+            send.upstream.avoid(now);
+        }
+    }
+
+    /// Records the sends that are cancelled because another upstream answered.
+    fn cancel_pending(&self) {
+        for send in &self.pending {
+            send.upstream.record_call(send.sent_at.elapsed(), true);
+        }
+    }
 }
 
 impl<N: NodeContext> Forwarder<N> {
@@ -85,39 +132,71 @@
 
     /// Sends a plain call to one upstream after the other until one answers it.
     /// Returns `None` if the call is to be given up.
+    ///
+    /// If the call may run more than once and its upstream is silent, another one
+    /// gets it as well, and the first answer is taken: the silent upstream may still
+    /// answer.
     async fn send_until_answered(
         self: &Arc<Self>,
         call: &Call,
         state: &mut PlainCallState,
     ) -> Option<HttpResponse> {
-        let kind = call.matched.route.kind;
+        let may_repeat = call.matched.route.kind.may_repeat();
+        let mut sends = FuturesUnordered::new();
         loop {
-            let upstream = match state.next.take() {
-                Some(upstream) => upstream,
-                None => self.next_upstream(call, state)?,
+            if let Some(upstream) = self.next_upstream(call, state) {
+                state.avoid_silent_upstreams();
+                state.begin_send(&upstream);
+                sends.push(self.send(call, upstream));
+            }
+            let ended = if may_repeat {
+                tokio::time::timeout(HEDGE_DELAY, sends.next()).await
+            } else {
+                Ok(sends.next().await)
             };
-            state.tried.push(upstream.clone());
-            state.sends.begin();
-            let sent_at = Instant::now();
-            let result = self.try_upstream(call, &upstream, state).await;
-            record_result(&upstream, sent_at, &result);
-            match result {
-                Ok(response) if response.status().is_server_error() && kind.may_repeat() => {
-                    state.cause = format!("{} answered with a server error", upstream.entry.id);
-                    state.server_error = Some(response);
-                }
-                Ok(response) => return Some(response),
-                Err(failure) => {
-                    self.handle_failure(call, &upstream, &failure);
-                    let did_not_run = state.sends.record_failure(&failure);
-                    state.cause = format!("{}: {failure}", upstream.entry.id);
-                    if matches!(failure, AttemptFailure::MayHaveRun(_)) {
-                        self.check_for_crash(call, &upstream);
-                    }
-                    if !did_not_run && !kind.may_repeat() {
-                        return None;
-                    }
+            // Without an end, the upstreams are silent.
+            let Ok(ended) = ended else {
+                continue;
+            };
+            // Nothing is pending, and no upstream is left.
+            let result = ended?;
+            state.end_send(&result);
+            if let Some(response) = self.handle_result(call, state, result) {
+                state.cancel_pending();
+                return Some(response);
+            }
+            let may_have_run = state.sends.progress() == Progress::MayHaveRun;
+            if may_have_run && !may_repeat {
+                return None;
+            }
+        }
+    }
+
+    /// Handles the end of one send, and returns the answer for the caller if it has
+    /// one.
+    fn handle_result(
+        self: &Arc<Self>,
+        call: &Call,
+        state: &mut PlainCallState,
+        result: SendResult,
+    ) -> Option<HttpResponse> {
+        let SendResult { upstream, answer } = result;
+        let may_repeat = call.matched.route.kind.may_repeat();
+        match answer {
+            Ok(response) if response.status().is_server_error() && may_repeat => {
+                state.cause = format!("{} answered with a server error", upstream.entry.id);
+                state.server_error = Some(response);
+                None
+            }
+            Ok(response) => Some(response),
+            Err(failure) => {
+                self.handle_failure(call, &upstream, &failure);
+                state.sends.record_failure(&failure);
+                state.cause = format!("{}: {failure}", upstream.entry.id);
+                if matches!(failure, AttemptFailure::MayHaveRun(_)) {
+                    self.check_for_crash(call, &upstream);
                 }
+                None
             }
         }
     }
@@ -146,14 +225,16 @@
         (is_first || self.spend_own_retry(call)).then_some(upstream)
     }
 
-    /// Sends a plain call to one upstream. A call that may be repeated is abandoned
-    /// after [`REPEATABLE_SEND_TIMEOUT`], but only if its next send is certain: a
-    /// silent upstream may still answer.
-    async fn try_upstream(
+    /// Sends a plain call to one upstream, and reads its answer.
+    async fn send(&self, call: &Call, upstream: Arc<Upstream>) -> SendResult {
+        let answer = self.request_answer(call, &upstream).await;
+        SendResult { upstream, answer }
+    }
+
+    async fn request_answer(
         &self,
         call: &Call,
         upstream: &Arc<Upstream>,
-        state: &mut PlainCallState,
     ) -> Result<HttpResponse, AttemptFailure> {
         let Some(time_left) = call.time_for_upstream(Instant::now()) else {
             return Err(AttemptFailure::NotSent(
@@ -171,26 +252,9 @@
         self.metrics.add(Counter::UpstreamSends, 1);
         let work = Work::call(upstream, 0, 0);
         let attempt = Attempt::new(upstream.clone(), work, request);
-        let send_and_read = async {
-            let answered: Attempt<Answered> = attempt.send(call.headers.call_id.as_ref()).await?;
-            let read = answer_body::read(answered).await;
-            read.map_err(|error| AttemptFailure::MayHaveRun(error.to_string()))
-        };
-        if !call.matched.route.kind.may_repeat() {
-            return send_and_read.await;
-        }
-        tokio::pin!(send_and_read);
-        loop {
-            let answered =
-                tokio::time::timeout(REPEATABLE_SEND_TIMEOUT, send_and_read.as_mut()).await;
-            if let Ok(result) = answered {
-                return result;
-            }
-            state.next = self.next_upstream(call, state);
-            if state.next.is_some() {
-                return Err(AttemptFailure::Abandoned(LossReason::NoProgress));
-            }
-        }
+        let answered: Attempt<Answered> = attempt.send(call.headers.call_id.as_ref()).await?;
+        let read = answer_body::read(answered).await;
+        read.map_err(|error| AttemptFailure::MayHaveRun(error.to_string()))
     }
 
     /// Logs why an attempt failed, and updates the state of the upstream: it is
