Let the stand-in services fall silent and record what arrived

The soak has to tell whether an upstream got a call and was still at work on it when the caller's connection ended. Engines and services now keep a log of arrivals with the end of each; services can be frozen as engines can, belong to a service of any name, and take the time of an answer from the request.

--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -13,6 +13,7 @@
 
 use super::free_address;
 use super::raw::{RawRequest, RequestHandler, reply, serve};
+use super::run_log::RunLog;
 
 /// KV cache replicas of all engines, as the address of the holder and the name of
 /// the replica.
@@ -40,6 +41,8 @@
     pub truncates_event: AtomicBool,
     /// Resets new connections; open ones are served.
     pub refuses_connections: AtomicBool,
+    /// Calls that arrived, run or not; probes are left out.
+    pub run_log: RunLog,
     name: String,
     incarnation: AtomicU64,
     held_replicas: HeldReplicas,
@@ -69,6 +72,7 @@
             event_interval: Mutex::new(Duration::from_millis(10)),
             truncates_event: AtomicBool::new(false),
             refuses_connections: AtomicBool::new(false),
+            run_log: RunLog::default(),
             name: name.to_owned(),
             incarnation: AtomicU64::new(1),
             held_replicas: held_replicas.clone(),
@@ -237,6 +241,8 @@
     }
 
     async fn handle(self: Arc<Self>, request: RawRequest, stream: &mut TcpStream) -> bool {
+        let call_id = request.header("x-zinniawing-attempt-id");
+        let _arrival = call_id.map(|call_id| self.run_log.begin(call_id));
         self.wait_until_unfrozen().await;
         let expected = request.header("x-zinniawing-expect-instance");
         if expected.is_some_and(|expected| expected != self.id()) {
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod engine;
 pub mod raw;
+pub mod run_log;
 pub mod service;
 pub mod store;
 
--- a/tests/support/edge_environment/service.rs
+++ b/tests/support/edge_environment/service.rs
@@ -12,6 +12,10 @@
 
 use super::free_address;
 use super::raw::{RawRequest, RequestHandler, reply, serve};
+use super::run_log::RunLog;
+
+/// Name of the query field that sets a call's answer time in milliseconds.
+pub const ANSWER_TIME_QUERY: &str = "answer-ms";
 
 /// A fault in the handling of one of the next calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,6 +75,10 @@
     pub answer_time: Mutex<Duration>,
     /// If set, answers have this many bytes, and pause in the middle.
     pub long_answer: Mutex<Option<LongAnswer>>,
+    /// Calls that arrived, executed or not.
+    pub run_log: RunLog,
+    service: String,
+    frozen: tokio::sync::watch::Sender<bool>,
     next_faults: Mutex<VecDeque<NextFault>>,
     received: Mutex<Vec<RawRequest>>,
     executed: Mutex<Vec<RawRequest>>,
@@ -78,9 +86,17 @@
 
 impl Service {
     pub async fn start(id: &str) -> Arc<Self> {
+        Self::start_in(id, "pay").await
+    }
+
+    /// Starts an upstream of the service with the name `service`.
+    pub async fn start_in(id: &str, service: &str) -> Arc<Self> {
         let address = free_address();
         let service = Arc::new(Self {
             id: id.to_owned(),
+            run_log: RunLog::default(),
+            service: service.to_owned(),
+            frozen: tokio::sync::watch::Sender::new(false),
             address,
             advertised_address: Mutex::new(address),
             answer_time: Mutex::default(),
@@ -94,10 +110,19 @@
     }
 
     pub fn entry(&self, state: &str) -> Value {
-        json!({ "service": "pay", "address": self.advertised_address.lock().expect("unpoisoned").to_string(), "zone": "dc-a",
+        json!({ "service": self.service, "address": self.advertised_address.lock().expect("unpoisoned").to_string(), "zone": "dc-a",
                 "version": "v1", "slots": 6, "state": state, "sequence": 1, "born": 1000 })
     }
 
+    /// While frozen, it answers nothing; its connections stay open.
+    pub fn set_frozen(&self, is_frozen: bool) {
+        self.frozen.send_replace(is_frozen);
+    }
+
+    async fn wait_until_unfrozen(&self) {
+        let _ = self.frozen.subscribe().wait_for(|frozen| !frozen).await;
+    }
+
     pub fn queue_fault(&self, fault: NextFault) {
         self.next_faults
             .lock()
@@ -105,6 +130,10 @@
             .push_back(fault);
     }
 
+    pub fn clear_faults(&self) {
+        self.next_faults.lock().expect("unpoisoned").clear();
+    }
+
     pub fn all_faults_used(&self) -> bool {
         self.next_faults.lock().expect("unpoisoned").is_empty()
     }
@@ -139,14 +168,16 @@
 
 impl RequestHandler for Service {
     async fn handle(self: Arc<Self>, request: RawRequest, stream: &mut TcpStream) -> bool {
-        self.received
-            .lock()
-            .expect("unpoisoned")
-            .push(request.clone());
         let call_id = request
             .header("x-zinniawing-attempt-id")
             .unwrap_or("-")
             .to_owned();
+        let _arrival = self.run_log.begin(&call_id);
+        self.wait_until_unfrozen().await;
+        self.received
+            .lock()
+            .expect("unpoisoned")
+            .push(request.clone());
         let fault = self.next_faults.lock().expect("unpoisoned").pop_front();
         let not_executed = "x-zinniawing-not-executed: 1\r\n";
         match fault {
@@ -158,8 +189,12 @@
             .lock()
             .expect("unpoisoned")
             .push(request.clone());
-        let answer_time = *self.answer_time.lock().expect("unpoisoned");
+        let answer_time = request.query(ANSWER_TIME_QUERY).map_or_else(
+            || *self.answer_time.lock().expect("unpoisoned"),
+            |text| Duration::from_millis(text.parse().expect("a number of milliseconds")),
+        );
         tokio::time::sleep(answer_time).await;
+        self.wait_until_unfrozen().await;
         let headers = answer_headers(&call_id);
         let long_answer = *self.long_answer.lock().expect("unpoisoned");
         if let Some(long_answer) = long_answer {
