Add silences and changes of each part of the configuration to the soak

New kinds of faults: one upstream, the engines of a data centre or all upstreams send and answer nothing for 0.8 to 1.5 s, once or three times, and go on where they were; the operator changes the idle limit, the size limits, time-outs, priorities, weights, the service of routes, a route and keys. SOAK_FAULTS limits the kinds, so that a cause can be played alone. A failing seed no longer ends the run: all seeds are played, then the run fails with what all of them broke.

--- /dev/null
+++ b/tests/soak/fault_kind.rs
@@ -0,0 +1,107 @@
+//! The kinds of faults, and the choice of those that a run injects.
+
+/// The summary line prints these names, and scripts read them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum FaultKind {
+    KillNode,
+    /// The node gets SIGTERM.
+    StopNode,
+    /// The node gets SIGSTOP.
+    PauseNode,
+    /// The node gets SIGHUP.
+    ReloadNode,
+    /// The proxy between a node and the store delays, holds back or resets traffic.
+    CutStoreLink,
+    /// The store answers every request with status 503.
+    StoreAway,
+    /// The store does not answer.
+    StoreSilent,
+    /// The store drops the history of changes, so that nodes must list again.
+    ForgetHistory,
+    /// The engine crashes and starts again as a new incarnation.
+    CrashEngine,
+    /// All engines of a data centre crash and start again, one after the other.
+    CrashDataCentre,
+    FreezeEngine,
+    CutEngineLink,
+    DrainEngine,
+    /// One call fails at a service, in one of the ways of `NextFault`.
+    ServiceFails,
+    CutServiceLink,
+    /// One upstream sends and answers nothing for about a second, and goes on.
+    SilenceUpstream,
+    /// The same for all engines of a data centre.
+    SilenceDataCentre,
+    /// The same for all engines and services.
+    SilenceAll,
+    /// The proxy to an upstream holds back all traffic for one to two and a half
+    /// seconds. It is injected only by its name.
+    MuteLink,
+    /// A new version without other changes.
+    ChangeVersion,
+    ChangeIdleLimit,
+    /// Limits on the size of headers and bodies, and on the time for headers.
+    ChangeSizeLimits,
+    ChangeTimeout,
+    ChangePriority,
+    /// Splits the plain routes between two services.
+    ChangeWeights,
+    /// Moves the plain routes to one of two services.
+    ChangeRouteService,
+    /// Removes a route, or adds it again.
+    ChangeRoutes,
+    ChangeKeys,
+}
+
+const DEFAULT_KINDS: [FaultKind; 27] = [
+    FaultKind::KillNode,
+    FaultKind::StopNode,
+    FaultKind::PauseNode,
+    FaultKind::ReloadNode,
+    FaultKind::CutStoreLink,
+    FaultKind::StoreAway,
+    FaultKind::StoreSilent,
+    FaultKind::ForgetHistory,
+    FaultKind::CrashEngine,
+    FaultKind::CrashDataCentre,
+    FaultKind::FreezeEngine,
+    FaultKind::CutEngineLink,
+    FaultKind::DrainEngine,
+    FaultKind::ServiceFails,
+    FaultKind::CutServiceLink,
+    FaultKind::SilenceUpstream,
+    FaultKind::SilenceDataCentre,
+    FaultKind::SilenceAll,
+    FaultKind::ChangeVersion,
+    FaultKind::ChangeIdleLimit,
+    FaultKind::ChangeSizeLimits,
+    FaultKind::ChangeTimeout,
+    FaultKind::ChangePriority,
+    FaultKind::ChangeWeights,
+    FaultKind::ChangeRouteService,
+    FaultKind::ChangeRoutes,
+    FaultKind::ChangeKeys,
+];
+
+impl FaultKind {
+    /// The kinds that `SOAK_FAULTS` names, by their names or the starts of their
+    /// names, separated by commas. Without it, all kinds but `MuteLink`.
+    pub fn selected() -> Vec<Self> {
+        let Ok(names) = std::env::var("SOAK_FAULTS") else {
+            return DEFAULT_KINDS.to_vec();
+        };
+        let mut selected: Vec<Self> = Vec::new();
+        for name in names.split(',') {
+            let all = DEFAULT_KINDS.into_iter().chain([Self::MuteLink]);
+            let count_before = selected.len();
+            selected.extend(all.filter(|kind| format!("{kind:?}").starts_with(name)));
+            assert!(selected.len() > count_before, "no kind of fault is {name}");
+        }
+        selected
+    }
+
+    /// Whether it leaves the news of a draining engine as they are.
+    pub fn keeps_draining_bound(self) -> bool {
+        matches!(self, Self::CrashEngine | Self::DrainEngine)
+    }
+}
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -8,10 +8,12 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::edge_environment::config;
 use crate::edge_environment::service::NextFault;
+use crate::fault_kind::FaultKind;
+use crate::history::{Occurrence, UpstreamAt};
 use crate::node::SoakEnvironment;
 use crate::proxy::Mode;
+use crate::silences::{self, Silences};
 
 /// A draining engine must get no new runs later than this after it was marked.
 const DRAINING_BOUND: Duration = Duration::from_secs(2);
@@ -22,56 +24,6 @@
 /// disturbances: they can delay the news of a draining engine.
 const UNDISTURBED_TIME: Duration = Duration::from_secs(3);
 
-/// The summary line prints these names, and scripts read them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum FaultKind {
-    KillNode,
-    /// The node gets SIGTERM.
-    StopNode,
-    /// The node gets SIGSTOP.
-    PauseNode,
-    /// The node gets SIGHUP.
-    ReloadNode,
-    /// The proxy between a node and the store delays, holds back or resets traffic.
-    CutStoreLink,
-    /// The store answers every request with status 503.
-    StoreAway,
-    /// The store does not answer.
-    StoreSilent,
-    /// The store drops the history of changes, so that nodes must list again.
-    ForgetHistory,
-    /// The engine crashes and starts again as a new incarnation.
-    CrashEngine,
-    /// All engines of a data centre crash and start again, one after the other.
-    CrashDataCentre,
-    FreezeEngine,
-    CutEngineLink,
-    DrainEngine,
-    /// One call fails at a service, in one of the ways of `NextFault`.
-    ServiceFails,
-    CutServiceLink,
-    ChangeConfig,
-}
-
-const FAULT_KINDS: [FaultKind; 16] = [
-    FaultKind::KillNode,
-    FaultKind::StopNode,
-    FaultKind::PauseNode,
-    FaultKind::ReloadNode,
-    FaultKind::CutStoreLink,
-    FaultKind::StoreAway,
-    FaultKind::StoreSilent,
-    FaultKind::ForgetHistory,
-    FaultKind::CrashEngine,
-    FaultKind::CrashDataCentre,
-    FaultKind::FreezeEngine,
-    FaultKind::CutEngineLink,
-    FaultKind::DrainEngine,
-    FaultKind::ServiceFails,
-    FaultKind::CutServiceLink,
-    FaultKind::ChangeConfig,
-];
-
 /// An engine whose entry in the store says that it is draining.
 struct DrainingEngine {
     engine: usize,
@@ -80,8 +32,9 @@
 
 pub struct Faults {
     random: StdRng,
+    kinds: Vec<FaultKind>,
     counts: BTreeMap<FaultKind, usize>,
-    version: u64,
+    silences: Silences,
     draining: Vec<DrainingEngine>,
     /// Times at which faults that can delay the news of a draining engine began or
     /// ended.
@@ -93,8 +46,9 @@
     pub fn new(seed: u64) -> Self {
         Self {
             random: StdRng::seed_from_u64(seed),
+            kinds: FaultKind::selected(),
             counts: BTreeMap::new(),
-            version: 1,
+            silences: Silences::default(),
             draining: Vec::new(),
             disturbances: Vec::new(),
             violations: Vec::new(),
@@ -108,7 +62,7 @@
     /// Injects one fault, waits, restarts nodes that have exited, and ends all faults
     /// with a probability of 0.3; otherwise the fault overlaps with the next one.
     pub async fn step(&mut self, environment: &mut SoakEnvironment) {
-        let kind = FAULT_KINDS[self.random.random_range(0..FAULT_KINDS.len())];
+        let kind = self.kinds[self.random.random_range(0..self.kinds.len())];
         *self.counts.entry(kind).or_default() += 1;
         self.inject(kind, environment).await;
         let pause = self.random.random_range(50..500);
@@ -126,10 +80,15 @@
         let engine = self.random.random_range(0..environment.engines.len());
         let service = self.random.random_range(0..environment.services.len());
         let mode = self.random_mode();
-        let keeps_draining_bound = matches!(kind, FaultKind::CrashEngine | FaultKind::DrainEngine);
-        if !keeps_draining_bound {
+        let upstreams = environment.upstreams();
+        let upstream = upstreams[self.random.random_range(0..upstreams.len())];
+        if !kind.keeps_draining_bound() {
             self.disturbances.push(Instant::now());
         }
+        for disturbed in disturbed_upstreams(kind, engine, service, environment) {
+            let what = Occurrence::UpstreamDisturbed(disturbed);
+            environment.history.begin(what);
+        }
         match kind {
             FaultKind::KillNode => environment.nodes[node].signal("KILL"),
             FaultKind::StopNode => environment.nodes[node].signal("TERM"),
@@ -158,15 +117,33 @@
                     .queue_fault(NextFault::ALL[fault]);
             }
             FaultKind::CutServiceLink => environment.services[service].1.set_mode(mode),
-            FaultKind::ChangeConfig => {
-                self.version += self.random.random_range(1..4);
-                environment
-                    .store
-                    .put("config", "main", config(self.version));
+            FaultKind::SilenceUpstream => self.silence(vec![upstream], environment),
+            FaultKind::SilenceDataCentre => {
+                let engines = (engine % 2..environment.engines.len()).step_by(2);
+                self.silence(engines.map(UpstreamAt::Engine).collect(), environment);
+            }
+            FaultKind::SilenceAll => self.silence(upstreams, environment),
+            FaultKind::MuteLink => silences::mute_link(upstream, environment, &mut self.random),
+            FaultKind::ChangeVersion
+            | FaultKind::ChangeIdleLimit
+            | FaultKind::ChangeSizeLimits
+            | FaultKind::ChangeTimeout
+            | FaultKind::ChangePriority
+            | FaultKind::ChangeWeights
+            | FaultKind::ChangeRouteService
+            | FaultKind::ChangeRoutes
+            | FaultKind::ChangeKeys => {
+                environment.config.change(kind, &mut self.random);
+                environment.put_config();
             }
         }
     }
 
+    fn silence(&mut self, upstreams: Vec<UpstreamAt>, environment: &SoakEnvironment) {
+        self.silences
+            .start(upstreams, environment, &mut self.random);
+    }
+
     fn random_mode(&mut self) -> Mode {
         match self.random.random_range(0..4) {
             0 => Mode::Delay(Duration::from_millis(self.random.random_range(5..200))),
@@ -200,6 +177,8 @@
         for draining in std::mem::take(&mut self.draining) {
             self.check_draining_bound(&draining, environment);
             let (engine, _) = &environment.engines[draining.engine];
+            let what = Occurrence::UpstreamDisturbed(UpstreamAt::Engine(draining.engine));
+            environment.history.record(what);
             environment.store.delete("servers", &engine.id());
             engine.crash();
             engine.restart().await;
@@ -261,6 +240,26 @@
     }
 }
 
+/// Upstreams that a fault disturbs until the faults end.
+fn disturbed_upstreams(
+    kind: FaultKind,
+    engine: usize,
+    service: usize,
+    environment: &SoakEnvironment,
+) -> Vec<UpstreamAt> {
+    match kind {
+        FaultKind::CrashEngine | FaultKind::FreezeEngine | FaultKind::CutEngineLink => {
+            vec![UpstreamAt::Engine(engine)]
+        }
+        FaultKind::CrashDataCentre => (engine % 2..environment.engines.len())
+            .step_by(2)
+            .map(UpstreamAt::Engine)
+            .collect(),
+        FaultKind::ServiceFails | FaultKind::CutServiceLink => vec![UpstreamAt::Service(service)],
+        _ => Vec::new(),
+    }
+}
+
 async fn restart_engine(environment: &SoakEnvironment, at: usize) {
     let (engine, _) = &environment.engines[at];
     let earlier_id = engine.id();
--- /dev/null
+++ b/tests/soak/history.rs
@@ -0,0 +1,82 @@
+//! The times of planned work and of disturbances, by which unanswered calls are
+//! judged.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+/// An upstream, by its place in the environment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum UpstreamAt {
+    Engine(usize),
+    Service(usize),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Occurrence {
+    /// The node got its first SIGTERM.
+    Stop { node: usize },
+    /// The node got SIGHUP.
+    Reload { node: usize },
+    /// A configuration was stored; `timeout` is the shortest one of its routes.
+    Config { timeout: Duration },
+    /// The node's process was started.
+    Start { node: usize },
+    /// The node was killed or paused.
+    NodeDisturbed { node: usize },
+    /// The upstream crashed, failed a call or froze until further notice, or the
+    /// link to it was disturbed. A silence that ends soon is no disturbance.
+    UpstreamDisturbed(UpstreamAt),
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    pub what: Occurrence,
+    pub from: Instant,
+    /// `None` while it lasts.
+    pub to: Option<Instant>,
+}
+
+impl Entry {
+    pub fn overlaps(&self, from: Instant, to: Instant) -> bool {
+        self.from <= to && self.to.is_none_or(|end| end >= from)
+    }
+}
+
+#[derive(Clone, Default)]
+pub struct History(Arc<Mutex<Vec<Entry>>>);
+
+impl History {
+    /// Records something that is over at once.
+    pub fn record(&self, what: Occurrence) {
+        let now = Instant::now();
+        self.lock().push(Entry {
+            what,
+            from: now,
+            to: Some(now),
+        });
+    }
+
+    /// Records something that lasts until `end_all`.
+    pub fn begin(&self, what: Occurrence) {
+        self.lock().push(Entry {
+            what,
+            from: Instant::now(),
+            to: None,
+        });
+    }
+
+    pub fn end_all(&self) {
+        let now = Instant::now();
+        for entry in self.lock().iter_mut() {
+            entry.to.get_or_insert(now);
+        }
+    }
+
+    pub fn entries(&self) -> Vec<Entry> {
+        self.lock().clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Entry>> {
+        self.0.lock().expect("unpoisoned")
+    }
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -7,23 +7,31 @@
 //! - An answer belongs to its call, and no valid call is denied.
 //! - A stream has each event once and in order, also when it is resumed at another
 //!   node, and ends as complete only after its last event.
+//! - A request that a node has read gets a complete answer, on kept connections and
+//!   around planned work, unless a disturbance or its deadline excuses it.
 //! - A draining engine gets no new runs later than two seconds after it was marked,
 //!   unless another fault began or ended shortly before the run.
 //! - After the faults have ended, every node serves calls and streams again.
 //!
 //! A seed fixes the random choice of faults and their timing.
 //! `SOAK_SEEDS=FIRST..LAST` (without LAST) sets the seeds, `SOAK_SECONDS` how long
-//! each seed injects faults, and `SOAK_NODES` the number of entry nodes, at least
-//! two. `docs/SOAK.md` lists seeds that failed, with their causes.
+//! each seed injects faults, `SOAK_NODES` the number of entry nodes, at least two,
+//! and `SOAK_FAULTS` the kinds of faults, by the starts of their names. `docs/SOAK.md` lists seeds that failed, with their causes.
 
 #[path = "../support/edge_environment/mod.rs"]
 #[expect(dead_code, reason = "the soak uses only some of the fixtures")]
 mod edge_environment;
 
 mod callers;
+mod config_changes;
+mod fault_kind;
 mod faults;
+mod history;
+mod kept;
+mod lost;
 mod node;
 mod proxy;
+mod silences;
 
 use std::time::Duration;
 
@@ -46,14 +54,14 @@
     let fault_duration =
         number_from_env("SOAK_SECONDS").map_or(CI_FAULT_DURATION, Duration::from_secs);
     let node_count = number_from_env("SOAK_NODES").map_or(CI_NODE_COUNT, |n| n as usize);
+    let mut failures = Vec::new();
     for seed in seeds() {
         let violations = run_seed(seed, node_count, fault_duration).await;
-        assert!(
-            violations.is_empty(),
-            "seed {seed}:\n{}",
-            violations.join("\n")
-        );
+        if !violations.is_empty() {
+            failures.push(format!("seed {seed}:\n{}", violations.join("\n")));
+        }
     }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
 
 fn number_from_env(variable: &str) -> Option<u64> {
--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -7,16 +7,20 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use crate::config_changes::{OTHER_SERVICE, OperatorConfig};
+use crate::edge_environment::NodeSpec;
 use crate::edge_environment::caller::Caller;
 use crate::edge_environment::engine::{self, Engine};
 use crate::edge_environment::service::Service;
 use crate::edge_environment::store::Store;
-use crate::edge_environment::{NodeSpec, config};
+use crate::history::{History, Occurrence, UpstreamAt};
 use crate::proxy::{Mode, Proxy};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_zinniawing");
 const ENGINE_COUNT: usize = 8;
-const GRACE_PERIOD_S: u32 = 4;
+/// Half of them belong to each of two services.
+const SERVICE_COUNT: usize = 4;
+pub const GRACE_PERIOD: Duration = Duration::from_secs(4);
 
 /// One node: its process, the proxy between it and the store, and a caller for it.
 pub struct NodeProcess {
@@ -24,16 +28,21 @@
     pub caller: Caller,
     pub store_link: Arc<Proxy>,
     pub is_paused: bool,
+    /// Its place among the nodes.
+    at: usize,
+    is_stopping: bool,
+    history: History,
     settings_path: PathBuf,
     log_path: PathBuf,
     child: Option<Child>,
 }
 
 impl NodeProcess {
-    async fn new(spec: NodeSpec, store: &Store, folder: &std::path::Path) -> Self {
-        let store_link = Proxy::start(store.address).await;
+    async fn new(at: usize, spec: NodeSpec, environment: &SoakEnvironment) -> Self {
+        let store_link = Proxy::start(environment.store.address).await;
+        let folder = &environment.folder;
         let settings_path = folder.join(format!("{}.yaml", spec.name));
-        let text = spec.settings(store_link.address, GRACE_PERIOD_S);
+        let text = spec.settings(store_link.address, GRACE_PERIOD.as_secs() as u32);
         fs::write(&settings_path, text).expect("the settings file is written");
         let mut node = Self {
             caller: Caller::new(&spec),
@@ -41,6 +50,9 @@
             spec,
             store_link,
             is_paused: false,
+            at,
+            is_stopping: false,
+            history: environment.history.clone(),
             settings_path,
             child: None,
         };
@@ -49,6 +61,8 @@
     }
 
     fn spawn(&mut self) {
+        self.is_stopping = false;
+        self.history.record(Occurrence::Start { node: self.at });
         let log = fs::OpenOptions::new()
             .create(true)
             .append(true)
@@ -64,6 +78,7 @@
 
     /// Sends a signal, given by its name without `SIG`, to this node's process.
     pub fn signal(&mut self, name: &str) {
+        self.record_signal(name);
         if let Some(child) = &self.child {
             let id = child.id().to_string();
             let sent = Command::new("kill").args(["-s", name, &id]).status();
@@ -72,6 +87,19 @@
         self.is_paused = name == "STOP";
     }
 
+    fn record_signal(&mut self, name: &str) {
+        let node = self.at;
+        match name {
+            "HUP" => self.history.record(Occurrence::Reload { node }),
+            "TERM" if !self.is_stopping => {
+                self.is_stopping = true;
+                self.history.record(Occurrence::Stop { node });
+            }
+            "KILL" | "STOP" => self.history.begin(Occurrence::NodeDisturbed { node }),
+            _ => {}
+        }
+    }
+
     /// Restarts the process if it has exited; returns whether it was still running.
     pub fn restart_if_exited(&mut self) -> bool {
         let has_exited = self
@@ -99,6 +127,8 @@
     pub engines: Vec<(Arc<Engine>, Arc<Proxy>)>,
     pub services: Vec<(Arc<Service>, Arc<Proxy>)>,
     pub nodes: Vec<NodeProcess>,
+    pub config: OperatorConfig,
+    pub history: History,
     folder: PathBuf,
 }
 
@@ -113,6 +143,8 @@
             engines: Vec::new(),
             services: Vec::new(),
             nodes: Vec::new(),
+            config: OperatorConfig::new(),
+            history: History::default(),
             store,
             folder,
         };
@@ -126,8 +158,9 @@
                 .put("servers", &engine.id(), engine.entry("ready"));
             environment.engines.push((engine, proxy));
         }
-        for n in 0..2 {
-            let service = Service::start(&format!("p-{n}")).await;
+        for n in 0..SERVICE_COUNT {
+            let name = ["pay", OTHER_SERVICE][n % 2];
+            let service = Service::start_in(&format!("p-{n}"), name).await;
             let proxy = Proxy::start(service.address).await;
             *service.advertised_address.lock().expect("unpoisoned") = proxy.address;
             environment
@@ -135,7 +168,7 @@
                 .put("servers", &service.id, service.entry("ready"));
             environment.services.push((service, proxy));
         }
-        environment.store.put("config", "main", config(1));
+        environment.put_config();
         let mut specs: Vec<NodeSpec> = Vec::new();
         for n in 0..node_count {
             let mut next = NodeSpec::new(&format!("n{n}"), ["dc-a", "dc-b"][n % 2]);
@@ -146,8 +179,8 @@
         }
         let second = specs[1].clone();
         specs[0] = specs[0].clone().with_seed(&second);
-        for spec in specs {
-            let node = NodeProcess::new(spec, &environment.store, &environment.folder).await;
+        for (at, spec) in specs.into_iter().enumerate() {
+            let node = NodeProcess::new(at, spec, &environment).await;
             environment.nodes.push(node);
         }
         for node in &environment.nodes {
@@ -156,16 +189,52 @@
         environment
     }
 
+    /// Stores the newest configuration.
+    pub fn put_config(&self) {
+        let timeout = self.config.least_timeout();
+        self.history.record(Occurrence::Config { timeout });
+        self.store.put("config", "main", self.config.body());
+    }
+
+    pub fn upstreams(&self) -> Vec<UpstreamAt> {
+        let engines = (0..self.engines.len()).map(UpstreamAt::Engine);
+        let services = (0..self.services.len()).map(UpstreamAt::Service);
+        engines.chain(services).collect()
+    }
+
+    pub fn upstream_link(&self, upstream: UpstreamAt) -> Arc<Proxy> {
+        match upstream {
+            UpstreamAt::Engine(at) => self.engines[at].1.clone(),
+            UpstreamAt::Service(at) => self.services[at].1.clone(),
+        }
+    }
+
+    /// A function that freezes the upstream, or ends this.
+    pub fn freezer(&self, upstream: UpstreamAt) -> Box<dyn Fn(bool) + Send> {
+        match upstream {
+            UpstreamAt::Engine(at) => {
+                let engine = self.engines[at].0.clone();
+                Box::new(move |is_frozen| engine.set_frozen(is_frozen))
+            }
+            UpstreamAt::Service(at) => {
+                let service = self.services[at].0.clone();
+                Box::new(move |is_frozen| service.set_frozen(is_frozen))
+            }
+        }
+    }
+
     /// Ends all lasting faults: frozen engines, disturbed links, paused nodes and an
     /// unavailable store. Restarts nodes that have exited.
     pub async fn heal(&mut self) {
+        self.history.end_all();
         self.store.is_unavailable.store(false, Ordering::Relaxed);
         self.store.is_silent.store(false, Ordering::Relaxed);
         for (engine, proxy) in &self.engines {
             engine.set_frozen(false);
             proxy.set_mode(Mode::Pass);
         }
-        for (_, proxy) in &self.services {
+        for (service, proxy) in &self.services {
+            service.clear_faults();
             proxy.set_mode(Mode::Pass);
         }
         for node in &mut self.nodes {
--- /dev/null
+++ b/tests/soak/silences.rs
@@ -0,0 +1,88 @@
+//! Upstreams that fall silent for about a second and go on where they were.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+use crate::history::UpstreamAt;
+use crate::node::SoakEnvironment;
+use crate::proxy::Mode;
+
+/// Shortest time between two silences of one upstream.
+const PAUSE_MIN: Duration = Duration::from_millis(300);
+/// Number of silences in a series.
+const SERIES_LENGTH: usize = 3;
+
+/// One silence after a pause.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    pause: Duration,
+    length: Duration,
+}
+
+impl Silence {
+    fn random(random: &mut StdRng) -> Self {
+        Self {
+            pause: Duration::from_millis(random.random_range(300..2_000)),
+            length: Duration::from_millis(random.random_range(800..1_500)),
+        }
+    }
+}
+
+/// The silences that are under way.
+#[derive(Default)]
+pub struct Silences {
+    /// Time from which an upstream may fall silent again.
+    free_at: BTreeMap<UpstreamAt, Instant>,
+}
+
+impl Silences {
+    /// Makes upstreams silent, once or in a series. Leaves out upstreams that are in
+    /// another series.
+    pub fn start(
+        &mut self,
+        upstreams: Vec<UpstreamAt>,
+        environment: &SoakEnvironment,
+        random: &mut StdRng,
+    ) {
+        let count = if random.random_bool(0.5) {
+            1
+        } else {
+            SERIES_LENGTH
+        };
+        let mut series: Vec<Silence> = (0..count).map(|_| Silence::random(random)).collect();
+        series[0].pause = Duration::ZERO;
+        let duration: Duration = series.iter().map(|s| s.pause + s.length).sum();
+        let now = Instant::now();
+        for upstream in upstreams {
+            let free_at = self.free_at.get(&upstream);
+            if free_at.is_some_and(|at| *at > now) {
+                continue;
+            }
+            self.free_at.insert(upstream, now + duration + PAUSE_MIN);
+            let set_silent = environment.freezer(upstream);
+            let series = series.clone();
+            tokio::spawn(async move {
+                for silence in series {
+                    tokio::time::sleep(silence.pause).await;
+                    set_silent(true);
+                    tokio::time::sleep(silence.length).await;
+                    set_silent(false);
+                }
+            });
+        }
+    }
+}
+
+/// Holds back all traffic to and from an upstream for a while.
+pub fn mute_link(upstream: UpstreamAt, environment: &SoakEnvironment, random: &mut StdRng) {
+    let link = environment.upstream_link(upstream);
+    let length = Duration::from_millis(random.random_range(1_000..2_500));
+    link.set_mode(Mode::Silent);
+    tokio::spawn(async move {
+        tokio::time::sleep(length).await;
+        link.set_mode(Mode::Pass);
+    });
+}
