Check in the soak that no call is lost on a kept connection

A connection that ends without a complete answer is judged by the history of planned work and disturbances and by what arrived at the upstreams.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -11,28 +11,60 @@
 
 use crate::edge_environment::caller::{Caller, Response, new_call_id, send_request};
 use crate::edge_environment::{IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, STREAM_PATH};
+use crate::kept;
+use crate::lost::{self, UnansweredCall, Verdict};
 use crate::node::SoakEnvironment;
 
 const CALLER_COUNT: u64 = 6;
 const EVENTS_PER_STREAM: u64 = 60;
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(9);
 
+/// What all callers of a seed record.
 #[derive(Default)]
-struct CallLog {
+pub struct CallLog {
     violations: Mutex<Vec<String>>,
     /// Status of the answer by call id, for calls that may run at most once; 0 if
     /// there was no answer. Calls that reached `ANSWER_TIMEOUT` share one entry with
     /// an empty id, so their runs are not checked.
     non_idempotent_calls: Mutex<BTreeMap<String, u16>>,
-    is_stopping: AtomicBool,
-    call_count: AtomicUsize,
-    served_count: AtomicUsize,
+    unanswered_calls: Mutex<Vec<UnansweredCall>>,
+    pub is_stopping: AtomicBool,
+    pub call_count: AtomicUsize,
+    pub served_count: AtomicUsize,
+    /// Calls on kept connections whose callers gave up after their deadlines.
+    pub late_count: AtomicUsize,
 }
 
 impl CallLog {
-    fn record_violation(&self, what: String) {
+    pub fn record_violation(&self, what: String) {
         self.violations.lock().expect("unpoisoned").push(what);
     }
+
+    pub fn record_non_idempotent(&self, call_id: &str, status: u16) {
+        let mut calls = self.non_idempotent_calls.lock().expect("unpoisoned");
+        calls.insert(call_id.to_owned(), status);
+    }
+
+    pub fn record_unanswered(&self, call: UnansweredCall) {
+        let mut calls = self.unanswered_calls.lock().expect("unpoisoned");
+        calls.push(call);
+    }
+
+    /// Adds the lost calls to the violations, prints the others that a reader may
+    /// want to trace, and returns the number of calls by verdict.
+    fn judge_unanswered(&self, environment: &SoakEnvironment) -> BTreeMap<Verdict, usize> {
+        let mut counts = BTreeMap::new();
+        for call in self.unanswered_calls.lock().expect("unpoisoned").iter() {
+            let (verdict, text) = lost::judge(call, environment);
+            *counts.entry(verdict).or_default() += 1;
+            match verdict {
+                Verdict::Lost => self.record_violation(text),
+                Verdict::OutsideWindows => println!("{text}"),
+                _ => {}
+            }
+        }
+        counts
+    }
 }
 
 pub struct Callers {
@@ -48,10 +80,9 @@
             let random = StdRng::seed_from_u64(seed * 1_000 + n);
             tokio::spawn(run_caller(log.clone(), nodes.clone(), random))
         });
-        Self {
-            tasks: tasks.collect(),
-            log,
-        }
+        let mut tasks: Vec<JoinHandle<()>> = tasks.collect();
+        tasks.extend(kept::start(environment, seed, &log));
+        Self { tasks, log }
     }
 
     /// Checks that every node serves plain calls and streams again.
@@ -86,6 +117,7 @@
         for task in self.tasks {
             task.await.expect("callers do not panic");
         }
+        let unanswered = self.log.judge_unanswered(environment);
         violations.append(&mut self.log.violations.lock().expect("unpoisoned"));
         let mut runs: BTreeMap<String, usize> = BTreeMap::new();
         for (service, _) in &environment.services {
@@ -113,7 +145,10 @@
         }
         let call_count = self.log.call_count.load(Ordering::Relaxed);
         let served_count = self.log.served_count.load(Ordering::Relaxed);
-        format!("calls {call_count}, served {served_count}")
+        let late_count = self.log.late_count.load(Ordering::Relaxed);
+        format!(
+            "calls {call_count}, served {served_count}, late {late_count}, unanswered {unanswered:?}"
+        )
     }
 }
 
@@ -179,9 +214,7 @@
         "x-zinniawing-deadline-ms: 1500\r\n",
     )
     .await;
-    let mut calls = log.non_idempotent_calls.lock().expect("unpoisoned");
-    calls.insert(response.call_id.clone(), response.status);
-    drop(calls);
+    log.record_non_idempotent(&response.call_id, response.status);
     check_answer(log, &response)
 }
 
