Play long answers in the soak and count answers by status

Long answers pause in their middle and are longer than the buffers on the way; the requests get a file of their own. A call from a kept connection that is closed without an answer counts as lost also after its deadline, as the rule has no exception for that.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -27,6 +27,8 @@
     /// there was no answer. Calls that reached `ANSWER_TIMEOUT` share one entry with
     /// an empty id, so their runs are not checked.
     non_idempotent_calls: Mutex<BTreeMap<String, u16>>,
+    /// Number of complete answers to kept callers, by status.
+    answer_counts: Mutex<BTreeMap<u16, usize>>,
     unanswered_calls: Mutex<Vec<UnansweredCall>>,
     pub is_stopping: AtomicBool,
     pub call_count: AtomicUsize,
@@ -45,6 +47,11 @@
         calls.insert(call_id.to_owned(), status);
     }
 
+    pub fn count_answer(&self, status: u16) {
+        let mut counts = self.answer_counts.lock().expect("unpoisoned");
+        *counts.entry(status).or_default() += 1;
+    }
+
     pub fn record_unanswered(&self, call: UnansweredCall) {
         let mut calls = self.unanswered_calls.lock().expect("unpoisoned");
         calls.push(call);
@@ -57,10 +64,11 @@
         for call in self.unanswered_calls.lock().expect("unpoisoned").iter() {
             let (verdict, text) = lost::judge(call, environment);
             *counts.entry(verdict).or_default() += 1;
-            match verdict {
-                Verdict::Lost => self.record_violation(text),
-                Verdict::OutsideWindows => println!("{text}"),
-                _ => {}
+            if [Verdict::Lost, Verdict::OutsideWindows].contains(&verdict) {
+                println!("{text}");
+            }
+            if verdict == Verdict::Lost {
+                self.record_violation(text);
             }
         }
         counts
@@ -145,9 +153,11 @@
         }
         let call_count = self.log.call_count.load(Ordering::Relaxed);
         let served_count = self.log.served_count.load(Ordering::Relaxed);
+        let answer_counts = self.log.answer_counts.lock().expect("unpoisoned");
         let late_count = self.log.late_count.load(Ordering::Relaxed);
         format!(
-            "calls {call_count}, served {served_count}, late {late_count}, unanswered {unanswered:?}"
+            "calls {call_count}, served {served_count}, late {late_count}, \
+             answers {answer_counts:?}, unanswered {unanswered:?}"
         )
     }
 }
--- a/tests/soak/kept.rs
+++ b/tests/soak/kept.rs
@@ -12,34 +12,15 @@
 
 use crate::callers::CallLog;
 use crate::config_changes::NewestIdleLimit;
-use crate::edge_environment::caller::{Caller, Response, new_call_id, read_response};
-use crate::edge_environment::service::ANSWER_TIME_QUERY;
-use crate::edge_environment::{
-    IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, PUBLIC_PATH, SINGLE_RUN_STREAM_PATH, STREAM_PATH,
-};
+use crate::edge_environment::caller::{Caller, read_response};
+use crate::kept_request::KeptRequest;
 use crate::lost::UnansweredCall;
 use crate::node::SoakEnvironment;
 
 const CALLER_COUNT: u64 = 24;
-/// Longest body; all configurations allow it.
-const BODY_BYTES_MAX: usize = 20_000;
-const PLAIN_DEADLINE: Duration = Duration::from_secs(5);
-const STREAM_DEADLINE: Duration = Duration::from_secs(9);
 /// Time after its deadline for which a caller still waits for an answer.
 const PATIENCE: Duration = Duration::from_secs(1);
 
-/// One request, in the pieces in which it is sent.
-struct KeptRequest {
-    call_id: String,
-    kind: &'static str,
-    path: &'static str,
-    pieces: Vec<Vec<u8>>,
-    pause_between_pieces: Duration,
-    deadline: Duration,
-    /// Number of the last event; zero for plain calls.
-    last_event: u64,
-}
-
 struct KeptCaller {
     log: Arc<CallLog>,
     nodes: Vec<Caller>,
@@ -73,7 +54,7 @@
         let _ = connection.set_nodelay(true);
         let mut is_reused = false;
         while !self.log.is_stopping.load(Ordering::Relaxed) {
-            let request = self.random_request(node);
+            let request = KeptRequest::random(&self.nodes[node], &mut self.random);
             if !self
                 .exchange(node, &mut connection, &request, is_reused)
                 .await
@@ -106,7 +87,7 @@
             self.log.late_count.fetch_add(1, Ordering::Relaxed);
             return false;
         };
-        if request.path == NON_IDEMPOTENT_PATH {
+        if request.may_run_once() {
             self.log
                 .record_non_idempotent(&request.call_id, response.status);
         }
@@ -124,96 +105,15 @@
             });
             return false;
         }
-        self.check_answer(request, &response);
-        response.header("connection") != Some("close")
-    }
-
-    fn check_answer(&self, request: &KeptRequest, response: &Response) {
-        let call_id = &request.call_id;
-        let may_be_unknown = request.path == PUBLIC_PATH && response.status == 404;
-        if [400, 401, 403, 404, 413].contains(&response.status) && !may_be_unknown {
-            let head = &response.head;
-            self.log
-                .record_violation(format!("{call_id} was denied although it is valid: {head}"));
+        self.log.count_answer(response.status);
+        if let Some(fault) = request.fault_of(&response) {
+            self.log.record_violation(fault);
         }
-        if response.status != 200 {
-            return;
-        }
-        self.log.served_count.fetch_add(1, Ordering::Relaxed);
-        let is_right = if request.last_event == 0 {
-            response.body == format!("done {call_id}")
-        } else {
-            response.event_ids() == (1..=request.last_event).collect::<Vec<u64>>()
-        };
-        if !is_right {
-            let body = &response.body;
-            self.log
-                .record_violation(format!("{call_id} was answered with {body:?}"));
-        }
-    }
-
-    fn random_request(&mut self, node: usize) -> KeptRequest {
-        let call_id = new_call_id();
-        let kind = self.random.random_range(0..6);
-        let (name, method, path) = [
-            ("GET", "GET", IDEMPOTENT_PATH),
-            ("POST", "POST", NON_IDEMPOTENT_PATH),
-            ("POST in two parts", "POST", NON_IDEMPOTENT_PATH),
-            ("stream", "POST", STREAM_PATH),
-            ("run-once stream", "POST", SINGLE_RUN_STREAM_PATH),
-            ("GET of a removable route", "GET", PUBLIC_PATH),
-        ][kind];
-        let is_stream = [STREAM_PATH, SINGLE_RUN_STREAM_PATH].contains(&path);
-        let last_event = if is_stream {
-            self.random.random_range(20..250)
-        } else {
-            0
-        };
-        let deadline = if is_stream {
-            STREAM_DEADLINE
-        } else {
-            PLAIN_DEADLINE
-        };
-        let body = vec![b'b'; self.random_body_length(method)];
-        let answer_ms_max = if self.random.random_bool(0.2) {
-            1_500
-        } else {
-            100
-        };
-        let answer_ms = self.random.random_range(0..answer_ms_max);
-        let target = format!("{path}?{ANSWER_TIME_QUERY}={answer_ms}");
-        let headers = format!(
-            "x-zinniawing-deadline-ms: {}\r\nx-zinniawing-token-usage: 800,{last_event}\r\n\
-             content-length: {}\r\n\r\n",
-            deadline.as_millis(),
-            body.len()
-        );
-        let mut head = self.nodes[node].head(method, &target, &call_id, &headers);
-        let mut pieces = Vec::new();
-        if name == "POST in two parts" {
-            let (first, second) = body.split_at(body.len() / 2);
-            pieces.push([head.as_bytes(), first].concat());
-            pieces.push(second.to_vec());
-        } else {
-            head.push_str(std::str::from_utf8(&body).expect("text"));
-            pieces.push(head.into_bytes());
-        }
-        KeptRequest {
-            call_id,
-            kind: name,
-            path,
-            pieces,
-            pause_between_pieces: Duration::from_millis(self.random.random_range(50..400)),
-            deadline,
-            last_event,
-        }
-    }
-
-    fn random_body_length(&mut self, method: &str) -> usize {
-        if method == "GET" {
-            return 0;
-        }
-        self.random.random_range(2..BODY_BYTES_MAX)
+        let is_served = usize::from(response.status == 200);
+        self.log
+            .served_count
+            .fetch_add(is_served, Ordering::Relaxed);
+        response.header("connection") != Some("close")
     }
 
     /// Mostly short; at times up to four fifths of the newest idle limit.
--- a/tests/soak/lost.rs
+++ b/tests/soak/lost.rs
@@ -4,6 +4,7 @@
 
 use crate::edge_environment::run_log::Arrival;
 use crate::history::{Entry, Occurrence, UpstreamAt};
+use crate::kept_request::RequestKind;
 use crate::node::{GRACE_PERIOD, SoakEnvironment};
 
 /// A disturbance excuses what happens up to this time after it.
@@ -32,7 +33,7 @@
 pub struct UnansweredCall {
     pub node: usize,
     pub call_id: String,
-    pub kind: &'static str,
+    pub kind: RequestKind,
     /// An earlier call was answered on the same connection.
     pub is_reused_connection: bool,
     pub began_at: Instant,
@@ -95,9 +96,11 @@
             Verdict::Unread
         } else if self.is_disturbed() {
             Verdict::Disturbed
+        } else if self.is_cut_from_kept_connection() {
+            Verdict::Lost
         } else if self.used_share() >= 1.0 {
             Verdict::DeadlineReached
-        } else if self.is_cut_from_kept_connection() || self.is_cut_by_reload() {
+        } else if self.is_cut_by_reload() {
             Verdict::Lost
         } else if self.is_cut_by_stop() {
             if self.is_past_grace_period() {
@@ -245,7 +248,7 @@
         });
         let recent = recent.map(|entry| format!("{:?} {}", entry.what, before_end(entry.from)));
         format!(
-            "{} {} at n{}, reused connection {}: began {}, sent {}, {} bytes of the answer; \
+            "{} {:?} at n{}, reused connection {}: began {}, sent {}, {} bytes of the answer; \
              runs {:?}; history {:?}",
             call.call_id,
             call.kind,
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -28,6 +28,7 @@
 mod faults;
 mod history;
 mod kept;
+mod kept_request;
 mod lost;
 mod node;
 mod proxy;
--- a/tests/support/edge_environment/service.rs
+++ b/tests/support/edge_environment/service.rs
@@ -16,6 +16,9 @@
 
 /// Name of the query field that sets a call's answer time in milliseconds.
 pub const ANSWER_TIME_QUERY: &str = "answer-ms";
+/// Name of the query field that makes an answer this many bytes long and adds a
+/// pause of the answer time in its middle.
+pub const ANSWER_BYTES_QUERY: &str = "answer-bytes";
 
 /// A fault in the handling of one of the next calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -196,7 +199,14 @@
         tokio::time::sleep(answer_time).await;
         self.wait_until_unfrozen().await;
         let headers = answer_headers(&call_id);
-        let long_answer = *self.long_answer.lock().expect("unpoisoned");
+        let length = request.query(ANSWER_BYTES_QUERY);
+        let long_answer = match length.and_then(|text| text.parse().ok()) {
+            Some(bytes) => Some(LongAnswer {
+                bytes,
+                pause: answer_time,
+            }),
+            None => *self.long_answer.lock().expect("unpoisoned"),
+        };
         if let Some(long_answer) = long_answer {
             return send_long_answer(stream, &headers, long_answer).await;
         }
