Excuse a run that outlasts the grace period also after a reload

The soak counted a stream as lost whose node got SIGHUP and then SIGTERM, and that was still at work in the last sixth of the grace period.

--- a/tests/soak/lost.rs
+++ b/tests/soak/lost.rs
@@ -100,14 +100,10 @@
             Verdict::Lost
         } else if self.used_share() >= 1.0 {
             Verdict::DeadlineReached
-        } else if self.is_cut_by_reload() {
+        } else if self.is_past_grace_period() {
+            Verdict::GracePeriodOver
+        } else if self.is_cut_by_reload() || self.is_cut_by_stop() {
             Verdict::Lost
-        } else if self.is_cut_by_stop() {
-            if self.is_past_grace_period() {
-                Verdict::GracePeriodOver
-            } else {
-                Verdict::Lost
-            }
         } else if self.is_cut_beside_config() {
             if self.used_share() >= USED_SHARE {
                 Verdict::DeadlineReached
