--- a/tests/silent_upstreams.rs
+++ b/tests/silent_upstreams.rs
@@ -3,11 +3,12 @@
 
 mod support;
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use serde_json::json;
 use support::edge_environment::caller::{Caller, Response};
-use support::edge_environment::{TestEnvironment, config, eventually};
+use support::edge_environment::{IDEMPOTENT_PATH, TestEnvironment, config, eventually};
 use tokio::task::JoinHandle;
 use zinniawing::EdgeNode;
 
@@ -90,6 +91,22 @@
     assert_complete(streams).await;
 }
 
+#[tokio::test]
+async fn a_stream_is_not_cut_when_the_upstreams_that_it_could_move_to_refuse_it() {
+    let (environment, _node, streams) =
+        start_with_running_streams(4, |route| route["max-attempts"] = json!(2)).await;
+    for engine in &environment.engines {
+        engine.refuses_runs.store(true, Ordering::Relaxed);
+    }
+    let silent = environment.running_engine();
+
+    silent.set_frozen(true);
+    tokio::time::sleep(SILENCE).await;
+    silent.set_frozen(false);
+
+    assert_complete(streams).await;
+}
+
 #[tokio::test]
 async fn a_stream_that_may_not_be_resumed_is_not_cut_by_a_silence() {
     let (environment, _node, streams) =
@@ -113,3 +130,17 @@
 
     assert_complete(vec![stream]).await;
 }
+
+#[tokio::test]
+async fn an_idempotent_call_is_answered_when_all_upstreams_are_silent_for_a_second() {
+    let environment = TestEnvironment::start(1).await;
+    let (_node, caller) = environment.start_ready_node("n1").await;
+    for service in &environment.services {
+        *service.answer_time.lock().expect("unpoisoned") = SILENCE;
+    }
+
+    let got = caller.call("GET", IDEMPOTENT_PATH, "").await;
+
+    assert_eq!(got.status, 200, "{} {}", got.head, got.body);
+    assert_eq!(environment.executed_count(), environment.services.len());
+}
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -43,6 +43,8 @@
     pub refuses_connections: AtomicBool,
     /// Calls that arrived, run or not; probes are left out.
     pub run_log: RunLog,
+    /// Refuses every run for lack of capacity.
+    pub refuses_runs: AtomicBool,
     name: String,
     incarnation: AtomicU64,
     held_replicas: HeldReplicas,
@@ -73,6 +75,7 @@
             truncates_event: AtomicBool::new(false),
             refuses_connections: AtomicBool::new(false),
             run_log: RunLog::default(),
+            refuses_runs: AtomicBool::new(false),
             name: name.to_owned(),
             incarnation: AtomicU64::new(1),
             held_replicas: held_replicas.clone(),
@@ -147,6 +150,9 @@
     }
 
     async fn run(&self, request: RawRequest, stream: &mut TcpStream) -> bool {
+        if self.refuses_runs.load(Ordering::Relaxed) {
+            return reply(stream, 503, "x-zinniawing-not-executed: 1\r\n", b"").await;
+        }
         let call_id = request
             .header("x-zinniawing-attempt-id")
             .unwrap_or("-")
