--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -13,6 +13,7 @@
 
 use super::free_address;
 use super::raw::{RawRequest, RequestHandler, reply, serve};
+use super::run_log::RunLog;
 
 /// KV cache replicas of all engines, as the address of the holder and the name of
 /// the replica.
@@ -42,6 +43,8 @@
     pub refuses_connections: AtomicBool,
     /// Refuses new runs with status 503 and the header that says they did not run.
     pub is_full: AtomicBool,
+    /// Calls that arrived, run or not; probes are left out.
+    pub run_log: RunLog,
     name: String,
     incarnation: AtomicU64,
     held_replicas: HeldReplicas,
@@ -72,6 +75,7 @@
             truncates_event: AtomicBool::new(false),
             refuses_connections: AtomicBool::new(false),
             is_full: AtomicBool::new(false),
+            run_log: RunLog::default(),
             name: name.to_owned(),
             incarnation: AtomicU64::new(1),
             held_replicas: held_replicas.clone(),
@@ -243,6 +247,8 @@
     }
 
     async fn handle(self: Arc<Self>, request: RawRequest, stream: &mut TcpStream) -> bool {
+        let call_id = request.header("x-zinniawing-attempt-id");
+        let _arrival = call_id.map(|call_id| self.run_log.begin(call_id));
         self.wait_until_unfrozen().await;
         let expected = request.header("x-zinniawing-expect-instance");
         if expected.is_some_and(|expected| expected != self.id()) {
