Keep a silent engine until another one has answered the stream

What callers saw: a stream that was cut 410 ms into a silence of its engine, though the engine went on after 1.2 s, because the others were full or reset new connections.

An engine that answers probes, or has just sent events of other streams, may still not take a stream; by then the present engine was given up.

Change: a stream that has begun is sent to another engine while its own connection stays open, and leaves it when the other one answers with a stream. If its own engine goes on first, the other send is cancelled. If its own connection breaks meanwhile, the other send goes on.

Why it works: a refusal of the other engine costs an attempt and a retry, but not the stream. The two connections overlap only until the head of the answer.

A stream that has not begun still leaves its engine before the other one has answered.

--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -58,7 +58,7 @@
     pub(super) tried: Vec<Arc<Upstream>>,
     pub(super) sends: SendHistory,
     pub(super) replica: ReplicaSlot,
-    /// Set when the stream was moved away from a silent upstream.
+    /// Set when the stream is about to move away from a silent upstream.
     pub(super) next: Option<NextUpstream>,
     /// Index of the last event that the caller has received.
     pub(super) last_event: Option<u64>,
@@ -125,22 +125,8 @@
                 Some(next) => next,
                 None => self.next_upstream().await?,
             };
-            let NextUpstream { upstream, replica } = next;
-            self.tried.push(upstream.clone());
-            self.sends.begin();
-            self.has_upstream_sent_event = false;
-            let failure = match self.send(&upstream, replica).await {
-                Ok(attempt) if attempt.state.headers.status.is_success() => return Ok(attempt),
-                Ok(attempt) => self.handle_non_stream_answer(attempt).await?,
-                Err(failure) => failure,
-            };
-            self.forwarder
-                .handle_failure(&self.call, &upstream, &failure);
-            if self.sends.record_failure(&failure) {
-                // The run did not begin, so no replica of it was streamed.
-                lock(&self.replica).take();
-            } else if matches!(failure, AttemptFailure::MayHaveRun(_)) {
-                self.check_for_crash_unless_event_sent(&upstream);
+            if let Ok(attempt) = self.try_upstream(next).await? {
+                return Ok(attempt);
             }
             if self.sends.progress() == Progress::MayHaveRun && !self.may_repeat() {
                 let cause =
@@ -150,6 +136,32 @@
         }
     }
 
+    /// Sends the call to one upstream. Returns its stream, or why it began none, after
+    /// this failure was recorded; the error is a final answer.
+    pub(super) async fn try_upstream(
+        &mut self,
+        next: NextUpstream,
+    ) -> Result<Result<Attempt<Answered>, AttemptFailure>, OpenFailure> {
+        let NextUpstream { upstream, replica } = next;
+        self.tried.push(upstream.clone());
+        self.sends.begin();
+        self.has_upstream_sent_event = false;
+        let failure = match self.send(&upstream, replica).await {
+            Ok(attempt) if attempt.state.headers.status.is_success() => return Ok(Ok(attempt)),
+            Ok(attempt) => self.handle_non_stream_answer(attempt).await?,
+            Err(failure) => failure,
+        };
+        self.forwarder
+            .handle_failure(&self.call, &upstream, &failure);
+        if self.sends.record_failure(&failure) {
+            // The run did not begin, so no replica of it was streamed.
+            lock(&self.replica).take();
+        } else if matches!(failure, AttemptFailure::MayHaveRun(_)) {
+            self.check_for_crash_unless_event_sent(&upstream);
+        }
+        Ok(Err(failure))
+    }
+
     /// Checks whether the call crashed the upstream, unless the upstream had
     /// sent an event, which shows that it survived the start of the call.
     pub(super) fn check_for_crash_unless_event_sent(&self, upstream: &Arc<Upstream>) {
--- a/src/forward/stream_move.rs
+++ b/src/forward/stream_move.rs
@@ -2,15 +2,17 @@
 //!
 //! A silent upstream may be lost, or it may go on after a second. Moving its
 //! streams early keeps their pauses short if it is lost, but a stream that leaves
-//! it and finds no other upstream is cut for nothing. A stream therefore leaves a
-//! silent upstream only when the next send is certain: it is allowed, its retry is
-//! paid for, and its upstream responds. Otherwise the stream stays until its
-//! upstream goes on, its connection breaks, or its deadline passes.
+//! it and finds no other upstream is cut for nothing. A stream is therefore sent
+//! elsewhere only if that is allowed, its retry is paid for, and the other upstream
+//! responds; once it has begun, it leaves its upstream only when the other one has
+//! answered. Otherwise the stream stays until its upstream goes on, its connection
+//! breaks, or its deadline passes.
 //! `docs/RESUME.md` compares this with other ways.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::attempt::{Answered, Attempt};
 use super::forwarder::{Forwarder, NodeContext};
 use super::probe::probe_engine;
 use super::run_replica::lock;
@@ -48,6 +50,32 @@
         }
     }
 
+    /// Opens the stream at another upstream, while its present one is silent but not
+    /// given up. Returns `None` if no other upstream takes it.
+    ///
+    /// The caller of this may drop the future, if the present upstream goes on, and
+    /// then calls [`Self::stay`].
+    pub(super) async fn open_elsewhere(&mut self) -> Option<Attempt<Answered>> {
+        let has_sent_event = self.has_upstream_sent_event;
+        loop {
+            if self.next.is_none() && !self.prepare_move().await {
+                return None;
+            }
+            let next = self.next.take()?;
+            if let Ok(Ok(attempt)) = self.try_upstream(next).await {
+                return Some(attempt);
+            }
+            self.stay(has_sent_event);
+        }
+    }
+
+    /// Returns to the present upstream after a try to open the stream at another one.
+    pub(super) fn stay(&mut self, has_upstream_sent_event: bool) {
+        self.has_upstream_sent_event = has_upstream_sent_event;
+        // It is a replica of the run at the other upstream.
+        lock(&self.replica).take();
+    }
+
     async fn next_responsive_upstream(&self) -> Result<NextUpstream, OpenFailure> {
         if !self.may_repeat() {
             return Err(OpenFailure::given_up(
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -50,11 +50,29 @@
     Complete,
     /// The upstream was lost, for the given cause.
     Lost(String),
+    /// The upstream is silent, and another one has taken the stream.
+    Moved {
+        loss: LossReason,
+        since: Instant,
+        attempt: Box<Attempt<Answered>>,
+    },
     CallerGone,
     /// The deadline of the call has passed.
     TimeOver,
 }
 
+/// How the wait of a stream for its silent upstream, or for another one, ended.
+enum SilenceEnd {
+    /// The upstream went on, or its answer ended.
+    Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
+    /// Another upstream has taken the stream.
+    Moved(Box<Attempt<Answered>>),
+    /// No other upstream takes the stream now.
+    NotMoved,
+    CallerGone,
+    TimeOver,
+}
+
 type EventSender = mpsc::Sender<Result<Frame<Bytes>, TruncatedResponse>>;
 
 impl<N: NodeContext> StreamRun<N> {
@@ -75,37 +93,23 @@
     async fn relay(mut self, mut segment: Segment, sender: EventSender) {
         loop {
             let upstream = segment.upstream.clone();
-            let cause = match self.relay_segment(segment, &sender).await {
-                SegmentEnd::Lost(cause) => cause,
+            let (cause, lost_at, moved) = match self.relay_segment(segment, &sender).await {
+                SegmentEnd::Lost(cause) => (cause, Instant::now(), None),
+                SegmentEnd::Moved {
+                    loss,
+                    since,
+                    attempt,
+                } => (format!("{loss:?}"), since, Some(attempt)),
                 end => return self.finish(&end, &sender).await,
             };
-            let lost_at = Instant::now();
-            self.forwarder.metrics.add(Counter::StreamsLost, 1);
-            log::info!(
-                "event=stream_lost call={} upstream={} cause={cause:?} last_event={:?} silent_ms={} sends={} sends_max={} age_ms={}",
-                self.call.id(),
-                upstream.entry.id,
-                self.last_event,
-                self.silence().as_millis(),
-                self.sends.sent_count(),
-                self.call.matched.route.attempts_max,
-                self.call.age().as_millis()
-            );
-            if !self.may_repeat() {
-                return self.finish(&SegmentEnd::Lost(cause), &sender).await;
-            }
-            let deadline = self.call.deadline.into();
-            let opened = tokio::select! {
-                opened = tokio::time::timeout_at(deadline, self.open()) => opened,
-                () = sender.closed() => return self.finish(&SegmentEnd::CallerGone, &sender).await,
+            self.log_loss(&upstream, &cause);
+            let opened = match moved {
+                Some(attempt) => Ok(*attempt),
+                None => self.resume(cause, &sender).await,
             };
             segment = match opened {
-                Ok(Ok(attempt)) => Segment::new(&self.forwarder.directory, attempt).1,
-                Ok(Err(failure)) => {
-                    let cause = format!("{failure:?}");
-                    return self.finish(&SegmentEnd::Lost(cause), &sender).await;
-                }
-                Err(_) => return self.finish(&SegmentEnd::TimeOver, &sender).await,
+                Ok(attempt) => Segment::new(&self.forwarder.directory, attempt).1,
+                Err(end) => return self.finish(&end, &sender).await,
             };
             let metrics = &self.forwarder.metrics;
             metrics.add(Counter::StreamsResumed, 1);
@@ -119,6 +123,40 @@
         }
     }
 
+    fn log_loss(&self, upstream: &Arc<Upstream>, cause: &str) {
+        self.forwarder.metrics.add(Counter::StreamsLost, 1);
+        log::info!(
+            "event=stream_lost call={} upstream={} cause={cause:?} last_event={:?} silent_ms={} sends={} sends_max={} age_ms={}",
+            self.call.id(),
+            upstream.entry.id,
+            self.last_event,
+            self.silence().as_millis(),
+            self.sends.sent_count(),
+            self.call.matched.route.attempts_max,
+            self.call.age().as_millis()
+        );
+    }
+
+    /// Opens the stream at another upstream, after its own was lost for `cause`.
+    async fn resume(
+        &mut self,
+        cause: String,
+        sender: &EventSender,
+    ) -> Result<Attempt<Answered>, SegmentEnd> {
+        if !self.may_repeat() {
+            return Err(SegmentEnd::Lost(cause));
+        }
+        let deadline = self.call.deadline.into();
+        let opened = tokio::select! {
+            opened = tokio::time::timeout_at(deadline, self.open()) => opened,
+            () = sender.closed() => return Err(SegmentEnd::CallerGone),
+        };
+        match opened {
+            Ok(opened) => opened.map_err(|failure| SegmentEnd::Lost(format!("{failure:?}"))),
+            Err(_) => Err(SegmentEnd::TimeOver),
+        }
+    }
+
     /// Relays the events of one upstream until its segment ends.
     async fn relay_segment(&mut self, segment: Segment, sender: &EventSender) -> SegmentEnd {
         let Segment {
@@ -146,22 +184,22 @@
                 }
                 frame = body.frame() => frame,
                 loss = loss_watch.wait_for_loss(&forwarder.directory, phase, &forwarder.metrics) => {
-                    // The upstream may go on while the move is prepared.
-                    tokio::select! {
-                        biased;
-                        frame = body.frame() => frame,
-                        () = sender.closed() => continue,
-                        () = tokio::time::sleep_until(deadline) => return SegmentEnd::TimeOver,
-                        is_moved = self.prepare_move() => {
-                            if !is_moved {
-                                loss_watch.hold();
-                                continue;
-                            }
+                    let since = Instant::now();
+                    match self.wait_or_move(&mut body, sender).await {
+                        SilenceEnd::Frame(frame) => frame,
+                        SilenceEnd::NotMoved => {
+                            loss_watch.hold();
+                            continue;
+                        }
+                        SilenceEnd::Moved(attempt) => {
                             if loss == LossReason::NoProgress {
                                 upstream.avoid(Instant::now());
                             }
-                            return SegmentEnd::Lost(format!("{loss:?}"));
+                            return SegmentEnd::Moved { loss, since, attempt };
                         }
+                        // The next round finds it again.
+                        SilenceEnd::CallerGone => continue,
+                        SilenceEnd::TimeOver => return SegmentEnd::TimeOver,
                     }
                 }
                 () = sender.closed() => {
@@ -219,6 +257,39 @@
         }
     }
 
+    /// Tries to open the stream at another upstream, until its silent upstream goes on.
+    /// If that one breaks off meanwhile, the try still goes on.
+    async fn wait_or_move(&mut self, body: &mut Incoming, sender: &EventSender) -> SilenceEnd {
+        let (sent_count, has_sent_event) = (self.sends.sent_count(), self.has_upstream_sent_event);
+        let deadline = self.call.deadline.into();
+        let mut broken = None;
+        let end = {
+            let opening = self.open_elsewhere();
+            tokio::pin!(opening);
+            loop {
+                tokio::select! {
+                    biased;
+                    frame = body.frame(), if broken.is_none() => match frame {
+                        Some(Err(error)) if has_sent_event => broken = Some(error),
+                        frame => break SilenceEnd::Frame(frame),
+                    },
+                    () = sender.closed() => break SilenceEnd::CallerGone,
+                    () = tokio::time::sleep_until(deadline) => break SilenceEnd::TimeOver,
+                    opened = &mut opening => break match (opened, broken) {
+                        (Some(attempt), _) => SilenceEnd::Moved(Box::new(attempt)),
+                        (None, Some(error)) => SilenceEnd::Frame(Some(Err(error))),
+                        (None, None) => SilenceEnd::NotMoved,
+                    },
+                }
+            }
+        };
+        let is_moved = matches!(end, SilenceEnd::Moved(_));
+        if !is_moved && self.sends.sent_count() > sent_count {
+            self.stay(has_sent_event);
+        }
+        end
+    }
+
     fn free_current_replica(&self, upstream: &Arc<Upstream>) {
         if let Some(replica) = lock(&self.replica).take() {
             free_replica(upstream.clone(), replica);
--- a/tests/leaving_upstreams.rs
+++ b/tests/leaving_upstreams.rs
@@ -179,3 +179,31 @@
     assert_complete(&got);
     assert_eq!(environment.run_count(), 1);
 }
+
+#[tokio::test]
+async fn a_stream_keeps_its_next_engine_when_the_silent_one_crashes_meanwhile() {
+    let environment = TestEnvironment::start(4).await;
+    let mut config = config(2);
+    config["services"][0]["engine"]["replicas"] = json!(false);
+    environment.store.put("config", "main", config);
+    for engine in &environment.engines {
+        *engine.event_interval.lock().expect("unpoisoned") = EVENT_INTERVAL;
+    }
+    let (_node, caller) = environment.start_ready_node("n1").await;
+    let stream = spawn_stream(&caller);
+    eventually("the stream runs", || environment.run_count() > 0).await;
+    tokio::time::sleep(Duration::from_millis(250)).await;
+
+    for engine in &environment.engines {
+        *engine.prefill_time.lock().expect("unpoisoned") = Duration::from_millis(800);
+    }
+    let silent = environment.running_engine().clone();
+    silent.set_frozen(true);
+    eventually("the stream moves", || environment.run_count() > 1).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    silent.crash();
+    let got = stream.await.expect("no panic");
+
+    assert_complete(&got);
+    assert_eq!(environment.run_count(), 2);
+}
