Keep a plain call at its upstream when another one would have less time

What callers saw: 504 after 400 ms for an idempotent call whose upstream would have answered after 260 ms.

Cause: the call left its upstream after 200 ms for one that had 200 ms left.

Evidence: the test failed three times of three.

Change: with less than the time-out of a send left, the call stays.

--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -186,6 +186,10 @@
             if let Ok(result) = answered {
                 return result;
             }
+            if call.time_left(Instant::now()) < REPEATABLE_SEND_TIMEOUT {
+                // Another upstream would have less time than this one had.
+                continue;
+            }
             state.next = self.next_upstream(call, state);
             if state.next.is_some() {
                 return Err(AttemptFailure::Abandoned(LossReason::NoProgress));
