Log the software version of upstreams and what a call resumes

The log could not tell whether a stream was moved within one answer, by a caller's own resume, or to an upstream whose entry was out of date: nothing read an entry's version or the header with which a caller names the call that it resumes.

Change: an upstream's entry holds its software version, which nodes also pass on to each other; event=upstream_known, stream_sent, stream_lost and stream_resumed state it with the version at which the answer began (began_at=), and stream_sent and call_given_up state resumes=. Nothing else reads either.

--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -13,6 +13,7 @@
         service: "llm".to_owned(),
         address: ([10, 0, 0, 1], 80).into(),
         data_centre: "a".to_owned(),
+        software_version: Some("v1".to_owned()),
         slot_count: 4,
         draining: false,
     }
--- a/src/edge/upstream_log.rs
+++ b/src/edge/upstream_log.rs
@@ -41,6 +41,9 @@
     /// Whether the upstream accepts no new calls.
     #[prost(bool, tag = "8")]
     draining: bool,
+    /// Version of the upstream's software; absent if unknown.
+    #[prost(string, optional, tag = "9")]
+    software_version: Option<String>,
 }
 
 /// Wire format of the changes since a revision, or of all upstreams.
@@ -216,6 +219,7 @@
         data_centre: entry.data_centre.clone(),
         slot_count: entry.slot_count,
         draining: entry.draining,
+        software_version: entry.software_version.clone(),
     }
 }
 
@@ -231,6 +235,7 @@
         data_centre: record.data_centre,
         slot_count: record.slot_count,
         draining: record.draining,
+        software_version: record.software_version,
     }))
 }
 
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -10,7 +10,7 @@
 use tokio::sync::broadcast;
 
 use super::observation::{Observation, Observations};
-use super::upstream::{Upstream, UpstreamEntry, UpstreamId};
+use super::upstream::{Upstream, UpstreamEntry, UpstreamId, version_for_log};
 use crate::id::DataCentreId;
 use crate::policy::entry_expiry::{EntryExpiry, ExpiryDecision};
 use crate::policy::outage::OutageDetector;
@@ -68,9 +68,10 @@
     pub(crate) fn put(&self, entry: UpstreamEntry) {
         if let Some(entry) = self.apply(entry) {
             log::info!(
-                "event=upstream_known upstream={} service={} address={} dc={} born={} draining={}",
+                "event=upstream_known upstream={} service={} version={} address={} dc={} born={} draining={}",
                 entry.id,
                 entry.service,
+                version_for_log(entry.software_version.as_ref()),
                 entry.address,
                 entry.data_centre,
                 entry.born_unix_ms,
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -216,13 +216,14 @@
         let kind = error_kind(reason, progress);
         self.metrics.add(Counter::CallsGivenUp, 1);
         log::warn!(
-            "event=call_given_up call={} route={} service={} why={reason:?} progress={progress:?} cause={cause:?} age_ms={} left_ms={} status={}",
+            "event=call_given_up call={} route={} service={} why={reason:?} progress={progress:?} cause={cause:?} age_ms={} left_ms={} status={} resumes={}",
             call.id(),
             call.matched.route.name,
             call.service,
             call.age().as_millis(),
             call.time_left(Instant::now()).as_millis(),
-            kind.answer().status.as_u16()
+            kind.answer().status.as_u16(),
+            call.resumed_id().unwrap_or("-")
         );
         let mut response = http::error_response(&Error::new(kind, cause));
         if progress == Progress::NotRun {
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -70,6 +70,12 @@
         id.and_then(|id| id.to_str().ok()).unwrap_or("-")
     }
 
+    /// Returns the id of the caller's earlier call that brought the first event of
+    /// the stream that this call resumes, for the log.
+    pub(crate) fn resumed_id(&self) -> Option<&str> {
+        self.headers.resumes.as_ref()?.to_str().ok()
+    }
+
     /// Time left until the deadline.
     pub(crate) fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -18,7 +18,7 @@
 use super::request::Call;
 use super::run_replica::{ReplicaSlot, ReplicatedRun, RunReplica, choose_holder, lock};
 use super::send_history::SendHistory;
-use super::upstream::{Upstream, Work};
+use super::upstream::{SoftwareVersion, Upstream, Work, version_for_log};
 use crate::http::HttpResponse;
 use crate::observe::metrics::Counter;
 use crate::platform::call::{ReplicaRef, UpstreamHeaders};
@@ -51,6 +51,9 @@
     pub(super) replica: ReplicaSlot,
     /// Index of the last event that the caller has received.
     pub(super) last_event: Option<u64>,
+    /// Software version of the upstream that sent the first event of this answer,
+    /// if it is known.
+    pub(super) began_at: Option<SoftwareVersion>,
     pub(super) event_count: u64,
     /// Whether the present upstream has sent an event that was passed on to the
     /// caller.
@@ -70,6 +73,7 @@
             tried: Vec::new(),
             sends: SendHistory::new(),
             replica: ReplicaSlot::default(),
+            began_at: None,
             event_count: 0,
             has_upstream_sent_event: false,
             first_event_ms: None,
@@ -261,14 +265,17 @@
             }),
         });
         log::info!(
-            "event=stream_sent call={} upstream={} dc={} has_copy={has_replica} keeper={} last_event={:?} own_prompt_tokens={} own_calls={} age_ms={}",
+            "event=stream_sent call={} upstream={} version={} dc={} has_copy={has_replica} keeper={} last_event={:?} resumes={} began_at={} own_prompt_tokens={} own_calls={} age_ms={}",
             self.call.id(),
             upstream.entry.id,
+            version_for_log(upstream.entry.software_version.as_ref()),
             upstream.entry.data_centre,
             next_replica
                 .as_ref()
                 .map_or("-", |next| next.holder.entry.id.as_str()),
             self.last_event,
+            self.call.resumed_id().unwrap_or("-"),
+            version_for_log(self.began_at.as_ref()),
             upstream.pending_prompt_tokens(),
             upstream.call_count(),
             self.call.age().as_millis()
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -21,7 +21,7 @@
 use super::probe::{LossReason, LossWatch};
 use super::run_replica::{free_replica, lock, maintain_replica};
 use super::stream_call::StreamRun;
-use super::upstream::{Upstream, Work};
+use super::upstream::{Upstream, Work, version_for_log};
 use crate::caller::sse::EventBuffer;
 use crate::http::{HttpResponse, TruncatedResponse};
 use crate::observe::metrics::{Counter, Span};
@@ -82,9 +82,11 @@
             let lost_at = Instant::now();
             self.forwarder.metrics.add(Counter::StreamsLost, 1);
             log::info!(
-                "event=stream_lost call={} upstream={} cause={cause:?} last_event={:?} age_ms={}",
+                "event=stream_lost call={} upstream={} version={} began_at={} cause={cause:?} last_event={:?} age_ms={}",
                 self.call.id(),
                 upstream.entry.id,
+                version_for_log(upstream.entry.software_version.as_ref()),
+                version_for_log(self.began_at.as_ref()),
                 self.last_event,
                 self.call.age().as_millis()
             );
@@ -108,9 +110,11 @@
             metrics.add(Counter::StreamsResumed, 1);
             metrics.record(Span::Resume, lost_at.elapsed());
             log::info!(
-                "event=stream_resumed call={} upstream={} after_ms={}",
+                "event=stream_resumed call={} upstream={} version={} began_at={} after_ms={}",
                 self.call.id(),
                 segment.upstream.entry.id,
+                version_for_log(segment.upstream.entry.software_version.as_ref()),
+                version_for_log(self.began_at.as_ref()),
                 lost_at.elapsed().as_millis()
             );
         }
@@ -195,6 +199,9 @@
                     ));
                 }
                 phase = StreamPhase::Decode;
+                if self.event_count == 0 {
+                    self.began_at = upstream.entry.software_version.clone();
+                }
                 work.prefill_done();
                 if let Err(end) = self.relay_event(event.bytes, event.index, sender).await {
                     return end;
--- a/src/forward/tests/probe.rs
+++ b/src/forward/tests/probe.rs
@@ -20,6 +20,7 @@
         service: "llm".to_owned(),
         address: ([127, 0, 0, 1], CLOSED_PORT).into(),
         data_centre: "a".to_owned(),
+        software_version: Some("v1".to_owned()),
         slot_count: 4,
         draining: false,
     }))
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -15,6 +15,10 @@
 /// register under the same id; they differ in their start times then.
 pub(crate) type UpstreamId = String;
 
+/// Version of the software that an upstream runs, as its registration states it.
+/// It has no order, and is not the version of a model's weights.
+pub(crate) type SoftwareVersion = String;
+
 /// Shortest time for which an upstream that failed is avoided.
 const AVOID_MIN: Duration = Duration::from_millis(400);
 /// Longest time for which an upstream that failed is avoided.
@@ -38,6 +42,8 @@
     pub(crate) address: SocketAddr,
     /// Data centre that the upstream runs in.
     pub(crate) data_centre: DataCentreId,
+    /// Version of the upstream's software; `None` if unknown.
+    pub(crate) software_version: Option<SoftwareVersion>,
     /// Maximum number of calls that the upstream runs at once.
     pub(crate) slot_count: u32,
     /// Whether the upstream is draining: it accepts no new calls.
@@ -55,6 +61,11 @@
     }
 }
 
+/// A software version in the log; `-` if unknown.
+pub(crate) fn version_for_log(version: Option<&SoftwareVersion>) -> &str {
+    version.map_or("-", String::as_str)
+}
+
 /// How an upstream answered this node recently.
 #[derive(Clone, Copy, Debug, Default)]
 struct Health {
