--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -118,7 +118,7 @@
         };
         for n in 0..ENGINE_COUNT {
             let data_centre = ["dc-a", "dc-b"][n % 2];
-            let engine = Engine::start(&format!("e-{n}"), data_centre, &held_replicas).await;
+            let engine = Engine::start(&format!("e-{n}"), data_centre, "v1", &held_replicas).await;
             let proxy = Proxy::start(engine.address).await;
             *engine.advertised_address.lock().expect("unpoisoned") = proxy.address;
             environment
--- a/tests/support/edge_environment/caller.rs
+++ b/tests/support/edge_environment/caller.rs
@@ -1,5 +1,6 @@
 //! A caller that reads raw responses, so that it sees their framing and pauses.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -45,6 +46,12 @@
             .map(|id| id.parse().expect("a numeric event id"))
             .collect()
     }
+
+    /// Software versions of the engines that wrote the events.
+    pub fn software_versions(&self) -> BTreeSet<String> {
+        let lines = self.body.lines().filter_map(|line| line.strip_prefix(": "));
+        lines.map(str::to_owned).collect()
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -106,6 +113,44 @@
         }
     }
 
+    /// Requests a stream of `events` events, and disconnects as soon as `wanted`
+    /// events or more have arrived.
+    pub async fn stream_until(&self, events: u64, wanted: usize) -> Response {
+        let headers = format!(
+            "x-zinniawing-deadline-ms: 20000\r\nx-zinniawing-token-usage: 800,{events}\r\n"
+        );
+        let call_id = new_call_id();
+        let head = self.head("POST", super::STREAM_PATH, &call_id, &headers);
+        let mut stream = TcpStream::connect(self.address).await.expect("connected");
+        let request = format!("{head}content-length: 0\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.expect("sent");
+        let mut bytes = Vec::new();
+        let mut response = Response::default();
+        while response.event_ids().len() < wanted {
+            let read = stream.read_buf(&mut bytes).await.expect("connected");
+            assert!(read > 0, "the stream ended early: {response:?}");
+            response = parse_response(&bytes);
+            let whole_events_end = response.body.rfind("\n\n").map_or(0, |at| at + 2);
+            response.body.truncate(whole_events_end);
+        }
+        Response {
+            call_id,
+            ..response
+        }
+    }
+
+    /// Requests the rest of a stream of `events` events, of which `part` holds the
+    /// first ones.
+    pub async fn take_up(&self, part: &Response, events: u64) -> Response {
+        let last = part.event_ids().last().copied().expect("an event");
+        let headers = format!(
+            "resumes: {}\r\nlast-event-id: {last}\r\nx-zinniawing-deadline-ms: 20000\r\n\
+             x-zinniawing-token-usage: 800,{events}\r\n",
+            part.call_id
+        );
+        self.call("POST", super::STREAM_PATH, &headers).await
+    }
+
     /// Requests a stream of `events` events.
     pub async fn stream(&self, events: u64) -> Response {
         let headers = format!(
@@ -152,8 +197,18 @@
         }
     }
     response.is_complete |= is_complete(&bytes);
-    response.elapsed = since.elapsed();
-    if let Some(end) = find(&bytes, b"\r\n\r\n") {
+    Response {
+        is_complete: response.is_complete,
+        longest_pause: response.longest_pause,
+        elapsed: since.elapsed(),
+        ..parse_response(&bytes)
+    }
+}
+
+/// Status, head and body of a response, as far as it was received.
+fn parse_response(bytes: &[u8]) -> Response {
+    let mut response = Response::default();
+    if let Some(end) = find(bytes, b"\r\n\r\n") {
         response.head = String::from_utf8_lossy(&bytes[..end]).into_owned();
         let status = response.head.split(' ').nth(1).and_then(|s| s.parse().ok());
         response.status = status.unwrap_or(0);
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -39,7 +39,11 @@
     /// Cuts the next event of any run in half and closes the connection.
     pub truncates_event: AtomicBool,
     name: String,
+    /// Number of the current process, from which its start time follows.
     incarnation: AtomicU64,
+    /// Number in the id under which the current process registered.
+    id_number: AtomicU64,
+    software_version: Mutex<String>,
     held_replicas: HeldReplicas,
     runs: Mutex<Vec<EngineRun>>,
     replica_requests: AtomicUsize,
@@ -57,7 +61,12 @@
 }
 
 impl Engine {
-    pub async fn start(name: &str, data_centre: &str, held_replicas: &HeldReplicas) -> Arc<Self> {
+    pub async fn start(
+        name: &str,
+        data_centre: &str,
+        software_version: &str,
+        held_replicas: &HeldReplicas,
+    ) -> Arc<Self> {
         let address = free_address();
         let engine = Arc::new(Self {
             address,
@@ -68,6 +77,8 @@
             truncates_event: AtomicBool::new(false),
             name: name.to_owned(),
             incarnation: AtomicU64::new(1),
+            id_number: AtomicU64::new(1),
+            software_version: Mutex::new(software_version.to_owned()),
             held_replicas: held_replicas.clone(),
             runs: Mutex::default(),
             replica_requests: AtomicUsize::new(0),
@@ -85,12 +96,17 @@
     }
 
     pub fn id(&self) -> String {
-        format!("{}-{}", self.name, self.incarnation.load(Ordering::Relaxed))
+        format!("{}-{}", self.name, self.id_number.load(Ordering::Relaxed))
+    }
+
+    /// Version of its software, which it also writes into its events.
+    pub fn software_version(&self) -> String {
+        self.software_version.lock().expect("unpoisoned").clone()
     }
 
     pub fn entry(&self, state: &str) -> Value {
         json!({ "service": "llm", "address": self.advertised_address().to_string(), "zone": self.data_centre,
-                "version": "v1", "slots": 8, "state": state, "sequence": 1,
+                "version": self.software_version(), "slots": 8, "state": state, "sequence": 1,
                 "born": 1000 + self.incarnation.load(Ordering::Relaxed) })
     }
 
@@ -123,12 +139,23 @@
         held_replicas.retain(|(holder, _)| *holder != advertised_address);
     }
 
-    /// Listens again, as a new incarnation.
+    /// Listens again, as a new incarnation with a new id.
     pub async fn restart(self: &Arc<Self>) {
+        self.id_number.fetch_add(1, Ordering::Relaxed);
+        self.restart_under_same_id().await;
+    }
+
+    /// Listens again, as a new incarnation with the id that it had.
+    pub async fn restart_under_same_id(self: &Arc<Self>) {
         self.incarnation.fetch_add(1, Ordering::Relaxed);
         self.clone().listen().await;
     }
 
+    /// Sets the version of the software that the next incarnation runs.
+    pub fn set_software_version(&self, version: &str) {
+        *self.software_version.lock().expect("unpoisoned") = version.to_owned();
+    }
+
     /// While frozen, it answers no requests and sends no events; its connections stay
     /// open.
     pub fn set_frozen(&self, is_frozen: bool) {
@@ -172,6 +199,7 @@
             self.crash();
             std::future::pending::<()>().await;
         }
+        let software_version = self.software_version();
         self.running.fetch_add(1, Ordering::Relaxed);
         let _guard = RunningGuard(&self.running);
         if !had_replica {
@@ -193,7 +221,7 @@
         }
         for id in from_event + 1..=last_event {
             self.wait_until_unfrozen().await;
-            let event = format!("id: {id}\ndata: {call_id} piece {id}\n\n");
+            let event = format!("id: {id}\n: {software_version}\ndata: {call_id} piece {id}\n\n");
             let truncates = self.truncates_event.swap(false, Ordering::Relaxed);
             let sent = if truncates {
                 &event[..event.len() / 2]
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -16,6 +16,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
+use tokio::runtime::{self, Runtime};
 use zinniawing::{EdgeNode, EdgeSettings, Metrics};
 
 use caller::Caller;
@@ -141,12 +142,19 @@
 
 impl TestEnvironment {
     pub async fn start(engine_count: usize) -> Self {
+        Self::start_with_versions(&vec!["v1"; engine_count]).await
+    }
+
+    /// Starts an environment with one engine for each software version. The engines
+    /// are in the two data centres in turn.
+    pub async fn start_with_versions(engine_versions: &[&str]) -> Self {
         let store = Store::start().await;
         let held_replicas = engine::HeldReplicas::default();
         let mut engines = Vec::new();
-        for n in 0..engine_count {
+        for (n, version) in engine_versions.iter().enumerate() {
             let data_centre = if n % 2 == 0 { "dc-a" } else { "dc-b" };
-            let engine = Engine::start(&format!("e-{n}"), data_centre, &held_replicas).await;
+            let name = format!("e-{n}");
+            let engine = Engine::start(&name, data_centre, version, &held_replicas).await;
             store.put("servers", &engine.id(), engine.entry("ready"));
             engines.push(engine);
         }
@@ -205,6 +213,34 @@
         .expect("the node starts")
 }
 
+/// An entry node on threads of its own, which can be killed without any notice to
+/// its peers and callers.
+pub struct KillableNode {
+    runtime: Runtime,
+    _node: EdgeNode,
+}
+
+impl KillableNode {
+    pub async fn start(spec: &NodeSpec, store: SocketAddr) -> Self {
+        let runtime = runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let spec = spec.clone();
+        let started = runtime.spawn(async move { start_node(&spec, store).await });
+        Self {
+            _node: started.await.expect("no panic"),
+            runtime,
+        }
+    }
+
+    /// Stops all of its tasks at once, which closes its connections.
+    pub fn kill(self) {
+        self.runtime.shutdown_background();
+    }
+}
+
 /// Waits until `condition` holds, and fails after ten seconds.
 pub async fn eventually(what: &str, condition: impl Fn() -> bool) {
     let started_at = Instant::now();
