Let a stream go on only at the software version that began it

Cause: the software version was not part of what a node knew of an upstream, so no choice of an upstream for a run that had begun considered it: neither the least busy engine, nor the one with the prompt cached, nor the holder of a replica, streamed or requested. A caller's resume did not even carry knowledge of where the stream began.

Change: the upstream that sends a run's first event is the run's origin, and every choice for a run with an origin admits only upstreams of its version; replicas are made only at the version of their source. An unknown version equals no other, so it admits only the same incarnation: an engine found without the store has none until its entry arrives. An entry without a readable version names no upstream. Before an engine goes on with a run without a replica, its report must state the start time of its entry, since it may have restarted under its id.

Nodes keep the origins of recent runs by the id of the call that brought the first event (16,384 for 60 s) and store each at three other nodes, before the event is passed on, without waiting. A node that does not have the origin of a resumed stream asks six nodes at once, for 200 ms at most. If it stays unknown, the stream goes on only where the service has one version and none of another version left within a minute; otherwise the call is refused at once as not run, with a time to come back. The same holds when no upstream of the version is left.

Weighed: announcements to all nodes cost each node bytes in proportion to the streams of all others; a call to all peers at each resume is a flood after a mass loss. Rendezvous hashing, with the first node of each data centre before all others, sends three messages a stream at any number of nodes. A request to keep an origin takes 55 bytes (counted by its encoder, with ids of the length of the record's), before frame and transport headers.

What it does not cover: the origin is gone when all nodes that keep it end within its lifetime, such as all nodes at once; streams of a service with two versions are then refused.

--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -11,7 +11,9 @@
 use tokio_util::sync::CancellationToken;
 
 use super::peer_retry_budget::PeerRetryBudget;
+use super::peer_run_origins::PeerRunOrigins;
 use crate::forward::forwarder::NodeContext;
+use crate::forward::run_origin::{RunKey, RunOrigin};
 use crate::hash::{Fnv, rendezvous_order};
 use crate::id::{DataCentreId, ServiceId};
 use crate::membership::members::Member;
@@ -44,11 +46,16 @@
     /// for callers.
     nodes: Mutex<Vec<(DataCentreId, SocketAddr)>>,
     peer_budget: PeerRetryBudget,
+    peer_origins: PeerRunOrigins,
 }
 
 impl ClusterView {
     /// Creates a view in which no other node is known.
-    pub(crate) fn new(is_seed: bool, peer_budget: PeerRetryBudget) -> Self {
+    pub(crate) fn new(
+        is_seed: bool,
+        peer_budget: PeerRetryBudget,
+        peer_origins: PeerRunOrigins,
+    ) -> Self {
         Self {
             is_seed,
             started_at: Instant::now(),
@@ -61,6 +68,7 @@
             freshness: Mutex::default(),
             nodes: Mutex::default(),
             peer_budget,
+            peer_origins,
         }
     }
 
@@ -172,6 +180,15 @@
         self.peer_budget.borrow(service).await
     }
 
+    fn publish_origin(&self, key: RunKey, origin: RunOrigin) {
+        let peer_origins = self.peer_origins.clone();
+        tokio::spawn(async move { peer_origins.store(key, origin).await });
+    }
+
+    async fn find_origin(&self, key: RunKey) -> Option<RunOrigin> {
+        self.peer_origins.find(key).await
+    }
+
     async fn shutdown_imminent(&self) {
         self.shutdown_imminent.cancelled().await;
     }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod observations;
 pub(crate) mod peer_api;
 pub(crate) mod peer_retry_budget;
+pub(crate) mod peer_run_origins;
 pub(crate) mod settings;
 pub(crate) mod status_api;
 pub(crate) mod store_watch;
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -15,6 +15,7 @@
 use super::observations;
 use super::peer_api::EdgePeerApi;
 use super::peer_retry_budget::PeerRetryBudget;
+use super::peer_run_origins::PeerRunOrigins;
 use super::settings::EdgeSettings;
 use super::status_api::StatusApi;
 use super::store_watch::{ROUTING_DOCUMENT, StoreWatch};
@@ -26,6 +27,7 @@
 use crate::forward::observation::Observations;
 use crate::forward::request_crashes::RequestCrashes;
 use crate::forward::retry_budgets::RetryBudgets;
+use crate::forward::run_origin::RunOrigins;
 use crate::forward::sessions::Sessions;
 use crate::http::serve;
 use crate::membership::gossip::{Membership, MembershipSettings};
@@ -69,6 +71,7 @@
             budgets: RetryBudgets::new(settings.retry_limits()),
             request_crashes: RequestCrashes::new(observation_channel.clone()),
             sessions: Sessions::new(observation_channel.clone()),
+            run_origins: RunOrigins::default(),
             observations: observation_channel,
             metrics,
             data_centre: settings.data_centre.clone(),
@@ -78,6 +81,10 @@
                     membership: membership.clone(),
                     peers: peers.clone(),
                 },
+                PeerRunOrigins {
+                    membership: membership.clone(),
+                    peers: peers.clone(),
+                },
             ),
             in_flight: Arc::default(),
         });
--- a/src/edge/peer_api.rs
+++ b/src/edge/peer_api.rs
@@ -9,13 +9,15 @@
 use tokio::sync::broadcast::error::RecvError;
 
 use super::cluster_view::ClusterView;
+use super::peer_run_origins::{from_record, to_record};
 use super::store_watch::{HEARTBEAT_DOCUMENT, StoreWatch, UPSTREAMS_DOCUMENT};
 use super::upstream_log::{UpstreamLog, decode};
 use crate::configuration::document::DocumentStore;
 use crate::forward::forwarder::Forwarder;
 use crate::membership::gossip::{Membership, MembershipEvent};
 use crate::membership::message::{
-    DocumentReply, DocumentVersion, ReplyBody, RequestBody, RetryReply,
+    DocumentReply, DocumentVersion, ReplyBody, RequestBody, RetryReply, RunOriginReply,
+    RunOriginRequest,
 };
 use crate::membership::peer::PeerHandler;
 
@@ -40,6 +42,19 @@
     }
 }
 
+impl EdgePeerApi {
+    fn run_origin(&self, request: RunOriginRequest) -> RunOriginReply {
+        let origins = &self.forwarder.run_origins;
+        let now = Instant::now();
+        let Some(record) = request.origin else {
+            let origin = origins.get(request.key, now).map(to_record);
+            return RunOriginReply { origin };
+        };
+        origins.record(request.key, from_record(record), now);
+        RunOriginReply { origin: None }
+    }
+}
+
 impl PeerHandler for EdgePeerApi {
     async fn handle(&self, request: RequestBody) -> Option<ReplyBody> {
         match request {
@@ -50,6 +65,7 @@
             RequestBody::Retry(wanted) => Some(ReplyBody::Retry(RetryReply {
                 is_granted: self.forwarder.spend_retry(&wanted.service),
             })),
+            RequestBody::RunOrigin(request) => Some(ReplyBody::RunOrigin(self.run_origin(request))),
             _ => None,
         }
     }
--- /dev/null
+++ b/src/edge/tests/upstream_log.rs
@@ -0,0 +1,137 @@
+//! Tests of the upstream changes that nodes exchange.
+
+use std::time::Instant;
+
+use crate::edge::upstream_log::{UpstreamLog, UpstreamUpdate, decode};
+use crate::forward::upstream::UpstreamEntry;
+use crate::platform::store::UpstreamChange;
+
+fn entry(id: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        id: id.to_owned(),
+        born_unix_ms: 5,
+        service: "llm".to_owned(),
+        address: ([10, 0, 0, 1], 80).into(),
+        data_centre: "a".to_owned(),
+        software_version: Some("v1".to_owned()),
+        slot_count: 4,
+        draining: false,
+    }
+}
+
+fn registered(id: &str) -> UpstreamChange {
+    UpstreamChange::Registered(entry(id))
+}
+
+fn removed(id: &str) -> UpstreamChange {
+    UpstreamChange::Removed(id.to_owned())
+}
+
+fn update(is_snapshot: bool, changes: Vec<UpstreamChange>, revision: u64) -> UpstreamUpdate {
+    UpstreamUpdate {
+        is_snapshot,
+        changes,
+        revision,
+    }
+}
+
+fn log_of(updates: Vec<UpstreamUpdate>) -> UpstreamLog {
+    let log = UpstreamLog::default();
+    for update in updates {
+        log.apply(&update, Instant::now());
+    }
+    log
+}
+
+fn changes_since(log: &UpstreamLog, since: u64) -> UpstreamUpdate {
+    let (revision, body) = log.encode_changes_since(since);
+    decode(revision, &body).expect("an encoded update decodes")
+}
+
+#[test]
+fn a_peer_gets_only_the_changes_after_its_revision() {
+    let log = log_of(vec![
+        update(true, vec![registered("a"), registered("b")], 10),
+        update(false, vec![registered("c")], 12),
+        update(false, vec![removed("a")], 15),
+    ]);
+
+    assert_eq!(
+        changes_since(&log, 12),
+        update(false, vec![removed("a")], 15)
+    );
+    assert_eq!(changes_since(&log, 15), update(false, vec![], 15));
+}
+
+#[test]
+fn a_peer_whose_revision_is_too_old_gets_a_snapshot() {
+    let log = log_of(vec![
+        update(true, vec![registered("a"), registered("b")], 10),
+        update(false, vec![removed("a")], 15),
+    ]);
+
+    assert_eq!(
+        changes_since(&log, 3),
+        update(true, vec![registered("b")], 15)
+    );
+}
+
+#[test]
+fn applying_a_peers_changes_gives_the_same_upstreams() {
+    let source = log_of(vec![
+        update(true, vec![registered("a"), registered("b")], 10),
+        update(false, vec![removed("a"), registered("c")], 15),
+    ]);
+    let target = log_of(vec![update(
+        true,
+        vec![registered("a"), registered("b")],
+        11,
+    )]);
+
+    let changes = changes_since(&source, target.revision());
+    target.apply(&changes, Instant::now());
+
+    assert_eq!(
+        changes_since(&target, 0).changes,
+        changes_since(&source, 0).changes
+    );
+    assert_eq!(target.revision(), 15);
+}
+
+#[test]
+fn an_older_update_is_ignored() {
+    let log = log_of(vec![update(true, vec![registered("a")], 10)]);
+
+    let is_applied = log.apply(&update(false, vec![removed("a")], 9), Instant::now());
+
+    assert!(!is_applied);
+    assert_eq!(changes_since(&log, 0).changes, vec![registered("a")]);
+}
+
+/// Maximum size of an encoded snapshot of 3,000 upstreams. At this size, a link
+/// of 10 Mbit/s sends it to four nodes within 250 ms.
+const SNAPSHOT_MAX_BYTES: usize = 78_000;
+
+/// Guards against slow starts when 300 nodes start at once with 3,000 upstreams
+/// registered: three small VMs then have to send the list to all other nodes.
+#[test]
+fn a_snapshot_of_many_upstreams_is_compressed() {
+    let numbered = |n: u32| {
+        UpstreamChange::Registered(UpstreamEntry {
+            id: format!(
+                "i-{:010x}",
+                u64::from(n).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 24
+            ),
+            born_unix_ms: 1_764_800_000_000 + u64::from(n.wrapping_mul(7_919) % 4_000),
+            address: ([10, 2, (n / 250) as u8, (n % 250) as u8], 8766).into(),
+            data_centre: format!("tt-south-{}", n % 3),
+            ..entry("")
+        })
+    };
+    let log = log_of(vec![update(true, (0..3_000).map(numbered).collect(), 10)]);
+
+    let (_, body) = log.encode_changes_since(0);
+
+    assert!(body.len() < SNAPSHOT_MAX_BYTES, "{} bytes", body.len());
+    assert_eq!(changes_since(&log, 0).changes.len(), 3_000);
+}
--- /dev/null
+++ b/src/forward/caller_resume.rs
@@ -0,0 +1,106 @@
+//! Finds out where a stream began of which a caller requests the rest, so that it
+//! goes on at the same software version or is refused.
+
+use std::time::Instant;
+
+use super::forwarder::{Forwarder, NodeContext};
+use super::run_origin::{RunKey, RunOrigin, run_key};
+use super::stream_call::{OpenFailure, StreamRun};
+use super::upstream::{Upstream, version_for_log};
+use crate::policy::failure_response::GiveUpReason;
+
+/// Where a node learnt the origin of a run.
+#[derive(Clone, Copy, Debug)]
+enum OriginSource {
+    /// This node has its record.
+    Own,
+    /// Another node has its record.
+    Peer,
+    /// No node has its record, and the service has only one version.
+    OnlyVersion,
+}
+
+impl<N: NodeContext> StreamRun<N> {
+    /// Finds the origin of the stream if the call requests the rest of one. Fails
+    /// if that is unknown and the stream may have begun at another version than
+    /// the one at which it would go on.
+    pub(super) async fn find_origin(&mut self) -> Result<(), OpenFailure> {
+        if self.call.headers.last_event.is_none() {
+            return Ok(());
+        }
+        let Some((origin, source)) = self.known_origin().await else {
+            let cause = "the software version that began the stream is unknown".to_owned();
+            return Err(OpenFailure::GivenUp(GiveUpReason::NoUpstream, cause));
+        };
+        log::info!(
+            "event=stream_origin call={} resumes={} version={} upstream={} learnt={source:?}",
+            self.call.id(),
+            self.call.resumed_id().unwrap_or("-"),
+            version_for_log(origin.software_version.as_ref()),
+            origin.upstream
+        );
+        self.is_origin_recorded = !matches!(source, OriginSource::OnlyVersion);
+        if self.call.matched.route.has_service(&origin.service) {
+            self.call.service.clone_from(&origin.service);
+        }
+        // If the route has moved to another service, the versions of the earlier
+        // one say nothing about its upstreams.
+        if self.call.service == origin.service {
+            self.origin = Some(origin);
+        }
+        Ok(())
+    }
+
+    async fn known_origin(&self) -> Option<(RunOrigin, OriginSource)> {
+        let forwarder = &self.forwarder;
+        if let Some(key) = self.resumed_run_key() {
+            if let Some(origin) = forwarder.run_origins.get(key, Instant::now()) {
+                return Some((origin, OriginSource::Own));
+            }
+            if let Some(origin) = forwarder.node.find_origin(key).await {
+                let now = Instant::now();
+                forwarder.run_origins.record(key, origin.clone(), now);
+                return Some((origin, OriginSource::Peer));
+            }
+        }
+        let now = Instant::now();
+        let only = forwarder.directory.only_origin(&self.call.service, now)?;
+        Some((only, OriginSource::OnlyVersion))
+    }
+
+    /// Key of the run that the call resumes.
+    fn resumed_run_key(&self) -> Option<RunKey> {
+        let resumed = self.call.headers.resumes.as_ref()?;
+        Some(run_key(resumed.as_bytes()))
+    }
+
+    /// Records, before the first event is passed on, that the run began at
+    /// `upstream`, and publishes it to other nodes, which need it if this node is
+    /// lost.
+    pub(super) fn record_origin(&mut self, upstream: &Upstream) {
+        let origin = self.origin.get_or_insert_with(|| RunOrigin::at(upstream));
+        if std::mem::replace(&mut self.is_origin_recorded, true) {
+            return;
+        }
+        let headers = &self.call.headers;
+        let Some(id) = headers.resumes.as_ref().or(headers.call_id.as_ref()) else {
+            return;
+        };
+        self.forwarder
+            .publish_origin(run_key(id.as_bytes()), origin.clone());
+    }
+
+    /// Whether the run may go on, or begin, at `upstream`.
+    pub(super) fn admits(&self, upstream: &Upstream) -> bool {
+        self.origin
+            .as_ref()
+            .is_none_or(|origin| origin.admits(upstream))
+    }
+}
+
+impl<N: NodeContext> Forwarder<N> {
+    fn publish_origin(&self, key: RunKey, origin: RunOrigin) {
+        self.run_origins.record(key, origin.clone(), Instant::now());
+        self.node.publish_origin(key, origin);
+    }
+}
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -10,7 +10,9 @@
 use tokio::sync::broadcast;
 
 use super::observation::{Observation, Observations};
+use super::run_origin::RunOrigin;
 use super::upstream::{Upstream, UpstreamEntry, UpstreamId, version_for_log};
+use super::version_history::VersionHistory;
 use crate::id::DataCentreId;
 use crate::policy::entry_expiry::{EntryExpiry, ExpiryDecision};
 use crate::policy::outage::OutageDetector;
@@ -32,6 +34,7 @@
     upstreams: BTreeMap<UpstreamId, Arc<Upstream>>,
     expiry: EntryExpiry,
     outage_detector: OutageDetector,
+    version_history: VersionHistory,
 }
 
 impl State {
@@ -47,10 +50,16 @@
         let earlier = known.filter(|known| known.entry.precedes(entry));
         let earlier: Vec<Arc<Upstream>> = earlier.cloned().collect();
         for upstream in &earlier {
-            self.upstreams.remove(&upstream.entry.id);
+            self.remove(&upstream.entry.id, Instant::now());
         }
         earlier
     }
+
+    fn remove(&mut self, id: &UpstreamId, now: Instant) {
+        if let Some(upstream) = self.upstreams.remove(id) {
+            self.version_history.record_departure(&upstream, now);
+        }
+    }
 }
 
 impl Directory {
@@ -96,6 +105,9 @@
                 );
             }
             known.set_draining(entry.draining);
+            if let Some(version) = entry.software_version {
+                known.learn_software_version(version);
+            }
             return None;
         }
         if state.has_later_incarnation(&entry) {
@@ -103,7 +115,12 @@
         }
         let mut superseded = state.take_earlier_incarnations(&entry);
         let upstream = Arc::new(Upstream::new(entry.clone()));
-        superseded.extend(state.upstreams.insert(entry.id.clone(), upstream));
+        let replaced = state.upstreams.insert(entry.id.clone(), upstream);
+        if let Some(replaced) = replaced {
+            let now = Instant::now();
+            state.version_history.record_departure(&replaced, now);
+            superseded.push(replaced);
+        }
         drop(state);
         for upstream in superseded {
             self.notify_lost(&upstream, "superseded", Instant::now());
@@ -123,7 +140,7 @@
         match state.expiry.entry_removed(id, &service, service_size, now) {
             ExpiryDecision::Remove => {
                 log::info!("event=upstream_gone upstream={id}");
-                state.upstreams.remove(id);
+                state.remove(id, now);
             }
             ExpiryDecision::KeepUntil(until) => {
                 let held_ms = until.saturating_duration_since(now).as_millis();
@@ -157,7 +174,7 @@
         let mut state = self.lock();
         for id in state.expiry.take_expired(now) {
             log::info!("event=upstream_gone upstream={id} cause=did_not_return");
-            state.upstreams.remove(&id);
+            state.remove(&id, now);
         }
     }
 
@@ -170,6 +187,20 @@
             .collect()
     }
 
+    /// The origin of every run of the service that may still go on, if that is
+    /// the same for all: the service's upstreams have one known version, and none
+    /// of another version left recently.
+    pub(crate) fn only_origin(&self, service: &str, now: Instant) -> Option<RunOrigin> {
+        let state = self.lock();
+        let all = state.upstreams.values();
+        let mut present = all.filter(|u| u.entry.service == service);
+        let origin = RunOrigin::at(present.next()?);
+        let version = origin.software_version.as_ref()?;
+        let is_only = present.all(|u| u.software_version() == Some(version))
+            && state.version_history.has_only(service, version, now);
+        is_only.then_some(origin)
+    }
+
     pub(crate) fn knows(&self, id: &UpstreamId) -> bool {
         self.lock().upstreams.contains_key(id)
     }
@@ -249,7 +280,7 @@
         let mut state = self.lock();
         let known = state.upstreams.get(&upstream.entry.id);
         if known.is_some_and(|known| known.is_same_incarnation(&upstream.entry)) {
-            state.upstreams.remove(&upstream.entry.id);
+            state.remove(&upstream.entry.id, now);
         }
         drop(state);
         self.notify_lost(upstream, "misdirected", now);
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -15,6 +15,7 @@
 use super::request_crashes::RequestCrashes;
 use super::retry_budgets::RetryBudgets;
 use super::route_table::{AdmissionError, MatchedRoute, RouteTable};
+use super::run_origin::{RunKey, RunOrigin, RunOrigins};
 use super::sessions::Sessions;
 use super::upstream::Upstream;
 use crate::error::{Error, ErrorKind};
@@ -43,6 +44,10 @@
     /// Asks other nodes to spend a retry from their shares of the service's
     /// retry budget. Returns whether one did.
     fn borrow_retry(&self, service: &ServiceId) -> impl Future<Output = bool> + Send;
+    /// Has other nodes keep the origin of a run.
+    fn publish_origin(&self, key: RunKey, origin: RunOrigin);
+    /// Asks other nodes for the origin of a run.
+    fn find_origin(&self, key: RunKey) -> impl Future<Output = Option<RunOrigin>> + Send;
     /// Completes shortly before this node closes the streams that still run.
     fn shutdown_imminent(&self) -> impl Future<Output = ()> + Send;
     /// Whether new streams are refused, because this node shuts down before they
@@ -61,6 +66,8 @@
     pub(crate) request_crashes: RequestCrashes,
     /// Engines at which the prompts of recent streams are cached.
     pub(crate) sessions: Sessions,
+    /// Where recent runs began.
+    pub(crate) run_origins: RunOrigins,
     /// Publishes to other nodes what this node observes.
     pub(crate) observations: Observations,
     pub(crate) metrics: Arc<Metrics>,
@@ -234,20 +241,27 @@
         response
     }
 
-    /// Chooses among the upstreams of a service. `choose` gets the candidates
-    /// and a random number, and returns the index of one candidate.
+    /// Chooses among the upstreams of a service, and only among those that
+    /// `origin` admits if the run has one. `choose` gets the candidates and a
+    /// random number, and returns the index of one candidate.
     pub(crate) fn choose_upstream(
         &self,
         service: &str,
         tried: &[Arc<Upstream>],
+        origin: Option<&RunOrigin>,
         choose: impl FnOnce(&[Candidate<'_>], u64) -> Option<usize>,
     ) -> Option<Arc<Upstream>> {
         let upstreams = self.directory.serving(service);
         let (node_index, node_count) = self.node.position();
         let now = Instant::now();
-        let candidates: Vec<Candidate<'_>> = upstreams
+        let is_admitted = |upstream: &Upstream| origin.is_none_or(|o| o.admits(upstream));
+        let admitted: Vec<(usize, &Arc<Upstream>)> = upstreams
             .iter()
             .enumerate()
+            .filter(|(_, upstream)| is_admitted(upstream))
+            .collect();
+        let candidates: Vec<Candidate<'_>> = admitted
+            .iter()
             .map(|(index, upstream)| Candidate {
                 id: &upstream.entry.id,
                 data_centre: &upstream.entry.data_centre,
@@ -261,11 +275,13 @@
                         .directory
                         .is_outage_suspected(&upstream.entry.data_centre, now),
                 was_tried: tried.iter().any(|t| t.entry.id == upstream.entry.id),
-                is_assigned: is_assigned(index, upstreams.len(), node_index, node_count),
+                is_assigned: is_assigned(*index, upstreams.len(), node_index, node_count),
             })
             .collect();
         let index = choose(&candidates, rand::rng().random())?;
-        upstreams.get(index).cloned()
+        admitted
+            .get(index)
+            .map(|(_, upstream)| Arc::clone(upstream))
     }
 
     /// Spends one retry for a service from this node's share of the budget, for
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -7,6 +7,8 @@
 //!   part of it.
 //! - A replica is a second copy of the run's KV cache. If the run's engine is
 //!   lost, the run can resume at the replica's holder, the engine that has it.
+//! - The origin of a run is the upstream that sent its first event. The run goes on
+//!   only at upstreams with the same software version.
 //! - An incarnation is one start of an upstream, which gets a new id or start
 //!   time after each restart.
 //!
@@ -15,9 +17,11 @@
 
 pub(crate) mod answer_body;
 pub(crate) mod attempt;
+pub(crate) mod caller_resume;
 pub(crate) mod connection;
 pub(crate) mod directory;
 pub(crate) mod forwarder;
+pub(crate) mod incarnation_check;
 pub(crate) mod observation;
 pub(crate) mod plain_call;
 pub(crate) mod probe;
@@ -25,6 +29,7 @@
 pub(crate) mod request_crashes;
 pub(crate) mod retry_budgets;
 pub(crate) mod route_table;
+pub(crate) mod run_origin;
 pub(crate) mod run_replica;
 pub(crate) mod send_history;
 pub(crate) mod sessions;
@@ -32,6 +37,7 @@
 pub(crate) mod stream_relay;
 pub(crate) mod successor;
 pub(crate) mod upstream;
+pub(crate) mod version_history;
 
 #[cfg(test)]
 mod tests;
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -100,7 +100,7 @@
                 return None;
             }
             let upstream =
-                self.choose_upstream(&call.service, &state.tried, |candidates, draw| {
+                self.choose_upstream(&call.service, &state.tried, None, |candidates, draw| {
                     choose_for_plain_call(candidates, &self.data_centre, draw)
                 })?;
             if !is_first && !self.spend_own_retry(call) {
--- a/src/forward/route_table.rs
+++ b/src/forward/route_table.rs
@@ -73,6 +73,12 @@
 }
 
 impl Route {
+    /// Whether calls of the route may go to the service.
+    pub(crate) fn has_service(&self, service: &str) -> bool {
+        let mut services = self.services.iter();
+        services.any(|s| s.service == service && s.weight > 0)
+    }
+
     /// Picks a service by weight; `draw` is a uniformly distributed random number.
     pub(crate) fn service(&self, draw: u64) -> Option<&ServiceId> {
         let total: u64 = self.services.iter().map(|s| u64::from(s.weight)).sum();
--- a/src/forward/run_replica.rs
+++ b/src/forward/run_replica.rs
@@ -20,6 +20,7 @@
 
 use super::forwarder::{Forwarder, NodeContext};
 use super::probe::{probe_engine, send_control_request};
+use super::run_origin::RunOrigin;
 use super::upstream::{Upstream, Work};
 use crate::id::{DataCentreId, ServiceId};
 use crate::observe::metrics::Counter;
@@ -182,7 +183,9 @@
     source: &Arc<Upstream>,
     tried: &[Arc<Upstream>],
 ) -> Option<Arc<Upstream>> {
-    forwarder.choose_upstream(service, tried, |candidates, draw| {
+    // A run resumes only at the version of its source.
+    let origin = RunOrigin::at(source);
+    forwarder.choose_upstream(service, tried, Some(&origin), |candidates, draw| {
         let is_source = |c: &&Candidate<'_>| c.id == source.entry.id;
         let data_centre = &source.entry.data_centre;
         let source_candidate = candidates.iter().find(is_source);
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -16,9 +16,10 @@
 use super::forwarder::{Forwarder, NodeContext};
 use super::probe::LossWatch;
 use super::request::Call;
+use super::run_origin::RunOrigin;
 use super::run_replica::{ReplicaSlot, ReplicatedRun, RunReplica, choose_holder, lock};
 use super::send_history::SendHistory;
-use super::upstream::{SoftwareVersion, Upstream, Work, version_for_log};
+use super::upstream::{Upstream, Work, version_for_log};
 use crate::http::HttpResponse;
 use crate::observe::metrics::Counter;
 use crate::platform::call::{ReplicaRef, UpstreamHeaders};
@@ -51,9 +52,11 @@
     pub(super) replica: ReplicaSlot,
     /// Index of the last event that the caller has received.
     pub(super) last_event: Option<u64>,
-    /// Software version of the upstream that sent the first event of this answer,
-    /// if it is known.
-    pub(super) began_at: Option<SoftwareVersion>,
+    /// The upstream that sent the first event of the run, if an event was passed
+    /// on to the caller, now or in an earlier call that this one resumes.
+    pub(super) origin: Option<RunOrigin>,
+    /// Whether the origin is recorded at this node or another one.
+    pub(super) is_origin_recorded: bool,
     pub(super) event_count: u64,
     /// Whether the present upstream has sent an event that was passed on to the
     /// caller.
@@ -73,7 +76,8 @@
             tried: Vec::new(),
             sends: SendHistory::new(),
             replica: ReplicaSlot::default(),
-            began_at: None,
+            origin: None,
+            is_origin_recorded: false,
             event_count: 0,
             has_upstream_sent_event: false,
             first_event_ms: None,
@@ -81,7 +85,7 @@
             last_event_at: None,
         };
         let deadline = run.call.deadline.into();
-        let opened = tokio::time::timeout_at(deadline, run.open()).await;
+        let opened = tokio::time::timeout_at(deadline, run.open_first()).await;
         let timed_out = || {
             OpenFailure::GivenUp(
                 GiveUpReason::TimeOver,
@@ -99,12 +103,22 @@
 }
 
 impl<N: NodeContext> StreamRun<N> {
+    async fn open_first(&mut self) -> Result<Attempt<Answered>, OpenFailure> {
+        self.find_origin().await?;
+        self.open().await
+    }
+
     /// Sends the call to one upstream after the other until one begins or
     /// resumes the stream.
     pub(super) async fn open(&mut self) -> Result<Attempt<Answered>, OpenFailure> {
         loop {
             let (upstream, replica) = self.next_upstream().await?;
             self.tried.push(upstream.clone());
+            // A holder that restarted has no replica and refuses the call itself.
+            let is_resume = self.origin.is_some() && replica.is_none();
+            if is_resume && !self.forwarder.is_registered_incarnation(&upstream).await {
+                continue;
+            }
             self.sends.begin();
             self.has_upstream_sent_event = false;
             let failure = match self.send(&upstream, replica).await {
@@ -175,14 +189,15 @@
             None => self
                 .upstream_with_cached_prompt()
                 .or_else(|| {
-                    forwarder.choose_upstream(&self.call.service, &self.tried, choose_engine)
-                })
-                .ok_or_else(|| {
-                    given_up(
-                        GiveUpReason::NoUpstream,
-                        "no upstream of the service accepts calls",
+                    let origin = self.origin.as_ref();
+                    forwarder.choose_upstream(
+                        &self.call.service,
+                        &self.tried,
+                        origin,
+                        choose_engine,
                     )
-                })?,
+                })
+                .ok_or_else(|| given_up(GiveUpReason::NoUpstream, self.no_upstream_cause()))?,
         };
         if self.sends.sent_count() > 0 && !forwarder.spend_or_borrow_retry(&self.call).await {
             return Err(given_up(
@@ -193,10 +208,17 @@
         Ok((upstream, replica))
     }
 
+    fn no_upstream_cause(&self) -> &'static str {
+        match self.origin {
+            Some(_) => "no upstream of the version that began the stream accepts calls",
+            None => "no upstream of the service accepts calls",
+        }
+    }
+
     /// Whether the run can resume from its replica. Before the first event the
     /// replica is empty, and the send would waste retry budget.
     fn can_resume_from(&self, replica: &RunReplica) -> bool {
-        self.has_upstream_sent_event && replica.is_usable()
+        self.has_upstream_sent_event && replica.is_usable() && self.admits(&replica.holder)
     }
 
     /// Returns the engine that has the prompt of the call's session cached,
@@ -208,10 +230,17 @@
         let was_tried = self.tried.iter().any(|tried| tried.entry.id == id);
         let serving = self.forwarder.directory.serving(&self.call.service);
         let upstream = serving.into_iter().find(|u| u.entry.id == id)?;
-        let is_eligible = !was_tried && upstream.avoided_until(now).is_none();
+        let is_eligible =
+            !was_tried && upstream.avoided_until(now).is_none() && self.admits(&upstream);
         is_eligible.then_some(upstream)
     }
 
+    /// Software version that began the run, for the log.
+    pub(super) fn origin_for_log(&self) -> &str {
+        let origin = self.origin.as_ref();
+        version_for_log(origin.and_then(|origin| origin.software_version.as_ref()))
+    }
+
     pub(super) fn replicated_run(&self) -> ReplicatedRun {
         ReplicatedRun {
             call_id: self.call.id().to_owned(),
@@ -268,14 +297,14 @@
             "event=stream_sent call={} upstream={} version={} dc={} has_copy={has_replica} keeper={} last_event={:?} resumes={} began_at={} own_prompt_tokens={} own_calls={} age_ms={}",
             self.call.id(),
             upstream.entry.id,
-            version_for_log(upstream.entry.software_version.as_ref()),
+            version_for_log(upstream.software_version()),
             upstream.entry.data_centre,
             next_replica
                 .as_ref()
                 .map_or("-", |next| next.holder.entry.id.as_str()),
             self.last_event,
             self.call.resumed_id().unwrap_or("-"),
-            version_for_log(self.began_at.as_ref()),
+            self.origin_for_log(),
             upstream.pending_prompt_tokens(),
             upstream.call_count(),
             self.call.age().as_millis()
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -85,8 +85,8 @@
                 "event=stream_lost call={} upstream={} version={} began_at={} cause={cause:?} last_event={:?} age_ms={}",
                 self.call.id(),
                 upstream.entry.id,
-                version_for_log(upstream.entry.software_version.as_ref()),
-                version_for_log(self.began_at.as_ref()),
+                version_for_log(upstream.software_version()),
+                self.origin_for_log(),
                 self.last_event,
                 self.call.age().as_millis()
             );
@@ -113,8 +113,8 @@
                 "event=stream_resumed call={} upstream={} version={} began_at={} after_ms={}",
                 self.call.id(),
                 segment.upstream.entry.id,
-                version_for_log(segment.upstream.entry.software_version.as_ref()),
-                version_for_log(self.began_at.as_ref()),
+                version_for_log(segment.upstream.software_version()),
+                self.origin_for_log(),
                 lost_at.elapsed().as_millis()
             );
         }
@@ -200,7 +200,7 @@
                 }
                 phase = StreamPhase::Decode;
                 if self.event_count == 0 {
-                    self.began_at = upstream.entry.software_version.clone();
+                    self.record_origin(&upstream);
                 }
                 work.prefill_done();
                 if let Err(end) = self.relay_event(event.bytes, event.index, sender).await {
--- a/src/forward/successor.rs
+++ b/src/forward/successor.rs
@@ -55,6 +55,8 @@
         let entry = UpstreamEntry {
             id: actual,
             born_unix_ms: 0,
+            // It may have restarted with other software.
+            software_version: None,
             draining: false,
             ..earlier
         };
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -2,4 +2,5 @@
 //! upstreams.
 
 mod probe;
+mod run_origin;
 mod send_history;
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use tokio::sync::watch;
@@ -85,6 +85,8 @@
     /// Whether the upstream is draining now; `entry` holds the state at which it
     /// became known.
     draining: AtomicBool,
+    /// Version of its software, which may become known later than the upstream.
+    software_version: OnceLock<SoftwareVersion>,
     pending_prompt_tokens: AtomicU64,
     kv_cache_tokens: AtomicU64,
     call_count: AtomicU32,
@@ -96,8 +98,13 @@
 impl Upstream {
     /// Creates an upstream without calls.
     pub(crate) fn new(entry: UpstreamEntry) -> Self {
+        let software_version = OnceLock::new();
+        if let Some(version) = entry.software_version.clone() {
+            software_version.get_or_init(|| version);
+        }
         Self {
             pool: ConnectionPool::new(entry.address),
+            software_version,
             draining: AtomicBool::new(entry.draining),
             pending_prompt_tokens: AtomicU64::new(0),
             kv_cache_tokens: AtomicU64::new(0),
@@ -111,12 +118,25 @@
     /// Whether `entry` describes this incarnation.
     pub(crate) fn is_same_incarnation(&self, entry: &UpstreamEntry) -> bool {
         let (known_start, entry_start) = (self.entry.born_unix_ms, entry.born_unix_ms);
-        self.entry.id == entry.id
+        let versions = (self.software_version(), &entry.software_version);
+        let has_other_version = matches!(versions, (Some(known), Some(stated)) if known != stated);
+        !has_other_version
+            && self.entry.id == entry.id
             && (known_start == entry_start || known_start == 0 || entry_start == 0)
             && self.entry.address == entry.address
             && self.entry.service == entry.service
     }
 
+    /// Version of the upstream's software, if it is known.
+    pub(crate) fn software_version(&self) -> Option<&SoftwareVersion> {
+        self.software_version.get()
+    }
+
+    /// Sets the version of the upstream's software if it was unknown so far.
+    pub(crate) fn learn_software_version(&self, version: SoftwareVersion) {
+        self.software_version.get_or_init(|| version);
+    }
+
     /// Whether the upstream is draining: it accepts no new calls.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -141,7 +141,7 @@
     #[prost(uint64, tag = "1")]
     pub(crate) id: u64,
     /// The request; absent when the receiver does not know its kind.
-    #[prost(oneof = "RequestBody", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "RequestBody", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub(crate) body: Option<RequestBody>,
 }
 
@@ -171,6 +171,45 @@
     /// sender.
     #[prost(message, tag = "7")]
     Retry(RetryRequest),
+    /// Asks where a run began, or asks the receiver to keep that.
+    #[prost(message, tag = "8")]
+    RunOrigin(RunOriginRequest),
+}
+
+/// Asks where a run began, or asks the receiver to keep that.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct RunOriginRequest {
+    /// Hash of the id of the call that brought the run's first event.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) key: u64,
+    /// The origin, if the receiver is to keep it.
+    #[prost(message, optional, tag = "2")]
+    pub(crate) origin: Option<RunOriginRecord>,
+}
+
+/// Reply to [`RunOriginRequest`].
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct RunOriginReply {
+    /// The origin, if the sender asked for it and the receiver knows it.
+    #[prost(message, optional, tag = "1")]
+    pub(crate) origin: Option<RunOriginRecord>,
+}
+
+/// The upstream that sent the first event of a run.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct RunOriginRecord {
+    /// Service of the upstream.
+    #[prost(string, tag = "1")]
+    pub(crate) service: String,
+    /// Version of the upstream's software; absent if unknown.
+    #[prost(string, optional, tag = "2")]
+    pub(crate) software_version: Option<String>,
+    /// Id of the upstream.
+    #[prost(string, tag = "3")]
+    pub(crate) upstream: String,
+    /// Start time of the upstream's incarnation.
+    #[prost(uint64, tag = "4")]
+    pub(crate) born_unix_ms: u64,
 }
 
 /// Asks for one retry. The nodes share a budget of retries; a node that has
@@ -251,7 +290,7 @@
     #[prost(uint64, tag = "1")]
     pub(crate) id: u64,
     /// The reply; absent when the receiver cannot give one.
-    #[prost(oneof = "ReplyBody", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "ReplyBody", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub(crate) body: Option<ReplyBody>,
 }
 
@@ -277,6 +316,9 @@
     /// Reply to [`RequestBody::Retry`].
     #[prost(message, tag = "7")]
     Retry(RetryReply),
+    /// Reply to [`RequestBody::RunOrigin`].
+    #[prost(message, tag = "8")]
+    RunOrigin(RunOriginReply),
 }
 
 /// The members and announcements that the requester may lack.
--- a/src/node_state.rs
+++ b/src/node_state.rs
@@ -124,8 +124,8 @@
                 ReplyBody::Crashes(self.state.crash_tracker.merge_and_reply(&record))
             }
             RequestBody::Status(_) => ReplyBody::Status(self.state.status_reply()),
-            // Only entry nodes share a retry budget with their peers.
-            RequestBody::Retry(_) => return None,
+            // Only entry nodes share a retry budget and the origins of runs.
+            RequestBody::Retry(_) | RequestBody::RunOrigin(_) => return None,
         };
         Some(reply)
     }
