--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -298,6 +298,50 @@
     assert_eq!(completed_count, TAKEN_UP_COUNT);
 }
 
+/// Begins streams through the first of two nodes, kills both nodes at once, starts
+/// them again and returns the streams with the callers of the new nodes.
+async fn restart_all_nodes_under_streams(
+    environment: &TestEnvironment,
+) -> (Vec<Response>, [Caller; 2], [EdgeNode; 2]) {
+    let (first, second) = two_nodes();
+    let killed = [
+        KillableNode::start(&first, environment.store.address).await,
+        KillableNode::start(&second, environment.store.address).await,
+    ];
+    let callers = wait_for_two_nodes(&first, &second).await;
+    let parts = begin_streams(&callers[0], TAKEN_UP_COUNT).await;
+    killed.into_iter().for_each(KillableNode::kill);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let nodes = [
+        start_node(&first, environment.store.address).await,
+        start_node(&second, environment.store.address).await,
+    ];
+    let callers = wait_for_two_nodes(&first, &second).await;
+    (parts, callers, nodes)
+}
+
+#[tokio::test]
+async fn streams_do_not_go_on_at_another_version_after_all_nodes_were_killed_at_once() {
+    let environment = TestEnvironment::start_with_versions(&["v1", "v1", "v2", "v2"]).await;
+    let (parts, callers, _nodes) = restart_all_nodes_under_streams(&environment).await;
+
+    take_up_all(&callers[0], &parts).await;
+}
+
+#[tokio::test]
+async fn streams_go_on_at_their_version_after_all_nodes_were_killed_at_once() {
+    let environment = TestEnvironment::start_with_versions(&["v1", "v1", "v2", "v2"]).await;
+    let (parts, callers, _nodes) = restart_all_nodes_under_streams(&environment).await;
+
+    let completed_count = take_up_all(&callers[0], &parts).await;
+
+    // More than half of them, because all new streams begin here.
+    assert!(
+        2 * completed_count >= parts.len(),
+        "{completed_count} went on"
+    );
+}
+
 #[tokio::test]
 async fn a_stream_cut_off_by_a_leaving_node_does_not_go_on_at_another_version() {
     let environment = TestEnvironment::start_with_versions(&["v1", "v2", "v1", "v2"]).await;
