Treat an engine that fails its check before a resume as not sent to

Cause: an engine whose report was missing or of another start was skipped without a line in the log and without a limit on how many are checked, so many silent engines could delay a resume by 150 ms each.

Change: such a check is a send that did not happen: event=send_failed names it, the engine is avoided, and the limit on undelivered sends holds. A test shows that streams go on at their version after a data centre and another node were killed at once.

--- a/src/forward/incarnation_check.rs
+++ b/src/forward/incarnation_check.rs
@@ -5,7 +5,6 @@
 //! tells the two incarnations apart. Its report on itself states its start.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use super::forwarder::{Forwarder, NodeContext};
 use super::probe::probe_engine;
@@ -13,13 +12,12 @@
 use crate::observe::metrics::Counter;
 
 impl<N: NodeContext> Forwarder<N> {
-    /// Whether the engine reports that it is the incarnation that registered. An
-    /// engine that does not report is avoided for a moment; one that restarted is
-    /// known from now on as an incarnation whose software version is unknown.
+    /// Whether the engine reports that it is the incarnation that registered. One
+    /// that restarted is known from now on as an incarnation whose software version
+    /// is unknown.
     pub(crate) async fn is_registered_incarnation(&self, upstream: &Arc<Upstream>) -> bool {
         self.metrics.add(Counter::EngineProbes, 1);
         let Some(report) = probe_engine(upstream).await else {
-            upstream.avoid(Instant::now());
             return false;
         };
         let entry = &upstream.entry;
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -114,11 +114,6 @@
         loop {
             let (upstream, replica) = self.next_upstream().await?;
             self.tried.push(upstream.clone());
-            // A holder that restarted has no replica and refuses the call itself.
-            let is_resume = self.origin.is_some() && replica.is_none();
-            if is_resume && !self.forwarder.is_registered_incarnation(&upstream).await {
-                continue;
-            }
             self.sends.begin();
             self.has_upstream_sent_event = false;
             let failure = match self.send(&upstream, replica).await {
@@ -275,12 +270,19 @@
         upstream: &Arc<Upstream>,
         replica: Option<RunReplica>,
     ) -> Result<Attempt<Answered>, AttemptFailure> {
+        let has_replica = replica.is_some();
+        // A holder that restarted has no replica and refuses the call itself.
+        let needs_check = self.origin.is_some() && !has_replica;
+        if needs_check && !self.forwarder.is_registered_incarnation(upstream).await {
+            return Err(AttemptFailure::NotSent(
+                "the engine did not report, or has restarted since it registered",
+            ));
+        }
         let Some(time_left) = self.call.time_for_upstream(Instant::now()) else {
             return Err(AttemptFailure::NotSent(
                 "no time is left for an upstream to answer",
             ));
         };
-        let has_replica = replica.is_some();
         let next_replica = self.new_replica(upstream);
         let request = self.call.request_to(&UpstreamHeaders {
             upstream: &upstream.entry.id,
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -298,6 +298,37 @@
     assert_eq!(completed_count, TAKEN_UP_COUNT);
 }
 
+#[tokio::test]
+async fn streams_go_on_at_their_version_after_a_data_centre_and_another_node_were_killed() {
+    let environment = TestEnvironment::start_with_versions(&["v1", "v1", "v2", "v2"]).await;
+    let first = NodeSpec::new("n1", "dc-a");
+    let killed_specs = [
+        first.clone(),
+        NodeSpec::new("n2", "dc-a").with_seed(&first),
+        NodeSpec::new("n3", "dc-b").with_seed(&first),
+    ];
+    let surviving_specs = [
+        NodeSpec::new("n4", "dc-b").with_seed(&first),
+        NodeSpec::new("n5", "dc-c").with_seed(&first),
+        NodeSpec::new("n6", "dc-c").with_seed(&first),
+    ];
+    let mut killed = Vec::new();
+    for spec in &killed_specs {
+        killed.push(KillableNode::start(spec, environment.store.address).await);
+    }
+    let mut surviving = Vec::new();
+    for spec in &surviving_specs {
+        surviving.push(start_node(spec, environment.store.address).await);
+    }
+    let callers = wait_for_two_nodes(&first, &surviving_specs[0]).await;
+
+    let parts = begin_streams(&callers[0], TAKEN_UP_COUNT).await;
+    killed.into_iter().for_each(KillableNode::kill);
+    let completed_count = take_up_all(&callers[1], &parts).await;
+
+    assert_eq!(completed_count, TAKEN_UP_COUNT);
+}
+
 /// Begins streams through the first of two nodes, kills both nodes at once, starts
 /// them again and returns the streams with the callers of the new nodes.
 async fn restart_all_nodes_under_streams(
