--- a/src/edge/caller_handler.rs
+++ b/src/edge/caller_handler.rs
@@ -6,6 +6,7 @@
 use hyper::body::Incoming;
 
 use super::cluster_view::ClusterView;
+use super::unanswered_call::UnansweredCall;
 use crate::forward::forwarder::Forwarder;
 use crate::forward::route_table::CallerLimits;
 use crate::http::{ConnectionLimits, Handler, HttpResponse};
@@ -25,14 +26,15 @@
             .as_ref()
             .map_or_else(CallerLimits::default, |table| table.limits);
         ConnectionLimits {
-            // Waiting for the next request's header is idle time, so the idle
-            // time-out applies to it.
-            header_timeout: limits.idle_timeout,
+            idle_timeout: limits.idle_timeout,
             buffer_bytes: limits.header_bytes.max(BUFFER_MIN_BYTES),
         }
     }
 
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
-        self.forwarder.clone().forward(request).await
+        let unanswered = UnansweredCall::new(&request, self.forwarder.metrics.clone());
+        let response = self.forwarder.clone().forward(request).await;
+        unanswered.answered();
+        response
     }
 }
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -38,6 +38,10 @@
     pub event_interval: Mutex<Duration>,
     /// Cuts the next event of any run in half and closes the connection.
     pub truncates_event: AtomicBool,
+    /// Resets new connections; open ones are served.
+    pub refuses_connections: AtomicBool,
+    /// Refuses every run for lack of capacity.
+    pub refuses_runs: AtomicBool,
     name: String,
     /// Number of the current process, from which its start time follows.
     incarnation: AtomicU64,
@@ -75,6 +79,8 @@
             prefill_time: Mutex::new(Duration::from_millis(30)),
             event_interval: Mutex::new(Duration::from_millis(10)),
             truncates_event: AtomicBool::new(false),
+            refuses_connections: AtomicBool::new(false),
+            refuses_runs: AtomicBool::new(false),
             name: name.to_owned(),
             incarnation: AtomicU64::new(1),
             id_number: AtomicU64::new(1),
@@ -167,6 +173,9 @@
     }
 
     async fn run(&self, request: RawRequest, stream: &mut TcpStream) -> bool {
+        if self.refuses_runs.load(Ordering::Relaxed) {
+            return reply(stream, 503, "x-zinniawing-not-executed: 1\r\n", b"").await;
+        }
         let call_id = request
             .header("x-zinniawing-attempt-id")
             .unwrap_or("-")
@@ -257,6 +266,10 @@
 }
 
 impl RequestHandler for Engine {
+    fn accepts_connections(&self) -> bool {
+        !self.refuses_connections.load(Ordering::Relaxed)
+    }
+
     async fn handle(self: Arc<Self>, request: RawRequest, stream: &mut TcpStream) -> bool {
         self.wait_until_unfrozen().await;
         let expected = request.header("x-zinniawing-expect-instance");
