Keep the origins of runs in the platform's store while versions are mixed

What callers saw: after all nodes were killed at once, while several software versions served, every resume was refused, although engines of the version served (0 of 12 streams went on in the test).

Cause: the origin of a run was kept only in the memory of nodes.

Change: while a service has two or more versions, in any state and for 60 s after one left, each node writes the versions of its runs of the last 60 s to one object of its own, off the path of the stream, at most once every max(1 s, node count / 100 s) and only if there is a new run. A resume whose origin no node knows reads the objects, with one read shared by all that wait; so does, for 60 s, a node that has just started, even if only one version is listed. A restarted node merges its earlier object before it replaces it. Objects whose records are all older than 2 minutes are deleted by the nodes that list them, eight a minute and node at most. Writes that fail are repeated with a backoff of 4 s at most.

No stream mixed versions. With one version, no call about origins was made.

Computed, not measured: at most 7, 89 and 100 writes a second of 7, 89 and 390 nodes together, of 400 that the store accepts, and at most 500 reads of 2,000.

--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -5,15 +5,16 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Mutex, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use tokio_util::sync::CancellationToken;
 
 use super::peer_retry_budget::PeerRetryBudget;
 use super::peer_run_origins::PeerRunOrigins;
+use super::stored_run_origins::StoredRunOrigins;
 use crate::forward::forwarder::NodeContext;
-use crate::forward::run_origin::{RunKey, RunOrigin};
+use crate::forward::run_origin::{ORIGIN_LIFETIME, RunKey, RunOrigin};
 use crate::hash::{Fnv, rendezvous_order};
 use crate::id::{DataCentreId, ServiceId};
 use crate::membership::members::Member;
@@ -56,6 +57,7 @@
     nodes: Mutex<Vec<(DataCentreId, SocketAddr)>>,
     peer_budget: PeerRetryBudget,
     peer_origins: PeerRunOrigins,
+    stored_origins: Arc<StoredRunOrigins>,
 }
 
 impl ClusterView {
@@ -64,6 +66,7 @@
         is_seed: bool,
         peer_budget: PeerRetryBudget,
         peer_origins: PeerRunOrigins,
+        stored_origins: Arc<StoredRunOrigins>,
     ) -> Self {
         Self {
             is_seed,
@@ -78,6 +81,7 @@
             nodes: Mutex::default(),
             peer_budget,
             peer_origins,
+            stored_origins,
         }
     }
 
@@ -187,6 +191,7 @@
     }
 
     fn publish_origin(&self, key: RunKey, origin: RunOrigin) {
+        self.stored_origins.record(key, &origin);
         let peer_origins = self.peer_origins.clone();
         tokio::spawn(async move { peer_origins.store(key, origin).await });
     }
@@ -195,6 +200,15 @@
         self.peer_origins.find(key).await
     }
 
+    async fn find_stored_origin(&self, key: RunKey) -> Option<RunOrigin> {
+        let node_count = self.node_count.load(Ordering::Relaxed);
+        self.stored_origins.find(key, node_count).await
+    }
+
+    fn has_started_recently(&self) -> bool {
+        self.started_at.elapsed() < ORIGIN_LIFETIME
+    }
+
     async fn shutdown_imminent(&self) {
         self.shutdown_imminent.cancelled().await;
     }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -12,9 +12,11 @@
 pub(crate) mod peer_api;
 pub(crate) mod peer_retry_budget;
 pub(crate) mod peer_run_origins;
+pub(crate) mod run_origin_log;
 pub(crate) mod settings;
 pub(crate) mod status_api;
 pub(crate) mod store_watch;
+pub(crate) mod stored_run_origins;
 pub(crate) mod unanswered_call;
 pub(crate) mod upstream_log;
 
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -20,6 +20,7 @@
 use super::settings::EdgeSettings;
 use super::status_api::StatusApi;
 use super::store_watch::{ROUTING_DOCUMENT, StoreWatch};
+use super::stored_run_origins::StoredRunOrigins;
 use crate::clock::unix_ms;
 use crate::configuration::document::DocumentStore;
 use crate::configuration::document_exchange::DocumentExchange;
@@ -91,6 +92,11 @@
         let (trigger, shutdown) = Shutdown::channel();
         let peers = PeerClient::default();
         let membership = join(&settings, peers.clone(), shutdown.clone()).await?;
+        let stored_origins = Arc::new(StoredRunOrigins::new(
+            settings.node.clone(),
+            Store::new(settings.store),
+            metrics.clone(),
+        ));
         let observation_channel = Observations::default();
         let forwarder = Arc::new(Forwarder {
             route_table: ArcSwapOption::empty(),
@@ -112,6 +118,7 @@
                     membership: membership.clone(),
                     peers: peers.clone(),
                 },
+                stored_origins.clone(),
             ),
             in_flight: Arc::default(),
         });
@@ -124,6 +131,7 @@
         };
         serve_peer_api(&settings, &watch, &shutdown)?;
         spawn_background_tasks(&settings, watch);
+        tokio::spawn(stored_origins.write_periodically(forwarder.clone()));
         let status_api = Arc::new(StatusApi {
             forwarder: forwarder.clone(),
             address_ttl_max: settings.address_keep,
--- /dev/null
+++ b/src/edge/run_origin_log.rs
@@ -0,0 +1,89 @@
+//! The origins of the runs that began at this node, as it writes them to the
+//! platform's store.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use crate::forward::run_origin::{ORIGIN_LIFETIME, RunKey, RunOrigin};
+use crate::forward::upstream::SoftwareVersion;
+use crate::id::ServiceId;
+
+/// Maximum number of records, which keeps an object below the store's limit of
+/// 1 MiB.
+pub(crate) const RECORDS_MAX: usize = 16_384;
+
+/// The software version that began a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct OriginRecord {
+    pub(crate) key: RunKey,
+    pub(crate) service: ServiceId,
+    pub(crate) software_version: SoftwareVersion,
+    /// Time of the record in Unix milliseconds. Clocks of nodes differ, so it only
+    /// decides how long the record is kept.
+    pub(crate) recorded_unix_ms: u64,
+}
+
+impl OriginRecord {
+    /// Whether the record is younger than `age_ms`.
+    pub(crate) fn is_within(&self, age_ms: u64, now_unix_ms: u64) -> bool {
+        now_unix_ms.saturating_sub(self.recorded_unix_ms) < age_ms
+    }
+}
+
+/// Records of recent runs, oldest first.
+#[derive(Debug, Default)]
+pub(crate) struct RunOriginLog {
+    records: VecDeque<OriginRecord>,
+    keys: BTreeSet<RunKey>,
+}
+
+impl RunOriginLog {
+    /// Adds a run that began now. A run whose version is unknown is left out: it
+    /// goes on only at the incarnation that began it.
+    pub(crate) fn record(&mut self, key: RunKey, origin: &RunOrigin, now_unix_ms: u64) {
+        let Some(software_version) = origin.software_version.clone() else {
+            return;
+        };
+        if !self.keys.insert(key) {
+            return;
+        }
+        self.records.push_back(OriginRecord {
+            key,
+            service: origin.service.clone(),
+            software_version,
+            recorded_unix_ms: now_unix_ms,
+        });
+        self.trim(now_unix_ms);
+    }
+
+    /// Adds the records that this node wrote before it was restarted.
+    pub(crate) fn merge(&mut self, earlier: Vec<OriginRecord>, now_unix_ms: u64) {
+        for record in earlier {
+            if self.keys.insert(record.key) {
+                self.records.push_back(record);
+            }
+        }
+        let records = self.records.make_contiguous();
+        records.sort_by_key(|record| record.recorded_unix_ms);
+        self.trim(now_unix_ms);
+    }
+
+    /// Removes expired records, and the oldest ones beyond [`RECORDS_MAX`].
+    pub(crate) fn trim(&mut self, now_unix_ms: u64) {
+        let lifetime_ms = ORIGIN_LIFETIME.as_millis() as u64;
+        while let Some(oldest) = self.records.front()
+            && (self.records.len() > RECORDS_MAX || !oldest.is_within(lifetime_ms, now_unix_ms))
+        {
+            self.keys.remove(&oldest.key);
+            self.records.pop_front();
+        }
+    }
+
+    /// The records of runs of these services.
+    pub(crate) fn of_services(&self, services: &BTreeSet<ServiceId>) -> Vec<OriginRecord> {
+        let records = self.records.iter();
+        records
+            .filter(|record| services.contains(&record.service))
+            .cloned()
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/edge/stored_run_origins.rs
@@ -0,0 +1,348 @@
+//! Keeps the origins of runs in the platform's store, so that streams can go on
+//! after all nodes that kept them were killed at once.
+//!
+//! Only a service of which several software versions are present, or were until
+//! recently, needs this: each node then writes its recent runs to an object of its
+//! own, at intervals. A node reads all of the objects when a caller resumes a
+//! stream whose origin no node knows.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+
+use super::cluster_view::ClusterView;
+use super::run_origin_log::{OriginRecord, RunOriginLog};
+use crate::clock::unix_ms;
+use crate::forward::forwarder::{Forwarder, NodeContext};
+use crate::forward::run_origin::{RunKey, RunOrigin};
+use crate::id::{NodeId, ServiceId};
+use crate::observe::metrics::{Counter, Metrics};
+use crate::platform::run_origin_objects::RunOriginObject;
+use crate::platform::store::{Store, StoreFailure};
+
+/// Shortest interval between two writes of a node.
+const WRITE_INTERVAL_MIN: Duration = Duration::from_secs(1);
+/// Maximum number of writes a second of all nodes together.
+const WRITES_PER_S_MAX: f64 = 100.0;
+/// Longest pause after writes that failed.
+const WRITE_BACKOFF_MAX: Duration = Duration::from_secs(4);
+/// Shortest interval between two reads of the list by a node.
+const READ_INTERVAL_MIN: Duration = Duration::from_millis(500);
+/// Maximum number of pages that all nodes together read a second.
+const PAGES_PER_S_MAX: f64 = 500.0;
+/// Maximum number of pages of one read.
+const PAGES_MAX: usize = 64;
+/// Maximum number of records that a node holds from one read.
+const RECORDS_READ_MAX: usize = 131_072;
+/// Longest time that a caller waits for the store.
+const FIND_TIMEOUT: Duration = Duration::from_millis(300);
+/// Age from which a record is of no use, whatever the difference of two clocks.
+const RECORD_AGE_MAX_MS: u64 = 120_000;
+/// Maximum number of other nodes' objects that a node deletes in
+/// [`DELETE_PERIOD`].
+const DELETES_MAX: usize = 8;
+const DELETE_PERIOD: Duration = Duration::from_secs(60);
+
+/// The origins of runs in the platform's store.
+#[derive(Debug)]
+pub(crate) struct StoredRunOrigins {
+    node: NodeId,
+    store: Store,
+    metrics: Arc<Metrics>,
+    log: Mutex<RunOriginLog>,
+    found: Mutex<Found>,
+    /// Held during a read, so that resumes that wait share it.
+    reading: tokio::sync::Mutex<()>,
+    deletes: Mutex<DeleteBudget>,
+}
+
+/// What the last read of the list returned.
+#[derive(Debug, Default)]
+struct Found {
+    origins: BTreeMap<RunKey, Arc<RunOrigin>>,
+    /// Time until which the list is not read again.
+    valid_until: Option<Instant>,
+}
+
+impl Found {
+    fn add(&mut self, object: &RunOriginObject, now_unix_ms: u64) {
+        let mut origins: BTreeMap<(&str, &str), Arc<RunOrigin>> = BTreeMap::new();
+        for record in &object.records {
+            let is_useful = record.is_within(RECORD_AGE_MAX_MS, now_unix_ms);
+            if !is_useful || self.origins.len() >= RECORDS_READ_MAX {
+                continue;
+            }
+            let version = (record.service.as_str(), record.software_version.as_str());
+            let origin = origins.entry(version).or_insert_with(|| origin_of(record));
+            self.origins.insert(record.key, origin.clone());
+        }
+    }
+}
+
+/// The upstream is not stored: any one of the version may go on with the run.
+fn origin_of(record: &OriginRecord) -> Arc<RunOrigin> {
+    Arc::new(RunOrigin {
+        service: record.service.clone(),
+        software_version: Some(record.software_version.clone()),
+        upstream: String::new(),
+        born_unix_ms: 0,
+    })
+}
+
+/// The objects that one read returned.
+#[derive(Debug, Default)]
+struct ObjectList {
+    objects: Vec<RunOriginObject>,
+    page_count: usize,
+    is_complete: bool,
+}
+
+/// Limits how many objects of other nodes a node deletes.
+#[derive(Debug, Default)]
+struct DeleteBudget {
+    period_began_at: Option<Instant>,
+    spent_count: usize,
+}
+
+impl DeleteBudget {
+    fn try_spend(&mut self, now: Instant) -> bool {
+        let is_over = |began: Instant| now.saturating_duration_since(began) >= DELETE_PERIOD;
+        if self.period_began_at.is_none_or(is_over) {
+            self.period_began_at = Some(now);
+            self.spent_count = 0;
+        }
+        self.spent_count += 1;
+        self.spent_count <= DELETES_MAX
+    }
+}
+
+/// What the writing task knows about this node's object.
+#[derive(Debug, Default)]
+struct OwnObject {
+    /// Whether the object of an earlier process of this node was read.
+    is_merged: bool,
+    /// Whether the store may hold the object.
+    may_exist: bool,
+    /// Keys of the last write that was acknowledged.
+    written: BTreeSet<RunKey>,
+}
+
+impl StoredRunOrigins {
+    /// Creates the records of one node, which are empty.
+    pub(crate) fn new(node: NodeId, store: Store, metrics: Arc<Metrics>) -> Self {
+        Self {
+            node,
+            store,
+            metrics,
+            log: Mutex::default(),
+            found: Mutex::default(),
+            reading: tokio::sync::Mutex::default(),
+            deletes: Mutex::default(),
+        }
+    }
+
+    /// Records a run that began at this node. The next write includes it.
+    pub(crate) fn record(&self, key: RunKey, origin: &RunOrigin) {
+        lock(&self.log).record(key, origin, unix_ms());
+    }
+
+    /// Writes the recent runs at intervals. Never returns; it ends with the
+    /// runtime.
+    pub(crate) async fn write_periodically(
+        self: Arc<Self>,
+        forwarder: Arc<Forwarder<ClusterView>>,
+    ) {
+        let mut own = OwnObject::default();
+        let mut failure_count = 0;
+        loop {
+            let (_, node_count) = forwarder.node.position();
+            tokio::time::sleep(write_pause(node_count, failure_count)).await;
+            let directory = &forwarder.directory;
+            let services = directory.services_with_several_versions(Instant::now());
+            let result = self.update(&mut own, &services).await;
+            failure_count = match result {
+                Ok(()) => 0,
+                Err(_) => failure_count + 1,
+            };
+            if let Err(failure) = result {
+                log::warn!(
+                    "event=run_origins_not_written failures={failure_count} cause={failure}"
+                );
+            }
+        }
+    }
+
+    /// Brings this node's object up to date, or deletes it if no service needs it.
+    async fn update(
+        &self,
+        own: &mut OwnObject,
+        services: &BTreeSet<ServiceId>,
+    ) -> Result<(), StoreFailure> {
+        if services.is_empty() {
+            return self.delete_own(own).await;
+        }
+        let is_new = |record: &OriginRecord| !own.written.contains(&record.key);
+        if !self.recent(services).iter().any(is_new) {
+            return Ok(());
+        }
+        self.merge_earlier(own).await?;
+        let records = self.recent(services);
+        own.may_exist = true;
+        let write = self.store.write_run_origins(&self.node, &records);
+        self.count_call(write).await?;
+        own.written = records.iter().map(|record| record.key).collect();
+        Ok(())
+    }
+
+    fn recent(&self, services: &BTreeSet<ServiceId>) -> Vec<OriginRecord> {
+        let mut log = lock(&self.log);
+        log.trim(unix_ms());
+        log.of_services(services)
+    }
+
+    /// Adds what an earlier process of this node wrote, which the next write would
+    /// otherwise replace.
+    async fn merge_earlier(&self, own: &mut OwnObject) -> Result<(), StoreFailure> {
+        if own.is_merged {
+            return Ok(());
+        }
+        let read = self.store.read_run_origins(&self.node);
+        if let Some(object) = self.count_call(read).await? {
+            lock(&self.log).merge(object.records, unix_ms());
+        }
+        own.is_merged = true;
+        Ok(())
+    }
+
+    async fn delete_own(&self, own: &mut OwnObject) -> Result<(), StoreFailure> {
+        own.written.clear();
+        if !own.may_exist {
+            return Ok(());
+        }
+        let delete = self.store.delete_run_origins(&self.node, None);
+        self.count_call(delete).await?;
+        own.may_exist = false;
+        Ok(())
+    }
+
+    /// Looks for the origin of a run in the store, within [`FIND_TIMEOUT`]. A read
+    /// that takes longer goes on for the caller's next try.
+    pub(crate) async fn find(
+        self: &Arc<Self>,
+        key: RunKey,
+        node_count: usize,
+    ) -> Option<RunOrigin> {
+        if let Some(origin) = self.found(key) {
+            return Some(origin);
+        }
+        let this = self.clone();
+        let read = tokio::spawn(async move { this.read_if_due(node_count).await });
+        // Without a result in time, the origin stays unknown for this try.
+        let _ = tokio::time::timeout(FIND_TIMEOUT, read).await;
+        self.found(key)
+    }
+
+    fn found(&self, key: RunKey) -> Option<RunOrigin> {
+        let found = lock(&self.found);
+        let origin = found.origins.get(&key)?;
+        Some(origin.as_ref().clone())
+    }
+
+    async fn read_if_due(self: &Arc<Self>, node_count: usize) {
+        let _reading = self.reading.lock().await;
+        let valid_until = lock(&self.found).valid_until;
+        if valid_until.is_some_and(|until| Instant::now() < until) {
+            return;
+        }
+        let list = self.read_list().await;
+        let now_unix_ms = unix_ms();
+        let mut found = std::mem::take(&mut *lock(&self.found));
+        if list.is_complete {
+            found.origins.clear();
+        }
+        for object in &list.objects {
+            found.add(object, now_unix_ms);
+        }
+        found.valid_until = Some(Instant::now() + read_interval(node_count, list.page_count));
+        *lock(&self.found) = found;
+        let this = self.clone();
+        tokio::spawn(async move { this.delete_old(&list.objects, now_unix_ms).await });
+    }
+
+    /// Reads the objects of all nodes, or of some if the store fails meanwhile.
+    async fn read_list(&self) -> ObjectList {
+        let mut list = ObjectList::default();
+        let mut after = None;
+        while list.page_count < PAGES_MAX {
+            list.page_count += 1;
+            let page = self.store.list_run_origins(after.as_deref());
+            let page = match self.count_call(page).await {
+                Ok(page) => page,
+                Err(failure) => {
+                    log::warn!("event=run_origins_not_read cause={failure}");
+                    return list;
+                }
+            };
+            list.objects.extend(page.objects);
+            after = page.next;
+            if after.is_none() {
+                list.is_complete = true;
+                return list;
+            }
+        }
+        list
+    }
+
+    /// Deletes objects whose records are all of no use, which their nodes left
+    /// behind.
+    async fn delete_old(&self, objects: &[RunOriginObject], now_unix_ms: u64) {
+        let is_useful = |record: &OriginRecord| record.is_within(RECORD_AGE_MAX_MS, now_unix_ms);
+        let old = objects
+            .iter()
+            .filter(|object| !object.records.iter().any(is_useful));
+        for object in old {
+            if !lock(&self.deletes).try_spend(Instant::now()) {
+                return;
+            }
+            let delete = self
+                .store
+                .delete_run_origins(&object.node, Some(object.revision));
+            if self.count_call(delete).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn count_call<T>(&self, call: impl Future<Output = T>) -> T {
+        self.metrics.add(Counter::StoreCalls, 1);
+        call.await
+    }
+}
+
+/// Interval between the writes of a node, so that all nodes together stay below
+/// [`WRITES_PER_S_MAX`].
+pub(crate) fn write_interval(node_count: usize) -> Duration {
+    let shared = Duration::from_secs_f64(node_count as f64 / WRITES_PER_S_MAX);
+    shared.max(WRITE_INTERVAL_MIN)
+}
+
+/// Interval between the reads of a node, so that all nodes together stay below
+/// [`PAGES_PER_S_MAX`].
+pub(crate) fn read_interval(node_count: usize, page_count: usize) -> Duration {
+    let pages = (node_count * page_count) as f64;
+    Duration::from_secs_f64(pages / PAGES_PER_S_MAX).max(READ_INTERVAL_MIN)
+}
+
+/// The pause before the next write, with jitter, and longer after failures.
+fn write_pause(node_count: usize, failure_count: u32) -> Duration {
+    let interval = write_interval(node_count);
+    let backoff = interval.saturating_mul(1 << failure_count.min(8));
+    let pause = backoff.min(WRITE_BACKOFF_MAX.max(interval));
+    pause.mul_f64(rand::rng().random_range(1.0..1.1))
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/forward/caller_resume.rs
+++ b/src/forward/caller_resume.rs
@@ -16,7 +16,9 @@
     Own,
     /// Another node has its record.
     Peer,
-    /// No node has its record, and the service has only one version.
+    /// No node has its record, but the platform's store does.
+    Store,
+    /// There is no record of it, and the service has only one version.
     OnlyVersion,
 }
 
@@ -64,8 +66,23 @@
             }
         }
         let now = Instant::now();
-        let only = forwarder.directory.only_origin(&self.call.service, now)?;
-        Some((only, OriginSource::OnlyVersion))
+        let only = forwarder.directory.only_origin(&self.call.service, now);
+        if (only.is_none() || forwarder.node.has_started_recently())
+            && let Some(origin) = self.stored_origin().await
+        {
+            return Some((origin, OriginSource::Store));
+        }
+        Some((only?, OriginSource::OnlyVersion))
+    }
+
+    /// The origin that the platform's store has, which this node then keeps.
+    async fn stored_origin(&self) -> Option<RunOrigin> {
+        let key = self.resumed_run_key()?;
+        let forwarder = &self.forwarder;
+        let origin = forwarder.node.find_stored_origin(key).await?;
+        let now = Instant::now();
+        forwarder.run_origins.record(key, origin.clone(), now);
+        Some(origin)
     }
 
     /// Key of the run that the call resumes.
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -3,7 +3,7 @@
 //! An upstream registers with an entry in the platform's store. Each start of it
 //! is an incarnation of its own, identified by its id and start time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -13,7 +13,7 @@
 use super::run_origin::RunOrigin;
 use super::upstream::{Upstream, UpstreamEntry, UpstreamId, version_for_log};
 use super::version_history::VersionHistory;
-use crate::id::DataCentreId;
+use crate::id::{DataCentreId, ServiceId};
 use crate::policy::entry_expiry::{EntryExpiry, ExpiryDecision};
 use crate::policy::outage::OutageDetector;
 
@@ -201,6 +201,21 @@
         is_only.then_some(origin)
     }
 
+    /// The services of which several versions are present or left recently.
+    pub(crate) fn services_with_several_versions(&self, now: Instant) -> BTreeSet<ServiceId> {
+        let state = self.lock();
+        let mut versions: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+        for upstream in state.upstreams.values() {
+            let of_service = versions.entry(&upstream.entry.service).or_default();
+            of_service.extend(upstream.software_version().map(String::as_str));
+        }
+        for (service, version) in state.version_history.departed(now) {
+            versions.entry(service).or_default().insert(version);
+        }
+        let several = versions.into_iter().filter(|(_, known)| known.len() > 1);
+        several.map(|(service, _)| service.to_owned()).collect()
+    }
+
     pub(crate) fn knows(&self, id: &UpstreamId) -> bool {
         self.lock().upstreams.contains_key(id)
     }
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -52,6 +52,11 @@
     fn publish_origin(&self, key: RunKey, origin: RunOrigin);
     /// Asks other nodes for the origin of a run.
     fn find_origin(&self, key: RunKey) -> impl Future<Output = Option<RunOrigin>> + Send;
+    /// Looks in the platform's store for the origin of a run that no node knows.
+    fn find_stored_origin(&self, key: RunKey) -> impl Future<Output = Option<RunOrigin>> + Send;
+    /// Whether this node started so recently that versions may have left which it
+    /// does not know.
+    fn has_started_recently(&self) -> bool;
     /// Completes shortly before this node closes the streams that still run.
     fn shutdown_imminent(&self) -> impl Future<Output = ()> + Send;
     /// Whether new streams are refused, because this node shuts down before they
--- a/src/forward/tests/run_origin.rs
+++ b/src/forward/tests/run_origin.rs
@@ -101,6 +101,25 @@
     assert_eq!(version_of(&mixed, later).as_deref(), Some("v1"));
 }
 
+#[test]
+fn a_service_has_several_versions_until_a_while_after_the_second_one_left() {
+    let now = Instant::now();
+    let single = directory_of(vec![entry("e1", Some("v1")), entry("e2", None)]);
+    let draining = UpstreamEntry {
+        draining: true,
+        ..entry("e2", Some("v2"))
+    };
+    let mixed = directory_of(vec![entry("e1", Some("v1")), draining]);
+
+    assert!(single.services_with_several_versions(now).is_empty());
+    assert!(mixed.services_with_several_versions(now).contains("llm"));
+
+    mixed.entry_removed(&"e2".to_owned(), now);
+    let later = now + Duration::from_secs(120);
+    assert!(mixed.services_with_several_versions(now).contains("llm"));
+    assert!(mixed.services_with_several_versions(later).is_empty());
+}
+
 #[test]
 fn the_first_record_of_a_run_stays_until_it_expires() {
     let origins = RunOrigins::default();
--- a/src/forward/version_history.rs
+++ b/src/forward/version_history.rs
@@ -36,6 +36,14 @@
             .filter(|(_, at)| is_recent(**at, now))
             .all(|(departed, _)| departed.as_ref() == Some(version))
     }
+
+    /// The known versions that left recently, each with its service.
+    pub(crate) fn departed(&self, now: Instant) -> impl Iterator<Item = (&str, &str)> {
+        self.departures.iter().flat_map(move |(service, versions)| {
+            let recent = versions.iter().filter(move |(_, at)| is_recent(**at, now));
+            recent.filter_map(|(version, _)| Some((service.as_str(), version.as_deref()?)))
+        })
+    }
 }
 
 fn is_recent(at: Instant, now: Instant) -> bool {
--- a/tests/support/edge_environment/store.rs
+++ b/tests/support/edge_environment/store.rs
@@ -37,6 +37,8 @@
     /// Accepts requests and never answers them.
     pub is_silent: AtomicBool,
     pub call_count: AtomicUsize,
+    /// Requests so far about `run-origins`, by method.
+    run_origin_calls: Mutex<BTreeMap<String, usize>>,
     list_count: AtomicUsize,
 }
 
@@ -49,6 +51,7 @@
             is_unavailable: AtomicBool::new(false),
             is_silent: AtomicBool::new(false),
             call_count: AtomicUsize::new(0),
+            run_origin_calls: Mutex::default(),
             list_count: AtomicUsize::new(0),
         });
         serve(store.address, store.clone()).await;
@@ -99,6 +102,51 @@
         of_kind.count().div_ceil(PAGE_ENTRIES)
     }
 
+    /// Number of requests so far about `run-origins` with this method.
+    pub fn run_origin_call_count(&self, method: &str) -> usize {
+        let calls = self.run_origin_calls.lock().expect("unpoisoned");
+        calls.get(method).copied().unwrap_or(0)
+    }
+
+    /// The field `spec` of an object, if there is one.
+    pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.state.lock().expect("unpoisoned");
+        let key = (kind.to_owned(), name.to_owned());
+        state.objects.get(&key).map(|object| object["spec"].clone())
+    }
+
+    /// Answers a request about one object: reads, replaces or deletes it, or creates
+    /// it if `name` is empty.
+    fn change(&self, kind: &str, name: &str, request: &RawRequest) -> (u16, Value) {
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or(Value::Null);
+        let created = body["metadata"]["name"].as_str().unwrap_or_default();
+        let name = if name.is_empty() { created } else { name };
+        let key = (kind.to_owned(), name.to_owned());
+        let known = {
+            let state = self.state.lock().expect("unpoisoned");
+            state.objects.get(&key).cloned()
+        };
+        let revision = request
+            .query("revision")
+            .and_then(|r| r.parse::<u64>().ok());
+        match (request.method.as_str(), known) {
+            ("POST", None) | ("PUT", Some(_)) => {
+                self.put(kind, name, body["spec"].clone());
+                (200, json!({}))
+            }
+            ("POST", Some(object)) => (409, object),
+            (_, None) => (404, json!({ "error": "no such object" })),
+            ("DELETE", Some(object)) => {
+                if revision.is_some_and(|at| object["metadata"]["revision"] != at) {
+                    return (409, object);
+                }
+                self.delete(kind, name);
+                (200, json!({}))
+            }
+            (_, Some(object)) => (200, object),
+        }
+    }
+
     /// Drops the history of changes, so that running watches are answered with
     /// status 410 and nodes must list again.
     pub fn expire_history(&self) {
@@ -163,17 +211,25 @@
         if self.is_unavailable.load(Ordering::Relaxed) {
             return reply(stream, 503, "", b"").await;
         }
-        let kind = request.path().trim_start_matches("/objects/").to_owned();
+        let path = request.path().trim_start_matches("/objects/").to_owned();
+        let (kind, name) = path.split_once('/').unwrap_or((&path, ""));
+        if kind == "run-origins" {
+            let mut calls = self.run_origin_calls.lock().expect("unpoisoned");
+            *calls.entry(request.method.clone()).or_default() += 1;
+        }
         let number = |name| request.query(name).and_then(|v| v.parse::<u64>().ok());
         let (status, body) = match number("watch") {
             Some(after_revision) => {
                 let wait = Duration::from_millis(number("wait-ms").unwrap_or(0));
-                self.watch(&kind, after_revision, wait).await
+                self.watch(kind, after_revision, wait).await
+            }
+            None if !name.is_empty() || request.method != "GET" => {
+                self.change(kind, name, &request)
             }
             None => {
                 let listed = usize::from(kind == "servers");
                 self.list_count.fetch_add(listed, Ordering::Relaxed);
-                (200, self.list(&kind, request.query("after").as_deref()))
+                (200, self.list(kind, request.query("after").as_deref()))
             }
         };
         let json = "content-type: application/json\r\n";
