Write origins to the store up to four times a second in small clusters

Change: the shortest interval between two writes of a node is 250 ms instead of 1 s. The limit of 100 writes a second of all nodes together stays, so that only clusters below 100 nodes write more often.

--- a/src/edge/stored_run_origins.rs
+++ b/src/edge/stored_run_origins.rs
@@ -23,7 +23,7 @@
 use crate::platform::store::{Store, StoreFailure};
 
 /// Shortest interval between two writes of a node.
-const WRITE_INTERVAL_MIN: Duration = Duration::from_secs(1);
+const WRITE_INTERVAL_MIN: Duration = Duration::from_millis(250);
 /// Maximum number of writes a second of all nodes together.
 const WRITES_PER_S_MAX: f64 = 100.0;
 /// Longest pause after writes that failed.
