Ask the store whether a node's object exists before creating it

What callers would see: if the store came back from an older copy, or another node deleted the object, a replacement could be refused for good, and the origins of streams would be missing after all nodes were killed at once.

Cause: a write replaced the object first and created it only after a 404. What a replacement of an object that does not exist returns is not specified.

Change: a node reads its object before the first write, and again after any write that failed or was not answered, merges what it holds, and then creates or replaces it. A failed write thus costs one read more, the first write one less.

Whether the earlier order failed anywhere was not observed.

--- a/src/edge/stored_run_origins.rs
+++ b/src/edge/stored_run_origins.rs
@@ -121,8 +121,9 @@
 /// What the writing task knows about this node's object.
 #[derive(Debug, Default)]
 struct OwnObject {
-    /// Whether the object of an earlier process of this node was read.
-    is_merged: bool,
+    /// Whether the store has the object; `None` before it was read, and after a
+    /// write that failed, which may have been executed.
+    exists: Option<bool>,
     /// Whether the store may hold the object.
     may_exist: bool,
     /// Keys of the last write that was acknowledged.
@@ -187,11 +188,18 @@
         if !self.recent(services).iter().any(is_new) {
             return Ok(());
         }
-        self.merge_earlier(own).await?;
+        let exists = self.check_exists(own).await?;
         let records = self.recent(services);
         own.may_exist = true;
-        let write = self.store.write_run_origins(&self.node, &records);
-        self.count_call(write).await?;
+        own.exists = None;
+        if exists {
+            let replace = self.store.replace_run_origins(&self.node, &records);
+            self.count_call(replace).await?;
+        } else {
+            let create = self.store.create_run_origins(&self.node, &records);
+            self.count_call(create).await?;
+        }
+        own.exists = Some(true);
         own.written = records.iter().map(|record| record.key).collect();
         Ok(())
     }
@@ -202,18 +210,21 @@
         log.of_services(services)
     }
 
-    /// Adds what an earlier process of this node wrote, which the next write would
-    /// otherwise replace.
-    async fn merge_earlier(&self, own: &mut OwnObject) -> Result<(), StoreFailure> {
-        if own.is_merged {
-            return Ok(());
+    /// Whether the store has this node's object. If that is unknown, reads the object
+    /// and adds what an earlier process of this node wrote to it, which the next write
+    /// would otherwise replace.
+    async fn check_exists(&self, own: &mut OwnObject) -> Result<bool, StoreFailure> {
+        if let Some(exists) = own.exists {
+            return Ok(exists);
         }
         let read = self.store.read_run_origins(&self.node);
-        if let Some(object) = self.count_call(read).await? {
+        let object = self.count_call(read).await?;
+        let exists = object.is_some();
+        if let Some(object) = object {
             lock(&self.log).merge(object.records, unix_ms());
         }
-        own.is_merged = true;
-        Ok(())
+        own.exists = Some(exists);
+        Ok(exists)
     }
 
     async fn delete_own(&self, own: &mut OwnObject) -> Result<(), StoreFailure> {
@@ -221,6 +232,7 @@
         if !own.may_exist {
             return Ok(());
         }
+        own.exists = None;
         let delete = self.store.delete_run_origins(&self.node, None);
         self.count_call(delete).await?;
         own.may_exist = false;
