--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -16,9 +16,11 @@
 use super::observations;
 use super::peer_api::EdgePeerApi;
 use super::peer_retry_budget::PeerRetryBudget;
+use super::peer_run_origins::PeerRunOrigins;
 use super::settings::EdgeSettings;
 use super::status_api::StatusApi;
 use super::store_watch::{ROUTING_DOCUMENT, StoreWatch};
+use super::stored_run_origins::StoredRunOrigins;
 use crate::clock::unix_ms;
 use crate::configuration::document::DocumentStore;
 use crate::configuration::document_exchange::DocumentExchange;
@@ -27,6 +29,7 @@
 use crate::forward::observation::Observations;
 use crate::forward::request_crashes::RequestCrashes;
 use crate::forward::retry_budgets::RetryBudgets;
+use crate::forward::run_origin::RunOrigins;
 use crate::forward::sessions::Sessions;
 use crate::http::serve;
 use crate::listener::bind;
@@ -89,6 +92,11 @@
         let (trigger, shutdown) = Shutdown::channel();
         let peers = PeerClient::default();
         let membership = join(&settings, peers.clone(), shutdown.clone()).await?;
+        let stored_origins = Arc::new(StoredRunOrigins::new(
+            settings.node.clone(),
+            Store::new(settings.store),
+            metrics.clone(),
+        ));
         let observation_channel = Observations::default();
         let forwarder = Arc::new(Forwarder {
             route_table: ArcSwapOption::empty(),
@@ -96,6 +104,7 @@
             budgets: RetryBudgets::new(settings.retry_limits()),
             request_crashes: RequestCrashes::new(observation_channel.clone()),
             sessions: Sessions::new(observation_channel.clone()),
+            run_origins: RunOrigins::default(),
             observations: observation_channel,
             metrics,
             data_centre: settings.data_centre.clone(),
@@ -105,6 +114,11 @@
                     membership: membership.clone(),
                     peers: peers.clone(),
                 },
+                PeerRunOrigins {
+                    membership: membership.clone(),
+                    peers: peers.clone(),
+                },
+                stored_origins.clone(),
             ),
             in_flight: Arc::default(),
         });
@@ -117,6 +131,7 @@
         };
         serve_peer_api(&settings, &watch, &shutdown)?;
         spawn_background_tasks(&settings, watch);
+        tokio::spawn(stored_origins.write_periodically(forwarder.clone()));
         let status_api = Arc::new(StatusApi {
             forwarder: forwarder.clone(),
             address_ttl_max: settings.address_keep,
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -219,9 +219,10 @@
         {
             return None;
         }
-        let upstream = self.choose_upstream(&call.service, &state.tried, |candidates, draw| {
-            choose_for_plain_call(candidates, &self.data_centre, draw)
-        })?;
+        let upstream =
+            self.choose_upstream(&call.service, &state.tried, None, |candidates, draw| {
+                choose_for_plain_call(candidates, &self.data_centre, draw)
+            })?;
         (is_first || self.spend_own_retry(call)).then_some(upstream)
     }
 
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -16,9 +16,10 @@
 use super::forwarder::{Forwarder, NodeContext};
 use super::probe::LossWatch;
 use super::request::Call;
+use super::run_origin::RunOrigin;
 use super::run_replica::{ReplicaSlot, ReplicatedRun, RunReplica, choose_holder, lock};
 use super::send_history::SendHistory;
-use super::upstream::{Upstream, Work};
+use super::upstream::{Upstream, Work, version_for_log};
 use crate::http::HttpResponse;
 use crate::observe::metrics::Counter;
 use crate::platform::call::{ReplicaRef, UpstreamHeaders};
@@ -62,6 +63,11 @@
     pub(super) next: Option<NextUpstream>,
     /// Index of the last event that the caller has received.
     pub(super) last_event: Option<u64>,
+    /// The upstream that sent the first event of the run, if an event was passed
+    /// on to the caller, now or in an earlier call that this one resumes.
+    pub(super) origin: Option<RunOrigin>,
+    /// Whether the origin is recorded at this node or another one.
+    pub(super) is_origin_recorded: bool,
     pub(super) event_count: u64,
     /// Whether the present upstream has sent an event that was passed on to the
     /// caller.
@@ -87,6 +93,8 @@
             tried: Vec::new(),
             sends: SendHistory::new(),
             replica: ReplicaSlot::default(),
+            origin: None,
+            is_origin_recorded: false,
             next: None,
             event_count: 0,
             has_upstream_sent_event: false,
@@ -97,7 +105,7 @@
         let deadline = run.call.deadline;
         let opened = tokio::select! {
             biased;
-            opened = run.open() => Some(opened),
+            opened = run.open_first() => Some(opened),
             () = self.wait_until_answer_due(deadline) => None,
         };
         let timed_out = || {
@@ -117,6 +125,11 @@
 }
 
 impl<N: NodeContext> StreamRun<N> {
+    async fn open_first(&mut self) -> Result<Attempt<Answered>, OpenFailure> {
+        self.find_origin().await?;
+        self.open().await
+    }
+
     /// Sends the call to one upstream after the other until one begins or
     /// resumes the stream.
     pub(super) async fn open(&mut self) -> Result<Attempt<Answered>, OpenFailure> {
@@ -206,13 +219,13 @@
         let forwarder = &self.forwarder;
         holder
             .or_else(|| self.upstream_with_cached_prompt())
-            .or_else(|| forwarder.choose_upstream(&self.call.service, &self.tried, choose_engine))
+            .or_else(|| {
+                let origin = self.origin.as_ref();
+                forwarder.choose_upstream(&self.call.service, &self.tried, origin, choose_engine)
+            })
             .or_else(|| self.choose_again())
             .ok_or_else(|| {
-                OpenFailure::given_up(
-                    GiveUpReason::NoUpstream,
-                    "no upstream of the service accepts calls",
-                )
+                OpenFailure::given_up(GiveUpReason::NoUpstream, self.no_upstream_cause())
             })
     }
 
@@ -225,8 +238,9 @@
         }
         let last = self.tried.last().cloned();
         let excluded = last.as_slice();
+        let origin = self.origin.as_ref();
         self.forwarder
-            .choose_upstream(&self.call.service, excluded, choose_engine)
+            .choose_upstream(&self.call.service, excluded, origin, choose_engine)
     }
 
     /// Spends a retry, unless the call has not been sent yet.
@@ -248,10 +262,17 @@
         NextUpstream { upstream, replica }
     }
 
+    fn no_upstream_cause(&self) -> &'static str {
+        match self.origin {
+            Some(_) => "no upstream of the version that began the stream accepts calls",
+            None => "no upstream of the service accepts calls",
+        }
+    }
+
     /// Whether the run can resume from its replica. Before the first event the
     /// replica is empty, and the send would waste retry budget.
     fn can_resume_from(&self, replica: &RunReplica) -> bool {
-        self.has_upstream_sent_event && replica.is_usable()
+        self.has_upstream_sent_event && replica.is_usable() && self.admits(&replica.holder)
     }
 
     /// Returns the engine that has the prompt of the call's session cached,
@@ -263,10 +284,17 @@
         let was_tried = self.tried.iter().any(|tried| tried.entry.id == id);
         let serving = self.forwarder.directory.serving(&self.call.service);
         let upstream = serving.into_iter().find(|u| u.entry.id == id)?;
-        let is_eligible = !was_tried && upstream.avoided_until(now).is_none();
+        let is_eligible =
+            !was_tried && upstream.avoided_until(now).is_none() && self.admits(&upstream);
         is_eligible.then_some(upstream)
     }
 
+    /// Software version that began the run, for the log.
+    pub(super) fn origin_for_log(&self) -> &str {
+        let origin = self.origin.as_ref();
+        version_for_log(origin.and_then(|origin| origin.software_version.as_ref()))
+    }
+
     pub(super) fn replicated_run(&self) -> ReplicatedRun {
         ReplicatedRun {
             call_id: self.call.id().to_owned(),
@@ -301,12 +329,19 @@
         upstream: &Arc<Upstream>,
         replica: Option<RunReplica>,
     ) -> Result<Attempt<Answered>, AttemptFailure> {
+        let has_replica = replica.is_some();
+        // A holder that restarted has no replica and refuses the call itself.
+        let needs_check = self.origin.is_some() && !has_replica;
+        if needs_check && !self.forwarder.is_registered_incarnation(upstream).await {
+            return Err(AttemptFailure::NotSent(
+                "the engine did not report, or has restarted since it registered",
+            ));
+        }
         let Some(time_left) = self.call.time_for_upstream(Instant::now()) else {
             return Err(AttemptFailure::NotSent(
                 "no time is left for an upstream to answer",
             ));
         };
-        let has_replica = replica.is_some();
         let next_replica = self.new_replica(upstream);
         let request = self.call.request_to(&UpstreamHeaders {
             upstream: &upstream.entry.id,
@@ -320,14 +355,17 @@
             }),
         });
         log::info!(
-            "event=stream_sent call={} upstream={} dc={} has_copy={has_replica} keeper={} last_event={:?} own_prompt_tokens={} own_calls={} age_ms={}",
+            "event=stream_sent call={} upstream={} version={} dc={} has_copy={has_replica} keeper={} last_event={:?} resumes={} began_at={} own_prompt_tokens={} own_calls={} age_ms={}",
             self.call.id(),
             upstream.entry.id,
+            version_for_log(upstream.software_version()),
             upstream.entry.data_centre,
             next_replica
                 .as_ref()
                 .map_or("-", |next| next.holder.entry.id.as_str()),
             self.last_event,
+            self.call.resumed_id().unwrap_or("-"),
+            self.origin_for_log(),
             upstream.pending_prompt_tokens(),
             upstream.call_count(),
             self.call.age().as_millis()
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -22,7 +22,7 @@
 use super::run_replica::{free_replica, lock, maintain_replica};
 use super::stream_call::StreamRun;
 use super::stream_move::MoveOutcome;
-use super::upstream::{Upstream, Work};
+use super::upstream::{Upstream, Work, version_for_log};
 use crate::caller::sse::EventBuffer;
 use crate::http::{HttpResponse, TruncatedResponse};
 use crate::observe::metrics::{Counter, Span};
@@ -126,9 +126,11 @@
     fn record_loss(&self, upstream: &Upstream, cause: &str) {
         self.forwarder.metrics.add(Counter::StreamsLost, 1);
         log::info!(
-            "event=stream_lost call={} upstream={} cause={cause:?} last_event={:?} silent_ms={} sends={} sends_max={} age_ms={}",
+            "event=stream_lost call={} upstream={} version={} began_at={} cause={cause:?} last_event={:?} silent_ms={} sends={} sends_max={} age_ms={}",
             self.call.id(),
             upstream.entry.id,
+            version_for_log(upstream.software_version()),
+            self.origin_for_log(),
             self.last_event,
             self.silence().as_millis(),
             self.sends.sent_count(),
@@ -142,9 +144,11 @@
         metrics.add(Counter::StreamsResumed, 1);
         metrics.record(Span::Resume, lost_at.elapsed());
         log::info!(
-            "event=stream_resumed call={} upstream={} after_ms={}",
+            "event=stream_resumed call={} upstream={} version={} began_at={} after_ms={}",
             self.call.id(),
             upstream.entry.id,
+            version_for_log(upstream.software_version()),
+            self.origin_for_log(),
             lost_at.elapsed().as_millis()
         );
     }
@@ -246,6 +250,9 @@
                     ));
                 }
                 phase = StreamPhase::Decode;
+                if self.event_count == 0 {
+                    self.record_origin(&upstream);
+                }
                 work.prefill_done();
                 if let Err(end) = self.relay_event(event.bytes, event.index, sender).await {
                     return end;
--- a/src/membership/message/mod.rs
+++ b/src/membership/message/mod.rs
@@ -8,6 +8,7 @@
 mod claim;
 mod crash;
 mod datagram;
+mod run_origin;
 
 use bytes::Bytes;
 use prost::{Message, Oneof};
@@ -17,6 +18,7 @@
 pub(crate) use datagram::{
     AnnouncementRecord, Datagram, DocumentVersion, MemberRecord, MemberState, Purpose,
 };
+pub(crate) use run_origin::{RunOriginRecord, RunOriginReply, RunOriginRequest};
 
 /// A request over framed TCP.
 #[derive(Clone, PartialEq, Message)]
@@ -25,7 +27,7 @@
     #[prost(uint64, tag = "1")]
     pub(crate) id: u64,
     /// The request; absent when the receiver does not know its kind.
-    #[prost(oneof = "RequestBody", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "RequestBody", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub(crate) body: Option<RequestBody>,
 }
 
@@ -55,6 +57,9 @@
     /// sender.
     #[prost(message, tag = "7")]
     Retry(RetryRequest),
+    /// Asks where a run began, or asks the receiver to keep that.
+    #[prost(message, tag = "8")]
+    RunOrigin(RunOriginRequest),
 }
 
 /// Asks for one retry. The nodes share a budget of retries; a node that has
@@ -98,7 +103,7 @@
     #[prost(uint64, tag = "1")]
     pub(crate) id: u64,
     /// The reply; absent when the receiver cannot give one.
-    #[prost(oneof = "ReplyBody", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "ReplyBody", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub(crate) body: Option<ReplyBody>,
 }
 
@@ -124,6 +129,9 @@
     /// Reply to [`RequestBody::Retry`].
     #[prost(message, tag = "7")]
     Retry(RetryReply),
+    /// Reply to [`RequestBody::RunOrigin`].
+    #[prost(message, tag = "8")]
+    RunOrigin(RunOriginReply),
 }
 
 /// The members and announcements that the requester may lack.
