Add a failing test of a long body and silences of its upstream

What callers see: a call with a long body gets 502 although its upstream is sound and goes on to read it. The upstream reads over a small window and is silent three times, for 1.2 s each, with half a second of reading between.

Cause, as far as it is shown: TCP_USER_TIMEOUT of 1.5 s on connections to upstreams. The kernel counts the time from the first window probe, and ends the connection with ETIMEDOUT although bytes arrive in between.

--- a/tests/answers_are_not_cut.rs
+++ b/tests/answers_are_not_cut.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use serde_json::json;
-use support::edge_environment::caller::{Caller, Response, read_response};
+use support::edge_environment::caller::{Caller, Response, read_response, send_request};
 use support::edge_environment::service::LongAnswer;
+use support::edge_environment::slow_link::{self, Pause};
 use support::edge_environment::{
     IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, NodeSpec, SINGLE_RUN_STREAM_PATH, STREAM_PATH,
     TestEnvironment, config, eventually, start_node_with_grace,
@@ -210,6 +211,60 @@
     assert!(got.is_complete);
 }
 
+/// Sends a call with a long body to an upstream that reads it over a small window,
+/// with these pauses.
+async fn call_over_slow_link(pauses: Vec<Pause>) -> Response {
+    let environment = TestEnvironment::start(2).await;
+    let service = &environment.services[0];
+    let link = slow_link::start(service.address, pauses).await;
+    *service.advertised_address.lock().expect("unpoisoned") = link;
+    let entry = service.entry("ready");
+    environment.store.put("servers", &service.id, entry);
+    let unused = &environment.services[1].id;
+    environment.store.delete("servers", unused);
+    let (_node, caller) = environment.start_ready_node("n1").await;
+
+    let head = caller.head("POST", NON_IDEMPOTENT_PATH, "long", "");
+    let body = "b".repeat(60_000);
+    let request = format!("{head}content-length: {}\r\n\r\n{body}", body.len());
+    send_request(caller.address, request.as_bytes()).await
+}
+
+/// Pauses of a slow reader: a short one after each kilobyte, and a silence after
+/// each of the given kilobytes.
+fn slow_reading(silences_at: &[usize]) -> Vec<Pause> {
+    let pause_at = |kilobyte: usize| Pause {
+        after_bytes: kilobyte * 1_024,
+        length: if silences_at.contains(&kilobyte) {
+            SILENCE
+        } else {
+            Duration::from_millis(30)
+        },
+    };
+    (1..60).map(pause_at).collect()
+}
+
+#[tokio::test]
+async fn a_long_body_outlasts_a_slow_upstream() {
+    let got = call_over_slow_link(slow_reading(&[])).await;
+
+    assert_eq!(got.status, 200, "{}", got.head);
+}
+
+#[tokio::test]
+async fn a_long_body_outlasts_a_silence_of_its_upstream() {
+    let got = call_over_slow_link(slow_reading(&[8])).await;
+
+    assert_eq!(got.status, 200, "{}", got.head);
+}
+
+#[tokio::test]
+async fn a_long_body_outlasts_silences_of_its_upstream_in_series() {
+    let got = call_over_slow_link(slow_reading(&[8, 24, 40])).await;
+
+    assert_eq!(got.status, 200, "{}", got.head);
+}
+
 #[tokio::test]
 async fn a_kept_connection_stays_open_for_a_raised_idle_limit() {
     let environment = TestEnvironment::start(2).await;
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -9,6 +9,7 @@
 pub mod raw;
 pub mod run_log;
 pub mod service;
+pub mod slow_link;
 pub mod store;
 
 use std::net::{SocketAddr, TcpListener};
