--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -87,7 +87,11 @@
         }
         for disturbed in disturbed_upstreams(kind, engine, service, environment) {
             let what = Occurrence::UpstreamDisturbed(disturbed);
-            environment.history.begin(what);
+            if matches!(kind, FaultKind::CrashEngine | FaultKind::CrashDataCentre) {
+                environment.history.record(what);
+            } else {
+                environment.history.begin(what);
+            }
         }
         match kind {
             FaultKind::KillNode => environment.nodes[node].signal("KILL"),
@@ -240,7 +244,7 @@
     }
 }
 
-/// Upstreams that a fault disturbs until the faults end.
+/// Upstreams that a fault disturbs: at once by a crash, else until the faults end.
 fn disturbed_upstreams(
     kind: FaultKind,
     engine: usize,
--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -95,7 +95,8 @@
                 self.is_stopping = true;
                 self.history.record(Occurrence::Stop { node });
             }
-            "KILL" | "STOP" => self.history.begin(Occurrence::NodeDisturbed { node }),
+            "KILL" => self.history.record(Occurrence::NodeDisturbed { node }),
+            "STOP" => self.history.begin(Occurrence::NodeDisturbed { node }),
             _ => {}
         }
     }
