Set no user time-out on connections to upstreams

What callers saw: 502 for a call with a long body whose upstream was silent three times for 1.2 s, read slowly between, and went on.

Cause: TCP_USER_TIMEOUT of 1.5 s closes a connection whose bytes are not taken, also by a peer that is silent and goes on; the kernel counts window probes over several silences.

Change: the option is gone; three unanswered keep-alive probes, one a second, end an idle connection to a lost peer. Calls have their own probes and deadlines.

Why it works: nothing but the peer, the probes of an idle connection and the call's own time ends a connection.

--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -20,11 +20,11 @@
 
 /// Longest time that opening a connection may take.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time after which the kernel closes a connection whose sent bytes are not
-/// acknowledged.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time between TCP keep-alive probes of a connection without traffic.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of unanswered keep-alive probes after which the kernel closes a
+/// connection.
+const KEEPALIVE_PROBES_MAX: u32 = 3;
 /// Idle time-out that is assumed if the upstream states none.
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(4);
 /// Time before the upstream's idle time-out at which a connection is discarded,
@@ -94,18 +94,21 @@
     }
 }
 
-/// Sets keep-alive probes and a user time-out to detect an unresponsive peer,
-/// and disables Nagle's algorithm so that small writes are sent at once.
+/// Sets keep-alive probes to detect an unresponsive peer, and disables Nagle's
+/// algorithm so that small writes are sent at once.
+///
+/// There is no `TCP_USER_TIMEOUT`: it would also close the connection to a peer
+/// that is silent for a second and goes on.
 pub(crate) fn set_socket_options(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL);
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES_MAX);
     // If an option can't be set, the time-outs of the calls still detect an
     // unresponsive peer.
     let _ = stream.set_nodelay(true);
     let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
 }
 
 #[derive(Debug)]
