--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -43,6 +43,7 @@
 #[derive(Debug)]
 struct PlainCallState {
     tried: Vec<Arc<Upstream>>,
+    /// The sends in flight; more than one only if the call may be repeated.
     pending: Vec<PendingSend>,
     sends: SendHistory,
     /// The last server error of an upstream, which is passed on if no other
--- a/src/forward/send_history.rs
+++ b/src/forward/send_history.rs
@@ -32,8 +32,9 @@
         self.sent_count += 1;
     }
 
-    /// Records that the last send failed. Returns true if this send cannot have
-    /// made an upstream run the call.
+    /// Records that a send failed. Returns true if this send cannot have made an
+    /// upstream run the call. Sends of a plain call may overlap; then the progress
+    /// stays as it was before the send that was begun last.
     pub(crate) fn record_failure(&mut self, failure: &AttemptFailure) -> bool {
         match failure {
             AttemptFailure::NotSent(_) => {
--- a/src/forward/stream_move.rs
+++ b/src/forward/stream_move.rs
@@ -39,6 +39,7 @@
     GoesOn(Option<Result<Frame<Bytes>, hyper::Error>>),
     /// No other upstream can take the stream.
     Stays,
+    /// The caller has disconnected.
     CallerGone,
     /// The deadline of the call has passed.
     TimeOver,
@@ -84,6 +85,8 @@
         outcome
     }
 
+    /// Waits for the first of two: the other upstream answers, or the present one
+    /// goes on.
     async fn race_move(&mut self, body: &mut Incoming, sender: &EventSender) -> MoveOutcome {
         let deadline = self.call.deadline.into();
         let opening = self.open_elsewhere();
@@ -120,6 +123,7 @@
         self.open().await
     }
 
+    /// Chooses an upstream that responds, and spends a retry for it.
     async fn next_responsive_upstream(&self) -> Result<NextUpstream, OpenFailure> {
         if !self.may_repeat() {
             return Err(OpenFailure::given_up(
