--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -12,7 +12,7 @@
 
 use super::caller_handler::CallerHandler;
 use super::cluster_view::ClusterView;
-use super::drain::{ABORT_MARGIN, wait_until_drained};
+use super::drain::{abort_time, wait_until_drained};
 use super::observations;
 use super::peer_api::EdgePeerApi;
 use super::peer_retry_budget::PeerRetryBudget;
@@ -160,15 +160,14 @@
     /// Leaves the cluster, waits within the grace period for calls in flight to
     /// end and for their answers to be sent, and aborts the rest.
     pub async fn drain(self) {
-        let drain_time = self.settings.grace.saturating_sub(ABORT_MARGIN);
-        let aborts_at = Instant::now() + drain_time;
+        let aborts_at = abort_time(self.settings.grace);
         self.forwarder.node.begin_stop(aborts_at);
         self.membership.leave();
         let in_flight = self.forwarder.in_flight.clone();
         let node = &self.forwarder.node;
         // The forwarder and this function hold one reference each.
         let in_flight_count = || Arc::strong_count(&in_flight) - 2;
-        wait_until_drained(self.settings.grace, in_flight_count, || {
+        wait_until_drained(aborts_at, in_flight_count, || {
             node.announce_shutdown_imminent()
         })
         .await;
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -303,7 +303,7 @@
 ) {
     let is_failed = match result {
         Ok(response) => response.status().is_server_error(),
-        Err(AttemptFailure::MayHaveRun(_) | AttemptFailure::Abandoned(_)) => true,
+        Err(AttemptFailure::MayHaveRun(_)) => true,
         Err(_) => return,
     };
     upstream.record_call(sent_at.elapsed(), is_failed);
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -13,6 +13,7 @@
 use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_LENGTH;
 use tokio::sync::mpsc;
+use tokio_util::task::AbortOnDropHandle;
 
 use super::attempt::{Answered, Attempt};
 use super::connection::Connection;
@@ -48,7 +49,7 @@
 /// The move of a stream to another upstream.
 #[derive(Debug)]
 struct Move {
-    attempt: Attempt<Answered>,
+    attempt: Box<Attempt<Answered>>,
     began_at: Instant,
 }
 
@@ -59,7 +60,7 @@
     /// The upstream was lost, for the given cause.
     Lost(String),
     /// Another upstream has answered, while this one was silent.
-    Moved(Box<Move>),
+    Moved(Move),
     CallerGone,
     /// The deadline of the call has passed.
     TimeOver,
@@ -86,7 +87,7 @@
         loop {
             let upstream = segment.upstream.clone();
             let (lost_at, attempt) = match self.relay_segment(segment, &sender).await {
-                SegmentEnd::Moved(moved) => (moved.began_at, moved.attempt),
+                SegmentEnd::Moved(moved) => (moved.began_at, *moved.attempt),
                 SegmentEnd::Lost(cause) => {
                     self.record_loss(&upstream, &cause);
                     let lost_at = Instant::now();
@@ -195,8 +196,7 @@
                                 self.handle_disconnect(&upstream, phase);
                             }
                             self.record_loss(&upstream, &format!("{loss:?}"));
-                            let attempt = *attempt;
-                            return SegmentEnd::Moved(Box::new(Move { attempt, began_at }));
+                            return SegmentEnd::Moved(Move { attempt, began_at });
                         }
                         MoveOutcome::CallerGone => {
                             self.free_current_replica(&upstream);
@@ -232,22 +232,8 @@
             }
             while let Some(event) = events.next_raw() {
                 if phase == StreamPhase::Prefill {
-                    forwarder.request_crashes.record_progress(&self.call);
-                    if let Some(session) = &self.call.headers.session {
-                        let now = Instant::now();
-                        forwarder
-                            .sessions
-                            .record_prefill(session, &upstream.entry.id, now);
-                    }
-                }
-                if phase == StreamPhase::Prefill && self.can_be_replicated() {
-                    let replica = self.replica.clone();
-                    _replica_task = Some(maintain_replica(
-                        &forwarder,
-                        self.replicated_run(),
-                        upstream.clone(),
-                        replica,
-                    ));
+                    self.record_prefill(&upstream);
+                    _replica_task = self.maintain_replica(&upstream);
                 }
                 phase = StreamPhase::Decode;
                 if self.event_count == 0 {
@@ -261,6 +247,33 @@
         }
     }
 
+    /// Records that the upstream finished the prefill of the call.
+    fn record_prefill(&self, upstream: &Upstream) {
+        let forwarder = &self.forwarder;
+        forwarder.request_crashes.record_progress(&self.call);
+        if let Some(session) = &self.call.headers.session {
+            let now = Instant::now();
+            forwarder
+                .sessions
+                .record_prefill(session, &upstream.entry.id, now);
+        }
+    }
+
+    /// Starts to maintain a replica of the run at `upstream`, if its service supports
+    /// replicas.
+    fn maintain_replica(&self, upstream: &Arc<Upstream>) -> Option<AbortOnDropHandle<()>> {
+        if !self.can_be_replicated() {
+            return None;
+        }
+        let (run, slot) = (self.replicated_run(), self.replica.clone());
+        Some(maintain_replica(
+            &self.forwarder,
+            run,
+            upstream.clone(),
+            slot,
+        ))
+    }
+
     /// Checks what became of an upstream whose connection broke in this phase of the
     /// stream. One that had sent an event survived the start of the call.
     fn handle_disconnect(&self, upstream: &Arc<Upstream>, phase: StreamPhase) {
--- a/tests/idle_connections.rs
+++ b/tests/idle_connections.rs
@@ -22,6 +22,20 @@
 }
 
 /// Waits until the node closes the connection; false after two seconds.
+async fn connect(caller: &Caller) -> TcpStream {
+    let connected = TcpStream::connect(caller.address).await;
+    connected.expect("connected")
+}
+
+async fn send(connection: &mut TcpStream, text: &str) {
+    let written = connection.write_all(text.as_bytes()).await;
+    written.expect("sent");
+}
+
+async fn assert_closed(connection: &mut TcpStream) {
+    assert!(is_closed(connection).await, "the connection is still open");
+}
+
 async fn is_closed(connection: &mut TcpStream) -> bool {
     let mut byte = [0];
     let read = tokio::time::timeout(Duration::from_secs(2), connection.read(&mut byte)).await;
@@ -31,51 +45,33 @@
 #[tokio::test]
 async fn a_connection_whose_first_request_stays_incomplete_is_closed_at_the_idle_limit() {
     let (_environment, _node, caller) = start_with_idle_limit().await;
-    let mut connection = TcpStream::connect(caller.address).await.expect("connected");
+    let mut connection = connect(&caller).await;
 
     let head = caller.head("GET", IDEMPOTENT_PATH, "half", "");
-    connection
-        .write_all(&head.as_bytes()[..20])
-        .await
-        .expect("sent");
-
-    assert!(
-        is_closed(&mut connection).await,
-        "the connection is still open"
-    );
+    send(&mut connection, &head[..20]).await;
+
+    assert_closed(&mut connection).await;
 }
 
 #[tokio::test]
 async fn a_connection_whose_second_request_stays_incomplete_is_closed_at_the_idle_limit() {
     let (_environment, _node, caller) = start_with_idle_limit().await;
-    let mut connection = TcpStream::connect(caller.address).await.expect("connected");
+    let mut connection = connect(&caller).await;
     let head = caller.head("GET", IDEMPOTENT_PATH, "whole", "");
-    connection
-        .write_all(format!("{head}\r\n").as_bytes())
-        .await
-        .expect("sent");
+    send(&mut connection, &format!("{head}\r\n")).await;
     assert_eq!(read_response(&mut connection).await.status, 200);
 
-    connection
-        .write_all(&head.as_bytes()[..20])
-        .await
-        .expect("sent");
+    send(&mut connection, &head[..20]).await;
 
-    assert!(
-        is_closed(&mut connection).await,
-        "the connection is still open"
-    );
+    assert_closed(&mut connection).await;
 }
 
 #[tokio::test]
 async fn a_connection_without_a_request_is_closed_at_the_idle_limit() {
     let (_environment, _node, caller) = start_with_idle_limit().await;
-    let mut connection = TcpStream::connect(caller.address).await.expect("connected");
+    let mut connection = connect(&caller).await;
 
-    assert!(
-        is_closed(&mut connection).await,
-        "the connection is still open"
-    );
+    assert_closed(&mut connection).await;
 }
 
 #[tokio::test]
@@ -84,12 +80,9 @@
     for service in &environment.services {
         *service.answer_time.lock().expect("unpoisoned") = Duration::from_millis(150);
     }
-    let mut connection = TcpStream::connect(caller.address).await.expect("connected");
+    let mut connection = connect(&caller).await;
     let head = caller.head("GET", IDEMPOTENT_PATH, "piped", "");
-    connection
-        .write_all(format!("{head}\r\n").repeat(6).as_bytes())
-        .await
-        .expect("sent");
+    send(&mut connection, &format!("{head}\r\n").repeat(6)).await;
 
     let mut text = Vec::new();
     let _ = tokio::time::timeout(
--- a/tests/leaving_upstreams.rs
+++ b/tests/leaving_upstreams.rs
@@ -3,11 +3,13 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use serde_json::json;
 use support::edge_environment::caller::{Caller, Response};
+use support::edge_environment::engine::Engine;
 use support::edge_environment::{IDEMPOTENT_PATH, TestEnvironment, config, eventually};
 use tokio::task::JoinHandle;
 use zinniawing::EdgeNode;
@@ -39,6 +41,18 @@
     (environment, node, caller, stream)
 }
 
+fn other_engines(environment: &TestEnvironment, engine: &Engine) -> Vec<Arc<Engine>> {
+    let engines = environment.engines.iter().cloned();
+    engines.filter(|e| e.address != engine.address).collect()
+}
+
+/// Freezes the engine for [`SILENCE`].
+async fn silence(engine: &Engine) {
+    engine.set_frozen(true);
+    tokio::time::sleep(SILENCE).await;
+    engine.set_frozen(false);
+}
+
 fn assert_complete(got: &Response) {
     let event_count = got.event_ids().len();
     assert!(
@@ -53,17 +67,11 @@
 async fn a_stream_is_not_cut_when_its_engine_is_silent_and_the_others_are_full() {
     let (environment, _node, _caller, stream) = start_with_running_stream(6).await;
     let silent = environment.running_engine().clone();
-    let others = environment
-        .engines
-        .iter()
-        .filter(|e| e.address != silent.address);
 
-    for engine in others {
+    for engine in other_engines(&environment, &silent) {
         engine.is_full.store(true, Ordering::Relaxed);
     }
-    silent.set_frozen(true);
-    tokio::time::sleep(SILENCE).await;
-    silent.set_frozen(false);
+    silence(&silent).await;
     let got = stream.await.expect("no panic");
 
     assert_complete(&got);
@@ -73,11 +81,7 @@
 async fn a_stream_is_not_cut_when_its_engine_is_silent_and_the_others_accept_no_connection() {
     let (environment, _node, caller, stream) = start_with_running_stream(2).await;
     let silent = environment.running_engine().clone();
-    let other = environment
-        .engines
-        .iter()
-        .find(|e| e.address != silent.address)
-        .expect("two");
+    let other = other_engines(&environment, &silent)[0].clone();
     let second = spawn_stream(&caller);
     eventually("the other engine runs a stream", || {
         other.running_count() > 0
@@ -86,9 +90,7 @@
     tokio::time::sleep(Duration::from_millis(200)).await;
 
     other.refuses_connections.store(true, Ordering::Relaxed);
-    silent.set_frozen(true);
-    tokio::time::sleep(SILENCE).await;
-    silent.set_frozen(false);
+    silence(&silent).await;
     let got = stream.await.expect("no panic");
     let second = second.await.expect("no panic");
 
@@ -100,11 +102,7 @@
 async fn a_stream_returns_to_an_engine_that_was_silent_when_its_next_engine_crashes() {
     let (environment, _node, _caller, stream) = start_with_running_stream(2).await;
     let silent = environment.running_engine().clone();
-    let other = environment
-        .engines
-        .iter()
-        .find(|e| e.address != silent.address)
-        .expect("two");
+    let other = other_engines(&environment, &silent)[0].clone();
 
     silent.set_frozen(true);
     eventually("the stream moved", || other.running_count() > 0).await;
@@ -171,9 +169,7 @@
     tokio::time::sleep(Duration::from_millis(250)).await;
 
     let silent = environment.running_engine().clone();
-    silent.set_frozen(true);
-    tokio::time::sleep(SILENCE).await;
-    silent.set_frozen(false);
+    silence(&silent).await;
     let got = stream.await.expect("no panic");
 
     assert_complete(&got);
--- /dev/null
+++ b/tests/software_versions/main.rs
@@ -0,0 +1,11 @@
+//! Streams go on only at the software version that began them, while engines of
+//! several versions serve side by side.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod entries;
+mod fixtures;
+mod one_answer;
+mod resumes;
+mod stored_origins;
