--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -76,6 +76,12 @@
         self.headers.resumes.as_ref()?.to_str().ok()
     }
 
+    /// Returns the hashes of the prompt's parts that other calls may share,
+    /// separated by commas, for the log.
+    pub(crate) fn shared_parts_for_log(&self) -> String {
+        call::shared_prompt_parts(&self.forwarded_headers).join(",")
+    }
+
     /// Time left until the deadline.
     pub(crate) fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -61,8 +61,9 @@
         let is_new = self.lock().record_crash(request, id, Instant::now());
         let is_poison = self.lock().is_poison(request);
         log::warn!(
-            "event=crash_suspected call={} request={request:016x} upstream={id} convicted={is_poison}",
-            call.id()
+            "event=crash_suspected call={} request={request:016x} parts={} upstream={id} convicted={is_poison}",
+            call.id(),
+            call.shared_parts_for_log()
         );
         if is_new {
             self.observations.publish(Observation::Crash {
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -347,14 +347,15 @@
         let pause = Duration::from_millis(self.longest_pause_ms as u64);
         self.forwarder.metrics.record(Span::LongestPause, pause);
         log::info!(
-            "event=stream_done call={} route={} end={end:?} events={} sends={} first_event_ms={:?} longest_pause_ms={} age_ms={}",
+            "event=stream_done call={} route={} end={end:?} events={} sends={} first_event_ms={:?} longest_pause_ms={} age_ms={} parts={}",
             self.call.id(),
             self.call.matched.route.name,
             self.event_count,
             self.sends.sent_count(),
             self.first_event_ms,
             self.longest_pause_ms,
-            self.call.age().as_millis()
+            self.call.age().as_millis(),
+            self.call.shared_parts_for_log()
         );
         if matches!(end, SegmentEnd::Complete) {
             return;
