--- a/tests/stream_resume.rs
+++ b/tests/stream_resume.rs
@@ -4,11 +4,10 @@
 mod support;
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use support::edge_environment::caller::{Caller, Response, new_call_id};
-use support::edge_environment::engine::Engine;
+use support::edge_environment::engine::{Engine, StreamBreak};
 use support::edge_environment::{
     NodeSpec, STREAM_PATH, TestEnvironment, eventually, start_node, start_node_with_grace,
 };
@@ -111,9 +110,11 @@
 async fn a_partial_event_of_a_lost_engine_is_not_forwarded() {
     let (environment, _node, stream) = start_with_running_stream(4).await;
 
-    running_engine(&environment)
-        .truncates_event
-        .store(true, Ordering::Relaxed);
+    running_engine(&environment).break_next_stream(StreamBreak {
+        after_events: 0,
+        is_inside_event: true,
+        resets: false,
+    });
     let got = stream.await.expect("no panic");
 
     assert_complete(&got);
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -12,9 +12,15 @@
 use tokio::task::JoinHandle;
 
 use super::free_address;
-use super::raw::{RawRequest, RequestHandler, reply, serve};
+use super::raw::{RawRequest, RequestHandler, reply, reset_on_close, serve};
 use super::run_log::RunLog;
 
+/// A part of a prompt that begins with this crashes each engine that begins to write
+/// an answer on it, after the number of events that follows in its name.
+pub const CRASHING_PART: &str = "dead";
+/// Time from the last thing that an engine writes to its crash.
+const CRASH_DELAY: Duration = Duration::from_millis(40);
+
 /// KV cache replicas of all engines, as the address of the holder and the name of
 /// the replica.
 pub type HeldReplicas = Arc<Mutex<BTreeSet<(SocketAddr, String)>>>;
@@ -24,12 +30,23 @@
 pub struct EngineRun {
     pub call_id: String,
     pub from_event: u64,
-    pub started_at: std::time::Instant,
+    pub started_at: Instant,
     /// It started from a KV cache replica, without prefill.
     pub had_replica: bool,
     pub request: RawRequest,
 }
 
+/// Where and how a stream breaks off.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamBreak {
+    /// Number of whole events that the broken run sends.
+    pub after_events: u64,
+    /// Sends half of the next event too.
+    pub is_inside_event: bool,
+    /// Resets the connection instead of closing it.
+    pub resets: bool,
+}
+
 pub struct Engine {
     pub address: SocketAddr,
     /// Address in its entry in the store; in the soak it is the address of a proxy.
@@ -37,8 +54,12 @@
     pub data_centre: String,
     pub prefill_time: Mutex<Duration>,
     pub event_interval: Mutex<Duration>,
-    /// Cuts the next event of any run in half and closes the connection.
-    pub truncates_event: AtomicBool,
+    /// Answers have neither a length nor chunks, and end with their connections.
+    pub is_close_delimited: AtomicBool,
+    next_break: Mutex<Option<StreamBreak>>,
+    /// When prompts with a [crashing part](CRASHING_PART) crashed this engine.
+    part_crashes: Mutex<Vec<Instant>>,
+    crashed_at: Mutex<Option<Instant>>,
     /// Resets new connections; open ones are served.
     pub refuses_connections: AtomicBool,
     /// Refuses new runs with status 503 and the header that says they did not run.
@@ -59,6 +80,46 @@
     server: Mutex<Option<JoinHandle<()>>>,
 }
 
+/// How an answer's end is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    Chunked,
+    /// The answer ends with its connection.
+    CloseDelimited,
+}
+
+impl Framing {
+    fn of(is_close_delimited: bool) -> Self {
+        if is_close_delimited {
+            Self::CloseDelimited
+        } else {
+            Self::Chunked
+        }
+    }
+
+    fn header(self) -> &'static str {
+        match self {
+            Self::Chunked => "transfer-encoding: chunked\r\n",
+            Self::CloseDelimited => "",
+        }
+    }
+
+    fn frame(self, data: &[u8]) -> Vec<u8> {
+        match self {
+            Self::Chunked => [format!("{:x}\r\n", data.len()).as_bytes(), data, b"\r\n"].concat(),
+            Self::CloseDelimited => data.to_vec(),
+        }
+    }
+}
+
+/// Number of events that an engine sends before a part of the prompt crashes it;
+/// none if the prompt has no crashing part.
+fn events_before_crash(request: &RawRequest) -> Option<u64> {
+    let parts = request.header("x-zinniawing-prefix-hash")?.split(',');
+    let mut crashing = parts.filter_map(|part| part.strip_prefix(CRASHING_PART));
+    crashing.next()?.split(':').next()?.parse().ok()
+}
+
 struct RunningGuard<'a>(&'a AtomicUsize);
 
 impl Drop for RunningGuard<'_> {
@@ -81,7 +142,10 @@
             data_centre: data_centre.to_owned(),
             prefill_time: Mutex::new(Duration::from_millis(30)),
             event_interval: Mutex::new(Duration::from_millis(10)),
-            truncates_event: AtomicBool::new(false),
+            is_close_delimited: AtomicBool::new(false),
+            next_break: Mutex::default(),
+            part_crashes: Mutex::default(),
+            crashed_at: Mutex::default(),
             refuses_connections: AtomicBool::new(false),
             is_full: AtomicBool::new(false),
             run_log: RunLog::default(),
@@ -101,6 +165,7 @@
     }
 
     async fn listen(self: Arc<Self>) {
+        self.crashed_at.lock().expect("unpoisoned").take();
         let server = serve(self.address, self.clone()).await;
         *self.server.lock().expect("unpoisoned") = Some(server);
     }
@@ -141,6 +206,7 @@
 
     /// Resets all connections, stops listening, and drops the replicas it holds.
     pub fn crash(&self) {
+        *self.crashed_at.lock().expect("unpoisoned") = Some(Instant::now());
         if let Some(server) = self.server.lock().expect("unpoisoned").take() {
             server.abort();
         }
@@ -149,6 +215,22 @@
         held_replicas.retain(|(holder, _)| *holder != advertised_address);
     }
 
+    /// Breaks off the next stream, or the one that runs.
+    pub fn break_next_stream(&self, at: StreamBreak) {
+        *self.next_break.lock().expect("unpoisoned") = Some(at);
+    }
+
+    /// When prompts with a crashing part crashed this engine.
+    pub fn part_crashes(&self) -> Vec<Instant> {
+        self.part_crashes.lock().expect("unpoisoned").clone()
+    }
+
+    /// Time since its crash, until it listens again.
+    pub fn down_time(&self) -> Option<Duration> {
+        let crashed_at = *self.crashed_at.lock().expect("unpoisoned");
+        crashed_at.map(|at| at.elapsed())
+    }
+
     /// Listens again, as a new incarnation with a new id.
     pub async fn restart(self: &Arc<Self>) {
         self.id_number.fetch_add(1, Ordering::Relaxed);
@@ -204,7 +286,7 @@
         self.runs.lock().expect("unpoisoned").push(EngineRun {
             call_id: call_id.clone(),
             from_event,
-            started_at: std::time::Instant::now(),
+            started_at: Instant::now(),
             had_replica,
             request: request.clone(),
         });
@@ -225,25 +307,37 @@
             let mut held_replicas = self.held_replicas.lock().expect("unpoisoned");
             held_replicas.insert((holder, call_id.clone()));
         }
+        let framing = Framing::of(self.is_close_delimited.load(Ordering::Relaxed));
         let head = format!(
-            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-type: text/event-stream\r\n\
-             x-zinniawing-attempt-id: {call_id}\r\nx-zinniawing-server-signature: sig-{call_id}\r\n\r\n"
+            "HTTP/1.1 200 OK\r\n{}content-type: text/event-stream\r\n\
+             x-zinniawing-attempt-id: {call_id}\r\nx-zinniawing-server-signature: sig-{call_id}\r\n\r\n",
+            framing.header()
         );
         if stream.write_all(head.as_bytes()).await.is_err() {
             return false;
         }
+        let crash_after = events_before_crash(&request);
         for id in from_event + 1..=last_event {
             self.wait_until_unfrozen().await;
+            if crash_after.is_some_and(|events| id > from_event + events) {
+                self.crash_under_part().await;
+            }
             let event = format!("id: {id}\n: {software_version}\ndata: {call_id} piece {id}\n\n");
-            let truncates = self.truncates_event.swap(false, Ordering::Relaxed);
-            let sent = if truncates {
-                &event[..event.len() / 2]
-            } else {
-                &event
-            };
-            let chunk = format!("{:x}\r\n{sent}\r\n", sent.len());
-            let written = stream.write_all(chunk.as_bytes()).await;
-            if written.is_err() || truncates {
+            if let Some(at) = self.take_break(id - from_event) {
+                if at.is_inside_event {
+                    let half = &event.as_bytes()[..event.len() / 2];
+                    let _ = stream.write_all(&framing.frame(half)).await;
+                }
+                if at.resets {
+                    reset_on_close(stream);
+                }
+                return false;
+            }
+            if stream
+                .write_all(&framing.frame(event.as_bytes()))
+                .await
+                .is_err()
+            {
                 return false;
             }
             let event_interval = *self.event_interval.lock().expect("unpoisoned");
@@ -254,7 +348,24 @@
                 _ = stream.read(&mut byte) => return false,
             }
         }
-        stream.write_all(b"0\r\n\r\n").await.is_ok()
+        framing == Framing::Chunked && stream.write_all(b"0\r\n\r\n").await.is_ok()
+    }
+
+    /// The break at the event with this number within its run, if one is due.
+    fn take_break(&self, number: u64) -> Option<StreamBreak> {
+        let mut next = self.next_break.lock().expect("unpoisoned");
+        next.take_if(|at| number > at.after_events)
+    }
+
+    /// Crashes the engine shortly after it began to write an answer.
+    async fn crash_under_part(&self) {
+        tokio::time::sleep(CRASH_DELAY).await;
+        self.part_crashes
+            .lock()
+            .expect("unpoisoned")
+            .push(Instant::now());
+        self.crash();
+        std::future::pending().await
     }
 
     async fn create_replica(&self, request: &RawRequest, stream: &mut TcpStream) -> bool {
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -19,6 +19,7 @@
 
 use serde_json::{Value, json};
 use tokio::runtime::{self, Runtime};
+use tokio::task::JoinHandle;
 use zinniawing::{EdgeNode, EdgeSettings, Metrics};
 
 use caller::Caller;
@@ -188,6 +189,43 @@
         (node, caller)
     }
 
+    /// Starts `count` nodes that know each other, and waits until they are ready.
+    pub async fn start_ready_nodes(&self, count: usize) -> (Vec<EdgeNode>, Vec<Caller>) {
+        let first = NodeSpec::new("n0", "dc-a");
+        let mut specs = vec![first.clone()];
+        for n in 1..count {
+            let data_centre = ["dc-a", "dc-b"][n % 2];
+            specs.push(NodeSpec::new(&format!("n{n}"), data_centre).with_seed(&first));
+        }
+        let mut nodes = Vec::new();
+        for spec in &specs {
+            nodes.push(start_node(spec, self.store.address).await);
+        }
+        let callers: Vec<Caller> = specs.iter().map(Caller::new).collect();
+        for caller in &callers {
+            caller.wait_until_ready().await;
+        }
+        (nodes, callers)
+    }
+
+    /// Restarts crashed engines, each after it was down for `down_time`, until the
+    /// returned task is aborted.
+    pub fn restart_crashed_engines(&self, down_time: Duration) -> JoinHandle<()> {
+        let (engines, store) = (self.engines.clone(), self.store.clone());
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                for engine in &engines {
+                    if engine.down_time().is_some_and(|time| time >= down_time) {
+                        store.delete("servers", &engine.id());
+                        engine.restart().await;
+                        store.put("servers", &engine.id(), engine.entry("ready"));
+                    }
+                }
+            }
+        })
+    }
+
     pub fn running_engine(&self) -> &Arc<Engine> {
         let mut engines = self.engines.iter();
         let running = engines.find(|engine| engine.running_count() > 0);
