Move the ids of upstreams and requests to the module of ids

Cause: policy imported its ids from forward and fleet, which import policy, so these folders formed circles. Change: UpstreamId and Fingerprint stand in id.rs beside the others.

--- a/src/edge/observations.rs
+++ b/src/edge/observations.rs
@@ -12,9 +12,9 @@
 use super::cluster_view::ClusterView;
 use super::upstream_log::{decode_entry, encode_entry};
 use crate::clock::unix_ms;
-use crate::fleet::poison::Fingerprint;
 use crate::forward::forwarder::{Forwarder, NodeContext};
 use crate::forward::observation::Observation;
+use crate::id::Fingerprint;
 use crate::membership::announcement::Announcement;
 use crate::membership::gossip::{Membership, MembershipEvent};
 
--- a/src/edge/upstream_log.rs
+++ b/src/edge/upstream_log.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use prost::Message;
 
-use crate::forward::upstream::{UpstreamEntry, UpstreamId};
-use crate::id::Version;
+use crate::forward::upstream::UpstreamEntry;
+use crate::id::{UpstreamId, Version};
 use crate::membership::compression;
 use crate::platform::store::UpstreamChange;
 
--- a/src/fleet/canary.rs
+++ b/src/fleet/canary.rs
@@ -9,8 +9,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use super::poison::{CopyId, Fingerprint, RequestCopy};
-use crate::id::RunnerId;
+use super::poison::{CopyId, RequestCopy};
+use crate::id::{Fingerprint, RunnerId};
 
 /// Time for which a copy of a suspect runs alone before other copies may start.
 /// Requests that crash their runner do so right after they start.
--- a/src/fleet/crash_tracker.rs
+++ b/src/fleet/crash_tracker.rs
@@ -15,12 +15,12 @@
 
 use crate::clock::unix_ms;
 use crate::fleet::poison::{
-    Fingerprint, POISON_TTL, RequestCopy, RequestStatus, RunnerIncarnation, SuspectRequests,
+    POISON_TTL, RequestCopy, RequestStatus, RunnerIncarnation, SuspectRequests,
 };
 use crate::fleet::runner::RunnerClient;
 use crate::fleet::table::Fleet;
 use crate::hash::rendezvous_order;
-use crate::id::{Incarnation, RunnerId};
+use crate::id::{Fingerprint, Incarnation, RunnerId};
 use crate::membership::announcement::Announcement;
 use crate::membership::gossip::Membership;
 use crate::membership::message::{CrashRecord, ReplyBody, RequestBody, RunnerIncarnationRecord};
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -11,10 +11,7 @@
 use std::time::{Duration, Instant};
 
 use super::canary::{CanaryRuns, CrashSummary};
-use crate::id::{Incarnation, RunnerId};
-
-/// Identifies a request: hash of its customer, model and prompt.
-pub(crate) type Fingerprint = u64;
+use crate::id::{Fingerprint, Incarnation, RunnerId};
 
 /// Number of crashes after which a request is quarantined.
 const QUARANTINE_CRASHES: usize = 3;
--- a/src/fleet/tests/poison.rs
+++ b/src/fleet/tests/poison.rs
@@ -4,9 +4,9 @@
 
 use crate::fleet::canary::{CANARY_DELAY, CANARY_DURATION};
 use crate::fleet::poison::{
-    Fingerprint, QUARANTINE_DURATION, RequestCopy, RequestStatus, RunnerIncarnation,
-    SuspectRequests,
+    QUARANTINE_DURATION, RequestCopy, RequestStatus, RunnerIncarnation, SuspectRequests,
 };
+use crate::id::Fingerprint;
 
 const REQUEST: Fingerprint = 7;
 const FIRST: RequestCopy = copy(1);
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -15,7 +15,8 @@
 
 use super::connection::{Connection, SendFailure};
 use super::probe::LossReason;
-use super::upstream::{Upstream, UpstreamId, Work};
+use super::upstream::{Upstream, Work};
+use crate::id::UpstreamId;
 use crate::platform::answer::{self, AnswerHeaders};
 use crate::policy::answer_class::{AnswerClass, classify};
 
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -11,9 +11,9 @@
 
 use super::observation::{Observation, Observations};
 use super::run_origin::RunOrigin;
-use super::upstream::{Upstream, UpstreamEntry, UpstreamId, version_for_log};
+use super::upstream::{Upstream, UpstreamEntry, version_for_log};
 use super::version_history::VersionHistory;
-use crate::id::{DataCentreId, ServiceId};
+use crate::id::{DataCentreId, ServiceId, UpstreamId};
 use crate::policy::entry_expiry::{EntryExpiry, ExpiryDecision};
 use crate::policy::outage::OutageDetector;
 
--- a/src/forward/observation.rs
+++ b/src/forward/observation.rs
@@ -3,9 +3,8 @@
 use tokio::sync::broadcast;
 
 use super::sessions::SessionId;
-use super::upstream::{UpstreamEntry, UpstreamId};
-use crate::fleet::poison::Fingerprint;
-use crate::id::DataCentreId;
+use super::upstream::UpstreamEntry;
+use crate::id::{DataCentreId, Fingerprint, UpstreamId};
 
 /// Maximum number of observations that may wait to be published.
 const QUEUE_MAX: usize = 1_024;
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -8,9 +8,8 @@
 use hyper::{HeaderMap, Method, Request, Uri};
 
 use super::route_table::MatchedRoute;
-use crate::fleet::poison::Fingerprint;
 use crate::hash::Fnv;
-use crate::id::ServiceId;
+use crate::id::{Fingerprint, ServiceId};
 use crate::platform::call::{self, CallHeaders, UpstreamHeaders};
 
 /// Time reserved for returning an answer from the upstream to the caller.
--- a/src/forward/run_origin.rs
+++ b/src/forward/run_origin.rs
@@ -10,9 +10,9 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use super::upstream::{SoftwareVersion, Upstream, UpstreamId};
+use super::upstream::{SoftwareVersion, Upstream};
 use crate::hash::Fnv;
-use crate::id::ServiceId;
+use crate::id::{ServiceId, UpstreamId};
 
 /// Hash of the id of the call that brought the first event of a run. Callers that
 /// request the rest of a stream name that call.
--- a/src/forward/sessions.rs
+++ b/src/forward/sessions.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use super::observation::{Observation, Observations};
-use super::upstream::UpstreamId;
+use crate::id::UpstreamId;
 
 /// Hash of the last part of a prompt, which is specific to one caller's session.
 pub(crate) type SessionId = String;
--- a/src/forward/successor.rs
+++ b/src/forward/successor.rs
@@ -12,7 +12,8 @@
 use super::observation::Observation;
 use super::probe::probe_engine;
 use super::route_table::RouteTable;
-use super::upstream::{Upstream, UpstreamEntry, UpstreamId};
+use super::upstream::{Upstream, UpstreamEntry};
+use crate::id::UpstreamId;
 use crate::platform::engine::EngineReport;
 
 /// Longest time that the engine may take to send its report.
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -9,11 +9,7 @@
 use tokio::sync::watch;
 
 use super::connection::ConnectionPool;
-use crate::id::{DataCentreId, ServiceId};
-
-/// Id under which an incarnation of an upstream registered. Incarnations may
-/// register under the same id; they differ in their start times then.
-pub(crate) type UpstreamId = String;
+use crate::id::{DataCentreId, ServiceId, UpstreamId};
 
 /// Version of the software that an upstream runs, as its registration states it.
 /// It has no order, and is not the version of a model's weights.
--- a/src/generation/dispatch.rs
+++ b/src/generation/dispatch.rs
@@ -11,13 +11,15 @@
 use crate::configuration::config::{CallerPolicy, Config};
 use crate::error::{Error, ErrorKind};
 use crate::fleet::crash_tracker::{Blocked, CrashTracker};
-use crate::fleet::poison::{Fingerprint, RequestCopy};
+use crate::fleet::poison::RequestCopy;
 use crate::fleet::ranking::{Candidate, RouteQuery};
 use crate::fleet::runner::{self, OpenError, RunnerClient, StreamRequest};
 use crate::fleet::table::Fleet;
 use crate::generation::attempt::{Attempt, OpenedStream};
 use crate::hash::Fnv;
-use crate::id::{AttemptNumber, GenerationId, Incarnation, ModelId, RunnerId, TokenIndex};
+use crate::id::{
+    AttemptNumber, Fingerprint, GenerationId, Incarnation, ModelId, RunnerId, TokenIndex,
+};
 use crate::observe::metrics::{Counter, Metrics};
 
 /// How long a runner may take to report whether it is leaving, or to resume a
--- a/src/id.rs
+++ b/src/id.rs
@@ -8,6 +8,11 @@
 pub type NodeId = String;
 /// Name of a runner: a VM that runs a model engine.
 pub type RunnerId = String;
+/// Id under which an incarnation of an upstream registered. Incarnations may
+/// register under the same id; they differ in their start times then.
+pub type UpstreamId = String;
+/// Hash by which nodes recognise the same request, or the same part of a prompt.
+pub type Fingerprint = u64;
 /// Name of a customer in the confirmed configuration.
 pub type CustomerId = String;
 /// Name of a data centre.
--- a/src/policy/entry_expiry.rs
+++ b/src/policy/entry_expiry.rs
@@ -10,8 +10,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::forward::upstream::UpstreamId;
-use crate::id::ServiceId;
+use crate::id::{ServiceId, UpstreamId};
 
 /// Time within which live upstreams register again once the store is back.
 const REGISTRATION_GRACE_PERIOD: Duration = Duration::from_millis(2_200);
--- a/src/policy/outage.rs
+++ b/src/policy/outage.rs
@@ -9,8 +9,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::forward::upstream::UpstreamId;
-use crate::id::DataCentreId;
+use crate::id::{DataCentreId, UpstreamId};
 
 /// Minimum number of upstreams lost within [`CORRELATION_WINDOW`] that indicates an
 /// outage.
--- a/src/policy/poison_detector.rs
+++ b/src/policy/poison_detector.rs
@@ -11,8 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use crate::fleet::poison::Fingerprint;
-use crate::forward::upstream::UpstreamId;
+use crate::id::{Fingerprint, UpstreamId};
 
 /// Minimum number of crashed upstreams that makes a request poison.
 const POISON_CRASHES_MIN: usize = 3;
