--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -16,7 +16,7 @@
 use crate::forward::forwarder::NodeContext;
 use crate::forward::run_origin::{ORIGIN_LIFETIME, RunKey, RunOrigin};
 use crate::hash::{Fnv, rendezvous_order};
-use crate::id::{DataCentreId, ServiceId};
+use crate::id::{DataCentreId, NodeId, ServiceId};
 use crate::membership::members::Member;
 use crate::policy::freshness::ConfigFreshness;
 use crate::policy::watchers;
@@ -52,6 +52,8 @@
     stop: OnceLock<Stop>,
     shutdown_imminent: CancellationToken,
     freshness: Mutex<ConfigFreshness>,
+    /// Name of this node, and the names of all live nodes.
+    names: Mutex<(NodeId, Vec<NodeId>)>,
     /// Data centre of each live node and the address at which the node listens
     /// for callers.
     nodes: Mutex<Vec<(DataCentreId, SocketAddr)>>,
@@ -78,6 +80,7 @@
             stop: OnceLock::new(),
             shutdown_imminent: CancellationToken::new(),
             freshness: Mutex::default(),
+            names: Mutex::default(),
             nodes: Mutex::default(),
             peer_budget,
             peer_origins,
@@ -106,6 +109,9 @@
                 staying.len()
             );
         }
+        let names = staying.iter().map(|m| m.node.clone());
+        *self.names.lock().unwrap_or_else(PoisonError::into_inner) =
+            (own_name.to_owned(), names.collect());
         let nodes = staying.iter();
         let nodes = nodes.map(|m| (m.data_centre.clone(), m.caller_address));
         *self.nodes.lock().unwrap_or_else(PoisonError::into_inner) = nodes.collect();
@@ -170,6 +176,13 @@
         )
     }
 
+    fn is_assigned(&self, key: u64) -> bool {
+        let names = self.names.lock().unwrap_or_else(PoisonError::into_inner);
+        let (own_name, alive) = &*names;
+        let order = rendezvous_order(key, alive.iter().map(String::as_str));
+        order.first().is_none_or(|first| *first == own_name)
+    }
+
     fn peak_node_count(&self) -> usize {
         self.peak_node_count.load(Ordering::Relaxed)
     }
--- a/src/error.rs
+++ b/src/error.rs
@@ -57,6 +57,8 @@
     NoUpstream,
     /// The request is poison: it crashes the runners that run it.
     CrashesRunners,
+    /// The request shares a part of its prompt with requests that crash runners.
+    Quarantined,
     /// The generation was lost more often than it may be resumed.
     GenerationLost,
     /// The platform is unavailable.
@@ -84,7 +86,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order of the table in `docs/PROTOCOLS.md`.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::BadRequest,
         Self::Unauthorized,
         Self::NotFound,
@@ -99,6 +101,7 @@
         Self::Overloaded,
         Self::NoUpstream,
         Self::CrashesRunners,
+        Self::Quarantined,
         Self::GenerationLost,
         Self::PlatformAway,
         Self::NotReady,
@@ -130,6 +133,7 @@
             Self::Overloaded => (429, NotRun, Some(2_000)),
             Self::NoUpstream => (503, NotRun, Some(1_000)),
             Self::CrashesRunners => (422, Ran, Some(600_000)),
+            Self::Quarantined => (503, NotRun, Some(5_000)),
             Self::GenerationLost => (502, Ran, Some(1_000)),
             Self::PlatformAway => (503, NotRun, Some(5_000)),
             Self::NotReady => (503, NotRun, Some(1_000)),
@@ -160,6 +164,7 @@
             Self::Overloaded => "overloaded",
             Self::NoUpstream => "no_upstream",
             Self::CrashesRunners => "crashes_runners",
+            Self::Quarantined => "quarantined",
             Self::GenerationLost => "generation_lost",
             Self::PlatformAway => "platform_away",
             Self::NotReady => "not_ready",
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -12,7 +12,7 @@
 use super::directory::Directory;
 use super::observation::Observations;
 use super::request::Call;
-use super::request_crashes::RequestCrashes;
+use super::request_crashes::{Permission, RequestCrashes};
 use super::retry_budgets::RetryBudgets;
 use super::route_table::{AdmissionError, MatchedRoute, RouteTable};
 use super::run_origin::{RunKey, RunOrigin, RunOrigins};
@@ -32,11 +32,18 @@
 /// that might not end before it.
 const CALL_TIME_MIN: Duration = Duration::from_millis(500);
 
+/// Time over which refused callers return after the earliest time that they were
+/// given.
+const REFUSED_RETURN_SPREAD: Duration = Duration::from_secs(1);
+
 /// The forwarder's view of its node and of the cluster.
 pub(crate) trait NodeContext: Send + Sync + 'static {
     /// Index of this node among the live nodes that are not leaving, sorted by
     /// name, and the number of these nodes.
     fn position(&self) -> (usize, usize);
+    /// Whether the task with this key is assigned to this node. All nodes that know
+    /// the same live nodes agree on the one.
+    fn is_assigned(&self, key: u64) -> bool;
     /// Highest number of live nodes that were not leaving, seen at once since
     /// this node's start. Nodes that are unreachable now may still spend their
     /// shares of the retry budget.
@@ -200,13 +207,10 @@
         call.in_flight = Some(self.in_flight.clone());
         self.metrics.add(Counter::Calls, 1);
         self.budgets.record_call(&call.service, arrived_at);
-        if self.request_crashes.is_poison(&call) {
-            return self.give_up(
-                &call,
-                GiveUpReason::CrashesUpstreams,
-                Progress::MayHaveRun,
-                "poison request: it crashed its upstreams",
-            );
+        match self.permission(&call) {
+            Permission::Allowed => {}
+            Permission::Trial => call.is_trial = true,
+            Permission::Refused(reason, wait) => return self.refuse(&call, reason, wait),
         }
         if !self.has_time_before_shutdown(&mut call) {
             return self.give_up(
@@ -258,6 +262,16 @@
         }
     }
 
+    /// Refuses a call that has not been sent, because calls of its kind crash
+    /// upstreams. The caller may return after `wait`.
+    fn refuse(&self, call: &Call, reason: GiveUpReason, wait: Duration) -> HttpResponse {
+        let cause = "upstreams crashed under such requests";
+        let mut response = self.give_up(call, reason, Progress::NotRun, cause);
+        let spread = REFUSED_RETURN_SPREAD.mul_f64(random_fraction());
+        set_retry_after(&mut response, wait + spread);
+        response
+    }
+
     /// Builds the final answer to a call that is given up, and logs it.
     pub(crate) fn give_up(
         &self,
--- a/src/forward/observation.rs
+++ b/src/forward/observation.rs
@@ -4,7 +4,8 @@
 
 use super::sessions::SessionId;
 use super::upstream::UpstreamEntry;
-use crate::id::{DataCentreId, Fingerprint, UpstreamId};
+use crate::id::{DataCentreId, UpstreamId};
+use crate::policy::crash_evidence::{Clearance, Crash};
 
 /// Maximum number of observations that may wait to be published.
 const QUEUE_MAX: usize = 1_024;
@@ -19,11 +20,10 @@
     },
     /// An upstream was found running while the store was unreachable.
     Discovered(UpstreamEntry),
-    /// An upstream crashed as it began to run a request.
-    Crash {
-        request: Fingerprint,
-        upstream: UpstreamId,
-    },
+    /// An upstream crashed while it ran a call.
+    Crash(Crash),
+    /// A sound run refuted a suspicion of what crashes upstreams.
+    Cleared(Clearance),
     /// This node is about to cut a stream, whose caller will request the rest
     /// elsewhere.
     Handover {
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -10,6 +10,7 @@
 use super::attempt::{Answered, Attempt, AttemptFailure};
 use super::forwarder::{Forwarder, NodeContext};
 use super::request::Call;
+use super::request_crashes::Permission;
 use super::send_history::SendHistory;
 use super::upstream::{Upstream, Work};
 use crate::http::HttpResponse;
@@ -183,6 +184,9 @@
     ) -> Option<HttpResponse> {
         let SendResult { upstream, answer } = result;
         let may_repeat = call.matched.route.kind.may_repeat();
+        if answer.is_ok() {
+            self.request_crashes.record_survival(call, Instant::now());
+        }
         match answer {
             Ok(response) if response.status().is_server_error() && may_repeat => {
                 state.cause = format!("{} answered with a server error", upstream.entry.id);
@@ -195,7 +199,7 @@
                 state.sends.record_failure(&failure);
                 state.cause = format!("{}: {failure}", upstream.entry.id);
                 if matches!(failure, AttemptFailure::MayHaveRun(_)) {
-                    self.check_for_crash(call, &upstream);
+                    self.check_for_crash(call, &upstream, false);
                 }
                 None
             }
@@ -216,7 +220,7 @@
             return None;
         }
         if state.sends.undelivered_count() >= UNDELIVERED_SENDS_MAX
-            || self.request_crashes.is_poison(call)
+            || self.is_refused(call, is_first)
         {
             return None;
         }
@@ -227,6 +231,12 @@
         (is_first || self.spend_own_retry(call)).then_some(upstream)
     }
 
+    /// Whether calls of this kind crash upstreams. A trial is sent once.
+    fn is_refused(&self, call: &Call, is_first: bool) -> bool {
+        let may_be_sent = call.is_trial && is_first;
+        !may_be_sent && matches!(self.permission(call), Permission::Refused(..))
+    }
+
     /// Sends a plain call to one upstream, and reads its answer.
     async fn send(&self, call: &Call, upstream: Arc<Upstream>) -> SendResult {
         let answer = self.request_answer(call, &upstream).await;
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -11,6 +11,7 @@
 use crate::hash::Fnv;
 use crate::id::{Fingerprint, ServiceId};
 use crate::platform::call::{self, CallHeaders, UpstreamHeaders};
+use crate::policy::crash_evidence::PARTS_MAX;
 
 /// Time reserved for returning an answer from the upstream to the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(8);
@@ -30,6 +31,9 @@
     pub(crate) deadline: Instant,
     /// Counts the call as in flight at this node until the call is dropped.
     pub(crate) in_flight: Option<Arc<()>>,
+    /// Whether the call is sent once to find out whether its kind still crashes
+    /// upstreams.
+    pub(crate) is_trial: bool,
     method: Method,
     target: Uri,
     forwarded_headers: HeaderMap,
@@ -60,6 +64,7 @@
             deadline: arrived_at + max_wait,
             body,
             in_flight: None,
+            is_trial: false,
         }
     }
 
@@ -75,6 +80,21 @@
         self.headers.resumes.as_ref()?.to_str().ok()
     }
 
+    /// What may crash an upstream that runs this call: the request as a whole, and
+    /// then the parts of its prompt that other calls may share.
+    pub(crate) fn features(&self) -> Vec<Fingerprint> {
+        let mut features = vec![self.fingerprint()];
+        features.extend(self.shared_parts());
+        features
+    }
+
+    /// Hashes of the prompt's parts that other calls may share.
+    pub(crate) fn shared_parts(&self) -> Vec<Fingerprint> {
+        let parts = call::shared_prompt_parts(&self.forwarded_headers).into_iter();
+        let hashes = parts.map(|part| Fnv::new().text(part).finish());
+        hashes.take(PARTS_MAX).collect()
+    }
+
     /// Returns the hashes of the prompt's parts that other calls may share,
     /// separated by commas, for the log.
     pub(crate) fn shared_parts_for_log(&self) -> String {
--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -1,20 +1,42 @@
-//! Detects poison requests, which crash the upstreams that begin to run them, and
-//! publishes the crashes to the other nodes.
+//! Refuses requests that crash the upstreams which begin to run them, or that share
+//! a part of their prompts with such requests.
+//!
+//! This node reports to its peers which upstreams crashed under its calls, and which
+//! suspicions its sound runs refute; `policy::poison_detector` draws the conclusions.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use tokio::task::JoinHandle;
+
 use super::connection::CONNECT_TIMEOUT;
 use super::forwarder::{Forwarder, NodeContext};
 use super::observation::{Observation, Observations};
 use super::request::Call;
 use super::upstream::Upstream;
-use crate::policy::poison_detector::PoisonDetector;
+use crate::clock::unix_ms;
+use crate::policy::crash_evidence::{Clearance, Crash};
+use crate::policy::failure_response::GiveUpReason;
+use crate::policy::poison_detector::{PoisonDetector, Verdict};
 
 /// Time after a crash until the upstream's port refuses connections.
 const PORT_CLOSE_DELAY: Duration = Duration::from_millis(20);
+/// Time for which an upstream must go on with an answer to show that the call does
+/// not crash it.
+pub(crate) const SURVIVAL_TIME: Duration = Duration::from_millis(500);
+
+/// Whether a call may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Permission {
+    Allowed,
+    /// The call may be sent once, to find out whether its kind still crashes
+    /// upstreams.
+    Trial,
+    /// The call is refused for a reason, and may return after this time.
+    Refused(GiveUpReason, Duration),
+}
 
-/// The crashes of upstreams that began a request, seen by this node or its peers.
+/// The crashes of upstreams under the calls of this node and of its peers.
 #[derive(Debug)]
 pub(crate) struct RequestCrashes {
     detector: Mutex<PoisonDetector>,
@@ -22,8 +44,8 @@
 }
 
 impl RequestCrashes {
-    /// Creates a record without crashes, which publishes crashes that this node
-    /// sees to `observations`.
+    /// Creates a record without crashes, which publishes what this node sees to
+    /// `observations`.
     pub(crate) fn new(observations: Observations) -> Self {
         Self {
             detector: Mutex::default(),
@@ -31,60 +53,130 @@
         }
     }
 
-    /// Locks the detector of poison requests.
-    pub(crate) fn lock(&self) -> MutexGuard<'_, PoisonDetector> {
-        self.detector.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Whether the call may be sent. `is_assigned` tells whether the trial of a
+    /// conviction, given by its key, is assigned to this node.
+    pub(crate) fn permission(
+        &self,
+        call: &Call,
+        is_assigned: impl FnOnce(u64) -> bool,
+    ) -> Permission {
+        let mut detector = self.lock();
+        if detector.is_empty() {
+            return Permission::Allowed;
+        }
+        let now = Instant::now();
+        match detector.verdict(&call.features(), now) {
+            Verdict::Allowed => Permission::Allowed,
+            Verdict::TrialDue(key) if is_assigned(key) => {
+                detector.begin_trial(key, now);
+                log::info!("event=trial_begun call={} conviction={key:016x}", call.id());
+                Permission::Trial
+            }
+            Verdict::TrialDue(_) => {
+                Permission::Refused(GiveUpReason::SharesCrashingPart, SURVIVAL_TIME)
+            }
+            Verdict::SharesFeatures(wait) => {
+                Permission::Refused(GiveUpReason::SharesCrashingPart, wait)
+            }
+            Verdict::CrashesUpstreams(wait) => {
+                Permission::Refused(GiveUpReason::CrashesUpstreams, wait)
+            }
+        }
+    }
+
+    /// Records that an upstream began to write the call's answer at `began_at` and
+    /// went on for [`SURVIVAL_TIME`] or to the end.
+    pub(crate) fn record_survival(&self, call: &Call, began_at: Instant) {
+        let mut detector = self.lock();
+        if detector.is_empty() {
+            return;
+        }
+        let cleared = detector.record_survival(&call.features(), began_at, Instant::now());
+        drop(detector);
+        for clearance in cleared {
+            log::info!(
+                "event=suspicion_cleared call={} feature={:016x}",
+                call.id(),
+                clearance.feature
+            );
+            self.observations.publish(Observation::Cleared(clearance));
+        }
+    }
+
+    /// Applies a crash that a peer saw.
+    pub(crate) fn apply_crash(&self, crash: Crash) {
+        self.lock().record_crash(crash, Instant::now());
     }
 
-    /// Whether the call's request is poison and must not be sent any more.
-    pub(crate) fn is_poison(&self, call: &Call) -> bool {
-        let detector = self.lock();
-        !detector.is_empty() && detector.is_poison(call.fingerprint())
+    /// Applies a clearance that a peer found.
+    pub(crate) fn apply_clearance(&self, clearance: Clearance) {
+        self.lock().apply_clearance(clearance, Instant::now());
     }
 
-    /// Records that the call made progress, which clears its request.
-    pub(crate) fn record_progress(&self, call: &Call) {
+    /// Whether one more crash may convict the call.
+    pub(crate) fn is_suspect(&self, call: &Call) -> bool {
         let mut detector = self.lock();
-        if !detector.is_empty() {
-            detector.record_progress(call.fingerprint());
-        }
+        !detector.is_empty() && detector.is_suspect(&call.features(), Instant::now())
     }
 
-    async fn check_for_crash(&self, call: &Call, upstream: &Upstream) {
+    async fn check_for_crash(&self, call: &Call, upstream: &Upstream, was_writing: bool) {
         tokio::time::sleep(PORT_CLOSE_DELAY).await;
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, upstream.pool.open());
         if matches!(connecting.await, Ok(Ok(_))) {
             return;
         }
-        let request = call.fingerprint();
-        let id = &upstream.entry.id;
-        let is_new = self.lock().record_crash(request, id, Instant::now());
-        let is_poison = self.lock().is_poison(request);
+        let crash = Crash {
+            upstream: upstream.entry.id.clone(),
+            request: call.fingerprint(),
+            parts: call.shared_parts(),
+            was_writing,
+            version: unix_ms(),
+        };
+        let now = Instant::now();
+        let mut detector = self.lock();
+        let is_new = detector.record_crash(crash.clone(), now);
+        let verdict = detector.verdict(&call.features(), now);
+        let conviction_count = detector.convictions(now).len();
+        drop(detector);
         log::warn!(
-            "event=crash_suspected call={} request={request:016x} parts={} upstream={id} convicted={is_poison}",
+            "event=crash_suspected call={} request={:016x} parts={} upstream={} writing={was_writing} verdict={verdict:?} convictions={conviction_count}",
             call.id(),
-            call.shared_parts_for_log()
+            crash.request,
+            call.shared_parts_for_log(),
+            crash.upstream
         );
         if is_new {
-            self.observations.publish(Observation::Crash {
-                request,
-                upstream: id.clone(),
-            });
+            self.observations.publish(Observation::Crash(crash));
         }
     }
+
+    fn lock(&self) -> MutexGuard<'_, PoisonDetector> {
+        self.detector.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl<N: NodeContext> Forwarder<N> {
-    /// Connects to the upstream again, after it sent neither a usable answer nor an
-    /// event of the call, to check whether it has crashed. If it cannot be reached,
-    /// counts the crash against the call's request.
-    pub(crate) fn check_for_crash(self: &Arc<Self>, call: &Call, upstream: &Arc<Upstream>) {
+    /// Whether the call may be sent, as far as is known of what crashes upstreams.
+    pub(crate) fn permission(&self, call: &Call) -> Permission {
+        let is_assigned = |key| self.node.is_assigned(key);
+        self.request_crashes.permission(call, is_assigned)
+    }
+
+    /// Connects to the upstream again, after it broke off, to check whether it has
+    /// crashed. If it cannot be reached, counts the crash against the call.
+    /// `was_writing` tells whether it had just begun to write the answer.
+    pub(crate) fn check_for_crash(
+        self: &Arc<Self>,
+        call: &Call,
+        upstream: &Arc<Upstream>,
+        was_writing: bool,
+    ) -> JoinHandle<()> {
         let (forwarder, call, upstream) = (self.clone(), call.clone(), upstream.clone());
         tokio::spawn(async move {
             forwarder
                 .request_crashes
-                .check_for_crash(&call, &upstream)
-                .await
-        });
+                .check_for_crash(&call, &upstream, was_writing)
+                .await;
+        })
     }
 }
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -11,11 +11,14 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use tokio::task::JoinHandle;
+
 use super::answer_body;
 use super::attempt::{Answered, Attempt, AttemptFailure};
 use super::forwarder::{Forwarder, NodeContext};
 use super::probe::LossWatch;
 use super::request::Call;
+use super::request_crashes::Permission;
 use super::run_origin::RunOrigin;
 use super::run_replica::{ReplicaSlot, ReplicatedRun, RunReplica, choose_holder, lock};
 use super::send_history::SendHistory;
@@ -68,6 +71,11 @@
     pub(super) origin: Option<RunOrigin>,
     /// Whether the origin is recorded at this node or another one.
     pub(super) is_origin_recorded: bool,
+    /// The check whether the upstream that was lost last has crashed.
+    pub(super) crash_check: Option<JoinHandle<()>>,
+    /// Whether an upstream went on with the answer, so that the call does not crash
+    /// upstreams.
+    pub(super) has_survived: bool,
     pub(super) event_count: u64,
     /// Whether the present upstream has sent an event that was passed on to the
     /// caller.
@@ -96,6 +104,8 @@
             origin: None,
             is_origin_recorded: false,
             next: None,
+            crash_check: None,
+            has_survived: false,
             event_count: 0,
             has_upstream_sent_event: false,
             first_event_ms: None,
@@ -153,7 +163,7 @@
                 // The run did not begin, so no replica of it was streamed.
                 lock(&self.replica).take();
             } else if matches!(failure, AttemptFailure::MayHaveRun(_)) {
-                self.check_for_crash_unless_event_sent(&upstream);
+                self.check_for_crash(&upstream, false);
             }
             if self.sends.progress() == Progress::MayHaveRun && !self.may_repeat() {
                 let cause =
@@ -163,11 +173,21 @@
         }
     }
 
-    /// Checks whether the call crashed the upstream, unless the upstream had
-    /// sent an event, which shows that it survived the start of the call.
-    pub(super) fn check_for_crash_unless_event_sent(&self, upstream: &Arc<Upstream>) {
-        if !self.has_upstream_sent_event {
-            self.forwarder.check_for_crash(&self.call, upstream);
+    /// Checks whether the upstream, which broke off, has crashed.
+    pub(super) fn check_for_crash(&mut self, upstream: &Arc<Upstream>, was_writing: bool) {
+        let forwarder = &self.forwarder;
+        let check = forwarder.check_for_crash(&self.call, upstream, was_writing);
+        self.crash_check = Some(check);
+    }
+
+    /// Waits for the last check for a crash, if its result may convict the call.
+    async fn await_crash_check(&mut self) {
+        let Some(check) = self.crash_check.take() else {
+            return;
+        };
+        if self.forwarder.request_crashes.is_suspect(&self.call) {
+            // Fails only if the check panicked.
+            let _ = check.await;
         }
     }
 
@@ -177,6 +197,7 @@
 
     /// Chooses the next upstream, and spends a retry if the call was sent before.
     async fn next_upstream(&mut self) -> Result<NextUpstream, OpenFailure> {
+        self.await_crash_check().await;
         self.check_may_send()?;
         let upstream = self.choose_upstream()?;
         self.spend_retry().await?;
@@ -185,10 +206,10 @@
 
     /// Checks whether the call may be sent to another upstream.
     pub(super) fn check_may_send(&self) -> Result<(), OpenFailure> {
-        if self.forwarder.request_crashes.is_poison(&self.call) {
+        if let Some(reason) = self.refusal() {
             return Err(OpenFailure::given_up(
-                GiveUpReason::CrashesUpstreams,
-                "poison request: it crashed its upstreams",
+                reason,
+                "upstreams crashed under such requests",
             ));
         }
         if self.call.time_for_upstream(Instant::now()).is_none() {
@@ -209,6 +230,18 @@
         Ok(())
     }
 
+    /// Why the call may not be sent because of what crashes upstreams. An upstream that
+    /// went on with the call's answer showed that the call does not crash it.
+    fn refusal(&self) -> Option<GiveUpReason> {
+        if self.has_survived || (self.call.is_trial && self.sends.sent_count() == 0) {
+            return None;
+        }
+        match self.forwarder.permission(&self.call) {
+            Permission::Refused(reason, _) => Some(reason),
+            Permission::Allowed | Permission::Trial => None,
+        }
+    }
+
     /// Chooses the holder of the run's replica if there is one, otherwise the
     /// engine that has the prompt cached, otherwise the least busy engine.
     pub(super) fn choose_upstream(&self) -> Result<Arc<Upstream>, OpenFailure> {
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -11,7 +11,7 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::header::CONTENT_LENGTH;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use tokio::sync::mpsc;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -20,6 +20,7 @@
 use super::directory::Directory;
 use super::forwarder::NodeContext;
 use super::probe::{LossReason, LossWatch};
+use super::request_crashes::SURVIVAL_TIME;
 use super::run_replica::{free_replica, lock, maintain_replica};
 use super::stream_call::StreamRun;
 use super::stream_move::MoveOutcome;
@@ -43,6 +44,9 @@
     /// `None` if the connection closes after the answer. Otherwise the idle
     /// time-out of the upstream, if the answer states one.
     reuse: Option<Option<Duration>>,
+    /// Whether the answer ends with its connection, because it has neither a length
+    /// nor chunks.
+    is_close_delimited: bool,
     loss_watch: LossWatch,
 }
 
@@ -162,11 +166,13 @@
             connection,
             mut body,
             reuse,
+            is_close_delimited,
             mut loss_watch,
         } = segment;
         let forwarder = self.forwarder.clone();
         let mut events = EventBuffer::default();
         let mut phase = StreamPhase::Prefill;
+        let mut first_event_at = None;
         let mut _replica_task = None;
         let deadline = self.call.deadline.into();
         let mut is_handed_over = false;
@@ -193,7 +199,7 @@
                                 upstream.avoid(Instant::now());
                             }
                             if error.is_some() {
-                                self.handle_disconnect(&upstream, phase);
+                                self.handle_disconnect(&upstream, first_event_at);
                             }
                             self.record_loss(&upstream, &format!("{loss:?}"));
                             return SegmentEnd::Moved(Move { attempt, began_at });
@@ -212,16 +218,24 @@
                 () = tokio::time::sleep_until(deadline) => return SegmentEnd::TimeOver,
             };
             let data = match frame {
+                None if is_close_delimited && !self.has_begun() => {
+                    self.handle_disconnect(&upstream, first_event_at);
+                    return SegmentEnd::Lost("the answer ended before an event".to_owned());
+                }
                 None if events.is_empty() => {
                     if let Some(idle_timeout) = reuse {
                         upstream.pool.put(connection, idle_timeout);
                     }
                     self.free_current_replica(&upstream);
+                    self.record_survival(first_event_at.unwrap_or_else(Instant::now));
                     return SegmentEnd::Complete;
                 }
-                None => return SegmentEnd::Lost("the answer ended within an event".to_owned()),
+                None => {
+                    self.handle_disconnect(&upstream, first_event_at);
+                    return SegmentEnd::Lost("the answer ended within an event".to_owned());
+                }
                 Some(Err(error)) => {
-                    self.handle_disconnect(&upstream, phase);
+                    self.handle_disconnect(&upstream, first_event_at);
                     return SegmentEnd::Lost(error.to_string());
                 }
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -236,6 +250,10 @@
                     _replica_task = self.maintain_replica(&upstream);
                 }
                 phase = StreamPhase::Decode;
+                let began_at = *first_event_at.get_or_insert_with(Instant::now);
+                if began_at.elapsed() >= SURVIVAL_TIME {
+                    self.record_survival(began_at);
+                }
                 if self.event_count == 0 {
                     self.record_origin(&upstream);
                 }
@@ -247,10 +265,14 @@
         }
     }
 
+    /// Whether the caller has an event of the stream.
+    fn has_begun(&self) -> bool {
+        self.event_count > 0 || self.last_event.is_some()
+    }
+
     /// Records that the upstream finished the prefill of the call.
     fn record_prefill(&self, upstream: &Upstream) {
         let forwarder = &self.forwarder;
-        forwarder.request_crashes.record_progress(&self.call);
         if let Some(session) = &self.call.headers.session {
             let now = Instant::now();
             forwarder
@@ -274,12 +296,21 @@
         ))
     }
 
-    /// Checks what became of an upstream whose connection broke in this phase of the
-    /// stream. One that had sent an event survived the start of the call.
-    fn handle_disconnect(&self, upstream: &Arc<Upstream>, phase: StreamPhase) {
+    /// Records once that an upstream went on with the answer that it began to write
+    /// at `began_at`.
+    fn record_survival(&mut self, began_at: Instant) {
+        if !std::mem::replace(&mut self.has_survived, true) {
+            let crashes = &self.forwarder.request_crashes;
+            crashes.record_survival(&self.call, began_at);
+        }
+    }
+
+    /// Checks what became of an upstream whose connection broke. One that had sent
+    /// events for a while survived the start of the call.
+    fn handle_disconnect(&mut self, upstream: &Arc<Upstream>, first_event_at: Option<Instant>) {
         upstream.avoid(Instant::now());
-        if phase == StreamPhase::Prefill {
-            self.forwarder.check_for_crash(&self.call, upstream);
+        if first_event_at.is_none_or(|at| at.elapsed() < SURVIVAL_TIME) {
+            self.check_for_crash(upstream, true);
         }
         self.forwarder.probe_after_disconnect(upstream);
     }
@@ -375,12 +406,15 @@
         let reuse = attempt.state.reuse();
         let loss_watch = LossWatch::new(directory, attempt.upstream.clone());
         let (head, body) = attempt.state.response.into_parts();
+        let is_framed = |name| head.headers.contains_key(name);
+        let is_close_delimited = !is_framed(CONTENT_LENGTH) && !is_framed(TRANSFER_ENCODING);
         let segment = Self {
             upstream: attempt.upstream,
             work: attempt.work,
             connection: attempt.state.connection,
             body,
             reuse,
+            is_close_delimited,
             loss_watch,
         };
         (head, segment)
--- a/src/membership/message/crash.rs
+++ b/src/membership/message/crash.rs
@@ -38,3 +38,15 @@
     #[prost(uint64, tag = "2")]
     pub(crate) incarnation: u64,
 }
+
+/// What the announcement of an upstream's crash holds besides its key, which names
+/// the request and the upstream.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct CrashedCallRecord {
+    /// Hashes of the parts of the prompt that other prompts may share.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub(crate) parts: Vec<u64>,
+    /// Whether the upstream had begun to write its answer.
+    #[prost(bool, tag = "2")]
+    pub(crate) was_writing: bool,
+}
--- a/src/membership/message/mod.rs
+++ b/src/membership/message/mod.rs
@@ -14,7 +14,7 @@
 use prost::{Message, Oneof};
 
 pub(crate) use claim::{ClaimAction, ClaimOperation, ClaimReply, ClaimResult};
-pub(crate) use crash::{CrashRecord, RunnerIncarnationRecord};
+pub(crate) use crash::{CrashRecord, CrashedCallRecord, RunnerIncarnationRecord};
 pub(crate) use datagram::{
     AnnouncementRecord, Datagram, DocumentVersion, MemberRecord, MemberState, Purpose,
 };
--- /dev/null
+++ b/src/policy/crash_evidence.rs
@@ -0,0 +1,219 @@
+//! The crashes of upstreams, and what the calls that ran there have in common.
+//!
+//! What may crash an upstream is called a feature of a call here: the request as a
+//! whole, or a part of its prompt. An upstream's crash is evidence against the
+//! features of the calls at which it was writing; if it was writing none, against
+//! those of all calls that it had. A run that began later and went on is evidence
+//! for its features: it clears them of the crashes known before.
+//!
+//! Crashes and clearances arrive in any order, and again. Nodes that know the same
+//! ones come to the same conclusions. `docs/CRASHES.md` weighs the alternatives.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use crate::id::{Fingerprint, UpstreamId, Version};
+
+/// Lifetime of a crash, and of a clearance, as evidence.
+pub(crate) const EVIDENCE_TTL: Duration = Duration::from_secs(1_800);
+/// Maximum number of crashes that are kept.
+const CRASHES_MAX: usize = 256;
+/// Maximum number of clearances that are kept.
+const CLEARANCES_MAX: usize = 1_024;
+/// Maximum number of parts of one prompt that are kept.
+pub(crate) const PARTS_MAX: usize = 16;
+/// Crashes that become known within this time of each other may have one cause.
+const SIMULTANEOUS: Duration = Duration::from_millis(300);
+
+/// The crash of an upstream, as seen by one call that ran there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Crash {
+    pub(crate) upstream: UpstreamId,
+    /// The request as a whole.
+    pub(crate) request: Fingerprint,
+    /// The parts of the prompt that other prompts may share.
+    pub(crate) parts: Vec<Fingerprint>,
+    /// Whether the upstream had begun to write its answer.
+    pub(crate) was_writing: bool,
+    /// Unix milliseconds at the node that saw the crash.
+    pub(crate) version: Version,
+}
+
+/// States that a feature did not cause the crashes up to a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Clearance {
+    pub(crate) feature: Fingerprint,
+    pub(crate) up_to: Version,
+}
+
+#[derive(Debug)]
+struct KnownCrash {
+    crash: Crash,
+    known_at: Instant,
+}
+
+/// A crash with the features that may have caused it.
+#[derive(Clone, Debug)]
+pub(crate) struct Suspicion {
+    pub(crate) upstream: UpstreamId,
+    pub(crate) request: Fingerprint,
+    pub(crate) features: BTreeSet<Fingerprint>,
+    pub(crate) known_at: Instant,
+}
+
+/// All crashes and clearances that one node knows.
+#[derive(Debug, Default)]
+pub(crate) struct CrashEvidence {
+    /// Crashes in the order in which they became known.
+    crashes: VecDeque<KnownCrash>,
+    clearances: BTreeMap<Fingerprint, (Version, Instant)>,
+}
+
+impl Crash {
+    fn has(&self, feature: Fingerprint) -> bool {
+        self.request == feature || self.parts.contains(&feature)
+    }
+}
+
+impl CrashEvidence {
+    /// Adds a crash. Returns false if it was known.
+    pub(crate) fn add_crash(&mut self, crash: Crash, now: Instant) -> bool {
+        self.remove_expired(now);
+        let is_same =
+            |known: &Crash| known.upstream == crash.upstream && known.request == crash.request;
+        if self.crashes.iter().any(|known| is_same(&known.crash)) {
+            return false;
+        }
+        if self.crashes.len() >= CRASHES_MAX {
+            self.crashes.pop_front();
+        }
+        self.crashes.push_back(KnownCrash {
+            crash,
+            known_at: now,
+        });
+        true
+    }
+
+    /// Clears a feature of the crashes up to a version. Returns false if it was
+    /// cleared of them before.
+    pub(crate) fn add_clearance(&mut self, clearance: Clearance, now: Instant) -> bool {
+        let Clearance { feature, up_to } = clearance;
+        if self.cleared_up_to(feature) >= up_to {
+            return false;
+        }
+        if self.clearances.len() < CLEARANCES_MAX || self.clearances.contains_key(&feature) {
+            self.clearances.insert(feature, (up_to, now));
+        }
+        true
+    }
+
+    /// Clears the features of a run that began to write its answer at `began_at` and
+    /// went on. Returns the clearances that other nodes need: those of features
+    /// under which several upstreams crashed.
+    pub(crate) fn add_survival(
+        &mut self,
+        features: &[Fingerprint],
+        began_at: Instant,
+        now: Instant,
+    ) -> Vec<Clearance> {
+        let mut needed_by_peers = Vec::new();
+        for feature in features {
+            let under_feature = self.crashes.iter().filter(|k| k.crash.has(*feature));
+            let known_before = under_feature.clone().filter(|k| k.known_at < began_at);
+            let Some(up_to) = known_before.map(|known| known.crash.version).max() else {
+                continue;
+            };
+            let upstreams: BTreeSet<&str> =
+                under_feature.map(|k| k.crash.upstream.as_str()).collect();
+            let is_shared = upstreams.len() > 1;
+            let clearance = Clearance {
+                feature: *feature,
+                up_to,
+            };
+            if self.add_clearance(clearance, now) && is_shared {
+                needed_by_peers.push(clearance);
+            }
+        }
+        needed_by_peers
+    }
+
+    pub(crate) fn crash_count(&self) -> usize {
+        self.crashes.len()
+    }
+
+    /// The crashes with the features that may have caused them. A crash that many
+    /// others accompanied counts against a feature only if most of them count
+    /// against it: otherwise they have another cause, such as the loss of a data
+    /// centre.
+    pub(crate) fn suspicions(&self) -> Vec<Suspicion> {
+        let writing = self.crashes.iter().filter(|k| k.crash.was_writing);
+        let writing: BTreeSet<&str> = writing.map(|k| k.crash.upstream.as_str()).collect();
+        let is_suspect =
+            |crash: &Crash| crash.was_writing || !writing.contains(crash.upstream.as_str());
+        let suspects = self.crashes.iter().filter(|k| is_suspect(&k.crash));
+        let with_features = suspects.map(|known| {
+            let crash = &known.crash;
+            let features = crash.parts.iter().chain([&crash.request]);
+            let uncleared = features.filter(|f| self.cleared_up_to(**f) < crash.version);
+            (known, uncleared.copied().collect())
+        });
+        let with_features: Vec<(&KnownCrash, BTreeSet<Fingerprint>)> = with_features.collect();
+        let suspicions = with_features.iter().map(|(known, features)| {
+            let near = near(&with_features, known.known_at);
+            let is_typical = |feature: &&Fingerprint| near.is_mostly_under(**feature);
+            Suspicion {
+                upstream: known.crash.upstream.clone(),
+                request: known.crash.request,
+                features: features.iter().filter(is_typical).copied().collect(),
+                known_at: known.known_at,
+            }
+        });
+        suspicions.filter(|s| !s.features.is_empty()).collect()
+    }
+
+    fn cleared_up_to(&self, feature: Fingerprint) -> Version {
+        self.clearances.get(&feature).map_or(0, |(up_to, _)| *up_to)
+    }
+
+    fn remove_expired(&mut self, now: Instant) {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < EVIDENCE_TTL;
+        self.crashes.retain(|known| is_recent(known.known_at));
+        self.clearances.retain(|_, (_, at)| is_recent(*at));
+    }
+}
+
+/// Upstreams that crashed at about the same time, by the features that may have
+/// caused it.
+struct SimultaneousCrashes<'a> {
+    upstreams: BTreeSet<&'a str>,
+    under_feature: BTreeMap<Fingerprint, BTreeSet<&'a str>>,
+}
+
+impl SimultaneousCrashes<'_> {
+    fn is_mostly_under(&self, feature: Fingerprint) -> bool {
+        let under_feature = self.under_feature.get(&feature).map_or(0, BTreeSet::len);
+        2 * under_feature >= self.upstreams.len()
+    }
+}
+
+fn near<'a>(
+    crashes: &[(&'a KnownCrash, BTreeSet<Fingerprint>)],
+    at: Instant,
+) -> SimultaneousCrashes<'a> {
+    let mut near = SimultaneousCrashes {
+        upstreams: BTreeSet::new(),
+        under_feature: BTreeMap::new(),
+    };
+    for (known, features) in crashes {
+        if known.known_at.max(at) - known.known_at.min(at) > SIMULTANEOUS {
+            continue;
+        }
+        let upstream = known.crash.upstream.as_str();
+        near.upstreams.insert(upstream);
+        for feature in features {
+            let under_feature = near.under_feature.entry(*feature).or_default();
+            under_feature.insert(upstream);
+        }
+    }
+    near
+}
--- a/src/policy/failure_response.rs
+++ b/src/policy/failure_response.rs
@@ -34,6 +34,8 @@
     /// The call is a poison request: it crashes the upstreams that begin to run
     /// it.
     CrashesUpstreams,
+    /// The call shares what crashed upstreams under other calls.
+    SharesCrashingPart,
 }
 
 /// What a refused call needs before it can be served.
@@ -61,6 +63,7 @@
 pub(crate) fn error_kind(reason: GiveUpReason, progress: Progress) -> ErrorKind {
     match (progress, reason) {
         (_, GiveUpReason::CrashesUpstreams) => ErrorKind::CrashesRunners,
+        (Progress::NotRun, GiveUpReason::SharesCrashingPart) => ErrorKind::Quarantined,
         (Progress::NotRun, _) => ErrorKind::NoUpstream,
         (Progress::MayHaveRun, GiveUpReason::TimeOver) => ErrorKind::OutcomeUnknown,
         (Progress::MayHaveRun, _) => ErrorKind::UpstreamFailed,
--- a/src/policy/poison_detector.rs
+++ b/src/policy/poison_detector.rs
@@ -1,74 +1,275 @@
-//! Detects poison requests: those that crash the upstreams which begin to run
-//! them.
+//! Finds out what crashes upstreams: requests that are sent again and again, and
+//! parts of prompts that many requests share.
 //!
-//! A poison request is sent again and again, through any node, and crashes every
-//! engine that begins it. Engines of whole data centres may also crash while
-//! they run harmless requests. A crash therefore counts against a request only
-//! if it happened before the engine sent the request's first event, and a single
-//! event of its stream clears the request. A request is known by its
-//! fingerprint, a hash that stays the same when the request is sent again.
+//! A feature under which three upstreams crashed, and which no later run cleared, is
+//! convicted together with what nearly always stood beside it: a request is refused
+//! only if it has all features of a conviction. Requests that have some of them are
+//! sent, and how they end tells the cause from what merely accompanied it.
+//!
+//! A conviction that bars other requests takes effect after a delay, in which sound
+//! runs may clear it. It ends when a trial succeeds: one request is let through,
+//! at longer and longer intervals.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use super::crash_evidence::{Clearance, Crash, CrashEvidence, Suspicion};
+use crate::hash::Fnv;
 use crate::id::{Fingerprint, UpstreamId};
 
-/// Minimum number of crashed upstreams that makes a request poison.
-const POISON_CRASHES_MIN: usize = 3;
-/// How long a request's crashes are kept after the last one.
-const CRASH_RETENTION: Duration = Duration::from_secs(120);
+/// Number of upstreams that must crash under a feature to convict it.
+const CONVICTION_CRASHES_MIN: usize = 3;
+/// Share of the crashes under a feature, in quarters, which another feature must
+/// have accompanied to be convicted together with it.
+const ACCOMPANIED_QUARTERS_MIN: usize = 3;
+/// Time from the crash that convicts until requests other than those that crashed
+/// upstreams are refused.
+const CONVICTION_DELAY: Duration = Duration::from_secs(1);
+/// Time from the last crash to the first trial.
+const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(5);
+/// Factor by which the time to the next trial grows with each that fails.
+const TRIAL_BACKOFF_FACTOR: u32 = 4;
+/// Longest time to the next trial.
+const TRIAL_DELAY_MAX: Duration = Duration::from_secs(450);
+/// Time without a crash after which the next one counts as a failed trial.
+const TRIAL_GAP: Duration = Duration::from_secs(4);
+/// Time after which a trial that ended in neither way is repeated.
+const TRIAL_DURATION_MAX: Duration = Duration::from_secs(15);
+/// Number of known crashes above which the evidence is evaluated at intervals only.
+const EVALUATED_AT_ONCE_MAX: usize = 32;
+/// Shortest time between two evaluations of many crashes.
+const EVALUATION_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Features that crash upstreams together, as far as is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Conviction {
+    pub(crate) features: BTreeSet<Fingerprint>,
+    effective_at: Instant,
+    trial_at: Instant,
+}
 
-/// The upstreams that crashed as they began one request.
-#[derive(Clone, Debug)]
-struct CrashedUpstreams {
-    ids: BTreeSet<UpstreamId>,
-    last_at: Instant,
+/// Whether a request may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    Allowed,
+    /// The request may be sent by the node that the conviction with this key is
+    /// assigned to.
+    TrialDue(Fingerprint),
+    /// The request itself crashed upstreams.
+    CrashesUpstreams(Duration),
+    /// The request has what crashed upstreams in others. The duration is the time to
+    /// the next trial.
+    SharesFeatures(Duration),
 }
 
-/// The crashes that count against requests, as one node knows them.
+/// The evidence that one node knows, and its conclusions.
 #[derive(Debug, Default)]
 pub(crate) struct PoisonDetector {
-    crashes: BTreeMap<Fingerprint, CrashedUpstreams>,
+    evidence: CrashEvidence,
+    convictions: Vec<Conviction>,
+    /// Number of upstreams that crashed under each feature.
+    crash_counts: BTreeMap<Fingerprint, usize>,
+    /// Start of this node's last trial of each conviction.
+    trials: BTreeMap<Fingerprint, Instant>,
+    /// Whether the evidence changed since it was evaluated.
+    is_outdated: bool,
+    evaluated_at: Option<Instant>,
+}
+
+impl Conviction {
+    /// Identifies the conviction at all nodes.
+    fn key(&self) -> Fingerprint {
+        let features = self.features.iter();
+        features
+            .fold(Fnv::new(), |hash, feature| hash.number(*feature))
+            .finish()
+    }
+
+    fn applies_to(&self, features: &[Fingerprint], now: Instant) -> bool {
+        now >= self.effective_at && self.features.iter().all(|f| features.contains(f))
+    }
 }
 
 impl PoisonDetector {
-    /// Records that `upstream` crashed as it began the request. Returns true if
-    /// no crash of this upstream under this request was known.
-    pub(crate) fn record_crash(
+    /// Records a crash. Returns false if it was known.
+    pub(crate) fn record_crash(&mut self, crash: Crash, now: Instant) -> bool {
+        let is_new = self.evidence.add_crash(crash, now);
+        self.is_outdated |= is_new;
+        is_new
+    }
+
+    /// Records that a run with these features, which began to write its answer at
+    /// `began_at`, went on. Returns the clearances that other nodes need.
+    pub(crate) fn record_survival(
         &mut self,
-        request: Fingerprint,
-        upstream: &UpstreamId,
+        features: &[Fingerprint],
+        began_at: Instant,
         now: Instant,
-    ) -> bool {
-        self.crashes
-            .retain(|_, crashed| now.saturating_duration_since(crashed.last_at) < CRASH_RETENTION);
-        let crashed = self
-            .crashes
-            .entry(request)
-            .or_insert_with(|| CrashedUpstreams {
-                ids: BTreeSet::new(),
-                last_at: now,
-            });
-        crashed.last_at = now;
-        crashed.ids.insert(upstream.clone())
+    ) -> Vec<Clearance> {
+        let cleared = self.evidence.add_survival(features, began_at, now);
+        self.is_outdated = true;
+        cleared
+    }
+
+    /// Applies a clearance that another node found.
+    pub(crate) fn apply_clearance(&mut self, clearance: Clearance, now: Instant) {
+        self.is_outdated |= self.evidence.add_clearance(clearance, now);
     }
 
-    /// Records that an upstream sent an event of the request's stream, which
-    /// clears the request unless it is poison.
-    pub(crate) fn record_progress(&mut self, request: Fingerprint) {
-        if !self.is_poison(request) {
-            self.crashes.remove(&request);
+    /// Whether a request with these features may be sent; the first is the request
+    /// as a whole.
+    pub(crate) fn verdict(&mut self, features: &[Fingerprint], now: Instant) -> Verdict {
+        self.evaluate(now);
+        let mut applying = self.convictions.iter();
+        let Some(conviction) = applying.find(|c| c.applies_to(features, now)) else {
+            return Verdict::Allowed;
+        };
+        let time_to_trial = conviction.trial_at.saturating_duration_since(now);
+        let key = conviction.key();
+        let is_under_trial = self
+            .trials
+            .get(&key)
+            .is_some_and(|at| now.saturating_duration_since(*at) < TRIAL_DURATION_MAX);
+        if time_to_trial.is_zero() && !is_under_trial {
+            return Verdict::TrialDue(key);
+        }
+        if features
+            .first()
+            .is_some_and(|f| conviction.features.contains(f))
+        {
+            Verdict::CrashesUpstreams(time_to_trial)
+        } else {
+            Verdict::SharesFeatures(time_to_trial)
         }
     }
 
-    /// Whether the request is poison and must not be sent to upstreams any more.
-    pub(crate) fn is_poison(&self, request: Fingerprint) -> bool {
-        let crashed = self.crashes.get(&request);
-        crashed.is_some_and(|crashed| crashed.ids.len() >= POISON_CRASHES_MIN)
+    /// Records that this node begins a trial of the conviction with this key.
+    pub(crate) fn begin_trial(&mut self, key: Fingerprint, now: Instant) {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < TRIAL_DURATION_MAX;
+        self.trials.retain(|_, at| is_recent(at));
+        self.trials.insert(key, now);
     }
 
-    /// Whether no crash counts against any request.
+    /// Whether one more crash may convict a request with these features.
+    pub(crate) fn is_suspect(&mut self, features: &[Fingerprint], now: Instant) -> bool {
+        self.evaluate(now);
+        let counts = features.iter().filter_map(|f| self.crash_counts.get(f));
+        counts.max().copied().unwrap_or(0) + 1 >= CONVICTION_CRASHES_MIN
+    }
+
+    /// Whether no crash is known.
     pub(crate) fn is_empty(&self) -> bool {
-        self.crashes.is_empty()
+        self.evidence.crash_count() == 0
+    }
+
+    /// The convictions, for the log.
+    pub(crate) fn convictions(&mut self, now: Instant) -> &[Conviction] {
+        self.evaluate(now);
+        &self.convictions
+    }
+
+    fn evaluate(&mut self, now: Instant) {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let is_due = self.evidence.crash_count() <= EVALUATED_AT_ONCE_MAX
+            || self
+                .evaluated_at
+                .is_none_or(|at| age(at) >= EVALUATION_INTERVAL);
+        if !self.is_outdated || !is_due {
+            return;
+        }
+        let mut suspicions = self.evidence.suspicions();
+        self.crash_counts = count_upstreams(&suspicions);
+        self.convictions.clear();
+        while let Some(conviction) = convict(&suspicions) {
+            remove_explained(&mut suspicions, &conviction.features);
+            self.convictions.push(conviction);
+        }
+        self.is_outdated = false;
+        self.evaluated_at = Some(now);
+    }
+}
+
+fn count_upstreams(suspicions: &[Suspicion]) -> BTreeMap<Fingerprint, usize> {
+    let mut upstreams: BTreeMap<Fingerprint, BTreeSet<&UpstreamId>> = BTreeMap::new();
+    for suspicion in suspicions {
+        for feature in &suspicion.features {
+            let of_feature = upstreams.entry(*feature).or_default();
+            of_feature.insert(&suspicion.upstream);
+        }
+    }
+    let counts = upstreams.into_iter();
+    counts
+        .map(|(feature, of_feature)| (feature, of_feature.len()))
+        .collect()
+}
+
+/// Convicts the feature that explains most crashes, with what accompanied it.
+fn convict(suspicions: &[Suspicion]) -> Option<Conviction> {
+    let counts = count_upstreams(suspicions);
+    let (cause, crash_count) = counts.into_iter().max_by_key(|(_, count)| *count)?;
+    if crash_count < CONVICTION_CRASHES_MIN {
+        return None;
+    }
+    let under_cause: Vec<Suspicion> = suspicions
+        .iter()
+        .filter(|suspicion| suspicion.features.contains(&cause))
+        .cloned()
+        .collect();
+    let is_accompanying = |count: &usize| 4 * count >= ACCOMPANIED_QUARTERS_MIN * crash_count;
+    let mut features: BTreeSet<Fingerprint> = count_upstreams(&under_cause)
+        .into_iter()
+        .filter(|(_, count)| is_accompanying(count))
+        .map(|(feature, _)| feature)
+        .collect();
+    if !under_cause.iter().any(|s| features.is_subset(&s.features)) {
+        // Each accompanied the cause often, but never all of them together.
+        features = BTreeSet::from([cause]);
+    }
+    let crash_times = first_crash_times(&under_cause);
+    let convicted_at = crash_times[CONVICTION_CRASHES_MIN - 1];
+    let bars_only_one_request = under_cause.iter().any(|s| features.contains(&s.request));
+    let delay = if bars_only_one_request {
+        Duration::ZERO
+    } else {
+        CONVICTION_DELAY
+    };
+    Some(Conviction {
+        features,
+        effective_at: convicted_at + delay,
+        trial_at: next_trial(&crash_times),
+    })
+}
+
+/// When each upstream's crash became known, in order.
+fn first_crash_times(suspicions: &[Suspicion]) -> Vec<Instant> {
+    let mut by_upstream: BTreeMap<&UpstreamId, Instant> = BTreeMap::new();
+    for suspicion in suspicions {
+        let first = by_upstream.entry(&suspicion.upstream);
+        first.or_insert(suspicion.known_at);
     }
+    let mut times: Vec<Instant> = by_upstream.into_values().collect();
+    times.sort();
+    times
+}
+
+/// Time of the next trial, which is later the more trials have failed.
+fn next_trial(crash_times: &[Instant]) -> Instant {
+    let gaps = crash_times
+        .windows(2)
+        .filter(|pair| pair[1] - pair[0] >= TRIAL_GAP);
+    let failed_trials = u32::try_from(gaps.count()).unwrap_or(u32::MAX);
+    let growth = TRIAL_BACKOFF_FACTOR.saturating_pow(failed_trials);
+    let delay = FIRST_TRIAL_DELAY
+        .saturating_mul(growth)
+        .min(TRIAL_DELAY_MAX);
+    crash_times[crash_times.len() - 1] + delay
+}
+
+/// Removes the crashes of all upstreams at which a call had all these features.
+fn remove_explained(suspicions: &mut Vec<Suspicion>, features: &BTreeSet<Fingerprint>) {
+    let explained = suspicions
+        .iter()
+        .filter(|s| features.is_subset(&s.features));
+    let explained: BTreeSet<UpstreamId> = explained.map(|s| s.upstream.clone()).collect();
+    suspicions.retain(|s| !explained.contains(&s.upstream));
 }
--- a/src/policy/tests/poison_detector.rs
+++ b/src/policy/tests/poison_detector.rs
@@ -1,49 +1,259 @@
 use std::time::{Duration, Instant};
 
-use crate::policy::poison_detector::PoisonDetector;
+use crate::policy::crash_evidence::{Clearance, Crash};
+use crate::policy::poison_detector::{PoisonDetector, Verdict};
 
-const REQUEST: u64 = 7;
+/// The first part of most prompts.
+const COMMON: u64 = 1_001;
+/// A part that some sound prompts have.
+const RARE: u64 = 1_002;
+/// A part that crashes each upstream.
+const CRASHING: u64 = 1_003;
+const DELAY: Duration = Duration::from_secs(1);
 
-fn record_crashes(detector: &mut PoisonDetector, request: u64, upstreams: &[&str]) {
-    for upstream in upstreams {
-        detector.record_crash(request, &(*upstream).to_owned(), Instant::now());
+/// Features of a request with these parts.
+fn features(request: u64, parts: &[u64]) -> Vec<u64> {
+    [&[request], parts].concat()
+}
+
+/// A detector, and the time since its start.
+struct Scene {
+    detector: PoisonDetector,
+    now: Instant,
+    next_upstream: u64,
+}
+
+impl Scene {
+    fn new() -> Self {
+        Self {
+            detector: PoisonDetector::default(),
+            now: Instant::now(),
+            next_upstream: 0,
+        }
+    }
+
+    fn wait(&mut self, time: Duration) {
+        self.now += time;
+    }
+
+    /// A crash of an upstream that had no crash before.
+    fn crash(&mut self, request: u64, parts: &[u64]) -> Crash {
+        self.next_upstream += 1;
+        let upstream = format!("e-{}", self.next_upstream);
+        self.crash_of(&upstream, request, parts, true)
+    }
+
+    fn crash_of(
+        &mut self,
+        upstream: &str,
+        request: u64,
+        parts: &[u64],
+        was_writing: bool,
+    ) -> Crash {
+        let crash = Crash {
+            upstream: upstream.to_owned(),
+            request,
+            parts: parts.to_vec(),
+            was_writing,
+            version: 1_000 + self.next_upstream,
+        };
+        self.detector.record_crash(crash.clone(), self.now);
+        crash
+    }
+
+    /// Crashes half a second apart.
+    fn crashes(&mut self, parts_by_request: &[(u64, &[u64])]) {
+        for (request, parts) in parts_by_request {
+            self.crash(*request, parts);
+            self.wait(Duration::from_millis(500));
+        }
+    }
+
+    fn survival(&mut self, request: u64, parts: &[u64]) -> Vec<Clearance> {
+        let began_at = self.now;
+        self.wait(Duration::from_millis(500));
+        let features = features(request, parts);
+        self.detector.record_survival(&features, began_at, self.now)
+    }
+
+    fn verdict(&mut self, request: u64, parts: &[u64]) -> Verdict {
+        self.detector.verdict(&features(request, parts), self.now)
+    }
+
+    fn is_refused(&mut self, request: u64, parts: &[u64]) -> bool {
+        self.verdict(request, parts) != Verdict::Allowed
     }
 }
 
 #[test]
 fn a_request_is_poison_at_the_third_crashed_upstream_and_each_counts_once() {
-    let mut detector = PoisonDetector::default();
+    let mut scene = Scene::new();
 
-    record_crashes(&mut detector, REQUEST, &["a", "b", "b", "a"]);
-    assert!(!detector.is_poison(REQUEST));
+    for upstream in ["a", "b", "b", "a"] {
+        scene.crash_of(upstream, 7, &[], false);
+        scene.wait(Duration::from_millis(500));
+    }
+    assert!(!scene.is_refused(7, &[]));
 
-    record_crashes(&mut detector, REQUEST, &["c"]);
-    assert!(detector.is_poison(REQUEST));
-    assert!(!detector.is_poison(REQUEST + 1));
+    scene.crash_of("c", 7, &[], false);
+    assert!(matches!(
+        scene.verdict(7, &[]),
+        Verdict::CrashesUpstreams(_)
+    ));
+    assert!(!scene.is_refused(8, &[]));
 }
 
 /// A harmless request is running when engines of several data centres crash, and
-/// makes progress in between.
+/// goes on in between.
+#[test]
+fn a_request_that_went_on_is_cleared() {
+    let mut scene = Scene::new();
+
+    scene.crashes(&[(7, &[]), (7, &[])]);
+    scene.survival(7, &[]);
+    scene.crashes(&[(7, &[]), (7, &[])]);
+
+    assert!(!scene.is_refused(7, &[]));
+}
+
+#[test]
+fn a_part_that_crashes_is_told_from_the_parts_beside_it_by_sound_runs() {
+    let mut scene = Scene::new();
+
+    scene.crashes(&[
+        (1, &[COMMON, CRASHING]),
+        (2, &[COMMON, RARE, CRASHING]),
+        (3, &[COMMON, CRASHING]),
+    ]);
+    assert!(
+        !scene.is_refused(4, &[COMMON, RARE]),
+        "not all of the suspects"
+    );
+    scene.survival(5, &[COMMON]);
+    scene.wait(DELAY);
+
+    assert!(matches!(
+        scene.verdict(6, &[CRASHING]),
+        Verdict::SharesFeatures(_)
+    ));
+    assert!(scene.is_refused(6, &[RARE, CRASHING]));
+    for parts in [&[COMMON][..], &[RARE], &[COMMON, RARE]] {
+        assert!(!scene.is_refused(6, parts), "{parts:?}");
+    }
+}
+
+/// Three requests had crashed three engines each before the part was convicted.
+#[test]
+fn crashes_under_single_requests_count_against_the_part_that_they_share() {
+    let mut scene = Scene::new();
+
+    for request in 1..=3 {
+        for _ in 0..3 {
+            scene.crashes(&[(request, &[COMMON, CRASHING])]);
+        }
+    }
+    scene.survival(9, &[COMMON]);
+
+    assert!(scene.is_refused(10, &[CRASHING]));
+    assert!(!scene.is_refused(10, &[COMMON]));
+}
+
+/// Sound streams run at the engines that a crashing part takes down.
 #[test]
-fn a_request_that_made_progress_is_cleared() {
-    let mut detector = PoisonDetector::default();
+fn a_call_that_waited_is_no_suspect_where_another_was_being_answered() {
+    let mut scene = Scene::new();
 
-    record_crashes(&mut detector, REQUEST, &["a", "b"]);
-    detector.record_progress(REQUEST);
-    record_crashes(&mut detector, REQUEST, &["c", "d"]);
+    for n in 0..5_u64 {
+        let crash = scene.crash(n, &[CRASHING]);
+        scene.crash_of(&crash.upstream, 100 + n, &[COMMON, RARE], false);
+        scene.wait(Duration::from_millis(700));
+    }
+    scene.wait(DELAY);
 
-    assert!(!detector.is_poison(REQUEST));
+    assert!(scene.is_refused(10, &[CRASHING]));
+    assert!(!scene.is_refused(10, &[COMMON, RARE]));
 }
 
+/// Of twelve engines that crash together, four had requests with one part.
 #[test]
-fn a_poison_request_is_not_cleared_by_progress_but_after_the_retention_time() {
-    let mut detector = PoisonDetector::default();
-    record_crashes(&mut detector, REQUEST, &["a", "b", "c"]);
+fn the_loss_of_a_data_centre_convicts_no_part() {
+    let mut scene = Scene::new();
 
-    detector.record_progress(REQUEST);
-    assert!(detector.is_poison(REQUEST));
+    for n in 0..12_u64 {
+        let part = if n < 4 { RARE } else { 2_000 + n };
+        scene.crash(n, &[part]);
+    }
+    scene.wait(DELAY);
 
-    let later = Instant::now() + Duration::from_secs(600);
-    detector.record_crash(REQUEST + 1, &"x".to_owned(), later);
-    assert!(!detector.is_poison(REQUEST));
+    assert!(!scene.is_refused(20, &[RARE]));
+}
+
+#[test]
+fn a_conviction_that_bars_other_requests_waits_for_sound_runs() {
+    let mut scene = Scene::new();
+
+    scene.crashes(&[(1, &[COMMON]), (2, &[COMMON]), (3, &[COMMON])]);
+    assert!(!scene.is_refused(4, &[COMMON]));
+    scene.survival(4, &[COMMON]);
+    scene.wait(DELAY);
+
+    assert!(!scene.is_refused(5, &[COMMON]));
+}
+
+/// Each failed trial makes the next one wait longer, and a sound one ends it.
+#[test]
+fn a_conviction_ends_by_a_trial_at_growing_intervals() {
+    let mut scene = Scene::new();
+    scene.crashes(&[(1, &[CRASHING]), (2, &[CRASHING]), (3, &[CRASHING])]);
+
+    let mut intervals_s = Vec::new();
+    for request in 4..7 {
+        scene.wait(DELAY);
+        let Verdict::SharesFeatures(wait) = scene.verdict(request, &[CRASHING]) else {
+            panic!("refused until the trial");
+        };
+        intervals_s.push((wait + DELAY).as_secs());
+        scene.wait(wait);
+        let Verdict::TrialDue(key) = scene.verdict(request, &[CRASHING]) else {
+            panic!("a trial is due");
+        };
+        scene.detector.begin_trial(key, scene.now);
+        assert!(matches!(
+            scene.verdict(request + 10, &[CRASHING]),
+            Verdict::SharesFeatures(_)
+        ));
+        if request < 6 {
+            scene.crash(request, &[CRASHING]);
+        } else {
+            scene.survival(request, &[CRASHING]);
+        }
+    }
+
+    assert_eq!(intervals_s, vec![4, 20, 80]);
+    assert!(!scene.is_refused(20, &[CRASHING]));
+}
+
+/// Announcements reach nodes in any order, and more than once.
+#[test]
+fn the_order_of_crashes_and_clearances_does_not_matter() {
+    let clearance = Clearance {
+        feature: COMMON,
+        up_to: 1_002,
+    };
+    for clearance_at in 0..=3 {
+        let mut scene = Scene::new();
+        for n in 0..=3 {
+            if n == clearance_at {
+                scene.detector.apply_clearance(clearance, scene.now);
+                scene.detector.apply_clearance(clearance, scene.now);
+            }
+            scene.crashes(&[(n, &[COMMON])]);
+        }
+        scene.wait(DELAY);
+
+        assert!(!scene.is_refused(9, &[COMMON]), "cleared at {clearance_at}");
+        scene.crashes(&[(8, &[COMMON])]);
+        scene.wait(DELAY);
+        assert!(scene.is_refused(9, &[COMMON]), "cleared at {clearance_at}");
+    }
 }
