Cut off an answer without end at the deadline of its call

The new test hung: a plain call whose upstream sends a body without end was passed on for as long as its caller read. Cause: the part of an answer beyond 64 KiB was relayed without a deadline. The stand-in service resets unframed answers, and sends heads and bodies without end, also in the soak.

--- a/src/forward/answer_body.rs
+++ b/src/forward/answer_body.rs
@@ -1,6 +1,8 @@
 //! Reads the start of an answer's body before the caller gets any of it, so that
 //! a short answer reaches the caller completely or not at all.
 
+use std::time::Instant;
+
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
@@ -14,8 +16,11 @@
 const READ_AHEAD_BYTES: usize = 64 * 1024;
 
 /// Reads the answer. The part of the body that exceeds [`READ_AHEAD_BYTES`] is
-/// passed on to the caller as it arrives.
-pub(crate) async fn read(attempt: Attempt<Answered>) -> Result<HttpResponse, hyper::Error> {
+/// passed on to the caller as it arrives, until `deadline`.
+pub(crate) async fn read(
+    attempt: Attempt<Answered>,
+    deadline: Instant,
+) -> Result<HttpResponse, hyper::Error> {
     let Attempt {
         upstream,
         work,
@@ -37,19 +42,35 @@
             start.extend_from_slice(&data);
         }
     }
-    let rest = rest(start.freeze(), body, (state.connection, work));
+    let rest = rest(start.freeze(), body, deadline, (state.connection, work));
     Ok(HttpResponse::from_parts(parts, rest))
 }
 
-/// Passes on the body of a long answer. Its connection is not reused; `kept` is
-/// held until the body has ended.
-fn rest<K: Send + 'static>(start: Bytes, body: Incoming, kept: K) -> ResponseBody {
-    let frames = stream::unfold((Some(start), body, kept), |(start, mut body, kept)| async {
+/// Passes on the body of a long answer until `deadline`: a faulty upstream may send
+/// without end. Its connection is not reused; `kept` is held until the body has ended.
+fn rest<K: Send + 'static>(
+    start: Bytes,
+    body: Incoming,
+    deadline: Instant,
+    kept: K,
+) -> ResponseBody {
+    let state = (Some(start), body, kept);
+    let frames = stream::unfold(state, move |(start, mut body, kept)| async move {
         if let Some(start) = start {
             return Some((Ok(Frame::data(start)), (None, body, kept)));
         }
-        let frame = body.frame().await?;
-        Some((frame.map_err(|_| TruncatedResponse), (None, body, kept)))
+        // The time-out alone would not end a body that always has a frame.
+        let in_time = (Instant::now() < deadline)
+            .then(|| tokio::time::timeout_at(deadline.into(), body.frame()));
+        let frame = match in_time {
+            Some(frame) => frame.await.ok(),
+            None => None,
+        };
+        let passed_on = match frame {
+            Some(frame) => frame?.map_err(|_| TruncatedResponse),
+            None => Err(TruncatedResponse),
+        };
+        Some((passed_on, (None, body, kept)))
     });
     StreamBody::new(frames).boxed_unsync()
 }
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -265,7 +265,7 @@
         let work = Work::call(upstream, 0, 0);
         let attempt = Attempt::new(upstream.clone(), work, request);
         let answered: Attempt<Answered> = attempt.send(call.headers.call_id.as_ref()).await?;
-        let read = answer_body::read(answered).await;
+        let read = answer_body::read(answered, call.deadline).await;
         read.map_err(|error| AttemptFailure::MayHaveRun(error.to_string()))
     }
 
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -220,6 +220,12 @@
         *self.next_break.lock().expect("unpoisoned") = Some(at);
     }
 
+    /// Whether no stream was broken off since the last call of
+    /// [`Self::break_next_stream`].
+    pub fn has_break_ahead(&self) -> bool {
+        self.next_break.lock().expect("unpoisoned").is_some()
+    }
+
     /// When prompts with a crashing part crashed this engine.
     pub fn part_crashes(&self) -> Vec<Instant> {
         self.part_crashes.lock().expect("unpoisoned").clone()
--- a/tests/support/edge_environment/service.rs
+++ b/tests/support/edge_environment/service.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 
 use super::free_address;
-use super::raw::{RawRequest, RequestHandler, reply, serve};
+use super::raw::{RawRequest, RequestHandler, reply, reset_on_close, serve};
 use super::run_log::RunLog;
 
 /// Name of the query field that sets a call's answer time in milliseconds.
@@ -20,6 +20,10 @@
 /// pause of the answer time in its middle.
 pub const ANSWER_BYTES_QUERY: &str = "answer-bytes";
 
+/// Time from the last byte of a broken answer to the reset, within which the byte
+/// arrives.
+const RESET_DELAY: Duration = Duration::from_millis(20);
+
 /// A fault in the handling of one of the next calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextFault {
@@ -45,10 +49,17 @@
     /// The call is executed, and the answer has no length and ends with its
     /// connection.
     CloseDelimited,
+    /// Like `CloseDelimited`, but the connection is reset in the middle of the
+    /// answer.
+    CloseDelimitedReset,
+    /// The call is executed, and bytes that are no answer follow without end.
+    EndlessHead,
+    /// The call is executed, and the body of the answer has no end.
+    EndlessBody,
 }
 
 impl NextFault {
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 12] = [
         Self::ServerError,
         Self::NotExecuted,
         Self::Misdirected,
@@ -58,6 +69,9 @@
         Self::WrongCallId,
         Self::DuplicateAnswer,
         Self::CloseDelimited,
+        Self::CloseDelimitedReset,
+        Self::EndlessHead,
+        Self::EndlessBody,
     ];
 }
 
@@ -158,6 +172,16 @@
     )
 }
 
+/// Writes `start` and then the same byte until the connection is closed.
+async fn write_without_end(stream: &mut TcpStream, start: &[u8]) -> bool {
+    let mut next = start;
+    while stream.write_all(next).await.is_ok() {
+        next = &[b'x'; 4_096];
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    false
+}
+
 async fn send_long_answer(stream: &mut TcpStream, headers: &str, answer: LongAnswer) -> bool {
     let half = vec![b'x'; answer.bytes / 2];
     let head = format!(
@@ -236,6 +260,19 @@
                 let _ = stream.shutdown().await;
                 false
             }
+            Some(NextFault::CloseDelimitedReset) => {
+                let half = &body[..body.len() / 2];
+                let head = format!("HTTP/1.1 200 OK\r\n{headers}\r\n{half}");
+                let _ = stream.write_all(head.as_bytes()).await;
+                tokio::time::sleep(RESET_DELAY).await;
+                reset_on_close(stream);
+                false
+            }
+            Some(NextFault::EndlessHead) => write_without_end(stream, b"x-more: ").await,
+            Some(NextFault::EndlessBody) => {
+                let head = format!("HTTP/1.1 200 OK\r\n{headers}\r\n");
+                write_without_end(stream, head.as_bytes()).await
+            }
             _ => reply(stream, 200, &headers, body.as_bytes()).await,
         }
     }
