Refuse prompts with a line that crashes runners on our own interface

Cause: the same as on the platform: crashes counted against the hash of the whole prompt only. Change: the lines of a prompt are its parts, judged by the same detector as on the platform; src/fleet/poison.rs keeps to whole requests and their copies. Both roads share the announcements of crashes and clearances.

--- a/src/caller/caller_api.rs
+++ b/src/caller/caller_api.rs
@@ -258,13 +258,15 @@
     }
 
     fn check_allowed(&self, job: &Job) -> Result<(), Error> {
-        let checked = self.state.crash_tracker.check_allowed(job.fingerprint);
+        let crash_tracker = &self.state.crash_tracker;
+        let checked = crash_tracker.check_allowed(job.fingerprint);
+        let checked = checked.and_then(|()| crash_tracker.check_parts(job.parts()));
         checked.map_err(|blocked| self.count_refusal(OpenFailure::from(blocked).into_error()))
     }
 
     fn count_refusal(&self, error: Error) -> Error {
         let counter = match error.kind {
-            ErrorKind::CrashesRunners => Counter::PoisonRefusals,
+            ErrorKind::CrashesRunners | ErrorKind::Quarantined => Counter::PoisonRefusals,
             _ => Counter::Refused,
         };
         self.state.metrics.add(counter, 1);
--- a/src/edge/observations.rs
+++ b/src/edge/observations.rs
@@ -6,8 +6,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use prost::Message;
 use tokio::sync::broadcast::error::RecvError;
 
 use super::cluster_view::ClusterView;
@@ -16,20 +14,17 @@
 use crate::forward::forwarder::{Forwarder, NodeContext};
 use crate::forward::observation::Observation;
 use crate::membership::announcement::Announcement;
+use crate::membership::crash_announcement::{
+    CLEARANCE_TOPIC, CRASH_TOPIC, from_clearance, from_crash, to_clearance, to_crash,
+};
 use crate::membership::gossip::{Membership, MembershipEvent};
-use crate::membership::message::CrashedCallRecord;
-use crate::policy::crash_evidence::{Clearance, Crash, EVIDENCE_TTL, PARTS_MAX};
 
-/// Topic of announcements that an upstream crashed as it began a request.
-const CRASH_TOPIC: u32 = 4;
 /// Topic of upstreams that a node can no longer reach.
 const LOSS_TOPIC: u32 = 5;
 /// Topic of upstreams that a node discovered while the store was unavailable.
 const DISCOVERY_TOPIC: u32 = 6;
 /// Topic of the upstreams that have the prompts of aborted streams cached.
 const HANDOVER_TOPIC: u32 = 7;
-/// Topic of the suspicions of what crashes upstreams that sound runs refuted.
-const CLEARANCE_TOPIC: u32 = 8;
 
 /// Lifetime of a handover announcement; the caller retries within seconds.
 const HANDOVER_TTL: Duration = Duration::from_secs(8);
@@ -64,22 +59,9 @@
 }
 
 fn to_announcement(observation: Observation) -> Announcement {
-    // Of what is known at several nodes, all announce the same version, and each
-    // node passes on one.
-    let version = match &observation {
-        Observation::Crash(crash) => crash.version,
-        Observation::Cleared(clearance) => clearance.up_to,
-        _ => unix_ms(),
-    };
     let (topic, key, ttl, body) = match observation {
-        Observation::Crash(crash) => {
-            let body = crash_to_body(&crash);
-            (CRASH_TOPIC, crash_key(&crash), EVIDENCE_TTL, body)
-        }
-        Observation::Cleared(clearance) => {
-            let key = format!("{:016x}", clearance.feature);
-            (CLEARANCE_TOPIC, key, EVIDENCE_TTL, Bytes::new())
-        }
+        Observation::Crash(crash) => return from_crash(&crash),
+        Observation::Cleared(clearance) => return from_clearance(clearance),
         Observation::Lost { id, data_centre } => {
             (LOSS_TOPIC, id, LOSS_TTL, data_centre.into_bytes().into())
         }
@@ -95,7 +77,7 @@
     Announcement {
         topic,
         key,
-        version,
+        version: unix_ms(),
         ttl,
         body,
     }
@@ -106,11 +88,11 @@
     let key = &announcement.key;
     let body_text = || String::from_utf8_lossy(&announcement.body).into_owned();
     match announcement.topic {
-        CRASH_TOPIC => match parse_crash(announcement) {
+        CRASH_TOPIC => match to_crash(announcement) {
             Some(crash) => forwarder.request_crashes.apply_crash(crash),
             None => log::error!("event=peer_unreadable what=crash key={key:?}"),
         },
-        CLEARANCE_TOPIC => match parse_clearance(announcement) {
+        CLEARANCE_TOPIC => match to_clearance(announcement) {
             Some(clearance) => forwarder.request_crashes.apply_clearance(clearance),
             None => log::error!("event=peer_unreadable what=clearance key={key:?}"),
         },
@@ -133,37 +115,3 @@
         _ => {}
     }
 }
-
-/// Announcement key of a crash. It includes the upstream, because a request can
-/// crash several upstreams and each crash counts separately.
-fn crash_key(crash: &Crash) -> String {
-    format!("{:016x}/{}", crash.request, crash.upstream)
-}
-
-fn crash_to_body(crash: &Crash) -> Bytes {
-    let record = CrashedCallRecord {
-        parts: crash.parts.clone(),
-        was_writing: crash.was_writing,
-    };
-    record.encode_to_vec().into()
-}
-
-fn parse_crash(announcement: &Announcement) -> Option<Crash> {
-    let (request, upstream) = announcement.key.split_once('/')?;
-    let mut record = CrashedCallRecord::decode(announcement.body.clone()).ok()?;
-    record.parts.truncate(PARTS_MAX);
-    Some(Crash {
-        upstream: upstream.to_owned(),
-        request: u64::from_str_radix(request, 16).ok()?,
-        parts: record.parts,
-        was_writing: record.was_writing,
-        version: announcement.version,
-    })
-}
-
-fn parse_clearance(announcement: &Announcement) -> Option<Clearance> {
-    Some(Clearance {
-        feature: u64::from_str_radix(&announcement.key, 16).ok()?,
-        up_to: announcement.version,
-    })
-}
--- a/src/fleet/crash_tracker.rs
+++ b/src/fleet/crash_tracker.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 
 use crate::clock::unix_ms;
+use crate::fleet::part_crashes::{PartCrashes, PromptParts, RunPhase};
 use crate::fleet::poison::{
     POISON_TTL, RequestCopy, RequestStatus, RunnerIncarnation, SuspectRequests,
 };
@@ -48,6 +49,9 @@
     Quarantined(Duration),
     /// The request crashes runners and is refused for this duration.
     Poison(Duration),
+    /// The request shares a part with others that crash runners, and is refused for
+    /// this duration.
+    SharesPart(Duration),
 }
 
 /// The suspect requests that one node knows of, synchronised with its peers.
@@ -56,6 +60,8 @@
     fleet: Arc<Fleet>,
     client: RunnerClient,
     suspects: Mutex<SuspectRequests>,
+    /// Crashes by the parts of prompts.
+    pub(crate) parts: PartCrashes,
     membership: Membership,
     peers: PeerClient,
     metrics: Arc<Metrics>,
@@ -74,6 +80,7 @@
             fleet,
             client,
             suspects: Mutex::default(),
+            parts: PartCrashes::new(membership.clone()),
             membership,
             peers,
             metrics,
@@ -105,16 +112,19 @@
     }
 
     /// Checks whether `runner` crashed after its connection broke while it ran
-    /// `copy`. If so, records and announces the crash.
+    /// `copy`, a request with these parts. If so, records and announces the crash.
     pub(crate) async fn handle_connection_loss(
         &self,
         copy: RequestCopy,
+        parts: PromptParts<'_>,
         runner: RunnerIncarnation,
+        phase: RunPhase,
     ) {
         self.fleet.mark_unreachable(&runner.0, Instant::now());
         if !self.has_crashed(&runner).await {
             return;
         }
+        self.parts.record_crash(parts, &runner, phase);
         let fingerprint = copy.fingerprint;
         let key = format!("{fingerprint:016x}/{}/{}", runner.0, runner.1);
         self.record_crash(fingerprint, runner);
@@ -233,6 +243,11 @@
         }
     }
 
+    /// Checks whether a request may run, as far as its parts are concerned.
+    pub(crate) fn check_parts(&self, parts: PromptParts<'_>) -> Result<(), Blocked> {
+        self.parts.check_allowed(parts).map_err(Blocked::SharesPart)
+    }
+
     /// Checks whether the request with `fingerprint` may run now. If this check
     /// marks it as poison, that is announced to peers.
     pub(crate) fn check_allowed(&self, fingerprint: Fingerprint) -> Result<(), Blocked> {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod canary;
 pub(crate) mod crash_tracker;
 pub(crate) mod in_flight;
+pub(crate) mod part_crashes;
 pub(crate) mod poison;
 pub(crate) mod ranking;
 pub(crate) mod retry_budget;
--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -15,15 +15,12 @@
 use super::request::Call;
 use super::upstream::Upstream;
 use crate::clock::unix_ms;
-use crate::policy::crash_evidence::{Clearance, Crash};
+use crate::policy::crash_evidence::{Clearance, Crash, SURVIVAL_TIME};
 use crate::policy::failure_response::GiveUpReason;
 use crate::policy::poison_detector::{PoisonDetector, Verdict};
 
 /// Time after a crash until the upstream's port refuses connections.
 const PORT_CLOSE_DELAY: Duration = Duration::from_millis(20);
-/// Time for which an upstream must go on with an answer to show that the call does
-/// not crash it.
-pub(crate) const SURVIVAL_TIME: Duration = Duration::from_millis(500);
 
 /// Whether a call may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -20,7 +20,6 @@
 use super::directory::Directory;
 use super::forwarder::NodeContext;
 use super::probe::{LossReason, LossWatch};
-use super::request_crashes::SURVIVAL_TIME;
 use super::run_replica::{free_replica, lock, maintain_replica};
 use super::stream_call::StreamRun;
 use super::stream_move::MoveOutcome;
@@ -29,6 +28,7 @@
 use crate::http::{HttpResponse, TruncatedResponse};
 use crate::observe::metrics::{Counter, Span};
 use crate::platform::call::strip_hop_headers;
+use crate::policy::crash_evidence::SURVIVAL_TIME;
 use crate::policy::liveness::StreamPhase;
 
 /// Maximum number of events that are queued for a slow caller.
--- a/src/generation/dispatch.rs
+++ b/src/generation/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::configuration::config::{CallerPolicy, Config};
 use crate::error::{Error, ErrorKind};
 use crate::fleet::crash_tracker::{Blocked, CrashTracker};
+use crate::fleet::part_crashes::{PromptParts, RunPhase};
 use crate::fleet::poison::RequestCopy;
 use crate::fleet::ranking::{Candidate, RouteQuery};
 use crate::fleet::runner::{self, OpenError, RunnerClient, StreamRequest};
@@ -62,6 +63,14 @@
             id: Fnv::new().text(&self.generation).finish(),
         }
     }
+
+    /// The parts of the prompt, by which it may be recognised in other requests.
+    pub(crate) fn parts(&self) -> PromptParts<'_> {
+        PromptParts {
+            request: self.fingerprint,
+            prompt: &self.prompt,
+        }
+    }
 }
 
 /// State of a generation for which an attempt is opened.
@@ -183,7 +192,7 @@
             OpenError::NoAnswer => {
                 let runner = (candidate.runner.clone(), candidate.incarnation);
                 self.crash_tracker
-                    .handle_connection_loss(job.copy(), runner)
+                    .handle_connection_loss(job.copy(), job.parts(), runner, RunPhase::Waiting)
                     .await;
                 self.crash_tracker.wait_for_decision(job.copy()).await?;
                 self.crash_tracker.wait_for_start(job.copy()).await?;
@@ -351,6 +360,11 @@
     pub(crate) fn into_error(self) -> Error {
         match self {
             Self::NoRunner => Error::new(ErrorKind::NoUpstream, "no runner can take the request"),
+            Self::Blocked(Blocked::SharesPart(left)) => Error::new(
+                ErrorKind::Quarantined,
+                "this request is refused because runners crashed under a part of its prompt",
+            )
+            .with_retry_after(left),
             Self::Blocked(Blocked::Quarantined(left) | Blocked::Poison(left)) => Error::new(
                 ErrorKind::CrashesRunners,
                 "this request is refused because runners crashed while they ran it",
--- a/src/generation/run.rs
+++ b/src/generation/run.rs
@@ -14,6 +14,7 @@
 use crate::caller::admission::AdmissionPermit;
 use crate::error::{Error, ErrorKind};
 use crate::fleet::crash_tracker::{Blocked, CrashTracker};
+use crate::fleet::part_crashes::RunPhase;
 use crate::generation::attempt::{Attempt, Loss, Step};
 use crate::generation::delivery::Delivery;
 use crate::generation::dispatch::{Dispatcher, Job, OpenFailure, Progress};
@@ -73,6 +74,11 @@
     /// Time of the last token before a loss, until the generation is resumed.
     interrupted_at: Option<Instant>,
     last_token_at: Instant,
+    /// Time of the first token of the present attempt.
+    writing_since: Option<Instant>,
+    /// Whether a runner went on with the answer, so that the request does not crash
+    /// runners.
+    has_survived: bool,
     /// Index of the first token that the metrics do not count yet.
     counted_index: TokenIndex,
     /// Held for its `Drop`, which frees the slot and records the service time.
@@ -115,6 +121,8 @@
             avoid: BTreeSet::new(),
             interrupted_at: None,
             last_token_at: Instant::now(),
+            writing_since: None,
+            has_survived: false,
             counted_index: start.token_index,
             _admission_permit: admission_permit,
         }
@@ -185,6 +193,7 @@
                     self.deliver_tokens(&mut attempt, sink).await?;
                 }
                 Step::Ended => {
+                    self.record_survival(self.writing_since.unwrap_or_else(Instant::now));
                     self.dispatcher.record_success(&attempt.id().runner);
                     return Ok(());
                 }
@@ -214,6 +223,10 @@
     ) -> Result<(), StopReason> {
         let now = Instant::now();
         self.last_token_at = now;
+        let began_at = *self.writing_since.get_or_insert(now);
+        if RunPhase::since(Some(began_at)) == RunPhase::Surviving {
+            self.record_survival(began_at);
+        }
         let token_count = self.delivery.next_index - self.counted_index;
         self.counted_index = self.delivery.next_index;
         self.metrics.add(Counter::Tokens, token_count);
@@ -233,6 +246,14 @@
         }
     }
 
+    /// Records once that a runner went on with the answer that it began at `began_at`.
+    fn record_survival(&mut self, began_at: Instant) {
+        if !std::mem::replace(&mut self.has_survived, true) {
+            let parts = &self.crash_tracker.parts;
+            parts.record_survival(self.job.parts(), began_at);
+        }
+    }
+
     async fn handle_loss(&mut self, attempt: &Attempt, loss: Loss) -> Result<(), StopReason> {
         let runner = attempt.runner_incarnation();
         log::debug!("attempt {} lost: {loss:?}", attempt.id());
@@ -245,12 +266,16 @@
         self.loss_count += 1;
         self.avoid.insert(runner.0.clone());
         let copy = self.job.copy();
+        let phase = RunPhase::since(self.writing_since.take());
         if loss == Loss::Reset {
             self.crash_tracker
-                .handle_connection_loss(copy, runner)
+                .handle_connection_loss(copy, self.job.parts(), runner, phase)
                 .await;
         }
-        let decided = self.crash_tracker.wait_for_decision(copy).await;
+        let mut decided = self.crash_tracker.wait_for_decision(copy).await;
+        if !self.has_survived {
+            decided = decided.and_then(|()| self.crash_tracker.check_parts(self.job.parts()));
+        }
         decided.map_err(|blocked| StopReason::Failed(OpenFailure::from(blocked).into_error()))?;
         if self.loss_count > LOSSES_MAX || !self.has_text {
             return Err(StopReason::Failed(generation_lost()));
@@ -268,7 +293,9 @@
                 Err(OpenFailure::Blocked(Blocked::Quarantined(left))) => {
                     tokio::time::sleep(left).await;
                 }
-                Err(failure @ OpenFailure::Blocked(Blocked::Poison(_))) => {
+                Err(
+                    failure @ OpenFailure::Blocked(Blocked::Poison(_) | Blocked::SharesPart(_)),
+                ) => {
                     return Err(StopReason::Failed(failure.into_error()));
                 }
                 Err(OpenFailure::NoRunner) if Instant::now() < deadline => {
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod announcement;
 pub(crate) mod compression;
 pub(crate) mod control_traffic;
+pub(crate) mod crash_announcement;
 pub(crate) mod gossip;
 pub(crate) mod link_faults;
 pub(crate) mod members;
--- a/src/node/background.rs
+++ b/src/node/background.rs
@@ -15,6 +15,7 @@
 use crate::hash::rendezvous_order;
 use crate::http::HttpClient;
 use crate::id::Version;
+use crate::membership::crash_announcement;
 use crate::membership::gossip::MembershipEvent;
 use crate::node::slot_shares::update_slot_shares;
 use crate::node_state::NodeState;
@@ -116,6 +117,9 @@
         match events.recv().await {
             Ok(MembershipEvent::Announced(announcement)) => match announcement.topic {
                 CRASH_TOPIC | POISON_TOPIC => state.crash_tracker.apply_announcement(&announcement),
+                crash_announcement::CRASH_TOPIC | crash_announcement::CLEARANCE_TOPIC => {
+                    state.crash_tracker.parts.apply_announcement(&announcement);
+                }
                 RUNNER_TOPIC => apply_report(&state, &announcement.key, &announcement.body),
                 _ => {}
             },
--- a/src/policy/crash_evidence.rs
+++ b/src/policy/crash_evidence.rs
@@ -16,6 +16,9 @@
 
 /// Lifetime of a crash, and of a clearance, as evidence.
 pub(crate) const EVIDENCE_TTL: Duration = Duration::from_secs(1_800);
+/// Time for which an upstream must go on with an answer to show that the call does
+/// not crash it.
+pub(crate) const SURVIVAL_TIME: Duration = Duration::from_millis(500);
 /// Maximum number of crashes that are kept.
 const CRASHES_MAX: usize = 256;
 /// Maximum number of clearances that are kept.
