Log the limits that upstreams name

Change: the header is read (several values: the lowest; negative: zero; text: nothing) and event=limit_named is written when it changes. Nothing acts on it.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -121,11 +121,11 @@
     fn check_answer(self) -> Result<Self, AttemptFailure> {
         match classify(&self.state.headers) {
             AnswerClass::Final | AnswerClass::Failed => {
-                self.upstream.record_contact(Instant::now());
+                self.record_answer();
                 Ok(self)
             }
             AnswerClass::NotExecuted => {
-                self.upstream.record_contact(Instant::now());
+                self.record_answer();
                 Err(AttemptFailure::NotExecuted)
             }
             AnswerClass::Misdirected => {
@@ -140,6 +140,13 @@
     }
 }
 
+impl Attempt<Answered> {
+    fn record_answer(&self) {
+        self.upstream.record_contact(Instant::now());
+        self.upstream.record_limit(self.state.headers.limit);
+    }
+}
+
 impl Answered {
     /// Returns `None` if the connection closes after the answer. Otherwise
     /// returns the upstream's idle time-out, if the answer states one.
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -10,6 +10,8 @@
 
 use super::connection::ConnectionPool;
 use crate::id::{DataCentreId, ServiceId, UpstreamId};
+use crate::platform::answer::StatedLimit;
+use crate::policy::upstream_limit::Rate;
 
 /// Version of the software that an upstream runs, as its registration states it.
 /// It has no order, and is not the version of a model's weights.
@@ -87,6 +89,8 @@
     kv_cache_tokens: AtomicU64,
     call_count: AtomicU32,
     health: Mutex<Health>,
+    /// The limit that the upstream named last.
+    limit: Mutex<Option<Rate>>,
     /// Number of times that the upstream was marked as lost.
     losses: watch::Sender<u64>,
 }
@@ -106,6 +110,7 @@
             kv_cache_tokens: AtomicU64::new(0),
             call_count: AtomicU32::new(0),
             health: Mutex::default(),
+            limit: Mutex::default(),
             losses: watch::Sender::new(0),
             entry,
         }
@@ -151,6 +156,25 @@
         health.failure_count = 0;
     }
 
+    /// Records what an answer says of the upstream's limit.
+    pub(crate) fn record_limit(&self, stated: StatedLimit) {
+        let named = match stated {
+            StatedLimit::None => None,
+            StatedLimit::Named(rate) => Some(rate),
+            StatedLimit::Unreadable => return,
+        };
+        let mut limit = self.limit.lock().unwrap_or_else(PoisonError::into_inner);
+        if *limit == named {
+            return;
+        }
+        *limit = named;
+        let per_s = named.map(Rate::per_second);
+        log::info!(
+            "event=limit_named upstream={} per_s={per_s:?}",
+            self.entry.id
+        );
+    }
+
     /// Time since the last answer or event of the upstream arrived.
     pub(crate) fn time_since_contact(&self, now: Instant) -> Option<Duration> {
         let contacted_at = self.health().contacted_at?;
