--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinHandle;
 
 use super::free_address;
+use super::named_limit::NamedLimit;
 use super::raw::{RawRequest, RequestHandler, reply, reset_on_close, serve};
 use super::run_log::RunLog;
 
@@ -64,6 +65,8 @@
     pub refuses_connections: AtomicBool,
     /// Refuses new runs with status 503 and the header that says they did not run.
     pub is_full: AtomicBool,
+    /// The limit that its answers name, if any. Probes count as arrivals.
+    pub named_limit: NamedLimit,
     /// Calls that arrived, run or not; probes are left out.
     pub run_log: RunLog,
     name: String,
@@ -148,6 +151,7 @@
             crashed_at: Mutex::default(),
             refuses_connections: AtomicBool::new(false),
             is_full: AtomicBool::new(false),
+            named_limit: NamedLimit::default(),
             run_log: RunLog::default(),
             name: name.to_owned(),
             incarnation: AtomicU64::new(1),
@@ -315,9 +319,10 @@
         }
         let framing = Framing::of(self.is_close_delimited.load(Ordering::Relaxed));
         let head = format!(
-            "HTTP/1.1 200 OK\r\n{}content-type: text/event-stream\r\n\
+            "HTTP/1.1 200 OK\r\n{}{}content-type: text/event-stream\r\n\
              x-zinniawing-attempt-id: {call_id}\r\nx-zinniawing-server-signature: sig-{call_id}\r\n\r\n",
-            framing.header()
+            framing.header(),
+            self.named_limit.header()
         );
         if stream.write_all(head.as_bytes()).await.is_err() {
             return false;
@@ -392,6 +397,7 @@
     }
 
     async fn handle(self: Arc<Self>, request: RawRequest, stream: &mut TcpStream) -> bool {
+        self.named_limit.record_arrival();
         let call_id = request.header("x-zinniawing-attempt-id");
         let _arrival = call_id.map(|call_id| self.run_log.begin(call_id));
         self.wait_until_unfrozen().await;
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod engine;
+pub mod named_limit;
 pub mod raw;
 pub mod run_log;
 pub mod service;
@@ -166,17 +167,23 @@
             store.put("servers", &engine.id(), engine.entry("ready"));
             engines.push(engine);
         }
-        let mut services = Vec::new();
-        for n in 0..2 {
-            let service = Service::start(&format!("p-{n}")).await;
-            store.put("servers", &service.id, service.entry("ready"));
-            services.push(service);
-        }
         store.put("config", "main", config(1));
-        Self {
+        let mut environment = Self {
             store,
             engines,
-            services,
+            services: Vec::new(),
+        };
+        environment.add_services(2).await;
+        environment
+    }
+
+    /// Starts more upstreams of the service with plain calls.
+    pub async fn add_services(&mut self, count: usize) {
+        for n in self.services.len()..self.services.len() + count {
+            let service = Service::start(&format!("p-{n}")).await;
+            self.store
+                .put("servers", &service.id, service.entry("ready"));
+            self.services.push(service);
         }
     }
 
--- a/tests/support/edge_environment/service.rs
+++ b/tests/support/edge_environment/service.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpStream;
 
 use super::free_address;
+use super::named_limit::NamedLimit;
 use super::raw::{RawRequest, RequestHandler, reply, reset_on_close, serve};
 use super::run_log::RunLog;
 
@@ -92,6 +93,8 @@
     pub answer_time: Mutex<Duration>,
     /// If set, answers have this many bytes, and pause in the middle.
     pub long_answer: Mutex<Option<LongAnswer>>,
+    /// The limit that its answers name, if any.
+    pub named_limit: NamedLimit,
     /// Calls that arrived, executed or not.
     pub run_log: RunLog,
     service: String,
@@ -111,6 +114,7 @@
         let address = free_address();
         let service = Arc::new(Self {
             id: id.to_owned(),
+            named_limit: NamedLimit::default(),
             run_log: RunLog::default(),
             service: service.to_owned(),
             frozen: tokio::sync::watch::Sender::new(false),
@@ -200,15 +204,19 @@
             .unwrap_or("-")
             .to_owned();
         let _arrival = self.run_log.begin(&call_id);
+        self.named_limit.record_arrival();
         self.wait_until_unfrozen().await;
         self.received
             .lock()
             .expect("unpoisoned")
             .push(request.clone());
         let fault = self.next_faults.lock().expect("unpoisoned").pop_front();
-        let not_executed = "x-zinniawing-not-executed: 1\r\n";
+        let not_executed = format!(
+            "x-zinniawing-not-executed: 1\r\n{}",
+            self.named_limit.header()
+        );
         match fault {
-            Some(NextFault::NotExecuted) => return reply(stream, 503, not_executed, b"").await,
+            Some(NextFault::NotExecuted) => return reply(stream, 503, &not_executed, b"").await,
             Some(NextFault::Misdirected) => return reply(stream, 421, "", b"").await,
             _ => {}
         }
@@ -222,7 +230,7 @@
         );
         tokio::time::sleep(answer_time).await;
         self.wait_until_unfrozen().await;
-        let headers = answer_headers(&call_id);
+        let headers = answer_headers(&call_id) + &self.named_limit.header();
         let length = request.query(ANSWER_BYTES_QUERY);
         let long_answer = match length.and_then(|text| text.parse().ok()) {
             Some(bytes) => Some(LongAnswer {
