Keep the limits that upstreams name over all nodes together

Cause: nothing read the limit. A figure that one upstream means for all nodes can't be kept by a node that decides alone. Change: one node, chosen by rendezvous hashing, grants permits for an upstream with a limit, at 0.9 of it; a deputy stands in at 0.45. A call without a permit goes to another upstream; if none has room, it gets 503 at once and a time that spreads the refused over the permits to come. Requests for replicas and checks of an incarnation need permits; probes become connections. An answer without the header ends the limit if its request was sent after it was known. Why it works: every send to a limited upstream spends a permit of one bucket, whichever node sends; two buckets together grant 1.35 of the limit, 1.5 is allowed.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -274,6 +274,7 @@
             "claims" => Experiment::Claims,
             "crashes" => Experiment::Crashes,
             "evidence" => Experiment::Evidence,
+            "limits" => Experiment::Limits,
             "overload" => Experiment::Overload,
             "config" => Experiment::Config,
             "control" => Experiment::Control,
--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -10,15 +10,18 @@
 
 use tokio_util::sync::CancellationToken;
 
+use super::peer_permits::PeerPermits;
 use super::peer_retry_budget::PeerRetryBudget;
 use super::peer_run_origins::PeerRunOrigins;
 use super::stored_run_origins::StoredRunOrigins;
 use crate::forward::forwarder::NodeContext;
 use crate::forward::run_origin::{ORIGIN_LIFETIME, RunKey, RunOrigin};
 use crate::hash::{Fnv, rendezvous_order};
-use crate::id::{DataCentreId, NodeId, ServiceId};
+use crate::id::{DataCentreId, NodeId, ServiceId, UpstreamId};
 use crate::membership::members::Member;
+use crate::membership::message::{PermitReply, PermitRequest};
 use crate::policy::freshness::ConfigFreshness;
+use crate::policy::upstream_limit::{Grant, PermitDemand};
 use crate::policy::watchers;
 
 /// Time after the stop signal at which the node starts to refuse new streams.
@@ -58,6 +61,7 @@
     /// for callers.
     nodes: Mutex<Vec<(DataCentreId, SocketAddr)>>,
     peer_budget: PeerRetryBudget,
+    peer_permits: PeerPermits,
     peer_origins: PeerRunOrigins,
     stored_origins: Arc<StoredRunOrigins>,
 }
@@ -67,6 +71,7 @@
     pub(crate) fn new(
         is_seed: bool,
         peer_budget: PeerRetryBudget,
+        peer_permits: PeerPermits,
         peer_origins: PeerRunOrigins,
         stored_origins: Arc<StoredRunOrigins>,
     ) -> Self {
@@ -83,6 +88,7 @@
             names: Mutex::default(),
             nodes: Mutex::default(),
             peer_budget,
+            peer_permits,
             peer_origins,
             stored_origins,
         }
@@ -153,6 +159,11 @@
         freshness.set_store_reachable(is_reachable, now);
     }
 
+    /// Answers another node's request for permits.
+    pub(crate) fn answer_permits(&self, request: &PermitRequest) -> PermitReply {
+        self.peer_permits.answer(request)
+    }
+
     /// Records the time of the stop signal.
     pub(crate) fn begin_stop(&self, aborts_at: Instant) {
         // A second signal does not extend the first.
@@ -203,6 +214,10 @@
         self.peer_budget.borrow(service).await
     }
 
+    async fn request_permits(&self, upstream: &UpstreamId, demand: PermitDemand) -> Option<Grant> {
+        self.peer_permits.request(upstream, demand).await
+    }
+
     fn publish_origin(&self, key: RunKey, origin: RunOrigin) {
         self.stored_origins.record(key, &origin);
         let peer_origins = self.peer_origins.clone();
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod node;
 pub(crate) mod observations;
 pub(crate) mod peer_api;
+pub(crate) mod peer_permits;
 pub(crate) mod peer_retry_budget;
 pub(crate) mod peer_run_origins;
 pub(crate) mod run_origin_log;
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -15,6 +15,7 @@
 use super::drain::{abort_time, wait_until_drained};
 use super::observations;
 use super::peer_api::EdgePeerApi;
+use super::peer_permits::PeerPermits;
 use super::peer_retry_budget::PeerRetryBudget;
 use super::peer_run_origins::PeerRunOrigins;
 use super::settings::EdgeSettings;
@@ -114,6 +115,11 @@
                     membership: membership.clone(),
                     peers: peers.clone(),
                 },
+                PeerPermits {
+                    membership: membership.clone(),
+                    peers: peers.clone(),
+                    own: Arc::default(),
+                },
                 PeerRunOrigins {
                     membership: membership.clone(),
                     peers: peers.clone(),
--- a/src/edge/observations.rs
+++ b/src/edge/observations.rs
@@ -18,6 +18,7 @@
     CLEARANCE_TOPIC, CRASH_TOPIC, from_clearance, from_crash, to_clearance, to_crash,
 };
 use crate::membership::gossip::{Membership, MembershipEvent};
+use crate::policy::upstream_limit::{PEER_LIMIT_TTL, Rate};
 
 /// Topic of upstreams that a node can no longer reach.
 const LOSS_TOPIC: u32 = 5;
@@ -26,6 +27,9 @@
 /// Topic of the upstreams that have the prompts of aborted streams cached.
 const HANDOVER_TOPIC: u32 = 7;
 
+/// Topic of the limits that upstreams name.
+const LIMIT_TOPIC: u32 = 9;
+
 /// Lifetime of a handover announcement; the caller retries within seconds.
 const HANDOVER_TTL: Duration = Duration::from_secs(8);
 /// Lifetime of a loss announcement. It is short because a loss matters only
@@ -65,6 +69,17 @@
         Observation::Lost { id, data_centre } => {
             (LOSS_TOPIC, id, LOSS_TTL, data_centre.into_bytes().into())
         }
+        Observation::Limited { id, rate } => {
+            let body = rate.per_1000_s.to_be_bytes().to_vec().into();
+            // All nodes that read the limit within a second announce the same version.
+            return Announcement {
+                topic: LIMIT_TOPIC,
+                key: id,
+                version: unix_ms() / 1_000,
+                ttl: PEER_LIMIT_TTL,
+                body,
+            };
+        }
         Observation::Discovered(entry) => {
             let body = encode_entry(&entry);
             (DISCOVERY_TOPIC, entry.id, DISCOVERY_TTL, body)
@@ -111,6 +126,15 @@
             Some(_) => {}
             None => log::error!("event=peer_unreadable what=find key={key:?}"),
         },
+        LIMIT_TOPIC => match announcement.body.as_ref().try_into() {
+            Ok(rate) => {
+                let rate = Rate {
+                    per_1000_s: u64::from_be_bytes(rate),
+                };
+                forwarder.directory.record_limit_of_peer(key, rate);
+            }
+            Err(_) => log::error!("event=peer_unreadable what=limit key={key:?}"),
+        },
         HANDOVER_TOPIC => forwarder.sessions.record_prefill(key, &body_text(), now),
         _ => {}
     }
--- a/src/edge/peer_api.rs
+++ b/src/edge/peer_api.rs
@@ -65,6 +65,9 @@
             RequestBody::Retry(wanted) => Some(ReplyBody::Retry(RetryReply {
                 is_granted: self.forwarder.spend_retry(&wanted.service),
             })),
+            RequestBody::Permit(request) => Some(ReplyBody::Permit(
+                self.forwarder.node.answer_permits(&request),
+            )),
             RequestBody::RunOrigin(request) => Some(ReplyBody::RunOrigin(self.run_origin(request))),
             _ => None,
         }
--- a/src/experiment/catalogue.rs
+++ b/src/experiment/catalogue.rs
@@ -7,6 +7,7 @@
 use crate::experiment::crashes::measure_crashes;
 use crate::experiment::evidence::measure_evidence;
 use crate::experiment::idle::measure_idle;
+use crate::experiment::limits::measure_limits;
 use crate::experiment::overload::measure_overload;
 use crate::experiment::placement::{measure_losses, measure_placement};
 use crate::experiment::resume::measure_resume;
@@ -26,6 +27,8 @@
     Crashes,
     /// Cost of the evidence on what crashes upstreams.
     Evidence,
+    /// Cost and use of a limit that an upstream names.
+    Limits,
     /// Requests and tokens served in time, their share per customer, and
     /// refusals, under overload.
     Overload,
@@ -58,6 +61,7 @@
             Self::Claims => measure_claims().await,
             Self::Crashes => measure_crashes(seed).await,
             Self::Evidence => Ok(measure_evidence()),
+            Self::Limits => Ok(measure_limits()),
             Self::Overload => measure_overload(seed).await,
             Self::Config => measure_rollout().await,
             Self::Control => measure_control().await,
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod deployment;
 pub(crate) mod evidence;
 pub(crate) mod idle;
+pub(crate) mod limits;
 pub(crate) mod local_cluster;
 pub(crate) mod overload;
 pub(crate) mod placement;
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -35,6 +35,8 @@
     pub(crate) response: Response<Incoming>,
     /// Status and headers of the answer.
     pub(crate) headers: AnswerHeaders,
+    /// When the call was sent.
+    sent_at: Instant,
 }
 
 /// One send of a call to one upstream.
@@ -92,6 +94,7 @@
             work,
             state: Unsent { request },
         } = self;
+        let sent_at = Instant::now();
         let mut connection = upstream.pool.take().await.map_err(AttemptFailure::from)?;
         let sent = match connection.send(request.clone()).await {
             // The upstream had closed the pooled connection before any byte was
@@ -111,6 +114,7 @@
                 connection,
                 response,
                 headers,
+                sent_at,
             },
         };
         attempt.check_answer()
@@ -143,7 +147,10 @@
 impl Attempt<Answered> {
     fn record_answer(&self) {
         self.upstream.record_contact(Instant::now());
-        self.upstream.record_limit(self.state.headers.limit);
+        let Answered {
+            headers, sent_at, ..
+        } = &self.state;
+        self.upstream.record_limit(headers.limit, *sent_at);
     }
 }
 
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -16,6 +16,7 @@
 use crate::id::{DataCentreId, ServiceId, UpstreamId};
 use crate::policy::entry_expiry::{EntryExpiry, ExpiryDecision};
 use crate::policy::outage::OutageDetector;
+use crate::policy::upstream_limit::Rate;
 
 /// Maximum number of suspected outages that a subscriber may leave unread.
 const OUTAGE_QUEUE_MAX: usize = 256;
@@ -216,6 +217,14 @@
         several.map(|(service, _)| service.to_owned()).collect()
     }
 
+    /// Records that a peer read the limit of an upstream.
+    pub(crate) fn record_limit_of_peer(&self, id: &UpstreamId, rate: Rate) {
+        let upstream = self.lock().upstreams.get(id).cloned();
+        if let Some(upstream) = upstream {
+            upstream.limit().record_named_by_peer(rate, Instant::now());
+        }
+    }
+
     pub(crate) fn knows(&self, id: &UpstreamId) -> bool {
         self.lock().upstreams.contains_key(id)
     }
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -20,13 +20,14 @@
 use super::upstream::Upstream;
 use crate::error::{Error, ErrorKind};
 use crate::http::{self, HttpResponse, read_body};
-use crate::id::{DataCentreId, ServiceId};
+use crate::id::{DataCentreId, ServiceId, UpstreamId};
 use crate::observe::metrics::{Counter, Metrics};
 use crate::platform::call::{self, CallHeaders};
 use crate::policy::failure_response::{
     GiveUpReason, Progress, Unavailable, error_kind, retry_after,
 };
 use crate::policy::placement::{Candidate, is_assigned};
+use crate::policy::upstream_limit::{Grant, PermitDemand};
 
 /// Shortest time before the shutdown of this node in which a plain call is begun
 /// that might not end before it.
@@ -55,6 +56,13 @@
     /// Asks other nodes to spend a retry from their shares of the service's
     /// retry budget. Returns whether one did.
     fn borrow_retry(&self, service: &ServiceId) -> impl Future<Output = bool> + Send;
+    /// Asks the node that keeps the limit of an upstream for permits to send to it.
+    /// Returns none if no such node answers.
+    fn request_permits(
+        &self,
+        upstream: &UpstreamId,
+        demand: PermitDemand,
+    ) -> impl Future<Output = Option<Grant>> + Send;
     /// Has other nodes keep the origin of a run.
     fn publish_origin(&self, key: RunKey, origin: RunOrigin);
     /// Asks other nodes for the origin of a run.
@@ -272,6 +280,22 @@
         response
     }
 
+    /// Gives up a call for which no upstream has room. If it has not run, its caller
+    /// may return after `wait`.
+    pub(crate) fn refuse_over_limit(
+        &self,
+        call: &Call,
+        progress: Progress,
+        wait: Duration,
+    ) -> HttpResponse {
+        let cause = "all upstreams of the service have reached their limits";
+        let mut response = self.give_up(call, GiveUpReason::NoUpstream, progress, cause);
+        if progress == Progress::NotRun {
+            set_retry_after(&mut response, wait);
+        }
+        response
+    }
+
     /// Builds the final answer to a call that is given up, and logs it.
     pub(crate) fn give_up(
         &self,
@@ -344,6 +368,28 @@
             .map(|(_, upstream)| Arc::clone(upstream))
     }
 
+    /// Chooses among the upstreams of a service like [`Self::choose_upstream`], and
+    /// gets a permit to send to the chosen one. If none of those that are left has
+    /// room, returns the time after which the caller may return.
+    pub(crate) async fn choose_permitted(
+        &self,
+        tried: &[Arc<Upstream>],
+        choose: impl Fn(&[Arc<Upstream>]) -> Option<Arc<Upstream>>,
+    ) -> Result<Arc<Upstream>, Option<Duration>> {
+        let mut excluded = tried.to_vec();
+        let mut shortest_wait: Option<Duration> = None;
+        while let Some(upstream) = choose(&excluded) {
+            match self.acquire_permit(&upstream).await {
+                Ok(()) => return Ok(upstream),
+                Err(wait) => {
+                    shortest_wait = Some(shortest_wait.map_or(wait, |w| w.min(wait)));
+                    excluded.push(upstream);
+                }
+            }
+        }
+        Err(shortest_wait)
+    }
+
     /// Spends one retry for a service from this node's share of the budget, for
     /// itself or for another node. Returns whether one was left.
     pub(crate) fn spend_retry(&self, service: &ServiceId) -> bool {
--- a/src/forward/incarnation_check.rs
+++ b/src/forward/incarnation_check.rs
@@ -16,6 +16,9 @@
     /// that restarted is known from now on as an incarnation whose software version
     /// is unknown.
     pub(crate) async fn is_registered_incarnation(&self, upstream: &Arc<Upstream>) -> bool {
+        if self.acquire_permit(upstream).await.is_err() {
+            return false;
+        }
         self.metrics.add(Counter::EngineProbes, 1);
         let Some(report) = probe_engine(upstream).await else {
             return false;
--- a/src/forward/observation.rs
+++ b/src/forward/observation.rs
@@ -6,6 +6,7 @@
 use super::upstream::UpstreamEntry;
 use crate::id::{DataCentreId, UpstreamId};
 use crate::policy::crash_evidence::{Clearance, Crash};
+use crate::policy::upstream_limit::Rate;
 
 /// Maximum number of observations that may wait to be published.
 const QUEUE_MAX: usize = 1_024;
@@ -18,6 +19,8 @@
         id: UpstreamId,
         data_centre: DataCentreId,
     },
+    /// An upstream named a limit on the requests of all nodes together.
+    Limited { id: UpstreamId, rate: Rate },
     /// An upstream was found running while the store was unreachable.
     Discovered(UpstreamEntry),
     /// An upstream crashed while it ran a call.
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -50,6 +50,8 @@
     /// The last server error of an upstream, which is passed on if no other
     /// upstream succeeds.
     server_error: Option<HttpResponse>,
+    /// Time until an upstream has room again, if all are at their limits.
+    over_limit_wait: Option<Duration>,
     /// Cause to be logged if the call is given up now.
     cause: String,
 }
@@ -61,6 +63,7 @@
             pending: Vec::new(),
             sends: SendHistory::new(),
             server_error: None,
+            over_limit_wait: None,
             cause: String::from("no upstream of the service accepts calls"),
         }
     }
@@ -126,9 +129,10 @@
             Some(None) => GiveUpReason::UpstreamsFailed,
             None => GiveUpReason::TimeOver,
         };
-        match state.server_error.take() {
-            Some(server_error) => server_error,
-            None => self.give_up(&call, reason, state.sends.progress(), &state.cause),
+        match (state.server_error.take(), state.over_limit_wait) {
+            (Some(server_error), _) => server_error,
+            (None, Some(wait)) => self.refuse_over_limit(&call, state.sends.progress(), wait),
+            (None, None) => self.give_up(&call, reason, state.sends.progress(), &state.cause),
         }
     }
 
@@ -146,7 +150,7 @@
         let may_repeat = call.matched.route.kind.may_repeat();
         let mut sends = FuturesUnordered::new();
         loop {
-            if let Some(upstream) = self.next_upstream(call, state) {
+            if let Some(upstream) = self.next_upstream(call, state).await {
                 state.avoid_silent_upstreams();
                 state.begin_send(&upstream);
                 sends.push(self.send(call, upstream));
@@ -209,7 +213,11 @@
     /// Chooses the upstream of the next send, and spends a retry unless it is the
     /// first. Returns `None`, with the cause in `state`, if the call must not be sent
     /// any more or no upstream is left.
-    fn next_upstream(&self, call: &Call, state: &mut PlainCallState) -> Option<Arc<Upstream>> {
+    async fn next_upstream(
+        &self,
+        call: &Call,
+        state: &mut PlainCallState,
+    ) -> Option<Arc<Upstream>> {
         let sent_count = state.sends.sent_count();
         let is_first = sent_count == 0;
         if !is_first && sent_count >= call.matched.route.attempts_max {
@@ -224,10 +232,18 @@
         {
             return None;
         }
-        let upstream =
-            self.choose_upstream(&call.service, &state.tried, None, |candidates, draw| {
+        let chosen = self.choose_permitted(&state.tried, |excluded| {
+            self.choose_upstream(&call.service, excluded, None, |candidates, draw| {
                 choose_for_plain_call(candidates, &self.data_centre, draw)
-            })?;
+            })
+        });
+        let upstream = match chosen.await {
+            Ok(upstream) => upstream,
+            Err(wait) => {
+                state.over_limit_wait = wait;
+                return None;
+            }
+        };
         (is_first || self.spend_own_retry(call)).then_some(upstream)
     }
 
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -115,7 +115,7 @@
                 continue;
             }
             metrics.add(Counter::EngineProbes, 1);
-            if probe_engine(&self.upstream).await.is_none() {
+            if !responds(&self.upstream).await {
                 directory.mark_lost(&self.upstream, "no_report", Instant::now());
                 return LossReason::UpstreamLost;
             }
@@ -123,6 +123,16 @@
     }
 }
 
+/// Whether an engine answers a probe. One that limits its requests is only connected
+/// to, because a probe counts towards the limit.
+pub(crate) async fn responds(upstream: &Upstream) -> bool {
+    if !upstream.is_limited() {
+        return probe_engine(upstream).await.is_some();
+    }
+    let connecting = tokio::time::timeout(PROBE_TIMEOUT, upstream.pool.open());
+    matches!(connecting.await, Ok(Ok(_)))
+}
+
 /// Probes an engine by requesting its report. Returns none if it is unreachable
 /// or does not answer in time.
 pub(crate) async fn probe_engine(upstream: &Upstream) -> Option<EngineReport> {
@@ -164,7 +174,7 @@
         let (forwarder, upstream) = (self.clone(), upstream.clone());
         tokio::spawn(async move {
             forwarder.metrics.add(Counter::EngineProbes, 1);
-            if probe_engine(&upstream).await.is_none() {
+            if !responds(&upstream).await {
                 let now = Instant::now();
                 forwarder.directory.mark_lost(&upstream, "broke", now);
             }
--- a/src/forward/run_replica.rs
+++ b/src/forward/run_replica.rs
@@ -19,7 +19,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::forwarder::{Forwarder, NodeContext};
-use super::probe::{probe_engine, send_control_request};
+use super::probe::{responds, send_control_request};
 use super::run_origin::RunOrigin;
 use super::upstream::{Upstream, Work};
 use crate::id::{DataCentreId, ServiceId};
@@ -150,7 +150,7 @@
         return;
     };
     forwarder.metrics.add(Counter::EngineProbes, 1);
-    if probe_engine(&holder).await.is_none() {
+    if !responds(&holder).await {
         let now = Instant::now();
         forwarder.directory.mark_lost(&holder, "keeper_silent", now);
     }
@@ -207,6 +207,9 @@
     holder: Arc<Upstream>,
     slot: &ReplicaSlot,
 ) -> bool {
+    if forwarder.acquire_permit(source).await.is_err() {
+        return false;
+    }
     forwarder.metrics.add(Counter::CopiesAskedFor, 1);
     let request = engine::replica_request(&run.call_id, holder.entry.address);
     let answered =
@@ -237,7 +240,8 @@
 /// Has the engine `source`, which made a requested replica, free it. Engines free
 /// streamed replicas themselves.
 pub(crate) fn free_replica(source: Arc<Upstream>, replica: RunReplica) {
-    if !replica.is_requested {
+    // A request that frees the replica would count towards the engine's limit.
+    if !replica.is_requested || source.is_limited() {
         return;
     }
     tokio::spawn(async move {
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -9,7 +9,7 @@
 //! each event once. `docs/RESUME.md` compares the ways of resuming a stream.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tokio::task::JoinHandle;
 
@@ -42,6 +42,8 @@
 pub(super) enum OpenFailure {
     /// The call is given up, for a reason and a cause to be logged.
     GivenUp(GiveUpReason, String),
+    /// No upstream has room for the call until this time has passed.
+    OverLimit(Duration),
     /// An upstream's final answer, which is not a stream.
     Answer(Box<HttpResponse>),
 }
@@ -89,6 +91,10 @@
     pub(super) fn given_up(reason: GiveUpReason, cause: &str) -> Self {
         Self::GivenUp(reason, cause.to_owned())
     }
+
+    fn over_limit(wait: Duration) -> Self {
+        Self::OverLimit(wait)
+    }
 }
 
 impl<N: NodeContext> Forwarder<N> {
@@ -127,6 +133,9 @@
         match opened.unwrap_or_else(|| Err(timed_out())) {
             Ok(attempt) => run.respond(attempt),
             Err(OpenFailure::Answer(answer)) => *answer,
+            Err(OpenFailure::OverLimit(wait)) => {
+                self.refuse_over_limit(&run.call, run.sends.progress(), wait)
+            }
             Err(OpenFailure::GivenUp(reason, cause)) => {
                 self.give_up(&run.call, reason, run.sends.progress(), &cause)
             }
@@ -199,7 +208,7 @@
     async fn next_upstream(&mut self) -> Result<NextUpstream, OpenFailure> {
         self.await_crash_check().await;
         self.check_may_send()?;
-        let upstream = self.choose_upstream()?;
+        let upstream = self.choose_upstream().await?;
         self.spend_retry().await?;
         Ok(self.next_at(upstream))
     }
@@ -242,38 +251,51 @@
         }
     }
 
+    /// Chooses an upstream that has room for the call.
+    pub(super) async fn choose_upstream(&self) -> Result<Arc<Upstream>, OpenFailure> {
+        let choosing = self
+            .forwarder
+            .choose_permitted(&self.tried, |excluded| self.candidate(excluded));
+        choosing.await.map_err(|wait| match wait {
+            Some(wait) => OpenFailure::over_limit(wait),
+            None => OpenFailure::given_up(GiveUpReason::NoUpstream, self.no_upstream_cause()),
+        })
+    }
+
     /// Chooses the holder of the run's replica if there is one, otherwise the
     /// engine that has the prompt cached, otherwise the least busy engine.
-    pub(super) fn choose_upstream(&self) -> Result<Arc<Upstream>, OpenFailure> {
+    fn candidate(&self, excluded: &[Arc<Upstream>]) -> Option<Arc<Upstream>> {
+        let is_over_limit = |upstream: &Arc<Upstream>| {
+            let refused = &excluded[self.tried.len()..];
+            refused.iter().any(|other| Arc::ptr_eq(other, upstream))
+        };
         let holder = lock(&self.replica)
             .as_ref()
             .filter(|replica| self.can_resume_from(replica))
-            .map(|replica| replica.holder.clone());
+            .map(|replica| replica.holder.clone())
+            .filter(|holder| !is_over_limit(holder));
         let forwarder = &self.forwarder;
+        let origin = self.origin.as_ref();
         holder
-            .or_else(|| self.upstream_with_cached_prompt())
+            .or_else(|| self.upstream_with_cached_prompt(excluded))
             .or_else(|| {
-                let origin = self.origin.as_ref();
-                forwarder.choose_upstream(&self.call.service, &self.tried, origin, choose_engine)
-            })
-            .or_else(|| self.choose_again())
-            .ok_or_else(|| {
-                OpenFailure::given_up(GiveUpReason::NoUpstream, self.no_upstream_cause())
+                forwarder.choose_upstream(&self.call.service, excluded, origin, choose_engine)
             })
+            .or_else(|| self.choose_again(&excluded[self.tried.len()..]))
     }
 
-    /// Chooses among the upstreams that were tried, except for the last one. A stream
-    /// that has begun can't be refused any more, and an upstream that it left may
-    /// have gone on since.
-    fn choose_again(&self) -> Option<Arc<Upstream>> {
+    /// Chooses among the upstreams that were tried, except for the last one and those
+    /// that have no room. A stream that has begun can't be refused any more, and an
+    /// upstream that it left may have gone on since.
+    fn choose_again(&self, over_limit: &[Arc<Upstream>]) -> Option<Arc<Upstream>> {
         if self.event_count == 0 {
             return None;
         }
-        let last = self.tried.last().cloned();
-        let excluded = last.as_slice();
+        let last = self.tried.last();
+        let excluded: Vec<Arc<Upstream>> = last.into_iter().chain(over_limit).cloned().collect();
         let origin = self.origin.as_ref();
         self.forwarder
-            .choose_upstream(&self.call.service, excluded, origin, choose_engine)
+            .choose_upstream(&self.call.service, &excluded, origin, choose_engine)
     }
 
     /// Spends a retry, unless the call has not been sent yet.
@@ -310,11 +332,11 @@
 
     /// Returns the engine that has the prompt of the call's session cached,
     /// unless the engine was tried, is draining or is to be avoided.
-    fn upstream_with_cached_prompt(&self) -> Option<Arc<Upstream>> {
+    fn upstream_with_cached_prompt(&self, excluded: &[Arc<Upstream>]) -> Option<Arc<Upstream>> {
         let now = Instant::now();
         let session = self.call.headers.session.as_ref()?;
         let id = self.forwarder.sessions.cached_at(session, now)?;
-        let was_tried = self.tried.iter().any(|tried| tried.entry.id == id);
+        let was_tried = excluded.iter().any(|tried| tried.entry.id == id);
         let serving = self.forwarder.directory.serving(&self.call.service);
         let upstream = serving.into_iter().find(|u| u.entry.id == id)?;
         let is_eligible =
--- a/src/forward/stream_move.rs
+++ b/src/forward/stream_move.rs
@@ -16,7 +16,7 @@
 
 use super::attempt::{Answered, Attempt};
 use super::forwarder::{Forwarder, NodeContext};
-use super::probe::probe_engine;
+use super::probe::responds;
 use super::run_replica::lock;
 use super::stream_call::{NextUpstream, OpenFailure, StreamRun};
 use super::stream_relay::EventSender;
@@ -133,7 +133,7 @@
         }
         self.check_may_send()?;
         for _ in 0..CANDIDATES_MAX {
-            let upstream = self.choose_upstream()?;
+            let upstream = self.choose_upstream().await?;
             if self.forwarder.responds(&upstream).await {
                 self.spend_retry().await?;
                 return Ok(self.next_at(upstream));
@@ -163,6 +163,6 @@
             return true;
         }
         self.metrics.add(Counter::EngineProbes, 1);
-        probe_engine(upstream).await.is_some()
+        responds(upstream).await
     }
 }
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -11,7 +11,7 @@
 use super::connection::ConnectionPool;
 use crate::id::{DataCentreId, ServiceId, UpstreamId};
 use crate::platform::answer::StatedLimit;
-use crate::policy::upstream_limit::Rate;
+use crate::policy::upstream_limit::UpstreamLimit;
 
 /// Version of the software that an upstream runs, as its registration states it.
 /// It has no order, and is not the version of a model's weights.
@@ -89,8 +89,7 @@
     kv_cache_tokens: AtomicU64,
     call_count: AtomicU32,
     health: Mutex<Health>,
-    /// The limit that the upstream named last.
-    limit: Mutex<Option<Rate>>,
+    limit: Mutex<UpstreamLimit>,
     /// Number of times that the upstream was marked as lost.
     losses: watch::Sender<u64>,
 }
@@ -156,23 +155,35 @@
         health.failure_count = 0;
     }
 
-    /// Records what an answer says of the upstream's limit.
-    pub(crate) fn record_limit(&self, stated: StatedLimit) {
-        let named = match stated {
-            StatedLimit::None => None,
-            StatedLimit::Named(rate) => Some(rate),
-            StatedLimit::Unreadable => return,
-        };
-        let mut limit = self.limit.lock().unwrap_or_else(PoisonError::into_inner);
-        if *limit == named {
-            return;
+    /// Records what an answer to a request sent at `sent_at` says of the upstream's
+    /// limit.
+    pub(crate) fn record_limit(&self, stated: StatedLimit, sent_at: Instant) {
+        let now = Instant::now();
+        let id = &self.entry.id;
+        match stated {
+            StatedLimit::None => {
+                if self.limit().record_unlimited(sent_at, now) {
+                    log::info!("event=limit_ended upstream={id}");
+                }
+            }
+            StatedLimit::Named(rate) => {
+                if self.limit().record_named(rate, now) {
+                    let per_s = rate.per_second();
+                    log::info!("event=limit_named upstream={id} per_s={per_s}");
+                }
+            }
+            StatedLimit::Unreadable => {}
         }
-        *limit = named;
-        let per_s = named.map(Rate::per_second);
-        log::info!(
-            "event=limit_named upstream={} per_s={per_s:?}",
-            self.entry.id
-        );
+    }
+
+    /// Whether the upstream limits what is sent to it.
+    pub(crate) fn is_limited(&self) -> bool {
+        self.limit().is_limited(Instant::now())
+    }
+
+    /// What is known of the upstream's limit.
+    pub(crate) fn limit(&self) -> MutexGuard<'_, UpstreamLimit> {
+        self.limit.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Time since the last answer or event of the upstream arrived.
--- /dev/null
+++ b/src/forward/upstream_permits.rs
@@ -0,0 +1,79 @@
+//! Permits for sends to upstreams that name a limit on the requests of all nodes.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+
+use super::forwarder::{Forwarder, NodeContext};
+use super::observation::Observation;
+use super::upstream::Upstream;
+use crate::id::UpstreamId;
+use crate::observe::metrics::Counter;
+use crate::policy::upstream_limit::{Grant, Grantor, PermitBucket, PermitDemand, SendDecision};
+
+/// Time after which a bucket that nobody asks is dropped.
+const BUCKET_IDLE_MAX: Duration = Duration::from_secs(60);
+/// Time until the next request for a permit after no grantor answered.
+const NO_GRANTOR_WAIT: Duration = Duration::from_millis(500);
+
+/// The permits that this node grants to all nodes.
+#[derive(Debug, Default)]
+pub(crate) struct UpstreamPermits {
+    buckets: Mutex<BTreeMap<(UpstreamId, Grantor), PermitBucket>>,
+}
+
+impl UpstreamPermits {
+    /// Grants permits for an upstream as its keeper or deputy.
+    pub(crate) fn grant(
+        &self,
+        upstream: &UpstreamId,
+        demand: PermitDemand,
+        grantor: Grantor,
+    ) -> Grant {
+        let now = Instant::now();
+        let mut buckets = self.buckets.lock().unwrap_or_else(PoisonError::into_inner);
+        buckets.retain(|_, bucket| bucket.idle_time(now) < BUCKET_IDLE_MAX);
+        let bucket = buckets.entry((upstream.clone(), grantor));
+        let bucket = bucket.or_insert_with(|| PermitBucket::new(now));
+        bucket.grant(demand, grantor, now)
+    }
+}
+
+impl<N: NodeContext> Forwarder<N> {
+    /// Gets a permit to send one request to the upstream, if that needs one. Otherwise
+    /// returns the time after which the caller may return.
+    pub(crate) async fn acquire_permit(&self, upstream: &Arc<Upstream>) -> Result<(), Duration> {
+        let mut decision = upstream.limit().decide(Instant::now());
+        if let SendDecision::Ask(demand) = decision {
+            self.announce_limit(upstream);
+            let granted = self.node.request_permits(&upstream.entry.id, demand).await;
+            let grant = granted.unwrap_or(Grant {
+                count: 0,
+                wait: NO_GRANTOR_WAIT,
+                backlog: Duration::ZERO,
+            });
+            let draw = rand::rng().random_range(0.0..1.0);
+            decision = upstream.limit().apply_grant(grant, draw, Instant::now());
+        }
+        match decision {
+            SendDecision::Refuse(wait, backlog) => {
+                self.metrics.add(Counter::SendsOverLimit, 1);
+                let spread = backlog.mul_f64(rand::rng().random_range(0.0..1.0));
+                Err(wait + spread)
+            }
+            SendDecision::Send | SendDecision::Ask(_) => Ok(()),
+        }
+    }
+
+    /// Tells the other nodes of a limit that this node read in an answer just now.
+    fn announce_limit(&self, upstream: &Upstream) {
+        if let Some(rate) = upstream.limit().news(Instant::now()) {
+            self.observations.publish(Observation::Limited {
+                id: upstream.entry.id.clone(),
+                rate,
+            });
+        }
+    }
+}
--- a/src/membership/message/mod.rs
+++ b/src/membership/message/mod.rs
@@ -8,6 +8,7 @@
 mod claim;
 mod crash;
 mod datagram;
+mod permit;
 mod run_origin;
 
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 pub(crate) use datagram::{
     AnnouncementRecord, Datagram, DocumentVersion, MemberRecord, MemberState, Purpose,
 };
+pub(crate) use permit::{PermitReply, PermitRequest};
 pub(crate) use run_origin::{RunOriginRecord, RunOriginReply, RunOriginRequest};
 
 /// A request over framed TCP.
@@ -27,7 +29,7 @@
     #[prost(uint64, tag = "1")]
     pub(crate) id: u64,
     /// The request; absent when the receiver does not know its kind.
-    #[prost(oneof = "RequestBody", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "RequestBody", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub(crate) body: Option<RequestBody>,
 }
 
@@ -60,6 +62,9 @@
     /// Asks where a run began, or asks the receiver to keep that.
     #[prost(message, tag = "8")]
     RunOrigin(RunOriginRequest),
+    /// Asks for permits to send to an upstream that names a limit.
+    #[prost(message, tag = "9")]
+    Permit(PermitRequest),
 }
 
 /// Asks for one retry. The nodes share a budget of retries; a node that has
@@ -103,7 +108,7 @@
     #[prost(uint64, tag = "1")]
     pub(crate) id: u64,
     /// The reply; absent when the receiver cannot give one.
-    #[prost(oneof = "ReplyBody", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "ReplyBody", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub(crate) body: Option<ReplyBody>,
 }
 
@@ -132,6 +137,9 @@
     /// Reply to [`RequestBody::RunOrigin`].
     #[prost(message, tag = "8")]
     RunOrigin(RunOriginReply),
+    /// Reply to [`RequestBody::Permit`].
+    #[prost(message, tag = "9")]
+    Permit(PermitReply),
 }
 
 /// The members and announcements that the requester may lack.
--- a/src/node_state.rs
+++ b/src/node_state.rs
@@ -124,8 +124,11 @@
                 ReplyBody::Crashes(self.state.crash_tracker.merge_and_reply(&record))
             }
             RequestBody::Status(_) => ReplyBody::Status(self.state.status_reply()),
-            // Only entry nodes share a retry budget and the origins of runs.
-            RequestBody::Retry(_) | RequestBody::RunOrigin(_) => return None,
+            // Only entry nodes share a retry budget, the origins of runs and the
+            // limits of upstreams.
+            RequestBody::Retry(_) | RequestBody::RunOrigin(_) | RequestBody::Permit(_) => {
+                return None;
+            }
         };
         Some(reply)
     }
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -81,6 +81,8 @@
     UpstreamSends,
     /// Retries that the retry budget did not allow.
     RetriesOverBudget,
+    /// Sends that the limits of upstreams did not allow.
+    SendsOverLimit,
     /// Liveness probes sent to engines.
     EngineProbes,
     /// KV cache replicas requested from engines.
@@ -99,7 +101,7 @@
 
 impl Counter {
     /// All counters, in the order of the list in `docs/OPERATIONS.md`.
-    pub const ALL: [Self; 34] = [
+    pub const ALL: [Self; 35] = [
         Self::Completions,
         Self::Refused,
         Self::Tokens,
@@ -127,6 +129,7 @@
         Self::CallsUnanswered,
         Self::UpstreamSends,
         Self::RetriesOverBudget,
+        Self::SendsOverLimit,
         Self::EngineProbes,
         Self::CopiesAskedFor,
         Self::StreamsLost,
@@ -167,6 +170,7 @@
             Self::CallsUnanswered => "calls_unanswered_count",
             Self::UpstreamSends => "upstream_sends_count",
             Self::RetriesOverBudget => "retries_over_budget_count",
+            Self::SendsOverLimit => "sends_over_limit_count",
             Self::EngineProbes => "engine_probes_count",
             Self::CopiesAskedFor => "copies_asked_for_count",
             Self::StreamsLost => "streams_lost_count",
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -7,4 +7,5 @@
 mod placement;
 mod poison_detector;
 mod retry_budget_share;
+mod upstream_limit;
 mod watchers;
--- a/tests/upstream_limits.rs
+++ b/tests/upstream_limits.rs
@@ -6,7 +6,9 @@
 
 use support::edge_environment::caller::{Caller, Response};
 use support::edge_environment::named_limit::NamedLimit;
-use support::edge_environment::{IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, TestEnvironment};
+use support::edge_environment::{
+    IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, STREAM_PATH, TestEnvironment,
+};
 use tokio::task::JoinHandle;
 use zinniawing::EdgeNode;
 
@@ -137,3 +139,36 @@
     assert!(same.count() * 3 < refused.len(), "callers return together");
     assert!(served_share(&after) >= 0.98, "{}", served_share(&after));
 }
+
+/// Engines get probes, and requests for replicas, beside the streams. One with a limit
+/// falls silent for a second again and again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn probes_and_replicas_of_streams_count_towards_the_limit() {
+    const LIMIT_PER_S: f64 = 0.5;
+    let environment = TestEnvironment::start(6).await;
+    let (_nodes, callers) = environment.start_ready_nodes(NODE_COUNT).await;
+    let limited = &environment.engines[0];
+    limited.named_limit.set(Some(&LIMIT_PER_S.to_string()));
+
+    let mut streams = Vec::new();
+    let mut since = Instant::now();
+    for number in 0..90 {
+        let caller = callers[number % callers.len()].clone();
+        let headers = "x-zinniawing-deadline-ms: 6000\r\nx-zinniawing-token-usage: 800,100\r\n";
+        streams.push(tokio::spawn(async move {
+            caller.call("POST", STREAM_PATH, headers).await
+        }));
+        limited.set_frozen(number % 20 < 10);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        if number == 30 {
+            since = Instant::now();
+        }
+    }
+    limited.set_frozen(false);
+
+    assert_within(&limited.named_limit, LIMIT_PER_S, since);
+    for stream in streams {
+        let got = stream.await.expect("no panic");
+        assert!(got.is_complete, "{} events", got.event_ids().len());
+    }
+}
