Convict several crashing parts at once, and add both faults to the soak

Cause: a crash that most others at about the same time did not share counted for nothing, so of three parts that crash engines at once none was convicted. Change: such crashes count as one event instead; three moments convict.

--- a/src/policy/crash_evidence.rs
+++ b/src/policy/crash_evidence.rs
@@ -55,12 +55,17 @@
     known_at: Instant,
 }
 
+/// Crashes that may have one cause, and count once. Identified by the place of the
+/// first of them among the suspicions.
+pub(crate) type CrashEventId = usize;
+
 /// A crash with the features that may have caused it.
 #[derive(Clone, Debug)]
 pub(crate) struct Suspicion {
     pub(crate) upstream: UpstreamId,
     pub(crate) request: Fingerprint,
-    pub(crate) features: BTreeSet<Fingerprint>,
+    /// The features, each with the event as which the crash counts against it.
+    pub(crate) features: BTreeMap<Fingerprint, CrashEventId>,
     pub(crate) known_at: Instant,
 }
 
@@ -78,6 +83,13 @@
     }
 }
 
+impl Suspicion {
+    /// Whether all these features may have caused the crash.
+    pub(crate) fn has_all(&self, features: &BTreeSet<Fingerprint>) -> bool {
+        features.iter().all(|f| self.features.contains_key(f))
+    }
+}
+
 impl CrashEvidence {
     /// Adds a crash. Returns false if it was known.
     pub(crate) fn add_crash(&mut self, crash: Crash, now: Instant) -> bool {
@@ -145,16 +157,15 @@
     }
 
     /// The crashes with the features that may have caused them, as far as more than
-    /// one upstream crashed under these. A crash that many others accompanied counts
-    /// against a feature only if most of them count against it: otherwise they have
-    /// another cause, such as the loss of a data centre.
+    /// one upstream crashed under these.
     pub(crate) fn suspicions(&self) -> Vec<Suspicion> {
         let mut suspicions = self.uncleared();
         keep_shared_features(&mut suspicions);
-        let typical = suspicions.iter().map(|s| typical_features(s, &suspicions));
-        let typical: Vec<BTreeSet<Fingerprint>> = typical.collect();
-        for (suspicion, typical) in suspicions.iter_mut().zip(typical) {
-            suspicion.features = typical;
+        let events: Vec<BTreeMap<Fingerprint, CrashEventId>> = (0..suspicions.len())
+            .map(|at| events(&suspicions, at))
+            .collect();
+        for (suspicion, events) in suspicions.iter_mut().zip(events) {
+            suspicion.features = events;
         }
         suspicions.retain(|suspicion| !suspicion.features.is_empty());
         suspicions
@@ -174,7 +185,7 @@
             Suspicion {
                 upstream: crash.upstream.clone(),
                 request: crash.request,
-                features: uncleared.copied().collect(),
+                features: uncleared.map(|feature| (*feature, 0)).collect(),
                 known_at: *known_at,
             }
         });
@@ -192,53 +203,70 @@
     }
 }
 
-/// Upstreams that crashed under each feature.
-pub(crate) fn upstreams_by_feature(
-    suspicions: &[Suspicion],
-) -> BTreeMap<Fingerprint, BTreeSet<&UpstreamId>> {
-    let mut upstreams: BTreeMap<Fingerprint, BTreeSet<&UpstreamId>> = BTreeMap::new();
-    for suspicion in suspicions {
-        for feature in &suspicion.features {
-            let of_feature = upstreams.entry(*feature).or_default();
-            of_feature.insert(&suspicion.upstream);
-        }
-    }
-    upstreams
-}
-
 /// Removes features under which one upstream crashed.
 fn keep_shared_features(suspicions: &mut [Suspicion]) {
-    let mut by_feature = upstreams_by_feature(suspicions);
+    let mut by_feature: BTreeMap<Fingerprint, BTreeSet<&UpstreamId>> = BTreeMap::new();
+    for suspicion in suspicions.iter() {
+        for feature in suspicion.features.keys() {
+            let upstreams = by_feature.entry(*feature).or_default();
+            upstreams.insert(&suspicion.upstream);
+        }
+    }
     by_feature.retain(|_, upstreams| upstreams.len() > 1);
     let shared: BTreeSet<Fingerprint> = by_feature.into_keys().collect();
     for suspicion in suspicions {
         suspicion
             .features
-            .retain(|feature| shared.contains(feature));
+            .retain(|feature, _| shared.contains(feature));
     }
 }
 
-/// The features of a crash that most of the crashes at about the same time have too.
-fn typical_features(suspicion: &Suspicion, all: &[Suspicion]) -> BTreeSet<Fingerprint> {
+/// The features of one crash, each with the event as which the crash counts. Usually
+/// that is the crash of its upstream. If most of the crashes at about the same time
+/// are not under the feature, they have another cause, such as the loss of a data
+/// centre, and those under the feature count as one event together.
+fn events(all: &[Suspicion], at: usize) -> BTreeMap<Fingerprint, CrashEventId> {
+    let suspicion = &all[at];
     if suspicion.features.is_empty() {
-        return BTreeSet::new();
+        return BTreeMap::new();
     }
-    let at = suspicion.known_at;
-    let is_near =
-        |other: &&Suspicion| other.known_at.max(at) - other.known_at.min(at) <= SIMULTANEOUS;
-    let near: Vec<&Suspicion> = all.iter().filter(is_near).collect();
+    let is_near = |other: &Suspicion| {
+        let (earlier, later) = (other.known_at, suspicion.known_at);
+        earlier.max(later) - earlier.min(later) <= SIMULTANEOUS
+    };
+    let near: Vec<&Suspicion> = all.iter().filter(|other| is_near(other)).collect();
     let count = |is_counted: &dyn Fn(&Suspicion) -> bool| {
         let counted = near.iter().filter(|other| is_counted(other));
         let upstreams: BTreeSet<&UpstreamId> = counted.map(|other| &other.upstream).collect();
         upstreams.len()
     };
     let near_count = count(&|_| true);
-    let is_typical =
-        |feature: &&Fingerprint| 2 * count(&|other| other.features.contains(feature)) >= near_count;
-    suspicion
-        .features
+    let of_upstream = all
         .iter()
-        .filter(is_typical)
-        .copied()
+        .position(|other| other.upstream == suspicion.upstream);
+    let event = |feature: &Fingerprint| {
+        let has_feature = |other: &Suspicion| other.features.contains_key(feature);
+        if 2 * count(&has_feature) >= near_count {
+            return of_upstream;
+        }
+        all.iter()
+            .position(|other| has_feature(other) && is_near(other))
+    };
+    let features = suspicion.features.keys();
+    features
+        .map(|feature| (*feature, event(feature).unwrap_or(at)))
         .collect()
 }
+
+/// Events under each feature.
+pub(crate) fn events_by_feature(
+    suspicions: &[Suspicion],
+) -> BTreeMap<Fingerprint, BTreeSet<CrashEventId>> {
+    let mut events: BTreeMap<Fingerprint, BTreeSet<CrashEventId>> = BTreeMap::new();
+    for suspicion in suspicions {
+        for (feature, event) in &suspicion.features {
+            events.entry(*feature).or_default().insert(*event);
+        }
+    }
+    events
+}
--- a/src/policy/poison_detector.rs
+++ b/src/policy/poison_detector.rs
@@ -1,7 +1,7 @@
 //! Finds out what crashes upstreams: requests that are sent again and again, and
 //! parts of prompts that many requests share.
 //!
-//! A feature under which three upstreams crashed, and which no later run cleared, is
+//! A feature against which three crashes count, and which no later run cleared, is
 //! convicted together with what nearly always stood beside it: a request is refused
 //! only if it has all features of a conviction. Requests that have some of them are
 //! sent, and how they end tells the cause from what merely accompanied it.
@@ -13,11 +13,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use super::crash_evidence::{Clearance, Crash, CrashEvidence, Suspicion, upstreams_by_feature};
+use super::crash_evidence::{
+    Clearance, Crash, CrashEventId, CrashEvidence, Suspicion, events_by_feature,
+};
 use crate::hash::Fnv;
 use crate::id::{Fingerprint, UpstreamId};
 
-/// Number of upstreams that must crash under a feature to convict it.
+/// Number of crashes that must count against a feature to convict it.
 const CONVICTION_CRASHES_MIN: usize = 3;
 /// Share of the crashes under a feature, in quarters, which another feature must
 /// have accompanied to be convicted together with it.
@@ -67,7 +69,7 @@
 pub(crate) struct PoisonDetector {
     evidence: CrashEvidence,
     convictions: Vec<Conviction>,
-    /// Number of upstreams that crashed under each feature.
+    /// Number of crashes that count against each feature.
     crash_counts: BTreeMap<Fingerprint, usize>,
     /// Start of this node's last trial of each conviction.
     trials: BTreeMap<Fingerprint, Instant>,
@@ -178,7 +180,7 @@
             return;
         }
         let mut suspicions = self.evidence.suspicions();
-        self.crash_counts = count_upstreams(&suspicions);
+        self.crash_counts = count_events(&suspicions);
         self.convictions.clear();
         while let Some(conviction) = convict(&suspicions) {
             remove_explained(&mut suspicions, &conviction.features);
@@ -189,36 +191,24 @@
     }
 }
 
-fn count_upstreams(suspicions: &[Suspicion]) -> BTreeMap<Fingerprint, usize> {
-    let by_feature = upstreams_by_feature(suspicions).into_iter();
+fn count_events(suspicions: &[Suspicion]) -> BTreeMap<Fingerprint, usize> {
+    let by_feature = events_by_feature(suspicions).into_iter();
     by_feature
-        .map(|(feature, upstreams)| (feature, upstreams.len()))
+        .map(|(feature, events)| (feature, events.len()))
         .collect()
 }
 
 /// Convicts the feature that explains most crashes, with what accompanied it.
 fn convict(suspicions: &[Suspicion]) -> Option<Conviction> {
-    let counts = count_upstreams(suspicions);
-    let (cause, crash_count) = counts.into_iter().max_by_key(|(_, count)| *count)?;
-    if crash_count < CONVICTION_CRASHES_MIN {
+    let counts = count_events(suspicions);
+    let (cause, event_count) = counts.into_iter().max_by_key(|(_, count)| *count)?;
+    if event_count < CONVICTION_CRASHES_MIN {
         return None;
     }
-    let under_cause: Vec<Suspicion> = suspicions
-        .iter()
-        .filter(|suspicion| suspicion.features.contains(&cause))
-        .cloned()
-        .collect();
-    let is_accompanying = |count: &usize| 4 * count >= ACCOMPANIED_QUARTERS_MIN * crash_count;
-    let mut features: BTreeSet<Fingerprint> = count_upstreams(&under_cause)
-        .into_iter()
-        .filter(|(_, count)| is_accompanying(count))
-        .map(|(feature, _)| feature)
-        .collect();
-    if !under_cause.iter().any(|s| features.is_subset(&s.features)) {
-        // Each accompanied the cause often, but never all of them together.
-        features = BTreeSet::from([cause]);
-    }
-    let crash_times = first_crash_times(&under_cause);
+    let is_under_cause = |s: &&Suspicion| s.features.contains_key(&cause);
+    let under_cause: Vec<&Suspicion> = suspicions.iter().filter(is_under_cause).collect();
+    let features = accompanying_features(&under_cause, cause, event_count);
+    let crash_times = event_times(&under_cause, cause);
     let convicted_at = crash_times[CONVICTION_CRASHES_MIN - 1];
     let bars_only_one_request = under_cause.iter().any(|s| features.contains(&s.request));
     let delay = if bars_only_one_request {
@@ -233,14 +223,36 @@
     })
 }
 
-/// When each upstream's crash became known, in order.
-fn first_crash_times(suspicions: &[Suspicion]) -> Vec<Instant> {
-    let mut by_upstream: BTreeMap<&UpstreamId, Instant> = BTreeMap::new();
-    for suspicion in suspicions {
-        let first = by_upstream.entry(&suspicion.upstream);
+/// The cause, and the features that stood beside it in most events.
+fn accompanying_features(
+    under_cause: &[&Suspicion],
+    cause: Fingerprint,
+    event_count: usize,
+) -> BTreeSet<Fingerprint> {
+    let mut events: BTreeMap<Fingerprint, BTreeSet<CrashEventId>> = BTreeMap::new();
+    for suspicion in under_cause {
+        let event = suspicion.features[&cause];
+        for feature in suspicion.features.keys() {
+            events.entry(*feature).or_default().insert(event);
+        }
+    }
+    events.retain(|_, events| 4 * events.len() >= ACCOMPANIED_QUARTERS_MIN * event_count);
+    let features: BTreeSet<Fingerprint> = events.into_keys().collect();
+    if under_cause.iter().any(|s| s.has_all(&features)) {
+        return features;
+    }
+    // Each accompanied the cause often, but never all of them together.
+    BTreeSet::from([cause])
+}
+
+/// When each event under a feature became known, in order.
+fn event_times(under_feature: &[&Suspicion], feature: Fingerprint) -> Vec<Instant> {
+    let mut by_event: BTreeMap<CrashEventId, Instant> = BTreeMap::new();
+    for suspicion in under_feature {
+        let first = by_event.entry(suspicion.features[&feature]);
         first.or_insert(suspicion.known_at);
     }
-    let mut times: Vec<Instant> = by_upstream.into_values().collect();
+    let mut times: Vec<Instant> = by_event.into_values().collect();
     times.sort();
     times
 }
@@ -260,9 +272,7 @@
 
 /// Removes the crashes of all upstreams at which a call had all these features.
 fn remove_explained(suspicions: &mut Vec<Suspicion>, features: &BTreeSet<Fingerprint>) {
-    let explained = suspicions
-        .iter()
-        .filter(|s| features.is_subset(&s.features));
+    let explained = suspicions.iter().filter(|s| s.has_all(features));
     let explained: BTreeSet<UpstreamId> = explained.map(|s| s.upstream.clone()).collect();
     suspicions.retain(|s| !explained.contains(&s.upstream));
 }
--- a/src/policy/tests/poison_detector.rs
+++ b/src/policy/tests/poison_detector.rs
@@ -188,6 +188,27 @@
     assert!(!scene.is_refused(20, &[RARE]));
 }
 
+/// Four parts crash engines at the same time, so that none has most of the crashes.
+#[test]
+fn several_parts_that_crash_at_once_are_all_found() {
+    let mut scene = Scene::new();
+
+    for moment in 0..4_u64 {
+        for part in 0..4_u64 {
+            scene.crash(10 * moment + part, &[COMMON, CRASHING + part]);
+            scene.wait(Duration::from_millis(10));
+        }
+        scene.wait(Duration::from_millis(600));
+    }
+    scene.survival(100, &[COMMON]);
+    scene.wait(DELAY);
+
+    for part in 0..4 {
+        assert!(scene.is_refused(101, &[COMMON, CRASHING + part]), "{part}");
+    }
+    assert!(!scene.is_refused(101, &[COMMON]));
+}
+
 #[test]
 fn a_conviction_that_bars_other_requests_waits_for_sound_runs() {
     let mut scene = Scene::new();
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -118,7 +118,9 @@
 
 fn part_crashes(environment: &TestEnvironment) -> Vec<Instant> {
     let engines = environment.engines.iter();
-    let mut crashes: Vec<Instant> = engines.flat_map(|engine| engine.part_crashes()).collect();
+    let mut crashes: Vec<Instant> = engines
+        .flat_map(|engine| engine.part_crashes_of(CRASHING_PART))
+        .collect();
     crashes.sort();
     crashes
 }
--- a/tests/soak/fault_kind.rs
+++ b/tests/soak/fault_kind.rs
@@ -22,6 +22,10 @@
     CrashEngine,
     /// All engines of a data centre crash and start again, one after the other.
     CrashDataCentre,
+    /// Requests share a part that crashes each engine.
+    CrashingPart,
+    /// An upstream names a limit on the requests of all nodes together.
+    NameLimit,
     FreezeEngine,
     CutEngineLink,
     DrainEngine,
@@ -53,7 +57,7 @@
     ChangeKeys,
 }
 
-const DEFAULT_KINDS: [FaultKind; 27] = [
+const DEFAULT_KINDS: [FaultKind; 29] = [
     FaultKind::KillNode,
     FaultKind::StopNode,
     FaultKind::PauseNode,
@@ -64,6 +68,8 @@
     FaultKind::ForgetHistory,
     FaultKind::CrashEngine,
     FaultKind::CrashDataCentre,
+    FaultKind::CrashingPart,
+    FaultKind::NameLimit,
     FaultKind::FreezeEngine,
     FaultKind::CutEngineLink,
     FaultKind::DrainEngine,
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -8,9 +8,11 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::crashing_parts::CrashingParts;
 use crate::edge_environment::service::NextFault;
 use crate::fault_kind::FaultKind;
 use crate::history::{Occurrence, UpstreamAt};
+use crate::named_limits::NamedLimits;
 use crate::node::SoakEnvironment;
 use crate::proxy::Mode;
 use crate::silences::{self, Silences};
@@ -35,6 +37,8 @@
     kinds: Vec<FaultKind>,
     counts: BTreeMap<FaultKind, usize>,
     silences: Silences,
+    crashing_parts: CrashingParts,
+    named_limits: NamedLimits,
     draining: Vec<DrainingEngine>,
     /// Times at which faults that can delay the news of a draining engine began or
     /// ended.
@@ -49,6 +53,8 @@
             kinds: FaultKind::selected(),
             counts: BTreeMap::new(),
             silences: Silences::default(),
+            crashing_parts: CrashingParts::default(),
+            named_limits: NamedLimits::default(),
             draining: Vec::new(),
             disturbances: Vec::new(),
             violations: Vec::new(),
@@ -70,6 +76,8 @@
         for node in &mut environment.nodes {
             node.restart_if_exited();
         }
+        environment.restart_crashed_engines().await;
+        self.named_limits.end(environment, false);
         if self.random.random_bool(0.3) {
             self.heal(environment).await;
         }
@@ -111,6 +119,13 @@
                     restart_engine(environment, at).await;
                 }
             }
+            FaultKind::CrashingPart => {
+                self.crashing_parts.start(environment, &mut self.random);
+            }
+            FaultKind::NameLimit => {
+                self.named_limits
+                    .start(upstream, environment, &mut self.random);
+            }
             FaultKind::FreezeEngine => environment.engines[engine].0.set_frozen(true),
             FaultKind::CutEngineLink => environment.engines[engine].1.set_mode(mode),
             FaultKind::DrainEngine => self.drain_engine(environment, engine),
@@ -239,8 +254,16 @@
         }
     }
 
-    pub fn take_violations(&mut self) -> Vec<String> {
-        std::mem::take(&mut self.violations)
+    /// Ends the limits that upstreams name.
+    pub fn end_limits(&mut self, environment: &SoakEnvironment) {
+        self.named_limits.end(environment, true);
+    }
+
+    pub fn take_violations(&mut self, environment: &SoakEnvironment) -> Vec<String> {
+        let mut violations = std::mem::take(&mut self.violations);
+        violations.extend(self.crashing_parts.violations(environment));
+        violations.extend(self.named_limits.take_violations());
+        violations
     }
 }
 
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -56,6 +56,31 @@
         });
     }
 
+    /// Records something that lasts for a while, whatever ends in the meantime.
+    pub fn record_for(&self, what: Occurrence, duration: Duration) {
+        let now = Instant::now();
+        self.lock().push(Entry {
+            what,
+            from: now,
+            to: Some(now + duration),
+        });
+    }
+
+    /// Whether a node was killed, paused, stopped or started in this time.
+    pub fn has_node_disturbance(&self, from: Instant, to: Instant) -> bool {
+        let is_of_node = |what| {
+            matches!(
+                what,
+                Occurrence::Stop { .. }
+                    | Occurrence::Start { .. }
+                    | Occurrence::NodeDisturbed { .. }
+            )
+        };
+        let entries = self.lock();
+        let mut of_nodes = entries.iter().filter(|entry| is_of_node(entry.what));
+        of_nodes.any(|entry| entry.overlaps(from, to))
+    }
+
     /// Records something that lasts until `end_all`.
     pub fn begin(&self, what: Occurrence) {
         self.lock().push(Entry {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -11,6 +11,8 @@
 //!   around planned work, unless a disturbance or its deadline excuses it.
 //! - A draining engine gets no new runs later than two seconds after it was marked,
 //!   unless another fault began or ended shortly before the run.
+//! - Few requests with a part that crashes engines reach engines after all nodes can
+//!   know, and an upstream that names a limit gets no more than that from all nodes.
 //! - After the faults have ended, every node serves calls and streams again.
 //!
 //! A seed fixes the random choice of faults and their timing.
@@ -24,12 +26,14 @@
 
 mod callers;
 mod config_changes;
+mod crashing_parts;
 mod fault_kind;
 mod faults;
 mod history;
 mod kept;
 mod kept_request;
 mod lost;
+mod named_limits;
 mod node;
 mod proxy;
 mod silences;
@@ -87,11 +91,12 @@
         faults.step(&mut environment).await;
     }
     faults.heal(&mut environment).await;
+    faults.end_limits(&environment);
     environment.keep_nodes_running_for(RECOVERY_TIME).await;
     faults.check_draining_engines(&mut environment).await;
     let mut violations = callers.check_recovery(&environment).await;
     let summary = callers.stop(&environment, &mut violations).await;
-    violations.extend(faults.take_violations());
+    violations.extend(faults.take_violations(&environment));
     println!(
         "seed {seed}: {summary}, faults {:?}, broken {}",
         faults.counts(),
--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -11,6 +11,7 @@
 use crate::edge_environment::NodeSpec;
 use crate::edge_environment::caller::Caller;
 use crate::edge_environment::engine::{self, Engine};
+use crate::edge_environment::named_limit::NamedLimit;
 use crate::edge_environment::service::Service;
 use crate::edge_environment::store::Store;
 use crate::history::{History, Occurrence, UpstreamAt};
@@ -20,6 +21,8 @@
 const ENGINE_COUNT: usize = 8;
 /// Half of them belong to each of two services.
 const SERVICE_COUNT: usize = 4;
+/// How long an engine is down after a crashing part took it down.
+const ENGINE_DOWN_TIME: Duration = Duration::from_millis(600);
 pub const GRACE_PERIOD: Duration = Duration::from_secs(4);
 
 /// One node: its process, the proxy between it and the store, and a caller for it.
@@ -210,6 +213,28 @@
         }
     }
 
+    pub fn named_limit(&self, upstream: UpstreamAt) -> &NamedLimit {
+        match upstream {
+            UpstreamAt::Engine(at) => &self.engines[at].0.named_limit,
+            UpstreamAt::Service(at) => &self.services[at].0.named_limit,
+        }
+    }
+
+    /// Restarts engines that have been down for a while.
+    pub async fn restart_crashed_engines(&self) {
+        for (engine, _) in &self.engines {
+            if engine
+                .down_time()
+                .is_some_and(|time| time >= ENGINE_DOWN_TIME)
+            {
+                self.store.delete("servers", &engine.id());
+                engine.restart().await;
+                self.store
+                    .put("servers", &engine.id(), engine.entry("ready"));
+            }
+        }
+    }
+
     /// A function that freezes the upstream, or ends this.
     pub fn freezer(&self, upstream: UpstreamAt) -> Box<dyn Fn(bool) + Send> {
         match upstream {
@@ -253,6 +278,7 @@
             for node in &mut self.nodes {
                 node.restart_if_exited();
             }
+            self.restart_crashed_engines().await;
         }
     }
 
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -59,7 +59,7 @@
     pub is_close_delimited: AtomicBool,
     next_break: Mutex<Option<StreamBreak>>,
     /// When prompts with a [crashing part](CRASHING_PART) crashed this engine.
-    part_crashes: Mutex<Vec<Instant>>,
+    part_crashes: Mutex<Vec<(String, Instant)>>,
     crashed_at: Mutex<Option<Instant>>,
     /// Resets new connections; open ones are served.
     pub refuses_connections: AtomicBool,
@@ -115,12 +115,14 @@
     }
 }
 
-/// Number of events that an engine sends before a part of the prompt crashes it;
-/// none if the prompt has no crashing part.
-fn events_before_crash(request: &RawRequest) -> Option<u64> {
+/// The crashing part of a prompt, and the number of events that an engine sends before
+/// the part crashes it; none if the prompt has no crashing part.
+fn crashing_part(request: &RawRequest) -> Option<(String, u64)> {
     let parts = request.header("x-zinniawing-prefix-hash")?.split(',');
-    let mut crashing = parts.filter_map(|part| part.strip_prefix(CRASHING_PART));
-    crashing.next()?.split(':').next()?.parse().ok()
+    let mut names = parts.filter_map(|part| part.split(':').next());
+    let name = names.find(|name| name.starts_with(CRASHING_PART))?;
+    let mut numbers = name[CRASHING_PART.len()..].split(|c: char| !c.is_ascii_digit());
+    Some((name.to_owned(), numbers.next()?.parse().ok()?))
 }
 
 struct RunningGuard<'a>(&'a AtomicUsize);
@@ -230,9 +232,11 @@
         self.next_break.lock().expect("unpoisoned").is_some()
     }
 
-    /// When prompts with a crashing part crashed this engine.
-    pub fn part_crashes(&self) -> Vec<Instant> {
-        self.part_crashes.lock().expect("unpoisoned").clone()
+    /// When prompts with a crashing part, whose name begins so, crashed this engine.
+    pub fn part_crashes_of(&self, name: &str) -> Vec<Instant> {
+        let crashes = self.part_crashes.lock().expect("unpoisoned");
+        let of_part = crashes.iter().filter(|(part, _)| part.starts_with(name));
+        of_part.map(|(_, at)| *at).collect()
     }
 
     /// Time since its crash, until it listens again.
@@ -250,6 +254,7 @@
     /// Listens again, as a new incarnation with the id that it had.
     pub async fn restart_under_same_id(self: &Arc<Self>) {
         self.incarnation.fetch_add(1, Ordering::Relaxed);
+        self.named_limit.record_start();
         self.clone().listen().await;
     }
 
@@ -327,11 +332,13 @@
         if stream.write_all(head.as_bytes()).await.is_err() {
             return false;
         }
-        let crash_after = events_before_crash(&request);
+        let crashing_part = crashing_part(&request);
         for id in from_event + 1..=last_event {
             self.wait_until_unfrozen().await;
-            if crash_after.is_some_and(|events| id > from_event + events) {
-                self.crash_under_part().await;
+            if let Some((part, events)) = &crashing_part
+                && id > from_event + events
+            {
+                self.crash_under_part(part).await;
             }
             let event = format!("id: {id}\n: {software_version}\ndata: {call_id} piece {id}\n\n");
             if let Some(at) = self.take_break(id - from_event) {
@@ -369,12 +376,12 @@
     }
 
     /// Crashes the engine shortly after it began to write an answer.
-    async fn crash_under_part(&self) {
+    async fn crash_under_part(&self, part: &str) {
         tokio::time::sleep(CRASH_DELAY).await;
         self.part_crashes
             .lock()
             .expect("unpoisoned")
-            .push(Instant::now());
+            .push((part.to_owned(), Instant::now()));
         self.crash();
         std::future::pending().await
     }
--- a/tests/support/edge_environment/named_limit.rs
+++ b/tests/support/edge_environment/named_limit.rs
@@ -9,6 +9,8 @@
 pub struct NamedLimit {
     text: Mutex<Option<String>>,
     arrivals: Mutex<Vec<Instant>>,
+    /// When later incarnations of the upstream started.
+    starts: Mutex<Vec<Instant>>,
 }
 
 impl NamedLimit {
@@ -35,12 +37,27 @@
         arrivals.iter().copied().filter(|at| *at >= since).collect()
     }
 
-    /// Largest number of requests that arrived within one window of this length.
-    pub fn arrivals_max(&self, since: Instant, window: Duration) -> usize {
-        let arrivals = self.arrivals_since(since);
-        let in_window = arrivals.iter().map(|first| {
-            let within = |at: &&Instant| **at >= *first && **at < *first + window;
-            arrivals.iter().filter(within).count()
+    /// Records that the upstream started again, and names its limit anew.
+    pub fn record_start(&self) {
+        self.starts.lock().expect("unpoisoned").push(Instant::now());
+    }
+
+    /// Largest number of requests that arrived within one window of this length, later
+    /// than `grace` after the limit was named at `named_at` or the upstream started.
+    pub fn arrivals_max(&self, named_at: Instant, grace: Duration, window: Duration) -> usize {
+        let arrivals = self.arrivals_since(named_at);
+        let starts = self.starts.lock().expect("unpoisoned");
+        let incarnation = |at: Instant| starts.iter().filter(|start| **start <= at).max().copied();
+        let is_counted = |at: &Instant| {
+            let since = incarnation(*at).map_or(named_at, |start| start.max(named_at));
+            *at >= since + grace
+        };
+        let counted: Vec<Instant> = arrivals.into_iter().filter(is_counted).collect();
+        let in_window = counted.iter().map(|first| {
+            let within = |at: &&Instant| {
+                **at >= *first && **at < *first + window && incarnation(**at) == incarnation(*first)
+            };
+            counted.iter().filter(within).count()
         });
         in_window.max().unwrap_or(0)
     }
--- a/tests/upstream_limits.rs
+++ b/tests/upstream_limits.rs
@@ -66,7 +66,7 @@
 }
 
 fn assert_within(limit: &NamedLimit, limit_per_s: f64, since: Instant) {
-    let most = limit.arrivals_max(since, WINDOW);
+    let most = limit.arrivals_max(since, Duration::ZERO, WINDOW);
     let all = limit.arrivals_since(since).len() as f64;
     let mean_per_s = all / since.elapsed().as_secs_f64();
     println!("limit {limit_per_s}: {most} in a window, {mean_per_s:.2} a second");
