Keep convictions when many upstreams are lost, and try them less often

Cause: read again with fresh eyes. A node keeps 256 crashes; the loss of a data centre with more calls than that would have displaced the crashes on which a conviction rests, and the part would have been free at all nodes. And two trials within half a minute, with a call that was under way, are the three requests that the rule allows. Change: crashes on which a conviction rests are dropped last. Trials come after 6, 48, 384 and then every 450 s.

--- a/src/policy/crash_evidence.rs
+++ b/src/policy/crash_evidence.rs
@@ -78,7 +78,7 @@
 }
 
 impl Crash {
-    fn has(&self, feature: Fingerprint) -> bool {
+    pub(crate) fn has(&self, feature: Fingerprint) -> bool {
         self.request == feature || self.parts.contains(&feature)
     }
 }
@@ -91,8 +91,14 @@
 }
 
 impl CrashEvidence {
-    /// Adds a crash. Returns false if it was known.
-    pub(crate) fn add_crash(&mut self, crash: Crash, now: Instant) -> bool {
+    /// Adds a crash. Returns false if it was known. If too many are known, the oldest
+    /// one that is not `needed` is dropped.
+    pub(crate) fn add_crash(
+        &mut self,
+        crash: Crash,
+        now: Instant,
+        is_needed: impl Fn(&Crash) -> bool,
+    ) -> bool {
         self.remove_expired(now);
         let is_same =
             |known: &Crash| known.upstream == crash.upstream && known.request == crash.request;
@@ -100,7 +106,8 @@
             return false;
         }
         if self.crashes.len() >= CRASHES_MAX {
-            self.crashes.pop_front();
+            let unneeded = self.crashes.iter().position(|k| !is_needed(&k.crash));
+            self.crashes.remove(unneeded.unwrap_or(0));
         }
         self.crashes.push_back(KnownCrash {
             crash,
--- a/src/policy/poison_detector.rs
+++ b/src/policy/poison_detector.rs
@@ -28,9 +28,9 @@
 /// upstreams are refused.
 const CONVICTION_DELAY: Duration = Duration::from_secs(1);
 /// Time from the last crash to the first trial.
-const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(5);
+const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(6);
 /// Factor by which the time to the next trial grows with each that fails.
-const TRIAL_BACKOFF_FACTOR: u32 = 4;
+const TRIAL_BACKOFF_FACTOR: u32 = 8;
 /// Longest time to the next trial.
 const TRIAL_DELAY_MAX: Duration = Duration::from_secs(450);
 /// Time without a crash after which the next one counts as a failed trial.
@@ -87,15 +87,22 @@
             .finish()
     }
 
+    fn rests_on(&self, crash: &Crash) -> bool {
+        self.features.iter().all(|feature| crash.has(*feature))
+    }
+
     fn applies_to(&self, features: &[Fingerprint], now: Instant) -> bool {
         now >= self.effective_at && self.features.iter().all(|f| features.contains(f))
     }
 }
 
 impl PoisonDetector {
-    /// Records a crash. Returns false if it was known.
+    /// Records a crash. Returns false if it was known. The loss of many upstreams at
+    /// once does not displace the crashes on which convictions rest.
     pub(crate) fn record_crash(&mut self, crash: Crash, now: Instant) -> bool {
-        let is_new = self.evidence.add_crash(crash, now);
+        let convictions = &self.convictions;
+        let is_needed = |known: &Crash| convictions.iter().any(|c| c.rests_on(known));
+        let is_new = self.evidence.add_crash(crash, now, is_needed);
         self.is_outdated |= is_new;
         is_new
     }
