Reset the connection in the soak's proxy when its other side was reset

The stand-in service had reset its connection within an answer without a length; the proxy dropped its write half, which closes in order before the reset, so the node saw the end of a whole answer. Change: the proxy forgets both halves when either connection breaks.

--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -74,23 +74,31 @@
     };
     let requests = relay_one_way(&mut client_in, &mut upstream_out, modes.clone(), false);
     let answers = relay_one_way(&mut upstream_in, &mut client_out, modes.clone(), true);
-    tokio::select! {
-        _ = is_reset => {}
-        () = requests => {}
-        () = answers => {}
+    let is_whole = tokio::select! {
+        _ = is_reset => false,
+        ended = requests => ended.is_ok(),
+        ended = answers => ended.is_ok(),
+    };
+    if !is_whole {
+        // Dropping a half would close it in order before the reset, and an answer
+        // without a length would look whole.
+        client_out.forget();
+        upstream_out.forget();
     }
 }
 
+/// Relays until the sender closes its side; fails if either connection breaks.
 async fn relay_one_way(
     from: &mut tokio::net::tcp::OwnedReadHalf,
     to: &mut tokio::net::tcp::OwnedWriteHalf,
     mut modes: watch::Receiver<Mode>,
     is_answer: bool,
-) {
+) -> std::io::Result<()> {
     let mut buffer = vec![0; 16 * 1024];
-    while let Ok(count) = from.read(&mut buffer).await {
+    loop {
+        let count = from.read(&mut buffer).await?;
         if count == 0 {
-            return;
+            return Ok(());
         }
         let is_held_back =
             |mode: &Mode| *mode == Mode::Silent || (is_answer && *mode == Mode::NoAnswers);
@@ -101,8 +109,6 @@
         if let Ok(Mode::Delay(delay)) = mode {
             tokio::time::sleep(delay).await;
         }
-        if to.write_all(&buffer[..count]).await.is_err() {
-            return;
-        }
+        to.write_all(&buffer[..count]).await?;
     }
 }
