Split refusals and the choice of upstreams from the forwarder

Change: forward/refusal.rs answers calls that are not served, and forward/stream_choice.rs chooses where a stream runs. The node that grants permits is the coordinator, the other one the standby. Features of a request are hashed only while there is a conviction.

--- a/src/edge/peer_permits.rs
+++ b/src/edge/peer_permits.rs
@@ -25,7 +25,7 @@
 }
 
 impl PeerPermits {
-    /// Asks the keeper for permits, and the deputy if the keeper does not answer.
+    /// Asks the coordinator for permits, and the standby if the coordinator does not answer.
     /// Returns none if neither does.
     pub(crate) async fn request(
         &self,
@@ -36,7 +36,7 @@
         let staying: Vec<&Member> = alive.iter().filter(|member| !member.leaving).collect();
         let key = Fnv::new().text(upstream).finish();
         let order = rendezvous_order(key, staying.iter().map(|member| member.node.as_str()));
-        let grantors = [Grantor::Keeper, Grantor::Deputy];
+        let grantors = [Grantor::Coordinator, Grantor::Standby];
         for (name, grantor) in order.into_iter().zip(grantors) {
             let member = staying.iter().find(|member| member.node == name)?;
             let granted = self.request_from(member, upstream, demand, grantor).await;
@@ -62,7 +62,7 @@
             rate_per_1000_s: demand.rate.per_1000_s,
             wanted_count: demand.wanted_count,
             refused_count: demand.refused_count,
-            is_deputy: grantor == Grantor::Deputy,
+            is_standby: grantor == Grantor::Standby,
         });
         let address = member.peer_address;
         let reply = self.peers.call(address, request, REQUEST_TIMEOUT).await;
@@ -81,10 +81,10 @@
             wanted_count: request.wanted_count,
             refused_count: request.refused_count,
         };
-        let grantor = if request.is_deputy {
-            Grantor::Deputy
+        let grantor = if request.is_standby {
+            Grantor::Standby
         } else {
-            Grantor::Keeper
+            Grantor::Coordinator
         };
         let grant = self.own.grant(&request.upstream, demand, grantor);
         PermitReply {
--- a/src/experiment/limits.rs
+++ b/src/experiment/limits.rs
@@ -62,7 +62,7 @@
     };
     for grant in 0..GRANT_COUNT {
         let now = began_at + Duration::from_millis(1) * grant;
-        black_box(bucket.grant(demand, Grantor::Keeper, now));
+        black_box(bucket.grant(demand, Grantor::Coordinator, now));
     }
     began_at.elapsed() / GRANT_COUNT
 }
@@ -76,7 +76,7 @@
             rate_per_1000_s: 2_100,
             wanted_count: 1,
             refused_count: 100,
-            is_deputy: false,
+            is_standby: false,
         })),
     };
     let reply = PeerReply {
--- a/src/fleet/part_crashes.rs
+++ b/src/fleet/part_crashes.rs
@@ -140,10 +140,10 @@
     /// may come again.
     pub(crate) fn check_allowed(&self, parts: PromptParts<'_>) -> Result<(), Duration> {
         let mut detector = self.lock();
-        if detector.is_empty() {
+        let now = Instant::now();
+        if !detector.has_convictions(now) {
             return Ok(());
         }
-        let now = Instant::now();
         match detector.verdict(&parts.features(), now) {
             // Whole requests are judged by `SuspectRequests`.
             Verdict::Allowed | Verdict::CrashesUpstreams(_) => Ok(()),
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
+use hyper::Request;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
-use hyper::{Request, StatusCode};
+use hyper::header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
 use rand::RngExt;
 
 use super::directory::Directory;
@@ -23,9 +23,7 @@
 use crate::id::{DataCentreId, ServiceId, UpstreamId};
 use crate::observe::metrics::{Counter, Metrics};
 use crate::platform::call::{self, CallHeaders};
-use crate::policy::failure_response::{
-    GiveUpReason, Progress, Unavailable, error_kind, retry_after,
-};
+use crate::policy::failure_response::{GiveUpReason, Progress};
 use crate::policy::placement::{Candidate, is_assigned};
 use crate::policy::upstream_limit::{Grant, PermitDemand};
 
@@ -33,10 +31,6 @@
 /// that might not end before it.
 const CALL_TIME_MIN: Duration = Duration::from_millis(500);
 
-/// Time over which refused callers return after the earliest time that they were
-/// given.
-const REFUSED_RETURN_SPREAD: Duration = Duration::from_secs(1);
-
 /// The forwarder's view of its node and of the cluster.
 pub(crate) trait NodeContext: Send + Sync + 'static {
     /// Index of this node among the live nodes that are not leaving, sorted by
@@ -157,35 +151,6 @@
         Err(error)
     }
 
-    fn reject(&self, headers: &CallHeaders, error: &Error) -> HttpResponse {
-        self.metrics.add(Counter::CallsRejected, 1);
-        let id = headers.call_id.as_ref().and_then(|id| id.to_str().ok());
-        log::info!(
-            "event=call_rejected call={} kind={} config={} fresh={}",
-            id.unwrap_or("-"),
-            error.kind.name(),
-            self.route_table
-                .load()
-                .as_ref()
-                .map_or(0, |table| table.version),
-            self.node.is_config_fresh()
-        );
-        let mut response = http::error_response(error);
-        if response.status() == StatusCode::SERVICE_UNAVAILABLE {
-            let max_wait = headers.max_wait.unwrap_or(Duration::from_secs(3));
-            let missing = if self.route_table.load().is_some() {
-                Unavailable::Upstreams
-            } else {
-                Unavailable::Configuration
-            };
-            set_retry_after(
-                &mut response,
-                retry_after(missing, max_wait, random_fraction()),
-            );
-        }
-        response
-    }
-
     async fn accept(
         self: &Arc<Self>,
         request: Request<Incoming>,
@@ -270,61 +235,6 @@
         }
     }
 
-    /// Refuses a call that has not been sent, because calls of its kind crash
-    /// upstreams. The caller may return after `wait`.
-    fn refuse(&self, call: &Call, reason: GiveUpReason, wait: Duration) -> HttpResponse {
-        let cause = "upstreams crashed under such requests";
-        let mut response = self.give_up(call, reason, Progress::NotRun, cause);
-        let spread = REFUSED_RETURN_SPREAD.mul_f64(random_fraction());
-        set_retry_after(&mut response, wait + spread);
-        response
-    }
-
-    /// Gives up a call for which no upstream has room. If it has not run, its caller
-    /// may return after `wait`.
-    pub(crate) fn refuse_over_limit(
-        &self,
-        call: &Call,
-        progress: Progress,
-        wait: Duration,
-    ) -> HttpResponse {
-        let cause = "all upstreams of the service have reached their limits";
-        let mut response = self.give_up(call, GiveUpReason::NoUpstream, progress, cause);
-        if progress == Progress::NotRun {
-            set_retry_after(&mut response, wait);
-        }
-        response
-    }
-
-    /// Builds the final answer to a call that is given up, and logs it.
-    pub(crate) fn give_up(
-        &self,
-        call: &Call,
-        reason: GiveUpReason,
-        progress: Progress,
-        cause: &str,
-    ) -> HttpResponse {
-        let kind = error_kind(reason, progress);
-        self.metrics.add(Counter::CallsGivenUp, 1);
-        log::warn!(
-            "event=call_given_up call={} route={} service={} why={reason:?} progress={progress:?} cause={cause:?} age_ms={} left_ms={} status={} resumes={}",
-            call.id(),
-            call.matched.route.name,
-            call.service,
-            call.age().as_millis(),
-            call.time_left(Instant::now()).as_millis(),
-            kind.answer().status.as_u16(),
-            call.resumed_id().unwrap_or("-")
-        );
-        let mut response = http::error_response(&Error::new(kind, cause));
-        if progress == Progress::NotRun {
-            let time_left = call.time_left(Instant::now());
-            let after = retry_after(Unavailable::Upstreams, time_left, random_fraction());
-            set_retry_after(&mut response, after);
-        }
-        response
-    }
-
     /// Chooses among the upstreams of a service, and only among those that
     /// `origin` admits if the run has one. `choose` gets the candidates and a
     /// random number, and returns the index of one candidate.
@@ -422,14 +332,3 @@
         is_borrowed
     }
 }
-
-/// Sets `Retry-After`, in seconds with two decimals.
-fn set_retry_after(response: &mut HttpResponse, after: Duration) {
-    if let Ok(value) = HeaderValue::from_str(&format!("{:.2}", after.as_secs_f64())) {
-        response.headers_mut().insert(RETRY_AFTER, value);
-    }
-}
-
-fn random_fraction() -> f64 {
-    rand::rng().random_range(0.0..1.0)
-}
--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -58,10 +58,10 @@
         is_assigned: impl FnOnce(u64) -> bool,
     ) -> Permission {
         let mut detector = self.lock();
-        if detector.is_empty() {
+        let now = Instant::now();
+        if !detector.has_convictions(now) {
             return Permission::Allowed;
         }
-        let now = Instant::now();
         match detector.verdict(&call.features(), now) {
             Verdict::Allowed => Permission::Allowed,
             Verdict::TrialDue(key) if is_assigned(key) => {
--- /dev/null
+++ b/src/forward/stream_choice.rs
@@ -0,0 +1,95 @@
+//! Chooses the upstream at which a stream begins or resumes.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use super::forwarder::NodeContext;
+use super::run_replica::{RunReplica, lock};
+use super::stream_call::{NextUpstream, OpenFailure, StreamRun};
+use super::upstream::Upstream;
+use crate::policy::failure_response::GiveUpReason;
+use crate::policy::placement::choose_engine;
+
+impl<N: NodeContext> StreamRun<N> {
+    /// Chooses an upstream that has room for the call.
+    pub(super) async fn choose_upstream(&self) -> Result<Arc<Upstream>, OpenFailure> {
+        let choosing = self
+            .forwarder
+            .choose_permitted(&self.tried, |excluded| self.candidate(excluded));
+        choosing.await.map_err(|wait| match wait {
+            Some(wait) => OpenFailure::OverLimit(wait),
+            None => OpenFailure::given_up(GiveUpReason::NoUpstream, self.no_upstream_cause()),
+        })
+    }
+
+    /// Chooses the holder of the run's replica if there is one, otherwise the
+    /// engine that has the prompt cached, otherwise the least busy engine.
+    fn candidate(&self, excluded: &[Arc<Upstream>]) -> Option<Arc<Upstream>> {
+        let is_over_limit = |upstream: &Arc<Upstream>| {
+            let refused = &excluded[self.tried.len()..];
+            refused.iter().any(|other| Arc::ptr_eq(other, upstream))
+        };
+        let holder = lock(&self.replica)
+            .as_ref()
+            .filter(|replica| self.can_resume_from(replica))
+            .map(|replica| replica.holder.clone())
+            .filter(|holder| !is_over_limit(holder));
+        let forwarder = &self.forwarder;
+        let origin = self.origin.as_ref();
+        holder
+            .or_else(|| self.upstream_with_cached_prompt(excluded))
+            .or_else(|| {
+                forwarder.choose_upstream(&self.call.service, excluded, origin, choose_engine)
+            })
+            .or_else(|| self.choose_again(&excluded[self.tried.len()..]))
+    }
+
+    /// Chooses among the upstreams that were tried, except for the last one and those
+    /// that have no room. A stream that has begun can't be refused any more, and an
+    /// upstream that it left may have gone on since.
+    fn choose_again(&self, over_limit: &[Arc<Upstream>]) -> Option<Arc<Upstream>> {
+        if self.event_count == 0 {
+            return None;
+        }
+        let last = self.tried.last();
+        let excluded: Vec<Arc<Upstream>> = last.into_iter().chain(over_limit).cloned().collect();
+        let origin = self.origin.as_ref();
+        self.forwarder
+            .choose_upstream(&self.call.service, &excluded, origin, choose_engine)
+    }
+
+    /// Takes the run's replica, which is used only if `upstream` holds it.
+    pub(super) fn next_at(&self, upstream: Arc<Upstream>) -> NextUpstream {
+        let replica = lock(&self.replica).take().filter(|replica| {
+            Arc::ptr_eq(&replica.holder, &upstream) && self.can_resume_from(replica)
+        });
+        NextUpstream { upstream, replica }
+    }
+
+    fn no_upstream_cause(&self) -> &'static str {
+        match self.origin {
+            Some(_) => "no upstream of the version that began the stream accepts calls",
+            None => "no upstream of the service accepts calls",
+        }
+    }
+
+    /// Whether the run can resume from its replica. Before the first event the
+    /// replica is empty, and the send would waste retry budget.
+    fn can_resume_from(&self, replica: &RunReplica) -> bool {
+        self.has_upstream_sent_event && replica.is_usable() && self.admits(&replica.holder)
+    }
+
+    /// Returns the engine that has the prompt of the call's session cached,
+    /// unless the engine was tried, is draining or is to be avoided.
+    fn upstream_with_cached_prompt(&self, excluded: &[Arc<Upstream>]) -> Option<Arc<Upstream>> {
+        let now = Instant::now();
+        let session = self.call.headers.session.as_ref()?;
+        let id = self.forwarder.sessions.cached_at(session, now)?;
+        let was_tried = excluded.iter().any(|tried| tried.entry.id == id);
+        let serving = self.forwarder.directory.serving(&self.call.service);
+        let upstream = serving.into_iter().find(|u| u.entry.id == id)?;
+        let is_eligible =
+            !was_tried && upstream.avoided_until(now).is_none() && self.admits(&upstream);
+        is_eligible.then_some(upstream)
+    }
+}
--- a/src/forward/upstream_permits.rs
+++ b/src/forward/upstream_permits.rs
@@ -25,7 +25,7 @@
 }
 
 impl UpstreamPermits {
-    /// Grants permits for an upstream as its keeper or deputy.
+    /// Grants permits for an upstream as its coordinator or standby.
     pub(crate) fn grant(
         &self,
         upstream: &UpstreamId,
--- a/src/membership/message/permit.rs
+++ b/src/membership/message/permit.rs
@@ -2,7 +2,7 @@
 
 use prost::Message;
 
-/// Asks the receiver, as the keeper or deputy of an upstream's limit, for permits.
+/// Asks the receiver, as the coordinator or standby of an upstream's limit, for permits.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub(crate) struct PermitRequest {
     /// Id of the upstream.
@@ -17,9 +17,9 @@
     /// Number of calls that the sender refused since it last asked.
     #[prost(uint32, tag = "4")]
     pub(crate) refused_count: u32,
-    /// Whether the receiver stands in for a keeper that does not answer.
+    /// Whether the receiver stands in for a coordinator that does not answer.
     #[prost(bool, tag = "5")]
-    pub(crate) is_deputy: bool,
+    pub(crate) is_standby: bool,
 }
 
 /// Reply to [`PermitRequest`].
--- a/src/policy/poison_detector.rs
+++ b/src/policy/poison_detector.rs
@@ -125,6 +125,12 @@
         self.is_outdated |= self.evidence.add_clearance(clearance, now);
     }
 
+    /// Whether any request may be refused.
+    pub(crate) fn has_convictions(&mut self, now: Instant) -> bool {
+        self.evaluate(now);
+        !self.convictions.is_empty()
+    }
+
     /// Whether a request with these features may be sent; the first is the request
     /// as a whole.
     pub(crate) fn verdict(&mut self, features: &[Fingerprint], now: Instant) -> Verdict {
--- a/src/policy/tests/upstream_limit.rs
+++ b/src/policy/tests/upstream_limit.rs
@@ -37,7 +37,7 @@
 }
 
 #[test]
-fn a_keeper_and_a_deputy_together_stay_within_the_limit() {
+fn a_coordinator_and_a_standby_together_stay_within_the_limit() {
     let start = Instant::now();
     let demand = PermitDemand {
         rate: rate(10.0),
@@ -45,7 +45,7 @@
         refused_count: 0,
     };
     let mut granted = 0;
-    for grantor in [Grantor::Keeper, Grantor::Deputy] {
+    for grantor in [Grantor::Coordinator, Grantor::Standby] {
         let mut bucket = PermitBucket::new(start);
         for tick in 1..=400 {
             granted += bucket.grant(demand, grantor, start + TICK * tick).count;
--- a/src/policy/upstream_limit.rs
+++ b/src/policy/upstream_limit.rs
@@ -1,18 +1,18 @@
 //! The limit on the requests of all nodes together that an upstream in need names.
 //!
 //! A share of the limit for each node would be no answer: at two requests a second
-//! and 390 nodes each had one in minutes. Instead one node, the keeper, grants
-//! permits for the upstream, and another one, the deputy, stands in at half the rate
-//! while nodes do not reach the keeper. Rendezvous hashing chooses both, so nodes
+//! and 390 nodes each had one in minutes. Instead one node, the coordinator, grants
+//! permits for the upstream, and another one, the standby, stands in at half the rate
+//! while nodes do not reach the coordinator. Rendezvous hashing chooses both, so nodes
 //! agree on them without messages. `docs/LIMITS.md` weighs this against others.
 
 use std::time::{Duration, Instant};
 
-/// Fraction of the limit that the keeper grants. The rest is for requests that were
-/// sent before a node knew the limit, and for moments with two keepers.
-const KEEPER_FRACTION: f64 = 0.9;
-/// Fraction of the limit that the deputy grants.
-const DEPUTY_FRACTION: f64 = 0.45;
+/// Fraction of the limit that the coordinator grants. The rest is for requests that were
+/// sent before a node knew the limit, and for moments with two coordinators.
+const COORDINATOR_FRACTION: f64 = 0.9;
+/// Fraction of the limit that the standby grants.
+const STANDBY_FRACTION: f64 = 0.45;
 /// Requests a second that are sent to an upstream whose limit is lower, to learn when
 /// it ends.
 const TRIAL_RATE_PER_S: f64 = 0.25;
@@ -57,9 +57,9 @@
 /// Which node grants permits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Grantor {
-    Keeper,
-    /// Stands in for a keeper that does not answer.
-    Deputy,
+    Coordinator,
+    /// Stands in for a coordinator that does not answer.
+    Standby,
 }
 
 /// A node's request for permits.
@@ -131,8 +131,8 @@
 
 fn granted_rate_per_s(limit: Rate, grantor: Grantor) -> f64 {
     let fraction = match grantor {
-        Grantor::Keeper => KEEPER_FRACTION,
-        Grantor::Deputy => DEPUTY_FRACTION,
+        Grantor::Coordinator => COORDINATOR_FRACTION,
+        Grantor::Standby => STANDBY_FRACTION,
     };
     (limit.per_second() * fraction).max(TRIAL_RATE_PER_S)
 }
--- a/src/simulation/permits.rs
+++ b/src/simulation/permits.rs
@@ -1,4 +1,4 @@
-//! Simulates nodes that send to one upstream with a limit, and its keeper.
+//! Simulates nodes that send to one upstream with a limit, and its coordinator.
 
 use std::time::{Duration, Instant};
 
@@ -12,7 +12,7 @@
 pub(crate) struct PermitLog {
     /// Sends in each interval.
     pub(crate) sent: Vec<usize>,
-    /// Requests to the keeper, in all.
+    /// Requests to the coordinator, in all.
     pub(crate) ask_count: usize,
 }
 
@@ -20,7 +20,7 @@
 /// `interval_count` intervals.
 pub(crate) fn simulate_permits(node_count: usize, limit: Rate, interval_count: u32) -> PermitLog {
     let start = Instant::now();
-    let mut keeper = PermitBucket::new(start);
+    let mut coordinator = PermitBucket::new(start);
     let mut nodes: Vec<UpstreamLimit> = (0..node_count).map(|_| UpstreamLimit::default()).collect();
     for node in &mut nodes {
         node.record_named(limit, start);
@@ -34,7 +34,7 @@
             if let SendDecision::Ask(demand) = decision {
                 log.ask_count += 1;
                 let draw = (number * 7 % node_count) as f64 / node_count as f64;
-                let grant = keeper.grant(demand, Grantor::Keeper, now);
+                let grant = coordinator.grant(demand, Grantor::Coordinator, now);
                 decision = node.apply_grant(grant, draw, now);
             }
             sent_count += usize::from(decision == SendDecision::Send);
