Take an upstream for down that accepts a connection and closes it

Cause: after a broken answer a node connected to the upstream, and counted a crash only if that failed. Change: the new connection must stay open for 20 ms. The probe of an engine with a limit uses the same check.

--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -19,7 +19,10 @@
 use tokio_util::task::AbortOnDropHandle;
 
 /// Longest time that opening a connection may take.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time within which a connection that was accepted for an upstream that is down is
+/// closed.
+const ACCEPTED_CLOSE_TIME: Duration = Duration::from_millis(20);
 /// Time between TCP keep-alive probes of a connection without traffic.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered keep-alive probes after which the kernel closes a
@@ -81,6 +84,11 @@
         self.is_reused
     }
 
+    /// Whether the upstream has closed the connection.
+    fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Sends a request and waits for the head of the answer.
     pub(crate) async fn send(
         &mut self,
@@ -145,6 +153,16 @@
         Connection::open(self.address).await
     }
 
+    /// Whether the upstream accepts a new connection and keeps it. A party in between
+    /// may accept one for an upstream that is down, and then close it.
+    pub(crate) async fn keeps_connection(&self) -> bool {
+        let Ok(connection) = self.open().await else {
+            return false;
+        };
+        tokio::time::sleep(ACCEPTED_CLOSE_TIME).await;
+        !connection.is_closed()
+    }
+
     /// Returns a connection to the pool, after an answer that ended cleanly.
     pub(crate) fn put(&self, mut connection: Connection, idle_timeout: Option<Duration>) {
         let lifetime = idle_timeout.unwrap_or(IDLE_TIMEOUT_DEFAULT);
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -129,8 +129,8 @@
     if !upstream.is_limited() {
         return probe_engine(upstream).await.is_some();
     }
-    let connecting = tokio::time::timeout(PROBE_TIMEOUT, upstream.pool.open());
-    matches!(connecting.await, Ok(Ok(_)))
+    let connecting = tokio::time::timeout(PROBE_TIMEOUT, upstream.pool.keeps_connection());
+    connecting.await.unwrap_or(false)
 }
 
 /// Probes an engine by requesting its report. Returns none if it is unreachable
--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -9,7 +9,6 @@
 
 use tokio::task::JoinHandle;
 
-use super::connection::CONNECT_TIMEOUT;
 use super::forwarder::{Forwarder, NodeContext};
 use super::observation::{Observation, Observations};
 use super::request::Call;
@@ -118,8 +117,7 @@
 
     async fn check_for_crash(&self, call: &Call, upstream: &Upstream, was_writing: bool) {
         tokio::time::sleep(PORT_CLOSE_DELAY).await;
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, upstream.pool.open());
-        if matches!(connecting.await, Ok(Ok(_))) {
+        if upstream.pool.keeps_connection().await {
             return;
         }
         let crash = Crash {
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of single parts of the forwarder, without callers or running
 //! upstreams.
 
+mod connection;
 mod probe;
 mod run_origin;
 mod send_history;
