Evaluate the evidence on crashes only after it changed

Each stream that went on had the evidence evaluated anew, for half an hour after any crash. And an answer that ends with its connection counted as a sound run at its end, though its upstream may have crashed there.

--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -227,7 +227,10 @@
                         upstream.pool.put(connection, idle_timeout);
                     }
                     self.free_current_replica(&upstream);
-                    self.record_survival(first_event_at.unwrap_or_else(Instant::now));
+                    // An upstream that crashes may seem to end such an answer.
+                    if !is_close_delimited {
+                        self.record_survival(first_event_at.unwrap_or_else(Instant::now));
+                    }
                     return SegmentEnd::Complete;
                 }
                 None => {
--- a/src/policy/crash_evidence.rs
+++ b/src/policy/crash_evidence.rs
@@ -49,6 +49,16 @@
     pub(crate) up_to: Version,
 }
 
+/// What a sound run refuted.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Refutation {
+    /// Whether a feature was cleared that was not before.
+    pub(crate) has_cleared: bool,
+    /// The clearances that other nodes need: those of features under which several
+    /// upstreams crashed.
+    pub(crate) needed_by_peers: Vec<Clearance>,
+}
+
 #[derive(Debug)]
 struct KnownCrash {
     crash: Crash,
@@ -92,7 +102,7 @@
 
 impl CrashEvidence {
     /// Adds a crash. Returns false if it was known. If too many are known, the oldest
-    /// one that is not `needed` is dropped.
+    /// one that is not needed is dropped.
     pub(crate) fn add_crash(
         &mut self,
         crash: Crash,
@@ -130,15 +140,14 @@
     }
 
     /// Clears the features of a run that began to write its answer at `began_at` and
-    /// went on. Returns the clearances that other nodes need: those of features
-    /// under which several upstreams crashed.
+    /// went on.
     pub(crate) fn add_survival(
         &mut self,
         features: &[Fingerprint],
         began_at: Instant,
         now: Instant,
-    ) -> Vec<Clearance> {
-        let mut needed_by_peers = Vec::new();
+    ) -> Refutation {
+        let mut refutation = Refutation::default();
         for feature in features {
             let under_feature = self.crashes.iter().filter(|k| k.crash.has(*feature));
             let known_before = under_feature.clone().filter(|k| k.known_at < began_at);
@@ -152,11 +161,14 @@
                 feature: *feature,
                 up_to,
             };
-            if self.add_clearance(clearance, now) && is_shared {
-                needed_by_peers.push(clearance);
+            if self.add_clearance(clearance, now) {
+                refutation.has_cleared = true;
+                refutation
+                    .needed_by_peers
+                    .extend(is_shared.then_some(clearance));
             }
         }
-        needed_by_peers
+        refutation
     }
 
     pub(crate) fn crash_count(&self) -> usize {
--- a/src/policy/poison_detector.rs
+++ b/src/policy/poison_detector.rs
@@ -115,9 +115,9 @@
         began_at: Instant,
         now: Instant,
     ) -> Vec<Clearance> {
-        let cleared = self.evidence.add_survival(features, began_at, now);
-        self.is_outdated = true;
-        cleared
+        let refutation = self.evidence.add_survival(features, began_at, now);
+        self.is_outdated |= refutation.has_cleared;
+        refutation.needed_by_peers
     }
 
     /// Applies a clearance that another node found.
