Log cancelled sends and what a probe of a silent upstream met

Change: event=send_cancelled for a send that ends before its upstream answers, event=probe_unanswered with the outcome Silent or Broken, heard_ms_ago at event=stream_lost. No decision changes.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -15,6 +15,7 @@
 
 use super::connection::{Connection, SendFailure};
 use super::probe::LossReason;
+use super::unanswered_send::UnansweredSend;
 use super::upstream::{Upstream, Work};
 use crate::id::UpstreamId;
 use crate::platform::answer::{self, AnswerHeaders};
@@ -94,18 +95,11 @@
             work,
             state: Unsent { request },
         } = self;
-        let sent_at = Instant::now();
-        let mut connection = upstream.pool.take().await.map_err(AttemptFailure::from)?;
-        let sent = match connection.send(request.clone()).await {
-            // The upstream had closed the pooled connection before any byte was
-            // sent, so the call is sent over a new one.
-            Err(SendFailure::NotSent(_)) if connection.is_reused() => {
-                connection = upstream.pool.open().await.map_err(AttemptFailure::from)?;
-                connection.send(request).await
-            }
-            sent => sent,
-        };
-        let response = sent.map_err(AttemptFailure::from)?;
+        let unanswered = UnansweredSend::new(&upstream, call_id);
+        let sent_at = unanswered.sent_at();
+        let answered = request_answer(&upstream, request).await;
+        unanswered.ended();
+        let (connection, response) = answered.map_err(AttemptFailure::from)?;
         let headers = answer::read(response.status(), response.headers(), call_id);
         let attempt = Attempt {
             upstream,
@@ -121,6 +115,24 @@
     }
 }
 
+/// Sends the request over a connection of the pool, or over a new one.
+async fn request_answer(
+    upstream: &Upstream,
+    request: Request<Full<Bytes>>,
+) -> Result<(Connection, Response<Incoming>), SendFailure> {
+    let mut connection = upstream.pool.take().await?;
+    let response = match connection.send(request.clone()).await {
+        // The upstream had closed the pooled connection before any byte was sent, so
+        // the call is sent over a new one.
+        Err(SendFailure::NotSent(_)) if connection.is_reused() => {
+            connection = upstream.pool.open().await?;
+            connection.send(request).await?
+        }
+        sent => sent?,
+    };
+    Ok((connection, response))
+}
+
 impl Attempt<Answered> {
     fn check_answer(self) -> Result<Self, AttemptFailure> {
         match classify(&self.state.headers) {
--- a/src/forward/incarnation_check.rs
+++ b/src/forward/incarnation_check.rs
@@ -20,7 +20,7 @@
             return false;
         }
         self.metrics.add(Counter::EngineProbes, 1);
-        let Some(report) = probe_engine(upstream).await else {
+        let Ok(report) = probe_engine(upstream).await else {
             return false;
         };
         let entry = &upstream.entry;
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -39,6 +39,7 @@
 pub(crate) mod stream_move;
 pub(crate) mod stream_relay;
 pub(crate) mod successor;
+pub(crate) mod unanswered_send;
 pub(crate) mod upstream;
 pub(crate) mod upstream_permits;
 pub(crate) mod version_history;
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -123,25 +123,56 @@
     }
 }
 
+/// Why a probe shows no life of an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ProbeFailure {
+    /// Nothing came back in time. The engine may be lost, cut off, or stand still for
+    /// a moment.
+    Silent,
+    /// The connection was refused or broken, or the answer is no report.
+    Broken,
+}
+
 /// Whether an engine answers a probe. One that limits its requests is only connected
 /// to, because a probe counts towards the limit.
 pub(crate) async fn responds(upstream: &Upstream) -> bool {
+    check_alive(upstream).await.is_ok()
+}
+
+/// Probes an engine like [`responds`], and returns what the probe met if it shows no
+/// life.
+pub(crate) async fn check_alive(upstream: &Upstream) -> Result<(), ProbeFailure> {
     if !upstream.is_limited() {
-        return probe_engine(upstream).await.is_some();
+        return probe_engine(upstream).await.map(drop);
     }
     let connecting = tokio::time::timeout(PROBE_TIMEOUT, upstream.pool.keeps_connection());
-    connecting.await.unwrap_or(false)
+    match connecting.await {
+        Ok(true) => Ok(()),
+        Ok(false) => Err(ProbeFailure::Broken),
+        Err(_) => Err(ProbeFailure::Silent),
+    }
 }
 
-/// Probes an engine by requesting its report. Returns none if it is unreachable
-/// or does not answer in time.
-pub(crate) async fn probe_engine(upstream: &Upstream) -> Option<EngineReport> {
+/// Probes an engine by requesting its report.
+pub(crate) async fn probe_engine(upstream: &Upstream) -> Result<EngineReport, ProbeFailure> {
     let fetched = tokio::time::timeout(PROBE_TIMEOUT, fetch_report(upstream)).await;
-    let report = fetched.ok().flatten();
-    if report.is_some() {
-        upstream.record_contact(Instant::now());
+    let now = Instant::now();
+    let probed = match fetched {
+        Ok(Some(report)) => Ok(report),
+        Ok(None) => Err(ProbeFailure::Broken),
+        Err(_) => Err(ProbeFailure::Silent),
+    };
+    match &probed {
+        Ok(_) => upstream.record_contact(now),
+        Err(failure) => log::info!(
+            "event=probe_unanswered upstream={} outcome={failure:?} heard_ms_ago={:?}",
+            upstream.entry.id,
+            upstream
+                .time_since_contact(now)
+                .map(|silence| silence.as_millis())
+        ),
     }
-    report
+    probed
 }
 
 async fn fetch_report(upstream: &Upstream) -> Option<EngineReport> {
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -130,14 +130,16 @@
 
     fn record_loss(&self, upstream: &Upstream, cause: &str) {
         self.forwarder.metrics.add(Counter::StreamsLost, 1);
+        let silence = upstream.time_since_contact(Instant::now());
         log::info!(
-            "event=stream_lost call={} upstream={} version={} began_at={} cause={cause:?} last_event={:?} silent_ms={} sends={} sends_max={} age_ms={}",
+            "event=stream_lost call={} upstream={} version={} began_at={} cause={cause:?} last_event={:?} silent_ms={} heard_ms_ago={:?} sends={} sends_max={} age_ms={}",
             self.call.id(),
             upstream.entry.id,
             version_for_log(upstream.software_version()),
             self.origin_for_log(),
             self.last_event,
             self.silence().as_millis(),
+            silence.map(|silence| silence.as_millis()),
             self.sends.sent_count(),
             self.call.matched.route.attempts_max,
             self.call.age().as_millis()
