--- /dev/null
+++ b/tests/paused_upstreams.rs
@@ -0,0 +1,222 @@
+//! Upstreams whose processes are paused for about a second and go on, as by SIGSTOP
+//! and SIGCONT. The kernel keeps their connections open and queues what is sent to
+//! them; a paused upstream still counts as at work on the calls that it began.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use support::edge_environment::caller::{Caller, Response, new_call_id, send_request};
+use support::edge_environment::run_log::Arrival;
+use support::edge_environment::{
+    IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, STREAM_PATH, TestEnvironment, eventually,
+};
+use tokio::task::JoinHandle;
+
+const EVENT_COUNT: u64 = 100;
+const STREAM_COUNT: usize = 8;
+/// Time for which two upstreams may work on one call.
+const DOUBLE_RUN_MAX: Duration = Duration::from_millis(400);
+/// Time after which no call of a caller that left may reach an upstream.
+const LATE_ARRIVAL_AGE: Duration = Duration::from_millis(500);
+/// Number of late arrivals that a scene may have.
+const LATE_ARRIVALS_MAX: usize = 3;
+
+/// Time in which an upstream that goes on reads the calls that wait.
+const READ_TIME: Duration = Duration::from_millis(20);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Silence {
+    /// The process of the engine is paused.
+    Paused,
+    /// The engine sends no events, but answers probes.
+    WithoutEvents,
+}
+
+/// Arrivals of a call at all upstreams, in the order of their arrival.
+fn arrivals_of(environment: &TestEnvironment, call_id: &str) -> Vec<Arrival> {
+    let engines = environment.engines.iter().map(|engine| &engine.run_log);
+    let services = environment.services.iter().map(|service| &service.run_log);
+    let mut arrivals: Vec<Arrival> = engines
+        .chain(services)
+        .flat_map(|log| log.of_call(call_id))
+        .collect();
+    arrivals.sort_by_key(|arrival| arrival.arrived_at);
+    arrivals
+}
+
+/// Longest time for which two upstreams worked on the call at once.
+fn double_run_time(environment: &TestEnvironment, call_id: &str) -> Duration {
+    let arrivals = arrivals_of(environment, call_id);
+    let pairs = arrivals
+        .iter()
+        .enumerate()
+        .flat_map(|(n, first)| arrivals[n + 1..].iter().map(move |second| (first, second)));
+    let overlap = |(first, second): (&Arrival, &Arrival)| {
+        let first_end = first.ended_at.unwrap_or_else(Instant::now);
+        let second_end = second.ended_at.unwrap_or_else(Instant::now);
+        first_end
+            .min(second_end)
+            .saturating_duration_since(second.arrived_at)
+    };
+    pairs.map(overlap).max().unwrap_or_default()
+}
+
+fn spawn_stream(caller: &Caller) -> JoinHandle<Response> {
+    let caller = caller.clone();
+    tokio::spawn(async move { caller.stream(EVENT_COUNT).await })
+}
+
+/// Starts streams at a node, silences an engine that runs some of them, and checks
+/// that each is complete and that no two engines work on it for long.
+async fn check_no_double_run(silence: Silence, length: Duration) {
+    let environment = TestEnvironment::start(4).await;
+    for engine in &environment.engines {
+        *engine.event_interval.lock().expect("unpoisoned") = Duration::from_millis(30);
+        let reports = silence == Silence::WithoutEvents;
+        engine
+            .reports_while_frozen
+            .store(reports, Ordering::Relaxed);
+    }
+    let (_node, caller) = environment.start_ready_node("n1").await;
+    let streams: Vec<_> = (0..STREAM_COUNT).map(|_| spawn_stream(&caller)).collect();
+    let engines = environment.engines.iter();
+    let running_count = || engines.clone().map(|e| e.running_count()).sum::<usize>();
+    eventually("all streams run", || running_count() == STREAM_COUNT).await;
+    tokio::time::sleep(Duration::from_millis(250)).await;
+
+    let silent = environment.running_engine();
+    let set_silent = |is_silent| match silence {
+        Silence::Paused => silent.process.set_paused(is_silent),
+        Silence::WithoutEvents => silent.set_frozen(is_silent),
+    };
+    set_silent(true);
+    tokio::time::sleep(length).await;
+    set_silent(false);
+
+    let mut double_runs = Vec::new();
+    for stream in streams {
+        let got = stream.await.expect("no panic");
+        assert!(got.is_complete, "cut: {} events", got.event_ids().len());
+        assert_eq!(got.event_ids(), (1..=EVENT_COUNT).collect::<Vec<u64>>());
+        double_runs.push(double_run_time(&environment, &got.call_id));
+    }
+    let longest = double_runs.iter().max().expect("a stream");
+    assert!(*longest < DOUBLE_RUN_MAX, "double runs: {double_runs:?}");
+}
+
+#[tokio::test]
+async fn a_stream_does_not_go_on_elsewhere_while_its_silent_engine_still_works_on_it() {
+    check_no_double_run(Silence::Paused, Duration::from_millis(1_000)).await;
+}
+
+#[tokio::test]
+async fn a_stream_has_no_second_run_beside_an_engine_that_is_paused_for_600_ms() {
+    check_no_double_run(Silence::Paused, Duration::from_millis(600)).await;
+}
+
+#[tokio::test]
+async fn a_stream_has_no_second_run_beside_an_engine_that_is_paused_for_2_s() {
+    check_no_double_run(Silence::Paused, Duration::from_millis(2_000)).await;
+}
+
+#[tokio::test]
+async fn a_stream_has_no_second_run_beside_an_engine_that_answers_only_probes() {
+    check_no_double_run(Silence::WithoutEvents, Duration::from_millis(2_000)).await;
+}
+
+/// A kind of call, with the method, the path and the headers of its request.
+type CallKind = (&'static str, &'static str, &'static str);
+
+const CALL_KINDS: [CallKind; 3] = [
+    ("GET", IDEMPOTENT_PATH, ""),
+    ("POST", NON_IDEMPOTENT_PATH, ""),
+    ("POST", STREAM_PATH, "x-zinniawing-token-usage: 800,5\r\n"),
+];
+
+/// A call whose caller left before its answer was complete.
+struct LeftCall {
+    call_id: String,
+    path: &'static str,
+    left_at: Instant,
+}
+
+/// Sends a call and disconnects after `patience`. Returns none if the answer was
+/// complete before.
+async fn call_and_leave(caller: Caller, kind: CallKind, patience: Duration) -> Option<LeftCall> {
+    let (method, path, headers) = kind;
+    let call_id = new_call_id();
+    let head = caller.head(method, path, &call_id, headers);
+    let request = format!("{head}content-length: 0\r\n\r\n");
+    let answer = send_request(caller.address, request.as_bytes());
+    let answered = tokio::time::timeout(patience, answer).await;
+    answered.is_err().then(|| LeftCall {
+        call_id,
+        path,
+        left_at: Instant::now(),
+    })
+}
+
+/// Sends calls of all kinds at an interval, whose callers leave soon, until
+/// `duration` has passed.
+async fn send_impatient_calls(caller: Caller, duration: Duration) -> Vec<LeftCall> {
+    const INTERVAL: Duration = Duration::from_millis(20);
+    const PATIENCES_MS: [u64; 3] = [50, 300, 600];
+    let count = duration.as_millis() / INTERVAL.as_millis();
+    let mut calls = Vec::new();
+    for n in 0..count as usize {
+        let patience = Duration::from_millis(PATIENCES_MS[n / CALL_KINDS.len() % 3]);
+        let kind = CALL_KINDS[n % CALL_KINDS.len()];
+        calls.push(tokio::spawn(call_and_leave(caller.clone(), kind, patience)));
+        tokio::time::sleep(INTERVAL).await;
+    }
+    let ended = join_all(calls).await;
+    ended
+        .into_iter()
+        .filter_map(|call| call.expect("no panic"))
+        .collect()
+}
+
+#[tokio::test]
+async fn calls_of_callers_that_left_do_not_reach_a_silent_upstream() {
+    const SILENCE: Duration = Duration::from_millis(1_500);
+    let mut environment = TestEnvironment::start(4).await;
+    environment.add_services(2).await;
+    for service in &environment.services {
+        *service.answer_time.lock().expect("unpoisoned") = Duration::from_millis(100);
+    }
+    let (_nodes, callers) = environment.start_ready_nodes(3).await;
+    let (engine, service) = (&environment.engines[0], &environment.services[0]);
+
+    let calling = callers
+        .into_iter()
+        .map(|caller| tokio::spawn(send_impatient_calls(caller, SILENCE * 2)));
+    let calling: Vec<_> = calling.collect();
+    tokio::time::sleep(SILENCE / 2).await;
+    engine.process.set_paused(true);
+    service.process.set_paused(true);
+    tokio::time::sleep(SILENCE).await;
+    let resumed_at = Instant::now();
+    engine.process.set_paused(false);
+    service.process.set_paused(false);
+    let left_calls = join_all(calling).await;
+    tokio::time::sleep(LATE_ARRIVAL_AGE).await;
+
+    let mut late_counts: BTreeMap<&str, usize> = BTreeMap::new();
+    let left_calls = left_calls.into_iter().flat_map(|c| c.expect("no panic"));
+    for call in left_calls {
+        let arrivals = arrivals_of(&environment, &call.call_id);
+        let is_late = |a: &&Arrival| a.arrived_at > call.left_at + LATE_ARRIVAL_AGE;
+        *late_counts.entry(call.path).or_default() += arrivals.iter().filter(is_late).count();
+    }
+    let late_count: usize = late_counts.values().sum();
+    let queued_counts = [&engine.run_log, &service.run_log]
+        .map(|log| log.count_between(resumed_at, resumed_at + READ_TIME));
+    assert!(
+        late_count <= LATE_ARRIVALS_MAX,
+        "late: {late_counts:?}, queued at the engine and the service: {queued_counts:?}"
+    );
+}
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -13,7 +13,8 @@
 
 use super::free_address;
 use super::named_limit::NamedLimit;
-use super::raw::{RawRequest, RequestHandler, reply, reset_on_close, serve};
+use super::process::StandInProcess;
+use super::raw::{RawRequest, RequestHandler, reply, reset_on_close, serve, wait_for_close};
 use super::run_log::RunLog;
 
 /// A part of a prompt that begins with this crashes each engine that begins to write
@@ -69,6 +70,9 @@
     pub named_limit: NamedLimit,
     /// Calls that arrived, run or not; probes are left out.
     pub run_log: RunLog,
+    pub process: StandInProcess,
+    /// Answers probes also while it is frozen.
+    pub reports_while_frozen: AtomicBool,
     name: String,
     /// Number of the current process, from which its start time follows.
     incarnation: AtomicU64,
@@ -155,6 +159,8 @@
             is_full: AtomicBool::new(false),
             named_limit: NamedLimit::default(),
             run_log: RunLog::default(),
+            process: StandInProcess::start(),
+            reports_while_frozen: AtomicBool::new(false),
             name: name.to_owned(),
             incarnation: AtomicU64::new(1),
             id_number: AtomicU64::new(1),
@@ -172,7 +178,8 @@
 
     async fn listen(self: Arc<Self>) {
         self.crashed_at.lock().expect("unpoisoned").take();
-        let server = serve(self.address, self.clone()).await;
+        let serving = self.process.spawn(serve(self.address, self.clone()));
+        let server = serving.await.expect("no panic");
         *self.server.lock().expect("unpoisoned") = Some(server);
     }
 
@@ -314,7 +321,10 @@
         let _guard = RunningGuard(&self.running);
         if !had_replica {
             let prefill_time = *self.prefill_time.lock().expect("unpoisoned");
-            tokio::time::sleep(prefill_time).await;
+            tokio::select! {
+                () = tokio::time::sleep(prefill_time) => {}
+                () = wait_for_close(stream) => return false,
+            }
         }
         self.wait_until_unfrozen().await;
         if let Some(holder) = request.header("x-zinniawing-kv-replica") {
@@ -334,7 +344,10 @@
         }
         let crashing_part = crashing_part(&request);
         for id in from_event + 1..=last_event {
-            self.wait_until_unfrozen().await;
+            tokio::select! {
+                () = self.wait_until_unfrozen() => {}
+                () = wait_for_close(stream) => return false,
+            }
             if let Some((part, events)) = &crashing_part
                 && id > from_event + events
             {
@@ -407,7 +420,11 @@
         self.named_limit.record_arrival();
         let call_id = request.header("x-zinniawing-attempt-id");
         let _arrival = call_id.map(|call_id| self.run_log.begin(call_id));
-        self.wait_until_unfrozen().await;
+        let is_answered_frozen =
+            request.path() == "/report" && self.reports_while_frozen.load(Ordering::Relaxed);
+        if !is_answered_frozen {
+            self.wait_until_unfrozen().await;
+        }
         let expected = request.header("x-zinniawing-expect-instance");
         if expected.is_some_and(|expected| expected != self.id()) {
             let instance_header = format!("x-zinniawing-instance-id: {}\r\n", self.id());
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod engine;
 pub mod named_limit;
+pub mod process;
 pub mod raw;
 pub mod run_log;
 pub mod service;
--- a/tests/support/edge_environment/raw.rs
+++ b/tests/support/edge_environment/raw.rs
@@ -2,6 +2,7 @@
 //! send malformed or truncated responses.
 
 use std::collections::BTreeMap;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -95,6 +96,14 @@
     let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
+/// Waits until the peer closes the connection. The close is not seen while bytes of
+/// another request wait.
+pub async fn wait_for_close(stream: &TcpStream) {
+    if matches!(stream.peek(&mut [0]).await, Ok(count) if count > 0) {
+        pending::<()>().await;
+    }
+}
+
 async fn serve_one<H: RequestHandler>(mut stream: TcpStream, handler: Arc<H>) {
     let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
--- a/tests/support/edge_environment/run_log.rs
+++ b/tests/support/edge_environment/run_log.rs
@@ -35,6 +35,13 @@
         of_call.cloned().collect()
     }
 
+    /// Number of calls that arrived from `start` until `end`.
+    pub fn count_between(&self, start: Instant, end: Instant) -> usize {
+        let arrivals = self.lock();
+        let is_counted = |arrival: &&Arrival| (start..end).contains(&arrival.arrived_at);
+        arrivals.iter().filter(is_counted).count()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Vec<Arrival>> {
         self.0.lock().expect("unpoisoned")
     }
--- a/tests/support/edge_environment/service.rs
+++ b/tests/support/edge_environment/service.rs
@@ -12,7 +12,8 @@
 
 use super::free_address;
 use super::named_limit::NamedLimit;
-use super::raw::{RawRequest, RequestHandler, reply, reset_on_close, serve};
+use super::process::StandInProcess;
+use super::raw::{RawRequest, RequestHandler, reply, reset_on_close, serve, wait_for_close};
 use super::run_log::RunLog;
 
 /// Name of the query field that sets a call's answer time in milliseconds.
@@ -97,6 +98,7 @@
     pub named_limit: NamedLimit,
     /// Calls that arrived, executed or not.
     pub run_log: RunLog,
+    pub process: StandInProcess,
     service: String,
     frozen: tokio::sync::watch::Sender<bool>,
     next_faults: Mutex<VecDeque<NextFault>>,
@@ -116,6 +118,7 @@
             id: id.to_owned(),
             named_limit: NamedLimit::default(),
             run_log: RunLog::default(),
+            process: StandInProcess::start(),
             service: service.to_owned(),
             frozen: tokio::sync::watch::Sender::new(false),
             address,
@@ -126,7 +129,10 @@
             received: Mutex::default(),
             executed: Mutex::default(),
         });
-        serve(service.address, service.clone()).await;
+        let serving = service
+            .process
+            .spawn(serve(service.address, service.clone()));
+        serving.await.expect("no panic");
         service
     }
 
@@ -228,7 +234,10 @@
             || *self.answer_time.lock().expect("unpoisoned"),
             |text| Duration::from_millis(text.parse().expect("a number of milliseconds")),
         );
-        tokio::time::sleep(answer_time).await;
+        tokio::select! {
+            () = tokio::time::sleep(answer_time) => {}
+            () = wait_for_close(stream) => return false,
+        }
         self.wait_until_unfrozen().await;
         let headers = answer_headers(&call_id) + &self.named_limit.header();
         let length = request.query(ANSWER_BYTES_QUERY);
