Keep a stream at its silent engine until a sound one would have gone on (TWICE)

Cause: an engine that did not answer a probe within 150 ms was declared lost after 410 ms of silence, and its streams moved. An engine that stands still does not read that their connections were closed, so it works on them until it goes on. A move away is not an end. The class: the absence of an answer taken for the absence of the peer. Change: a probe that meets silence ranks the engine last for new calls and makes its replicas unusable; only a refused or broken connection, or two seconds without a sign of life, show a loss (policy::liveness). Streams at one engine share their probes, and from the second on a probe opens a new connection, since idle ones may be broken. The stall of an engine that answers probes (1.5 s) no longer counts while it is silent.

--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -10,6 +10,7 @@
 use tokio::sync::broadcast;
 
 use super::observation::{Observation, Observations};
+use super::probe::ProbeFailure;
 use super::run_origin::RunOrigin;
 use super::upstream::{Upstream, UpstreamEntry, version_for_log};
 use super::version_history::VersionHistory;
@@ -238,6 +239,36 @@
     /// that have a replica at it, and publishes the loss to other nodes.
     pub(crate) fn mark_lost(&self, upstream: &Upstream, cause: &str, now: Instant) {
         self.notify_lost(upstream, cause, now);
+        self.publish_loss(upstream, now);
+    }
+
+    /// Records that the upstream is silent, and publishes it to other nodes, since
+    /// several silent upstreams indicate an outage. Calls that run at it stay.
+    pub(crate) fn mark_silent(&self, upstream: &Upstream, cause: &str, now: Instant) {
+        log::info!(
+            "event=upstream_silent upstream={} dc={} cause={cause}",
+            upstream.entry.id,
+            upstream.entry.data_centre
+        );
+        upstream.mark_silent(now);
+        self.publish_loss(upstream, now);
+    }
+
+    /// Applies that a probe showed no life of the upstream.
+    pub(crate) fn apply_probe_failure(
+        &self,
+        upstream: &Upstream,
+        failure: ProbeFailure,
+        cause: &str,
+        now: Instant,
+    ) {
+        match failure {
+            ProbeFailure::Silent => self.mark_silent(upstream, cause, now),
+            ProbeFailure::Broken => self.mark_lost(upstream, cause, now),
+        }
+    }
+
+    fn publish_loss(&self, upstream: &Upstream, now: Instant) {
         let entry = &upstream.entry;
         if self.record_loss(&entry.data_centre, &entry.id, now) {
             self.observations.publish(Observation::Lost {
--- a/src/forward/observation.rs
+++ b/src/forward/observation.rs
@@ -14,7 +14,7 @@
 /// Something that this node observed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Observation {
-    /// An upstream is unreachable or down.
+    /// An upstream is silent, unreachable or down.
     Lost {
         id: UpstreamId,
         data_centre: DataCentreId,
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -18,7 +18,9 @@
 use crate::id::DataCentreId;
 use crate::observe::metrics::{Counter, Metrics};
 use crate::platform::engine::{EngineReport, REPORT_PATH, read_report};
-use crate::policy::liveness::{OUTAGE_ALERT_DURATION, StreamPhase, probe_delay, stall_timeout};
+use crate::policy::liveness::{
+    OUTAGE_ALERT_DURATION, SOUND_SILENCE_MAX, StreamPhase, probe_delay, stall_timeout,
+};
 
 /// How long an engine may take to answer a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
@@ -42,6 +44,7 @@
 #[derive(Debug)]
 pub(crate) struct LossWatch {
     upstream: Arc<Upstream>,
+    watching_since: Instant,
     losses: watch::Receiver<u64>,
     outages: broadcast::Receiver<DataCentreId>,
     /// Until this time the upstream is probed after a shorter silence, because an
@@ -54,6 +57,7 @@
 impl LossWatch {
     pub(crate) fn new(directory: &Directory, upstream: Arc<Upstream>) -> Self {
         Self {
+            watching_since: Instant::now(),
             losses: upstream.subscribe_losses(),
             outages: directory.subscribe_outages(),
             outage_alert_until: None,
@@ -78,8 +82,8 @@
     }
 
     /// Waits until the call should be moved away from its upstream: until the
-    /// upstream is lost, or has sent nothing for too long since the start of this
-    /// wait. A silent engine is probed before that.
+    /// upstream is lost, or answers probes but has sent nothing for too long since the
+    /// start of this wait. A silent engine is probed before that.
     pub(crate) async fn wait_for_loss(
         &mut self,
         directory: &Directory,
@@ -105,21 +109,50 @@
                 }
                 () = tokio::time::sleep_until(next_check.into()) => {}
             }
-            let now = Instant::now();
-            if now.saturating_duration_since(started_at) >= stall_timeout(phase) {
-                return LossReason::NoProgress;
+            let is_silent = self.silence(Instant::now()) >= delay;
+            if is_silent && self.is_lost(directory, metrics).await {
+                return LossReason::UpstreamLost;
             }
-            checked_at = now;
-            let silence = self.upstream.time_since_contact(now);
-            if silence.is_some_and(|silence| silence < delay) {
-                continue;
+            checked_at = Instant::now();
+            let may_go_on = (delay..SOUND_SILENCE_MAX).contains(&self.silence(checked_at));
+            if started_at.elapsed() >= stall_timeout(phase) && !may_go_on {
+                return LossReason::NoProgress;
             }
+        }
+    }
+
+    /// Probes the upstream, which is silent, and returns whether it is lost: the probe's
+    /// connection was refused or broke, or it met silence like one before, after a longer
+    /// silence than a sound upstream's. The streams at an upstream share their probes.
+    async fn is_lost(&self, directory: &Directory, metrics: &Metrics) -> bool {
+        let upstream = &self.upstream;
+        let was_probed = upstream.has_silent_probe();
+        if upstream.begin_probe(Instant::now()) {
             metrics.add(Counter::EngineProbes, 1);
-            if !responds(&self.upstream).await {
-                directory.mark_lost(&self.upstream, "no_report", Instant::now());
-                return LossReason::UpstreamLost;
+            match check_alive(upstream).await {
+                Ok(()) => return false,
+                Err(ProbeFailure::Silent) => {
+                    directory.mark_silent(upstream, "no_report", Instant::now());
+                }
+                Err(ProbeFailure::Broken) => {
+                    directory.mark_lost(upstream, "no_report", Instant::now());
+                    return true;
+                }
             }
         }
+        let now = Instant::now();
+        let is_lost = was_probed && self.silence(now) >= SOUND_SILENCE_MAX;
+        if is_lost {
+            directory.mark_lost(upstream, "silent", now);
+        }
+        is_lost
+    }
+
+    /// Time since the upstream was heard, or since this watch began.
+    fn silence(&self, now: Instant) -> Duration {
+        let watched = now.saturating_duration_since(self.watching_since);
+        let silence = self.upstream.time_since_contact(now);
+        silence.map_or(watched, |silence| silence.min(watched))
     }
 }
 
@@ -187,7 +220,12 @@
     upstream: &Upstream,
     mut request: Request<Full<Bytes>>,
 ) -> Option<(StatusCode, Bytes)> {
-    let mut connection = upstream.pool.take().await.ok()?;
+    // The idle connections to a silent upstream may be broken.
+    let mut connection = if upstream.has_silent_probe() {
+        upstream.pool.open().await.ok()?
+    } else {
+        upstream.pool.take().await.ok()?
+    };
     let host = upstream.entry.address.to_string().parse().ok()?;
     request.headers_mut().insert(HOST, host);
     let response = connection.send(request).await.ok()?;
@@ -205,9 +243,9 @@
         let (forwarder, upstream) = (self.clone(), upstream.clone());
         tokio::spawn(async move {
             forwarder.metrics.add(Counter::EngineProbes, 1);
-            if !responds(&upstream).await {
-                let now = Instant::now();
-                forwarder.directory.mark_lost(&upstream, "broke", now);
+            if let Err(failure) = check_alive(&upstream).await {
+                let (directory, now) = (&forwarder.directory, Instant::now());
+                directory.apply_probe_failure(&upstream, failure, "broke", now);
             }
         });
     }
--- a/src/forward/run_replica.rs
+++ b/src/forward/run_replica.rs
@@ -19,7 +19,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::forwarder::{Forwarder, NodeContext};
-use super::probe::{responds, send_control_request};
+use super::probe::{check_alive, send_control_request};
 use super::run_origin::RunOrigin;
 use super::upstream::{Upstream, Work};
 use crate::id::{DataCentreId, ServiceId};
@@ -92,10 +92,10 @@
     }
 
     /// Whether the run can resume at the holder, which must be neither lost nor
-    /// draining.
+    /// silent nor draining.
     pub(crate) fn is_usable(&self) -> bool {
         let is_lost = self.losses.has_changed().unwrap_or(true);
-        !is_lost && !self.holder.is_draining()
+        !is_lost && !self.holder.has_silent_probe() && !self.holder.is_draining()
     }
 
     fn needs_refresh(&self) -> bool {
@@ -150,9 +150,9 @@
         return;
     };
     forwarder.metrics.add(Counter::EngineProbes, 1);
-    if !responds(&holder).await {
-        let now = Instant::now();
-        forwarder.directory.mark_lost(&holder, "keeper_silent", now);
+    if let Err(failure) = check_alive(&holder).await {
+        let (directory, now) = (&forwarder.directory, Instant::now());
+        directory.apply_probe_failure(&holder, failure, "keeper_silent", now);
     }
 }
 
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -11,6 +11,7 @@
 use super::connection::ConnectionPool;
 use crate::id::{DataCentreId, ServiceId, UpstreamId};
 use crate::platform::answer::StatedLimit;
+use crate::policy::liveness::SILENT_PROBE_INTERVAL;
 use crate::policy::upstream_limit::UpstreamLimit;
 
 /// Version of the software that an upstream runs, as its registration states it.
@@ -69,6 +70,10 @@
 struct Health {
     contacted_at: Option<Instant>,
     avoided_until: Option<Instant>,
+    /// Start of the last probe while the upstream was silent.
+    probe_began_at: Option<Instant>,
+    /// Whether a probe met silence, and nothing arrived since.
+    has_silent_probe: bool,
     /// Number of failures since the last answer or event.
     failure_count: u32,
     latency: Duration,
@@ -152,9 +157,33 @@
         let mut health = self.health();
         health.contacted_at = Some(now);
         health.avoided_until = None;
+        health.has_silent_probe = false;
         health.failure_count = 0;
     }
 
+    /// Records that a probe met silence. The upstream may be lost, or may go on.
+    pub(crate) fn mark_silent(&self, now: Instant) {
+        self.avoid(now);
+        self.health().has_silent_probe = true;
+    }
+
+    /// Whether a probe met silence, and nothing arrived since.
+    pub(crate) fn has_silent_probe(&self) -> bool {
+        self.health().has_silent_probe
+    }
+
+    /// Begins a probe of the upstream, which is silent. Returns false if another one
+    /// began within [`SILENT_PROBE_INTERVAL`].
+    pub(crate) fn begin_probe(&self, now: Instant) -> bool {
+        let mut health = self.health();
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < SILENT_PROBE_INTERVAL;
+        if health.probe_began_at.is_some_and(is_recent) {
+            return false;
+        }
+        health.probe_began_at = Some(now);
+        true
+    }
+
     /// Records what an answer to a request sent at `sent_at` says of the upstream's
     /// limit.
     pub(crate) fn record_limit(&self, stated: StatedLimit, sent_at: Instant) {
--- a/src/policy/liveness.rs
+++ b/src/policy/liveness.rs
@@ -9,6 +9,11 @@
 //! prefills a prompt beside a stream also pauses the stream for 200 ms. Silence
 //! alone is therefore no proof of a loss: it only makes the node probe the
 //! engine.
+//!
+//! Nor is an unanswered probe. An engine that stands still for a second keeps its
+//! runs and does not notice that a connection was closed, so a stream that goes on
+//! elsewhere would run at both. Until [`SOUND_SILENCE_MAX`] has passed, a silent
+//! engine only gets no new calls. `docs/RESUME.md` states the price.
 
 use std::time::Duration;
 
@@ -32,6 +37,12 @@
 /// centre was suspected.
 pub(crate) const OUTAGE_ALERT_DURATION: Duration = Duration::from_millis(400);
 
+/// Longest silence of a sound engine. One that is silent for longer is taken for lost.
+pub(crate) const SOUND_SILENCE_MAX: Duration = Duration::from_secs(2);
+/// Shortest time between two probes of a silent engine, whatever the number of
+/// streams that run at it.
+pub(crate) const SILENT_PROBE_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Silence after which an engine is probed.
 pub(crate) fn probe_delay(phase: StreamPhase, is_outage_suspected: bool) -> Duration {
     match (phase, is_outage_suspected) {
@@ -41,7 +52,7 @@
     }
 }
 
-/// Silence after which a stream is moved although its engine answers probes.
+/// Pause after which a stream is moved although its engine answers probes.
 pub(crate) fn stall_timeout(phase: StreamPhase) -> Duration {
     match phase {
         StreamPhase::Prefill => Duration::from_millis(8_000),
