--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -97,6 +97,7 @@
         } = self;
         let unanswered = UnansweredSend::new(&upstream, call_id);
         let sent_at = unanswered.sent_at();
+        upstream.record_send(sent_at);
         let answered = request_answer(&upstream, request).await;
         unanswered.ended();
         let (connection, response) = answered.map_err(AttemptFailure::from)?;
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -230,6 +230,15 @@
         health.avoided_until = Some(now + duration);
     }
 
+    /// Records that a call is being sent. One that goes to an upstream that has sent
+    /// nothing since it failed is a trial: until it is answered, others go elsewhere.
+    pub(crate) fn record_send(&self, now: Instant) {
+        let has_failed = self.health().failure_count > 0;
+        if has_failed {
+            self.avoid(now);
+        }
+    }
+
     /// Updates the moving averages of latency and failures with a call that
     /// ended, answered or not.
     pub(crate) fn record_call(&self, duration: Duration, has_failed: bool) {
