Tell an engine that stands still from a host that is gone by its handshake (TWICE)

Change: a probe that has no answer after 90 ms also opens a connection. If the host completes no handshake within 60 ms, the engine is lost at once, as before; if it does, its process stands still, and its streams stay for up to two seconds. Why it works: the rule binds a node that reaches the upstream. A host that answers no handshake is not reached. Not covered: a host that stands still as a whole, kernel included, and a listen queue that is full while its process stands still.

--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -264,7 +264,9 @@
     ) {
         match failure {
             ProbeFailure::Silent => self.mark_silent(upstream, cause, now),
-            ProbeFailure::Broken => self.mark_lost(upstream, cause, now),
+            ProbeFailure::Unreachable | ProbeFailure::Broken => {
+                self.mark_lost(upstream, cause, now);
+            }
         }
     }
 
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -24,6 +24,8 @@
 
 /// How long an engine may take to answer a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// How long the host of an engine may take to complete a handshake.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(60);
 /// How long a call stays at a silent upstream after no other upstream could take
 /// it.
 const HOLD_DURATION: Duration = Duration::from_millis(300);
@@ -121,9 +123,10 @@
         }
     }
 
-    /// Probes the upstream, which is silent, and returns whether it is lost: the probe's
-    /// connection was refused or broke, or it met silence like one before, after a longer
-    /// silence than a sound upstream's. The streams at an upstream share their probes.
+    /// Probes the upstream, which is silent, and returns whether it is lost: its host did
+    /// not take a connection or broke it, or the probe met silence like one before, after
+    /// a longer silence than a sound upstream's. The streams at an upstream share their
+    /// probes.
     async fn is_lost(&self, directory: &Directory, metrics: &Metrics) -> bool {
         let upstream = &self.upstream;
         let was_probed = upstream.has_silent_probe();
@@ -134,7 +137,7 @@
                 Err(ProbeFailure::Silent) => {
                     directory.mark_silent(upstream, "no_report", Instant::now());
                 }
-                Err(ProbeFailure::Broken) => {
+                Err(ProbeFailure::Unreachable | ProbeFailure::Broken) => {
                     directory.mark_lost(upstream, "no_report", Instant::now());
                     return true;
                 }
@@ -159,9 +162,11 @@
 /// Why a probe shows no life of an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ProbeFailure {
-    /// Nothing came back in time. The engine may be lost, cut off, or stand still for
-    /// a moment.
+    /// The engine's host completes a handshake, but the engine does not answer. It may
+    /// stand still for a moment and go on.
     Silent,
+    /// The engine's host completes no handshake: it is lost or cut off.
+    Unreachable,
     /// The connection was refused or broken, or the answer is no report.
     Broken,
 }
@@ -182,19 +187,14 @@
     match connecting.await {
         Ok(true) => Ok(()),
         Ok(false) => Err(ProbeFailure::Broken),
-        Err(_) => Err(ProbeFailure::Silent),
+        Err(_) => Err(ProbeFailure::Unreachable),
     }
 }
 
 /// Probes an engine by requesting its report.
 pub(crate) async fn probe_engine(upstream: &Upstream) -> Result<EngineReport, ProbeFailure> {
-    let fetched = tokio::time::timeout(PROBE_TIMEOUT, fetch_report(upstream)).await;
+    let probed = fetch_report_or_connect(upstream).await;
     let now = Instant::now();
-    let probed = match fetched {
-        Ok(Some(report)) => Ok(report),
-        Ok(None) => Err(ProbeFailure::Broken),
-        Err(_) => Err(ProbeFailure::Silent),
-    };
     match &probed {
         Ok(_) => upstream.record_contact(now),
         Err(failure) => log::info!(
@@ -208,6 +208,27 @@
     probed
 }
 
+/// Requests the report. If it does not come soon, finds out beside that whether the
+/// engine's host completes a handshake.
+async fn fetch_report_or_connect(upstream: &Upstream) -> Result<EngineReport, ProbeFailure> {
+    let fetching = fetch_report(upstream);
+    tokio::pin!(fetching);
+    let answer_time = PROBE_TIMEOUT - HANDSHAKE_TIMEOUT;
+    if let Ok(report) = tokio::time::timeout(answer_time, &mut fetching).await {
+        return report.ok_or(ProbeFailure::Broken);
+    }
+    let (fetched, connected) = tokio::join!(
+        tokio::time::timeout(HANDSHAKE_TIMEOUT, fetching),
+        tokio::time::timeout(HANDSHAKE_TIMEOUT, upstream.pool.open()),
+    );
+    match (fetched, connected) {
+        (Ok(Some(report)), _) => Ok(report),
+        (Ok(None), _) | (_, Ok(Err(_))) => Err(ProbeFailure::Broken),
+        (Err(_), Ok(Ok(_))) => Err(ProbeFailure::Silent),
+        (Err(_), Err(_)) => Err(ProbeFailure::Unreachable),
+    }
+}
+
 async fn fetch_report(upstream: &Upstream) -> Option<EngineReport> {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = REPORT_PATH.parse().ok()?;
--- a/src/forward/tests/probe.rs
+++ b/src/forward/tests/probe.rs
@@ -1,11 +1,15 @@
 //! Tests of probing engines that fall silent one after the other.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+use socket2::{Domain, Socket, Type};
+use tokio::net::TcpStream;
 
 use crate::forward::directory::Directory;
 use crate::forward::observation::Observations;
-use crate::forward::probe::{LossReason, LossWatch};
+use crate::forward::probe::{LossReason, LossWatch, ProbeFailure, check_alive};
 use crate::forward::upstream::{Upstream, UpstreamEntry};
 use crate::observe::metrics::Metrics;
 use crate::policy::liveness::{StreamPhase, probe_delay};
@@ -14,11 +18,15 @@
 const CLOSED_PORT: u16 = 1;
 
 fn unreachable_upstream(id: &str) -> Arc<Upstream> {
+    upstream_at(id, ([127, 0, 0, 1], CLOSED_PORT).into())
+}
+
+fn upstream_at(id: &str, address: SocketAddr) -> Arc<Upstream> {
     Arc::new(Upstream::new(UpstreamEntry {
         id: id.to_owned(),
         born_unix_ms: 1,
         service: "llm".to_owned(),
-        address: ([127, 0, 0, 1], CLOSED_PORT).into(),
+        address,
         data_centre: "a".to_owned(),
         software_version: Some("v1".to_owned()),
         slot_count: 4,
@@ -67,3 +75,34 @@
     let usual_delay = probe_delay(StreamPhase::Decode, false);
     assert!(since.elapsed() >= usual_delay, "{:?}", since.elapsed());
 }
+
+/// A listener that accepts nothing. Its host completes handshakes until its queue is
+/// full.
+fn listener_that_stands_still() -> (Socket, SocketAddr) {
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any_port: SocketAddr = ([127, 0, 0, 1], 0).into();
+    listener.bind(&any_port.into()).expect("a port");
+    listener.listen(1).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    (listener, address.as_socket().expect("an IP address"))
+}
+
+#[tokio::test]
+async fn an_engine_is_silent_if_its_host_completes_handshakes_and_unreachable_if_not() {
+    let (_listener, address) = listener_that_stands_still();
+    let standing_still = upstream_at("e1", address);
+
+    let silent = check_alive(&standing_still).await;
+    let mut queued = Vec::new();
+    while let Ok(Ok(stream)) =
+        tokio::time::timeout(Duration::from_millis(50), TcpStream::connect(address)).await
+    {
+        queued.push(stream);
+    }
+    let unreachable = check_alive(&upstream_at("e2", address)).await;
+    let refused = check_alive(&unreachable_upstream("e3")).await;
+
+    assert_eq!(silent, Err(ProbeFailure::Silent));
+    assert_eq!(unreachable, Err(ProbeFailure::Unreachable));
+    assert_eq!(refused, Err(ProbeFailure::Broken));
+}
--- a/src/policy/liveness.rs
+++ b/src/policy/liveness.rs
@@ -10,10 +10,11 @@
 //! alone is therefore no proof of a loss: it only makes the node probe the
 //! engine.
 //!
-//! Nor is an unanswered probe. An engine that stands still for a second keeps its
-//! runs and does not notice that a connection was closed, so a stream that goes on
-//! elsewhere would run at both. Until [`SOUND_SILENCE_MAX`] has passed, a silent
-//! engine only gets no new calls. `docs/RESUME.md` states the price.
+//! Nor is an unanswered probe, as long as the engine's host completes handshakes. A
+//! process that stands still for a second keeps its runs and does not notice that a
+//! connection was closed, so a stream that goes on elsewhere would run at both. Until
+//! [`SOUND_SILENCE_MAX`] has passed, a silent engine only gets no new calls.
+//! `docs/RESUME.md` compares this with other ways.
 
 use std::time::Duration;
 
@@ -37,7 +38,8 @@
 /// centre was suspected.
 pub(crate) const OUTAGE_ALERT_DURATION: Duration = Duration::from_millis(400);
 
-/// Longest silence of a sound engine. One that is silent for longer is taken for lost.
+/// Longest silence of a sound engine whose host can be reached. One that is silent for
+/// longer is taken for lost.
 pub(crate) const SOUND_SILENCE_MAX: Duration = Duration::from_secs(2);
 /// Shortest time between two probes of a silent engine, whatever the number of
 /// streams that run at it.
