--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -93,3 +93,9 @@
     let running = runners.find(|(_, r)| r.engine.running_count() > 0);
     running.expect("a runner runs the generation").0
 }
+
+/// Number of streams that runners have opened, over all runners.
+pub fn opened_count(cluster: &LocalCluster) -> u64 {
+    let runners = cluster.runners.iter();
+    runners.map(|r| r.engine.ledger().opened_count).sum()
+}
