Show that a runner works on for a caller that left an unstreamed answer

The caller of an answer that isn't streamed has no event id, so that nobody can come back for the generation. Its runner generates on for 5 s all the same, until its own limit on unread streams.

Hypothesis: an attempt that is dropped with its request closes only the connection, which a runner takes as a reader that may come back; nothing cancels the stream.

--- a/tests/callers_that_leave.rs
+++ b/tests/callers_that_leave.rs
@@ -66,3 +66,16 @@
 
     assert_eq!(opened_count(&cluster), 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_run_of_a_caller_that_left_before_its_complete_answer_ends() {
+    let cluster = start(cluster_plan(1, 2)).await;
+    let caller = send_completion(cluster.caller_addresses()[0], "steward", false).await;
+    wait_for_tokens(&cluster, 30).await;
+    let runner = generating_runner(&cluster);
+
+    drop(caller);
+    tokio::time::sleep(CLOSE_GRACE).await;
+
+    assert_eq!(cluster.runners[runner].engine.running_count(), 0);
+}
