Show that an idempotent call is tried again after its caller has left

Timeline of the test, as read from the code: the caller leaves after 200 ms; the instance dies at 800 ms; the node sends the call to the next instance.

Hypothesis: calls to services run in a task of their own, which claimed calls need to record their outcome, and which no close ends.

--- a/tests/callers_that_leave.rs
+++ b/tests/callers_that_leave.rs
@@ -12,6 +12,7 @@
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use zinniawing::{LocalCluster, ServiceFaults};
 
 /// Time after a caller's close within which its call must have ended.
 const CLOSE_GRACE: Duration = Duration::from_millis(500);
@@ -79,3 +80,36 @@
 
     assert_eq!(cluster.runners[runner].engine.running_count(), 0);
 }
+
+async fn start_with_payments(instance_count: usize, is_idempotent: bool) -> LocalCluster {
+    let mut plan = cluster_plan(1, 1).with_service("payments", instance_count);
+    let service = plan.intent.services.get_mut("payments");
+    service.expect("the service is configured").idempotent = is_idempotent;
+    start(plan).await
+}
+
+fn executed_count(cluster: &LocalCluster) -> usize {
+    let services = cluster.services.iter();
+    services.map(|(service, _)| service.ledger().len()).sum()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idempotent_call_goes_to_no_second_instance_after_its_caller_left() {
+    let cluster = start_with_payments(2, true).await;
+    let slow_then_dead = ServiceFaults {
+        slow_ms: 800,
+        die_after: true,
+        ..ServiceFaults::default()
+    };
+    for (service, _) in &cluster.services {
+        service.set_faults(slow_then_dead);
+    }
+    let node = cluster.caller_addresses()[0];
+    let caller = send_call(node, "POST /v1/services/payments/disburse", "", "{}").await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    drop(caller);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+
+    assert!(executed_count(&cluster) <= 1);
+}
