Show that a claimed call is sent after its caller has left

Timeline of the test, as read from the code: the platform takes 1.5 s to store the claim; the caller leaves after 200 ms; the claim is granted and the call is sent.

Hypothesis: between the grant and the send nothing asks whether the caller is still there.

--- a/tests/callers_that_leave.rs
+++ b/tests/callers_that_leave.rs
@@ -8,11 +8,11 @@
 
 use support::cluster::{
     CUSTOMER_KEY, MODEL, cluster_plan, generating_runner, opened_count, set_frozen, start,
-    wait_for_tokens,
+    steward_caller, wait_for_tokens,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use zinniawing::{LocalCluster, ServiceFaults};
+use zinniawing::{CallReport, LocalCluster, PlatformFaults, ServiceFaults};
 
 /// Time after a caller's close within which its call must have ended.
 const CLOSE_GRACE: Duration = Duration::from_millis(500);
@@ -113,3 +113,29 @@
 
     assert!(executed_count(&cluster) <= 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claimed_call_is_not_sent_after_its_caller_left_and_can_be_made_again() {
+    let cluster = start_with_payments(1, false).await;
+    let slow = PlatformFaults {
+        slow_ms: 1500,
+        ..PlatformFaults::default()
+    };
+    cluster.platform.set_faults(slow);
+    let node = cluster.caller_addresses()[0];
+    let key = "idempotency-key: left-1\r\n";
+    let caller = send_call(node, "POST /v1/services/payments/disburse", key, "{}").await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    drop(caller);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    cluster.platform.set_faults(PlatformFaults::default());
+
+    assert_eq!(executed_count(&cluster), 0);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let steward = steward_caller(&cluster);
+    let again = steward.call_at(node, "payments", "disburse", "left-1", "{}");
+    let report = again.await;
+    assert!(matches!(report, CallReport::Answered { .. }), "{report:?}");
+    assert_eq!(executed_count(&cluster), 1);
+}
