Keep a generation at a runner that stands still for a second or so

What callers saw: a runner that fell silent for 0.6 to 2 s and went on lost its stream to a second runner, and both worked on one generation.

Cause: the probe of a silent runner asked for a report only. A process that stands still doesn't answer it, and neither does a host that is gone, so that both counted as lost after give_up_after_ms.

Change: the probe also connects to the runner. If it doesn't answer, but its host accepts connections, the stream is lost after 3 s of silence, well over the second or so, at most two, that a sound runner may be silent. A host that refuses connections or completes no handshake is lost as before. Beside a standby attempt the limit stays give_up_after_ms: prepare_after_ms is the operator's choice to let two runners work on one answer.

Why it works: within the bound the stream has no second runner, and a runner that goes on answers the probe or sends a token, which starts the silence anew.

--- a/src/generation/attempt.rs
+++ b/src/generation/attempt.rs
@@ -44,8 +44,8 @@
 pub(crate) enum Loss {
     /// The connection broke, as it does when the runner dies.
     Reset,
-    /// The stream was silent, and the runner did not answer a probe or has
-    /// restarted since.
+    /// The stream was silent, and the runner's host could not be reached, the runner
+    /// stood still for too long, or it has restarted since.
     Silence,
     /// The runner answers probes, but the stream sends no tokens.
     Stalled,
@@ -53,6 +53,17 @@
     Protocol,
 }
 
+/// Whether a standby attempt is open beside an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StandbyState {
+    /// One is open.
+    Open,
+    /// None is open, and one may be.
+    Allowed,
+    /// None is open, and none can be.
+    Forbidden,
+}
+
 /// An attempt whose stream is open: reads the stream and detects its loss.
 #[derive(Debug)]
 pub(crate) struct Attempt {
@@ -120,12 +131,12 @@
         (self.id.runner.clone(), self.incarnation)
     }
 
-    /// Waits for the attempt's next step. [`Step::OpenStandby`] comes only if
-    /// `may_open_standby`.
+    /// Waits for the attempt's next step. [`Step::OpenStandby`] comes only with
+    /// [`StandbyState::Allowed`].
     pub(crate) async fn next_step(
         &mut self,
         delivery: &mut Delivery,
-        may_open_standby: bool,
+        standby: StandbyState,
     ) -> Step {
         loop {
             match self.drain(delivery) {
@@ -135,7 +146,7 @@
                 Drained::Invalid => return Step::Lost(Loss::Protocol),
             }
             let waiting_since = Instant::now();
-            let wake_at = self.silence.wake_at(may_open_standby);
+            let wake_at = self.silence.wake_at(standby);
             let wake_at = wake_at.map(|at| at.max(waiting_since));
             tokio::select! {
                 biased;
@@ -149,7 +160,8 @@
                 }
                 result = probe_result(&mut self.probe) => {
                     self.probe = None;
-                    if let Some(loss) = self.silence.apply_probe_result(result, Instant::now()) {
+                    let now = Instant::now();
+                    if let Some(loss) = self.silence.apply_probe_result(result, standby, now) {
                         return Step::Lost(loss);
                     }
                 }
@@ -161,10 +173,10 @@
                         self.silence.restart(now);
                         continue;
                     }
-                    if may_open_standby && self.silence.request_standby_if_due(now) {
+                    if standby == StandbyState::Allowed && self.silence.request_standby_if_due(now) {
                         return Step::OpenStandby;
                     }
-                    self.probe_if_due(now);
+                    self.probe_if_due(standby, now);
                 }
             }
         }
@@ -221,7 +233,7 @@
         drained
     }
 
-    fn probe_if_due(&mut self, now: Instant) {
+    fn probe_if_due(&mut self, standby: StandbyState, now: Instant) {
         if self.probe.is_some() || !self.silence.is_probe_due(now) {
             return;
         }
@@ -230,7 +242,8 @@
             // Other streams of the runner receive tokens, so it is alive. Only
             // half the window counts: when a runner dies, the last tokens of
             // its streams arrive at slightly different times.
-            self.silence.apply_probe_result(ProbeResult::Alive, now);
+            self.silence
+                .apply_probe_result(ProbeResult::Alive, standby, now);
             return;
         }
         let client = self.client.clone();
--- a/src/generation/run.rs
+++ b/src/generation/run.rs
@@ -15,7 +15,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::fleet::crash_tracker::{Blocked, CrashTracker};
 use crate::fleet::part_crashes::RunPhase;
-use crate::generation::attempt::{Attempt, Loss, Step};
+use crate::generation::attempt::{Attempt, Loss, StandbyState, Step};
 use crate::generation::delivery::Delivery;
 use crate::generation::dispatch::{Dispatcher, Job, OpenFailure, Progress};
 use crate::id::{AttemptNumber, RunnerId, TokenIndex};
@@ -179,11 +179,8 @@
         let mut attempt = first;
         let mut standby: Option<Attempt> = None;
         loop {
-            let may_open_standby = standby.is_none() && self.has_text;
-            match attempt
-                .next_step(&mut self.delivery, may_open_standby)
-                .await
-            {
+            let standby_state = self.standby_state(standby.as_ref());
+            match attempt.next_step(&mut self.delivery, standby_state).await {
                 Step::Tokens => {
                     // The attempt sends tokens again, so the standby is not needed.
                     if let Some(standby) = standby.take() {
@@ -216,6 +213,14 @@
         }
     }
 
+    fn standby_state(&self, standby: Option<&Attempt>) -> StandbyState {
+        match standby {
+            Some(_) => StandbyState::Open,
+            None if self.has_text => StandbyState::Allowed,
+            None => StandbyState::Forbidden,
+        }
+    }
+
     async fn deliver_tokens(
         &mut self,
         attempt: &mut Attempt,
--- a/src/generation/runner_probe.rs
+++ b/src/generation/runner_probe.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 use crate::fleet::runner::RunnerClient;
@@ -13,14 +14,18 @@
 pub(crate) enum ProbeResult {
     /// It is running.
     Alive,
-    /// It does not answer, or the runner has restarted since.
+    /// It does not answer, but its host accepts connections: a process that stands
+    /// still may go on with the stream.
+    Unresponsive,
+    /// Its host cannot be reached, or the runner has restarted since.
     Gone,
     /// Nothing, because this process was paused during the probe.
     Inconclusive,
 }
 
 /// Asks a runner for a report within `window` to find out whether the
-/// incarnation that holds the stream is still running.
+/// incarnation that holds the stream is still running, and connects to it to find
+/// out whether its host is.
 pub(crate) async fn probe_runner(
     client: RunnerClient,
     address: SocketAddr,
@@ -28,17 +33,24 @@
     window: Duration,
 ) -> ProbeResult {
     let asked_at = Instant::now();
-    let report = client.report(address, window).await;
+    let asked = client.report(address, window);
+    let (report, accepts_connections) = tokio::join!(asked, accepts_connections(address, window));
     match report {
         Ok(report) if report.incarnation == incarnation || incarnation == 0 => ProbeResult::Alive,
         // The runner has restarted since it opened the stream.
         Ok(_) => ProbeResult::Gone,
         // The time-out fired far too late, so this process was paused.
         Err(_) if asked_at.elapsed() > window * 2 => ProbeResult::Inconclusive,
+        Err(_) if accepts_connections => ProbeResult::Unresponsive,
         Err(_) => ProbeResult::Gone,
     }
 }
 
+async fn accepts_connections(address: SocketAddr, window: Duration) -> bool {
+    let connected = tokio::time::timeout(window, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Ok(_)))
+}
+
 /// Waits for the result of the probe; waits for ever if none is running.
 pub(crate) async fn probe_result(probe: &mut Option<JoinHandle<ProbeResult>>) -> ProbeResult {
     match probe {
--- a/src/generation/silence.rs
+++ b/src/generation/silence.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::configuration::config::CallerPolicy;
-use crate::generation::attempt::Loss;
+use crate::generation::attempt::{Loss, StandbyState};
 use crate::generation::runner_probe::ProbeResult;
 
 /// Weight of the newest gap between tokens in the moving average of the gaps.
@@ -16,6 +16,9 @@
 /// While a runner answers probes, its silent stream counts as lost only after
 /// this many times the silence that is allowed if the runner does not answer.
 const STALL_FACTOR: u32 = 10;
+/// How long a runner may stand still while its host accepts connections. Its
+/// process may go on, and must not work on a stream that another runner took over.
+const STANDSTILL_MAX: Duration = Duration::from_secs(3);
 /// How long a runner that answers probes may take to send the first token,
 /// including the time in its queue.
 const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(60);
@@ -84,9 +87,9 @@
     /// When the attempt has to check the stream if nothing arrives before. `None`
     /// while only the result of a probe is awaited, which comes within
     /// [`Self::probe_window`].
-    pub(crate) fn wake_at(&self, may_open_standby: bool) -> Option<Instant> {
+    pub(crate) fn wake_at(&self, standby: StandbyState) -> Option<Instant> {
         let probe_at = (!self.probe_running).then_some(self.probe_at);
-        let may_open_standby = may_open_standby && !self.standby_requested;
+        let may_open_standby = standby == StandbyState::Allowed && !self.standby_requested;
         let standby_at = self.standby_at().filter(|_| may_open_standby);
         probe_at.into_iter().chain(standby_at).min()
     }
@@ -102,6 +105,15 @@
         self.extend_to_min_gaps(self.policy.give_up_after) * STALL_FACTOR
     }
 
+    fn standstill_timeout(&self, standby: StandbyState) -> Duration {
+        let give_up_after = self.extend_to_min_gaps(self.policy.give_up_after);
+        match standby {
+            // The caller's policy lets two runners work on the answer.
+            StandbyState::Open => give_up_after,
+            StandbyState::Allowed | StandbyState::Forbidden => give_up_after.max(STANDSTILL_MAX),
+        }
+    }
+
     /// Maximum delay of a wake-up; a longer one shows that this process was
     /// paused.
     pub(crate) fn wake_delay_max(&self) -> Duration {
@@ -125,14 +137,22 @@
     }
 
     /// Applies the result of a probe; the loss that it shows, if any.
-    pub(crate) fn apply_probe_result(&mut self, result: ProbeResult, now: Instant) -> Option<Loss> {
+    pub(crate) fn apply_probe_result(
+        &mut self,
+        result: ProbeResult,
+        standby: StandbyState,
+        now: Instant,
+    ) -> Option<Loss> {
         self.probe_running = false;
         self.probe_at = now + self.probe_window();
+        let silence = now - self.silent_since;
         let stall_timeout = self.stall_timeout();
+        let standstill_timeout = self.standstill_timeout(standby);
         match result {
             ProbeResult::Gone => Some(Loss::Silence),
-            ProbeResult::Alive if now - self.silent_since > stall_timeout => Some(Loss::Stalled),
-            ProbeResult::Alive | ProbeResult::Inconclusive => None,
+            ProbeResult::Unresponsive if silence >= standstill_timeout => Some(Loss::Silence),
+            ProbeResult::Alive if silence > stall_timeout => Some(Loss::Stalled),
+            ProbeResult::Alive | ProbeResult::Unresponsive | ProbeResult::Inconclusive => None,
         }
     }
 }
