Send the cancellation of a lost stream until its runner answers

What callers saw: nothing; a runner that had stood still generated for seconds after it went on, for nobody, beside the runner that had taken over.

Cause: a lost stream was cancelled by one request with a time-out of a second. A runner that stands still for longer wakes to a closed connection and doesn't act on the request.

Change: the cancellation is sent again, 200 ms after each that fails, until the runner answers, 25 times at most (some 30 s at a runner that stands still, 5 s at one that refuses connections). A cancellation is idempotent.

Why it works: a runner that goes on finds the request that is waiting for its answer, or gets the next one 200 ms later.

--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -41,7 +41,13 @@
 /// Data of the last event of a complete response.
 pub(crate) const DONE: &[u8] = b"[DONE]";
 
+/// Time-out of one request that cancels a stream.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause before a cancellation that was not answered is sent again.
+const CANCEL_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Number of times that a cancellation is sent, which covers standstills of some
+/// 30 s. After that the engine ends the stream by its own limit.
+const CANCEL_ATTEMPTS_MAX: u32 = 25;
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Key under which an engine holds a stream, for resuming and cancelling it.
@@ -182,12 +188,18 @@
         check_status(sent)
     }
 
+    /// Cancels a stream. An engine that stands still reads the request only if it
+    /// is still waiting for the answer, so it is sent again until one comes.
     pub(crate) async fn cancel(&self, address: SocketAddr, key: &str) {
         let path = format!("{STREAMS_PATH}{key}");
-        let request = http::request(Method::DELETE, address, &path, Bytes::new());
-        // An error is ignored: the engine ends streams that nobody reads by
-        // itself, only later.
-        let _ = self.client.exchange(address, request, CANCEL_TIMEOUT).await;
+        for _ in 0..CANCEL_ATTEMPTS_MAX {
+            let request = http::request(Method::DELETE, address, &path, Bytes::new());
+            let answer = self.client.exchange(address, request, CANCEL_TIMEOUT).await;
+            if answer.is_ok() {
+                return;
+            }
+            tokio::time::sleep(CANCEL_RETRY_DELAY).await;
+        }
     }
 
     pub(crate) async fn report(
