End a generation when its caller closes the connection

What callers saw: nothing; runners got streams of callers that had left, half a second and more after the close.

Cause: a node noticed the close only when it had a token to send. While it waited for a silent runner, opened a standby or looked for a runner to resume at (10 s), it had none.

Change: the response carries a token that is cancelled when the server drops it, as it does on a close, and the generation's task ends with it. The runner's stream is still left to the runner's own limit on unread streams, because the caller may come back for it with its last event id (docs/RESUME.md).

Why it works: every wait of the generation is part of the one task.

--- a/src/caller/caller_api.rs
+++ b/src/caller/caller_api.rs
@@ -310,6 +310,7 @@
             "event: start\ndata: {{\"generation\":\"{id}\",\"index\":{}}}\n\n",
             generation.next_index()
         );
+        let (body, caller_left) = http::boxed_until_dropped(body);
         let aborted = self.state.abort_token.clone();
         self.state.tasks.spawn(async move {
             let running = async {
@@ -318,9 +319,10 @@
                     let _ = generation.run(attempt, Sink::Events(sender)).await;
                 }
             };
+            let running = caller_left.run_until_cancelled(running);
             aborted.run_until_cancelled(running).await;
         });
-        let mut response = Response::new(http::boxed(body));
+        let mut response = Response::new(body);
         let event_stream = HeaderValue::from_static("text/event-stream");
         response.headers_mut().insert(CONTENT_TYPE, event_stream);
         response
--- a/src/http.rs
+++ b/src/http.rs
@@ -23,6 +23,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
 
 use crate::connection_activity::ConnectionActivity;
 use crate::error::{Error, ErrorKind};
@@ -209,6 +210,21 @@
         .boxed_unsync()
 }
 
+/// Creates a response body from `body`, and a token that is cancelled when the
+/// response is dropped, as it is when the client closes its connection.
+pub(crate) fn boxed_until_dropped<B>(body: B) -> (ResponseBody, CancellationToken)
+where
+    B: hyper::body::Body<Data = Bytes, Error = Infallible> + Send + 'static,
+{
+    let dropped = CancellationToken::new();
+    let guard = dropped.clone().drop_guard();
+    let guarded = body.map_frame(move |frame| {
+        let _ = &guard;
+        frame
+    });
+    (boxed(guarded), dropped)
+}
+
 /// Creates a response with a JSON body.
 pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> HttpResponse {
     let body = serde_json::to_vec(value).unwrap_or_default();
