Cancel the runs of a caller that can't come back for them

What callers saw: nothing; runners generated for up to their limit on unread streams (5 s at the stand-in) for callers that had left.

Cause: an attempt that is dropped closes its connection, which a runner takes as a reader that may come back. That is meant for a caller with an event id, but was true of all attempts: of answers that aren't streamed, standbys, and attempts dropped before their first token.

Change: StreamGuard, made before a stream is opened, cancels it when it is dropped. It is released when the stream has ended, was refused, or has sent an event to the caller. A cancellation that finds no stream is sent once more, since the request that opens it may be behind it.

Why it works: whichever wait of the request is cut off, the guard is dropped with it.

--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -188,15 +188,20 @@
         check_status(sent)
     }
 
-    /// Cancels a stream. An engine that stands still reads the request only if it
-    /// is still waiting for the answer, so it is sent again until one comes.
+    /// Cancels a stream. An engine that stands still reads the request only if this
+    /// client still waits for the answer, so it is sent again until one comes. It is
+    /// also sent again once if the engine does not know the stream, because the
+    /// request that opens it may arrive later.
     pub(crate) async fn cancel(&self, address: SocketAddr, key: &str) {
         let path = format!("{STREAMS_PATH}{key}");
+        let mut was_unknown = false;
         for _ in 0..CANCEL_ATTEMPTS_MAX {
             let request = http::request(Method::DELETE, address, &path, Bytes::new());
             let answer = self.client.exchange(address, request, CANCEL_TIMEOUT).await;
-            if answer.is_ok() {
-                return;
+            match answer.map(|answer| answer.status()) {
+                Ok(StatusCode::NOT_FOUND) if !was_unknown => was_unknown = true,
+                Ok(_) => return,
+                Err(_) => {}
             }
             tokio::time::sleep(CANCEL_RETRY_DELAY).await;
         }
--- a/src/generation/attempt.rs
+++ b/src/generation/attempt.rs
@@ -5,7 +5,6 @@
 //! runner is gone, or after a much longer time, because a slow runner must not
 //! be mistaken for a dead one. See `docs/RESUME.md`.
 
-use std::net::SocketAddr;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -19,10 +18,11 @@
 use crate::caller::sse::{EventBuffer, EventTooLarge};
 use crate::configuration::config::CallerPolicy;
 use crate::fleet::in_flight::InFlightStream;
-use crate::fleet::runner::{self, RunnerClient, StreamKey};
+use crate::fleet::runner;
 use crate::generation::delivery::{Added, Delivery};
 use crate::generation::runner_probe::{ProbeResult, probe_result, probe_runner};
 use crate::generation::silence::SilenceDetector;
+use crate::generation::stream_guard::StreamGuard;
 use crate::id::Incarnation;
 
 /// What happened to an attempt; outcome of [`Attempt::next_step`].
@@ -69,11 +69,9 @@
 pub(crate) struct Attempt {
     id: AttemptId,
     id_prefix: String,
-    key: StreamKey,
-    address: SocketAddr,
+    guard: StreamGuard,
     incarnation: Incarnation,
     queued: bool,
-    client: RunnerClient,
     body: Incoming,
     buffer: EventBuffer,
     in_flight: InFlightStream,
@@ -84,10 +82,8 @@
 /// A stream that a runner has opened, with what an [`Attempt`] needs to read it.
 pub(crate) struct OpenedStream {
     pub(crate) id: AttemptId,
-    /// Name of the stream at the runner.
-    pub(crate) key: StreamKey,
-    /// Address of the runner.
-    pub(crate) address: SocketAddr,
+    /// Cancels the stream when it is no longer needed.
+    pub(crate) guard: StreamGuard,
     /// Incarnation of the runner that opened the stream; 0 if unknown.
     pub(crate) incarnation: Incarnation,
     /// Counts the stream as in flight at the runner.
@@ -100,15 +96,13 @@
 
 impl Attempt {
     /// Makes the attempt that reads a stream which a runner has opened.
-    pub(crate) fn new(opened: OpenedStream, client: RunnerClient, policy: CallerPolicy) -> Self {
+    pub(crate) fn new(opened: OpenedStream, policy: CallerPolicy) -> Self {
         Self {
             id_prefix: format!("id: {}.", opened.id),
             id: opened.id,
-            key: opened.key,
-            address: opened.address,
+            guard: opened.guard,
             incarnation: opened.incarnation,
             queued: opened.queued,
-            client,
             body: opened.response.into_body(),
             buffer: EventBuffer::default(),
             in_flight: opened.in_flight,
@@ -142,7 +136,10 @@
             match self.drain(delivery) {
                 Drained::Nothing => {}
                 Drained::Tokens => return Step::Tokens,
-                Drained::Ended => return Step::Ended,
+                Drained::Ended => {
+                    self.guard.release();
+                    return Step::Ended;
+                }
                 Drained::Invalid => return Step::Lost(Loss::Protocol),
             }
             let waiting_since = Instant::now();
@@ -190,7 +187,13 @@
 
     /// Tells the runner to stop the stream, whose tokens are no longer needed.
     pub(crate) fn cancel(self) {
-        tokio::spawn(async move { self.client.cancel(self.address, &self.key).await });
+        self.guard.cancel();
+    }
+
+    /// Leaves the stream to its runner when the attempt is dropped, because the
+    /// caller has an event id with which it may come back for it.
+    pub(crate) fn keep_for_caller(&mut self) {
+        self.guard.release();
     }
 
     fn buffer_frames(&mut self, first: Option<Bytes>) -> Result<(), EventTooLarge> {
@@ -246,8 +249,8 @@
                 .apply_probe_result(ProbeResult::Alive, standby, now);
             return;
         }
-        let client = self.client.clone();
-        let address = self.address;
+        let client = self.guard.client().clone();
+        let address = self.guard.address();
         let incarnation = self.incarnation;
         self.silence.probe_started();
         self.probe = Some(tokio::spawn(async move {
--- a/src/generation/dispatch.rs
+++ b/src/generation/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::fleet::runner::{self, OpenError, RunnerClient, StreamRequest};
 use crate::fleet::table::Fleet;
 use crate::generation::attempt::{Attempt, OpenedStream};
+use crate::generation::stream_guard::StreamGuard;
 use crate::hash::Fnv;
 use crate::id::{
     AttemptNumber, Fingerprint, GenerationId, Incarnation, ModelId, RunnerId, TokenIndex,
@@ -223,16 +224,17 @@
             .ok()?
             .ok()?;
         let (incarnation, queued) = self.record_load(&attempt.runner, &response);
+        let mut guard = StreamGuard::new(self.client.clone(), address, key);
+        guard.release();
         let opened = OpenedStream {
             id: attempt,
-            key,
-            address,
+            guard,
             incarnation,
             in_flight,
             queued,
             response,
         };
-        Some(Attempt::new(opened, self.client.clone(), job.policy))
+        Some(Attempt::new(opened, job.policy))
     }
 
     /// Records that a runner completed an answer.
@@ -326,21 +328,26 @@
         self.crash_tracker
             .record_start(job.fingerprint, &candidate.runner);
         self.metrics.add(Counter::Attempts, 1);
+        let mut guard = StreamGuard::new(self.client.clone(), candidate.address, key.clone());
         let opening = self.client.open(candidate.address, &key, priority, &body);
         let response = tokio::time::timeout(OPEN_TIMEOUT, opening)
             .await
-            .unwrap_or(Err(OpenError::NoAnswer))?;
+            .unwrap_or(Err(OpenError::NoAnswer))
+            .inspect_err(|error| {
+                if *error != OpenError::NoAnswer {
+                    guard.release();
+                }
+            })?;
         let (incarnation, queued) = self.record_load(&candidate.runner, &response);
         let opened = OpenedStream {
             id,
-            key,
-            address: candidate.address,
+            guard,
             incarnation,
             in_flight,
             queued,
             response,
         };
-        Ok(Attempt::new(opened, self.client.clone(), job.policy))
+        Ok(Attempt::new(opened, job.policy))
     }
 
     /// Records the load that a response reports. Gives the runner's incarnation
--- a/src/generation/mod.rs
+++ b/src/generation/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod run;
 pub(crate) mod runner_probe;
 pub(crate) mod silence;
+pub(crate) mod stream_guard;
 pub(crate) mod token_chain;
 
 #[cfg(test)]
--- a/src/generation/run.rs
+++ b/src/generation/run.rs
@@ -242,6 +242,7 @@
         let sent = tokio::time::timeout(CALLER_READ_TIMEOUT, sender.send_data(events)).await;
         match sent {
             Ok(Ok(())) => {
+                attempt.keep_for_caller();
                 if now.elapsed() > SLOW_DELIVERY_MIN {
                     attempt.restart_silence();
                 }
