End an idempotent call to a service when its caller leaves

What callers saw: nothing; services got calls of callers that had left, each time that an instance failed or didn't answer for 20 s.

Cause: calls to services ran in a task of their own, so that no close reached them. Only a claimed call needs one, to record its outcome.

Change: an idempotent call is part of its request, which the server drops on a close, with the connection to the instance.

--- a/src/caller/service_api.rs
+++ b/src/caller/service_api.rs
@@ -54,16 +54,15 @@
     call.body = http::read_body(request.into_body(), max_bytes).await?;
     let service = config.intent().services.get(&call.service);
     let is_idempotent = call.method == Method::GET || service.is_some_and(|s| s.idempotent);
+    if is_idempotent {
+        return call_idempotent(state, &call).await;
+    }
     let shared = state.clone();
-    // The call gets a task of its own, so that a claimed call runs to its end
-    // even if the caller disconnects.
-    let running = state.tasks.spawn(async move {
-        if is_idempotent {
-            call_idempotent(&shared, &call).await
-        } else {
-            call_at_most_once(&shared, &customer, &call).await
-        }
-    });
+    // A claimed call gets a task of its own, so that its outcome is recorded even
+    // if the caller disconnects.
+    let running = state
+        .tasks
+        .spawn(async move { call_at_most_once(&shared, &customer, &call).await });
     running.await.unwrap_or_else(|_| {
         Err(Error::new(
             ErrorKind::OutcomeUnknown,
