Release the claim of a call whose caller left before it is sent

What callers saw: a call ran at its service after its caller had left, as late as the claim was granted or an instance could be reached.

Cause: the task that claims a key and sends the call never asked whether the caller was still there.

Change: the request holds a token that is cancelled when the server drops the request. A claimed call goes to no further instance after that; it then counts as not sent, and its key is released as for any call that was not.

Why it works: a key is released only if the call never left this node, so that a later call with it runs once. A call that was sent keeps its task and records its outcome.

--- a/src/caller/service_api.rs
+++ b/src/caller/service_api.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
+use tokio_util::sync::CancellationToken;
 
 use crate::caller::identity::identify;
 use crate::claims::claim::{Claim, ClaimOutcome, Held, call_hash, take_claim};
@@ -58,11 +59,13 @@
         return call_idempotent(state, &call).await;
     }
     let shared = state.clone();
+    let caller_left = CancellationToken::new();
+    let _cancel_on_drop = caller_left.clone().drop_guard();
     // A claimed call gets a task of its own, so that its outcome is recorded even
     // if the caller disconnects.
     let running = state
         .tasks
-        .spawn(async move { call_at_most_once(&shared, &customer, &call).await });
+        .spawn(async move { call_at_most_once(&shared, &customer, &call, &caller_left).await });
     running.await.unwrap_or_else(|_| {
         Err(Error::new(
             ErrorKind::OutcomeUnknown,
@@ -86,6 +89,7 @@
     state: &NodeState,
     customer: &CustomerId,
     call: &ServiceCall,
+    caller_left: &CancellationToken,
 ) -> Result<HttpResponse, Error> {
     let key = claim_key(customer, call)?;
     let hash = call_hash(&call.path, &call.body);
@@ -93,7 +97,7 @@
     match take_claim(&state.claims, &key, hash, &claimant).await {
         ClaimOutcome::Granted(claim) => {
             state.metrics.add(Counter::ClaimsTaken, 1);
-            send_claimed(state, call, claim).await
+            send_claimed(state, call, claim, caller_left).await
         }
         ClaimOutcome::Ended { status: 0, .. } => Err(outcome_unknown(state)),
         ClaimOutcome::Ended { status, answer } => {
@@ -126,6 +130,7 @@
     state: &NodeState,
     call: &ServiceCall,
     claim: Claim<Held>,
+    caller_left: &CancellationToken,
 ) -> Result<HttpResponse, Error> {
     let Some(sent) = claim.begin_send() else {
         return Err(outcome_unknown(state));
@@ -133,7 +138,7 @@
     // The outcome is stored in the background, so that the caller need not wait
     // for the platform. If this node dies before it is stored, later calls with
     // the key get `outcome_unknown`.
-    let end = state.services.call_at_most_once(call).await;
+    let end = state.services.call_at_most_once(call, caller_left).await;
     let claims = state.claims.clone();
     match end {
         CallOutcome::Answered(response) => {
--- a/src/fleet/service.rs
+++ b/src/fleet/service.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{Method, Response, StatusCode};
+use tokio_util::sync::CancellationToken;
 
 use crate::fleet::table::{Fleet, Instance};
 use crate::http::{self, HttpClient, SendError};
@@ -53,9 +54,17 @@
         Self { client, fleet }
     }
 
-    /// Sends a call to the instances in turn until one may have received it.
-    pub(crate) async fn call_at_most_once(&self, call: &ServiceCall) -> CallOutcome {
+    /// Sends a call to the instances in turn until one may have received it, or its
+    /// caller has left.
+    pub(crate) async fn call_at_most_once(
+        &self,
+        call: &ServiceCall,
+        caller_left: &CancellationToken,
+    ) -> CallOutcome {
         for instance in self.instances(call) {
+            if caller_left.is_cancelled() {
+                return CallOutcome::NotSent;
+            }
             match self.send(call, &instance).await {
                 Ok(response) => return CallOutcome::Answered(response),
                 Err(SendError::NotSent(_)) => {}
