Refuse an event id past the end of its answer with 400

What callers saw: an event id whose index is not below max_tokens got 200 and then generation_lost.

Cause: the index was never compared with the length of the answer.

Measured: the new case of each_bad_request_gets_its_own_error_and_disturbs_no_other_call got 200 before and passes; tests/resume.rs passes.

--- a/src/caller/caller_api.rs
+++ b/src/caller/caller_api.rs
@@ -126,6 +126,10 @@
         let completion = CompletionRequest::parse(&body, limits.tokens_max)?;
         self.check_model(&config, &caller, &completion)?;
         match last_event {
+            Some(event) if event.index >= completion.max_tokens => Err(Error::new(
+                ErrorKind::BadRequest,
+                "last-event-id: past the end of the answer",
+            )),
             Some(event) => {
                 self.resume(config.clone(), &caller, completion, event)
                     .await
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -107,6 +107,13 @@
             400,
             ErrorKind::BadRequest,
         ),
+        (
+            "an event id past the end of its answer",
+            "x-caller-kind: steward\r\nlast-event-id: g.0.0.r1.3\r\n",
+            body_for_model("steward-chat").into_bytes(),
+            400,
+            ErrorKind::BadRequest,
+        ),
         (
             "a body above the limit",
             STEWARD,
