Refuse port 0 for the addresses that a node tells others

What operators saw: check accepted listen.callers with port 0, and callers were then told an address with port 0. The same holds for listen.peers.

Cause: the addresses were not checked, only parsed.

Measured: port_0_is_refused_for_addresses_that_others_are_told failed before (the settings were accepted) and passes.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -42,8 +42,7 @@
 }
 
 /// Addresses on which a node listens.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Listen {
     /// For callers.
     pub callers: SocketAddr,
@@ -96,7 +95,7 @@
 struct SettingsFile {
     node: Spanned<String>,
     data_centre: Spanned<String>,
-    listen: Listen,
+    listen: ListenFile,
     platform: SocketAddr,
     #[serde(default)]
     seeds: Vec<SocketAddr>,
@@ -115,6 +114,14 @@
     load_spacing_ms: Option<Spanned<u64>>,
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ListenFile {
+    callers: Spanned<SocketAddr>,
+    operators: SocketAddr,
+    peers: Spanned<SocketAddr>,
+}
+
 #[derive(Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct TimingFile {
@@ -193,6 +200,16 @@
         }
     }
 
+    /// Checks an address that this node tells callers or peers.
+    fn announced_address(&mut self, field: &str, address: &Spanned<SocketAddr>) {
+        if address.value.port() == 0 {
+            self.problems.push(format!(
+                "line {}: {field}: port 0 is no address that others can be told",
+                address.referenced.line()
+            ));
+        }
+    }
+
     fn key_hash(&mut self, operator: &str, value: &Spanned<String>) {
         let is_hash = value.value.len() == 64 && value.value.bytes().all(|b| b.is_ascii_hexdigit());
         if !is_hash {
@@ -249,7 +266,7 @@
             ),
             node: file.node.value,
             data_centre: file.data_centre.value,
-            listen: file.listen,
+            listen: file.listen.check(&mut checker),
             platform: file.platform,
             seeds: file.seeds,
             operators: file
@@ -269,6 +286,18 @@
     }
 }
 
+impl ListenFile {
+    fn check(&self, checker: &mut Checker) -> Listen {
+        checker.announced_address("listen.callers", &self.callers);
+        checker.announced_address("listen.peers", &self.peers);
+        Listen {
+            callers: self.callers.value,
+            operators: self.operators,
+            peers: self.peers.value,
+        }
+    }
+}
+
 impl TimingFile {
     fn check(&self, checker: &mut Checker) -> Timing {
         Timing {
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -257,3 +257,20 @@
         assert_eq!(intent.problems(), Vec::<String>::new());
     }
 }
+
+#[test]
+fn port_0_is_refused_for_addresses_that_others_are_told() {
+    let text = "\
+node: n1
+data_centre: tt-south-1
+listen: {callers: 127.0.0.1:0, operators: 127.0.0.1:0, peers: 127.0.0.1:0}
+platform: 127.0.0.1:7000
+";
+
+    let error = Settings::parse(text).expect_err("the settings are invalid");
+
+    insta::assert_snapshot!(error, @r"
+    line 3: listen.callers: port 0 is no address that others can be told
+    line 3: listen.peers: port 0 is no address that others can be told
+    ");
+}
