Let the poison detector decide about a request in one place

RequestCrashes and PartCrashes both turned a verdict into a permission: each looked for convictions, asked whose trial it is and began it. PoisonDetector does it now, and gives a Decision that both translate. No change of behaviour; the tests of the detector and of tests/crashing_parts.rs pass.

--- a/src/fleet/part_crashes.rs
+++ b/src/fleet/part_crashes.rs
@@ -14,7 +14,7 @@
 use crate::membership::crash_announcement::{from_clearance, from_crash, to_clearance, to_crash};
 use crate::membership::gossip::Membership;
 use crate::policy::crash_evidence::{Crash, PARTS_MAX, SURVIVAL_TIME};
-use crate::policy::poison_detector::{PoisonDetector, Verdict};
+use crate::policy::poison_detector::{Decision, PoisonDetector};
 
 /// Length below which a line of a prompt is no part: it says too little.
 const PART_BYTES_MIN: usize = 16;
@@ -139,20 +139,13 @@
     /// Checks whether a request may run. Otherwise returns the time after which it
     /// may come again.
     pub(crate) fn check_allowed(&self, parts: PromptParts<'_>) -> Result<(), Duration> {
-        let mut detector = self.lock();
-        let now = Instant::now();
-        if detector.conviction_count(now) == 0 {
-            return Ok(());
-        }
-        match detector.verdict(&parts.features(), now) {
+        let is_assigned = |key| self.is_assigned(key);
+        let features = || parts.features();
+        match self.lock().decide(features, is_assigned, Instant::now()) {
             // Whole requests are judged by `SuspectRequests`.
-            Verdict::Allowed | Verdict::CrashesUpstreams(_) => Ok(()),
-            Verdict::SharesFeatures(wait) => Err(wait),
-            Verdict::TrialDue(key) if self.is_assigned(key) => {
-                detector.begin_trial(key, now);
-                Ok(())
-            }
-            Verdict::TrialDue(_) => Err(TRIAL_TIME),
+            Decision::Send | Decision::SendAsTrial(_) | Decision::RefuseRequest(_) => Ok(()),
+            Decision::RefuseFeatures(wait) => Err(wait),
+            Decision::AwaitTrial => Err(TRIAL_TIME),
         }
     }
 
--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -16,7 +16,7 @@
 use crate::clock::unix_ms;
 use crate::policy::crash_evidence::{Clearance, Crash, SURVIVAL_TIME};
 use crate::policy::failure_response::GiveUpReason;
-use crate::policy::poison_detector::{PoisonDetector, Verdict};
+use crate::policy::poison_detector::{Decision, PoisonDetector};
 
 /// Time after a crash until the upstream's port refuses connections.
 const PORT_CLOSE_DELAY: Duration = Duration::from_millis(20);
@@ -56,25 +56,21 @@
         call: &Call,
         is_assigned: impl FnOnce(u64) -> bool,
     ) -> Permission {
-        let mut detector = self.lock();
-        let now = Instant::now();
-        if detector.conviction_count(now) == 0 {
-            return Permission::Allowed;
-        }
-        match detector.verdict(&call.features(), now) {
-            Verdict::Allowed => Permission::Allowed,
-            Verdict::TrialDue(key) if is_assigned(key) => {
-                detector.begin_trial(key, now);
+        let features = || call.features();
+        let decision = self.lock().decide(features, is_assigned, Instant::now());
+        match decision {
+            Decision::Send => Permission::Allowed,
+            Decision::SendAsTrial(key) => {
                 log::info!("event=trial_begun call={} conviction={key:016x}", call.id());
                 Permission::Trial
             }
-            Verdict::TrialDue(_) => {
+            Decision::AwaitTrial => {
                 Permission::Refused(GiveUpReason::SharesCrashingPart, SURVIVAL_TIME)
             }
-            Verdict::SharesFeatures(wait) => {
+            Decision::RefuseFeatures(wait) => {
                 Permission::Refused(GiveUpReason::SharesCrashingPart, wait)
             }
-            Verdict::CrashesUpstreams(wait) => {
+            Decision::RefuseRequest(wait) => {
                 Permission::Refused(GiveUpReason::CrashesUpstreams, wait)
             }
         }
--- a/src/policy/poison_detector.rs
+++ b/src/policy/poison_detector.rs
@@ -64,6 +64,21 @@
     SharesFeatures(Duration),
 }
 
+/// What this node does with a request, by its [`Verdict`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Decision {
+    Send,
+    /// The request is sent as the trial of the conviction with this key, which has
+    /// begun.
+    SendAsTrial(Fingerprint),
+    /// Another node sends a request as the trial that is due.
+    AwaitTrial,
+    /// The request is refused, because it crashed upstreams itself.
+    RefuseRequest(Duration),
+    /// The request is refused for what it shares with others that crashed upstreams.
+    RefuseFeatures(Duration),
+}
+
 /// The evidence that one node knows, and its conclusions.
 #[derive(Debug, Default)]
 pub(crate) struct PoisonDetector {
@@ -131,6 +146,30 @@
         self.convictions.len()
     }
 
+    /// Decides about a request with these features, and begins the trial that this
+    /// node is assigned to. `is_assigned` tells whether the trial of a conviction,
+    /// given by its key, is.
+    pub(crate) fn decide(
+        &mut self,
+        features: impl FnOnce() -> Vec<Fingerprint>,
+        is_assigned: impl FnOnce(Fingerprint) -> bool,
+        now: Instant,
+    ) -> Decision {
+        if self.conviction_count(now) == 0 {
+            return Decision::Send;
+        }
+        match self.verdict(&features(), now) {
+            Verdict::Allowed => Decision::Send,
+            Verdict::TrialDue(key) if is_assigned(key) => {
+                self.begin_trial(key, now);
+                Decision::SendAsTrial(key)
+            }
+            Verdict::TrialDue(_) => Decision::AwaitTrial,
+            Verdict::CrashesUpstreams(wait) => Decision::RefuseRequest(wait),
+            Verdict::SharesFeatures(wait) => Decision::RefuseFeatures(wait),
+        }
+    }
+
     /// Whether a request with these features may be sent; the first is the request
     /// as a whole.
     pub(crate) fn verdict(&mut self, features: &[Fingerprint], now: Instant) -> Verdict {
