Share what tests of silent engines do at the start and the end

answers_are_not_cut.rs and leaving_upstreams.rs each started a stream at slow engines, froze engines for a time and compared the events. The fixture running_stream does it once. leaving_upstreams.rs now checks the status as well. No check is weaker; both files and silent_upstreams.rs pass.

--- a/tests/answers_are_not_cut.rs
+++ b/tests/answers_are_not_cut.rs
@@ -9,6 +9,7 @@
 
 use serde_json::json;
 use support::edge_environment::caller::{Caller, Response, read_response, send_request};
+use support::edge_environment::running_stream::assert_stream_complete;
 use support::edge_environment::service::LongAnswer;
 use support::edge_environment::slow_link::{self, Pause};
 use support::edge_environment::{
@@ -55,38 +56,21 @@
     caller: &Caller,
     path: &'static str,
 ) -> JoinHandle<Response> {
-    for engine in &environment.engines {
-        *engine.event_interval.lock().expect("unpoisoned") = EVENT_INTERVAL;
-    }
+    environment.set_event_interval(EVENT_INTERVAL);
     let stream = spawn_stream(caller, path, EVENT_COUNT);
-    eventually("a stream runs", || {
-        environment.engines.iter().any(|e| e.running_count() > 0)
-    })
-    .await;
-    tokio::time::sleep(Duration::from_millis(250)).await;
+    environment.wait_for_running_stream().await;
     stream
 }
 
 /// All engines send and answer nothing for `silence`, and then go on.
 async fn silence_all_engines(environment: &TestEnvironment, silence: Duration) {
-    for engine in &environment.engines {
-        engine.set_frozen(true);
-    }
+    environment.set_all_engines_frozen(true);
     tokio::time::sleep(silence).await;
-    for engine in &environment.engines {
-        engine.set_frozen(false);
-    }
+    environment.set_all_engines_frozen(false);
 }
 
 fn assert_complete(got: &Response) {
-    assert_eq!(got.status, 200, "{}", got.head);
-    let event_count = got.event_ids().len();
-    assert!(
-        got.is_complete,
-        "cut after event {event_count} and {:?}",
-        got.elapsed
-    );
-    assert_eq!(got.event_ids(), (1..=EVENT_COUNT).collect::<Vec<u64>>());
+    assert_stream_complete(got, EVENT_COUNT);
 }
 
 #[tokio::test]
@@ -94,9 +78,7 @@
     let (environment, _node, stream) = start_with_running_stream(4, SINGLE_RUN_STREAM_PATH).await;
 
     let engine = environment.running_engine();
-    engine.set_frozen(true);
-    tokio::time::sleep(SILENCE).await;
-    engine.set_frozen(false);
+    engine.silence(SILENCE).await;
     let got = stream.await.expect("no panic");
 
     assert_complete(&got);
@@ -108,9 +90,9 @@
     let (environment, _node, stream) = start_with_running_stream(4, SINGLE_RUN_STREAM_PATH).await;
 
     let engine = environment.running_engine();
-    *engine.event_interval.lock().expect("unpoisoned") = Duration::from_millis(1_800);
+    engine.set_event_interval(Duration::from_millis(1_800));
     tokio::time::sleep(Duration::from_millis(100)).await;
-    *engine.event_interval.lock().expect("unpoisoned") = EVENT_INTERVAL;
+    engine.set_event_interval(EVENT_INTERVAL);
     let got = stream.await.expect("no panic");
 
     assert_complete(&got);
@@ -123,9 +105,9 @@
 
     let engine = environment.running_engine();
     engine.refuses_connections.store(true, Ordering::Relaxed);
-    *engine.event_interval.lock().expect("unpoisoned") = Duration::from_millis(700);
+    engine.set_event_interval(Duration::from_millis(700));
     tokio::time::sleep(Duration::from_millis(100)).await;
-    *engine.event_interval.lock().expect("unpoisoned") = EVENT_INTERVAL;
+    engine.set_event_interval(EVENT_INTERVAL);
     let got = stream.await.expect("no panic");
 
     assert_complete(&got);
@@ -168,9 +150,7 @@
     let stream = start_stream(&environment, &caller, STREAM_PATH).await;
 
     let engine = environment.running_engine();
-    engine.set_frozen(true);
-    tokio::time::sleep(SILENCE).await;
-    engine.set_frozen(false);
+    engine.silence(SILENCE).await;
     let got = stream.await.expect("no panic");
 
     assert_complete(&got);
@@ -298,9 +278,7 @@
     let node = start_node_with_grace(&spec, environment.store.address, GRACE_PERIOD_S).await;
     let caller = Caller::new(&spec);
     caller.wait_until_ready().await;
-    for engine in &environment.engines {
-        *engine.event_interval.lock().expect("unpoisoned") = Duration::from_millis(100);
-    }
+    environment.set_event_interval(Duration::from_millis(100));
     spawn_stream(&caller, STREAM_PATH, 100);
     eventually("a stream runs", || environment.run_count() > 0).await;
     let stopping = tokio::spawn(node.drain());
--- a/tests/leaving_upstreams.rs
+++ b/tests/leaving_upstreams.rs
@@ -10,6 +10,7 @@
 use serde_json::json;
 use support::edge_environment::caller::{Caller, Response};
 use support::edge_environment::engine::Engine;
+use support::edge_environment::running_stream::assert_stream_complete;
 use support::edge_environment::{IDEMPOTENT_PATH, TestEnvironment, config, eventually};
 use tokio::task::JoinHandle;
 use zinniawing::EdgeNode;
@@ -28,16 +29,10 @@
     engine_count: usize,
 ) -> (TestEnvironment, EdgeNode, Caller, JoinHandle<Response>) {
     let environment = TestEnvironment::start(engine_count).await;
-    for engine in &environment.engines {
-        *engine.event_interval.lock().expect("unpoisoned") = EVENT_INTERVAL;
-    }
+    environment.set_event_interval(EVENT_INTERVAL);
     let (node, caller) = environment.start_ready_node("n1").await;
     let stream = spawn_stream(&caller);
-    eventually("the stream runs", || {
-        environment.engines.iter().any(|e| e.running_count() > 0)
-    })
-    .await;
-    tokio::time::sleep(Duration::from_millis(250)).await;
+    environment.wait_for_running_stream().await;
     (environment, node, caller, stream)
 }
 
@@ -46,21 +41,8 @@
     engines.filter(|e| e.address != engine.address).collect()
 }
 
-/// Freezes the engine for [`SILENCE`].
-async fn silence(engine: &Engine) {
-    engine.set_frozen(true);
-    tokio::time::sleep(SILENCE).await;
-    engine.set_frozen(false);
-}
-
 fn assert_complete(got: &Response) {
-    let event_count = got.event_ids().len();
-    assert!(
-        got.is_complete,
-        "cut after event {event_count} and {:?}",
-        got.elapsed
-    );
-    assert_eq!(got.event_ids(), (1..=EVENT_COUNT).collect::<Vec<u64>>());
+    assert_stream_complete(got, EVENT_COUNT);
 }
 
 #[tokio::test]
@@ -71,7 +53,7 @@
     for engine in other_engines(&environment, &silent) {
         engine.is_full.store(true, Ordering::Relaxed);
     }
-    silence(&silent).await;
+    silent.silence(SILENCE).await;
     let got = stream.await.expect("no panic");
 
     assert_complete(&got);
@@ -90,7 +72,7 @@
     tokio::time::sleep(Duration::from_millis(200)).await;
 
     other.refuses_connections.store(true, Ordering::Relaxed);
-    silence(&silent).await;
+    silent.silence(SILENCE).await;
     let got = stream.await.expect("no panic");
     let second = second.await.expect("no panic");
 
@@ -119,15 +101,11 @@
     let (environment, _node, _caller, stream) = start_with_running_stream(4).await;
 
     let silent = environment.running_engine().clone();
-    for engine in &environment.engines {
-        engine.set_frozen(true);
-    }
+    environment.set_all_engines_frozen(true);
     tokio::time::sleep(Duration::from_millis(500)).await;
     silent.set_frozen(false);
     tokio::time::sleep(Duration::from_millis(60)).await;
-    for engine in &environment.engines {
-        engine.set_frozen(false);
-    }
+    environment.set_all_engines_frozen(false);
     let got = stream.await.expect("no panic");
 
     assert_complete(&got);
@@ -160,16 +138,13 @@
     let mut config = config(2);
     config["routes"][0]["max-attempts"] = json!(1);
     environment.store.put("config", "main", config);
-    for engine in &environment.engines {
-        *engine.event_interval.lock().expect("unpoisoned") = EVENT_INTERVAL;
-    }
+    environment.set_event_interval(EVENT_INTERVAL);
     let (_node, caller) = environment.start_ready_node("n1").await;
     let stream = spawn_stream(&caller);
-    eventually("the stream runs", || environment.run_count() > 0).await;
-    tokio::time::sleep(Duration::from_millis(250)).await;
+    environment.wait_for_running_stream().await;
 
     let silent = environment.running_engine().clone();
-    silence(&silent).await;
+    silent.silence(SILENCE).await;
     let got = stream.await.expect("no panic");
 
     assert_complete(&got);
@@ -182,13 +157,10 @@
     let mut config = config(2);
     config["services"][0]["engine"]["replicas"] = json!(false);
     environment.store.put("config", "main", config);
-    for engine in &environment.engines {
-        *engine.event_interval.lock().expect("unpoisoned") = EVENT_INTERVAL;
-    }
+    environment.set_event_interval(EVENT_INTERVAL);
     let (_node, caller) = environment.start_ready_node("n1").await;
     let stream = spawn_stream(&caller);
-    eventually("the stream runs", || environment.run_count() > 0).await;
-    tokio::time::sleep(Duration::from_millis(250)).await;
+    environment.wait_for_running_stream().await;
 
     for engine in &environment.engines {
         *engine.prefill_time.lock().expect("unpoisoned") = Duration::from_millis(800);
--- a/tests/silent_upstreams.rs
+++ b/tests/silent_upstreams.rs
@@ -29,9 +29,7 @@
     let mut config = config(2);
     change_route(&mut config["routes"][0]);
     environment.store.put("config", "main", config);
-    for engine in &environment.engines {
-        *engine.event_interval.lock().expect("unpoisoned") = Duration::from_millis(30);
-    }
+    environment.set_event_interval(Duration::from_millis(30));
     let (node, caller) = environment.start_ready_node("n1").await;
     let streams = (0..STREAM_COUNT).map(|_| spawn_stream(&caller)).collect();
     let engines = environment.engines.iter();
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -9,6 +9,7 @@
 pub mod named_limit;
 pub mod raw;
 pub mod run_log;
+pub mod running_stream;
 pub mod service;
 pub mod slow_link;
 pub mod store;
