Wait for a runner that stands still when a caller comes back to its stream

What callers saw: nothing; a caller that came back with its event id while the runner stood still got the answer from a second runner, and the first went on with it too.

Cause: the class of the silent streams again: a time-out (300 ms) of a request to a runner was taken for a runner that is gone.

Change: if the runner's host accepts connections, the request to resume has another 3 s (STANDSTILL_MAX). If no answer comes, the stream is cancelled, since the generation goes on elsewhere.

Why it works: within the bound no second runner gets the generation; after it, the cancellation waits for the runner as that of any lost stream does.

Measured: a_caller_that_comes_back_finds_its_stream_at_a_runner_that_stands_still failed in 2 of 2 runs before and passes; tests/resume.rs, tests/processes.rs and tests/crashes.rs pass.

--- a/src/generation/dispatch.rs
+++ b/src/generation/dispatch.rs
@@ -2,10 +2,13 @@
 //! runner, checks that it is not leaving, and asks it for a stream.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use hyper::Response;
+use hyper::body::Incoming;
 
 use crate::caller::event_id::AttemptId;
 use crate::configuration::config::{CallerPolicy, Config};
@@ -17,6 +20,8 @@
 use crate::fleet::runner::{self, OpenError, RunnerClient, StreamRequest};
 use crate::fleet::table::Fleet;
 use crate::generation::attempt::{Attempt, OpenedStream};
+use crate::generation::runner_probe::accepts_connections;
+use crate::generation::silence::STANDSTILL_MAX;
 use crate::generation::stream_guard::StreamGuard;
 use crate::hash::Fnv;
 use crate::id::{
@@ -208,7 +213,8 @@
     }
 
     /// Continues to read a stream that this or another node opened, if its
-    /// runner still holds it.
+    /// runner still holds it. The stream of a runner that does not answer is
+    /// cancelled, because the generation goes on elsewhere.
     pub(crate) async fn reattach(
         &self,
         job: &Job,
@@ -218,14 +224,17 @@
         let (address, _) = self.fleet.locate(&attempt.runner)?;
         let key = attempt.stream_key(&job.request_hash);
         let in_flight = self.fleet.track_stream(&attempt.runner, false);
-        let resuming = self.client.resume(address, &key, next_index);
-        let response = tokio::time::timeout(REPORT_TIMEOUT, resuming)
-            .await
-            .ok()?
-            .ok()?;
-        let (incarnation, queued) = self.record_load(&attempt.runner, &response);
-        let mut guard = StreamGuard::new(self.client.clone(), address, key);
+        let mut guard = StreamGuard::new(self.client.clone(), address, key.clone());
         guard.release();
+        let response = match self.resume(address, &key, next_index).await {
+            Ok(response) => response,
+            Err(OpenError::NoAnswer) => {
+                guard.cancel();
+                return None;
+            }
+            Err(_) => return None,
+        };
+        let (incarnation, queued) = self.record_load(&attempt.runner, &response);
         let opened = OpenedStream {
             id: attempt,
             guard,
@@ -237,6 +246,26 @@
         Some(Attempt::new(opened, job.policy))
     }
 
+    /// Asks a runner for the rest of a stream, and waits longer if only its process
+    /// seems to stand still.
+    async fn resume(
+        &self,
+        address: SocketAddr,
+        key: &str,
+        next_index: TokenIndex,
+    ) -> Result<Response<Incoming>, OpenError> {
+        let resuming = self.client.resume(address, key, next_index);
+        tokio::pin!(resuming);
+        if let Ok(answer) = tokio::time::timeout(REPORT_TIMEOUT, &mut resuming).await {
+            return answer;
+        }
+        if !accepts_connections(address, REPORT_TIMEOUT).await {
+            return Err(OpenError::NoAnswer);
+        }
+        let answer = tokio::time::timeout(STANDSTILL_MAX, resuming).await;
+        answer.unwrap_or(Err(OpenError::NoAnswer))
+    }
+
     /// Records that a runner completed an answer.
     pub(crate) fn record_success(&self, runner: &str) {
         self.fleet.record_success(runner);
--- a/src/generation/runner_probe.rs
+++ b/src/generation/runner_probe.rs
@@ -46,7 +46,9 @@
     }
 }
 
-async fn accepts_connections(address: SocketAddr, window: Duration) -> bool {
+/// Whether the host of a runner accepts a connection within `window`, as it also
+/// does while the runner's process stands still.
+pub(crate) async fn accepts_connections(address: SocketAddr, window: Duration) -> bool {
     let connected = tokio::time::timeout(window, TcpStream::connect(address)).await;
     matches!(connected, Ok(Ok(_)))
 }
--- a/src/generation/silence.rs
+++ b/src/generation/silence.rs
@@ -18,7 +18,7 @@
 const STALL_FACTOR: u32 = 10;
 /// How long a runner may stand still while its host accepts connections. Its
 /// process may go on, and must not work on a stream that another runner took over.
-const STANDSTILL_MAX: Duration = Duration::from_secs(3);
+pub(crate) const STANDSTILL_MAX: Duration = Duration::from_secs(3);
 /// How long a runner that answers probes may take to send the first token,
 /// including the time in its queue.
 const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(60);
