--- a/src/caller/caller_api.rs
+++ b/src/caller/caller_api.rs
@@ -126,6 +126,10 @@
         let completion = CompletionRequest::parse(&body, limits.tokens_max)?;
         self.check_model(&config, &caller, &completion)?;
         match last_event {
+            Some(event) if event.index >= completion.max_tokens => Err(Error::new(
+                ErrorKind::BadRequest,
+                "last-event-id: past the end of the answer",
+            )),
             Some(event) => {
                 self.resume(config.clone(), &caller, completion, event)
                     .await
@@ -310,6 +314,7 @@
             "event: start\ndata: {{\"generation\":\"{id}\",\"index\":{}}}\n\n",
             generation.next_index()
         );
+        let (body, caller_left) = http::boxed_until_dropped(body);
         let aborted = self.state.abort_token.clone();
         self.state.tasks.spawn(async move {
             let running = async {
@@ -318,9 +323,10 @@
                     let _ = generation.run(attempt, Sink::Events(sender)).await;
                 }
             };
+            let running = caller_left.run_until_cancelled(running);
             aborted.run_until_cancelled(running).await;
         });
-        let mut response = Response::new(http::boxed(body));
+        let mut response = Response::new(body);
         let event_stream = HeaderValue::from_static("text/event-stream");
         response.headers_mut().insert(CONTENT_TYPE, event_stream);
         response
--- a/src/generation/attempt.rs
+++ b/src/generation/attempt.rs
@@ -5,7 +5,6 @@
 //! runner is gone, or after a much longer time, because a slow runner must not
 //! be mistaken for a dead one. See `docs/RESUME.md`.
 
-use std::net::SocketAddr;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -19,10 +18,11 @@
 use crate::caller::sse::{EventBuffer, EventTooLarge};
 use crate::configuration::config::CallerPolicy;
 use crate::fleet::in_flight::InFlightStream;
-use crate::fleet::runner::{self, RunnerClient, StreamKey};
+use crate::fleet::runner;
 use crate::generation::delivery::{Added, Delivery};
 use crate::generation::runner_probe::{ProbeResult, probe_result, probe_runner};
 use crate::generation::silence::SilenceDetector;
+use crate::generation::stream_guard::StreamGuard;
 use crate::id::Incarnation;
 
 /// What happened to an attempt; outcome of [`Attempt::next_step`].
@@ -44,8 +44,8 @@
 pub(crate) enum Loss {
     /// The connection broke, as it does when the runner dies.
     Reset,
-    /// The stream was silent, and the runner did not answer a probe or has
-    /// restarted since.
+    /// The stream was silent, and the runner's host could not be reached, the runner
+    /// stood still for too long, or it has restarted since.
     Silence,
     /// The runner answers probes, but the stream sends no tokens.
     Stalled,
@@ -53,16 +53,25 @@
     Protocol,
 }
 
+/// Whether a standby attempt is open beside an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StandbyState {
+    /// One is open.
+    Open,
+    /// None is open, and one may be.
+    Allowed,
+    /// None is open, and none can be.
+    Forbidden,
+}
+
 /// An attempt whose stream is open: reads the stream and detects its loss.
 #[derive(Debug)]
 pub(crate) struct Attempt {
     id: AttemptId,
     id_prefix: String,
-    key: StreamKey,
-    address: SocketAddr,
+    guard: StreamGuard,
     incarnation: Incarnation,
     queued: bool,
-    client: RunnerClient,
     body: Incoming,
     buffer: EventBuffer,
     in_flight: InFlightStream,
@@ -73,10 +82,8 @@
 /// A stream that a runner has opened, with what an [`Attempt`] needs to read it.
 pub(crate) struct OpenedStream {
     pub(crate) id: AttemptId,
-    /// Name of the stream at the runner.
-    pub(crate) key: StreamKey,
-    /// Address of the runner.
-    pub(crate) address: SocketAddr,
+    /// Cancels the stream when it is no longer needed.
+    pub(crate) guard: StreamGuard,
     /// Incarnation of the runner that opened the stream; 0 if unknown.
     pub(crate) incarnation: Incarnation,
     /// Counts the stream as in flight at the runner.
@@ -89,15 +96,13 @@
 
 impl Attempt {
     /// Makes the attempt that reads a stream which a runner has opened.
-    pub(crate) fn new(opened: OpenedStream, client: RunnerClient, policy: CallerPolicy) -> Self {
+    pub(crate) fn new(opened: OpenedStream, policy: CallerPolicy) -> Self {
         Self {
             id_prefix: format!("id: {}.", opened.id),
             id: opened.id,
-            key: opened.key,
-            address: opened.address,
+            guard: opened.guard,
             incarnation: opened.incarnation,
             queued: opened.queued,
-            client,
             body: opened.response.into_body(),
             buffer: EventBuffer::default(),
             in_flight: opened.in_flight,
@@ -120,22 +125,25 @@
         (self.id.runner.clone(), self.incarnation)
     }
 
-    /// Waits for the attempt's next step. [`Step::OpenStandby`] comes only if
-    /// `may_open_standby`.
+    /// Waits for the attempt's next step. [`Step::OpenStandby`] comes only with
+    /// [`StandbyState::Allowed`].
     pub(crate) async fn next_step(
         &mut self,
         delivery: &mut Delivery,
-        may_open_standby: bool,
+        standby: StandbyState,
     ) -> Step {
         loop {
             match self.drain(delivery) {
                 Drained::Nothing => {}
                 Drained::Tokens => return Step::Tokens,
-                Drained::Ended => return Step::Ended,
+                Drained::Ended => {
+                    self.guard.release();
+                    return Step::Ended;
+                }
                 Drained::Invalid => return Step::Lost(Loss::Protocol),
             }
             let waiting_since = Instant::now();
-            let wake_at = self.silence.wake_at(may_open_standby);
+            let wake_at = self.silence.wake_at(standby);
             let wake_at = wake_at.map(|at| at.max(waiting_since));
             tokio::select! {
                 biased;
@@ -149,7 +157,8 @@
                 }
                 result = probe_result(&mut self.probe) => {
                     self.probe = None;
-                    if let Some(loss) = self.silence.apply_probe_result(result, Instant::now()) {
+                    let now = Instant::now();
+                    if let Some(loss) = self.silence.apply_probe_result(result, standby, now) {
                         return Step::Lost(loss);
                     }
                 }
@@ -161,10 +170,10 @@
                         self.silence.restart(now);
                         continue;
                     }
-                    if may_open_standby && self.silence.request_standby_if_due(now) {
+                    if standby == StandbyState::Allowed && self.silence.request_standby_if_due(now) {
                         return Step::OpenStandby;
                     }
-                    self.probe_if_due(now);
+                    self.probe_if_due(standby, now);
                 }
             }
         }
@@ -178,7 +187,13 @@
 
     /// Tells the runner to stop the stream, whose tokens are no longer needed.
     pub(crate) fn cancel(self) {
-        tokio::spawn(async move { self.client.cancel(self.address, &self.key).await });
+        self.guard.cancel();
+    }
+
+    /// Leaves the stream to its runner when the attempt is dropped, because the
+    /// caller has an event id with which it may come back for it.
+    pub(crate) fn keep_for_caller(&mut self) {
+        self.guard.release();
     }
 
     fn buffer_frames(&mut self, first: Option<Bytes>) -> Result<(), EventTooLarge> {
@@ -221,7 +236,7 @@
         drained
     }
 
-    fn probe_if_due(&mut self, now: Instant) {
+    fn probe_if_due(&mut self, standby: StandbyState, now: Instant) {
         if self.probe.is_some() || !self.silence.is_probe_due(now) {
             return;
         }
@@ -230,11 +245,12 @@
             // Other streams of the runner receive tokens, so it is alive. Only
             // half the window counts: when a runner dies, the last tokens of
             // its streams arrive at slightly different times.
-            self.silence.apply_probe_result(ProbeResult::Alive, now);
+            self.silence
+                .apply_probe_result(ProbeResult::Alive, standby, now);
             return;
         }
-        let client = self.client.clone();
-        let address = self.address;
+        let client = self.guard.client().clone();
+        let address = self.guard.address();
         let incarnation = self.incarnation;
         self.silence.probe_started();
         self.probe = Some(tokio::spawn(async move {
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -107,6 +107,13 @@
             400,
             ErrorKind::BadRequest,
         ),
+        (
+            "an event id past the end of its answer",
+            "x-caller-kind: steward\r\nlast-event-id: g.0.0.r1.3\r\n",
+            body_for_model("steward-chat").into_bytes(),
+            400,
+            ErrorKind::BadRequest,
+        ),
         (
             "a body above the limit",
             STEWARD,
@@ -250,3 +257,20 @@
         assert_eq!(intent.problems(), Vec::<String>::new());
     }
 }
+
+#[test]
+fn port_0_is_refused_for_addresses_that_others_are_told() {
+    let text = "\
+node: n1
+data_centre: tt-south-1
+listen: {callers: 127.0.0.1:0, operators: 127.0.0.1:0, peers: 127.0.0.1:0}
+platform: 127.0.0.1:7000
+";
+
+    let error = Settings::parse(text).expect_err("the settings are invalid");
+
+    insta::assert_snapshot!(error, @r"
+    line 3: listen.callers: port 0 is no address that others can be told
+    line 3: listen.peers: port 0 is no address that others can be told
+    ");
+}
