--- a/src/forward/send_history.rs
+++ b/src/forward/send_history.rs
@@ -3,14 +3,13 @@
 use super::attempt::AttemptFailure;
 use crate::policy::failure_response::Progress;
 
-/// The sends of one call so far.
+/// The sends of one call so far. Sends of a plain call may overlap.
 #[derive(Debug)]
 pub(crate) struct SendHistory {
     sent_count: u32,
     undelivered_count: u32,
-    progress: Progress,
-    /// Progress before the send that was begun last.
-    progress_before_send: Progress,
+    /// Sends that were begun, less those that ended and cannot have run the call.
+    may_have_run_count: u32,
 }
 
 impl SendHistory {
@@ -19,22 +18,19 @@
         Self {
             sent_count: 0,
             undelivered_count: 0,
-            progress: Progress::NotRun,
-            progress_before_send: Progress::NotRun,
+            may_have_run_count: 0,
         }
     }
 
     /// Records the start of a send. Until it is known how the send ends, the
     /// call may be running.
     pub(crate) fn begin(&mut self) {
-        self.progress_before_send = self.progress;
-        self.progress = Progress::MayHaveRun;
+        self.may_have_run_count += 1;
         self.sent_count += 1;
     }
 
     /// Records that a send failed. Returns true if this send cannot have made an
-    /// upstream run the call. Sends of a plain call may overlap; then the progress
-    /// stays as it was before the send that was begun last.
+    /// upstream run the call.
     pub(crate) fn record_failure(&mut self, failure: &AttemptFailure) -> bool {
         match failure {
             AttemptFailure::NotSent(_) => {
@@ -45,7 +41,7 @@
             AttemptFailure::NotExecuted => {}
             AttemptFailure::MayHaveRun(_) | AttemptFailure::Abandoned(_) => return false,
         }
-        self.progress = self.progress_before_send;
+        self.may_have_run_count -= 1;
         true
     }
 
@@ -61,6 +57,10 @@
 
     /// Whether an upstream may have run the call.
     pub(crate) fn progress(&self) -> Progress {
-        self.progress
+        if self.may_have_run_count == 0 {
+            Progress::NotRun
+        } else {
+            Progress::MayHaveRun
+        }
     }
 }
--- a/src/forward/tests/send_history.rs
+++ b/src/forward/tests/send_history.rs
@@ -44,3 +44,27 @@
 
     assert_eq!(history.progress(), Progress::MayHaveRun);
 }
+
+#[test]
+fn a_call_whose_overlapping_sends_all_failed_to_leave_the_node_has_not_run() {
+    let mut history = SendHistory::new();
+    history.begin();
+    history.begin();
+
+    history.record_failure(&AttemptFailure::NotSent("timed out"));
+    assert_eq!(history.progress(), Progress::MayHaveRun);
+    history.record_failure(&AttemptFailure::NotSent("timed out"));
+
+    assert_eq!(history.progress(), Progress::NotRun);
+}
+
+#[test]
+fn a_call_may_have_run_while_an_earlier_send_goes_on() {
+    let mut history = SendHistory::new();
+    history.begin();
+    history.begin();
+
+    history.record_failure(&AttemptFailure::NotExecuted);
+
+    assert_eq!(history.progress(), Progress::MayHaveRun);
+}
