--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -28,6 +28,7 @@
 use crate::forward::directory::Directory;
 use crate::forward::forwarder::Forwarder;
 use crate::forward::observation::Observations;
+use crate::forward::reach_monitor::ReachMonitor;
 use crate::forward::request_crashes::RequestCrashes;
 use crate::forward::retry_budgets::RetryBudgets;
 use crate::forward::run_origin::RunOrigins;
@@ -102,6 +103,7 @@
         let forwarder = Arc::new(Forwarder {
             route_table: ArcSwapOption::empty(),
             directory: Directory::new(observation_channel.clone()),
+            reach: ReachMonitor::default(),
             budgets: RetryBudgets::new(settings.retry_limits()),
             request_crashes: RequestCrashes::new(observation_channel.clone()),
             sessions: Sessions::new(observation_channel.clone()),
@@ -249,6 +251,7 @@
     let exchange = watch.exchange.clone();
     let membership = exchange.membership.clone();
     tokio::spawn(observations::exchange(membership, watch.forwarder.clone()));
+    tokio::spawn(watch.forwarder.clone().watch_reach());
     tokio::spawn(async move { exchange.follow_peers().await });
     tokio::spawn(watch.clone().follow_peers());
     tokio::spawn(watch.clone().follow_config());
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -52,6 +52,9 @@
 /// Why an attempt has no answer to pass on, and whether the call may have run.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum AttemptFailure {
+    /// No connection to the upstream could be opened.
+    #[error("call not sent: {0}")]
+    NotConnected(&'static str),
     /// No byte of the call left this node.
     #[error("call not sent: {0}")]
     NotSent(&'static str),
@@ -71,6 +74,16 @@
     Abandoned(LossReason),
 }
 
+impl AttemptFailure {
+    /// Whether the failure suggests that this node has no path to the upstream.
+    pub(crate) fn suggests_no_path(&self) -> bool {
+        match self {
+            Self::NotConnected(_) | Self::MayHaveRun(_) | Self::Abandoned(_) => true,
+            Self::NotSent(_) | Self::NotExecuted | Self::Misdirected(_) => false,
+        }
+    }
+}
+
 impl Attempt<Unsent> {
     /// Prepares to send `request` to `upstream`.
     pub(crate) fn new(upstream: Arc<Upstream>, work: Work, request: Request<Full<Bytes>>) -> Self {
@@ -165,6 +178,7 @@
 impl From<SendFailure> for AttemptFailure {
     fn from(failure: SendFailure) -> Self {
         match failure {
+            SendFailure::NotConnected(cause) => Self::NotConnected(cause),
             SendFailure::NotSent(cause) => Self::NotSent(cause),
             SendFailure::NoAnswer(error) => Self::MayHaveRun(error.to_string()),
         }
--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -39,6 +39,9 @@
 /// Why a request got no answer.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum SendFailure {
+    /// No connection to the upstream could be opened.
+    #[error("not connected: {0}")]
+    NotConnected(&'static str),
     /// The request did not leave this node.
     #[error("not sent: {0}")]
     NotSent(&'static str),
@@ -62,8 +65,12 @@
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(_)) => return Err(SendFailure::NotSent("connection could not be established")),
-            Err(_) => return Err(SendFailure::NotSent("connection timed out")),
+            Ok(Err(_)) => {
+                return Err(SendFailure::NotConnected(
+                    "connection could not be established",
+                ));
+            }
+            Err(_) => return Err(SendFailure::NotConnected("connection timed out")),
         };
         set_socket_options(&stream);
         let handshake = http1::handshake(TokioIo::new(stream)).await;
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -225,6 +225,16 @@
         }
     }
 
+    /// The upstreams of each service, those that drain included.
+    pub(crate) fn by_service(&self) -> BTreeMap<ServiceId, Vec<Arc<Upstream>>> {
+        let mut services: BTreeMap<ServiceId, Vec<Arc<Upstream>>> = BTreeMap::new();
+        for upstream in self.lock().upstreams.values() {
+            let service = upstream.entry.service.clone();
+            services.entry(service).or_default().push(upstream.clone());
+        }
+        services
+    }
+
     pub(crate) fn knows(&self, id: &UpstreamId) -> bool {
         self.lock().upstreams.contains_key(id)
     }
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -11,6 +11,7 @@
 
 use super::directory::Directory;
 use super::observation::Observations;
+use super::reach_monitor::ReachMonitor;
 use super::request::Call;
 use super::request_crashes::{Permission, RequestCrashes};
 use super::retry_budgets::RetryBudgets;
@@ -80,6 +81,8 @@
     /// The configuration in force, if there is one.
     pub(crate) route_table: ArcSwapOption<RouteTable>,
     pub(crate) directory: Directory,
+    /// Which services' upstreams this node can't reach.
+    pub(crate) reach: ReachMonitor,
     /// The shares that this node has of the services' retry budgets.
     pub(crate) budgets: RetryBudgets,
     /// Requests suspected of crashing their upstreams.
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -25,6 +25,7 @@
 pub(crate) mod observation;
 pub(crate) mod plain_call;
 pub(crate) mod probe;
+pub(crate) mod reach_monitor;
 pub(crate) mod refusal;
 pub(crate) mod request;
 pub(crate) mod request_crashes;
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -281,10 +281,19 @@
         let work = Work::call(upstream, 0, 0);
         let attempt = Attempt::new(upstream.clone(), work, request);
         let answered: Attempt<Answered> = attempt.send(call.headers.call_id.as_ref()).await?;
+        self.record_connected(&answered);
         let read = answer_body::read(answered, call.deadline).await;
         read.map_err(|error| AttemptFailure::MayHaveRun(error.to_string()))
     }
 
+    /// Records that an upstream answered, if that shows that it can be reached.
+    pub(crate) fn record_connected(&self, answered: &Attempt<Answered>) {
+        if !answered.state.connection.is_reused() {
+            self.reach
+                .record_connected(&answered.upstream.entry.service);
+        }
+    }
+
     /// Logs why an attempt failed, and updates the state of the upstream: it is
     /// avoided for a while, or removed if its address belongs to another one.
     pub(crate) fn handle_failure(
@@ -303,6 +312,9 @@
             upstream.entry.id,
             call.age().as_millis()
         );
+        if failure.suggests_no_path() {
+            self.reach.record_failure(upstream);
+        }
         match failure {
             AttemptFailure::Misdirected(actual) => {
                 self.directory.remove_misdirected(upstream, now);
@@ -310,7 +322,8 @@
                     self.find_successor(upstream.entry.clone(), actual.clone());
                 }
             }
-            AttemptFailure::NotSent(_)
+            AttemptFailure::NotConnected(_)
+            | AttemptFailure::NotSent(_)
             | AttemptFailure::MayHaveRun(_)
             | AttemptFailure::Abandoned(_) => {
                 upstream.avoid(now);
--- a/src/forward/send_history.rs
+++ b/src/forward/send_history.rs
@@ -33,7 +33,7 @@
     /// upstream run the call.
     pub(crate) fn record_failure(&mut self, failure: &AttemptFailure) -> bool {
         match failure {
-            AttemptFailure::NotSent(_) => {
+            AttemptFailure::NotConnected(_) | AttemptFailure::NotSent(_) => {
                 self.sent_count -= 1;
                 self.undelivered_count += 1;
             }
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -157,7 +157,10 @@
             self.sends.begin();
             self.has_upstream_sent_event = false;
             let failure = match self.send(&upstream, replica).await {
-                Ok(attempt) if attempt.state.headers.status.is_success() => return Ok(attempt),
+                Ok(attempt) if attempt.state.headers.status.is_success() => {
+                    self.forwarder.record_connected(&attempt);
+                    return Ok(attempt);
+                }
                 Ok(attempt) => self.handle_non_stream_answer(attempt).await?,
                 Err(failure) => failure,
             };
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -85,6 +85,8 @@
     SendsOverLimit,
     /// Liveness probes sent to engines.
     EngineProbes,
+    /// Connections opened to find out whether upstreams can be reached.
+    ReachProbes,
     /// KV cache replicas requested from engines.
     CopiesAskedFor,
     /// Times that the upstream of a stream was lost.
@@ -101,7 +103,7 @@
 
 impl Counter {
     /// All counters, in the order of the list in `docs/OPERATIONS.md`.
-    pub const ALL: [Self; 35] = [
+    pub const ALL: [Self; 36] = [
         Self::Completions,
         Self::Refused,
         Self::Tokens,
@@ -131,6 +133,7 @@
         Self::RetriesOverBudget,
         Self::SendsOverLimit,
         Self::EngineProbes,
+        Self::ReachProbes,
         Self::CopiesAskedFor,
         Self::StreamsLost,
         Self::StreamsResumed,
@@ -172,6 +175,7 @@
             Self::RetriesOverBudget => "retries_over_budget_count",
             Self::SendsOverLimit => "sends_over_limit_count",
             Self::EngineProbes => "engine_probes_count",
+            Self::ReachProbes => "reach_probes_count",
             Self::CopiesAskedFor => "copies_asked_for_count",
             Self::StreamsLost => "streams_lost_count",
             Self::StreamsResumed => "streams_resumed_count",
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod poison_detector;
 pub(crate) mod retry_budget_share;
 pub(crate) mod upstream_limit;
+pub(crate) mod upstream_reach;
 pub(crate) mod watchers;
 
 #[cfg(test)]
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -8,4 +8,5 @@
 mod poison_detector;
 mod retry_budget_share;
 mod upstream_limit;
+mod upstream_reach;
 mod watchers;
