--- /dev/null
+++ b/tests/cut_nodes/main.rs
@@ -0,0 +1,7 @@
+//! Nodes that reach no upstream, while callers, the store and other nodes reach them.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod scene;
+mod served;
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -9,12 +9,12 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::crashing_parts::CrashingParts;
+use crate::edge_environment::proxy::Mode;
 use crate::edge_environment::service::NextFault;
 use crate::fault_kind::FaultKind;
 use crate::history::{Occurrence, UpstreamAt};
 use crate::named_limits::NamedLimits;
 use crate::node::SoakEnvironment;
-use crate::proxy::Mode;
 use crate::silences::{self, Silences};
 
 /// A draining engine must get no new runs later than this after it was marked.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -35,7 +35,6 @@
 mod lost;
 mod named_limits;
 mod node;
-mod proxy;
 mod silences;
 
 use std::time::Duration;
--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -12,10 +12,10 @@
 use crate::edge_environment::caller::Caller;
 use crate::edge_environment::engine::{self, Engine};
 use crate::edge_environment::named_limit::NamedLimit;
+use crate::edge_environment::proxy::{Mode, Proxy};
 use crate::edge_environment::service::Service;
 use crate::edge_environment::store::Store;
 use crate::history::{History, Occurrence, UpstreamAt};
-use crate::proxy::{Mode, Proxy};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_zinniawing");
 const ENGINE_COUNT: usize = 8;
--- a/tests/soak/silences.rs
+++ b/tests/soak/silences.rs
@@ -6,9 +6,9 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 
+use crate::edge_environment::proxy::Mode;
 use crate::history::UpstreamAt;
 use crate::node::SoakEnvironment;
-use crate::proxy::Mode;
 
 /// Shortest time between two silences of one upstream.
 const PAUSE_MIN: Duration = Duration::from_millis(300);
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -6,12 +6,15 @@
 
 pub mod caller;
 pub mod engine;
+pub mod first_tries;
 pub mod named_limit;
+pub mod proxy;
 pub mod raw;
 pub mod run_log;
 pub mod service;
 pub mod slow_link;
 pub mod store;
+pub mod store_view;
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -118,6 +121,16 @@
         self
     }
 
+    /// Nodes that know each other, in two data centres in turn.
+    pub fn cluster(count: usize) -> Vec<Self> {
+        let first = Self::new("n0", "dc-a");
+        let others = (1..count).map(|n| {
+            let data_centre = ["dc-a", "dc-b"][n % 2];
+            Self::new(&format!("n{n}"), data_centre).with_seed(&first)
+        });
+        std::iter::once(first.clone()).chain(others).collect()
+    }
+
     /// The settings file as the platform writes it.
     pub fn settings(&self, store: SocketAddr, grace_period_s: u32) -> String {
         format!(
@@ -198,12 +211,7 @@
 
     /// Starts `count` nodes that know each other, and waits until they are ready.
     pub async fn start_ready_nodes(&self, count: usize) -> (Vec<EdgeNode>, Vec<Caller>) {
-        let first = NodeSpec::new("n0", "dc-a");
-        let mut specs = vec![first.clone()];
-        for n in 1..count {
-            let data_centre = ["dc-a", "dc-b"][n % 2];
-            specs.push(NodeSpec::new(&format!("n{n}"), data_centre).with_seed(&first));
-        }
+        let specs = NodeSpec::cluster(count);
         let mut nodes = Vec::new();
         for spec in &specs {
             nodes.push(start_node(spec, self.store.address).await);
--- a/tests/soak/proxy.rs
+++ b/tests/support/edge_environment/proxy.rs
@@ -1,5 +1,5 @@
 //! A loopback proxy that can delay or hold back traffic, hold back only answers,
-//! or reset connections.
+//! and reset or refuse connections.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,6 +9,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+/// Connections that wait to be accepted, at most.
+const BACKLOG: i32 = 1_024;
+/// Time after which a connection that is not established counts as dropped.
+const DROPPED_TIME: Duration = Duration::from_millis(20);
+
 /// What the proxy does with traffic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
@@ -21,6 +26,21 @@
     NoAnswers,
     /// Resets open and new connections.
     Reset,
+    /// Resets new connections; open ones live on.
+    RefuseNew,
+    /// Holds back traffic in both directions; new connections hang before they are
+    /// established.
+    Unreachable,
+}
+
+impl Mode {
+    fn holds_back(self, is_answer: bool) -> bool {
+        match self {
+            Self::Silent | Self::Unreachable => true,
+            Self::NoAnswers => is_answer,
+            _ => false,
+        }
+    }
 }
 
 pub struct Proxy {
@@ -33,12 +53,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let mode = watch::Sender::new(Mode::Pass);
-        let modes = mode.clone();
-        tokio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                tokio::spawn(relay(client, target, modes.subscribe()));
-            }
-        });
+        tokio::spawn(accept(listener, target, mode.subscribe()));
         Arc::new(Self { address, mode })
     }
 
@@ -47,16 +62,52 @@
     }
 }
 
+async fn accept(listener: TcpListener, target: SocketAddr, mut modes: watch::Receiver<Mode>) {
+    loop {
+        if *modes.borrow_and_update() == Mode::Unreachable {
+            let fillers = fill_backlog(&listener).await;
+            let _ = modes.wait_for(|mode| *mode != Mode::Unreachable).await;
+            let _ = socket2::SockRef::from(&listener).listen(BACKLOG);
+            drop(fillers);
+        }
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((client, _)) = accepted else { return };
+                tokio::spawn(relay(client, target, modes.clone()));
+            }
+            changed = modes.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Fills the queue of connections to accept, so that the kernel drops the first
+/// segments of further ones.
+async fn fill_backlog(listener: &TcpListener) -> Vec<TcpStream> {
+    let address = listener.local_addr().expect("an address");
+    let _ = socket2::SockRef::from(listener).listen(0);
+    let mut fillers = Vec::new();
+    let connect = || tokio::time::timeout(DROPPED_TIME, TcpStream::connect(address));
+    while let Ok(Ok(filler)) = connect().await {
+        fillers.push(filler);
+    }
+    fillers
+}
+
 fn reset_on_close(stream: &TcpStream) {
     // With a linger time of zero, closing the socket sends a TCP reset.
     let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
 async fn relay(client: TcpStream, target: SocketAddr, mut modes: watch::Receiver<Mode>) {
-    if *modes.borrow() == Mode::Reset {
+    let mode = *modes.borrow();
+    if [Mode::Reset, Mode::RefuseNew].contains(&mode) {
         return reset_on_close(&client);
     }
-    let _ = modes.wait_for(|mode| *mode != Mode::Silent).await;
+    let _ = modes.wait_for(|mode| !mode.holds_back(false)).await;
     let Ok(upstream) = TcpStream::connect(target).await else {
         return reset_on_close(&client);
     };
@@ -100,10 +151,8 @@
         if count == 0 {
             return Ok(());
         }
-        let is_held_back =
-            |mode: &Mode| *mode == Mode::Silent || (is_answer && *mode == Mode::NoAnswers);
         let mode = modes
-            .wait_for(|mode| !is_held_back(mode))
+            .wait_for(|mode| !mode.holds_back(is_answer))
             .await
             .map(|mode| *mode);
         if let Ok(Mode::Delay(delay)) = mode {
--- a/tests/support/edge_environment/store.rs
+++ b/tests/support/edge_environment/store.rs
@@ -28,6 +28,22 @@
     history: Vec<(u64, String, Value, bool)>,
 }
 
+impl State {
+    fn put(&mut self, kind: &str, name: &str, spec: Value) {
+        self.revision += 1;
+        let revision = self.revision;
+        let object = json!({
+            "metadata": { "name": name, "revision": revision, "created": revision,
+                          "finalizers": [], "deletion-pending": false },
+            "spec": spec, "status": null,
+        });
+        let key = (kind.to_owned(), name.to_owned());
+        self.objects.insert(key, object.clone());
+        let change = (revision, kind.to_owned(), object, false);
+        self.history.push(change);
+    }
+}
+
 pub struct Store {
     pub address: SocketAddr,
     state: Mutex<State>,
@@ -37,6 +53,8 @@
     /// Accepts requests and never answers them.
     pub is_silent: AtomicBool,
     pub call_count: AtomicUsize,
+    /// Watches of upstreams that wait for a change.
+    pub waiting_watch_count: AtomicUsize,
     /// Requests so far about `run-origins`, by method.
     run_origin_calls: Mutex<BTreeMap<String, usize>>,
     list_count: AtomicUsize,
@@ -51,6 +69,7 @@
             is_unavailable: AtomicBool::new(false),
             is_silent: AtomicBool::new(false),
             call_count: AtomicUsize::new(0),
+            waiting_watch_count: AtomicUsize::new(0),
             run_origin_calls: Mutex::default(),
             list_count: AtomicUsize::new(0),
         });
@@ -59,19 +78,15 @@
     }
 
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.put_all(kind, [(name.to_owned(), spec)]);
+    }
+
+    /// Puts several objects, which watches see in one answer.
+    pub fn put_all(&self, kind: &str, objects: impl IntoIterator<Item = (String, Value)>) {
         let mut state = self.state.lock().expect("unpoisoned");
-        state.revision += 1;
-        let revision = state.revision;
-        let object = json!({
-            "metadata": { "name": name, "revision": revision, "created": revision,
-                          "finalizers": [], "deletion-pending": false },
-            "spec": spec, "status": null,
-        });
-        let key = (kind.to_owned(), name.to_owned());
-        state.objects.insert(key, object.clone());
-        state
-            .history
-            .push((revision, kind.to_owned(), object, false));
+        for (name, spec) in objects {
+            state.put(kind, &name, spec);
+        }
         drop(state);
         self.changed.notify_waiters();
     }
@@ -195,21 +210,28 @@
                 Ok(Some(events)) => return (200, events),
                 Ok(None) => {}
             }
-            if tokio::time::timeout_at(deadline, changed).await.is_err() {
+            let waiting = usize::from(kind == "servers");
+            self.waiting_watch_count
+                .fetch_add(waiting, Ordering::Relaxed);
+            let changed = tokio::time::timeout_at(deadline, changed).await;
+            self.waiting_watch_count
+                .fetch_sub(waiting, Ordering::Relaxed);
+            if changed.is_err() {
                 return (200, json!({ "events": [], "at": after_revision }));
             }
         }
     }
 }
 
-impl RequestHandler for Store {
-    async fn handle(self: Arc<Self>, request: RawRequest, stream: &mut TcpStream) -> bool {
+impl Store {
+    /// Status and body of the answer to a request.
+    pub async fn answer(&self, request: &RawRequest) -> (u16, Value) {
         self.call_count.fetch_add(1, Ordering::Relaxed);
         if self.is_silent.load(Ordering::Relaxed) {
             std::future::pending::<()>().await;
         }
         if self.is_unavailable.load(Ordering::Relaxed) {
-            return reply(stream, 503, "", b"").await;
+            return (503, Value::Null);
         }
         let path = request.path().trim_start_matches("/objects/").to_owned();
         let (kind, name) = path.split_once('/').unwrap_or((&path, ""));
@@ -218,21 +240,29 @@
             *calls.entry(request.method.clone()).or_default() += 1;
         }
         let number = |name| request.query(name).and_then(|v| v.parse::<u64>().ok());
-        let (status, body) = match number("watch") {
+        match number("watch") {
             Some(after_revision) => {
                 let wait = Duration::from_millis(number("wait-ms").unwrap_or(0));
                 self.watch(kind, after_revision, wait).await
             }
-            None if !name.is_empty() || request.method != "GET" => {
-                self.change(kind, name, &request)
-            }
+            None if !name.is_empty() || request.method != "GET" => self.change(kind, name, request),
             None => {
                 let listed = usize::from(kind == "servers");
                 self.list_count.fetch_add(listed, Ordering::Relaxed);
                 (200, self.list(kind, request.query("after").as_deref()))
             }
-        };
-        let json = "content-type: application/json\r\n";
-        reply(stream, status, json, body.to_string().as_bytes()).await
+        }
+    }
+}
+
+impl RequestHandler for Store {
+    async fn handle(self: Arc<Self>, request: RawRequest, stream: &mut TcpStream) -> bool {
+        let (status, body) = self.answer(&request).await;
+        reply_with_json(stream, status, &body.to_string()).await
     }
 }
+
+pub async fn reply_with_json(stream: &mut TcpStream, status: u16, body: &str) -> bool {
+    let headers = "content-type: application/json\r\n";
+    reply(stream, status, headers, body.as_bytes()).await
+}
