--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -21,6 +21,7 @@
             incarnation: 1,
             peer_address: address(number),
             caller_address: address(number),
+            relay_port: 0,
             data_centre: "here".to_owned(),
             leaving: false,
             demand_count: 0,
--- a/src/edge/caller_handler.rs
+++ b/src/edge/caller_handler.rs
@@ -21,14 +21,7 @@
 
 impl Handler for CallerHandler {
     fn limits(&self) -> ConnectionLimits {
-        let table = self.forwarder.route_table.load();
-        let limits = table
-            .as_ref()
-            .map_or_else(CallerLimits::default, |table| table.limits);
-        ConnectionLimits {
-            idle_timeout: limits.idle_timeout,
-            buffer_bytes: limits.header_bytes.max(BUFFER_MIN_BYTES),
-        }
+        caller_connection_limits(&self.forwarder)
     }
 
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
@@ -38,3 +31,15 @@
         response
     }
 }
+
+/// Limits of connections with calls of callers, as the configuration states them.
+pub(crate) fn caller_connection_limits(forwarder: &Forwarder<ClusterView>) -> ConnectionLimits {
+    let table = forwarder.route_table.load();
+    let limits = table
+        .as_ref()
+        .map_or_else(CallerLimits::default, |table| table.limits);
+    ConnectionLimits {
+        idle_timeout: limits.idle_timeout,
+        buffer_bytes: limits.header_bytes.max(BUFFER_MIN_BYTES),
+    }
+}
--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -3,6 +3,7 @@
 //! stopping. A watcher is one of the few nodes that poll the store and pass its
 //! changes on to the others.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
@@ -11,13 +12,15 @@
 use tokio_util::sync::CancellationToken;
 
 use super::peer_permits::PeerPermits;
+use super::peer_relay::PeerRelay;
 use super::peer_retry_budget::PeerRetryBudget;
 use super::peer_run_origins::PeerRunOrigins;
 use super::stored_run_origins::StoredRunOrigins;
 use crate::forward::forwarder::NodeContext;
+use crate::forward::relay::RelayPeer;
 use crate::forward::run_origin::{ORIGIN_LIFETIME, RunKey, RunOrigin};
 use crate::hash::{Fnv, rendezvous_order};
-use crate::id::{DataCentreId, ServiceId, UpstreamId};
+use crate::id::{NodeId, ServiceId, UpstreamId};
 use crate::membership::members::Member;
 use crate::membership::message::{PermitReply, PermitRequest};
 use crate::policy::freshness::ConfigFreshness;
@@ -55,9 +58,9 @@
     stop: OnceLock<Stop>,
     shutdown_imminent: CancellationToken,
     freshness: Mutex<ConfigFreshness>,
-    /// Data centre of each live node and the address at which the node listens
-    /// for callers.
-    nodes: Mutex<Vec<(DataCentreId, SocketAddr)>>,
+    /// The live nodes that are not leaving.
+    nodes: Mutex<Vec<Member>>,
+    relay: PeerRelay,
     peer_budget: PeerRetryBudget,
     peer_permits: PeerPermits,
     peer_origins: PeerRunOrigins,
@@ -68,6 +71,7 @@
     /// Creates a view in which no other node is known.
     pub(crate) fn new(
         is_seed: bool,
+        relay: PeerRelay,
         peer_budget: PeerRetryBudget,
         peer_permits: PeerPermits,
         peer_origins: PeerRunOrigins,
@@ -84,6 +88,7 @@
             shutdown_imminent: CancellationToken::new(),
             freshness: Mutex::default(),
             nodes: Mutex::default(),
+            relay,
             peer_budget,
             peer_permits,
             peer_origins,
@@ -112,9 +117,10 @@
                 staying.len()
             );
         }
-        let nodes = staying.iter();
-        let nodes = nodes.map(|m| (m.data_centre.clone(), m.caller_address));
-        *self.nodes.lock().unwrap_or_else(PoisonError::into_inner) = nodes.collect();
+        let nodes: Vec<Member> = staying.into_iter().cloned().collect();
+        let others = nodes.iter().filter(|member| member.node != own_name);
+        self.relay.set_nodes(others.cloned().collect());
+        *self.nodes.lock().unwrap_or_else(PoisonError::into_inner) = nodes;
     }
 
     /// Whether this node is a seed, which other nodes contact first when they
@@ -133,13 +139,29 @@
         watchers::watch_timeout(self.node_count.load(Ordering::Relaxed))
     }
 
-    /// Addresses of entry nodes for a caller, those in its data centre first.
-    pub(crate) fn addresses(&self, data_centre: Option<&str>) -> Vec<SocketAddr> {
+    /// The other nodes as ways to upstreams.
+    pub(crate) fn relay(&self) -> &PeerRelay {
+        &self.relay
+    }
+
+    /// Addresses of entry nodes for a caller, those in its data centre first. Nodes
+    /// that reach none of `services` are left out while at least half of the nodes
+    /// remain.
+    pub(crate) fn addresses(
+        &self,
+        data_centre: Option<&str>,
+        services: &BTreeSet<ServiceId>,
+    ) -> Vec<SocketAddr> {
         let nodes = self.nodes.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_local = |dc: &DataCentreId| Some(dc.as_str()) == data_centre;
-        let local = nodes.iter().filter(|(dc, _)| is_local(dc));
-        let remote = nodes.iter().filter(|(dc, _)| !is_local(dc));
-        let ordered = local.chain(remote).map(|(_, address)| *address);
+        let is_cut = |m: &&Member| self.relay.is_cut_from_all(&m.node, services);
+        let (cut, mut listed): (Vec<&Member>, Vec<&Member>) = nodes.iter().partition(is_cut);
+        if listed.len() < cut.len() {
+            listed.extend(cut);
+        }
+        let is_local = |m: &&&Member| Some(m.data_centre.as_str()) == data_centre;
+        let local = listed.iter().filter(is_local);
+        let remote = listed.iter().filter(|m| !is_local(m));
+        let ordered = local.chain(remote).map(|m| m.caller_address);
         ordered.take(ADDRESSES_MAX).collect()
     }
 
@@ -209,6 +231,10 @@
         self.peer_permits.request(upstream, demand).await
     }
 
+    fn relay_peer(&self, service: &str, tried: &[NodeId]) -> Option<RelayPeer> {
+        self.relay.choose(service, tried)
+    }
+
     fn publish_origin(&self, key: RunKey, origin: RunOrigin) {
         self.stored_origins.record(key, &origin);
         let peer_origins = self.peer_origins.clone();
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -16,8 +16,10 @@
 use super::observations;
 use super::peer_api::EdgePeerApi;
 use super::peer_permits::PeerPermits;
+use super::peer_relay::PeerRelay;
 use super::peer_retry_budget::PeerRetryBudget;
 use super::peer_run_origins::PeerRunOrigins;
+use super::relay_api::RelayApi;
 use super::settings::EdgeSettings;
 use super::status_api::StatusApi;
 use super::store_watch::{ROUTING_DOCUMENT, StoreWatch};
@@ -33,7 +35,7 @@
 use crate::forward::retry_budgets::RetryBudgets;
 use crate::forward::run_origin::RunOrigins;
 use crate::forward::sessions::Sessions;
-use crate::http::serve;
+use crate::http::{Handler, serve};
 use crate::listener::bind;
 use crate::membership::gossip::{Membership, MembershipSettings};
 use crate::membership::link_faults::LinkFaults;
@@ -54,20 +56,21 @@
     settings: EdgeSettings,
     membership: Membership,
     forwarder: Arc<Forwarder<ClusterView>>,
-    caller_server: CallerServer,
+    caller_server: CallServer,
+    relay_server: CallServer,
     trigger: ShutdownTrigger,
 }
 
-/// The server for callers, which stops before the other tasks of the node.
+/// A server for calls, which stops before the other tasks of the node.
 #[derive(Debug)]
-struct CallerServer {
+struct CallServer {
     trigger: ShutdownTrigger,
     /// Ends when all connections are closed.
     task: JoinHandle<()>,
 }
 
-impl CallerServer {
-    fn start(address: SocketAddr, handler: CallerHandler) -> io::Result<Self> {
+impl CallServer {
+    fn start<H: Handler>(address: SocketAddr, handler: H) -> io::Result<Self> {
         let (trigger, shutdown) = Shutdown::channel();
         let task = tokio::spawn(serve(bind(address)?, Arc::new(handler), shutdown));
         Ok(Self { trigger, task })
@@ -113,6 +116,7 @@
             data_centre: settings.data_centre.clone(),
             node: ClusterView::new(
                 settings.is_seed(),
+                PeerRelay::new(settings.data_centre.clone()),
                 PeerRetryBudget {
                     membership: membership.clone(),
                     peers: peers.clone(),
@@ -155,12 +159,15 @@
         let handler = CallerHandler {
             forwarder: forwarder.clone(),
         };
-        let caller_server = CallerServer::start(settings.callers, handler)?;
+        let caller_server = CallServer::start(settings.callers, handler)?;
+        let relay_api = RelayApi::new(forwarder.clone());
+        let relay_server = CallServer::start(settings.relay, relay_api)?;
         Ok(Self {
             settings,
             membership,
             forwarder,
             caller_server,
+            relay_server,
             trigger,
         })
     }
@@ -180,7 +187,8 @@
         })
         .await;
         let time_left = aborts_at.saturating_duration_since(Instant::now());
-        self.caller_server.close(time_left).await;
+        let closing = self.caller_server.close(time_left);
+        tokio::join!(closing, self.relay_server.close(time_left));
         self.membership.announce_left();
         self.trigger.abort();
     }
@@ -196,6 +204,7 @@
         incarnation: unix_ms(),
         peer_address: settings.peers,
         caller_address: settings.callers,
+        relay_port: settings.relay.port(),
         data_centre: settings.data_centre.clone(),
         leaving: false,
         demand_count: 0,
--- a/src/edge/observations.rs
+++ b/src/edge/observations.rs
@@ -13,6 +13,7 @@
 use crate::clock::unix_ms;
 use crate::forward::forwarder::{Forwarder, NodeContext};
 use crate::forward::observation::Observation;
+use crate::id::{NodeId, ServiceId};
 use crate::membership::announcement::Announcement;
 use crate::membership::crash_announcement::{
     CLEARANCE_TOPIC, CRASH_TOPIC, from_clearance, from_crash, to_clearance, to_crash,
@@ -29,6 +30,8 @@
 
 /// Topic of the limits that upstreams name.
 const LIMIT_TOPIC: u32 = 9;
+/// Topic of the services that a node can't reach.
+const UNREACHABLE_TOPIC: u32 = 10;
 
 /// Lifetime of a handover announcement; the caller retries within seconds.
 const HANDOVER_TTL: Duration = Duration::from_secs(8);
@@ -39,6 +42,12 @@
 /// lists the upstream itself.
 const DISCOVERY_TTL: Duration = Duration::from_secs(20);
 
+/// Lifetime of the announcement of services that a node can't reach, which the node
+/// repeats while it lasts.
+const UNREACHABLE_TTL: Duration = Duration::from_secs(30);
+/// Separates the services in that announcement.
+const SERVICE_SEPARATOR: char = '\n';
+
 /// Announces this node's observations to peers and applies those of peers. Ends
 /// with the runtime: it holds senders of both event channels, which thus stay
 /// open.
@@ -48,7 +57,7 @@
     loop {
         tokio::select! {
             observation = own.recv() => match observation {
-                Ok(observation) => membership.announce(to_announcement(observation)),
+                Ok(observation) => announce(&membership, &forwarder, observation),
                 Err(RecvError::Lagged(missed)) => log::warn!("event=sightings_missed own={missed}"),
                 Err(RecvError::Closed) => return,
             },
@@ -62,13 +71,29 @@
     }
 }
 
-fn to_announcement(observation: Observation) -> Announcement {
+/// Announces an observation of this node to its peers.
+fn announce(membership: &Membership, forwarder: &Forwarder<ClusterView>, observation: Observation) {
+    let announcement = to_announcement(&membership.me().node, observation);
+    if announcement.topic == UNREACHABLE_TOPIC {
+        // This node answers address lookups too.
+        apply(forwarder, &announcement);
+    }
+    membership.announce(announcement);
+}
+
+fn to_announcement(own_node: &NodeId, observation: Observation) -> Announcement {
     let (topic, key, ttl, body) = match observation {
         Observation::Crash(crash) => return from_crash(&crash),
         Observation::Cleared(clearance) => return from_clearance(clearance),
         Observation::Lost { id, data_centre } => {
             (LOSS_TOPIC, id, LOSS_TTL, data_centre.into_bytes().into())
         }
+        Observation::Unreachable(services) => {
+            let services: Vec<ServiceId> = services.into_iter().collect();
+            let body = services.join(&SERVICE_SEPARATOR.to_string());
+            let body = body.into_bytes().into();
+            (UNREACHABLE_TOPIC, own_node.clone(), UNREACHABLE_TTL, body)
+        }
         Observation::Limited { id, rate } => {
             let body = rate.per_1000_s.to_be_bytes().to_vec().into();
             // All nodes that read the limit within a second announce the same version.
@@ -135,6 +160,16 @@
             }
             Err(_) => log::error!("event=peer_unreadable what=limit key={key:?}"),
         },
+        UNREACHABLE_TOPIC => {
+            let text = body_text();
+            let services = text.split(SERVICE_SEPARATOR).filter(|s| !s.is_empty());
+            let services = services.map(str::to_owned).collect();
+            let ttl = announcement.ttl;
+            forwarder
+                .node
+                .relay()
+                .record_cut(key.clone(), services, ttl);
+        }
         HANDOVER_TOPIC => forwarder.sessions.record_prefill(key, &body_text(), now),
         _ => {}
     }
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -24,6 +24,8 @@
     pub addresses: SocketAddr,
     /// Address at which this node listens for other nodes, over UDP and TCP.
     pub peers: SocketAddr,
+    /// Address at which this node accepts calls that other nodes relay.
+    pub relay: SocketAddr,
     /// Nodes to contact first when joining the cluster, by the addresses at which
     /// they listen for other nodes.
     pub seeds: Vec<SocketAddr>,
--- a/src/edge/status_api.rs
+++ b/src/edge/status_api.rs
@@ -42,7 +42,8 @@
 
     fn addresses(&self, query: Option<&str>) -> HttpResponse {
         let data_centre = address::caller_data_centre(query);
-        let addresses = self.forwarder.node.addresses(data_centre);
+        let services = self.forwarder.directory.services();
+        let addresses = self.forwarder.node.addresses(data_centre, &services);
         if addresses.is_empty() {
             return http::error_response(&Error::new(
                 ErrorKind::NotReady,
--- a/src/edge/tests/peer_run_origins.rs
+++ b/src/edge/tests/peer_run_origins.rs
@@ -18,6 +18,7 @@
         incarnation: 1,
         peer_address: ([10, 0, n % 3, n], 7340).into(),
         caller_address: ([10, 0, n % 3, n], 8227).into(),
+        relay_port: 0,
         data_centre: format!("dc-{}", n % 3),
         leaving: false,
         demand_count: 0,
--- a/src/experiment/control.rs
+++ b/src/experiment/control.rs
@@ -79,6 +79,7 @@
                     incarnation: unix_ms(),
                     peer_address: address(number),
                     caller_address: address(number),
+                    relay_port: 0,
                     data_centre: format!("region-dc-{:02}", number / NODES_PER_DATA_CENTRE),
                     leaving: false,
                     demand_count: 0,
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -225,6 +225,13 @@
         }
     }
 
+    /// The services that have upstreams.
+    pub(crate) fn services(&self) -> BTreeSet<ServiceId> {
+        let state = self.lock();
+        let all = state.upstreams.values();
+        all.map(|u| u.entry.service.clone()).collect()
+    }
+
     /// The upstreams of each service, those that drain included.
     pub(crate) fn by_service(&self) -> BTreeMap<ServiceId, Vec<Arc<Upstream>>> {
         let mut services: BTreeMap<ServiceId, Vec<Arc<Upstream>>> = BTreeMap::new();
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -12,6 +12,7 @@
 use super::directory::Directory;
 use super::observation::Observations;
 use super::reach_monitor::ReachMonitor;
+use super::relay::RelayPeer;
 use super::request::Call;
 use super::request_crashes::{Permission, RequestCrashes};
 use super::retry_budgets::RetryBudgets;
@@ -21,9 +22,9 @@
 use super::upstream::Upstream;
 use crate::error::{Error, ErrorKind};
 use crate::http::{self, HttpResponse, read_body};
-use crate::id::{DataCentreId, ServiceId, UpstreamId};
+use crate::id::{DataCentreId, NodeId, ServiceId, UpstreamId};
 use crate::observe::metrics::{Counter, Metrics};
-use crate::platform::call::{self, CallHeaders};
+use crate::platform::call::{self, CallHeaders, RelayHeaders};
 use crate::policy::failure_response::{GiveUpReason, Progress};
 use crate::policy::placement::{Candidate, is_assigned};
 use crate::policy::upstream_limit::{Grant, PermitDemand};
@@ -58,6 +59,8 @@
         upstream: &UpstreamId,
         demand: PermitDemand,
     ) -> impl Future<Output = Option<Grant>> + Send;
+    /// Chooses a peer that reaches the service, other than those in `tried`.
+    fn relay_peer(&self, service: &str, tried: &[NodeId]) -> Option<RelayPeer>;
     /// Has other nodes keep the origin of a run.
     fn publish_origin(&self, key: RunKey, origin: RunOrigin);
     /// Asks other nodes for the origin of a run.
@@ -109,15 +112,44 @@
     matched: MatchedRoute,
 }
 
+/// When a call arrived, and whether another node relayed it.
+struct Arrival {
+    arrived_at: Instant,
+    relayed: Option<RelayHeaders>,
+}
+
 impl<N: NodeContext> Forwarder<N> {
-    /// Answers one call.
+    /// Answers one call of a caller.
     pub(crate) async fn forward(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
+        self.forward_from(request, None).await
+    }
+
+    /// Answers one call that another node relays.
+    pub(crate) async fn forward_relayed(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> HttpResponse {
+        let relayed = RelayHeaders::read(request.headers());
+        self.forward_from(request, Some(relayed)).await
+    }
+
+    async fn forward_from(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        relayed: Option<RelayHeaders>,
+    ) -> HttpResponse {
         let arrived_at = Instant::now();
         let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
         let headers = call::read(request.headers());
         let mut response = match self.admit(&request, headers.api_key.as_deref()) {
             Err(error) => self.reject(&headers, &error),
-            Ok(admission) => self.accept(request, headers, admission, arrived_at).await,
+            Ok(admission) => {
+                let arrival = Arrival {
+                    arrived_at,
+                    relayed,
+                };
+                self.accept(request, headers, admission, arrival).await
+            }
         };
         // A request with both `Transfer-Encoding` and `Content-Length` may be
         // request smuggling. `Content-Length` has been removed before this point,
@@ -159,9 +191,10 @@
         request: Request<Incoming>,
         headers: CallHeaders,
         admission: Admission,
-        arrived_at: Instant,
+        arrival: Arrival,
     ) -> HttpResponse {
         let Admission { table, matched } = admission;
+        let arrived_at = arrival.arrived_at;
         let (parts, body) = request.into_parts();
         let body = match read_body(body, table.limits.body_bytes).await {
             Ok(body) => body,
@@ -182,7 +215,19 @@
         let mut call = Call::new(parts, headers, body, matched, service, arrived_at);
         call.in_flight = Some(self.in_flight.clone());
         self.metrics.add(Counter::Calls, 1);
-        self.budgets.record_call(&call.service, arrived_at);
+        if let Some(relayed) = arrival.relayed {
+            call.set_relayed(relayed);
+        }
+        if call.relayed.is_some() && self.reach.is_cut(&call.service) {
+            let cause = "this node reaches no upstream of the service either";
+            return self.give_up(&call, GiveUpReason::NoUpstream, Progress::NotRun, cause);
+        }
+        if let Some(response) = self.relay_on_arrival(&call).await {
+            return response;
+        }
+        if call.relayed.is_none_or(|relayed| !relayed.is_counted) {
+            self.budgets.record_call(&call.service, arrived_at);
+        }
         match self.permission(&call) {
             Permission::Allowed => {}
             Permission::Trial => call.is_trial = true,
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -27,6 +27,7 @@
 pub(crate) mod probe;
 pub(crate) mod reach_monitor;
 pub(crate) mod refusal;
+pub(crate) mod relay;
 pub(crate) mod request;
 pub(crate) mod request_crashes;
 pub(crate) mod retry_budgets;
--- a/src/forward/observation.rs
+++ b/src/forward/observation.rs
@@ -1,10 +1,12 @@
 //! What this node observes and publishes to the other nodes.
 
+use std::collections::BTreeSet;
+
 use tokio::sync::broadcast;
 
 use super::sessions::SessionId;
 use super::upstream::UpstreamEntry;
-use crate::id::{DataCentreId, UpstreamId};
+use crate::id::{DataCentreId, ServiceId, UpstreamId};
 use crate::policy::crash_evidence::{Clearance, Crash};
 use crate::policy::upstream_limit::Rate;
 
@@ -19,6 +21,8 @@
         id: UpstreamId,
         data_centre: DataCentreId,
     },
+    /// The services of which this node reaches no upstream.
+    Unreachable(BTreeSet<ServiceId>),
     /// An upstream named a limit on the requests of all nodes together.
     Limited { id: UpstreamId, rate: Rate },
     /// An upstream was found running while the store was unreachable.
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -109,6 +109,7 @@
         let answered = tokio::select! {
             biased;
             answered = self.send_until_answered(&call, &mut state) => Some(answered),
+            () = self.wait_until_relay_due(&call) => Some(None),
             () = self.wait_until_answer_due(call.deadline) => None,
         };
         let reason = match answered {
@@ -129,6 +130,12 @@
             Some(None) => GiveUpReason::UpstreamsFailed,
             None => GiveUpReason::TimeOver,
         };
+        if reason != GiveUpReason::TimeOver
+            && state.server_error.is_none()
+            && let Some(response) = self.relay_after_failures(&call, &state.sends).await
+        {
+            return response;
+        }
         match (state.server_error.take(), state.over_limit_wait) {
             (Some(server_error), _) => server_error,
             (None, Some(wait)) => self.refuse_over_limit(&call, state.sends.progress(), wait),
@@ -220,7 +227,7 @@
     ) -> Option<Arc<Upstream>> {
         let sent_count = state.sends.sent_count();
         let is_first = sent_count == 0;
-        if !is_first && sent_count >= call.matched.route.attempts_max {
+        if !is_first && sent_count >= call.sends_max || self.should_relay(call, &state.sends) {
             return None;
         }
         if call.time_for_upstream(Instant::now()).is_none() {
--- a/src/forward/reach_monitor.rs
+++ b/src/forward/reach_monitor.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 use super::forwarder::{Forwarder, NodeContext};
+use super::observation::Observation;
 use super::upstream::Upstream;
 use crate::id::ServiceId;
 use crate::observe::metrics::Counter;
@@ -29,6 +30,8 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(500);
 /// Shortest time between two rounds of probes of a service that is only silent.
 const SILENT_ROUND_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which a node that is cut from a service tells its peers again.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(15);
 
 /// What this node knows of its paths to the upstreams of one service.
 #[derive(Debug, Default)]
@@ -52,6 +55,18 @@
         self.cut_services.borrow().contains(service)
     }
 
+    /// The services of which no upstream can be reached.
+    pub(crate) fn cut_services(&self) -> BTreeSet<ServiceId> {
+        self.cut_services.borrow().clone()
+    }
+
+    /// Completes when no upstream of the service can be reached.
+    pub(crate) async fn wait_until_cut(&self, service: &str) {
+        let mut changes = self.cut_services.subscribe();
+        // The sender lives as long as `self`.
+        let _ = changes.wait_for(|cut| cut.contains(service)).await;
+    }
+
     /// Records that a call failed at an upstream.
     pub(crate) fn record_failure(&self, upstream: &Upstream) {
         let entry = &upstream.entry;
@@ -117,8 +132,9 @@
 
 impl<N: NodeContext> Forwarder<N> {
     /// Probes the upstreams of a service whenever it is in doubt that they can be
-    /// reached. Ends with the runtime.
+    /// reached, and publishes what this node can't reach. Ends with the runtime.
     pub(crate) async fn watch_reach(self: Arc<Self>) {
+        let mut announced_at = Instant::now();
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
             let services = self.directory.by_service();
@@ -127,7 +143,16 @@
                 .filter(|(service, upstreams)| self.is_probe_due(service, upstreams));
             let rounds = due.map(|(service, upstreams)| self.check_reach(service, upstreams));
             let mut rounds: FuturesUnordered<_> = rounds.collect();
-            while rounds.next().await.is_some() {}
+            let mut has_changed = false;
+            while let Some(change) = rounds.next().await {
+                has_changed |= change.is_some();
+            }
+            let cut = self.reach.cut_services();
+            let is_repeat_due = !cut.is_empty() && announced_at.elapsed() >= ANNOUNCE_INTERVAL;
+            if has_changed || is_repeat_due {
+                announced_at = Instant::now();
+                self.observations.publish(Observation::Unreachable(cut));
+            }
         }
     }
 
--- /dev/null
+++ b/src/forward/relay.rs
@@ -0,0 +1,260 @@
+//! Sends calls through a peer when this node reaches no upstream of their service.
+//!
+//! `docs/REACH.md` says why, and how a call runs at most once over both hops.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::Response;
+use hyper::body::Incoming;
+
+use super::connection::{Connection, ConnectionPool, SendFailure};
+use super::forwarder::{Forwarder, NodeContext};
+use super::request::Call;
+use super::send_history::SendHistory;
+use crate::http::{self, HttpResponse, TruncatedResponse};
+use crate::id::NodeId;
+use crate::observe::metrics::Counter;
+use crate::platform::call::{self, RelayHeaders};
+use crate::policy::failure_response::{GiveUpReason, Progress};
+
+/// Number of peers that are asked to take one call.
+const PEERS_TRIED_MAX: usize = 2;
+/// Number of upstreams to which no connection could be opened, after which a call
+/// goes to a peer.
+const UNCONNECTED_SENDS_MAX: u32 = 2;
+
+/// A peer that may take calls of this node.
+#[derive(Clone, Debug)]
+pub(crate) struct RelayPeer {
+    pub(crate) node: NodeId,
+    pub(crate) pool: Arc<ConnectionPool>,
+    /// Cloned into each call that the peer has of this node, so that its reference
+    /// count shows how many it has.
+    pub(crate) calls: Arc<()>,
+}
+
+/// How the attempt to relay a call ended.
+#[derive(Debug)]
+pub(super) enum RelayOutcome {
+    Answered(HttpResponse),
+    /// No peer took the call.
+    NotRun,
+    /// A peer took the call, and its answer was lost.
+    MayHaveRun(String),
+}
+
+/// How one peer dealt with a call.
+enum PeerAnswer {
+    Answered(Box<Response<Incoming>>, Connection),
+    NotRun(&'static str),
+    MayHaveRun(String),
+}
+
+/// What a relayed response holds until its body has been sent.
+struct RelayedBody {
+    body: Incoming,
+    /// Dropping it tells the peer that the caller has left.
+    _connection: Connection,
+    _peer_call: Arc<()>,
+    /// Counts the call as in flight at this node.
+    _in_flight: Option<Arc<()>>,
+}
+
+impl<N: NodeContext> Forwarder<N> {
+    /// Whether the call should go to a peer, given its sends so far.
+    pub(super) fn should_relay(&self, call: &Call, sends: &SendHistory) -> bool {
+        call.relayed.is_none()
+            && (self.reach.is_cut(&call.service)
+                || sends.unconnected_count() >= UNCONNECTED_SENDS_MAX)
+            && self.node.relay_peer(&call.service, &[]).is_some()
+    }
+
+    /// Completes when the call should be taken from its upstreams and go to a peer:
+    /// this node has lost its paths to them, and the call may run again.
+    pub(super) async fn wait_until_relay_due(&self, call: &Call) {
+        if call.relayed.is_some() || !call.matched.route.kind.may_repeat() {
+            return std::future::pending().await;
+        }
+        self.reach.wait_until_cut(&call.service).await;
+        if self.node.relay_peer(&call.service, &[]).is_none() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Relays a call as it arrives, if this node can't reach its service. The peer
+    /// counts it in its retry budget.
+    pub(super) async fn relay_on_arrival(&self, call: &Call) -> Option<HttpResponse> {
+        let sends = SendHistory::new();
+        if !self.should_relay(call, &sends) {
+            return None;
+        }
+        let response = match self.relay(call, &sends, false).await {
+            RelayOutcome::Answered(response) => response,
+            RelayOutcome::NotRun => {
+                let cause = "this node reaches no upstream, and no peer took the call";
+                self.give_up(call, GiveUpReason::NoUpstream, Progress::NotRun, cause)
+            }
+            RelayOutcome::MayHaveRun(cause) => self.give_up_relayed(call, &cause),
+        };
+        Some(response)
+    }
+
+    /// Relays a call whose sends all failed, if it may be sent again.
+    pub(super) async fn relay_after_failures(
+        &self,
+        call: &Call,
+        sends: &SendHistory,
+    ) -> Option<HttpResponse> {
+        let may_repeat = call.matched.route.kind.may_repeat();
+        let may_be_sent = sends.progress() == Progress::NotRun || may_repeat;
+        if !may_be_sent || sends.sent_count() >= call.sends_max || !self.should_relay(call, sends) {
+            return None;
+        }
+        if sends.sent_count() > 0 && !self.spend_own_retry(call) {
+            return None;
+        }
+        match self.relay(call, sends, true).await {
+            RelayOutcome::Answered(response) => Some(response),
+            RelayOutcome::NotRun => None,
+            RelayOutcome::MayHaveRun(cause) => Some(self.give_up_relayed(call, &cause)),
+        }
+    }
+
+    fn give_up_relayed(&self, call: &Call, cause: &str) -> HttpResponse {
+        let reason = if call.time_left(Instant::now()).is_zero() {
+            GiveUpReason::TimeOver
+        } else {
+            GiveUpReason::UpstreamsFailed
+        };
+        self.give_up(call, reason, Progress::MayHaveRun, cause)
+    }
+
+    /// Sends the call to one peer after the other until one answers it.
+    async fn relay(&self, call: &Call, sends: &SendHistory, is_counted: bool) -> RelayOutcome {
+        let may_repeat = call.matched.route.kind.may_repeat();
+        let mut tried: Vec<NodeId> = Vec::new();
+        let mut outcome = RelayOutcome::NotRun;
+        while tried.len() < PEERS_TRIED_MAX {
+            let Some(peer) = self.node.relay_peer(&call.service, &tried) else {
+                break;
+            };
+            tried.push(peer.node.clone());
+            let headers = RelayHeaders {
+                sends_left: call.sends_max.saturating_sub(sends.sent_count()),
+                is_counted,
+            };
+            let answer = tokio::select! {
+                biased;
+                answer = relay_to(&peer, call, headers) => answer,
+                () = self.wait_until_answer_due(call.deadline) => {
+                    return RelayOutcome::MayHaveRun("the peer did not answer in time".to_owned());
+                }
+            };
+            self.log_relay(call, &peer, &answer);
+            match answer {
+                PeerAnswer::Answered(response, connection) => {
+                    self.metrics.add(Counter::CallsRelayed, 1);
+                    return self.pass_on(call, &peer, *response, connection).await;
+                }
+                PeerAnswer::NotRun(_) => {}
+                PeerAnswer::MayHaveRun(cause) => {
+                    outcome = RelayOutcome::MayHaveRun(cause);
+                    if !may_repeat {
+                        break;
+                    }
+                }
+            }
+        }
+        outcome
+    }
+
+    fn log_relay(&self, call: &Call, peer: &RelayPeer, answer: &PeerAnswer) {
+        let outcome = match answer {
+            PeerAnswer::Answered(response, _) => response.status().as_u16().to_string(),
+            PeerAnswer::NotRun(cause) => format!("NotRun({cause:?})"),
+            PeerAnswer::MayHaveRun(cause) => format!("MayHaveRun({cause:?})"),
+        };
+        log::info!(
+            "event=call_relayed call={} service={} peer={} outcome={outcome} age_ms={}",
+            call.id(),
+            call.service,
+            peer.node,
+            call.age().as_millis()
+        );
+    }
+
+    /// Passes the peer's answer on: events as they arrive, any other body once it is
+    /// complete.
+    async fn pass_on(
+        &self,
+        call: &Call,
+        peer: &RelayPeer,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) -> RelayOutcome {
+        let (mut head, body) = response.into_parts();
+        call::strip_hop_headers(&mut head.headers);
+        if call.matched.route.kind.is_stream() {
+            let body = RelayedBody {
+                body,
+                _connection: connection,
+                _peer_call: peer.calls.clone(),
+                _in_flight: call.in_flight.clone(),
+            };
+            return RelayOutcome::Answered(HttpResponse::from_parts(head, body.into_frames()));
+        }
+        let collected = tokio::time::timeout_at(call.deadline.into(), body.collect()).await;
+        let Ok(Ok(collected)) = collected else {
+            return RelayOutcome::MayHaveRun("the peer's answer was not complete".to_owned());
+        };
+        peer.pool.put(connection, None);
+        let body = http::full(collected.to_bytes());
+        RelayOutcome::Answered(HttpResponse::from_parts(head, body))
+    }
+}
+
+impl RelayedBody {
+    fn into_frames(self) -> http::ResponseBody {
+        let frames = stream::unfold(self, |mut relayed| async move {
+            let frame = relayed.body.frame().await?;
+            Some((frame.map_err(|_| TruncatedResponse), relayed))
+        });
+        BodyExt::boxed_unsync(StreamBody::new(frames))
+    }
+}
+
+async fn relay_to(peer: &RelayPeer, call: &Call, headers: RelayHeaders) -> PeerAnswer {
+    let _peer_call = peer.calls.clone();
+    let Some(time_left) = call.time_for_upstream(Instant::now()) else {
+        return PeerAnswer::NotRun("no time is left");
+    };
+    let request = call.request_to_peer(headers, time_left);
+    let mut connection = match peer.pool.take().await {
+        Ok(connection) => connection,
+        Err(_) => return PeerAnswer::NotRun("no connection to the peer"),
+    };
+    let sent = match connection.send(request.clone()).await {
+        // The peer had closed the pooled connection before any byte was sent.
+        Err(SendFailure::NotSent(_)) if connection.is_reused() => {
+            connection = match peer.pool.open().await {
+                Ok(connection) => connection,
+                Err(_) => return PeerAnswer::NotRun("no connection to the peer"),
+            };
+            connection.send(request).await
+        }
+        sent => sent,
+    };
+    match sent {
+        Ok(response) if call::is_relay_refused(response.headers()) => {
+            PeerAnswer::NotRun("the peer did not run the call")
+        }
+        Ok(response) => PeerAnswer::Answered(Box::new(response), connection),
+        Err(SendFailure::NoAnswer(error)) => PeerAnswer::MayHaveRun(error.to_string()),
+        Err(SendFailure::NotConnected(cause) | SendFailure::NotSent(cause)) => {
+            PeerAnswer::NotRun(cause)
+        }
+    }
+}
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -10,7 +10,7 @@
 use super::route_table::MatchedRoute;
 use crate::hash::Fnv;
 use crate::id::{Fingerprint, ServiceId};
-use crate::platform::call::{self, CallHeaders, UpstreamHeaders};
+use crate::platform::call::{self, CallHeaders, RelayHeaders, UpstreamHeaders};
 use crate::policy::crash_evidence::PARTS_MAX;
 
 /// Time reserved for returning an answer from the upstream to the caller.
@@ -34,6 +34,11 @@
     /// Whether the call is sent once to find out whether its kind still crashes
     /// upstreams.
     pub(crate) is_trial: bool,
+    /// Set if another node relayed the call to this one.
+    pub(crate) relayed: Option<RelayHeaders>,
+    /// Maximum number of sends of the call, not counting those that failed before a
+    /// byte left the node.
+    pub(crate) sends_max: u32,
     method: Method,
     target: Uri,
     forwarded_headers: HeaderMap,
@@ -58,6 +63,8 @@
             method: parts.method,
             target: parts.uri,
             headers,
+            sends_max: matched.route.attempts_max,
+            relayed: None,
             matched,
             service,
             arrived_at,
@@ -137,6 +144,27 @@
         request
     }
 
+    /// Marks the call as relayed by another node, which may have sent it before.
+    pub(crate) fn set_relayed(&mut self, relayed: RelayHeaders) {
+        self.sends_max = self.sends_max.min(relayed.sends_left);
+        self.relayed = Some(relayed);
+    }
+
+    /// Builds the HTTP request to a peer that is to run the call.
+    pub(crate) fn request_to_peer(
+        &self,
+        relay: RelayHeaders,
+        time_left: Duration,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.target.clone();
+        *request.headers_mut() = self.forwarded_headers.clone();
+        let api_key = self.headers.api_key.as_ref();
+        relay.write(request.headers_mut(), api_key, time_left);
+        request
+    }
+
     /// Time left for an upstream to answer, if any.
     pub(crate) fn time_for_upstream(&self, now: Instant) -> Option<Duration> {
         self.time_left(now)
--- a/src/forward/send_history.rs
+++ b/src/forward/send_history.rs
@@ -8,6 +8,7 @@
 pub(crate) struct SendHistory {
     sent_count: u32,
     undelivered_count: u32,
+    unconnected_count: u32,
     /// Sends that were begun, less those that ended and cannot have run the call.
     may_have_run_count: u32,
 }
@@ -18,6 +19,7 @@
         Self {
             sent_count: 0,
             undelivered_count: 0,
+            unconnected_count: 0,
             may_have_run_count: 0,
         }
     }
@@ -33,7 +35,12 @@
     /// upstream run the call.
     pub(crate) fn record_failure(&mut self, failure: &AttemptFailure) -> bool {
         match failure {
-            AttemptFailure::NotConnected(_) | AttemptFailure::NotSent(_) => {
+            AttemptFailure::NotConnected(_) => {
+                self.sent_count -= 1;
+                self.undelivered_count += 1;
+                self.unconnected_count += 1;
+            }
+            AttemptFailure::NotSent(_) => {
                 self.sent_count -= 1;
                 self.undelivered_count += 1;
             }
@@ -55,6 +62,11 @@
         self.undelivered_count
     }
 
+    /// Number of sends that failed because no connection could be opened.
+    pub(crate) fn unconnected_count(&self) -> u32 {
+        self.unconnected_count
+    }
+
     /// Whether an upstream may have run the call.
     pub(crate) fn progress(&self) -> Progress {
         if self.may_have_run_count == 0 {
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -87,6 +87,14 @@
 }
 
 impl OpenFailure {
+    /// This node reaches no upstream, but a peer may.
+    fn no_path() -> Self {
+        Self::given_up(
+            GiveUpReason::UpstreamsFailed,
+            "this node reaches no upstream of the service",
+        )
+    }
+
     pub(super) fn given_up(reason: GiveUpReason, cause: &str) -> Self {
         Self::GivenUp(reason, cause.to_owned())
     }
@@ -114,9 +122,11 @@
             last_event_at: None,
         };
         let deadline = run.call.deadline;
+        let relayable = run.call.clone();
         let opened = tokio::select! {
             biased;
             opened = run.open_first() => Some(opened),
+            () = self.wait_until_relay_due(&relayable) => Some(Err(OpenFailure::no_path())),
             () = self.wait_until_answer_due(deadline) => None,
         };
         let timed_out = || {
@@ -132,6 +142,11 @@
                 self.refuse_over_limit(&run.call, run.sends.progress(), wait)
             }
             Err(OpenFailure::GivenUp(reason, cause)) => {
+                if reason != GiveUpReason::TimeOver
+                    && let Some(response) = self.relay_after_failures(&run.call, &run.sends).await
+                {
+                    return response;
+                }
                 self.give_up(&run.call, reason, run.sends.progress(), &cause)
             }
         }
@@ -225,8 +240,10 @@
                 "no time is left for an upstream to answer",
             ));
         }
-        let attempts_max = self.call.matched.route.attempts_max;
-        if self.sends.sent_count() >= attempts_max
+        if self.forwarder.should_relay(&self.call, &self.sends) {
+            return Err(OpenFailure::no_path());
+        }
+        if self.sends.sent_count() >= self.call.sends_max
             || self.sends.undelivered_count() >= UNDELIVERED_SENDS_MAX
         {
             return Err(OpenFailure::given_up(
@@ -381,9 +398,8 @@
         attempt: Attempt<Answered>,
     ) -> Result<AttemptFailure, OpenFailure> {
         let status = attempt.state.headers.status;
-        let attempts_max = self.call.matched.route.attempts_max;
-        let is_retried =
-            status.is_server_error() && self.may_repeat() && self.sends.sent_count() < attempts_max;
+        let may_be_sent = self.sends.sent_count() < self.call.sends_max;
+        let is_retried = status.is_server_error() && self.may_repeat() && may_be_sent;
         if is_retried {
             let cause = format!("upstream answered with status {}", status.as_u16());
             return Ok(AttemptFailure::MayHaveRun(cause));
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -139,7 +139,7 @@
             self.last_event,
             self.silence().as_millis(),
             self.sends.sent_count(),
-            self.call.matched.route.attempts_max,
+            self.call.sends_max,
             self.call.age().as_millis()
         );
     }
--- a/src/http.rs
+++ b/src/http.rs
@@ -219,9 +219,11 @@
     response
 }
 
-/// Creates the response to an error, with its status and `Retry-After`.
+/// Creates the response to an error, with its status and `Retry-After`. Its kind is
+/// kept as an extension, so that such a response can be told from an upstream's.
 pub(crate) fn error_response(error: &Error) -> HttpResponse {
     let mut response = json(error.kind.answer().status, &error.body());
+    response.extensions_mut().insert(error.kind);
     if let Some(retry_after) = error.retry_after() {
         let seconds = retry_after.as_millis().div_ceil(1000) as u64;
         response
--- a/src/membership/members/mod.rs
+++ b/src/membership/members/mod.rs
@@ -39,6 +39,9 @@
     pub peer_address: SocketAddr,
     /// Address at which the node listens for callers.
     pub caller_address: SocketAddr,
+    /// Port at which the node accepts calls that other nodes relay, at the IP address
+    /// of `peer_address`; zero if it accepts none.
+    pub relay_port: u16,
     /// Data centre of the node.
     pub data_centre: DataCentreId,
     /// Whether the node is draining.
@@ -48,6 +51,11 @@
 }
 
 impl Member {
+    /// Address at which the node accepts calls that other nodes relay.
+    pub(crate) fn relay_address(&self) -> SocketAddr {
+        SocketAddr::new(self.peer_address.ip(), self.relay_port)
+    }
+
     /// Name under which this process makes claims and holds leases:
     /// `node@incarnation`. The incarnation tells it from earlier processes of the
     /// same node.
@@ -311,6 +319,7 @@
         state: state.into(),
         peer_address: member.peer_address.to_string(),
         caller_address: member.caller_address.to_string(),
+        relay_port: member.relay_port.into(),
         data_centre: member.data_centre.clone(),
         leaving: member.leaving,
         demand_count: member.demand_count,
@@ -323,6 +332,7 @@
         incarnation: record.incarnation,
         peer_address: record.peer_address.parse().ok()?,
         caller_address: record.caller_address.parse().ok()?,
+        relay_port: u16::try_from(record.relay_port).ok()?,
         data_centre: record.data_centre.clone(),
         leaving: record.leaving,
         demand_count: record.demand_count,
--- a/src/membership/message/datagram.rs
+++ b/src/membership/message/datagram.rs
@@ -60,6 +60,10 @@
     /// Requests that the node had in flight or queued when it last reported.
     #[prost(uint32, tag = "8")]
     pub(crate) demand_count: u32,
+    /// Port at which the node accepts calls that other nodes relay; zero if it
+    /// accepts none.
+    #[prost(uint32, tag = "9")]
+    pub(crate) relay_port: u32,
 }
 
 /// A message to all nodes that stays in force until its TTL expires.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -267,6 +267,7 @@
             incarnation: unix_ms(),
             peer_address: settings.listen.peers,
             caller_address: settings.listen.callers,
+            relay_port: 0,
             data_centre: settings.data_centre.clone(),
             leaving: false,
             demand_count: 0,
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -77,6 +77,12 @@
     CallsGivenUp,
     /// Calls whose connection closed before this node answered.
     CallsUnanswered,
+    /// Calls that a peer answered because this node reaches no upstream.
+    CallsRelayed,
+    /// Calls accepted from other nodes, which reach no upstream.
+    RelayedCalls,
+    /// Calls of other nodes refused because this node has too many of them.
+    RelayedCallsRefused,
     /// Sends of calls to upstreams, including retries.
     UpstreamSends,
     /// Retries that the retry budget did not allow.
@@ -103,7 +109,7 @@
 
 impl Counter {
     /// All counters, in the order of the list in `docs/OPERATIONS.md`.
-    pub const ALL: [Self; 36] = [
+    pub const ALL: [Self; 39] = [
         Self::Completions,
         Self::Refused,
         Self::Tokens,
@@ -129,6 +135,9 @@
         Self::CallsRejected,
         Self::CallsGivenUp,
         Self::CallsUnanswered,
+        Self::CallsRelayed,
+        Self::RelayedCalls,
+        Self::RelayedCallsRefused,
         Self::UpstreamSends,
         Self::RetriesOverBudget,
         Self::SendsOverLimit,
@@ -171,6 +180,9 @@
             Self::CallsRejected => "calls_rejected_count",
             Self::CallsGivenUp => "calls_given_up_count",
             Self::CallsUnanswered => "calls_unanswered_count",
+            Self::CallsRelayed => "calls_relayed_count",
+            Self::RelayedCalls => "relayed_calls_count",
+            Self::RelayedCallsRefused => "relayed_calls_refused_count",
             Self::UpstreamSends => "upstream_sends_count",
             Self::RetriesOverBudget => "retries_over_budget_count",
             Self::SendsOverLimit => "sends_over_limit_count",
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -26,6 +26,7 @@
             incarnation: 1,
             peer_address: address(number),
             caller_address: address(number),
+            relay_port: 0,
             data_centre: format!("dc-{}", number % 2),
             leaving: false,
             demand_count: 0,
