--- a/src/edge/observations.rs
+++ b/src/edge/observations.rs
@@ -13,7 +13,7 @@
 use crate::clock::unix_ms;
 use crate::forward::forwarder::{Forwarder, NodeContext};
 use crate::forward::observation::Observation;
-use crate::id::{NodeId, ServiceId};
+use crate::id::{DataCentreId, NodeId, ServiceId, UpstreamId};
 use crate::membership::announcement::Announcement;
 use crate::membership::crash_announcement::{
     CLEARANCE_TOPIC, CRASH_TOPIC, from_clearance, from_crash, to_clearance, to_crash,
@@ -57,6 +57,10 @@
     loop {
         tokio::select! {
             observation = own.recv() => match observation {
+                Ok(Observation::Lost { id, data_centre }) => {
+                    let (membership, forwarder) = (membership.clone(), forwarder.clone());
+                    tokio::spawn(announce_loss(membership, forwarder, id, data_centre));
+                }
                 Ok(observation) => announce(&membership, &forwarder, observation),
                 Err(RecvError::Lagged(missed)) => log::warn!("event=sightings_missed own={missed}"),
                 Err(RecvError::Closed) => return,
@@ -71,6 +75,23 @@
     }
 }
 
+/// Announces that an upstream is lost, unless this node reaches no other one of its
+/// service: then the paths of the node are lost, and not the upstream.
+async fn announce_loss(
+    membership: Membership,
+    forwarder: Arc<Forwarder<ClusterView>>,
+    id: UpstreamId,
+    data_centre: DataCentreId,
+) {
+    if let Some(upstream) = forwarder.directory.get(&id)
+        && !forwarder.reaches_another(&upstream).await
+    {
+        return;
+    }
+    let observation = Observation::Lost { id, data_centre };
+    announce(&membership, &forwarder, observation);
+}
+
 /// Announces an observation of this node to its peers.
 fn announce(membership: &Membership, forwarder: &Forwarder<ClusterView>, observation: Observation) {
     let announcement = to_announcement(&membership.me().node, observation);
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -225,6 +225,20 @@
         }
     }
 
+    /// The upstreams of a service, those that drain included.
+    pub(crate) fn of_service(&self, service: &str) -> Vec<Arc<Upstream>> {
+        let state = self.lock();
+        let all = state.upstreams.values();
+        all.filter(|u| u.entry.service == service)
+            .cloned()
+            .collect()
+    }
+
+    /// The upstream with this id, if it is known.
+    pub(crate) fn get(&self, id: &UpstreamId) -> Option<Arc<Upstream>> {
+        self.lock().upstreams.get(id).cloned()
+    }
+
     /// The services that have upstreams.
     pub(crate) fn services(&self) -> BTreeSet<ServiceId> {
         let state = self.lock();
--- a/src/forward/reach_monitor.rs
+++ b/src/forward/reach_monitor.rs
@@ -175,6 +175,16 @@
         self.reach.record_round(service, round)
     }
 
+    /// Whether another upstream of the service accepts a new connection. Otherwise the
+    /// failure of this one may be the node's own. True if no other is known, because
+    /// then nothing can be found out.
+    pub(crate) async fn reaches_another(&self, upstream: &Upstream) -> bool {
+        let mut others = self.directory.of_service(&upstream.entry.service);
+        others.retain(|other| other.entry.id != upstream.entry.id);
+        let round = self.probe(&others, FURTHER_PROBES).await;
+        round.tried_count == 0 || round.reached_count > 0
+    }
+
     /// Opens a connection to one random upstream and, if it fails, to `further` more
     /// at once.
     async fn probe(&self, upstreams: &[Arc<Upstream>], further: usize) -> ProbeRound {
--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -115,11 +115,8 @@
         !detector.is_empty() && detector.is_suspect(&call.features(), Instant::now())
     }
 
-    async fn check_for_crash(&self, call: &Call, upstream: &Upstream, was_writing: bool) {
-        tokio::time::sleep(PORT_CLOSE_DELAY).await;
-        if upstream.pool.keeps_connection().await {
-            return;
-        }
+    /// Records that the upstream crashed under the call.
+    fn record_crash(&self, call: &Call, upstream: &Upstream, was_writing: bool) {
         let crash = Crash {
             upstream: upstream.entry.id.clone(),
             request: call.fingerprint(),
@@ -158,7 +155,8 @@
     }
 
     /// Connects to the upstream again, after it broke off, to check whether it has
-    /// crashed. If it cannot be reached, counts the crash against the call.
+    /// crashed. If it cannot be reached, but another one can, counts the crash
+    /// against the call.
     /// `was_writing` tells whether it had just begun to write the answer.
     pub(crate) fn check_for_crash(
         self: &Arc<Self>,
@@ -168,10 +166,14 @@
     ) -> JoinHandle<()> {
         let (forwarder, call, upstream) = (self.clone(), call.clone(), upstream.clone());
         tokio::spawn(async move {
-            forwarder
-                .request_crashes
-                .check_for_crash(&call, &upstream, was_writing)
-                .await;
+            tokio::time::sleep(PORT_CLOSE_DELAY).await;
+            if upstream.pool.keeps_connection().await {
+                return;
+            }
+            if forwarder.reaches_another(&upstream).await {
+                let crashes = &forwarder.request_crashes;
+                crashes.record_crash(&call, &upstream, was_writing);
+            }
         })
     }
 }
--- a/tests/cut_nodes/main.rs
+++ b/tests/cut_nodes/main.rs
@@ -3,5 +3,6 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+mod evidence;
 mod scene;
 mod served;
