--- a/tests/cut_nodes/main.rs
+++ b/tests/cut_nodes/main.rs
@@ -4,5 +4,6 @@
 mod support;
 
 mod evidence;
+mod one_call;
 mod scene;
 mod served;
