--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -218,13 +218,13 @@
         if let Some(relayed) = arrival.relayed {
             call.set_relayed(relayed);
         }
-        if call.relayed.is_some() && self.reach.is_cut(&call.service) {
-            let cause = "this node reaches no upstream of the service either";
-            return self.give_up(&call, GiveUpReason::NoUpstream, Progress::NotRun, cause);
-        }
         if let Some(response) = self.relay_on_arrival(&call).await {
             return response;
         }
+        if self.reach.is_unreachable(&call.service) {
+            let cause = "neither this node nor a peer reaches an upstream of the service";
+            return self.give_up(&call, GiveUpReason::NoUpstream, Progress::NotRun, cause);
+        }
         if call.relayed.is_none_or(|relayed| !relayed.is_counted) {
             self.budgets.record_call(&call.service, arrived_at);
         }
--- a/src/forward/reach_monitor.rs
+++ b/src/forward/reach_monitor.rs
@@ -55,6 +55,14 @@
         self.cut_services.borrow().contains(service)
     }
 
+    /// Whether the last probes reached no upstream of the service. It may be served
+    /// again somewhat before [`Self::is_cut`] says so.
+    pub(crate) fn is_unreachable(&self, service: &str) -> bool {
+        let services = self.lock();
+        let paths = services.get(service);
+        paths.is_some_and(|paths| paths.reach.is_unreachable())
+    }
+
     /// The services of which no upstream can be reached.
     pub(crate) fn cut_services(&self) -> BTreeSet<ServiceId> {
         self.cut_services.borrow().clone()
--- a/src/policy/upstream_reach.rs
+++ b/src/policy/upstream_reach.rs
@@ -52,6 +52,11 @@
         self.is_cut
     }
 
+    /// Whether the node is cut and its last probes reached no upstream.
+    pub(crate) fn is_unreachable(&self) -> bool {
+        self.is_cut && self.successful_rounds == 0
+    }
+
     /// Records that a call failed at an upstream.
     pub(crate) fn record_failure(&mut self, id: &UpstreamId) {
         self.failed.insert(id.clone());
