--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -116,6 +116,7 @@
         let answered = tokio::select! {
             biased;
             answered = self.send_until_answered(&call, &mut state) => Some(answered),
+            () = self.wait_until_relay_due(&call) => Some(None),
             () = self.wait_until_answer_due(call.deadline) => None,
         };
         let reason = match answered {
@@ -136,6 +137,12 @@
             Some(None) => GiveUpReason::UpstreamsFailed,
             None => GiveUpReason::TimeOver,
         };
+        if reason != GiveUpReason::TimeOver
+            && state.server_error.is_none()
+            && let Some(response) = self.relay_after_failures(&call, &state.sends).await
+        {
+            return response;
+        }
         match (state.server_error.take(), state.over_limit_wait) {
             (Some(server_error), _) => server_error,
             (None, Some(wait)) => self.refuse_over_limit(&call, state.sends.progress(), wait),
@@ -220,7 +227,7 @@
     ) -> Option<Arc<Upstream>> {
         let sent_count = state.sends.sent_count();
         let is_first = sent_count == 0;
-        if !is_first && sent_count >= call.matched.route.attempts_max {
+        if !is_first && sent_count >= call.sends_max || self.should_relay(call, &state.sends) {
             return None;
         }
         if call.time_for_upstream(Instant::now()).is_none() {
@@ -281,10 +288,19 @@
         let work = Work::call(upstream, 0, 0);
         let attempt = Attempt::new(upstream.clone(), work, request);
         let answered: Attempt<Answered> = attempt.send(call.headers.call_id.as_ref()).await?;
+        self.record_connected(&answered);
         let read = answer_body::read(answered, call.deadline).await;
         read.map_err(|error| AttemptFailure::MayHaveRun(error.to_string()))
     }
 
+    /// Records that an upstream answered, if that shows that it can be reached.
+    pub(crate) fn record_connected(&self, answered: &Attempt<Answered>) {
+        if !answered.state.connection.is_reused() {
+            self.reach
+                .record_connected(&answered.upstream.entry.service);
+        }
+    }
+
     /// Logs why an attempt failed, and updates the state of the upstream: it is
     /// avoided for a while, or removed if its address belongs to another one.
     pub(crate) fn handle_failure(
@@ -303,6 +319,9 @@
             upstream.entry.id,
             call.age().as_millis()
         );
+        if failure.suggests_no_path() {
+            self.reach.record_failure(upstream);
+        }
         match failure {
             AttemptFailure::Misdirected(actual) => {
                 self.directory.remove_misdirected(upstream, now);
@@ -310,7 +329,8 @@
                     self.find_successor(upstream.entry.clone(), actual.clone());
                 }
             }
-            AttemptFailure::NotSent(_)
+            AttemptFailure::NotConnected(_)
+            | AttemptFailure::NotSent(_)
             | AttemptFailure::MayHaveRun(_)
             | AttemptFailure::Abandoned(_) => {
                 upstream.avoid(now);
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -141,7 +141,7 @@
             self.silence().as_millis(),
             silence.map(|silence| silence.as_millis()),
             self.sends.sent_count(),
-            self.call.matched.route.attempts_max,
+            self.call.sends_max,
             self.call.age().as_millis()
         );
     }
--- /dev/null
+++ b/tests/cut_nodes/main.rs
@@ -0,0 +1,9 @@
+//! Nodes that reach no upstream, while callers, the store and other nodes reach them.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod evidence;
+mod one_call;
+mod scene;
+mod served;
