--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -110,9 +110,7 @@
 }
 
 /// Sets keep-alive probes to detect an unresponsive peer, and disables Nagle's
-/// algorithm so that small writes are sent at once. Without lingering, closing the
-/// connection resets it: what the peer's host has not received of a cancelled call is
-/// dropped, and does not arrive when a silent peer reads again.
+/// algorithm so that small writes are sent at once.
 ///
 /// There is no `TCP_USER_TIMEOUT`: it would also close the connection to a peer
 /// that is silent for a second and goes on.
@@ -126,7 +124,6 @@
     // unresponsive peer.
     let _ = stream.set_nodelay(true);
     let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_linger(Some(Duration::ZERO));
 }
 
 #[derive(Debug)]
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -302,6 +302,9 @@
             .enumerate()
             .filter(|(_, upstream)| is_admitted(upstream))
             .collect();
+        for (_, upstream) in &admitted {
+            upstream.avoid_if_overdue(now);
+        }
         let candidates: Vec<Candidate<'_>> = admitted
             .iter()
             .map(|(index, upstream)| Candidate {
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -19,8 +19,6 @@
 use crate::policy::failure_response::{GiveUpReason, Progress};
 use crate::policy::placement::choose_for_plain_call;
 
-/// Silence of an upstream after which later calls of this node go to others.
-const SILENCE_SUSPECTED: Duration = Duration::from_millis(100);
 /// Silence after which a call that may run more than once is sent to another
 /// upstream as well.
 const HEDGE_DELAY: Duration = Duration::from_millis(200);
@@ -88,16 +86,11 @@
         }
     }
 
-    /// Avoids the upstreams that have sent nothing at all since they got this call. One
-    /// that is only slow answers other calls in the meantime.
+    /// Avoids the upstreams that have not answered.
     fn avoid_silent_upstreams(&self) {
         let now = Instant::now();
         for send in &self.pending {
-            let age = now.saturating_duration_since(send.sent_at);
-            let silence = send.upstream.time_since_contact(now);
-            if age >= SILENCE_SUSPECTED && silence.is_none_or(|silence| silence >= age) {
-                send.upstream.avoid(now);
-            }
+            send.upstream.avoid(now);
         }
     }
 
@@ -165,10 +158,17 @@
         let mut sends = FuturesUnordered::new();
         loop {
             if let Some(upstream) = self.next_upstream(call, state).await {
+                state.avoid_silent_upstreams();
                 state.begin_send(&upstream);
                 sends.push(self.send(call, upstream));
             }
-            let Some(ended) = next_end(&mut sends, state, may_repeat).await else {
+            let ended = if may_repeat {
+                tokio::time::timeout(HEDGE_DELAY, sends.next()).await
+            } else {
+                Ok(sends.next().await)
+            };
+            // Without an end, the upstreams are silent.
+            let Ok(ended) = ended else {
                 continue;
             };
             // Nothing is pending, and no upstream is left.
@@ -340,25 +340,6 @@
     }
 }
 
-/// Waits for the next end of a send, and avoids upstreams that are silent. Returns none
-/// if the call is to be sent to another upstream as well; the inner option is none if
-/// nothing is pending.
-async fn next_end(
-    sends: &mut FuturesUnordered<impl Future<Output = SendResult>>,
-    state: &mut PlainCallState,
-    may_repeat: bool,
-) -> Option<Option<SendResult>> {
-    if let Ok(ended) = tokio::time::timeout(SILENCE_SUSPECTED, sends.next()).await {
-        return Some(ended);
-    }
-    state.avoid_silent_upstreams();
-    if !may_repeat {
-        return Some(sends.next().await);
-    }
-    let until_hedge = HEDGE_DELAY - SILENCE_SUSPECTED;
-    tokio::time::timeout(until_hedge, sends.next()).await.ok()
-}
-
 /// Updates the upstream's latency and failure rate from the call, unless the call
 /// was not sent, was refused or was misdirected.
 fn record_result(
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -129,7 +129,7 @@
     /// probes.
     async fn is_lost(&self, directory: &Directory, metrics: &Metrics) -> bool {
         let upstream = &self.upstream;
-        let was_probed = upstream.has_silent_probe();
+        let was_probed = upstream.has_silent_probe(Instant::now());
         if upstream.begin_probe(Instant::now()) {
             metrics.add(Counter::EngineProbes, 1);
             match check_alive(upstream).await {
@@ -242,7 +242,7 @@
     mut request: Request<Full<Bytes>>,
 ) -> Option<(StatusCode, Bytes)> {
     // The idle connections to a silent upstream may be broken.
-    let mut connection = if upstream.has_silent_probe() {
+    let mut connection = if upstream.has_silent_probe(Instant::now()) {
         upstream.pool.open().await.ok()?
     } else {
         upstream.pool.take().await.ok()?
--- a/src/forward/run_replica.rs
+++ b/src/forward/run_replica.rs
@@ -95,7 +95,7 @@
     /// silent nor draining.
     pub(crate) fn is_usable(&self) -> bool {
         let is_lost = self.losses.has_changed().unwrap_or(true);
-        !is_lost && !self.holder.has_silent_probe() && !self.holder.is_draining()
+        !is_lost && !self.holder.has_silent_probe(Instant::now()) && !self.holder.is_draining()
     }
 
     fn needs_refresh(&self) -> bool {
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -11,7 +11,7 @@
 use super::connection::ConnectionPool;
 use crate::id::{DataCentreId, ServiceId, UpstreamId};
 use crate::platform::answer::StatedLimit;
-use crate::policy::liveness::SILENT_PROBE_INTERVAL;
+use crate::policy::liveness::{SILENT_PROBE_INTERVAL, SOUND_SILENCE_MAX};
 use crate::policy::upstream_limit::UpstreamLimit;
 
 /// Version of the software that an upstream runs, as its registration states it.
@@ -23,6 +23,10 @@
 /// Longest time for which an upstream that failed is avoided.
 const AVOID_MAX: Duration = Duration::from_millis(3_200);
 
+/// Shortest time without an answer after which an upstream of plain calls is avoided.
+const OVERDUE_MIN: Duration = Duration::from_millis(100);
+/// The same time as a multiple of the average latency.
+const OVERDUE_LATENCIES: u32 = 2;
 /// Weight of one call in the moving averages of latency and failures.
 const MOVING_AVERAGE_WEIGHT: f64 = 0.15;
 /// Time for which an upstream that refused a call for lack of capacity is avoided.
@@ -70,10 +74,13 @@
 struct Health {
     contacted_at: Option<Instant>,
     avoided_until: Option<Instant>,
+    /// Start of the first send since the last answer or event, whether or not its
+    /// caller still waits.
+    unanswered_since: Option<Instant>,
     /// Start of the last probe while the upstream was silent.
     probe_began_at: Option<Instant>,
-    /// Whether a probe met silence, and nothing arrived since.
-    has_silent_probe: bool,
+    /// When a probe last met silence, if nothing arrived since.
+    silent_probe_at: Option<Instant>,
     /// Number of failures since the last answer or event.
     failure_count: u32,
     latency: Duration,
@@ -157,19 +164,23 @@
         let mut health = self.health();
         health.contacted_at = Some(now);
         health.avoided_until = None;
-        health.has_silent_probe = false;
+        health.unanswered_since = None;
+        health.silent_probe_at = None;
         health.failure_count = 0;
     }
 
     /// Records that a probe met silence. The upstream may be lost, or may go on.
     pub(crate) fn mark_silent(&self, now: Instant) {
         self.avoid(now);
-        self.health().has_silent_probe = true;
+        self.health().silent_probe_at = Some(now);
     }
 
-    /// Whether a probe met silence, and nothing arrived since.
-    pub(crate) fn has_silent_probe(&self) -> bool {
-        self.health().has_silent_probe
+    /// Whether a probe met silence within [`SOUND_SILENCE_MAX`], and nothing arrived
+    /// since. Nobody may probe an upstream at which this node runs nothing, so an older
+    /// probe says nothing of it.
+    pub(crate) fn has_silent_probe(&self, now: Instant) -> bool {
+        let probed_at = self.health().silent_probe_at;
+        probed_at.is_some_and(|at| now.saturating_duration_since(at) < SOUND_SILENCE_MAX)
     }
 
     /// Begins a probe of the upstream, which is silent. Returns false if another one
@@ -227,6 +238,7 @@
         let doublings = health.failure_count.min(8);
         let duration = AVOID_MIN.saturating_mul(1 << doublings).min(AVOID_MAX);
         health.failure_count += 1;
+        health.unanswered_since = None;
         health.avoided_until = Some(now + duration);
     }
 
@@ -237,6 +249,21 @@
         if has_failed {
             self.avoid(now);
         }
+        self.health().unanswered_since.get_or_insert(now);
+    }
+
+    /// Avoids an upstream of plain calls that has sent nothing at all for much longer
+    /// than an answer takes. One that is only slow answers other calls in the meantime.
+    pub(crate) fn avoid_if_overdue(&self, now: Instant) {
+        let health = *self.health();
+        let Some(since) = health.unanswered_since else {
+            return;
+        };
+        let patience = OVERDUE_MIN.max(health.latency * OVERDUE_LATENCIES);
+        let is_known = !health.latency.is_zero();
+        if is_known && now.saturating_duration_since(since) >= patience {
+            self.avoid(now);
+        }
     }
 
     /// Updates the moving averages of latency and failures with a call that
