--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -211,7 +211,7 @@
         self.running.load(Ordering::Relaxed)
     }
 
-    /// Number of requests to create a KV cache replica of a stream that already runs.
+    /// Number of answered requests to create a KV cache replica of a running stream.
     /// Replicas that a header of the run's own request asks for are not counted.
     pub fn replica_request_count(&self) -> usize {
         self.replica_requests.load(Ordering::Relaxed)
@@ -400,14 +400,15 @@
     }
 
     async fn create_replica(&self, request: &RawRequest, stream: &mut TcpStream) -> bool {
-        self.replica_requests.fetch_add(1, Ordering::Relaxed);
         let body: Value = serde_json::from_slice(&request.body).expect("a JSON body");
         let target = body["target"].as_str().and_then(|t| t.parse().ok());
         let handle = format!("h-{}", body["id"].as_str().expect("an id"));
         let key = (target.expect("an address"), handle.clone());
         self.held_replicas.lock().expect("unpoisoned").insert(key);
         let answer = json!({ "transfer-handle": handle, "created": 1 });
-        reply(stream, 200, "", answer.to_string().as_bytes()).await
+        let is_sent = reply(stream, 200, "", answer.to_string().as_bytes()).await;
+        self.replica_requests.fetch_add(1, Ordering::Relaxed);
+        is_sent
     }
 }
 
