Store the entries of restarted engines together in the test of a lost holder

The test failed in 5 of 20 runs since engines run on threads of their own: to start one again now lets the node work in between, the node read the first new entry alone, waited before its next question to the store, and chose as holder an engine whose new entry it had not read. The test means to lose one holder; as before, all entries now reach the store at once. The assertions are the same.

--- a/tests/stream_resume.rs
+++ b/tests/stream_resume.rs
@@ -144,6 +144,8 @@
     tokio::time::sleep(Duration::from_millis(200)).await;
     for engine in &other {
         engine.restart().await;
+    }
+    for engine in &other {
         environment
             .store
             .put("servers", &engine.id(), engine.entry("ready"));
