Suspend upstreams in the soak, and count late arrivals and double runs

SuspendUpstream and SuspendDataCentre block the threads of stand-ins for 0.6 to 2 s, alone or in series; the default kinds have them. Two new checks: no stream runs at two engines for 0.4 s or more (TWICE), and, in a test of its own, at most three calls of a seed reach upstreams more than 0.5 s after their callers left (GONE).

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -9,9 +9,11 @@
 use rand::{RngExt, SeedableRng};
 use tokio::task::JoinHandle;
 
+use crate::double_runs;
 use crate::edge_environment::caller::{Caller, Response, new_call_id, send_request};
 use crate::edge_environment::{IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, STREAM_PATH};
 use crate::kept;
+use crate::leavers::{self, LeftCall};
 use crate::lost::{self, UnansweredCall, Verdict};
 use crate::node::SoakEnvironment;
 
@@ -30,6 +32,7 @@
     /// Number of complete answers to kept callers, by status.
     answer_counts: Mutex<BTreeMap<u16, usize>>,
     unanswered_calls: Mutex<Vec<UnansweredCall>>,
+    left_calls: Mutex<Vec<LeftCall>>,
     pub is_stopping: AtomicBool,
     pub call_count: AtomicUsize,
     pub served_count: AtomicUsize,
@@ -57,6 +60,10 @@
         calls.push(call);
     }
 
+    pub fn record_left(&self, call: LeftCall) {
+        self.left_calls.lock().expect("unpoisoned").push(call);
+    }
+
     /// Adds the lost calls to the violations, prints the others that a reader may
     /// want to trace, and returns the number of calls by verdict.
     fn judge_unanswered(&self, environment: &SoakEnvironment) -> BTreeMap<Verdict, usize> {
@@ -90,6 +97,7 @@
         });
         let mut tasks: Vec<JoinHandle<()>> = tasks.collect();
         tasks.extend(kept::start(environment, seed, &log));
+        tasks.extend(leavers::start(environment, seed, &log));
         Self { tasks, log }
     }
 
@@ -117,6 +125,12 @@
         violations
     }
 
+    /// Calls that reached upstreams long after their callers left.
+    pub fn late_arrivals(&self, environment: &SoakEnvironment) -> Vec<String> {
+        let left_calls = self.log.left_calls.lock().expect("unpoisoned");
+        leavers::late_arrivals(&left_calls, environment)
+    }
+
     /// Stops the callers, compares the answers to calls that may run at most once
     /// with the executions at the services, and returns how many calls were made
     /// and served.
@@ -126,6 +140,7 @@
             task.await.expect("callers do not panic");
         }
         let unanswered = self.log.judge_unanswered(environment);
+        violations.extend(double_runs::violations(environment));
         violations.append(&mut self.log.violations.lock().expect("unpoisoned"));
         let mut runs: BTreeMap<String, usize> = BTreeMap::new();
         for (service, _) in &environment.services {
@@ -157,7 +172,8 @@
         let late_count = self.log.late_count.load(Ordering::Relaxed);
         format!(
             "calls {call_count}, served {served_count}, late {late_count}, \
-             answers {answer_counts:?}, unanswered {unanswered:?}"
+             answers {answer_counts:?}, unanswered {unanswered:?}, left {}",
+            self.log.left_calls.lock().expect("unpoisoned").len()
         )
     }
 }
--- a/tests/soak/fault_kind.rs
+++ b/tests/soak/fault_kind.rs
@@ -38,6 +38,10 @@
     SilenceDataCentre,
     /// The same for all engines and services.
     SilenceAll,
+    /// The process of an upstream is suspended for 0.6 to 2 s, as by SIGSTOP.
+    SuspendUpstream,
+    /// The same for all engines of a data centre.
+    SuspendDataCentre,
     /// The proxy to an upstream holds back all traffic for one to two and a half
     /// seconds. It is injected only by its name.
     MuteLink,
@@ -57,7 +61,7 @@
     ChangeKeys,
 }
 
-const DEFAULT_KINDS: [FaultKind; 29] = [
+const DEFAULT_KINDS: [FaultKind; 31] = [
     FaultKind::KillNode,
     FaultKind::StopNode,
     FaultKind::PauseNode,
@@ -78,6 +82,8 @@
     FaultKind::SilenceUpstream,
     FaultKind::SilenceDataCentre,
     FaultKind::SilenceAll,
+    FaultKind::SuspendUpstream,
+    FaultKind::SuspendDataCentre,
     FaultKind::ChangeVersion,
     FaultKind::ChangeIdleLimit,
     FaultKind::ChangeSizeLimits,
@@ -93,9 +99,12 @@
     /// The kinds that `SOAK_FAULTS` names, by their names or the starts of their
     /// names, separated by commas. Without it, all kinds but `MuteLink`.
     pub fn selected() -> Vec<Self> {
-        let Ok(names) = std::env::var("SOAK_FAULTS") else {
-            return DEFAULT_KINDS.to_vec();
-        };
+        std::env::var("SOAK_FAULTS")
+            .map_or_else(|_| DEFAULT_KINDS.to_vec(), |names| Self::named(&names))
+    }
+
+    /// The kinds with these names or starts of names, separated by commas.
+    pub fn named(names: &str) -> Vec<Self> {
         let mut selected: Vec<Self> = Vec::new();
         for name in names.split(',') {
             let all = DEFAULT_KINDS.into_iter().chain([Self::MuteLink]);
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -15,7 +15,7 @@
 use crate::named_limits::NamedLimits;
 use crate::node::SoakEnvironment;
 use crate::proxy::Mode;
-use crate::silences::{self, Silences};
+use crate::silences::{self, SilenceMode, Silences};
 
 /// A draining engine must get no new runs later than this after it was marked.
 const DRAINING_BOUND: Duration = Duration::from_secs(2);
@@ -47,10 +47,10 @@
 }
 
 impl Faults {
-    pub fn new(seed: u64) -> Self {
+    pub fn new(seed: u64, kinds: Vec<FaultKind>) -> Self {
         Self {
             random: StdRng::seed_from_u64(seed),
-            kinds: FaultKind::selected(),
+            kinds,
             counts: BTreeMap::new(),
             silences: Silences::default(),
             crashing_parts: CrashingParts::default(),
@@ -136,12 +136,22 @@
                     .queue_fault(NextFault::ALL[fault]);
             }
             FaultKind::CutServiceLink => environment.services[service].1.set_mode(mode),
-            FaultKind::SilenceUpstream => self.silence(vec![upstream], environment),
-            FaultKind::SilenceDataCentre => {
+            FaultKind::SilenceUpstream => {
+                self.silence(SilenceMode::Frozen, vec![upstream], environment);
+            }
+            FaultKind::SuspendUpstream => {
+                self.silence(SilenceMode::Suspended, vec![upstream], environment);
+            }
+            FaultKind::SilenceDataCentre | FaultKind::SuspendDataCentre => {
+                let mode = if kind == FaultKind::SilenceDataCentre {
+                    SilenceMode::Frozen
+                } else {
+                    SilenceMode::Suspended
+                };
                 let engines = (engine % 2..environment.engines.len()).step_by(2);
-                self.silence(engines.map(UpstreamAt::Engine).collect(), environment);
+                self.silence(mode, engines.map(UpstreamAt::Engine).collect(), environment);
             }
-            FaultKind::SilenceAll => self.silence(upstreams, environment),
+            FaultKind::SilenceAll => self.silence(SilenceMode::Frozen, upstreams, environment),
             FaultKind::MuteLink => silences::mute_link(upstream, environment, &mut self.random),
             FaultKind::ChangeVersion
             | FaultKind::ChangeIdleLimit
@@ -158,9 +168,14 @@
         }
     }
 
-    fn silence(&mut self, upstreams: Vec<UpstreamAt>, environment: &SoakEnvironment) {
+    fn silence(
+        &mut self,
+        mode: SilenceMode,
+        upstreams: Vec<UpstreamAt>,
+        environment: &SoakEnvironment,
+    ) {
         self.silences
-            .start(upstreams, environment, &mut self.random);
+            .start(mode, upstreams, environment, &mut self.random);
     }
 
     fn random_mode(&mut self) -> Mode {
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -26,6 +26,8 @@
     /// The upstream crashed, failed a call or froze until further notice, or the
     /// link to it was disturbed. A silence that ends soon is no disturbance.
     UpstreamDisturbed(UpstreamAt),
+    /// The link to the upstream held back all traffic for a while.
+    LinkMuted(UpstreamAt),
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/tests/soak/lost.rs
+++ b/tests/soak/lost.rs
@@ -8,7 +8,7 @@
 use crate::node::{GRACE_PERIOD, SoakEnvironment};
 
 /// A disturbance excuses what happens up to this time after it.
-const CONTACT_TIME: Duration = Duration::from_secs(3);
+pub const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// A node may leave a request unread that arrives so shortly before its connection
 /// is closed.
 const CROSSING_TIME: Duration = Duration::from_millis(200);
@@ -68,7 +68,7 @@
 pub fn judge(call: &UnansweredCall, environment: &SoakEnvironment) -> (Verdict, String) {
     let case = Case {
         call,
-        arrivals: arrivals(call, environment),
+        arrivals: arrivals(&call.call_id, environment),
         history: environment.history.entries(),
     };
     let verdict = case.verdict();
@@ -76,14 +76,14 @@
 }
 
 /// The runs of the call at all upstreams.
-fn arrivals(call: &UnansweredCall, environment: &SoakEnvironment) -> Vec<(UpstreamAt, Arrival)> {
+pub fn arrivals(call_id: &str, environment: &SoakEnvironment) -> Vec<(UpstreamAt, Arrival)> {
     let mut arrivals = Vec::new();
     for (at, (engine, _)) in environment.engines.iter().enumerate() {
-        let of_call = engine.run_log.of_call(&call.call_id).into_iter();
+        let of_call = engine.run_log.of_call(call_id).into_iter();
         arrivals.extend(of_call.map(|a| (UpstreamAt::Engine(at), a)));
     }
     for (at, (service, _)) in environment.services.iter().enumerate() {
-        let of_call = service.run_log.of_call(&call.call_id).into_iter();
+        let of_call = service.run_log.of_call(call_id).into_iter();
         arrivals.extend(of_call.map(|a| (UpstreamAt::Service(at), a)));
     }
     arrivals
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -13,6 +13,9 @@
 //!   unless another fault began or ended shortly before the run.
 //! - Few requests with a part that crashes engines reach engines after all nodes can
 //!   know, and an upstream that names a limit gets no more than that from all nodes.
+//! - A stream does not run at two engines for long, and few calls reach upstreams after
+//!   their callers left, unless a node or an upstream was disturbed. A suspended upstream
+//!   is not disturbed.
 //! - After the faults have ended, every node serves calls and streams again.
 //!
 //! A seed fixes the random choice of faults and their timing.
@@ -27,11 +30,13 @@
 mod callers;
 mod config_changes;
 mod crashing_parts;
+mod double_runs;
 mod fault_kind;
 mod faults;
 mod history;
 mod kept;
 mod kept_request;
+mod leavers;
 mod lost;
 mod named_limits;
 mod node;
@@ -41,6 +46,7 @@
 use std::time::Duration;
 
 use callers::Callers;
+use fault_kind::FaultKind;
 use faults::Faults;
 use node::SoakEnvironment;
 
@@ -54,14 +60,27 @@
 /// got SIGTERM first waits for the end of its grace period, then it is restarted.
 const RECOVERY_TIME: Duration = Duration::from_secs(7);
 
+/// Seed that CI runs with suspended upstreams only.
+const CI_SUSPEND_SEED: u64 = 3000;
+/// Number of calls of one seed that may reach upstreams long after their callers left.
+const LATE_ARRIVALS_MAX: usize = 3;
+
+/// Held while a test runs seeds, so that one runs after the other.
+static RUNNING: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
+/// What the checks of one seed found.
+struct SeedResult {
+    violations: Vec<String>,
+    /// Calls that reached upstreams long after their callers left.
+    late_arrivals: Vec<String>,
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_under_random_faults() {
-    let fault_duration =
-        number_from_env("SOAK_SECONDS").map_or(CI_FAULT_DURATION, Duration::from_secs);
-    let node_count = number_from_env("SOAK_NODES").map_or(CI_NODE_COUNT, |n| n as usize);
+    let _running = RUNNING.lock().await;
     let mut failures = Vec::new();
-    for seed in seeds() {
-        let violations = run_seed(seed, node_count, fault_duration).await;
+    for seed in seeds().unwrap_or_else(|| CI_SEEDS.to_vec()) {
+        let SeedResult { violations, .. } = run_seed(seed, FaultKind::selected()).await;
         if !violations.is_empty() {
             failures.push(format!("seed {seed}:\n{}", violations.join("\n")));
         }
@@ -69,23 +88,40 @@
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn few_calls_reach_suspended_upstreams_after_their_callers_left() {
+    let _running = RUNNING.lock().await;
+    let mut failures = Vec::new();
+    for seed in seeds().unwrap_or_else(|| vec![CI_SUSPEND_SEED]) {
+        let SeedResult { late_arrivals, .. } = run_seed(seed, FaultKind::named("Suspend")).await;
+        if late_arrivals.len() > LATE_ARRIVALS_MAX {
+            failures.push(format!("seed {seed}:\n{}", late_arrivals.join("\n")));
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
 fn number_from_env(variable: &str) -> Option<u64> {
     std::env::var(variable).ok()?.parse().ok()
 }
 
-fn seeds() -> Vec<u64> {
-    let Ok(range) = std::env::var("SOAK_SEEDS") else {
-        return CI_SEEDS.to_vec();
-    };
+/// The seeds that `SOAK_SEEDS` sets, if it does.
+fn seeds() -> Option<Vec<u64>> {
+    let range = std::env::var("SOAK_SEEDS").ok()?;
     let (first, last) = range.split_once("..").expect("SOAK_SEEDS is FIRST..LAST");
-    (first.parse().expect("FIRST is a number")..last.parse().expect("LAST is a number")).collect()
+    let first = first.parse().expect("FIRST is a number");
+    let last = last.parse().expect("LAST is a number");
+    Some((first..last).collect())
 }
 
-/// Runs one seed and returns the violated guarantees.
-async fn run_seed(seed: u64, node_count: usize, fault_duration: Duration) -> Vec<String> {
+/// Runs one seed with faults of these kinds.
+async fn run_seed(seed: u64, kinds: Vec<FaultKind>) -> SeedResult {
+    let fault_duration =
+        number_from_env("SOAK_SECONDS").map_or(CI_FAULT_DURATION, Duration::from_secs);
+    let node_count = number_from_env("SOAK_NODES").map_or(CI_NODE_COUNT, |n| n as usize);
     let mut environment = SoakEnvironment::start(seed, node_count).await;
     let callers = Callers::start(&environment, seed);
-    let mut faults = Faults::new(seed);
+    let mut faults = Faults::new(seed, kinds);
     let deadline = tokio::time::Instant::now() + fault_duration;
     while tokio::time::Instant::now() < deadline {
         faults.step(&mut environment).await;
@@ -95,13 +131,18 @@
     environment.keep_nodes_running_for(RECOVERY_TIME).await;
     faults.check_draining_engines(&mut environment).await;
     let mut violations = callers.check_recovery(&environment).await;
+    let late_arrivals = callers.late_arrivals(&environment);
     let summary = callers.stop(&environment, &mut violations).await;
     violations.extend(faults.take_violations(&environment));
     println!(
-        "seed {seed}: {summary}, faults {:?}, broken {}",
+        "seed {seed}: {summary}, after leaving {}, faults {:?}, broken {}",
+        late_arrivals.len(),
         faults.counts(),
         violations.len()
     );
     environment.stop();
-    violations
+    SeedResult {
+        violations,
+        late_arrivals,
+    }
 }
--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -16,6 +16,7 @@
 use crate::edge_environment::store::Store;
 use crate::history::{History, Occurrence, UpstreamAt};
 use crate::proxy::{Mode, Proxy};
+use crate::silences::SilenceMode;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_zinniawing");
 const ENGINE_COUNT: usize = 8;
@@ -235,17 +236,25 @@
         }
     }
 
-    /// A function that freezes the upstream, or ends this.
-    pub fn freezer(&self, upstream: UpstreamAt) -> Box<dyn Fn(bool) + Send> {
-        match upstream {
-            UpstreamAt::Engine(at) => {
+    /// A function that makes the upstream silent, or ends this.
+    pub fn silencer(&self, upstream: UpstreamAt, mode: SilenceMode) -> Box<dyn Fn(bool) + Send> {
+        match (upstream, mode) {
+            (UpstreamAt::Engine(at), SilenceMode::Frozen) => {
                 let engine = self.engines[at].0.clone();
                 Box::new(move |is_frozen| engine.set_frozen(is_frozen))
             }
-            UpstreamAt::Service(at) => {
+            (UpstreamAt::Service(at), SilenceMode::Frozen) => {
                 let service = self.services[at].0.clone();
                 Box::new(move |is_frozen| service.set_frozen(is_frozen))
             }
+            (UpstreamAt::Engine(at), SilenceMode::Suspended) => {
+                let engine = self.engines[at].0.clone();
+                Box::new(move |is_paused| engine.process.set_paused(is_paused))
+            }
+            (UpstreamAt::Service(at), SilenceMode::Suspended) => {
+                let service = self.services[at].0.clone();
+                Box::new(move |is_paused| service.process.set_paused(is_paused))
+            }
         }
     }
 
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -70,6 +70,8 @@
     pub named_limit: NamedLimit,
     /// Calls that arrived, run or not; probes are left out.
     pub run_log: RunLog,
+    /// Runs that this engine began.
+    pub work_log: RunLog,
     pub process: StandInProcess,
     /// Answers probes also while it is frozen.
     pub reports_while_frozen: AtomicBool,
@@ -159,6 +161,7 @@
             is_full: AtomicBool::new(false),
             named_limit: NamedLimit::default(),
             run_log: RunLog::default(),
+            work_log: RunLog::default(),
             process: StandInProcess::start(),
             reports_while_frozen: AtomicBool::new(false),
             name: name.to_owned(),
@@ -319,6 +322,7 @@
         let software_version = self.software_version();
         self.running.fetch_add(1, Ordering::Relaxed);
         let _guard = RunningGuard(&self.running);
+        let _work = self.work_log.begin(&call_id);
         if !had_replica {
             let prefill_time = *self.prefill_time.lock().expect("unpoisoned");
             tokio::select! {
@@ -326,7 +330,10 @@
                 () = wait_for_close(stream) => return false,
             }
         }
-        self.wait_until_unfrozen().await;
+        tokio::select! {
+            () = self.wait_until_unfrozen() => {}
+            () = wait_for_close(stream) => return false,
+        }
         if let Some(holder) = request.header("x-zinniawing-kv-replica") {
             let holder = holder.parse().expect("an address");
             let mut held_replicas = self.held_replicas.lock().expect("unpoisoned");
--- a/tests/support/edge_environment/run_log.rs
+++ b/tests/support/edge_environment/run_log.rs
@@ -35,6 +35,10 @@
         of_call.cloned().collect()
     }
 
+    pub fn all(&self) -> Vec<Arrival> {
+        self.lock().clone()
+    }
+
     /// Number of calls that arrived from `start` until `end`.
     pub fn count_between(&self, start: Instant, end: Instant) -> usize {
         let arrivals = self.lock();
