--- a/src/generation/dispatch.rs
+++ b/src/generation/dispatch.rs
@@ -2,10 +2,13 @@
 //! runner, checks that it is not leaving, and asks it for a stream.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use hyper::Response;
+use hyper::body::Incoming;
 
 use crate::caller::event_id::AttemptId;
 use crate::configuration::config::{CallerPolicy, Config};
@@ -17,6 +20,9 @@
 use crate::fleet::runner::{self, OpenError, RunnerClient, StreamRequest};
 use crate::fleet::table::Fleet;
 use crate::generation::attempt::{Attempt, OpenedStream};
+use crate::generation::runner_probe::accepts_connections;
+use crate::generation::silence::STANDSTILL_MAX;
+use crate::generation::stream_guard::StreamGuard;
 use crate::hash::Fnv;
 use crate::id::{
     AttemptNumber, Fingerprint, GenerationId, Incarnation, ModelId, RunnerId, TokenIndex,
@@ -207,7 +213,8 @@
     }
 
     /// Continues to read a stream that this or another node opened, if its
-    /// runner still holds it.
+    /// runner still holds it. The stream of a runner that does not answer is
+    /// cancelled, because the generation goes on elsewhere.
     pub(crate) async fn reattach(
         &self,
         job: &Job,
@@ -217,22 +224,46 @@
         let (address, _) = self.fleet.locate(&attempt.runner)?;
         let key = attempt.stream_key(&job.request_hash);
         let in_flight = self.fleet.track_stream(&attempt.runner, false);
-        let resuming = self.client.resume(address, &key, next_index);
-        let response = tokio::time::timeout(REPORT_TIMEOUT, resuming)
-            .await
-            .ok()?
-            .ok()?;
+        let mut guard = StreamGuard::new(self.client.clone(), address, key.clone());
+        guard.release();
+        let response = match self.resume(address, &key, next_index).await {
+            Ok(response) => response,
+            Err(OpenError::NoAnswer) => {
+                guard.cancel();
+                return None;
+            }
+            Err(_) => return None,
+        };
         let (incarnation, queued) = self.record_load(&attempt.runner, &response);
         let opened = OpenedStream {
             id: attempt,
-            key,
-            address,
+            guard,
             incarnation,
             in_flight,
             queued,
             response,
         };
-        Some(Attempt::new(opened, self.client.clone(), job.policy))
+        Some(Attempt::new(opened, job.policy))
+    }
+
+    /// Asks a runner for the rest of a stream, and waits longer if only its process
+    /// seems to stand still.
+    async fn resume(
+        &self,
+        address: SocketAddr,
+        key: &str,
+        next_index: TokenIndex,
+    ) -> Result<Response<Incoming>, OpenError> {
+        let resuming = self.client.resume(address, key, next_index);
+        tokio::pin!(resuming);
+        if let Ok(answer) = tokio::time::timeout(REPORT_TIMEOUT, &mut resuming).await {
+            return answer;
+        }
+        if !accepts_connections(address, REPORT_TIMEOUT).await {
+            return Err(OpenError::NoAnswer);
+        }
+        let answer = tokio::time::timeout(STANDSTILL_MAX, resuming).await;
+        answer.unwrap_or(Err(OpenError::NoAnswer))
     }
 
     /// Records that a runner completed an answer.
@@ -326,21 +357,26 @@
         self.crash_tracker
             .record_start(job.fingerprint, &candidate.runner);
         self.metrics.add(Counter::Attempts, 1);
+        let mut guard = StreamGuard::new(self.client.clone(), candidate.address, key.clone());
         let opening = self.client.open(candidate.address, &key, priority, &body);
         let response = tokio::time::timeout(OPEN_TIMEOUT, opening)
             .await
-            .unwrap_or(Err(OpenError::NoAnswer))?;
+            .unwrap_or(Err(OpenError::NoAnswer))
+            .inspect_err(|error| {
+                if *error != OpenError::NoAnswer {
+                    guard.release();
+                }
+            })?;
         let (incarnation, queued) = self.record_load(&candidate.runner, &response);
         let opened = OpenedStream {
             id,
-            key,
-            address: candidate.address,
+            guard,
             incarnation,
             in_flight,
             queued,
             response,
         };
-        Ok(Attempt::new(opened, self.client.clone(), job.policy))
+        Ok(Attempt::new(opened, job.policy))
     }
 
     /// Records the load that a response reports. Gives the runner's incarnation
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -10,6 +10,7 @@
 pub mod process;
 pub mod raw;
 pub mod run_log;
+pub mod running_stream;
 pub mod service;
 pub mod slow_link;
 pub mod store;
