Show that a node sends nothing on after the caller left, whatever it waits for

The node waits for the second send of an idempotent call, for the head of an answer, for the probe of a paused engine, or for the second engine of a move. The caller leaves; nothing arrives at an upstream after that, and every upstream but a paused one ends its work within 0.5 s. Not covered: permits, retries that peers lend, blocked writes to the caller.

--- a/tests/paused_upstreams.rs
+++ b/tests/paused_upstreams.rs
@@ -220,3 +220,98 @@
         "late: {late_counts:?}, queued at the engine and the service: {queued_counts:?}"
     );
 }
+
+/// What a node waits for when the caller leaves.
+#[derive(Clone, Copy, Debug)]
+enum NodeWait {
+    /// The time after which an idempotent call is sent to a second upstream.
+    SecondSend,
+    /// The end of the prefill, before the head of the answer.
+    Head,
+    /// The probe of a paused engine.
+    Probe,
+    /// The answer of a second engine, to which a stream moves from one that is silent
+    /// and refuses connections.
+    Move,
+}
+
+impl NodeWait {
+    const ALL: [Self; 4] = [Self::SecondSend, Self::Head, Self::Probe, Self::Move];
+
+    fn call(self) -> CallKind {
+        match self {
+            Self::SecondSend => CALL_KINDS[0],
+            _ => ("POST", STREAM_PATH, "x-zinniawing-token-usage: 800,100\r\n"),
+        }
+    }
+
+    /// Time from the beginning of the wait until the caller leaves.
+    fn time_until_left(self) -> Duration {
+        Duration::from_millis(match self {
+            Self::SecondSend | Self::Head => 60,
+            Self::Probe => 300,
+            Self::Move => 600,
+        })
+    }
+
+    /// Makes the upstreams slow, so that the caller leaves before the answer.
+    fn arrange(self, environment: &TestEnvironment) {
+        for service in &environment.services {
+            *service.answer_time.lock().expect("unpoisoned") = Duration::from_secs(3);
+        }
+        for engine in &environment.engines {
+            *engine.event_interval.lock().expect("unpoisoned") = Duration::from_millis(30);
+            if matches!(self, Self::Head) {
+                *engine.prefill_time.lock().expect("unpoisoned") = Duration::from_secs(3);
+            }
+        }
+    }
+
+    /// Silences the upstream that works on the call, where the wait follows from that.
+    fn begin(self, environment: &TestEnvironment) {
+        match self {
+            Self::SecondSend | Self::Head => {}
+            Self::Probe => environment.running_engine().process.set_paused(true),
+            Self::Move => {
+                let engine = environment.running_engine();
+                engine.refuses_connections.store(true, Ordering::Relaxed);
+                engine.set_frozen(true);
+                for engine in &environment.engines {
+                    *engine.prefill_time.lock().expect("unpoisoned") = Duration::from_secs(3);
+                }
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_call_is_not_sent_on_after_its_caller_left_whatever_the_node_waits_for() {
+    const TIME_BEFORE_WAIT: Duration = Duration::from_millis(100);
+    for wait in NodeWait::ALL {
+        let environment = TestEnvironment::start(4).await;
+        wait.arrange(&environment);
+        let (_node, caller) = environment.start_ready_node("n1").await;
+
+        let patience = TIME_BEFORE_WAIT + wait.time_until_left();
+        let calling = tokio::spawn(call_and_leave(caller, wait.call(), patience));
+        tokio::time::sleep(TIME_BEFORE_WAIT).await;
+        wait.begin(&environment);
+        let left = calling.await.expect("no panic").expect("not answered");
+        tokio::time::sleep(LATE_ARRIVAL_AGE).await;
+        let is_at_work = |arrival: &&Arrival| arrival.ended_at.is_none();
+        let arrivals = arrivals_of(&environment, &left.call_id);
+        let at_work_count = arrivals.iter().filter(is_at_work).count();
+        tokio::time::sleep(Duration::from_secs(2)).await;
+
+        let arrivals = arrivals_of(&environment, &left.call_id);
+        assert!(
+            arrivals.iter().all(|a| a.arrived_at < left.left_at),
+            "{wait:?}: {arrivals:?}"
+        );
+        // Only a paused engine can't see that its connection was closed.
+        let paused_count = usize::from(matches!(wait, NodeWait::Probe));
+        assert_eq!(at_work_count, paused_count, "{wait:?}: {arrivals:?}");
+        let expected_count = if matches!(wait, NodeWait::Move) { 2 } else { 1 };
+        assert_eq!(arrivals.len(), expected_count, "{wait:?}: {arrivals:?}");
+    }
+}
