--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -226,6 +226,37 @@
         }
     }
 
+    /// The upstreams of a service, those that drain included.
+    pub(crate) fn of_service(&self, service: &str) -> Vec<Arc<Upstream>> {
+        let state = self.lock();
+        let all = state.upstreams.values();
+        all.filter(|u| u.entry.service == service)
+            .cloned()
+            .collect()
+    }
+
+    /// The upstream with this id, if it is known.
+    pub(crate) fn get(&self, id: &UpstreamId) -> Option<Arc<Upstream>> {
+        self.lock().upstreams.get(id).cloned()
+    }
+
+    /// The services that have upstreams.
+    pub(crate) fn services(&self) -> BTreeSet<ServiceId> {
+        let state = self.lock();
+        let all = state.upstreams.values();
+        all.map(|u| u.entry.service.clone()).collect()
+    }
+
+    /// The upstreams of each service, those that drain included.
+    pub(crate) fn by_service(&self) -> BTreeMap<ServiceId, Vec<Arc<Upstream>>> {
+        let mut services: BTreeMap<ServiceId, Vec<Arc<Upstream>>> = BTreeMap::new();
+        for upstream in self.lock().upstreams.values() {
+            let service = upstream.entry.service.clone();
+            services.entry(service).or_default().push(upstream.clone());
+        }
+        services
+    }
+
     pub(crate) fn knows(&self, id: &UpstreamId) -> bool {
         self.lock().upstreams.contains_key(id)
     }
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -77,6 +77,12 @@
     CallsGivenUp,
     /// Calls whose connection closed before this node answered.
     CallsUnanswered,
+    /// Calls that a peer answered because this node reaches no upstream.
+    CallsRelayed,
+    /// Calls accepted from other nodes, which reach no upstream.
+    RelayedCalls,
+    /// Calls of other nodes refused because this node has too many of them.
+    RelayedCallsRefused,
     /// Sends of calls to upstreams, including retries.
     UpstreamSends,
     /// Retries that the retry budget did not allow.
@@ -85,6 +91,8 @@
     SendsOverLimit,
     /// Liveness probes sent to engines.
     EngineProbes,
+    /// Connections opened to find out whether upstreams can be reached.
+    ReachProbes,
     /// KV cache replicas requested from engines.
     CopiesAskedFor,
     /// Times that the upstream of a stream was lost.
@@ -101,7 +109,7 @@
 
 impl Counter {
     /// All counters, in the order of the list in `docs/OPERATIONS.md`.
-    pub const ALL: [Self; 35] = [
+    pub const ALL: [Self; 39] = [
         Self::Completions,
         Self::Refused,
         Self::Tokens,
@@ -127,10 +135,14 @@
         Self::CallsRejected,
         Self::CallsGivenUp,
         Self::CallsUnanswered,
+        Self::CallsRelayed,
+        Self::RelayedCalls,
+        Self::RelayedCallsRefused,
         Self::UpstreamSends,
         Self::RetriesOverBudget,
         Self::SendsOverLimit,
         Self::EngineProbes,
+        Self::ReachProbes,
         Self::CopiesAskedFor,
         Self::StreamsLost,
         Self::StreamsResumed,
@@ -168,10 +180,14 @@
             Self::CallsRejected => "calls_rejected_count",
             Self::CallsGivenUp => "calls_given_up_count",
             Self::CallsUnanswered => "calls_unanswered_count",
+            Self::CallsRelayed => "calls_relayed_count",
+            Self::RelayedCalls => "relayed_calls_count",
+            Self::RelayedCallsRefused => "relayed_calls_refused_count",
             Self::UpstreamSends => "upstream_sends_count",
             Self::RetriesOverBudget => "retries_over_budget_count",
             Self::SendsOverLimit => "sends_over_limit_count",
             Self::EngineProbes => "engine_probes_count",
+            Self::ReachProbes => "reach_probes_count",
             Self::CopiesAskedFor => "copies_asked_for_count",
             Self::StreamsLost => "streams_lost_count",
             Self::StreamsResumed => "streams_resumed_count",
