--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -70,6 +70,8 @@
     pub named_limit: NamedLimit,
     /// Calls that arrived, run or not; probes are left out.
     pub run_log: RunLog,
+    /// Runs that this engine began.
+    pub work_log: RunLog,
     pub process: StandInProcess,
     /// Answers probes also while it is frozen.
     pub reports_while_frozen: AtomicBool,
@@ -159,6 +161,7 @@
             is_full: AtomicBool::new(false),
             named_limit: NamedLimit::default(),
             run_log: RunLog::default(),
+            work_log: RunLog::default(),
             process: StandInProcess::start(),
             reports_while_frozen: AtomicBool::new(false),
             name: name.to_owned(),
@@ -211,7 +214,7 @@
         self.running.load(Ordering::Relaxed)
     }
 
-    /// Number of requests to create a KV cache replica of a stream that already runs.
+    /// Number of answered requests to create a KV cache replica of a running stream.
     /// Replicas that a header of the run's own request asks for are not counted.
     pub fn replica_request_count(&self) -> usize {
         self.replica_requests.load(Ordering::Relaxed)
@@ -319,6 +322,7 @@
         let software_version = self.software_version();
         self.running.fetch_add(1, Ordering::Relaxed);
         let _guard = RunningGuard(&self.running);
+        let _work = self.work_log.begin(&call_id);
         if !had_replica {
             let prefill_time = *self.prefill_time.lock().expect("unpoisoned");
             tokio::select! {
@@ -326,7 +330,10 @@
                 () = wait_for_close(stream) => return false,
             }
         }
-        self.wait_until_unfrozen().await;
+        tokio::select! {
+            () = self.wait_until_unfrozen() => {}
+            () = wait_for_close(stream) => return false,
+        }
         if let Some(holder) = request.header("x-zinniawing-kv-replica") {
             let holder = holder.parse().expect("an address");
             let mut held_replicas = self.held_replicas.lock().expect("unpoisoned");
@@ -400,14 +407,15 @@
     }
 
     async fn create_replica(&self, request: &RawRequest, stream: &mut TcpStream) -> bool {
-        self.replica_requests.fetch_add(1, Ordering::Relaxed);
         let body: Value = serde_json::from_slice(&request.body).expect("a JSON body");
         let target = body["target"].as_str().and_then(|t| t.parse().ok());
         let handle = format!("h-{}", body["id"].as_str().expect("an id"));
         let key = (target.expect("an address"), handle.clone());
         self.held_replicas.lock().expect("unpoisoned").insert(key);
         let answer = json!({ "transfer-handle": handle, "created": 1 });
-        reply(stream, 200, "", answer.to_string().as_bytes()).await
+        let is_sent = reply(stream, 200, "", answer.to_string().as_bytes()).await;
+        self.replica_requests.fetch_add(1, Ordering::Relaxed);
+        is_sent
     }
 }
 
