--- a/tests/soak/lost.rs
+++ b/tests/soak/lost.rs
@@ -49,7 +49,8 @@
     Lost,
     /// It falls into no window in which the rules forbid it.
     OutsideWindows,
-    /// An upstream or the node was disturbed.
+    /// An upstream or the node was disturbed, or a node, which may have carried the
+    /// call, was cut from the upstreams.
     Disturbed,
     DeadlineReached,
     /// The run was still at work at the end of the grace period.
@@ -98,6 +99,8 @@
             Verdict::Disturbed
         } else if self.is_cut_from_kept_connection() {
             Verdict::Lost
+        } else if self.is_in_contact_time(|what| matches!(what, Occurrence::NodeCut { .. })) {
+            Verdict::Disturbed
         } else if self.used_share() >= 1.0 {
             Verdict::DeadlineReached
         } else if self.is_past_grace_period() {
--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -79,6 +79,10 @@
         self.child = Some(child.expect("the node starts"));
     }
 
+    pub fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Sends a signal, given by its name without `SIG`, to this node's process.
     pub fn signal(&mut self, name: &str) {
         self.record_signal(name);
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -5,6 +5,7 @@
 //! node's code, so that tests find mistakes in the node's platform adapter.
 
 pub mod caller;
+pub mod client_process;
 pub mod engine;
 pub mod first_tries;
 pub mod named_limit;
