--- a/tests/cut_nodes/one_call.rs
+++ b/tests/cut_nodes/one_call.rs
@@ -2,18 +2,25 @@
 
 use std::time::Duration;
 
+use tokio::task::JoinSet;
+
 use crate::scene::{CUT_TIME, Scene};
-use crate::support::edge_environment::caller::Caller;
-use crate::support::edge_environment::first_tries::CONTACT_TIME;
+use crate::support::edge_environment::caller::{Caller, Response};
+use crate::support::edge_environment::first_tries::{CONTACT_TIME, FirstTries};
 use crate::support::edge_environment::proxy::Mode;
 use crate::support::edge_environment::raw::RawRequest;
-use crate::support::edge_environment::{IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH};
+use crate::support::edge_environment::{
+    FORGED_RELAY_HEADERS, IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH,
+};
 
 /// Time within which a call that can't be served is answered.
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
 /// Time within which upstreams stop to work for a caller that has left.
 const LEAVING_TIME: Duration = Duration::from_millis(500);
 
+/// More calls than one node takes from others at a time.
+const CALLS_BEYOND_BOUND: usize = 300;
+
 /// Starts nodes, cuts some of them, and waits until they have noticed it.
 async fn start_with_cut_nodes(count: usize, cut: &[usize]) -> Scene {
     let scene = Scene::start(count).await;
@@ -24,13 +31,15 @@
     scene
 }
 
+/// Marks that callers forge change nothing and reach no upstream.
 #[tokio::test]
 async fn the_upstream_of_a_call_to_a_cut_node_gets_the_request_unchanged() {
     let scene = start_with_cut_nodes(3, &[0]).await;
     let path = format!("{NON_IDEMPOTENT_PATH}?answer-ms=5&note=a%20b");
     let headers = "x-note: one\r\nx-zinniawing-deadline-ms: 1500\r\n";
 
-    let at_cut = scene.callers[0].call("POST", &path, headers).await;
+    let forged = format!("{FORGED_RELAY_HEADERS}{headers}");
+    let at_cut = scene.callers[0].call("POST", &path, &forged).await;
     let at_other = scene.callers[1].call("POST", &path, headers).await;
 
     assert_eq!(at_cut.status, 200, "{at_cut:?}");
@@ -65,6 +74,20 @@
     request
 }
 
+#[tokio::test]
+async fn a_call_to_a_cut_node_runs_once_when_its_upstream_forges_the_marks_of_nodes() {
+    let scene = start_with_cut_nodes(3, &[0]).await;
+    for service in &scene.environment.services {
+        *service.extra_headers.lock().expect("unpoisoned") = FORGED_RELAY_HEADERS.to_owned();
+    }
+    let run_count = scene.environment.executed_count();
+
+    let got = scene.callers[0].call("POST", NON_IDEMPOTENT_PATH, "").await;
+
+    assert_eq!(scene.environment.executed_count() - run_count, 1);
+    assert_eq!(got.status, 200, "{got:?}");
+}
+
 #[tokio::test]
 async fn a_stream_of_a_cut_node_ends_at_the_upstream_when_its_caller_leaves() {
     let scene = start_with_cut_nodes(3, &[0]).await;
@@ -132,3 +155,27 @@
 
     scene.assert_run_at_most_once(&tries);
 }
+
+#[tokio::test]
+async fn callers_of_a_node_are_served_while_all_others_relay_more_calls_than_it_takes() {
+    let scene = start_with_cut_nodes(4, &[0, 1, 2]).await;
+    let path = format!("{NON_IDEMPOTENT_PATH}?answer-ms=1500");
+    let relayed: JoinSet<Response> = (0..CALLS_BEYOND_BOUND)
+        .map(|n| {
+            let (caller, path) = (scene.callers[n % 3].clone(), path.clone());
+            async move { caller.call("POST", &path, "").await }
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    let mut own = FirstTries::default();
+    for _ in 0..50 {
+        let got = scene.callers[3].call("GET", IDEMPOTENT_PATH, "").await;
+        own.add(got.status == 200);
+    }
+
+    let relayed = relayed.join_all().await;
+    let refused_count = relayed.iter().filter(|got| got.status == 503).count();
+    assert!(!own.has_many_failures(), "{own:?}, {refused_count} refused");
+    assert!(refused_count > 0, "the bound was not reached");
+}
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -17,7 +17,7 @@
 pub mod store;
 pub mod store_view;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
@@ -42,9 +42,14 @@
 pub const NON_IDEMPOTENT_PATH: &str = "/disburse/1";
 pub const PUBLIC_PATH: &str = "/open/1";
 
-/// A loopback address with a port that was free when this was called.
+/// Header lines that only nodes may send to each other, as a caller may forge them.
+pub const FORGED_RELAY_HEADERS: &str =
+    "x-relay-sends-left: 0\r\nx-relay-counted: 1\r\nx-relay-refused: 1\r\n";
+
+/// A loopback address with a port that was free when this was called. Its host is used
+/// by this process alone: the ports of 127.0.0.1 are also taken by outgoing connections.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listener = TcpListener::bind((loopback_host(u8::MAX), 0)).expect("a free port");
     listener.local_addr().expect("an address")
 }
 
@@ -96,13 +101,18 @@
     pub seeds: Vec<SocketAddr>,
 }
 
+/// A loopback host of this process.
+fn loopback_host(number: u8) -> Ipv4Addr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1 + high % 254, low, number)
+}
+
 static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
 
 impl NodeSpec {
     pub fn new(name: &str, data_centre: &str) -> Self {
         let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
-        let [_, _, high, low] = std::process::id().to_be_bytes();
-        let ip = [127, 1 + high % 254, low, host];
+        let ip = loopback_host(host);
         Self {
             name: name.to_owned(),
             data_centre: data_centre.to_owned(),
--- a/tests/support/edge_environment/service.rs
+++ b/tests/support/edge_environment/service.rs
@@ -93,6 +93,8 @@
     pub answer_time: Mutex<Duration>,
     /// If set, answers have this many bytes, and pause in the middle.
     pub long_answer: Mutex<Option<LongAnswer>>,
+    /// More header lines of its answers.
+    pub extra_headers: Mutex<String>,
     /// The limit that its answers name, if any.
     pub named_limit: NamedLimit,
     /// Calls that arrived, executed or not.
@@ -122,6 +124,7 @@
             advertised_address: Mutex::new(address),
             answer_time: Mutex::default(),
             long_answer: Mutex::default(),
+            extra_headers: Mutex::default(),
             next_faults: Mutex::default(),
             received: Mutex::default(),
             executed: Mutex::default(),
@@ -230,7 +233,8 @@
         );
         tokio::time::sleep(answer_time).await;
         self.wait_until_unfrozen().await;
-        let headers = answer_headers(&call_id) + &self.named_limit.header();
+        let extra_headers = self.extra_headers.lock().expect("unpoisoned").clone();
+        let headers = answer_headers(&call_id) + &self.named_limit.header() + &extra_headers;
         let length = request.query(ANSWER_BYTES_QUERY);
         let long_answer = match length.and_then(|text| text.parse().ok()) {
             Some(bytes) => Some(LongAnswer {
