--- a/src/forward/reach_monitor.rs
+++ b/src/forward/reach_monitor.rs
@@ -19,8 +19,10 @@
 use crate::observe::metrics::Counter;
 use crate::policy::upstream_reach::{ProbeRound, ReachChange, UpstreamReach};
 
-/// Upstreams that are probed at once after the first probe of a round failed.
+/// Upstreams that are probed after the first one of a round.
 const FURTHER_PROBES: usize = 3;
+/// Time after which further upstreams are probed beside the first of a round.
+const FIRST_PROBE_TIME: Duration = Duration::from_millis(100);
 /// Interval at which the node checks whether it should probe.
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Time without a byte from any upstream of a service, while calls wait for one,
@@ -193,26 +195,32 @@
         round.tried_count == 0 || round.reached_count > 0
     }
 
-    /// Opens a connection to one random upstream and, if it fails, to `further` more
-    /// at once.
+    /// Opens a connection to one random upstream and, if that fails or takes long, to
+    /// `further` more at once.
     async fn probe(&self, upstreams: &[Arc<Upstream>], further: usize) -> ProbeRound {
         let mut round = ProbeRound::default();
         let chosen: Vec<_> = upstreams.sample(&mut rand::rng(), 1 + further).collect();
         let Some((first, others)) = chosen.split_first() else {
             return round;
         };
-        for group in [std::slice::from_ref(first), others] {
-            round.tried_count += group.len();
-            self.metrics.add(Counter::ReachProbes, group.len() as u64);
-            let probes = group.iter().map(|u| u.pool.keeps_connection());
-            let mut probes: FuturesUnordered<_> = probes.collect();
+        let mut probes = FuturesUnordered::new();
+        probes.push(first.pool.keeps_connection());
+        round.tried_count = 1;
+        let first_end = tokio::time::timeout(FIRST_PROBE_TIME, probes.next()).await;
+        if first_end == Ok(Some(true)) {
+            round.reached_count = 1;
+        } else {
+            round.tried_count += others.len();
+            probes.extend(others.iter().map(|other| other.pool.keeps_connection()));
             while let Some(is_kept) = probes.next().await {
                 if is_kept {
-                    round.reached_count += 1;
-                    return round;
+                    round.reached_count = 1;
+                    break;
                 }
             }
         }
+        let tried_count = round.tried_count as u64;
+        self.metrics.add(Counter::ReachProbes, tried_count);
         round
     }
 }
