--- a/src/experiment/sizes.rs
+++ b/src/experiment/sizes.rs
@@ -74,7 +74,7 @@
         incarnation: unix_ms(),
         peer_address: address(),
         caller_address: address(),
-        relay_port: 0,
+        relay_port: 7103,
         data_centre: "tt-south-1".to_owned(),
         leaving: false,
         demand_count: 40,
