--- a/src/edge/peer_relay.rs
+++ b/src/edge/peer_relay.rs
@@ -92,8 +92,9 @@
         let rank = |member: &&Member| {
             let peer = state.peers.get(&member.relay_address());
             let call_count = peer.map_or(0, |peer| Arc::strong_count(&peer.calls) - 1);
-            let is_remote = member.data_centre != self.data_centre;
             let is_busy = call_count >= LOCAL_CALLS_PREFERRED;
+            // The data centre matters only among peers that are not busy.
+            let is_remote = !is_busy && member.data_centre != self.data_centre;
             let draw: u32 = rand::rng().random();
             (is_busy, is_remote, call_count, draw)
         };
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -218,6 +218,14 @@
         if let Some(relayed) = arrival.relayed {
             call.set_relayed(relayed);
         }
+        if !self.has_time_before_shutdown(&mut call) {
+            return self.give_up(
+                &call,
+                GiveUpReason::NoUpstream,
+                Progress::NotRun,
+                "this node is shutting down",
+            );
+        }
         if let Some(response) = self.relay_on_arrival(&call).await {
             return response;
         }
@@ -233,14 +241,6 @@
             Permission::Trial => call.is_trial = true,
             Permission::Refused(reason, wait) => return self.refuse(&call, reason, wait),
         }
-        if !self.has_time_before_shutdown(&mut call) {
-            return self.give_up(
-                &call,
-                GiveUpReason::NoUpstream,
-                Progress::NotRun,
-                "this node is shutting down",
-            );
-        }
         if kind.is_stream() {
             self.forward_stream(call).await
         } else {
