Take only a peer's own mark for a call that it did not run (RECOVER)

A call that may run once ran twice at two upstreams if the first one's answer had the header with which nodes mark refused relayed calls: the peer passed it on, and the cut node sent the call to another peer.

--- a/src/edge/relay_api.rs
+++ b/src/edge/relay_api.rs
@@ -56,9 +56,8 @@
         let mut response = self.forward(request).await;
         unanswered.answered();
         let own_error = response.extensions().get::<ErrorKind>();
-        if own_error.is_some_and(|kind| kind.answer().execution == Execution::NotRun) {
-            call::mark_relay_refused(response.headers_mut());
-        }
+        let is_refused = own_error.is_some_and(|kind| kind.answer().execution == Execution::NotRun);
+        call::set_relay_refused(response.headers_mut(), is_refused);
         response
     }
 }
