--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -9,6 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use tokio::task::JoinHandle;
 
+use crate::cut_nodes::{self, FirstTry};
 use crate::double_runs;
 use crate::edge_environment::caller::{Caller, Response, new_call_id, send_request};
 use crate::edge_environment::{IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, STREAM_PATH};
@@ -33,6 +34,7 @@
     answer_counts: Mutex<BTreeMap<u16, usize>>,
     unanswered_calls: Mutex<Vec<UnansweredCall>>,
     left_calls: Mutex<Vec<LeftCall>>,
+    first_tries: Mutex<Vec<FirstTry>>,
     pub is_stopping: AtomicBool,
     pub call_count: AtomicUsize,
     pub served_count: AtomicUsize,
@@ -64,6 +66,11 @@
         self.left_calls.lock().expect("unpoisoned").push(call);
     }
 
+    pub fn record_first_try(&self, first_try: FirstTry) {
+        let mut tries = self.first_tries.lock().expect("unpoisoned");
+        tries.push(first_try);
+    }
+
     /// Adds the lost calls to the violations, prints the others that a reader may
     /// want to trace, and returns the number of calls by verdict.
     fn judge_unanswered(&self, environment: &SoakEnvironment) -> BTreeMap<Verdict, usize> {
@@ -98,6 +105,7 @@
         let mut tasks: Vec<JoinHandle<()>> = tasks.collect();
         tasks.extend(kept::start(environment, seed, &log));
         tasks.extend(leavers::start(environment, seed, &log));
+        tasks.extend(cut_nodes::start_tries(environment, &log));
         Self { tasks, log }
     }
 
@@ -141,6 +149,8 @@
         }
         let unanswered = self.log.judge_unanswered(environment);
         violations.extend(double_runs::violations(environment));
+        let first_tries = self.log.first_tries.lock().expect("unpoisoned");
+        violations.extend(cut_nodes::violation(&first_tries, environment));
         violations.append(&mut self.log.violations.lock().expect("unpoisoned"));
         let mut runs: BTreeMap<String, usize> = BTreeMap::new();
         for (service, _) in &environment.services {
@@ -221,7 +231,7 @@
     is_served
 }
 
-async fn call_idempotent(log: &CallLog, node: &Caller) -> bool {
+pub async fn call_idempotent(log: &CallLog, node: &Caller) -> bool {
     let response = call_with_timeout(
         node,
         "GET",
@@ -232,7 +242,7 @@
     check_answer(log, &response)
 }
 
-async fn call_non_idempotent(log: &CallLog, node: &Caller) -> bool {
+pub async fn call_non_idempotent(log: &CallLog, node: &Caller) -> bool {
     let response = call_with_timeout(
         node,
         "POST",
--- a/tests/soak/fault_kind.rs
+++ b/tests/soak/fault_kind.rs
@@ -10,6 +10,12 @@
     PauseNode,
     /// The node gets SIGHUP.
     ReloadNode,
+    /// For half a second to six seconds, some or all nodes lose all upstreams:
+    /// connections are reset, or open ones live on while new ones are refused.
+    CutNode,
+    /// The same with links that accept connections and pass nothing. It is injected
+    /// only by its name.
+    MuteNode,
     /// The proxy between a node and the store delays, holds back or resets traffic.
     CutStoreLink,
     /// The store answers every request with status 503.
@@ -61,11 +67,12 @@
     ChangeKeys,
 }
 
-const DEFAULT_KINDS: [FaultKind; 31] = [
+const DEFAULT_KINDS: [FaultKind; 32] = [
     FaultKind::KillNode,
     FaultKind::StopNode,
     FaultKind::PauseNode,
     FaultKind::ReloadNode,
+    FaultKind::CutNode,
     FaultKind::CutStoreLink,
     FaultKind::StoreAway,
     FaultKind::StoreSilent,
@@ -97,7 +104,7 @@
 
 impl FaultKind {
     /// The kinds that `SOAK_FAULTS` names, by their names or the starts of their
-    /// names, separated by commas. Without it, all kinds but `MuteLink`.
+    /// names, separated by commas. Without it, all kinds but `MuteLink` and `MuteNode`.
     pub fn selected() -> Vec<Self> {
         std::env::var("SOAK_FAULTS")
             .map_or_else(|_| DEFAULT_KINDS.to_vec(), |names| Self::named(&names))
@@ -107,7 +114,9 @@
     pub fn named(names: &str) -> Vec<Self> {
         let mut selected: Vec<Self> = Vec::new();
         for name in names.split(',') {
-            let all = DEFAULT_KINDS.into_iter().chain([Self::MuteLink]);
+            let all = DEFAULT_KINDS
+                .into_iter()
+                .chain([Self::MuteLink, Self::MuteNode]);
             let count_before = selected.len();
             selected.extend(all.filter(|kind| format!("{kind:?}").starts_with(name)));
             assert!(selected.len() > count_before, "no kind of fault is {name}");
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -16,6 +16,8 @@
 //! - A stream does not run at two engines for long, and few calls reach upstreams after
 //!   their callers left, unless a node or an upstream was disturbed. A suspended upstream
 //!   is not disturbed.
+//! - From 3 s after a node has lost all upstreams, first tries there are served at
+//!   least two thirds as often as at the other nodes, or few of them fail.
 //! - After the faults have ended, every node serves calls and streams again.
 //!
 //! A seed fixes the random choice of faults and their timing.
@@ -30,6 +32,7 @@
 mod callers;
 mod config_changes;
 mod crashing_parts;
+mod cut_nodes;
 mod double_runs;
 mod fault_kind;
 mod faults;
@@ -51,6 +54,8 @@
 
 /// Seeds that CI runs; a seed that has failed is added here.
 const CI_SEEDS: [u64; 3] = [1, 2, 3];
+/// Seed that CI runs with cut nodes alone, so that their callers are compared with others.
+const CI_CUT_NODES_SEED: u64 = 2;
 /// How long CI injects faults for each seed.
 const CI_FAULT_DURATION: Duration = Duration::from_secs(8);
 /// Number of entry nodes in CI.
@@ -78,8 +83,8 @@
 async fn guarantees_hold_under_random_faults() {
     let _running = RUNNING.lock().await;
     let mut failures = Vec::new();
-    for seed in seeds().unwrap_or_else(|| CI_SEEDS.to_vec()) {
-        let SeedResult { violations, .. } = run_seed(seed, FaultKind::selected()).await;
+    for (seed, kinds) in runs() {
+        let SeedResult { violations, .. } = run_seed(seed, kinds).await;
         if !violations.is_empty() {
             failures.push(format!("seed {seed}:\n{}", violations.join("\n")));
         }
@@ -104,6 +109,17 @@
     std::env::var(variable).ok()?.parse().ok()
 }
 
+/// The seeds of the main test, and the kinds of faults of each.
+fn runs() -> Vec<(u64, Vec<FaultKind>)> {
+    let with_selected = |seed| (seed, FaultKind::selected());
+    if let Some(seeds) = seeds() {
+        return seeds.into_iter().map(with_selected).collect();
+    }
+    let cut_nodes = (CI_CUT_NODES_SEED, vec![FaultKind::CutNode]);
+    let runs = CI_SEEDS.map(with_selected);
+    runs.into_iter().chain([cut_nodes]).collect()
+}
+
 /// The seeds that `SOAK_SEEDS` sets, if it does.
 fn seeds() -> Option<Vec<u64>> {
     let range = std::env::var("SOAK_SEEDS").ok()?;
