Probe a silent engine over one connection, and cancel a lost stream in any case

From the second probe on, a silent engine got two connections a probe, which fill the listen queue of a process that stands still, until its host seems gone. A generation of our own interface that could not go on left the stream of its lost attempt uncancelled. Each stream copied its whole call to wait for the loss of this node's paths.

--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -109,7 +109,7 @@
         let answered = tokio::select! {
             biased;
             answered = self.send_until_answered(&call, &mut state) => Some(answered),
-            () = self.wait_until_relay_due(&call) => Some(None),
+            () = self.wait_until_relay_due(&call.service, call.may_move_to_peer()) => Some(None),
             () = self.wait_until_answer_due(call.deadline) => None,
         };
         let reason = match answered {
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, StatusCode};
 use tokio::sync::{broadcast, watch};
 
+use super::connection::Connection;
 use super::directory::Directory;
 use super::forwarder::{Forwarder, NodeContext};
 use super::upstream::Upstream;
@@ -132,15 +133,12 @@
         let was_probed = upstream.has_silent_probe(Instant::now());
         if upstream.begin_probe(Instant::now()) {
             metrics.add(Counter::EngineProbes, 1);
-            match check_alive(upstream).await {
-                Ok(()) => return false,
-                Err(ProbeFailure::Silent) => {
-                    directory.mark_silent(upstream, "no_report", Instant::now());
-                }
-                Err(ProbeFailure::Unreachable | ProbeFailure::Broken) => {
-                    directory.mark_lost(upstream, "no_report", Instant::now());
-                    return true;
-                }
+            let Err(failure) = check_alive(upstream).await else {
+                return false;
+            };
+            directory.apply_probe_failure(upstream, failure, "no_report", Instant::now());
+            if failure != ProbeFailure::Silent {
+                return true;
             }
         }
         let now = Instant::now();
@@ -193,7 +191,11 @@
 
 /// Probes an engine by requesting its report.
 pub(crate) async fn probe_engine(upstream: &Upstream) -> Result<EngineReport, ProbeFailure> {
-    let probed = fetch_report_or_connect(upstream).await;
+    let probed = if upstream.has_silent_probe(Instant::now()) {
+        fetch_report_over_new_connection(upstream).await
+    } else {
+        fetch_report_or_connect(upstream).await
+    };
     let now = Instant::now();
     match &probed {
         Ok(_) => upstream.record_contact(now),
@@ -208,10 +210,13 @@
     probed
 }
 
-/// Requests the report. If it does not come soon, finds out beside that whether the
-/// engine's host completes a handshake.
+/// Requests the report over a connection of the pool. If it does not come soon, finds
+/// out beside that whether the engine's host completes a handshake.
 async fn fetch_report_or_connect(upstream: &Upstream) -> Result<EngineReport, ProbeFailure> {
-    let fetching = fetch_report(upstream);
+    let fetching = async {
+        let connection = upstream.pool.take().await.ok()?;
+        fetch_report(upstream, connection).await
+    };
     tokio::pin!(fetching);
     let answer_time = PROBE_TIMEOUT - HANDSHAKE_TIMEOUT;
     if let Ok(report) = tokio::time::timeout(answer_time, &mut fetching).await {
@@ -229,24 +234,44 @@
     }
 }
 
-async fn fetch_report(upstream: &Upstream) -> Option<EngineReport> {
+/// Requests the report over a new connection, since the idle ones to a silent engine
+/// may be broken.
+async fn fetch_report_over_new_connection(
+    upstream: &Upstream,
+) -> Result<EngineReport, ProbeFailure> {
+    let connection = tokio::time::timeout(HANDSHAKE_TIMEOUT, upstream.pool.open()).await;
+    let Ok(connection) = connection else {
+        return Err(ProbeFailure::Unreachable);
+    };
+    let connection = connection.map_err(|_| ProbeFailure::Broken)?;
+    let fetching = fetch_report(upstream, connection);
+    match tokio::time::timeout(PROBE_TIMEOUT - HANDSHAKE_TIMEOUT, fetching).await {
+        Ok(report) => report.ok_or(ProbeFailure::Broken),
+        Err(_) => Err(ProbeFailure::Silent),
+    }
+}
+
+async fn fetch_report(upstream: &Upstream, connection: Connection) -> Option<EngineReport> {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = REPORT_PATH.parse().ok()?;
-    let (status, body) = send_control_request(upstream, request).await?;
+    let (status, body) = send_over(upstream, connection, request).await?;
     (status == StatusCode::OK).then(|| read_report(&body))?
 }
 
 /// Sends a request that is not a caller's call, and reads the whole answer.
 pub(crate) async fn send_control_request(
     upstream: &Upstream,
+    request: Request<Full<Bytes>>,
+) -> Option<(StatusCode, Bytes)> {
+    let connection = upstream.pool.take().await.ok()?;
+    send_over(upstream, connection, request).await
+}
+
+async fn send_over(
+    upstream: &Upstream,
+    mut connection: Connection,
     mut request: Request<Full<Bytes>>,
 ) -> Option<(StatusCode, Bytes)> {
-    // The idle connections to a silent upstream may be broken.
-    let mut connection = if upstream.has_silent_probe(Instant::now()) {
-        upstream.pool.open().await.ok()?
-    } else {
-        upstream.pool.take().await.ok()?
-    };
     let host = upstream.entry.address.to_string().parse().ok()?;
     request.headers_mut().insert(HOST, host);
     let response = connection.send(request).await.ok()?;
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -72,14 +72,15 @@
             && self.node.relay_peer(&call.service, &[]).is_some()
     }
 
-    /// Completes when the call should be taken from its upstreams and go to a peer:
-    /// this node has lost its paths to them, and the call may run again.
-    pub(super) async fn wait_until_relay_due(&self, call: &Call) {
-        if call.relayed.is_some() || !call.matched.route.kind.may_repeat() {
+    /// Completes when a call to the service should be taken from its upstreams and go to
+    /// a peer, because this node has lost its paths to them. Never completes unless the
+    /// call [may move](Call::may_move_to_peer).
+    pub(super) async fn wait_until_relay_due(&self, service: &str, may_move: bool) {
+        if !may_move {
             return std::future::pending().await;
         }
-        self.reach.wait_until_cut(&call.service).await;
-        if self.node.relay_peer(&call.service, &[]).is_none() {
+        self.reach.wait_until_cut(service).await;
+        if self.node.relay_peer(service, &[]).is_none() {
             std::future::pending::<()>().await;
         }
     }
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -108,6 +108,11 @@
         call::shared_prompt_parts(&self.forwarded_headers).join(",")
     }
 
+    /// Whether the call may leave an upstream that may have begun it and go to a peer.
+    pub(crate) fn may_move_to_peer(&self) -> bool {
+        self.relayed.is_none() && self.matched.route.kind.may_repeat()
+    }
+
     /// Time left until the deadline.
     pub(crate) fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -122,11 +122,11 @@
             last_event_at: None,
         };
         let deadline = run.call.deadline;
-        let relayable = run.call.clone();
+        let (service, may_move) = (run.call.service.clone(), run.call.may_move_to_peer());
         let opened = tokio::select! {
             biased;
             opened = run.open_first() => Some(opened),
-            () = self.wait_until_relay_due(&relayable) => Some(Err(OpenFailure::no_path())),
+            () = self.wait_until_relay_due(&service, may_move) => Some(Err(OpenFailure::no_path())),
             () = self.wait_until_answer_due(deadline) => None,
         };
         let timed_out = || {
--- a/src/generation/run.rs
+++ b/src/generation/run.rs
@@ -202,8 +202,9 @@
                     self.metrics.add(Counter::Standbys, opened_count);
                 }
                 Step::Lost(loss) => {
-                    self.handle_loss(&attempt, loss).await?;
+                    let handled = self.handle_loss(&attempt, loss).await;
                     attempt.cancel();
+                    handled?;
                     attempt = match standby.take() {
                         Some(standby) => standby,
                         None => self.resume().await?,
