Give each stand-in a port that no other one gets

Cause: calls_are_refused_at_once_while_no_node_reaches_an_upstream failed once, before its scene began: a stand-in could not listen at its address for half a second. The fixture takes a free port and releases it until the stand-in listens, so two scenes of one process may get the same. Change: the fixture remembers the addresses that it gave out. No check changes. That the port was given twice follows from the code; the log does not name the other owner.

--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -19,9 +19,10 @@
 pub mod store;
 pub mod store_view;
 
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -48,11 +49,21 @@
 pub const FORGED_RELAY_HEADERS: &str =
     "x-relay-sends-left: 0\r\nx-relay-counted: 1\r\nx-relay-refused: 1\r\n";
 
-/// A loopback address with a port that was free when this was called. Its host is used
-/// by this process alone: the ports of 127.0.0.1 are also taken by outgoing connections.
+/// The addresses that [`free_address`] returned. Their ports are free again until the
+/// stand-ins listen at them.
+static GIVEN_OUT: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+
+/// A loopback address with a port that is free, which no other call returns. Its host is
+/// used by this process alone: the ports of 127.0.0.1 are also taken by outgoing
+/// connections.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((loopback_host(u8::MAX), 0)).expect("a free port");
-    listener.local_addr().expect("an address")
+    loop {
+        let listener = TcpListener::bind((loopback_host(u8::MAX), 0)).expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        if GIVEN_OUT.lock().expect("unpoisoned").insert(address) {
+            return address;
+        }
+    }
 }
 
 pub fn route(name: &str, prefix: &str, kind: &str, service: &str) -> Value {
