Tell an outage of the store from a node's own loss of it (DRAIN)

Cause: a node took the failure of its own requests for an outage of the store, in which entries of live upstreams expire, and kept upstreams whose entries went for 2.2 s. Each heartbeat of its peers, which reach the store, ended that 'outage' and began the 2.2 s anew.

Change: the store is in an outage only if requests of this node fail and no node had an answer for 1.5 s.

--- a/src/policy/entry_expiry.rs
+++ b/src/policy/entry_expiry.rs
@@ -6,10 +6,16 @@
 //! entries expire together. Removing these upstreams at once would leave a
 //! service without any for two seconds or more, until they have registered
 //! again.
+//!
+//! A node that alone is cut from the store sees the same failures, but the entries of
+//! live upstreams stay. An upstream whose entry goes then has left, and must get no
+//! calls soon after. What tells the two apart is whether the store answers any node,
+//! see [`StoreContact`].
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use super::store_contact::StoreContact;
 use crate::id::{ServiceId, UpstreamId};
 
 /// Time within which live upstreams register again once the store is back.
@@ -33,8 +39,7 @@
 /// Tracks the removals of upstreams' entries, and whether the store is reachable.
 #[derive(Debug, Default)]
 pub(crate) struct EntryExpiry {
-    is_store_unreachable: bool,
-    store_back_at: Option<Instant>,
+    store: StoreContact,
     kept_until: BTreeMap<UpstreamId, Instant>,
     recent_removals: Vec<(ServiceId, Instant)>,
 }
@@ -43,10 +48,11 @@
     /// Records that the store answered this node or a peer, or that a request of
     /// this node to it failed.
     pub(crate) fn set_store_reachable(&mut self, is_reachable: bool, now: Instant) {
-        if is_reachable && self.is_store_unreachable {
-            self.store_back_at = Some(now);
+        if is_reachable {
+            self.store.record_answer(now);
+        } else {
+            self.store.record_failure(now);
         }
-        self.is_store_unreachable = !is_reachable;
     }
 
     /// Decides what to do when an entry of a service with `service_size`
@@ -81,9 +87,9 @@
     }
 
     /// Takes out the kept upstreams that did not register again in time. Returns
-    /// none while the store is unreachable, since they cannot register then.
+    /// none during an outage of the store, since they cannot register then.
     pub(crate) fn take_expired(&mut self, now: Instant) -> Vec<UpstreamId> {
-        if self.is_store_unreachable {
+        if self.store.is_in_outage(now) {
             return Vec::new();
         }
         let expired = self.kept_until.iter().filter(|(_, until)| **until <= now);
@@ -102,12 +108,12 @@
         service_size: usize,
         now: Instant,
     ) -> Option<Instant> {
-        if self.is_store_unreachable {
+        if self.store.is_in_outage(now) {
             return Some(now);
         }
         let is_recent =
             |at: &Instant| now.saturating_duration_since(*at) < REGISTRATION_GRACE_PERIOD;
-        if let Some(at) = self.store_back_at.filter(is_recent) {
+        if let Some(at) = self.store.outage_ended_at().filter(is_recent) {
             return Some(at);
         }
         let removed = self
