--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -159,6 +159,7 @@
             headers, sent_at, ..
         } = &self.state;
         self.upstream.record_limit(headers.limit, *sent_at);
+        self.upstream.record_rest(headers.rest);
     }
 }
 
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -18,6 +18,7 @@
 use super::upstream::Upstream;
 use crate::id::DataCentreId;
 use crate::observe::metrics::{Counter, Metrics};
+use crate::platform::answer::stated_rest;
 use crate::platform::engine::{EngineReport, REPORT_PATH, read_report};
 use crate::policy::liveness::{
     OUTAGE_ALERT_DURATION, SOUND_SILENCE_MAX, StreamPhase, probe_delay, stall_timeout,
@@ -276,6 +277,7 @@
     request.headers_mut().insert(HOST, host);
     let response = connection.send(request).await.ok()?;
     let status = response.status();
+    upstream.record_rest(stated_rest(status, response.headers()));
     let body = Limited::new(response.into_body(), CONTROL_ANSWER_MAX_BYTES);
     let body = body.collect().await.ok()?.to_bytes();
     upstream.pool.put(connection, None);
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -216,6 +216,14 @@
         }
     }
 
+    /// Records the rest that the upstream asks of this node in an answer.
+    pub(crate) fn record_rest(&self, rest: Option<Duration>) {
+        if let Some(rest) = rest {
+            let (id, rest_ms) = (&self.entry.id, rest.as_millis());
+            log::info!("event=upstream_rests upstream={id} rest_ms={rest_ms}");
+        }
+    }
+
     /// Whether the upstream limits what is sent to it.
     pub(crate) fn is_limited(&self) -> bool {
         self.limit().is_limited(Instant::now())
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod retry_budget_share;
 pub(crate) mod upstream_limit;
 pub(crate) mod upstream_reach;
+pub(crate) mod upstream_rest;
 pub(crate) mod watchers;
 
 #[cfg(test)]
