Show that nodes press an upstream that asked them for rest (BUDGET)

Callers saw calls refused at an upstream that turns everything away, and the upstream got many requests from nodes that it had asked for rest. Change: the stand-ins for services and engines can turn everything away with 503, x-zinniawing-not-executed and Retry-After for a time, probes and requests for replicas included. They keep the arrivals of each node, known by its connections, and count those between half a second after a refusal and the end of its rest. The scene has 7 nodes, both kinds of plain calls, streams, and streams that run at the resting engine.

--- /dev/null
+++ b/tests/resting_upstreams.rs
@@ -0,0 +1,97 @@
+//! Upstreams that turn a node away and ask it for rest.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use support::edge_environment::asked_rest::{AskedRest, NODE_HEADER};
+use support::edge_environment::caller::{Caller, Response};
+use support::edge_environment::running_stream::assert_stream_complete;
+use support::edge_environment::{
+    IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, STREAM_PATH, TestEnvironment, eventually,
+};
+use tokio::task::JoinHandle;
+
+const NODE_COUNT: usize = 7;
+/// Time for which an upstream turns everything away.
+const REFUSING_TIME: Duration = Duration::from_millis(2_500);
+/// The rest that it asks for.
+const REST_S: f64 = 3.0;
+/// Requests that may reach an upstream from one node while it rests.
+const ALLOWED: usize = 2;
+const CALL_INTERVAL: Duration = Duration::from_millis(8);
+
+/// Calls the nodes in turn for `duration` with calls that may repeat, calls that may not,
+/// and streams. Returns when each was sent, and its answer.
+async fn send_calls(callers: &[Caller], duration: Duration) -> Vec<(Instant, Response)> {
+    let began_at = Instant::now();
+    let mut sent: Vec<(Instant, JoinHandle<Response>)> = Vec::new();
+    while began_at.elapsed() < duration {
+        let node = sent.len() % callers.len();
+        let caller = callers[node].clone();
+        let (method, path) = match (sent.len() / callers.len()) % 3 {
+            0 => ("GET", IDEMPOTENT_PATH),
+            1 => ("POST", NON_IDEMPOTENT_PATH),
+            _ => ("POST", STREAM_PATH),
+        };
+        let headers = format!(
+            "{NODE_HEADER}: n{node}\r\nx-zinniawing-deadline-ms: 1500\r\n\
+             x-zinniawing-token-usage: 200,8\r\n"
+        );
+        let call = tokio::spawn(async move { caller.call(method, path, &headers).await });
+        sent.push((Instant::now(), call));
+        tokio::time::sleep(CALL_INTERVAL).await;
+    }
+    let mut answers = Vec::new();
+    for (sent_at, call) in sent {
+        answers.push((sent_at, call.await.expect("no panic")));
+    }
+    answers
+}
+
+fn served_share(answers: &[(Instant, Response)]) -> f64 {
+    let served = answers.iter().filter(|(_, answer)| answer.status == 200);
+    served.count() as f64 / answers.len() as f64
+}
+
+fn assert_kept(what: &str, rest: &AskedRest) {
+    let most = rest.arrivals_in_rest_max();
+    println!("{what}: {most} requests from one node in a rest");
+    assert!(most <= ALLOWED, "{what}: {most} requests in a rest");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_node_sends_two_requests_at_most_to_an_upstream_that_asked_it_for_rest() {
+    let mut environment = TestEnvironment::start(4).await;
+    environment.add_services(1).await;
+    let (_nodes, callers) = environment.start_ready_nodes(NODE_COUNT).await;
+    environment.set_event_interval(Duration::from_millis(20));
+    let mut streams = Vec::new();
+    for caller in callers.iter().chain(&callers) {
+        let caller = caller.clone();
+        streams.push(tokio::spawn(async move { caller.stream(250).await }));
+    }
+    let all_run = || environment.run_count() >= streams.len();
+    eventually("all streams run", all_run).await;
+    let (plain, engine) = (&environment.services[0], environment.running_engine());
+
+    for rest in [&plain.asked_rest, &engine.asked_rest] {
+        rest.refuse_all(REFUSING_TIME, &REST_S.to_string());
+    }
+    let answers = send_calls(&callers, Duration::from_secs_f64(REST_S)).await;
+    let ended_at = Instant::now();
+    let after = send_calls(&callers, Duration::from_secs(4)).await;
+
+    let (share, share_after) = (served_share(&answers), served_share(&after));
+    println!("served {share:.3} in the rest, {share_after:.3} after it");
+    assert_kept("plain", &plain.asked_rest);
+    assert_kept("engine", &engine.asked_rest);
+    assert!(share >= 0.9, "{share}");
+    assert!(share_after >= 0.98, "{share_after}");
+    for rest in [&plain.asked_rest, &engine.asked_rest] {
+        assert!(rest.arrivals_since(ended_at) > NODE_COUNT, "left idle");
+    }
+    for stream in streams {
+        assert_stream_complete(&stream.await.expect("no panic"), 250);
+    }
+}
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use super::asked_rest::AskedRest;
 use super::free_address;
 use super::named_limit::NamedLimit;
 use super::process::StandInProcess;
@@ -68,6 +69,8 @@
     pub is_full: AtomicBool,
     /// The limit that its answers name, if any. Probes count as arrivals.
     pub named_limit: NamedLimit,
+    /// The rest that it asks of nodes, if any. Probes count, and are turned away too.
+    pub asked_rest: AskedRest,
     /// Calls that arrived, run or not; probes are left out.
     pub run_log: RunLog,
     /// Runs that this engine began.
@@ -160,6 +163,7 @@
             refuses_connections: AtomicBool::new(false),
             is_full: AtomicBool::new(false),
             named_limit: NamedLimit::default(),
+            asked_rest: AskedRest::default(),
             run_log: RunLog::default(),
             work_log: RunLog::default(),
             process: StandInProcess::start(),
@@ -426,6 +430,7 @@
 
     async fn handle(self: Arc<Self>, request: RawRequest, stream: &mut TcpStream) -> bool {
         self.named_limit.record_arrival();
+        self.asked_rest.record_arrival(&request, stream);
         let call_id = request.header("x-zinniawing-attempt-id");
         let _arrival = call_id.map(|call_id| self.run_log.begin(call_id));
         let is_answered_frozen =
@@ -438,6 +443,9 @@
             let instance_header = format!("x-zinniawing-instance-id: {}\r\n", self.id());
             return reply(stream, 421, &instance_header, b"").await;
         }
+        if let Some(refusal) = self.asked_rest.refusal(stream) {
+            return reply(stream, 503, &refusal, b"").await;
+        }
         match request.path() {
             "/report" => {
                 let report = json!({
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -4,6 +4,7 @@
 //! They implement the published wire format on their own instead of using the
 //! node's code, so that tests find mistakes in the node's platform adapter.
 
+pub mod asked_rest;
 pub mod caller;
 pub mod client_process;
 pub mod engine;
--- a/tests/support/edge_environment/service.rs
+++ b/tests/support/edge_environment/service.rs
@@ -10,6 +10,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use super::asked_rest::AskedRest;
 use super::free_address;
 use super::named_limit::NamedLimit;
 use super::process::StandInProcess;
@@ -98,6 +99,8 @@
     pub extra_headers: Mutex<String>,
     /// The limit that its answers name, if any.
     pub named_limit: NamedLimit,
+    /// The rest that it asks of nodes, if any.
+    pub asked_rest: AskedRest,
     /// Calls that arrived, executed or not.
     pub run_log: RunLog,
     pub process: StandInProcess,
@@ -119,6 +122,7 @@
         let service = Arc::new(Self {
             id: id.to_owned(),
             named_limit: NamedLimit::default(),
+            asked_rest: AskedRest::default(),
             run_log: RunLog::default(),
             process: StandInProcess::start(),
             service: service.to_owned(),
@@ -214,7 +218,11 @@
             .to_owned();
         let _arrival = self.run_log.begin(&call_id);
         self.named_limit.record_arrival();
+        self.asked_rest.record_arrival(&request, stream);
         self.wait_until_unfrozen().await;
+        if let Some(refusal) = self.asked_rest.refusal(stream) {
+            return reply(stream, 503, &refusal, b"").await;
+        }
         self.received
             .lock()
             .expect("unpoisoned")
