--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -245,13 +245,23 @@
     /// Records that a call is being sent. One that goes to an upstream that has sent
     /// nothing since it failed is a trial: until it is answered, others go elsewhere.
     pub(crate) fn record_send(&self, now: Instant) {
-        let has_failed = self.health().failure_count > 0;
-        if has_failed {
+        if self.has_failed() {
             self.avoid(now);
         }
         self.health().unanswered_since.get_or_insert(now);
     }
 
+    /// Whether the upstream failed and has sent nothing since.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.health().failure_count > 0
+    }
+
+    /// Time since the first send that has no answer, if nothing has arrived since then.
+    pub(crate) fn time_unanswered(&self, now: Instant) -> Duration {
+        let since = self.health().unanswered_since;
+        since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+
     /// Avoids an upstream of plain calls that has sent nothing at all for much longer
     /// than an answer takes. One that is only slow answers other calls in the meantime.
     pub(crate) fn avoid_if_overdue(&self, now: Instant) {
