--- a/tests/paused_upstreams.rs
+++ b/tests/paused_upstreams.rs
@@ -4,27 +4,22 @@
 
 mod support;
 
-use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
-use support::edge_environment::caller::{Caller, Response, new_call_id, send_request};
-use support::edge_environment::run_log::Arrival;
-use support::edge_environment::{
-    IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, STREAM_PATH, TestEnvironment, eventually,
+use support::edge_environment::caller::{Caller, Response};
+use support::edge_environment::leaving_callers::{
+    CALL_KINDS, CallKind, LATE_ARRIVAL_AGE, LATE_ARRIVALS_MAX, LeftCall, call_and_leave,
 };
+use support::edge_environment::run_log::Arrival;
+use support::edge_environment::{STREAM_PATH, TestEnvironment, eventually};
 use tokio::task::JoinHandle;
 
 const EVENT_COUNT: u64 = 100;
 const STREAM_COUNT: usize = 8;
 /// Time for which two upstreams may work on one call.
 const DOUBLE_RUN_MAX: Duration = Duration::from_millis(400);
-/// Time after which no call of a caller that left may reach an upstream.
-const LATE_ARRIVAL_AGE: Duration = Duration::from_millis(500);
-/// Number of late arrivals that a scene may have.
-const LATE_ARRIVALS_MAX: usize = 3;
-
 /// Time in which an upstream that goes on reads the calls that wait.
 const READ_TIME: Duration = Duration::from_millis(20);
 
@@ -36,21 +31,9 @@
     WithoutEvents,
 }
 
-/// Arrivals of a call at all upstreams, in the order of their arrival.
-fn arrivals_of(environment: &TestEnvironment, call_id: &str) -> Vec<Arrival> {
-    let engines = environment.engines.iter().map(|engine| &engine.run_log);
-    let services = environment.services.iter().map(|service| &service.run_log);
-    let mut arrivals: Vec<Arrival> = engines
-        .chain(services)
-        .flat_map(|log| log.of_call(call_id))
-        .collect();
-    arrivals.sort_by_key(|arrival| arrival.arrived_at);
-    arrivals
-}
-
 /// Longest time for which two upstreams worked on the call at once.
 fn double_run_time(environment: &TestEnvironment, call_id: &str) -> Duration {
-    let arrivals = arrivals_of(environment, call_id);
+    let arrivals = environment.arrivals_of(call_id);
     let pairs = arrivals
         .iter()
         .enumerate()
@@ -128,38 +111,6 @@
     check_no_double_run(Silence::WithoutEvents, Duration::from_millis(2_000)).await;
 }
 
-/// A kind of call, with the method, the path and the headers of its request.
-type CallKind = (&'static str, &'static str, &'static str);
-
-const CALL_KINDS: [CallKind; 3] = [
-    ("GET", IDEMPOTENT_PATH, ""),
-    ("POST", NON_IDEMPOTENT_PATH, ""),
-    ("POST", STREAM_PATH, "x-zinniawing-token-usage: 800,5\r\n"),
-];
-
-/// A call whose caller left before its answer was complete.
-struct LeftCall {
-    call_id: String,
-    path: &'static str,
-    left_at: Instant,
-}
-
-/// Sends a call and disconnects after `patience`. Returns none if the answer was
-/// complete before.
-async fn call_and_leave(caller: Caller, kind: CallKind, patience: Duration) -> Option<LeftCall> {
-    let (method, path, headers) = kind;
-    let call_id = new_call_id();
-    let head = caller.head(method, path, &call_id, headers);
-    let request = format!("{head}content-length: 0\r\n\r\n");
-    let answer = send_request(caller.address, request.as_bytes());
-    let answered = tokio::time::timeout(patience, answer).await;
-    answered.is_err().then(|| LeftCall {
-        call_id,
-        path,
-        left_at: Instant::now(),
-    })
-}
-
 /// Sends calls of all kinds at an interval, whose callers leave soon, until
 /// `duration` has passed.
 async fn send_impatient_calls(caller: Caller, duration: Duration) -> Vec<LeftCall> {
@@ -205,13 +156,8 @@
     let left_calls = join_all(calling).await;
     tokio::time::sleep(LATE_ARRIVAL_AGE).await;
 
-    let mut late_counts: BTreeMap<&str, usize> = BTreeMap::new();
     let left_calls = left_calls.into_iter().flat_map(|c| c.expect("no panic"));
-    for call in left_calls {
-        let arrivals = arrivals_of(&environment, &call.call_id);
-        let is_late = |a: &&Arrival| a.arrived_at > call.left_at + LATE_ARRIVAL_AGE;
-        *late_counts.entry(call.path).or_default() += arrivals.iter().filter(is_late).count();
-    }
+    let late_counts = environment.late_counts(&left_calls.collect::<Vec<_>>());
     let late_count: usize = late_counts.values().sum();
     let queued_counts = [&engine.run_log, &service.run_log]
         .map(|log| log.count_between(resumed_at, resumed_at + READ_TIME));
@@ -299,11 +245,11 @@
         let left = calling.await.expect("no panic").expect("not answered");
         tokio::time::sleep(LATE_ARRIVAL_AGE).await;
         let is_at_work = |arrival: &&Arrival| arrival.ended_at.is_none();
-        let arrivals = arrivals_of(&environment, &left.call_id);
+        let arrivals = environment.arrivals_of(&left.call_id);
         let at_work_count = arrivals.iter().filter(is_at_work).count();
         tokio::time::sleep(Duration::from_secs(2)).await;
 
-        let arrivals = arrivals_of(&environment, &left.call_id);
+        let arrivals = environment.arrivals_of(&left.call_id);
         assert!(
             arrivals.iter().all(|a| a.arrived_at < left.left_at),
             "{wait:?}: {arrivals:?}"
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -8,6 +8,7 @@
 pub mod client_process;
 pub mod engine;
 pub mod first_tries;
+pub mod leaving_callers;
 pub mod named_limit;
 pub mod process;
 pub mod proxy;
