--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -66,6 +66,9 @@
     /// value is its id, if the answer states it.
     #[error("another upstream listens at its address")]
     Misdirected(Option<UpstreamId>),
+    /// The upstream asked this node for rest after it was chosen.
+    #[error("call not sent: upstream rests")]
+    Resting,
     /// The upstream may have run the call.
     #[error("upstream may have run the call: {0}")]
     MayHaveRun(String),
@@ -80,7 +83,7 @@
     pub(crate) fn suggests_no_path(&self) -> bool {
         match self {
             Self::NotConnected(_) | Self::MayHaveRun(_) | Self::Abandoned(_) => true,
-            Self::NotSent(_) | Self::NotExecuted | Self::Misdirected(_) => false,
+            Self::NotSent(_) | Self::Resting | Self::NotExecuted | Self::Misdirected(_) => false,
         }
     }
 }
@@ -108,10 +111,16 @@
             work,
             state: Unsent { request },
         } = self;
+        if !upstream.rest().begin_call(Instant::now()) {
+            return Err(AttemptFailure::Resting);
+        }
         let unanswered = UnansweredSend::new(&upstream, call_id);
         let sent_at = unanswered.sent_at();
         upstream.record_send(sent_at);
-        let answered = upstream.pool.send(request).await;
+        let answered = upstream
+            .pool
+            .send_if(request, || !upstream.is_resting())
+            .await;
         unanswered.ended();
         let (connection, response) = answered.map_err(AttemptFailure::from)?;
         let headers = answer::read(response.status(), response.headers(), call_id);
@@ -159,7 +168,10 @@
             headers, sent_at, ..
         } = &self.state;
         self.upstream.record_limit(headers.limit, *sent_at);
-        self.upstream.record_rest(headers.rest);
+        match headers.rest {
+            Some(rest) => self.upstream.record_rest(rest),
+            None => self.upstream.rest().record_answered(*sent_at),
+        }
     }
 }
 
@@ -176,6 +188,7 @@
         match failure {
             SendFailure::NotConnected(cause) => Self::NotConnected(cause),
             SendFailure::NotSent(cause) => Self::NotSent(cause),
+            SendFailure::Withheld => Self::Resting,
             SendFailure::NoAnswer(error) => Self::MayHaveRun(error.to_string()),
         }
     }
--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -45,6 +45,9 @@
     /// The request did not leave this node.
     #[error("not sent: {0}")]
     NotSent(&'static str),
+    /// The request must not be sent any more.
+    #[error("not sent: the peer wants no request")]
+    Withheld,
     /// The request may have arrived.
     #[error("connection failed before the answer: {0}")]
     NoAnswer(hyper::Error),
@@ -161,12 +164,28 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<(Connection, Response<Incoming>), SendFailure> {
+        self.send_if(request, || true).await
+    }
+
+    /// Sends a request like [`Self::send`], if `may_send` still holds when the connection
+    /// is there.
+    pub(crate) async fn send_if(
+        &self,
+        request: Request<Full<Bytes>>,
+        may_send: impl Fn() -> bool,
+    ) -> Result<(Connection, Response<Incoming>), SendFailure> {
+        let send = async |connection: &mut Connection, request| {
+            if !may_send() {
+                return Err(SendFailure::Withheld);
+            }
+            connection.send(request).await
+        };
         let mut connection = self.take().await?;
-        let response = match connection.send(request.clone()).await {
+        let response = match send(&mut connection, request.clone()).await {
             // The peer had closed the idle connection before any byte was sent.
             Err(SendFailure::NotSent(_)) if connection.is_reused() => {
                 connection = self.open().await?;
-                connection.send(request).await?
+                send(&mut connection, request).await?
             }
             sent => sent?,
         };
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -9,6 +9,7 @@
 
 use tokio::sync::broadcast;
 
+use super::departed_rests::DepartedRests;
 use super::observation::{Observation, Observations};
 use super::probe::ProbeFailure;
 use super::run_origin::RunOrigin;
@@ -37,6 +38,7 @@
     expiry: EntryExpiry,
     outage_detector: OutageDetector,
     version_history: VersionHistory,
+    departed_rests: DepartedRests,
 }
 
 impl State {
@@ -59,9 +61,27 @@
 
     fn remove(&mut self, id: &UpstreamId, now: Instant) {
         if let Some(upstream) = self.upstreams.remove(id) {
-            self.version_history.record_departure(&upstream, now);
+            self.record_departure(&upstream, now);
         }
     }
+
+    fn record_departure(&mut self, upstream: &Upstream, now: Instant) {
+        self.version_history.record_departure(upstream, now);
+        self.departed_rests.keep(upstream);
+    }
+
+    /// Adds the upstream that an entry describes, and returns the one that it replaces.
+    fn insert(&mut self, entry: UpstreamEntry) -> Option<Arc<Upstream>> {
+        let replaced = self.upstreams.remove(&entry.id);
+        if let Some(replaced) = &replaced {
+            self.record_departure(replaced, Instant::now());
+        }
+        let rest = self.departed_rests.find(&entry).unwrap_or_default();
+        let id = entry.id.clone();
+        let upstream = Arc::new(Upstream::with_rest(entry, rest));
+        self.upstreams.insert(id, upstream);
+        replaced
+    }
 }
 
 impl Directory {
@@ -116,13 +136,7 @@
             return None;
         }
         let mut superseded = state.take_earlier_incarnations(&entry);
-        let upstream = Arc::new(Upstream::new(entry.clone()));
-        let replaced = state.upstreams.insert(entry.id.clone(), upstream);
-        if let Some(replaced) = replaced {
-            let now = Instant::now();
-            state.version_history.record_departure(&replaced, now);
-            superseded.push(replaced);
-        }
+        superseded.extend(state.insert(entry.clone()));
         drop(state);
         for upstream in superseded {
             self.notify_lost(&upstream, "superseded", Instant::now());
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -336,6 +336,7 @@
                 upstream.avoid(now);
             }
             AttemptFailure::NotExecuted => upstream.mark_full(now),
+            AttemptFailure::Resting => {}
         }
     }
 }
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -170,8 +170,8 @@
     Broken,
 }
 
-/// Whether an engine answers a probe. One that limits its requests is only connected
-/// to, because a probe counts towards the limit.
+/// Whether an engine answers a probe. One that rests or limits its requests is only
+/// connected to, because a probe counts like a call.
 pub(crate) async fn responds(upstream: &Upstream) -> bool {
     check_alive(upstream).await.is_ok()
 }
@@ -179,8 +179,12 @@
 /// Probes an engine like [`responds`], and returns what the probe met if it shows no
 /// life.
 pub(crate) async fn check_alive(upstream: &Upstream) -> Result<(), ProbeFailure> {
-    if !upstream.is_limited() {
-        return probe_engine(upstream).await.map(drop);
+    if !upstream.wants_calls_only() {
+        let probed = probe_engine(upstream).await.map(drop);
+        // An engine that asks for rest is alive, whatever became of its report.
+        if probed != Err(ProbeFailure::Broken) || !upstream.is_resting() {
+            return probed;
+        }
     }
     let connecting = tokio::time::timeout(PROBE_TIMEOUT, upstream.pool.keeps_connection());
     match connecting.await {
@@ -275,9 +279,15 @@
 ) -> Option<(StatusCode, Bytes)> {
     let host = upstream.entry.address.to_string().parse().ok()?;
     request.headers_mut().insert(HOST, host);
+    if upstream.is_resting() {
+        upstream.pool.put(connection, None);
+        return None;
+    }
     let response = connection.send(request).await.ok()?;
     let status = response.status();
-    upstream.record_rest(stated_rest(status, response.headers()));
+    if let Some(rest) = stated_rest(status, response.headers()) {
+        upstream.record_rest(rest);
+    }
     let body = Limited::new(response.into_body(), CONTROL_ANSWER_MAX_BYTES);
     let body = body.collect().await.ok()?.to_bytes();
     upstream.pool.put(connection, None);
--- a/src/forward/refusal.rs
+++ b/src/forward/refusal.rs
@@ -61,7 +61,7 @@
         response
     }
 
-    /// Gives up a call for which no upstream has room. If it has not run, its caller
+    /// Gives up a call that no upstream takes now. If it has not run, its caller
     /// may return after `wait`.
     pub(crate) fn refuse_over_limit(
         &self,
@@ -69,7 +69,7 @@
         progress: Progress,
         wait: Duration,
     ) -> HttpResponse {
-        let cause = "all upstreams of the service have reached their limits";
+        let cause = "all upstreams of the service rest or have reached their limits";
         let mut response = self.give_up(call, GiveUpReason::NoUpstream, progress, cause);
         if progress == Progress::NotRun {
             set_retry_after(&mut response, wait);
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -242,5 +242,6 @@
         Err(SendFailure::NotConnected(cause) | SendFailure::NotSent(cause)) => {
             PeerAnswer::NotRun(cause)
         }
+        Err(SendFailure::Withheld) => PeerAnswer::NotRun("not sent"),
     }
 }
--- a/src/forward/run_replica.rs
+++ b/src/forward/run_replica.rs
@@ -240,8 +240,8 @@
 /// Has the engine `source`, which made a requested replica, free it. Engines free
 /// streamed replicas themselves.
 pub(crate) fn free_replica(source: Arc<Upstream>, replica: RunReplica) {
-    // A request that frees the replica would count towards the engine's limit.
-    if !replica.is_requested || source.is_limited() {
+    // A request that frees the replica would count like a call.
+    if !replica.is_requested || source.wants_calls_only() {
         return;
     }
     tokio::spawn(async move {
--- a/src/forward/send_history.rs
+++ b/src/forward/send_history.rs
@@ -44,6 +44,7 @@
                 self.sent_count -= 1;
                 self.undelivered_count += 1;
             }
+            AttemptFailure::Resting => self.sent_count -= 1,
             AttemptFailure::Misdirected(_) => self.undelivered_count += 1,
             AttemptFailure::NotExecuted => {}
             AttemptFailure::MayHaveRun(_) | AttemptFailure::Abandoned(_) => return false,
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -321,6 +321,9 @@
         // A holder that restarted has no replica and refuses the call itself.
         let needs_check = self.origin.is_some() && !has_replica;
         if needs_check && !self.forwarder.is_registered_incarnation(upstream).await {
+            if upstream.is_resting() {
+                return Err(AttemptFailure::Resting);
+            }
             return Err(AttemptFailure::NotSent(
                 "the engine did not report, or has restarted since it registered",
             ));
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -2,6 +2,7 @@
 //! upstreams.
 
 mod connection;
+mod departed_rests;
 mod probe;
 mod run_origin;
 mod send_history;
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -12,7 +12,9 @@
 use crate::id::{DataCentreId, ServiceId, UpstreamId};
 use crate::platform::answer::StatedLimit;
 use crate::policy::liveness::{SILENT_PROBE_INTERVAL, SOUND_SILENCE_MAX};
+use crate::policy::send_decision::{self, SendDecision};
 use crate::policy::upstream_limit::UpstreamLimit;
+use crate::policy::upstream_rest::UpstreamRest;
 
 /// Version of the software that an upstream runs, as its registration states it.
 /// It has no order, and is not the version of a model's weights.
@@ -53,7 +55,16 @@
     pub(crate) draining: bool,
 }
 
+/// The rest of one incarnation, which outlives its entry.
+pub(crate) type SharedRest = Arc<Mutex<UpstreamRest>>;
+
 impl UpstreamEntry {
+    /// Whether `other` describes the same start of the upstream, as far as is known.
+    pub(crate) fn is_same_start(&self, other: &Self) -> bool {
+        let (start, other_start) = (self.born_unix_ms, other.born_unix_ms);
+        self.id == other.id && (start == other_start || start == 0 || other_start == 0)
+    }
+
     /// Whether `other` is a later incarnation at the same address. After a crash,
     /// the store keeps the old entry beside the successor's until it expires,
     /// which takes some heartbeat intervals.
@@ -102,13 +113,19 @@
     call_count: AtomicU32,
     health: Mutex<Health>,
     limit: Mutex<UpstreamLimit>,
+    rest: SharedRest,
     /// Number of times that the upstream was marked as lost.
     losses: watch::Sender<u64>,
 }
 
 impl Upstream {
-    /// Creates an upstream without calls.
+    /// Creates an upstream without calls, of which nothing is known.
     pub(crate) fn new(entry: UpstreamEntry) -> Self {
+        Self::with_rest(entry, SharedRest::default())
+    }
+
+    /// Creates an upstream without calls, which may have asked for this rest before.
+    pub(crate) fn with_rest(entry: UpstreamEntry, rest: SharedRest) -> Self {
         let software_version = OnceLock::new();
         if let Some(version) = entry.software_version.clone() {
             software_version.get_or_init(|| version);
@@ -122,6 +139,7 @@
             call_count: AtomicU32::new(0),
             health: Mutex::default(),
             limit: Mutex::default(),
+            rest,
             losses: watch::Sender::new(0),
             entry,
         }
@@ -129,12 +147,10 @@
 
     /// Whether `entry` describes this incarnation.
     pub(crate) fn is_same_incarnation(&self, entry: &UpstreamEntry) -> bool {
-        let (known_start, entry_start) = (self.entry.born_unix_ms, entry.born_unix_ms);
         let versions = (self.software_version(), &entry.software_version);
         let has_other_version = matches!(versions, (Some(known), Some(stated)) if known != stated);
         !has_other_version
-            && self.entry.id == entry.id
-            && (known_start == entry_start || known_start == 0 || entry_start == 0)
+            && self.entry.is_same_start(entry)
             && self.entry.address == entry.address
             && self.entry.service == entry.service
     }
@@ -217,11 +233,35 @@
     }
 
     /// Records the rest that the upstream asks of this node in an answer.
-    pub(crate) fn record_rest(&self, rest: Option<Duration>) {
-        if let Some(rest) = rest {
-            let (id, rest_ms) = (&self.entry.id, rest.as_millis());
-            log::info!("event=upstream_rests upstream={id} rest_ms={rest_ms}");
-        }
+    pub(crate) fn record_rest(&self, rest: Duration) {
+        self.rest().record_asked(rest, Instant::now());
+        let (id, rest_ms) = (&self.entry.id, rest.as_millis());
+        log::info!("event=upstream_rests upstream={id} rest_ms={rest_ms}");
+    }
+
+    /// What is known of the rest that the upstream asked of this node.
+    pub(crate) fn rest(&self) -> MutexGuard<'_, UpstreamRest> {
+        self.rest.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The rest, which a later entry of this incarnation shares.
+    pub(crate) fn shared_rest(&self) -> SharedRest {
+        self.rest.clone()
+    }
+
+    /// Whether the upstream wants no request at all from this node now.
+    pub(crate) fn is_resting(&self) -> bool {
+        self.rest().is_resting(Instant::now())
+    }
+
+    /// Decides whether a call may be sent to the upstream now.
+    pub(crate) fn decide(&self, now: Instant) -> SendDecision {
+        send_decision::decide(&self.rest(), &mut self.limit(), now)
+    }
+
+    /// Whether a request that is no call would cost the upstream what it wants to spare.
+    pub(crate) fn wants_calls_only(&self) -> bool {
+        self.is_resting() || self.is_limited()
     }
 
     /// Whether the upstream limits what is sent to it.
--- a/src/forward/upstream_permits.rs
+++ b/src/forward/upstream_permits.rs
@@ -11,7 +11,8 @@
 use super::upstream::Upstream;
 use crate::id::UpstreamId;
 use crate::observe::metrics::Counter;
-use crate::policy::upstream_limit::{Grant, Grantor, PermitBucket, PermitDemand, SendDecision};
+use crate::policy::send_decision::SendDecision;
+use crate::policy::upstream_limit::{Grant, Grantor, PermitBucket, PermitDemand};
 
 /// Time after which a bucket that nobody asks is dropped.
 const BUCKET_IDLE_MAX: Duration = Duration::from_secs(60);
@@ -42,10 +43,10 @@
 }
 
 impl<N: NodeContext> Forwarder<N> {
-    /// Gets a permit to send one request to the upstream, if that needs one. Otherwise
-    /// returns the time after which the caller may return.
+    /// Finds out whether one request may be sent to the upstream, and gets a permit if
+    /// that needs one. Otherwise returns the time after which the caller may return.
     pub(crate) async fn acquire_permit(&self, upstream: &Arc<Upstream>) -> Result<(), Duration> {
-        let mut decision = upstream.limit().decide(Instant::now());
+        let mut decision = upstream.decide(Instant::now());
         if let SendDecision::Ask(demand) = decision {
             self.announce_limit(upstream);
             let granted = self.node.request_permits(&upstream.entry.id, demand).await;
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -9,4 +9,5 @@
 mod retry_budget_share;
 mod upstream_limit;
 mod upstream_reach;
+mod upstream_rest;
 mod watchers;
--- a/src/policy/upstream_limit.rs
+++ b/src/policy/upstream_limit.rs
@@ -8,6 +8,8 @@
 
 use std::time::{Duration, Instant};
 
+use super::send_decision::SendDecision;
+
 /// Fraction of the limit that the coordinator grants. The rest is for requests that were
 /// sent before a node knew the limit, and for moments with two coordinators.
 const COORDINATOR_FRACTION: f64 = 0.9;
@@ -141,18 +143,6 @@
     Duration::from_secs_f64(seconds.min(WAIT_MAX.as_secs_f64()))
 }
 
-/// What a node may do with a call for one upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum SendDecision {
-    /// The call may be sent.
-    Send,
-    /// A permit is needed first.
-    Ask(PermitDemand),
-    /// The upstream has no room for this long; callers that are refused return
-    /// within the second duration after that.
-    Refuse(Duration, Duration),
-}
-
 #[derive(Clone, Copy, Debug)]
 struct NamedLimit {
     rate: Rate,
--- a/src/simulation/permits.rs
+++ b/src/simulation/permits.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use crate::policy::upstream_limit::{Grantor, PermitBucket, Rate, SendDecision, UpstreamLimit};
+use crate::policy::send_decision::SendDecision;
+use crate::policy::upstream_limit::{Grantor, PermitBucket, Rate, UpstreamLimit};
 
 /// Time between two calls of a node.
 pub(crate) const CALL_INTERVAL: Duration = Duration::from_millis(10);
--- a/tests/resting_upstreams.rs
+++ b/tests/resting_upstreams.rs
@@ -95,3 +95,42 @@
         assert_stream_complete(&stream.await.expect("no panic"), 250);
     }
 }
+
+/// Nothing waits for an upstream that can't be asked, and nobody presses it at the end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn calls_are_refused_at_once_with_the_time_of_the_first_rest_that_ends() {
+    const SPREAD_S: f64 = 1.0;
+    let environment = TestEnvironment::start(2).await;
+    let (_nodes, callers) = environment.start_ready_nodes(NODE_COUNT).await;
+    let (plain, engines) = (&environment.services, &environment.engines);
+    let all_rests = || {
+        let of_engines = engines.iter().map(|engine| &engine.asked_rest);
+        let of_services = plain.iter().map(|service| &service.asked_rest);
+        of_engines.chain(of_services)
+    };
+    for rest in all_rests() {
+        rest.refuse_all(REFUSING_TIME, &REST_S.to_string());
+    }
+    let asked_at = Instant::now();
+    send_calls(&callers, Duration::from_millis(700)).await;
+    let known_at = Instant::now();
+
+    let answers = send_calls(&callers, Duration::from_millis(1_800)).await;
+    tokio::time::sleep_until((asked_at + Duration::from_millis(4_000)).into()).await;
+    let after = send_calls(&callers, Duration::from_secs(1)).await;
+
+    for rest in all_rests() {
+        assert_kept("one of all", rest);
+    }
+    for (sent_at, answer) in &answers {
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert!(answer.elapsed < Duration::from_millis(300), "{answer:?}");
+        let text = answer.header("retry-after").expect("a time to return");
+        let returns_s: f64 = text.parse().expect("a number");
+        let earliest_s = REST_S - sent_at.duration_since(asked_at).as_secs_f64() - 0.05;
+        let latest_s = REST_S - sent_at.duration_since(known_at).as_secs_f64() + SPREAD_S;
+        assert!((earliest_s..latest_s).contains(&returns_s), "{returns_s}");
+    }
+    println!("served {:.3} after the rests", served_share(&after));
+    assert!(served_share(&after) >= 0.95, "{}", served_share(&after));
+}
