--- a/tests/resting_upstreams.rs
+++ b/tests/resting_upstreams.rs
@@ -56,7 +56,14 @@
 
 fn assert_kept(what: &str, rest: &AskedRest) {
     let most = rest.arrivals_in_rest_max();
-    println!("{what}: {most} requests from one node in a rest");
+    let (refused_count, returns) = (rest.refusal_count(), rest.return_times());
+    println!(
+        "{what}: {most} requests from one node in a rest, {refused_count} turned away, \
+         {} nodes returned, the median after {:?}, the last after {:?}",
+        returns.len(),
+        returns.get(returns.len() / 2),
+        returns.last()
+    );
     assert!(most <= ALLOWED, "{what}: {most} requests in a rest");
 }
 
--- a/tests/support/edge_environment/asked_rest.rs
+++ b/tests/support/edge_environment/asked_rest.rs
@@ -73,6 +73,34 @@
         state.arrivals.iter().filter(|(_, at)| *at >= since).count()
     }
 
+    /// Number of requests that were turned away.
+    pub fn refusal_count(&self) -> usize {
+        self.state.lock().expect("unpoisoned").refusals.len()
+    }
+
+    /// For each node that was asked for rest, the time from the end of its last rest to
+    /// its next request, the shortest first.
+    pub fn return_times(&self) -> Vec<Duration> {
+        let state = self.state.lock().expect("unpoisoned");
+        let mut ends: BTreeMap<&str, Instant> = BTreeMap::new();
+        for refusal in &state.refusals {
+            if let Some(node) = state.nodes.get(&refusal.port) {
+                let end = ends.entry(node).or_insert(refusal.until);
+                *end = refusal.until.max(*end);
+            }
+        }
+        let next_at = |(node, end): (&str, Instant)| {
+            let arrivals = state.arrivals.iter();
+            let of_node =
+                arrivals.filter(|(port, _)| state.nodes.get(port).is_some_and(|n| n == node));
+            let next = of_node.map(|(_, at)| *at).find(|at| *at >= end)?;
+            Some(next - end)
+        };
+        let mut times: Vec<Duration> = ends.into_iter().filter_map(next_at).collect();
+        times.sort_unstable();
+        times
+    }
+
     /// Largest number of requests that one node sent between half a second after it was
     /// turned away and the end of that rest. Requests over connections without a call
     /// count as those of one more node.
