Log for how long two upstreams may work on a stream that moves

A stream that moves closes the connection to its first upstream when the second one has answered. No line said how long after the second send that was, so the log could not tell a move that ended the first run at once from one that let both work through a prefill.

`event=run_closed` states the time from the second send to the close, how long the first upstream had been silent, and whether its connection had broken before. `forward::present_answer` holds the connection that is closed, and `race_move` first prepares the move and then sends, so that the moment of the second send is known. No decision changes.

--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -24,6 +24,7 @@
 pub(crate) mod incarnation_check;
 pub(crate) mod observation;
 pub(crate) mod plain_call;
+pub(crate) mod present_answer;
 pub(crate) mod probe;
 pub(crate) mod reach_monitor;
 pub(crate) mod refusal;
--- a/src/forward/stream_move.rs
+++ b/src/forward/stream_move.rs
@@ -11,11 +11,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 
 use super::attempt::{Answered, Attempt};
 use super::forwarder::{Forwarder, NodeContext};
+use super::present_answer::{OpenAnswer, PresentAnswer};
 use super::probe::responds;
 use super::run_replica::lock;
 use super::stream_call::{NextUpstream, OpenFailure, StreamRun};
@@ -32,13 +32,13 @@
 
 /// How the attempt to move a stream ended.
 pub(super) enum MoveOutcome {
-    /// Another upstream has answered. The connection to the present one may have
-    /// broken in the meantime.
+    /// Another upstream has answered, and the connection to the present one is closed.
+    /// It may have broken before.
     Moved(Box<Attempt<Answered>>, Option<hyper::Error>),
     /// The present upstream sent the next frame of its answer, or its answer ended.
-    GoesOn(Option<Result<Frame<Bytes>, hyper::Error>>),
+    GoesOn(OpenAnswer, Option<Result<Frame<Bytes>, hyper::Error>>),
     /// No other upstream can take the stream.
-    Stays,
+    Stays(OpenAnswer),
     /// The caller has disconnected.
     CallerGone,
     /// The deadline of the call has passed.
@@ -68,15 +68,15 @@
     }
 
     /// Opens the stream at another upstream while the present one, whose answer is
-    /// `body`, is silent.
+    /// `present`, is silent.
     pub(super) async fn try_move(
         &mut self,
-        body: &mut Incoming,
+        present: PresentAnswer,
         sender: &EventSender,
     ) -> MoveOutcome {
         let tried_count = self.tried.len();
         let had_upstream_sent_event = self.has_upstream_sent_event;
-        let outcome = self.race_move(body, sender).await;
+        let outcome = self.race_move(present, sender).await;
         if !matches!(outcome, MoveOutcome::Moved(..)) && self.tried.len() > tried_count {
             // The slot has the replica of a run that did not begin.
             lock(&self.replica).take();
@@ -87,40 +87,23 @@
 
     /// Waits for the first of two: the other upstream answers, or the present one
     /// goes on.
-    async fn race_move(&mut self, body: &mut Incoming, sender: &EventSender) -> MoveOutcome {
-        let deadline = self.call.deadline.into();
-        let opening = self.open_elsewhere();
-        tokio::pin!(opening);
-        let mut error = None;
-        loop {
-            let opened = tokio::select! {
-                frame = body.frame(), if error.is_none() => match frame {
-                    Some(Err(broken)) => {
-                        error = Some(broken);
-                        continue;
-                    }
-                    frame => return MoveOutcome::GoesOn(frame),
-                },
-                opened = &mut opening => opened,
-                () = sender.closed() => return MoveOutcome::CallerGone,
-                () = tokio::time::sleep_until(deadline) => return MoveOutcome::TimeOver,
-            };
-            return match (opened, error) {
-                (Ok(attempt), error) => MoveOutcome::Moved(Box::new(attempt), error),
-                (Err(_), Some(error)) => MoveOutcome::GoesOn(Some(Err(error))),
-                (Err(_), None) => MoveOutcome::Stays,
-            };
+    async fn race_move(&mut self, mut present: PresentAnswer, sender: &EventSender) -> MoveOutcome {
+        let deadline = self.call.deadline;
+        let is_prepared = tokio::select! {
+            ended = wait_for_end(&mut present, sender, deadline) => return ended.outcome(present),
+            is_prepared = self.prepare_move() => is_prepared,
+        };
+        if !is_prepared {
+            return stays(present);
         }
-    }
-
-    async fn open_elsewhere(&mut self) -> Result<Attempt<Answered>, OpenFailure> {
-        if !self.prepare_move().await {
-            return Err(OpenFailure::given_up(
-                GiveUpReason::UpstreamsFailed,
-                "the stream cannot move",
-            ));
+        present.sent_elsewhere();
+        tokio::select! {
+            ended = wait_for_end(&mut present, sender, deadline) => ended.outcome(present),
+            opened = self.open() => match opened {
+                Ok(attempt) => MoveOutcome::Moved(Box::new(attempt), present.close()),
+                Err(_) => stays(present),
+            },
         }
-        self.open().await
     }
 
     /// Chooses an upstream that responds, and spends a retry for it.
@@ -154,6 +137,44 @@
     }
 }
 
+/// What ends the wait for another upstream.
+enum WaitEnd {
+    GoesOn(Option<Result<Frame<Bytes>, hyper::Error>>),
+    CallerGone,
+    TimeOver,
+}
+
+impl WaitEnd {
+    fn outcome(self, present: PresentAnswer) -> MoveOutcome {
+        match self {
+            Self::GoesOn(frame) => MoveOutcome::GoesOn(present.into_parts().0, frame),
+            Self::CallerGone => MoveOutcome::CallerGone,
+            Self::TimeOver => MoveOutcome::TimeOver,
+        }
+    }
+}
+
+/// Waits until the present upstream goes on, the caller leaves or the deadline passes.
+async fn wait_for_end(
+    present: &mut PresentAnswer,
+    sender: &EventSender,
+    deadline: Instant,
+) -> WaitEnd {
+    tokio::select! {
+        frame = present.next_frame() => WaitEnd::GoesOn(frame),
+        () = sender.closed() => WaitEnd::CallerGone,
+        () = tokio::time::sleep_until(deadline.into()) => WaitEnd::TimeOver,
+    }
+}
+
+/// The stream stays at its present upstream, unless the connection broke meanwhile.
+fn stays(present: PresentAnswer) -> MoveOutcome {
+    match present.into_parts() {
+        (answer, Some(broke)) => MoveOutcome::GoesOn(answer, Some(Err(broke))),
+        (answer, None) => MoveOutcome::Stays(answer),
+    }
+}
+
 impl<N: NodeContext> Forwarder<N> {
     /// Whether the upstream responds: it sent something just now, or answers a
     /// probe.
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -10,15 +10,15 @@
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use tokio::sync::mpsc;
 use tokio_util::task::AbortOnDropHandle;
 
 use super::attempt::{Answered, Attempt};
-use super::connection::Connection;
 use super::directory::Directory;
 use super::forwarder::NodeContext;
+use super::present_answer::{OpenAnswer, PresentAnswer};
 use super::probe::{LossReason, LossWatch};
 use super::run_replica::{free_replica, lock, maintain_replica};
 use super::stream_call::StreamRun;
@@ -39,8 +39,7 @@
 struct Segment {
     upstream: Arc<Upstream>,
     work: Work,
-    connection: Connection,
-    body: Incoming,
+    answer: OpenAnswer,
     /// `None` if the connection closes after the answer. Otherwise the idle
     /// time-out of the upstream, if the answer states one.
     reuse: Option<Option<Duration>>,
@@ -165,8 +164,7 @@
         let Segment {
             upstream,
             mut work,
-            connection,
-            mut body,
+            mut answer,
             reuse,
             is_close_delimited,
             mut loss_watch,
@@ -187,12 +185,17 @@
                     }
                     continue;
                 }
-                frame = body.frame() => frame,
+                frame = answer.body.frame() => frame,
                 loss = loss_watch.wait_for_loss(&forwarder.directory, phase, &forwarder.metrics) => {
                     let began_at = Instant::now();
-                    match self.try_move(&mut body, sender).await {
-                        MoveOutcome::GoesOn(frame) => frame,
-                        MoveOutcome::Stays => {
+                    let present = PresentAnswer::new(answer, &upstream, self.call.id());
+                    match self.try_move(present, sender).await {
+                        MoveOutcome::GoesOn(present, frame) => {
+                            answer = present;
+                            frame
+                        }
+                        MoveOutcome::Stays(present) => {
+                            answer = present;
                             loss_watch.hold();
                             continue;
                         }
@@ -226,7 +229,7 @@
                 }
                 None if events.is_empty() => {
                     if let Some(idle_timeout) = reuse {
-                        upstream.pool.put(connection, idle_timeout);
+                        upstream.pool.put(answer.connection, idle_timeout);
                     }
                     self.free_current_replica(&upstream);
                     // An upstream that crashes may seem to end such an answer.
@@ -416,8 +419,10 @@
         let segment = Self {
             upstream: attempt.upstream,
             work: attempt.work,
-            connection: attempt.state.connection,
-            body,
+            answer: OpenAnswer {
+                body,
+                connection: attempt.state.connection,
+            },
             reuse,
             is_close_delimited,
             loss_watch,
