Show streams that run at two engines through the prefill of the second

An engine without replicas needs a second for the prefill of a stream that goes on at it.

`arrivals_of` and `double_run_time` moved from paused_upstreams to the shared stand-ins, unchanged.

--- a/tests/paused_upstreams.rs
+++ b/tests/paused_upstreams.rs
@@ -10,6 +10,7 @@
 
 use futures_util::future::join_all;
 use support::edge_environment::caller::{Caller, Response, new_call_id, send_request};
+use support::edge_environment::double_run::DOUBLE_RUN_MAX;
 use support::edge_environment::run_log::Arrival;
 use support::edge_environment::{
     IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, STREAM_PATH, TestEnvironment, eventually,
@@ -18,8 +19,6 @@
 
 const EVENT_COUNT: u64 = 100;
 const STREAM_COUNT: usize = 8;
-/// Time for which two upstreams may work on one call.
-const DOUBLE_RUN_MAX: Duration = Duration::from_millis(400);
 /// Time after which no call of a caller that left may reach an upstream.
 const LATE_ARRIVAL_AGE: Duration = Duration::from_millis(500);
 /// Number of late arrivals that a scene may have.
@@ -36,35 +35,6 @@
     WithoutEvents,
 }
 
-/// Arrivals of a call at all upstreams, in the order of their arrival.
-fn arrivals_of(environment: &TestEnvironment, call_id: &str) -> Vec<Arrival> {
-    let engines = environment.engines.iter().map(|engine| &engine.run_log);
-    let services = environment.services.iter().map(|service| &service.run_log);
-    let mut arrivals: Vec<Arrival> = engines
-        .chain(services)
-        .flat_map(|log| log.of_call(call_id))
-        .collect();
-    arrivals.sort_by_key(|arrival| arrival.arrived_at);
-    arrivals
-}
-
-/// Longest time for which two upstreams worked on the call at once.
-fn double_run_time(environment: &TestEnvironment, call_id: &str) -> Duration {
-    let arrivals = arrivals_of(environment, call_id);
-    let pairs = arrivals
-        .iter()
-        .enumerate()
-        .flat_map(|(n, first)| arrivals[n + 1..].iter().map(move |second| (first, second)));
-    let overlap = |(first, second): (&Arrival, &Arrival)| {
-        let first_end = first.ended_at.unwrap_or_else(Instant::now);
-        let second_end = second.ended_at.unwrap_or_else(Instant::now);
-        first_end
-            .min(second_end)
-            .saturating_duration_since(second.arrived_at)
-    };
-    pairs.map(overlap).max().unwrap_or_default()
-}
-
 fn spawn_stream(caller: &Caller) -> JoinHandle<Response> {
     let caller = caller.clone();
     tokio::spawn(async move { caller.stream(EVENT_COUNT).await })
@@ -102,7 +72,7 @@
         let got = stream.await.expect("no panic");
         assert!(got.is_complete, "cut: {} events", got.event_ids().len());
         assert_eq!(got.event_ids(), (1..=EVENT_COUNT).collect::<Vec<u64>>());
-        double_runs.push(double_run_time(&environment, &got.call_id));
+        double_runs.push(environment.double_run_time(&got.call_id));
     }
     let longest = double_runs.iter().max().expect("a stream");
     assert!(*longest < DOUBLE_RUN_MAX, "double runs: {double_runs:?}");
@@ -208,7 +178,7 @@
     let mut late_counts: BTreeMap<&str, usize> = BTreeMap::new();
     let left_calls = left_calls.into_iter().flat_map(|c| c.expect("no panic"));
     for call in left_calls {
-        let arrivals = arrivals_of(&environment, &call.call_id);
+        let arrivals = environment.arrivals_of(&call.call_id);
         let is_late = |a: &&Arrival| a.arrived_at > call.left_at + LATE_ARRIVAL_AGE;
         *late_counts.entry(call.path).or_default() += arrivals.iter().filter(is_late).count();
     }
@@ -299,11 +269,11 @@
         let left = calling.await.expect("no panic").expect("not answered");
         tokio::time::sleep(LATE_ARRIVAL_AGE).await;
         let is_at_work = |arrival: &&Arrival| arrival.ended_at.is_none();
-        let arrivals = arrivals_of(&environment, &left.call_id);
+        let arrivals = environment.arrivals_of(&left.call_id);
         let at_work_count = arrivals.iter().filter(is_at_work).count();
         tokio::time::sleep(Duration::from_secs(2)).await;
 
-        let arrivals = arrivals_of(&environment, &left.call_id);
+        let arrivals = environment.arrivals_of(&left.call_id);
         assert!(
             arrivals.iter().all(|a| a.arrived_at < left.left_at),
             "{wait:?}: {arrivals:?}"
--- /dev/null
+++ b/tests/second_runs.rs
@@ -0,0 +1,186 @@
+//! A stream that goes on at another engine, whose prefill takes longer than two engines
+//! may work on one call.
+
+mod support;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use serde_json::json;
+use support::edge_environment::caller::{Caller, Response};
+use support::edge_environment::double_run::DOUBLE_RUN_MAX;
+use support::edge_environment::running_stream::assert_stream_complete;
+use support::edge_environment::{TestEnvironment, config, eventually};
+use tokio::task::JoinHandle;
+use zinniawing::EdgeNode;
+
+const ENGINE_COUNT: usize = 4;
+const EVENT_COUNT: u64 = 60;
+const EVENT_INTERVAL: Duration = Duration::from_millis(30);
+/// Prefill of a stream that goes on at another engine.
+const PREFILL_TIME: Duration = Duration::from_secs(1);
+
+/// What an engine does that makes its streams leave.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    /// It sends no events, but answers probes and sees which connections are closed.
+    Stalled,
+    /// It sends no events, and takes no new connections.
+    StalledWithoutFreeConnections,
+    /// Its process is paused.
+    Paused,
+    /// Its process is paused, and then it sends no events for a while.
+    PausedThenStalled,
+}
+
+/// Streams that run at engines without replicas, so that each engine to which one moves
+/// begins with the prefill.
+struct Scene {
+    environment: TestEnvironment,
+    _nodes: Vec<EdgeNode>,
+    streams: Vec<JoinHandle<Response>>,
+}
+
+impl Scene {
+    /// Starts nodes with as many streams each, and lets these send their first events.
+    async fn start(node_count: usize, streams_per_node: usize) -> Self {
+        let environment = TestEnvironment::start(ENGINE_COUNT).await;
+        let mut config = config(2);
+        config["services"][0]["engine"]["replicas"] = json!(false);
+        environment.store.put("config", "main", config);
+        environment.set_event_interval(EVENT_INTERVAL);
+        let (nodes, callers) = environment.start_ready_nodes(node_count).await;
+        let callers = callers.iter();
+        let streams: Vec<_> = callers
+            .flat_map(|caller| (0..streams_per_node).map(|_| spawn_stream(caller)))
+            .collect();
+        let engines = environment.engines.iter();
+        let running_count = || engines.clone().map(|e| e.running_count()).sum::<usize>();
+        eventually("all streams run", || running_count() == streams.len()).await;
+        environment.wait_for_running_stream().await;
+        for engine in &environment.engines {
+            *engine.prefill_time.lock().expect("unpoisoned") = PREFILL_TIME;
+        }
+        Self {
+            environment,
+            _nodes: nodes,
+            streams,
+        }
+    }
+
+    /// One engine has the trouble for this time.
+    async fn trouble_one_engine(&self, trouble: Trouble, length: Duration) {
+        let engine = self.environment.running_engine();
+        match trouble {
+            Trouble::Stalled => {
+                engine.reports_while_frozen.store(true, Ordering::Relaxed);
+                engine.silence(length).await;
+            }
+            Trouble::StalledWithoutFreeConnections => {
+                engine.refuses_connections.store(true, Ordering::Relaxed);
+                engine.silence(length).await;
+                engine.refuses_connections.store(false, Ordering::Relaxed);
+            }
+            Trouble::Paused => {
+                engine.process.set_paused(true);
+                tokio::time::sleep(length).await;
+                engine.process.set_paused(false);
+            }
+            Trouble::PausedThenStalled => {
+                engine.reports_while_frozen.store(true, Ordering::Relaxed);
+                engine.process.set_paused(true);
+                tokio::time::sleep(length).await;
+                engine.set_frozen(true);
+                engine.process.set_paused(false);
+                tokio::time::sleep(PREFILL_TIME).await;
+                engine.set_frozen(false);
+            }
+        }
+    }
+
+    /// Checks that each stream was whole and that no two engines worked on it for long.
+    async fn check(self) {
+        let mut double_runs = Vec::new();
+        for stream in join_all(self.streams).await {
+            let got = stream.expect("no panic");
+            assert_stream_complete(&got, EVENT_COUNT);
+            double_runs.push(self.environment.double_run_time(&got.call_id));
+        }
+        let longest = double_runs.iter().max().expect("a stream");
+        assert!(*longest < DOUBLE_RUN_MAX, "double runs: {double_runs:?}");
+    }
+}
+
+fn spawn_stream(caller: &Caller) -> JoinHandle<Response> {
+    let caller = caller.clone();
+    tokio::spawn(async move { caller.stream(EVENT_COUNT).await })
+}
+
+#[tokio::test]
+async fn a_stalled_stream_does_not_run_at_two_engines_through_the_prefill_of_the_second() {
+    let scene = Scene::start(1, 8).await;
+
+    scene
+        .trouble_one_engine(Trouble::Stalled, Duration::from_millis(3_500))
+        .await;
+
+    scene.check().await;
+}
+
+#[tokio::test]
+async fn streams_of_an_engine_without_free_connections_do_not_run_at_two_engines() {
+    let scene = Scene::start(1, 8).await;
+
+    let trouble = Trouble::StalledWithoutFreeConnections;
+    scene
+        .trouble_one_engine(trouble, Duration::from_millis(1_500))
+        .await;
+
+    scene.check().await;
+}
+
+#[tokio::test]
+async fn an_engine_that_goes_on_after_2_2_s_ends_the_second_run_or_its_own() {
+    let scene = Scene::start(1, 8).await;
+
+    scene
+        .trouble_one_engine(Trouble::Paused, Duration::from_millis(2_200))
+        .await;
+
+    scene.check().await;
+}
+
+#[tokio::test]
+async fn an_engine_that_was_paused_and_then_stalls_does_not_work_beside_the_second_one() {
+    let scene = Scene::start(1, 8).await;
+
+    let trouble = Trouble::PausedThenStalled;
+    scene
+        .trouble_one_engine(trouble, Duration::from_millis(2_200))
+        .await;
+
+    scene.check().await;
+}
+
+#[tokio::test]
+async fn streams_of_many_nodes_do_not_run_at_two_engines_while_theirs_stands_still() {
+    let scene = Scene::start(12, 3).await;
+
+    scene
+        .trouble_one_engine(Trouble::Paused, Duration::from_millis(1_000))
+        .await;
+
+    scene.check().await;
+}
+
+#[tokio::test]
+async fn stalled_streams_of_many_nodes_do_not_run_at_two_engines() {
+    let scene = Scene::start(12, 3).await;
+
+    scene
+        .trouble_one_engine(Trouble::Stalled, Duration::from_millis(3_500))
+        .await;
+
+    scene.check().await;
+}
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod client_process;
+pub mod double_run;
 pub mod engine;
 pub mod first_tries;
 pub mod named_limit;
