Cancel the first run 200 ms after a stream was sent to another engine

Cause: the answer of the second engine was what ended the run at the first, and an engine answers with its first token. The moves were built for engines that are gone, where it costs nothing to keep the connection.

Change: a move first prepares (an upstream is chosen, responds, and the retry is paid), then sends, and 200 ms later closes the first connection if that engine can be reached. A refusal comes within that time, so a stream still leaves only for an engine that took it. `Upstream::is_unreachable` tells a host that completed no handshake, which reads no close and may return first: its connection is kept as before.

--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -295,9 +295,11 @@
     ) {
         match failure {
             ProbeFailure::Silent => self.mark_silent(upstream, cause, now),
-            ProbeFailure::Unreachable | ProbeFailure::Broken => {
+            ProbeFailure::Unreachable => {
+                upstream.mark_unreachable();
                 self.mark_lost(upstream, cause, now);
             }
+            ProbeFailure::Broken => self.mark_lost(upstream, cause, now),
         }
     }
 
--- a/src/forward/present_answer.rs
+++ b/src/forward/present_answer.rs
@@ -45,6 +45,12 @@
         self.sent_elsewhere_at = Some(Instant::now());
     }
 
+    /// Whether the upstream reads a close, as far as is known. One that can't be reached
+    /// does not, and goes on with the stream if it returns before the other has answered.
+    pub(super) fn is_reached(&self) -> bool {
+        !self.upstream.is_unreachable()
+    }
+
     /// Waits for the next frame or the end of the answer. Never completes once the
     /// connection broke.
     pub(super) async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, hyper::Error>> {
--- a/src/forward/stream_move.rs
+++ b/src/forward/stream_move.rs
@@ -3,8 +3,9 @@
 //! A silent upstream may be lost, or it may go on after a second. Moving its
 //! streams early keeps their pauses short if it is lost, but a stream that leaves
 //! it and finds no other upstream is cut for nothing. A stream therefore stays at
-//! its silent upstream until another one has answered, and whichever sends first
-//! goes on. The other one is cancelled at once, so the call never runs at both.
+//! its silent upstream until another one responds, has been sent the call and has not
+//! refused it, and whichever sends first goes on. The other one is cancelled, so that
+//! both work on the call for [`OVERLAP_MAX`] at most.
 //! `docs/RESUME.md` compares this with other ways.
 
 use std::sync::Arc;
@@ -23,6 +24,7 @@
 use super::upstream::Upstream;
 use crate::observe::metrics::Counter;
 use crate::policy::failure_response::GiveUpReason;
+use crate::policy::liveness::OVERLAP_MAX;
 
 /// Maximum number of upstreams that are considered for one move.
 const CANDIDATES_MAX: u32 = 3;
@@ -39,6 +41,9 @@
     GoesOn(OpenAnswer, Option<Result<Frame<Bytes>, hyper::Error>>),
     /// No other upstream can take the stream.
     Stays(OpenAnswer),
+    /// The connection to the present upstream is closed, which may have broken before,
+    /// and no other upstream has answered, for the given cause.
+    Left(String, Option<hyper::Error>),
     /// The caller has disconnected.
     CallerGone,
     /// The deadline of the call has passed.
@@ -86,7 +91,8 @@
     }
 
     /// Waits for the first of two: the other upstream answers, or the present one
-    /// goes on.
+    /// goes on. A present one that can be reached is cancelled after [`OVERLAP_MAX`]: the
+    /// other has not refused the call by then, and may work on it long before it answers.
     async fn race_move(&mut self, mut present: PresentAnswer, sender: &EventSender) -> MoveOutcome {
         let deadline = self.call.deadline;
         let is_prepared = tokio::select! {
@@ -97,12 +103,25 @@
             return stays(present);
         }
         present.sent_elsewhere();
+        let is_reached = present.is_reached();
+        let opening = self.open();
+        tokio::pin!(opening);
         tokio::select! {
-            ended = wait_for_end(&mut present, sender, deadline) => ended.outcome(present),
-            opened = self.open() => match opened {
+            ended = wait_for_end(&mut present, sender, deadline) => return ended.outcome(present),
+            opened = &mut opening => return match opened {
                 Ok(attempt) => MoveOutcome::Moved(Box::new(attempt), present.close()),
                 Err(_) => stays(present),
             },
+            () = tokio::time::sleep(OVERLAP_MAX), if is_reached => {}
+        }
+        let broke = present.close();
+        tokio::select! {
+            opened = opening => match opened {
+                Ok(attempt) => MoveOutcome::Moved(Box::new(attempt), broke),
+                Err(failure) => MoveOutcome::Left(format!("{failure:?}"), broke),
+            },
+            () = sender.closed() => MoveOutcome::CallerGone,
+            () = tokio::time::sleep_until(deadline.into()) => MoveOutcome::TimeOver,
         }
     }
 
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -200,15 +200,14 @@
                             continue;
                         }
                         MoveOutcome::Moved(attempt, error) => {
-                            if loss == LossReason::NoProgress {
-                                upstream.avoid(Instant::now());
-                            }
-                            if error.is_some() {
-                                self.handle_disconnect(&upstream, first_event_at);
-                            }
+                            self.handle_departure(&upstream, loss, error, first_event_at);
                             self.record_loss(&upstream, &format!("{loss:?}"));
                             return SegmentEnd::Moved(Move { attempt, began_at });
                         }
+                        MoveOutcome::Left(cause, error) => {
+                            self.handle_departure(&upstream, loss, error, first_event_at);
+                            return SegmentEnd::Lost(format!("{loss:?}, {cause}"));
+                        }
                         MoveOutcome::CallerGone => {
                             self.free_current_replica(&upstream);
                             return SegmentEnd::CallerGone;
@@ -323,6 +322,22 @@
         self.forwarder.probe_after_disconnect(upstream);
     }
 
+    /// Applies what the move of the stream away from an upstream says of that upstream.
+    fn handle_departure(
+        &mut self,
+        upstream: &Arc<Upstream>,
+        loss: LossReason,
+        error: Option<hyper::Error>,
+        first_event_at: Option<Instant>,
+    ) {
+        if loss == LossReason::NoProgress {
+            upstream.avoid(Instant::now());
+        }
+        if error.is_some() {
+            self.handle_disconnect(upstream, first_event_at);
+        }
+    }
+
     fn free_current_replica(&self, upstream: &Arc<Upstream>) {
         if let Some(replica) = lock(&self.replica).take() {
             free_replica(upstream.clone(), replica);
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -81,6 +81,9 @@
     probe_began_at: Option<Instant>,
     /// When a probe last met silence, if nothing arrived since.
     silent_probe_at: Option<Instant>,
+    /// Whether its host completed no handshake when it was probed last, and nothing
+    /// arrived since.
+    is_unreachable: bool,
     /// Number of failures since the last answer or event.
     failure_count: u32,
     latency: Duration,
@@ -166,6 +169,7 @@
         health.avoided_until = None;
         health.unanswered_since = None;
         health.silent_probe_at = None;
+        health.is_unreachable = false;
         health.failure_count = 0;
     }
 
@@ -175,6 +179,17 @@
         self.health().silent_probe_at = Some(now);
     }
 
+    /// Records that the host of the upstream completed no handshake.
+    pub(crate) fn mark_unreachable(&self) {
+        self.health().is_unreachable = true;
+    }
+
+    /// Whether the upstream can't be told anything, as far as is known: its host
+    /// completed no handshake, and nothing arrived since.
+    pub(crate) fn is_unreachable(&self) -> bool {
+        self.health().is_unreachable
+    }
+
     /// Whether a probe met silence within [`SOUND_SILENCE_MAX`], and nothing arrived
     /// since. Nobody may probe an upstream at which this node runs nothing, so an older
     /// probe says nothing of it.
--- a/src/policy/liveness.rs
+++ b/src/policy/liveness.rs
@@ -41,6 +41,10 @@
 /// Longest silence of a sound engine whose host can be reached. One that is silent for
 /// longer is taken for lost.
 pub(crate) const SOUND_SILENCE_MAX: Duration = Duration::from_secs(2);
+/// Time after which a stream that was sent to another engine cancels its run at the first
+/// one, if that can be reached. Both may work on it for 400 ms at most, of which the rest
+/// is left for the close to arrive.
+pub(crate) const OVERLAP_MAX: Duration = Duration::from_millis(200);
 /// Shortest time between two probes of a silent engine, whatever the number of
 /// streams that run at it.
 pub(crate) const SILENT_PROBE_INTERVAL: Duration = Duration::from_millis(250);
