Test calls at a peer that stands still, and calls whose first send arrives late

The relay had no scene in which the peer stands still with a call, nor one in which the call's own first send lies behind a cut that ends.

A paused peer reads the call when it goes on, but the cut node tries no other peer for a call that may have run, and answers 504, which promises nothing.

`KillableNode::set_paused` blocks all threads of a node.

--- a/tests/cut_nodes/main.rs
+++ b/tests/cut_nodes/main.rs
@@ -5,5 +5,6 @@
 
 mod evidence;
 mod one_call;
+mod paused_peers;
 mod scene;
 mod served;
--- a/tests/cut_nodes/scene.rs
+++ b/tests/cut_nodes/scene.rs
@@ -147,6 +147,12 @@
         }
     }
 
+    /// Pauses the process of a node or ends its pause.
+    pub fn set_paused(&self, node: usize, is_paused: bool) {
+        let node = self.nodes[node].as_ref();
+        node.expect("the node runs").set_paused(is_paused);
+    }
+
     /// Starts the load, and waits until it has opened connections.
     pub async fn start_load(&self) -> Load {
         let is_stopping = Arc::new(AtomicBool::new(false));
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -23,7 +23,7 @@
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, mpsc};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -298,17 +298,22 @@
         .expect("the node starts")
 }
 
-/// An entry node on threads of its own, which can be killed without any notice to
+/// Number of threads of a [`KillableNode`].
+const NODE_THREADS: usize = 2;
+
+/// An entry node on threads of its own, which can be paused, or killed without any notice to
 /// its peers and callers.
 pub struct KillableNode {
     runtime: Runtime,
+    /// Set while its threads are paused; dropping the senders ends the pause.
+    pauses: Mutex<Vec<mpsc::Sender<()>>>,
     _node: EdgeNode,
 }
 
 impl KillableNode {
     pub async fn start(spec: &NodeSpec, store: SocketAddr) -> Self {
         let runtime = runtime::Builder::new_multi_thread()
-            .worker_threads(2)
+            .worker_threads(NODE_THREADS)
             .enable_all()
             .build()
             .expect("a runtime");
@@ -317,6 +322,21 @@
         Self {
             _node: started.await.expect("no panic"),
             runtime,
+            pauses: Mutex::default(),
+        }
+    }
+
+    /// Pauses all of its threads, as SIGSTOP pauses a process, or ends the pause. The
+    /// kernel keeps its connections open and queues what is sent to them.
+    pub fn set_paused(&self, is_paused: bool) {
+        let mut pauses = self.pauses.lock().expect("unpoisoned");
+        pauses.clear();
+        for _ in 0..if is_paused { NODE_THREADS } else { 0 } {
+            let (sender, receiver) = mpsc::channel::<()>();
+            self.runtime.spawn(async move {
+                let _ = receiver.recv();
+            });
+            pauses.push(sender);
         }
     }
 
