Show that probes of many nodes make a paused engine look unreachable

A silent engine is probed over two new connections and one more every 400 ms, by each node with a stream there. A process that stands still accepts none of them, so the connections of a fleet fill its listen queue; then its host completes no handshake and it counts as lost at once, not after two seconds.

--- a/tests/second_runs.rs
+++ b/tests/second_runs.rs
@@ -46,6 +46,14 @@
     /// Starts nodes with as many streams each, and lets these send their first events.
     async fn start(node_count: usize, streams_per_node: usize) -> Self {
         let environment = TestEnvironment::start(ENGINE_COUNT).await;
+        Self::start_in(environment, node_count, streams_per_node).await
+    }
+
+    async fn start_in(
+        environment: TestEnvironment,
+        node_count: usize,
+        streams_per_node: usize,
+    ) -> Self {
         let mut config = config(2);
         config["services"][0]["engine"]["replicas"] = json!(false);
         environment.store.put("config", "main", config);
@@ -184,3 +192,26 @@
 
     scene.check().await;
 }
+
+/// The engines are queried by many nodes, each of which opens connections that wait in
+/// their listen queues while they stand still.
+#[tokio::test]
+async fn a_full_listen_queue_of_an_engine_that_stands_still_is_no_loss() {
+    /// The queue of a fleet of 89 nodes at an engine that has 128 places, for 12 nodes.
+    const LISTEN_QUEUE: u32 = 128 * 12 / 89;
+    let environment = TestEnvironment::start(ENGINE_COUNT).await;
+    for engine in &environment.engines {
+        engine.listen_queue.store(LISTEN_QUEUE, Ordering::Relaxed);
+        engine.crash();
+        engine.restart_under_same_id().await;
+        let entry = engine.entry("ready");
+        environment.store.put("servers", &engine.id(), entry);
+    }
+    let scene = Scene::start_in(environment, 12, 4).await;
+
+    scene
+        .trouble_one_engine(Trouble::Paused, Duration::from_millis(1_500))
+        .await;
+
+    scene.check().await;
+}
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -14,7 +14,9 @@
 use super::free_address;
 use super::named_limit::NamedLimit;
 use super::process::StandInProcess;
-use super::raw::{RawRequest, RequestHandler, reply, reset_on_close, serve, wait_for_close};
+use super::raw::{
+    LISTEN_QUEUE, RawRequest, RequestHandler, reply, reset_on_close, serve, wait_for_close,
+};
 use super::run_log::RunLog;
 
 /// A part of a prompt that begins with this crashes each engine that begins to write
@@ -62,6 +64,8 @@
     /// When prompts with a [crashing part](CRASHING_PART) crashed this engine.
     part_crashes: Mutex<Vec<(String, Instant)>>,
     crashed_at: Mutex<Option<Instant>>,
+    /// Number of new connections that wait to be accepted, from the next start on.
+    pub listen_queue: AtomicU32,
     /// Resets new connections; open ones are served.
     pub refuses_connections: AtomicBool,
     /// Refuses new runs with status 503 and the header that says they did not run.
@@ -157,6 +161,7 @@
             next_break: Mutex::default(),
             part_crashes: Mutex::default(),
             crashed_at: Mutex::default(),
+            listen_queue: AtomicU32::new(LISTEN_QUEUE),
             refuses_connections: AtomicBool::new(false),
             is_full: AtomicBool::new(false),
             named_limit: NamedLimit::default(),
@@ -424,6 +429,10 @@
         !self.refuses_connections.load(Ordering::Relaxed)
     }
 
+    fn listen_queue(&self) -> u32 {
+        self.listen_queue.load(Ordering::Relaxed)
+    }
+
     async fn handle(self: Arc<Self>, request: RawRequest, stream: &mut TcpStream) -> bool {
         self.named_limit.record_arrival();
         let call_id = request.header("x-zinniawing-attempt-id");
--- a/tests/support/edge_environment/raw.rs
+++ b/tests/support/edge_environment/raw.rs
@@ -42,6 +42,9 @@
     }
 }
 
+/// Number of connections that wait to be accepted, at most.
+pub const LISTEN_QUEUE: u32 = 256;
+
 /// Handles one request and writes its response; returns false to close the
 /// connection.
 pub trait RequestHandler: Send + Sync + 'static {
@@ -50,6 +53,11 @@
         true
     }
 
+    /// Number of new connections that wait while the process does not accept them.
+    fn listen_queue(&self) -> u32 {
+        LISTEN_QUEUE
+    }
+
     fn handle(
         self: Arc<Self>,
         request: RawRequest,
@@ -59,7 +67,7 @@
 
 /// Serves until the returned task is aborted, which resets all connections.
 pub async fn serve<H: RequestHandler>(address: SocketAddr, handler: Arc<H>) -> JoinHandle<()> {
-    let listener = listen(address).await;
+    let listener = listen(address, handler.listen_queue()).await;
     tokio::spawn(async move {
         let mut open = JoinSet::new();
         loop {
@@ -76,13 +84,13 @@
 }
 
 /// Retries for half a second until an earlier server has released the address.
-async fn listen(address: SocketAddr) -> TcpListener {
+async fn listen(address: SocketAddr, queue: u32) -> TcpListener {
     for _ in 0..100 {
         let socket = tokio::net::TcpSocket::new_v4().expect("a socket is created");
         socket
             .set_reuseaddr(true)
             .expect("the address can be reused");
-        let bound = socket.bind(address).and_then(|()| socket.listen(256));
+        let bound = socket.bind(address).and_then(|()| socket.listen(queue));
         if let Ok(listener) = bound {
             return listener;
         }
