--- a/tests/paused_upstreams.rs
+++ b/tests/paused_upstreams.rs
@@ -9,6 +9,7 @@
 
 use futures_util::future::join_all;
 use support::edge_environment::caller::{Caller, Response};
+use support::edge_environment::double_run::DOUBLE_RUN_MAX;
 use support::edge_environment::leaving_callers::{
     CALL_KINDS, CallKind, LATE_ARRIVAL_AGE, LATE_ARRIVALS_MAX, LeftCall, call_and_leave,
 };
@@ -18,8 +19,6 @@
 
 const EVENT_COUNT: u64 = 100;
 const STREAM_COUNT: usize = 8;
-/// Time for which two upstreams may work on one call.
-const DOUBLE_RUN_MAX: Duration = Duration::from_millis(400);
 /// Time in which an upstream that goes on reads the calls that wait.
 const READ_TIME: Duration = Duration::from_millis(20);
 
@@ -31,23 +30,6 @@
     WithoutEvents,
 }
 
-/// Longest time for which two upstreams worked on the call at once.
-fn double_run_time(environment: &TestEnvironment, call_id: &str) -> Duration {
-    let arrivals = environment.arrivals_of(call_id);
-    let pairs = arrivals
-        .iter()
-        .enumerate()
-        .flat_map(|(n, first)| arrivals[n + 1..].iter().map(move |second| (first, second)));
-    let overlap = |(first, second): (&Arrival, &Arrival)| {
-        let first_end = first.ended_at.unwrap_or_else(Instant::now);
-        let second_end = second.ended_at.unwrap_or_else(Instant::now);
-        first_end
-            .min(second_end)
-            .saturating_duration_since(second.arrived_at)
-    };
-    pairs.map(overlap).max().unwrap_or_default()
-}
-
 fn spawn_stream(caller: &Caller) -> JoinHandle<Response> {
     let caller = caller.clone();
     tokio::spawn(async move { caller.stream(EVENT_COUNT).await })
@@ -85,7 +67,7 @@
         let got = stream.await.expect("no panic");
         assert!(got.is_complete, "cut: {} events", got.event_ids().len());
         assert_eq!(got.event_ids(), (1..=EVENT_COUNT).collect::<Vec<u64>>());
-        double_runs.push(double_run_time(&environment, &got.call_id));
+        double_runs.push(environment.double_run_time(&got.call_id));
     }
     let longest = double_runs.iter().max().expect("a stream");
     assert!(*longest < DOUBLE_RUN_MAX, "double runs: {double_runs:?}");
