--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -71,6 +71,8 @@
     pub named_limit: NamedLimit,
     /// The rest that it asks of nodes, if any. Probes count, and are turned away too.
     pub asked_rest: AskedRest,
+    /// Says in the heads of its streams that it leaves.
+    is_leaving: AtomicBool,
     /// Calls that arrived, run or not; probes are left out.
     pub run_log: RunLog,
     /// Runs that this engine began.
@@ -164,6 +166,7 @@
             is_full: AtomicBool::new(false),
             named_limit: NamedLimit::default(),
             asked_rest: AskedRest::default(),
+            is_leaving: AtomicBool::new(false),
             run_log: RunLog::default(),
             work_log: RunLog::default(),
             process: StandInProcess::start(),
@@ -277,6 +280,17 @@
         *self.software_version.lock().expect("unpoisoned") = version.to_owned();
     }
 
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.is_leaving.store(is_leaving, Ordering::Relaxed);
+    }
+
+    fn leaving_header(&self) -> &'static str {
+        if self.is_leaving.load(Ordering::Relaxed) {
+            return "server-leaving: 1\r\n";
+        }
+        ""
+    }
+
     /// While frozen, it answers no requests and sends no events; its connections stay
     /// open.
     pub fn set_frozen(&self, is_frozen: bool) {
@@ -345,10 +359,11 @@
         }
         let framing = Framing::of(self.is_close_delimited.load(Ordering::Relaxed));
         let head = format!(
-            "HTTP/1.1 200 OK\r\n{}{}content-type: text/event-stream\r\n\
+            "HTTP/1.1 200 OK\r\n{}{}{}content-type: text/event-stream\r\n\
              x-zinniawing-attempt-id: {call_id}\r\nx-zinniawing-server-signature: sig-{call_id}\r\n\r\n",
             framing.header(),
-            self.named_limit.header()
+            self.named_limit.header(),
+            self.leaving_header()
         );
         if stream.write_all(head.as_bytes()).await.is_err() {
             return false;
