Give an upstream that says it leaves no new calls (DRAIN)

Callers' calls went on to an upstream that had said Server-Leaving in its answers, since only its entry in the store was read, and an entry may say ready again. Cause: the header was not read; the same class as Retry-After, an upstream's words that the node passes on unread. It is kept beside the rest (policy/upstream_wishes.rs), for the whole incarnation, also when its entry disappears and returns. Such an upstream counts as draining: no new call, second send, resume, move or replica is sent there, and what runs there goes on. Why it works: each choice goes through Directory::serving, which leaves draining ones out.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -111,7 +111,7 @@
             work,
             state: Unsent { request },
         } = self;
-        if !upstream.rest().begin_call(Instant::now()) {
+        if !upstream.wishes().rest.begin_call(Instant::now()) {
             return Err(AttemptFailure::Resting);
         }
         let unanswered = UnansweredSend::new(&upstream, call_id);
@@ -170,7 +170,10 @@
         self.upstream.record_limit(headers.limit, *sent_at);
         match headers.rest {
             Some(rest) => self.upstream.record_rest(rest),
-            None => self.upstream.rest().record_answered(*sent_at),
+            None => self.upstream.wishes().rest.record_answered(*sent_at),
+        }
+        if headers.is_leaving {
+            self.upstream.record_leaving();
         }
     }
 }
--- a/src/forward/departed_wishes.rs
+++ b/src/forward/departed_wishes.rs
@@ -1,36 +1,36 @@
-//! The rests of upstreams that this node no longer knows.
+//! The wishes of upstreams that this node no longer knows.
 //!
-//! An upstream's entry may disappear and return while it rests. Its rest goes on, since
-//! it is the same incarnation that asked for it.
+//! An upstream's entry may disappear and return while it rests or leaves. Its wishes go on,
+//! since it is the same incarnation that stated them.
 
 use std::collections::VecDeque;
 
-use super::upstream::{SharedRest, Upstream, UpstreamEntry};
+use super::upstream::{SharedWishes, Upstream, UpstreamEntry};
 
-/// Number of upstreams whose rests are kept.
+/// Number of upstreams whose wishes are kept.
 const DEPARTED_MAX: usize = 256;
 
-/// The rests of the upstreams that left last.
+/// The wishes of the upstreams that left last.
 #[derive(Debug, Default)]
-pub(crate) struct DepartedRests {
-    rests: VecDeque<(UpstreamEntry, SharedRest)>,
+pub(crate) struct DepartedWishes {
+    wishes: VecDeque<(UpstreamEntry, SharedWishes)>,
 }
 
-impl DepartedRests {
-    /// Keeps the rest of an upstream that leaves, even if none is asked for yet: its
-    /// answers to calls under way may still ask for one.
+impl DepartedWishes {
+    /// Keeps the wishes of an upstream that leaves, even if none is known yet: its answers
+    /// to calls under way may still state one.
     pub(crate) fn keep(&mut self, upstream: &Upstream) {
-        if self.rests.len() == DEPARTED_MAX {
-            self.rests.pop_front();
+        if self.wishes.len() == DEPARTED_MAX {
+            self.wishes.pop_front();
         }
-        self.rests
-            .push_back((upstream.entry.clone(), upstream.shared_rest()));
+        self.wishes
+            .push_back((upstream.entry.clone(), upstream.shared_wishes()));
     }
 
-    /// The rest of the incarnation that the entry describes, if it was known.
-    pub(crate) fn find(&self, entry: &UpstreamEntry) -> Option<SharedRest> {
-        let mut latest_first = self.rests.iter().rev();
+    /// The wishes of the incarnation that the entry describes, if it was known.
+    pub(crate) fn find(&self, entry: &UpstreamEntry) -> Option<SharedWishes> {
+        let mut latest_first = self.wishes.iter().rev();
         let found = latest_first.find(|(known, _)| known.is_same_start(entry));
-        found.map(|(_, rest)| rest.clone())
+        found.map(|(_, wishes)| wishes.clone())
     }
 }
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -9,7 +9,7 @@
 
 use tokio::sync::broadcast;
 
-use super::departed_rests::DepartedRests;
+use super::departed_wishes::DepartedWishes;
 use super::observation::{Observation, Observations};
 use super::probe::ProbeFailure;
 use super::run_origin::RunOrigin;
@@ -38,7 +38,7 @@
     expiry: EntryExpiry,
     outage_detector: OutageDetector,
     version_history: VersionHistory,
-    departed_rests: DepartedRests,
+    departed_wishes: DepartedWishes,
 }
 
 impl State {
@@ -67,7 +67,7 @@
 
     fn record_departure(&mut self, upstream: &Upstream, now: Instant) {
         self.version_history.record_departure(upstream, now);
-        self.departed_rests.keep(upstream);
+        self.departed_wishes.keep(upstream);
     }
 
     /// Adds the upstream that an entry describes, and returns the one that it replaces.
@@ -76,9 +76,9 @@
         if let Some(replaced) = &replaced {
             self.record_departure(replaced, Instant::now());
         }
-        let rest = self.departed_rests.find(&entry).unwrap_or_default();
+        let wishes = self.departed_wishes.find(&entry).unwrap_or_default();
         let id = entry.id.clone();
-        let upstream = Arc::new(Upstream::with_rest(entry, rest));
+        let upstream = Arc::new(Upstream::with_wishes(entry, wishes));
         self.upstreams.insert(id, upstream);
         replaced
     }
@@ -119,14 +119,13 @@
         if let Some(known) = state.upstreams.get(&entry.id)
             && known.is_same_incarnation(&entry)
         {
-            if known.is_draining() != entry.draining {
+            if known.set_draining(entry.draining) {
                 log::info!(
                     "event=upstream_state upstream={} draining={}",
                     entry.id,
                     entry.draining
                 );
             }
-            known.set_draining(entry.draining);
             if let Some(version) = entry.software_version {
                 known.learn_software_version(version);
             }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -19,7 +19,7 @@
 pub(crate) mod attempt;
 pub(crate) mod caller_resume;
 pub(crate) mod connection;
-mod departed_rests;
+mod departed_wishes;
 pub(crate) mod directory;
 pub(crate) mod forwarder;
 pub(crate) mod incarnation_check;
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -2,7 +2,7 @@
 //! upstreams.
 
 mod connection;
-mod departed_rests;
+mod departed_wishes;
 mod probe;
 mod run_origin;
 mod send_history;
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -14,7 +14,7 @@
 use crate::policy::liveness::{SILENT_PROBE_INTERVAL, SOUND_SILENCE_MAX};
 use crate::policy::send_decision::{self, SendDecision};
 use crate::policy::upstream_limit::UpstreamLimit;
-use crate::policy::upstream_rest::UpstreamRest;
+use crate::policy::upstream_wishes::UpstreamWishes;
 
 /// Version of the software that an upstream runs, as its registration states it.
 /// It has no order, and is not the version of a model's weights.
@@ -55,8 +55,8 @@
     pub(crate) draining: bool,
 }
 
-/// The rest of one incarnation, which outlives its entry.
-pub(crate) type SharedRest = Arc<Mutex<UpstreamRest>>;
+/// The wishes of one incarnation, which outlive its entry.
+pub(crate) type SharedWishes = Arc<Mutex<UpstreamWishes>>;
 
 impl UpstreamEntry {
     /// Whether `other` describes the same start of the upstream, as far as is known.
@@ -113,7 +113,7 @@
     call_count: AtomicU32,
     health: Mutex<Health>,
     limit: Mutex<UpstreamLimit>,
-    rest: SharedRest,
+    wishes: SharedWishes,
     /// Number of times that the upstream was marked as lost.
     losses: watch::Sender<u64>,
 }
@@ -121,11 +121,11 @@
 impl Upstream {
     /// Creates an upstream without calls, of which nothing is known.
     pub(crate) fn new(entry: UpstreamEntry) -> Self {
-        Self::with_rest(entry, SharedRest::default())
+        Self::with_wishes(entry, SharedWishes::default())
     }
 
-    /// Creates an upstream without calls, which may have asked for this rest before.
-    pub(crate) fn with_rest(entry: UpstreamEntry, rest: SharedRest) -> Self {
+    /// Creates an upstream without calls, which may have stated these wishes before.
+    pub(crate) fn with_wishes(entry: UpstreamEntry, wishes: SharedWishes) -> Self {
         let software_version = OnceLock::new();
         if let Some(version) = entry.software_version.clone() {
             software_version.get_or_init(|| version);
@@ -139,7 +139,7 @@
             call_count: AtomicU32::new(0),
             health: Mutex::default(),
             limit: Mutex::default(),
-            rest,
+            wishes,
             losses: watch::Sender::new(0),
             entry,
         }
@@ -165,13 +165,15 @@
         self.software_version.get_or_init(|| version);
     }
 
-    /// Whether the upstream is draining: it accepts no new calls.
+    /// Whether the upstream is draining, by its entry or its answers: it accepts no new
+    /// calls.
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.draining.load(Ordering::Relaxed) || self.wishes().is_leaving()
     }
 
-    pub(crate) fn set_draining(&self, draining: bool) {
-        self.draining.store(draining, Ordering::Relaxed);
+    /// Sets what the upstream's entry says, and returns whether that is new.
+    pub(crate) fn set_draining(&self, draining: bool) -> bool {
+        self.draining.swap(draining, Ordering::Relaxed) != draining
     }
 
     /// Records that an answer or event of the upstream arrived, and stops
@@ -234,29 +236,36 @@
 
     /// Records the rest that the upstream asks of this node in an answer.
     pub(crate) fn record_rest(&self, rest: Duration) {
-        self.rest().record_asked(rest, Instant::now());
+        self.wishes().rest.record_asked(rest, Instant::now());
         let (id, rest_ms) = (&self.entry.id, rest.as_millis());
         log::info!("event=upstream_rests upstream={id} rest_ms={rest_ms}");
     }
 
-    /// What is known of the rest that the upstream asked of this node.
-    pub(crate) fn rest(&self) -> MutexGuard<'_, UpstreamRest> {
-        self.rest.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Records that the upstream says that it leaves. No entry takes that back.
+    pub(crate) fn record_leaving(&self) {
+        if self.wishes().record_leaving() {
+            log::info!("event=upstream_leaves upstream={}", self.entry.id);
+        }
+    }
+
+    /// What this incarnation asked of this node.
+    pub(crate) fn wishes(&self) -> MutexGuard<'_, UpstreamWishes> {
+        self.wishes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The rest, which a later entry of this incarnation shares.
-    pub(crate) fn shared_rest(&self) -> SharedRest {
-        self.rest.clone()
+    /// The wishes, which a later entry of this incarnation shares.
+    pub(crate) fn shared_wishes(&self) -> SharedWishes {
+        self.wishes.clone()
     }
 
     /// Whether the upstream wants no request at all from this node now.
     pub(crate) fn is_resting(&self) -> bool {
-        self.rest().is_resting(Instant::now())
+        self.wishes().rest.is_resting(Instant::now())
     }
 
     /// Decides whether a call may be sent to the upstream now.
     pub(crate) fn decide(&self, now: Instant) -> SendDecision {
-        send_decision::decide(&self.rest(), &mut self.limit(), now)
+        send_decision::decide(&self.wishes().rest, &mut self.limit(), now)
     }
 
     /// Whether a request that is no call would cost the upstream what it wants to spare.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) mod upstream_limit;
 pub(crate) mod upstream_reach;
 pub(crate) mod upstream_rest;
+pub(crate) mod upstream_wishes;
 pub(crate) mod watchers;
 
 #[cfg(test)]
