Probe an engine that stands still once, so that a fleet does not fill its listen queue

Cause: each probe opened a connection to tell a paused process from a dead host, and two if the pool had none. A paused process accepts nothing, so 89 nodes opened about 180 at the first probe and 89 more every 400 ms; beyond the engine's listen queue its host completes no handshake, which counted as a loss at once.

Change: one new connection for each node and silence. The report is requested over it in a task of its own, which goes on after the probe: an engine that goes on answers and is heard, and until then nothing more is opened before two seconds have passed. What is lost: a host that dies after its process had stood still is found after the two seconds, not at the next probe.

--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -11,8 +11,9 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use tokio::sync::{broadcast, watch};
+use tokio::task::{JoinError, JoinHandle};
 
-use super::connection::Connection;
+use super::connection::{Connection, SendFailure};
 use super::directory::Directory;
 use super::forwarder::{Forwarder, NodeContext};
 use super::upstream::Upstream;
@@ -131,7 +132,7 @@
     async fn is_lost(&self, directory: &Directory, metrics: &Metrics) -> bool {
         let upstream = &self.upstream;
         let was_probed = upstream.has_silent_probe(Instant::now());
-        if upstream.begin_probe(Instant::now()) {
+        if !was_probed && upstream.begin_probe(Instant::now()) {
             metrics.add(Counter::EngineProbes, 1);
             let Err(failure) = check_alive(upstream).await else {
                 return false;
@@ -171,13 +172,13 @@
 
 /// Whether an engine answers a probe. One that limits its requests is only connected
 /// to, because a probe counts towards the limit.
-pub(crate) async fn responds(upstream: &Upstream) -> bool {
+pub(crate) async fn responds(upstream: &Arc<Upstream>) -> bool {
     check_alive(upstream).await.is_ok()
 }
 
 /// Probes an engine like [`responds`], and returns what the probe met if it shows no
 /// life.
-pub(crate) async fn check_alive(upstream: &Upstream) -> Result<(), ProbeFailure> {
+pub(crate) async fn check_alive(upstream: &Arc<Upstream>) -> Result<(), ProbeFailure> {
     if !upstream.is_limited() {
         return probe_engine(upstream).await.map(drop);
     }
@@ -190,67 +191,87 @@
 }
 
 /// Probes an engine by requesting its report.
-pub(crate) async fn probe_engine(upstream: &Upstream) -> Result<EngineReport, ProbeFailure> {
-    let probed = if upstream.has_silent_probe(Instant::now()) {
-        fetch_report_over_new_connection(upstream).await
-    } else {
-        fetch_report_or_connect(upstream).await
-    };
-    let now = Instant::now();
-    match &probed {
-        Ok(_) => upstream.record_contact(now),
-        Err(failure) => log::info!(
+///
+/// One that a probe found silent gets no other before [`SOUND_SILENCE_MAX`] has passed: a
+/// process that stands still accepts nothing, and the probes of all nodes would fill its
+/// listen queue, so that it looked unreachable. The report that was requested is awaited
+/// instead.
+pub(crate) async fn probe_engine(upstream: &Arc<Upstream>) -> Result<EngineReport, ProbeFailure> {
+    if upstream.has_silent_probe(Instant::now()) {
+        return Err(ProbeFailure::Silent);
+    }
+    let probed = fetch_report_or_connect(upstream).await;
+    if let Err(failure) = &probed {
+        log::info!(
             "event=probe_unanswered upstream={} outcome={failure:?} heard_ms_ago={:?}",
             upstream.entry.id,
             upstream
-                .time_since_contact(now)
+                .time_since_contact(Instant::now())
                 .map(|silence| silence.as_millis())
-        ),
+        );
     }
     probed
 }
 
-/// Requests the report over a connection of the pool. If it does not come soon, finds
-/// out beside that whether the engine's host completes a handshake.
-async fn fetch_report_or_connect(upstream: &Upstream) -> Result<EngineReport, ProbeFailure> {
-    let fetching = async {
-        let connection = upstream.pool.take().await.ok()?;
-        fetch_report(upstream, connection).await
-    };
-    tokio::pin!(fetching);
-    let answer_time = PROBE_TIMEOUT - HANDSHAKE_TIMEOUT;
-    if let Ok(report) = tokio::time::timeout(answer_time, &mut fetching).await {
-        return report.ok_or(ProbeFailure::Broken);
+/// Requests the report over a connection of the pool. If that is an idle one and the
+/// report does not come soon, requests it over a new one, which shows whether the
+/// engine's host completes a handshake.
+async fn fetch_report_or_connect(upstream: &Arc<Upstream>) -> Result<EngineReport, ProbeFailure> {
+    let deadline = tokio::time::Instant::now() + PROBE_TIMEOUT;
+    let connection = connect(upstream.pool.take(), deadline).await?;
+    let may_be_broken = connection.is_reused();
+    let mut fetching = spawn_fetch(upstream, connection);
+    if may_be_broken {
+        let answer_time = deadline - HANDSHAKE_TIMEOUT;
+        if let Ok(report) = tokio::time::timeout_at(answer_time, &mut fetching).await {
+            return report_of(report);
+        }
+        let connection = tokio::select! {
+            biased;
+            report = &mut fetching => return report_of(report),
+            connection = connect(upstream.pool.open(), deadline) => connection?,
+        };
+        fetching = spawn_fetch(upstream, connection);
     }
-    let (fetched, connected) = tokio::join!(
-        tokio::time::timeout(HANDSHAKE_TIMEOUT, fetching),
-        tokio::time::timeout(HANDSHAKE_TIMEOUT, upstream.pool.open()),
-    );
-    match (fetched, connected) {
-        (Ok(Some(report)), _) => Ok(report),
-        (Ok(None), _) | (_, Ok(Err(_))) => Err(ProbeFailure::Broken),
-        (Err(_), Ok(Ok(_))) => Err(ProbeFailure::Silent),
-        (Err(_), Err(_)) => Err(ProbeFailure::Unreachable),
+    match tokio::time::timeout_at(deadline, fetching).await {
+        Ok(report) => report_of(report),
+        Err(_) => Err(ProbeFailure::Silent),
     }
 }
 
-/// Requests the report over a new connection, since the idle ones to a silent engine
-/// may be broken.
-async fn fetch_report_over_new_connection(
-    upstream: &Upstream,
-) -> Result<EngineReport, ProbeFailure> {
-    let connection = tokio::time::timeout(HANDSHAKE_TIMEOUT, upstream.pool.open()).await;
-    let Ok(connection) = connection else {
-        return Err(ProbeFailure::Unreachable);
-    };
-    let connection = connection.map_err(|_| ProbeFailure::Broken)?;
-    let fetching = fetch_report(upstream, connection);
-    match tokio::time::timeout(PROBE_TIMEOUT - HANDSHAKE_TIMEOUT, fetching).await {
-        Ok(report) => report.ok_or(ProbeFailure::Broken),
-        Err(_) => Err(ProbeFailure::Silent),
+async fn connect(
+    connecting: impl Future<Output = Result<Connection, SendFailure>>,
+    deadline: tokio::time::Instant,
+) -> Result<Connection, ProbeFailure> {
+    match tokio::time::timeout_at(deadline, connecting).await {
+        Ok(connection) => connection.map_err(|_| ProbeFailure::Broken),
+        Err(_) => Err(ProbeFailure::Unreachable),
     }
 }
 
+/// Requests the report in a task, which records the contact also if the report comes
+/// after the probe has ended: an engine that stood still is heard again.
+fn spawn_fetch(
+    upstream: &Arc<Upstream>,
+    connection: Connection,
+) -> JoinHandle<Option<EngineReport>> {
+    let upstream = upstream.clone();
+    tokio::spawn(async move {
+        let fetching = fetch_report(&upstream, connection);
+        let fetched = tokio::time::timeout(SOUND_SILENCE_MAX, fetching).await;
+        let report = fetched.ok().flatten()?;
+        upstream.record_contact(Instant::now());
+        Some(report)
+    })
+}
+
+fn report_of(
+    fetched: Result<Option<EngineReport>, JoinError>,
+) -> Result<EngineReport, ProbeFailure> {
+    // The task fails only if it panics.
+    fetched.ok().flatten().ok_or(ProbeFailure::Broken)
+}
+
 async fn fetch_report(upstream: &Upstream, connection: Connection) -> Option<EngineReport> {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = REPORT_PATH.parse().ok()?;
--- a/src/forward/successor.rs
+++ b/src/forward/successor.rs
@@ -61,7 +61,9 @@
             draining: false,
             ..earlier
         };
-        let report: EngineReport = probe_engine(&Upstream::new(entry.clone())).await.ok()?;
+        let report: EngineReport = probe_engine(&Arc::new(Upstream::new(entry.clone())))
+            .await
+            .ok()?;
         let is_engine = !report.models.is_empty();
         (is_engine && report.accepts_work()).then_some(UpstreamEntry {
             born_unix_ms: report.born_unix_ms,
