--- a/tests/second_runs.rs
+++ b/tests/second_runs.rs
@@ -10,6 +10,7 @@
 use serde_json::json;
 use support::edge_environment::caller::{Caller, Response};
 use support::edge_environment::double_run::DOUBLE_RUN_MAX;
+use support::edge_environment::proxy::{Mode, Proxy};
 use support::edge_environment::running_stream::assert_stream_complete;
 use support::edge_environment::{TestEnvironment, config, eventually};
 use tokio::task::JoinHandle;
@@ -46,7 +47,10 @@
     /// Starts nodes with as many streams each, and lets these send their first events.
     async fn start(node_count: usize, streams_per_node: usize) -> Self {
         let environment = TestEnvironment::start(ENGINE_COUNT).await;
-        Self::start_in(environment, node_count, streams_per_node).await
+        let scene = Self::start_in(environment, node_count, streams_per_node).await;
+        scene.environment.wait_for_running_stream().await;
+        scene.slow_down_prefill();
+        scene
     }
 
     async fn start_in(
@@ -66,10 +70,6 @@
         let engines = environment.engines.iter();
         let running_count = || engines.clone().map(|e| e.running_count()).sum::<usize>();
         eventually("all streams run", || running_count() == streams.len()).await;
-        environment.wait_for_running_stream().await;
-        for engine in &environment.engines {
-            *engine.prefill_time.lock().expect("unpoisoned") = PREFILL_TIME;
-        }
         Self {
             environment,
             _nodes: nodes,
@@ -77,6 +77,12 @@
         }
     }
 
+    fn slow_down_prefill(&self) {
+        for engine in &self.environment.engines {
+            *engine.prefill_time.lock().expect("unpoisoned") = PREFILL_TIME;
+        }
+    }
+
     /// One engine has the trouble for this time.
     async fn trouble_one_engine(&self, trouble: Trouble, length: Duration) {
         let engine = self.environment.running_engine();
@@ -107,6 +113,17 @@
         }
     }
 
+    /// Checks that each stream was whole, and returns the longest pause of one.
+    async fn whole_streams(self) -> Duration {
+        let ended = join_all(self.streams).await.into_iter();
+        let pauses = ended.map(|stream| {
+            let got = stream.expect("no panic");
+            assert_stream_complete(&got, EVENT_COUNT);
+            got.longest_pause
+        });
+        pauses.max().expect("a stream")
+    }
+
     /// Checks that each stream was whole and that no two engines worked on it for long.
     async fn check(self) {
         let mut double_runs = Vec::new();
@@ -208,6 +225,23 @@
         environment.store.put("servers", &engine.id(), entry);
     }
     let scene = Scene::start_in(environment, 12, 4).await;
+    scene.environment.wait_for_running_stream().await;
+    scene.slow_down_prefill();
+
+    scene
+        .trouble_one_engine(Trouble::Paused, Duration::from_millis(1_500))
+        .await;
+
+    scene.check().await;
+}
+
+#[tokio::test]
+async fn a_stream_in_prefill_does_not_run_at_two_engines_while_its_own_is_paused() {
+    let environment = TestEnvironment::start(ENGINE_COUNT).await;
+    for engine in &environment.engines {
+        *engine.prefill_time.lock().expect("unpoisoned") = PREFILL_TIME * 3;
+    }
+    let scene = Scene::start_in(environment, 1, 8).await;
 
     scene
         .trouble_one_engine(Trouble::Paused, Duration::from_millis(1_500))
@@ -215,3 +249,31 @@
 
     scene.check().await;
 }
+
+/// Cancelling the first run would not reach it, and the stream would wait for the prefill
+/// of the second.
+#[tokio::test]
+async fn a_stream_of_an_engine_that_was_cut_off_goes_on_there_before_the_second_answers() {
+    const CUT_TIME: Duration = Duration::from_millis(800);
+    let environment = TestEnvironment::start(ENGINE_COUNT).await;
+    let mut links = Vec::new();
+    for engine in &environment.engines {
+        let link = Proxy::start(engine.address).await;
+        *engine.advertised_address.lock().expect("unpoisoned") = link.address;
+        let entry = engine.entry("ready");
+        environment.store.put("servers", &engine.id(), entry);
+        links.push(link);
+    }
+    let scene = Scene::start_in(environment, 1, 8).await;
+    scene.environment.wait_for_running_stream().await;
+    scene.slow_down_prefill();
+
+    links[0].set_mode(Mode::Unreachable);
+    tokio::time::sleep(CUT_TIME).await;
+    links[0].set_mode(Mode::Pass);
+    let longest_pause = scene.whole_streams().await;
+
+    let allowed = CUT_TIME + PREFILL_TIME / 2;
+    assert!(longest_pause >= CUT_TIME, "no stream was cut off");
+    assert!(longest_pause < allowed, "{longest_pause:?}");
+}
