Probe an upstream before a call whose caller may leave is sent to it

Callers saw: calls that they had left reached upstreams over half a second later (GONE).

Cause: bytes written to an upstream whose process stands still can't be taken back; it reads them when it goes on. A node wrote first and learnt of the silence from the missing answer.

Change: where a caller of this node left within ten seconds, or the upstream failed and was not heard since, a call goes to an upstream that was not heard within 5 ms only after it answered a probe (health path, or report of an engine). Calls share the probe, and any sign of life releases them. Without an answer in max(100 ms, 2 x latency) the upstream ranks last and the call goes on as not sent; if no other is left, it waits, and ends unsent with its caller. Attempt::send takes the clearance by type, so no send can miss it. Nothing is probed where a limit is in force, towards which probes count.

Why it works: a probe that is read late runs nothing. Only a silence that begins between the answer and the write, or within 5 ms of the last sign of life, still takes calls.

The stand-in of a plain service answers its health path, as the protocol says; before, it would have run a health check as a call.

--- a/src/edge/caller_handler.rs
+++ b/src/edge/caller_handler.rs
@@ -25,7 +25,7 @@
     }
 
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
-        let unanswered = UnansweredCall::new(&request, self.forwarder.metrics.clone());
+        let unanswered = UnansweredCall::new(&request, self.forwarder.clone());
         let response = self.forwarder.clone().forward(request).await;
         unanswered.answered();
         response
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -27,6 +27,7 @@
 use crate::clock::unix_ms;
 use crate::configuration::document::DocumentStore;
 use crate::configuration::document_exchange::DocumentExchange;
+use crate::forward::caller_departures::CallerDepartures;
 use crate::forward::directory::Directory;
 use crate::forward::forwarder::Forwarder;
 use crate::forward::observation::Observations;
@@ -107,6 +108,7 @@
             route_table: ArcSwapOption::empty(),
             directory: Directory::new(observation_channel.clone()),
             reach: ReachMonitor::default(),
+            departures: CallerDepartures::default(),
             budgets: RetryBudgets::new(settings.retry_limits()),
             request_crashes: RequestCrashes::new(observation_channel.clone()),
             sessions: Sessions::new(observation_channel.clone()),
--- a/src/edge/relay_api.rs
+++ b/src/edge/relay_api.rs
@@ -52,7 +52,7 @@
     }
 
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
-        let unanswered = UnansweredCall::new(&request, self.forwarder.metrics.clone());
+        let unanswered = UnansweredCall::new(&request, self.forwarder.clone());
         let mut response = self.forward(request).await;
         unanswered.answered();
         let own_error = response.extensions().get::<ErrorKind>();
--- a/src/edge/unanswered_call.rs
+++ b/src/edge/unanswered_call.rs
@@ -6,7 +6,9 @@
 use hyper::Request;
 use hyper::body::Incoming;
 
-use crate::observe::metrics::{Counter, Metrics};
+use super::cluster_view::ClusterView;
+use crate::forward::forwarder::Forwarder;
+use crate::observe::metrics::Counter;
 use crate::platform::call;
 
 /// A call that has no answer yet.
@@ -14,21 +16,20 @@
 /// The HTTP server drops the handler of a call when the caller disconnects, or
 /// when this node aborts its connections. Without this guard such a call would
 /// leave no trace in the log, see `docs/OPERATIONS.md`.
-#[derive(Debug)]
 pub(crate) struct UnansweredCall {
     id: String,
     arrived_at: Instant,
-    metrics: Arc<Metrics>,
+    forwarder: Arc<Forwarder<ClusterView>>,
     is_answered: bool,
 }
 
 impl UnansweredCall {
     /// Creates the guard of a call that has just arrived.
-    pub(crate) fn new(request: &Request<Incoming>, metrics: Arc<Metrics>) -> Self {
+    pub(crate) fn new(request: &Request<Incoming>, forwarder: Arc<Forwarder<ClusterView>>) -> Self {
         Self {
             id: call::id(request.headers()).to_owned(),
             arrived_at: Instant::now(),
-            metrics,
+            forwarder,
             is_answered: false,
         }
     }
@@ -44,7 +45,8 @@
         if self.is_answered {
             return;
         }
-        self.metrics.add(Counter::CallsUnanswered, 1);
+        self.forwarder.metrics.add(Counter::CallsUnanswered, 1);
+        self.forwarder.departures.record(Instant::now());
         log::warn!(
             "event=call_unanswered call={} age_ms={}",
             self.id,
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -15,6 +15,7 @@
 
 use super::connection::{Connection, SendFailure};
 use super::probe::LossReason;
+use super::send_probe::SendClearance;
 use super::unanswered_send::UnansweredSend;
 use super::upstream::{Upstream, Work};
 use crate::id::UpstreamId;
@@ -101,6 +102,7 @@
     /// Dropping the future closes the connection, which cancels the call.
     pub(crate) async fn send(
         self,
+        _clearance: SendClearance,
         call_id: Option<&HeaderValue>,
     ) -> Result<Attempt<Answered>, AttemptFailure> {
         let Self {
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -9,6 +9,7 @@
 use hyper::header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
 use rand::RngExt;
 
+use super::caller_departures::CallerDepartures;
 use super::directory::Directory;
 use super::observation::Observations;
 use super::reach_monitor::ReachMonitor;
@@ -86,6 +87,8 @@
     pub(crate) directory: Directory,
     /// Which services' upstreams this node can't reach.
     pub(crate) reach: ReachMonitor,
+    /// The callers of this node that left before they were answered.
+    pub(crate) departures: CallerDepartures,
     /// The shares that this node has of the services' retry budgets.
     pub(crate) budgets: RetryBudgets,
     /// Requests suspected of crashing their upstreams.
@@ -315,10 +318,7 @@
                 call_count: upstream.call_count(),
                 latency: upstream.latency(),
                 failure_share: upstream.failure_share(),
-                is_avoided: upstream.avoided_until(now).is_some()
-                    || self
-                        .directory
-                        .is_outage_suspected(&upstream.entry.data_centre, now),
+                is_avoided: self.is_avoided(upstream, now),
                 was_tried: tried.iter().any(|t| t.entry.id == upstream.entry.id),
                 is_assigned: is_assigned(*index, upstreams.len(), node_index, node_count),
             })
@@ -329,6 +329,14 @@
             .map(|(_, upstream)| Arc::clone(upstream))
     }
 
+    /// Whether calls go to other upstreams first.
+    pub(crate) fn is_avoided(&self, upstream: &Upstream, now: Instant) -> bool {
+        let data_centre = &upstream.entry.data_centre;
+        upstream.avoided_until(now).is_some()
+            || upstream.has_overdue_probe(now)
+            || self.directory.is_outage_suspected(data_centre, now)
+    }
+
     /// Chooses among the upstreams of a service like [`Self::choose_upstream`], and
     /// gets a permit to send to the chosen one. If none of those that are left has
     /// room, returns the time after which the caller may return.
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -17,6 +17,7 @@
 
 pub(crate) mod answer_body;
 pub(crate) mod attempt;
+pub(crate) mod caller_departures;
 pub(crate) mod caller_resume;
 pub(crate) mod connection;
 pub(crate) mod directory;
@@ -35,6 +36,7 @@
 pub(crate) mod run_origin;
 pub(crate) mod run_replica;
 pub(crate) mod send_history;
+pub(crate) mod send_probe;
 pub(crate) mod sessions;
 pub(crate) mod stream_call;
 pub(crate) mod stream_choice;
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -12,6 +12,7 @@
 use super::request::Call;
 use super::request_crashes::Permission;
 use super::send_history::SendHistory;
+use super::send_probe::SendPlan;
 use super::upstream::{Upstream, Work};
 use crate::http::HttpResponse;
 use crate::observe::metrics::{Counter, Span};
@@ -160,7 +161,7 @@
             if let Some(upstream) = self.next_upstream(call, state).await {
                 state.avoid_silent_upstreams();
                 state.begin_send(&upstream);
-                sends.push(self.send(call, upstream));
+                sends.push(self.send(call, upstream, state.tried.clone()));
             }
             let ended = if may_repeat {
                 tokio::time::timeout(HEDGE_DELAY, sends.next()).await
@@ -261,16 +262,28 @@
     }
 
     /// Sends a plain call to one upstream, and reads its answer.
-    async fn send(&self, call: &Call, upstream: Arc<Upstream>) -> SendResult {
-        let answer = self.request_answer(call, &upstream).await;
+    async fn send(
+        self: &Arc<Self>,
+        call: &Call,
+        upstream: Arc<Upstream>,
+        tried: Vec<Arc<Upstream>>,
+    ) -> SendResult {
+        let answer = self.request_answer(call, &upstream, &tried).await;
         SendResult { upstream, answer }
     }
 
     async fn request_answer(
-        &self,
+        self: &Arc<Self>,
         call: &Call,
         upstream: &Arc<Upstream>,
+        tried: &[Arc<Upstream>],
     ) -> Result<HttpResponse, AttemptFailure> {
+        let plan = SendPlan {
+            upstream,
+            tried,
+            origin: None,
+        };
+        let clearance = self.clear_send(plan).await?;
         let Some(time_left) = call.time_for_upstream(Instant::now()) else {
             return Err(AttemptFailure::NotSent(
                 "no time is left for an upstream to answer",
@@ -287,7 +300,9 @@
         self.metrics.add(Counter::UpstreamSends, 1);
         let work = Work::call(upstream, 0, 0);
         let attempt = Attempt::new(upstream.clone(), work, request);
-        let answered: Attempt<Answered> = attempt.send(call.headers.call_id.as_ref()).await?;
+        let answered: Attempt<Answered> = attempt
+            .send(clearance, call.headers.call_id.as_ref())
+            .await?;
         self.record_connected(&answered);
         let read = answer_body::read(answered, call.deadline).await;
         read.map_err(|error| AttemptFailure::MayHaveRun(error.to_string()))
--- a/src/forward/route_table.rs
+++ b/src/forward/route_table.rs
@@ -104,10 +104,12 @@
 }
 
 /// The configuration of a service.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct ServiceOptions {
     /// Maximum number of connections to one upstream from all nodes together.
     pub(crate) connections_max: Option<u32>,
+    /// Path at which an upstream answers whether it is healthy, if it has one.
+    pub(crate) health_path: Option<String>,
     /// Set if the upstreams are model engines.
     pub(crate) engine: Option<EngineCapabilities>,
 }
@@ -235,6 +237,6 @@
 
     /// The configuration of a service; the default if it has none.
     pub(crate) fn service(&self, service: &str) -> ServiceOptions {
-        self.services.get(service).copied().unwrap_or_default()
+        self.services.get(service).cloned().unwrap_or_default()
     }
 }
--- /dev/null
+++ b/src/forward/send_probe.rs
@@ -0,0 +1,244 @@
+//! Probes an upstream before a call is sent to it, where the call might be read after its
+//! caller has left.
+//!
+//! All calls of the node that wait for one upstream share a probe. A call whose upstream
+//! does not answer goes to another one, and is not sent to the first. If there is no other,
+//! it waits, and is dropped unsent when its caller leaves.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+use hyper::header::HOST;
+use tokio::sync::Notify;
+
+use super::attempt::AttemptFailure;
+use super::connection::SendFailure;
+use super::forwarder::{Forwarder, NodeContext};
+use super::run_origin::RunOrigin;
+use super::upstream::Upstream;
+use crate::observe::metrics::Counter;
+use crate::platform::answer;
+use crate::platform::engine::REPORT_PATH;
+use crate::policy::liveness::SOUND_SILENCE_MAX;
+use crate::policy::send_probe::{SendConditions, answer_patience};
+
+/// Largest answer to a probe.
+const ANSWER_MAX_BYTES: usize = 256 * 1024;
+
+/// Shows that an upstream may be sent a call now. [`Forwarder::clear_send`] alone makes it,
+/// right before the send.
+#[derive(Debug)]
+pub(crate) struct SendClearance(());
+
+/// The probe of one upstream that precedes its calls.
+#[derive(Debug, Default)]
+pub(crate) struct SendProbe {
+    state: Mutex<State>,
+    /// Notified when the upstream was heard and when the probe ended.
+    changed: Notify,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct State {
+    /// Start of the probe that has not ended.
+    began_at: Option<Instant>,
+    /// End of the last probe whose connection could not be opened or broke, and why.
+    failure: Option<(Instant, ProbeBreak)>,
+}
+
+/// How the connection of a probe failed.
+#[derive(Clone, Copy, Debug)]
+enum ProbeBreak {
+    NotConnected(&'static str),
+    Broken,
+}
+
+/// A call about to be sent, and the other upstreams that it may go to.
+pub(crate) struct SendPlan<'a> {
+    pub(crate) upstream: &'a Arc<Upstream>,
+    /// Upstreams that the call was sent to, or is not to be sent to.
+    pub(crate) tried: &'a [Arc<Upstream>],
+    /// The origin that the upstream of the call must have.
+    pub(crate) origin: Option<&'a RunOrigin>,
+}
+
+impl SendProbe {
+    /// Wakes the calls that wait for the upstream, which was heard.
+    pub(crate) fn notify_heard(&self) {
+        self.changed.notify_waiters();
+    }
+
+    /// Time since the start of the probe that has not ended.
+    pub(crate) fn time_open(&self, now: Instant) -> Option<Duration> {
+        let began_at = self.lock().began_at?;
+        Some(now.saturating_duration_since(began_at))
+    }
+
+    /// Begins a probe, unless one has not ended.
+    fn begin(&self, now: Instant) -> bool {
+        let mut state = self.lock();
+        let is_free = state.began_at.is_none();
+        state.began_at.get_or_insert(now);
+        is_free
+    }
+
+    fn end(&self, failure: Option<ProbeBreak>, now: Instant) {
+        let mut state = self.lock();
+        state.began_at = None;
+        state.failure = failure.map(|failure| (now, failure));
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// How the last probe failed, if it ended later than `since`.
+    fn failure_since(&self, since: Instant) -> Option<ProbeBreak> {
+        let (at, failure) = self.lock().failure?;
+        (at >= since).then_some(failure)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl<N: NodeContext> Forwarder<N> {
+    /// Waits until a call may be sent to its upstream: at once, or after the upstream has
+    /// answered a probe. Fails if the upstream can't be reached, or is silent while the
+    /// call may go to another one.
+    pub(crate) async fn clear_send(
+        self: &Arc<Self>,
+        plan: SendPlan<'_>,
+    ) -> Result<SendClearance, AttemptFailure> {
+        let upstream = plan.upstream;
+        let started_at = Instant::now();
+        let mut patience_ends_at = None;
+        loop {
+            let changed = upstream.send_probe.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if !self.conditions(upstream).need_probe() {
+                return Ok(SendClearance(()));
+            }
+            match upstream.send_probe.failure_since(started_at) {
+                Some(ProbeBreak::NotConnected(cause)) => {
+                    return Err(AttemptFailure::NotConnected(cause));
+                }
+                Some(ProbeBreak::Broken) => {
+                    return Err(AttemptFailure::NotSent("a probe broke off"));
+                }
+                None => {}
+            }
+            if !self.begin_send_probe(upstream) {
+                // The upstream has nothing that could be probed.
+                return Ok(SendClearance(()));
+            }
+            let now = Instant::now();
+            let patience = answer_patience(upstream.latency());
+            let time_open = upstream.send_probe.time_open(now).unwrap_or_default();
+            let ends_at =
+                *patience_ends_at.get_or_insert_with(|| now + patience.saturating_sub(time_open));
+            if tokio::time::timeout_at(ends_at.into(), changed)
+                .await
+                .is_err()
+            {
+                if self.has_other(&plan) {
+                    return Err(AttemptFailure::NotSent("the upstream is silent"));
+                }
+                patience_ends_at = Some(Instant::now() + patience);
+            }
+        }
+    }
+
+    fn conditions(&self, upstream: &Upstream) -> SendConditions {
+        let now = Instant::now();
+        SendConditions {
+            silence: upstream.time_since_contact(now),
+            has_failed: upstream.has_failed(),
+            is_limited: upstream.is_limited(),
+            time_since_departure: self.departures.time_since_last(now),
+        }
+    }
+
+    /// Whether the call may go to another upstream, which is not avoided.
+    fn has_other(&self, plan: &SendPlan<'_>) -> bool {
+        let now = Instant::now();
+        let is_excluded =
+            |other: &Arc<Upstream>| plan.tried.iter().any(|t| t.entry.id == other.entry.id);
+        let others = self.directory.serving(&plan.upstream.entry.service);
+        others.iter().any(|other| {
+            other.entry.id != plan.upstream.entry.id
+                && !is_excluded(other)
+                && plan.origin.is_none_or(|origin| origin.admits(other))
+                && !other.is_limited()
+                && !self.is_avoided(other, now)
+        })
+    }
+
+    /// Begins a probe, unless one has not ended. Returns false if nothing is known that the
+    /// upstream answers at once.
+    fn begin_send_probe(self: &Arc<Self>, upstream: &Arc<Upstream>) -> bool {
+        let Some(path) = self.probe_path(upstream) else {
+            return false;
+        };
+        if upstream.send_probe.begin(Instant::now()) {
+            self.metrics.add(Counter::SendProbes, 1);
+            tokio::spawn(probe(upstream.clone(), path));
+        }
+        true
+    }
+
+    fn probe_path(&self, upstream: &Upstream) -> Option<String> {
+        let table = self.route_table.load();
+        let options = table.as_ref()?.service(&upstream.entry.service);
+        if options.engine.is_some() {
+            return Some(REPORT_PATH.to_owned());
+        }
+        options.health_path
+    }
+}
+
+/// Requests the path from the upstream. Any answer shows that it works.
+async fn probe(upstream: Arc<Upstream>, path: String) {
+    let began_at = Instant::now();
+    let answered = tokio::time::timeout(SOUND_SILENCE_MAX, request(&upstream, &path)).await;
+    let failure = match answered {
+        Ok(Ok(())) => None,
+        Ok(Err(SendFailure::NotConnected(cause))) => Some(ProbeBreak::NotConnected(cause)),
+        Ok(Err(_)) => Some(ProbeBreak::Broken),
+        Err(_) => None,
+    };
+    let time = began_at.elapsed();
+    if time >= answer_patience(upstream.latency()) || failure.is_some() {
+        log::info!(
+            "event=send_probe_ended upstream={} is_answered={} failure={failure:?} after_ms={}",
+            upstream.entry.id,
+            matches!(answered, Ok(Ok(()))),
+            time.as_millis()
+        );
+    }
+    if matches!(answered, Ok(Ok(()))) {
+        upstream.record_contact(Instant::now());
+    }
+    upstream.send_probe.end(failure, Instant::now());
+}
+
+/// Sends the request, and returns its connection to the pool for the calls that wait.
+async fn request(upstream: &Upstream, path: &str) -> Result<(), SendFailure> {
+    let invalid = |_| SendFailure::NotSent("no valid request");
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = path.parse().map_err(|_| invalid(()))?;
+    let host = upstream.entry.address.to_string();
+    let host = host.parse().map_err(|_| invalid(()))?;
+    request.headers_mut().insert(HOST, host);
+    let (connection, response) = upstream.pool.send(request).await?;
+    let headers = answer::read(response.status(), response.headers(), None);
+    let body = Limited::new(response.into_body(), ANSWER_MAX_BYTES);
+    let is_complete = body.collect().await.is_ok();
+    if is_complete && !headers.closes_connection {
+        upstream.pool.put(connection, headers.idle_timeout);
+    }
+    Ok(())
+}
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -22,6 +22,7 @@
 use super::run_origin::RunOrigin;
 use super::run_replica::{ReplicaSlot, ReplicatedRun, RunReplica, choose_holder, lock};
 use super::send_history::SendHistory;
+use super::send_probe::SendPlan;
 use super::upstream::{Upstream, Work, version_for_log};
 use crate::http::HttpResponse;
 use crate::observe::metrics::Counter;
@@ -325,6 +326,12 @@
                 "the engine did not report, or has restarted since it registered",
             ));
         }
+        let plan = SendPlan {
+            upstream,
+            tried: &self.tried,
+            origin: self.origin.as_ref(),
+        };
+        let clearance = self.forwarder.clear_send(plan).await?;
         let Some(time_left) = self.call.time_for_upstream(Instant::now()) else {
             return Err(AttemptFailure::NotSent(
                 "no time is left for an upstream to answer",
@@ -370,7 +377,7 @@
         forwarder.metrics.add(Counter::UpstreamSends, 1);
         let mut loss_watch = LossWatch::new(&forwarder.directory, upstream.clone());
         let call_id = self.call.headers.call_id.clone();
-        let sending = attempt.send(call_id.as_ref());
+        let sending = attempt.send(clearance, call_id.as_ref());
         tokio::pin!(sending);
         loop {
             let forwarder = self.forwarder.clone();
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -9,9 +9,11 @@
 use tokio::sync::watch;
 
 use super::connection::ConnectionPool;
+use super::send_probe::SendProbe;
 use crate::id::{DataCentreId, ServiceId, UpstreamId};
 use crate::platform::answer::StatedLimit;
 use crate::policy::liveness::{SILENT_PROBE_INTERVAL, SOUND_SILENCE_MAX};
+use crate::policy::send_probe::answer_patience;
 use crate::policy::upstream_limit::UpstreamLimit;
 
 /// Version of the software that an upstream runs, as its registration states it.
@@ -23,10 +25,6 @@
 /// Longest time for which an upstream that failed is avoided.
 const AVOID_MAX: Duration = Duration::from_millis(3_200);
 
-/// Shortest time without an answer after which an upstream of plain calls is avoided.
-const OVERDUE_MIN: Duration = Duration::from_millis(100);
-/// The same time as a multiple of the average latency.
-const OVERDUE_LATENCIES: u32 = 2;
 /// Weight of one call in the moving averages of latency and failures.
 const MOVING_AVERAGE_WEIGHT: f64 = 0.15;
 /// Time for which an upstream that refused a call for lack of capacity is avoided.
@@ -102,6 +100,8 @@
     call_count: AtomicU32,
     health: Mutex<Health>,
     limit: Mutex<UpstreamLimit>,
+    /// The probe that precedes calls where one is needed.
+    pub(crate) send_probe: SendProbe,
     /// Number of times that the upstream was marked as lost.
     losses: watch::Sender<u64>,
 }
@@ -122,6 +122,7 @@
             call_count: AtomicU32::new(0),
             health: Mutex::default(),
             limit: Mutex::default(),
+            send_probe: SendProbe::default(),
             losses: watch::Sender::new(0),
             entry,
         }
@@ -167,6 +168,8 @@
         health.unanswered_since = None;
         health.silent_probe_at = None;
         health.failure_count = 0;
+        drop(health);
+        self.send_probe.notify_heard();
     }
 
     /// Records that a probe met silence. The upstream may be lost, or may go on.
@@ -269,13 +272,23 @@
         let Some(since) = health.unanswered_since else {
             return;
         };
-        let patience = OVERDUE_MIN.max(health.latency * OVERDUE_LATENCIES);
         let is_known = !health.latency.is_zero();
-        if is_known && now.saturating_duration_since(since) >= patience {
+        let silence = now.saturating_duration_since(since);
+        if is_known && silence >= answer_patience(health.latency) {
             self.avoid(now);
         }
     }
 
+    /// Whether a probe that precedes calls has had no answer for longer than an answer
+    /// takes, and nothing else has arrived either.
+    pub(crate) fn has_overdue_probe(&self, now: Instant) -> bool {
+        let patience = answer_patience(self.latency());
+        let is_open = self.send_probe.time_open(now);
+        let is_overdue = is_open.is_some_and(|time| time >= patience);
+        let silence = self.time_since_contact(now);
+        is_overdue && silence.is_none_or(|silence| silence >= patience)
+    }
+
     /// Updates the moving averages of latency and failures with a call that
     /// ended, answered or not.
     pub(crate) fn record_call(&self, duration: Duration, has_failed: bool) {
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -91,6 +91,8 @@
     SendsOverLimit,
     /// Liveness probes sent to engines.
     EngineProbes,
+    /// Probes of upstreams before calls are sent to them.
+    SendProbes,
     /// Connections opened to find out whether upstreams can be reached.
     ReachProbes,
     /// KV cache replicas requested from engines.
@@ -109,7 +111,7 @@
 
 impl Counter {
     /// All counters, in the order of the list in `docs/OPERATIONS.md`.
-    pub const ALL: [Self; 39] = [
+    pub const ALL: [Self; 40] = [
         Self::Completions,
         Self::Refused,
         Self::Tokens,
@@ -142,6 +144,7 @@
         Self::RetriesOverBudget,
         Self::SendsOverLimit,
         Self::EngineProbes,
+        Self::SendProbes,
         Self::ReachProbes,
         Self::CopiesAskedFor,
         Self::StreamsLost,
@@ -187,6 +190,7 @@
             Self::RetriesOverBudget => "retries_over_budget_count",
             Self::SendsOverLimit => "sends_over_limit_count",
             Self::EngineProbes => "engine_probes_count",
+            Self::SendProbes => "send_probes_count",
             Self::ReachProbes => "reach_probes_count",
             Self::CopiesAskedFor => "copies_asked_for_count",
             Self::StreamsLost => "streams_lost_count",
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod placement;
 pub(crate) mod poison_detector;
 pub(crate) mod retry_budget_share;
+pub(crate) mod send_probe;
 pub(crate) mod upstream_limit;
 pub(crate) mod upstream_reach;
 pub(crate) mod watchers;
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -7,6 +7,7 @@
 mod placement;
 mod poison_detector;
 mod retry_budget_share;
+mod send_probe;
 mod upstream_limit;
 mod upstream_reach;
 mod watchers;
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -44,6 +44,8 @@
 pub const SINGLE_RUN_STREAM_PATH: &str = "/summary/1";
 pub const IDEMPOTENT_PATH: &str = "/balance/1";
 pub const NON_IDEMPOTENT_PATH: &str = "/disburse/1";
+/// Path at which upstreams state whether they are healthy.
+pub const HEALTH_PATH: &str = "/healthz";
 pub const PUBLIC_PATH: &str = "/open/1";
 
 /// Header lines that only nodes may send to each other, as a caller may forge them.
@@ -91,9 +93,9 @@
             summary,
         ],
         "services": [
-            { "name": "llm", "health-path": "/healthz", "max-connections": 100,
+            { "name": "llm", "health-path": HEALTH_PATH, "max-connections": 100,
               "engine": { "slots": 8, "kv-capacity": 88000, "replicas": true } },
-            { "name": "pay", "health-path": "/healthz", "max-connections": 100 },
+            { "name": "pay", "health-path": HEALTH_PATH, "max-connections": 100 },
         ],
         "limits": { "max-header-bytes": 16384, "max-body-bytes": 100000,
                     "header-timeout-ms": 3000, "idle-timeout-ms": 15000 },
--- a/tests/support/edge_environment/service.rs
+++ b/tests/support/edge_environment/service.rs
@@ -10,11 +10,11 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use super::free_address;
 use super::named_limit::NamedLimit;
 use super::process::StandInProcess;
 use super::raw::{RawRequest, RequestHandler, reply, reset_on_close, serve, wait_for_close};
 use super::run_log::RunLog;
+use super::{HEALTH_PATH, free_address};
 
 /// Name of the query field that sets a call's answer time in milliseconds.
 pub const ANSWER_TIME_QUERY: &str = "answer-ms";
@@ -208,6 +208,15 @@
 
 impl RequestHandler for Service {
     async fn handle(self: Arc<Self>, request: RawRequest, stream: &mut TcpStream) -> bool {
+        if request.path() == HEALTH_PATH {
+            self.named_limit.record_arrival();
+            self.wait_until_unfrozen().await;
+            let id = format!(
+                "x-zinniawing-instance-id: {}\r\nkeep-alive: timeout=5\r\n",
+                self.id
+            );
+            return reply(stream, 200, &id, b"").await;
+        }
         let call_id = request
             .header("x-zinniawing-attempt-id")
             .unwrap_or("-")
