--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -15,6 +15,7 @@
 
 use super::connection::{Connection, SendFailure};
 use super::probe::LossReason;
+use super::send_probe::SendClearance;
 use super::unanswered_send::UnansweredSend;
 use super::upstream::{Upstream, Work};
 use crate::id::UpstreamId;
@@ -104,6 +105,7 @@
     /// Dropping the future closes the connection, which cancels the call.
     pub(crate) async fn send(
         self,
+        _clearance: SendClearance,
         call_id: Option<&HeaderValue>,
     ) -> Result<Attempt<Answered>, AttemptFailure> {
         let Self {
@@ -167,14 +169,7 @@
         let Answered {
             headers, sent_at, ..
         } = &self.state;
-        self.upstream.record_limit(headers.limit, *sent_at);
-        match headers.rest {
-            Some(rest) => self.upstream.record_rest(rest),
-            None => self.upstream.wishes().rest.record_answered(*sent_at),
-        }
-        if headers.is_leaving {
-            self.upstream.record_leaving();
-        }
+        self.upstream.record_statements(headers, *sent_at);
     }
 }
 
--- a/tests/support/edge_environment/service.rs
+++ b/tests/support/edge_environment/service.rs
@@ -11,11 +11,11 @@
 use tokio::net::TcpStream;
 
 use super::asked_rest::AskedRest;
-use super::free_address;
 use super::named_limit::NamedLimit;
 use super::process::StandInProcess;
 use super::raw::{RawRequest, RequestHandler, reply, reset_on_close, serve, wait_for_close};
 use super::run_log::RunLog;
+use super::{HEALTH_PATH, free_address};
 
 /// Name of the query field that sets a call's answer time in milliseconds.
 pub const ANSWER_TIME_QUERY: &str = "answer-ms";
@@ -157,6 +157,20 @@
         let _ = self.frozen.subscribe().wait_for(|frozen| !frozen).await;
     }
 
+    /// Answers a health check, which is refused like a call while the service rests.
+    async fn answer_health_check(&self, stream: &mut TcpStream) -> bool {
+        self.wait_until_unfrozen().await;
+        if let Some(refusal) = self.asked_rest.refusal(stream) {
+            return reply(stream, 503, &refusal, b"").await;
+        }
+        let id = format!(
+            "x-zinniawing-instance-id: {}\r\nkeep-alive: timeout=5\r\n{}",
+            self.id,
+            self.named_limit.header()
+        );
+        reply(stream, 200, &id, b"").await
+    }
+
     pub fn queue_fault(&self, fault: NextFault) {
         self.next_faults
             .lock()
@@ -212,13 +226,16 @@
 
 impl RequestHandler for Service {
     async fn handle(self: Arc<Self>, request: RawRequest, stream: &mut TcpStream) -> bool {
+        self.named_limit.record_arrival();
+        self.asked_rest.record_arrival(&request, stream);
+        if request.path() == HEALTH_PATH {
+            return self.answer_health_check(stream).await;
+        }
         let call_id = request
             .header("x-zinniawing-attempt-id")
             .unwrap_or("-")
             .to_owned();
         let _arrival = self.run_log.begin(&call_id);
-        self.named_limit.record_arrival();
-        self.asked_rest.record_arrival(&request, stream);
         self.wait_until_unfrozen().await;
         if let Some(refusal) = self.asked_rest.refusal(stream) {
             return reply(stream, 503, &refusal, b"").await;
