Test that calls that may run once do so while their upstream is paused

Plain calls that are not idempotent and streams that may not be resumed, sent while a service and an engine are paused and go on after the calls' deadlines: at most one upstream reads each, and none that was refused with 429 or 503.

--- a/tests/second_runs.rs
+++ b/tests/second_runs.rs
@@ -1,5 +1,5 @@
-//! A stream that goes on at another engine, whose prefill takes longer than two engines
-//! may work on one call.
+//! Calls whose upstream is silent or stalls: streams that go on at another engine, whose
+//! prefill takes longer than two may work on one call, and calls that may run once.
 
 mod support;
 
@@ -12,7 +12,9 @@
 use support::edge_environment::double_run::DOUBLE_RUN_MAX;
 use support::edge_environment::proxy::{Mode, Proxy};
 use support::edge_environment::running_stream::assert_stream_complete;
-use support::edge_environment::{TestEnvironment, config, eventually};
+use support::edge_environment::{
+    NON_IDEMPOTENT_PATH, SINGLE_RUN_STREAM_PATH, TestEnvironment, config, eventually,
+};
 use tokio::task::JoinHandle;
 use zinniawing::EdgeNode;
 
@@ -277,3 +279,48 @@
     assert!(longest_pause >= CUT_TIME, "no stream was cut off");
     assert!(longest_pause < allowed, "{longest_pause:?}");
 }
+
+#[tokio::test]
+async fn calls_that_may_run_once_run_once_while_their_upstream_is_paused() {
+    const CALL_COUNT: usize = 60;
+    const INTERVAL: Duration = Duration::from_millis(20);
+    const HEADERS: &str = "x-zinniawing-deadline-ms: 1000\r\nx-zinniawing-token-usage: 800,5\r\n";
+    const PATHS: [&str; 2] = [NON_IDEMPOTENT_PATH, SINGLE_RUN_STREAM_PATH];
+    let environment = TestEnvironment::start(ENGINE_COUNT).await;
+    let (_node, caller) = environment.start_ready_node("n1").await;
+    let mut calls = Vec::new();
+    let upstreams = [
+        &environment.engines[0].process,
+        &environment.services[0].process,
+    ];
+
+    for n in 0..CALL_COUNT {
+        if n == CALL_COUNT / 3 {
+            upstreams
+                .iter()
+                .for_each(|process| process.set_paused(true));
+        }
+        let (caller, path) = (caller.clone(), PATHS[n % PATHS.len()]);
+        let call = async move { caller.call("POST", path, HEADERS).await };
+        calls.push(tokio::spawn(call));
+        tokio::time::sleep(INTERVAL).await;
+    }
+    let answers = join_all(calls).await;
+    upstreams
+        .iter()
+        .for_each(|process| process.set_paused(false));
+    tokio::time::sleep(DOUBLE_RUN_MAX).await;
+
+    let answers = answers.into_iter().map(|got| got.expect("no panic"));
+    let (mut unserved_count, mut wrong) = (0, Vec::new());
+    for got in answers {
+        unserved_count += usize::from(got.status != 200);
+        let is_refused = [408, 421, 429, 503].contains(&got.status);
+        let arrival_count = environment.arrivals_of(&got.call_id).len();
+        if arrival_count > usize::from(!is_refused) {
+            wrong.push((got.call_id, got.status, arrival_count));
+        }
+    }
+    assert!(unserved_count > 0, "no call was sent to a paused upstream");
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
