--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -44,6 +44,7 @@
 pub(crate) mod successor;
 pub(crate) mod unanswered_send;
 pub(crate) mod upstream;
+mod upstream_entry;
 pub(crate) mod upstream_permits;
 pub(crate) mod version_history;
 
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -1,7 +1,6 @@
 //! One incarnation of an upstream: one start of it, with its registration, its
 //! recent health, and the load that this node puts on it.
 
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
@@ -9,16 +8,15 @@
 use tokio::sync::watch;
 
 use super::connection::ConnectionPool;
-use crate::id::{DataCentreId, ServiceId, UpstreamId};
+pub(crate) use super::upstream_entry::{SoftwareVersion, UpstreamEntry, version_for_log};
 use crate::platform::answer::StatedLimit;
 use crate::policy::liveness::{SILENT_PROBE_INTERVAL, SOUND_SILENCE_MAX};
 use crate::policy::send_decision::{self, SendDecision};
 use crate::policy::upstream_limit::UpstreamLimit;
 use crate::policy::upstream_wishes::UpstreamWishes;
 
-/// Version of the software that an upstream runs, as its registration states it.
-/// It has no order, and is not the version of a model's weights.
-pub(crate) type SoftwareVersion = String;
+/// The wishes of one incarnation, which outlive its entry.
+pub(crate) type SharedWishes = Arc<Mutex<UpstreamWishes>>;
 
 /// Shortest time for which an upstream that failed is avoided.
 const AVOID_MIN: Duration = Duration::from_millis(400);
@@ -34,52 +32,6 @@
 /// Time for which an upstream that refused a call for lack of capacity is avoided.
 const AVOID_FULL_DURATION: Duration = Duration::from_millis(150);
 
-/// An upstream's registration.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct UpstreamEntry {
-    /// Id of this incarnation.
-    pub(crate) id: UpstreamId,
-    /// Start of this incarnation, in Unix milliseconds; zero if unknown.
-    pub(crate) born_unix_ms: u64,
-    /// Service that the upstream belongs to.
-    pub(crate) service: ServiceId,
-    /// Address at which the upstream listens for calls.
-    pub(crate) address: SocketAddr,
-    /// Data centre that the upstream runs in.
-    pub(crate) data_centre: DataCentreId,
-    /// Version of the upstream's software; `None` if unknown.
-    pub(crate) software_version: Option<SoftwareVersion>,
-    /// Maximum number of calls that the upstream runs at once.
-    pub(crate) slot_count: u32,
-    /// Whether the upstream is draining: it accepts no new calls.
-    pub(crate) draining: bool,
-}
-
-/// The wishes of one incarnation, which outlive its entry.
-pub(crate) type SharedWishes = Arc<Mutex<UpstreamWishes>>;
-
-impl UpstreamEntry {
-    /// Whether `other` describes the same start of the upstream, as far as is known.
-    pub(crate) fn is_same_start(&self, other: &Self) -> bool {
-        let (start, other_start) = (self.born_unix_ms, other.born_unix_ms);
-        self.id == other.id && (start == other_start || start == 0 || other_start == 0)
-    }
-
-    /// Whether `other` is a later incarnation at the same address. After a crash,
-    /// the store keeps the old entry beside the successor's until it expires,
-    /// which takes some heartbeat intervals.
-    pub(crate) fn precedes(&self, other: &Self) -> bool {
-        self.address == other.address
-            && self.id != other.id
-            && self.born_unix_ms < other.born_unix_ms
-    }
-}
-
-/// A software version in the log; `-` if unknown.
-pub(crate) fn version_for_log(version: Option<&SoftwareVersion>) -> &str {
-    version.map_or("-", String::as_str)
-}
-
 /// How an upstream answered this node recently.
 #[derive(Clone, Copy, Debug, Default)]
 struct Health {
--- /dev/null
+++ b/src/forward/upstream_entry.rs
@@ -0,0 +1,52 @@
+//! The registration of one incarnation of an upstream.
+
+use std::net::SocketAddr;
+
+use crate::id::{DataCentreId, ServiceId, UpstreamId};
+
+/// Version of the software that an upstream runs, as its registration states it.
+/// It has no order, and is not the version of a model's weights.
+pub(crate) type SoftwareVersion = String;
+
+/// An upstream's registration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct UpstreamEntry {
+    /// Id of this incarnation.
+    pub(crate) id: UpstreamId,
+    /// Start of this incarnation, in Unix milliseconds; zero if unknown.
+    pub(crate) born_unix_ms: u64,
+    /// Service that the upstream belongs to.
+    pub(crate) service: ServiceId,
+    /// Address at which the upstream listens for calls.
+    pub(crate) address: SocketAddr,
+    /// Data centre that the upstream runs in.
+    pub(crate) data_centre: DataCentreId,
+    /// Version of the upstream's software; `None` if unknown.
+    pub(crate) software_version: Option<SoftwareVersion>,
+    /// Maximum number of calls that the upstream runs at once.
+    pub(crate) slot_count: u32,
+    /// Whether the upstream is draining: it accepts no new calls.
+    pub(crate) draining: bool,
+}
+
+impl UpstreamEntry {
+    /// Whether `other` describes the same start of the upstream, as far as is known.
+    pub(crate) fn is_same_start(&self, other: &Self) -> bool {
+        let (start, other_start) = (self.born_unix_ms, other.born_unix_ms);
+        self.id == other.id && (start == other_start || start == 0 || other_start == 0)
+    }
+
+    /// Whether `other` is a later incarnation at the same address. After a crash,
+    /// the store keeps the old entry beside the successor's until it expires,
+    /// which takes some heartbeat intervals.
+    pub(crate) fn precedes(&self, other: &Self) -> bool {
+        self.address == other.address
+            && self.id != other.id
+            && self.born_unix_ms < other.born_unix_ms
+    }
+}
+
+/// A software version in the log; `-` if unknown.
+pub(crate) fn version_for_log(version: Option<&SoftwareVersion>) -> &str {
+    version.map_or("-", String::as_str)
+}
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinHandle;
 
 use super::asked_rest::AskedRest;
+use super::framing::Framing;
 use super::free_address;
 use super::named_limit::NamedLimit;
 use super::process::StandInProcess;
@@ -94,38 +95,6 @@
     server: Mutex<Option<JoinHandle<()>>>,
 }
 
-/// How an answer's end is marked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    Chunked,
-    /// The answer ends with its connection.
-    CloseDelimited,
-}
-
-impl Framing {
-    fn of(is_close_delimited: bool) -> Self {
-        if is_close_delimited {
-            Self::CloseDelimited
-        } else {
-            Self::Chunked
-        }
-    }
-
-    fn header(self) -> &'static str {
-        match self {
-            Self::Chunked => "transfer-encoding: chunked\r\n",
-            Self::CloseDelimited => "",
-        }
-    }
-
-    fn frame(self, data: &[u8]) -> Vec<u8> {
-        match self {
-            Self::Chunked => [format!("{:x}\r\n", data.len()).as_bytes(), data, b"\r\n"].concat(),
-            Self::CloseDelimited => data.to_vec(),
-        }
-    }
-}
-
 /// The crashing part of a prompt, and the number of events that an engine sends before
 /// the part crashes it; none if the prompt has no crashing part.
 fn crashing_part(request: &RawRequest) -> Option<(String, u64)> {
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -9,6 +9,7 @@
 pub mod client_process;
 pub mod engine;
 pub mod first_tries;
+pub mod framing;
 pub mod named_limit;
 pub mod process;
 pub mod proxy;
