--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -10,6 +10,7 @@
 pub mod double_run;
 pub mod engine;
 pub mod first_tries;
+pub mod framing;
 pub mod leaving_callers;
 pub mod named_limit;
 pub mod process;
