--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -18,6 +18,7 @@
 use super::send_probe::SendClearance;
 use super::unanswered_send::UnansweredSend;
 use super::upstream::{Upstream, Work};
+use super::write_signal::WriteSignal;
 use crate::id::UpstreamId;
 use crate::platform::answer::{self, AnswerHeaders};
 use crate::policy::answer_class::{AnswerClass, classify};
@@ -67,6 +68,9 @@
     /// value is its id, if the answer states it.
     #[error("another upstream listens at its address")]
     Misdirected(Option<UpstreamId>),
+    /// The upstream is silent, and no byte of the call was sent into its silence.
+    #[error("call not sent: upstream is silent")]
+    Silent,
     /// The upstream asked this node for rest after it was chosen.
     #[error("call not sent: upstream rests")]
     Resting,
@@ -80,10 +84,18 @@
 }
 
 impl AttemptFailure {
+    /// Whether no byte of the call left this node.
+    pub(crate) fn is_unsent(&self) -> bool {
+        matches!(
+            self,
+            Self::NotConnected(_) | Self::NotSent(_) | Self::Silent | Self::Resting
+        )
+    }
+
     /// Whether the failure suggests that this node has no path to the upstream.
     pub(crate) fn suggests_no_path(&self) -> bool {
         match self {
-            Self::NotConnected(_) | Self::MayHaveRun(_) | Self::Abandoned(_) => true,
+            Self::NotConnected(_) | Self::Silent | Self::MayHaveRun(_) | Self::Abandoned(_) => true,
             Self::NotSent(_) | Self::Resting | Self::NotExecuted | Self::Misdirected(_) => false,
         }
     }
@@ -100,12 +112,13 @@
     }
 
     /// Sends the call, whose caller gave it `call_id`, and waits for the head of the
-    /// answer.
+    /// answer. `written` is set when its bytes begin to leave.
     ///
     /// Dropping the future closes the connection, which cancels the call.
     pub(crate) async fn send(
         self,
         _clearance: SendClearance,
+        written: &WriteSignal,
         call_id: Option<&HeaderValue>,
     ) -> Result<Attempt<Answered>, AttemptFailure> {
         let Self {
@@ -119,10 +132,14 @@
         let unanswered = UnansweredSend::new(&upstream, call_id);
         let sent_at = unanswered.sent_at();
         upstream.record_send(sent_at);
-        let answered = upstream
-            .pool
-            .send_if(request, || !upstream.is_resting())
-            .await;
+        let begin_write = || {
+            let may_send = !upstream.is_resting();
+            if may_send {
+                written.set();
+            }
+            may_send
+        };
+        let answered = upstream.pool.send_if(request, begin_write).await;
         unanswered.ended();
         let (connection, response) = answered.map_err(AttemptFailure::from)?;
         let headers = answer::read(response.status(), response.headers(), call_id);
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -50,6 +50,7 @@
 mod upstream_entry;
 pub(crate) mod upstream_permits;
 pub(crate) mod version_history;
+pub(crate) mod write_signal;
 
 #[cfg(test)]
 mod tests;
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -14,6 +14,7 @@
 use super::send_history::SendHistory;
 use super::send_probe::SendPlan;
 use super::upstream::{Upstream, Work};
+use super::write_signal::WriteSignal;
 use crate::http::HttpResponse;
 use crate::observe::metrics::{Counter, Span};
 use crate::platform::call::UpstreamHeaders;
@@ -45,6 +46,8 @@
 #[derive(Debug)]
 struct PlainCallState {
     tried: Vec<Arc<Upstream>>,
+    /// Upstreams that were silent when the call was due there. Each may be chosen again once.
+    silent: Vec<Arc<Upstream>>,
     /// The sends in flight; more than one only if the call may be repeated.
     pending: Vec<PendingSend>,
     sends: SendHistory,
@@ -61,6 +64,7 @@
     fn new() -> Self {
         Self {
             tried: Vec::new(),
+            silent: Vec::new(),
             pending: Vec::new(),
             sends: SendHistory::new(),
             server_error: None,
@@ -70,13 +74,14 @@
     }
 
     /// Records the start of a send.
-    fn begin_send(&mut self, upstream: &Arc<Upstream>) {
+    fn begin_send(&mut self, upstream: &Arc<Upstream>) -> WriteSignal {
         self.tried.push(upstream.clone());
-        self.sends.begin();
+        let written = self.sends.begin();
         self.pending.push(PendingSend {
             upstream: upstream.clone(),
             sent_at: Instant::now(),
         });
+        written
     }
 
     /// Records the result of a send in the averages of its upstream.
@@ -87,6 +92,15 @@
         }
     }
 
+    /// Allows that the call returns once to an upstream to which nothing was sent.
+    fn allow_return(&mut self, upstream: &Arc<Upstream>) {
+        let is_same = |other: &Arc<Upstream>| Arc::ptr_eq(other, upstream);
+        if !self.silent.iter().any(is_same) {
+            self.tried.retain(|other| !is_same(other));
+            self.silent.push(upstream.clone());
+        }
+    }
+
     /// Avoids the upstreams that have not answered.
     fn avoid_silent_upstreams(&self) {
         let now = Instant::now();
@@ -160,8 +174,9 @@
         loop {
             if let Some(upstream) = self.next_upstream(call, state).await {
                 state.avoid_silent_upstreams();
-                state.begin_send(&upstream);
-                sends.push(self.send(call, upstream, state.tried.clone()));
+                let written = state.begin_send(&upstream);
+                let tried = state.tried.clone();
+                sends.push(self.send(call, upstream, tried, written));
             }
             let ended = if may_repeat {
                 tokio::time::timeout(HEDGE_DELAY, sends.next()).await
@@ -209,6 +224,9 @@
             Err(failure) => {
                 self.handle_failure(call, &upstream, &failure);
                 state.sends.record_failure(&failure);
+                if matches!(failure, AttemptFailure::Silent) {
+                    state.allow_return(&upstream);
+                }
                 state.cause = format!("{}: {failure}", upstream.entry.id);
                 if matches!(failure, AttemptFailure::MayHaveRun(_)) {
                     self.check_for_crash(call, &upstream, false);
@@ -267,8 +285,9 @@
         call: &Call,
         upstream: Arc<Upstream>,
         tried: Vec<Arc<Upstream>>,
+        written: WriteSignal,
     ) -> SendResult {
-        let answer = self.request_answer(call, &upstream, &tried).await;
+        let answer = self.request_answer(call, &upstream, &tried, &written).await;
         SendResult { upstream, answer }
     }
 
@@ -277,7 +296,10 @@
         call: &Call,
         upstream: &Arc<Upstream>,
         tried: &[Arc<Upstream>],
+        written: &WriteSignal,
     ) -> Result<HttpResponse, AttemptFailure> {
+        // A call that waits counts too, or nobody would notice that no upstream is reached.
+        let work = Work::call(upstream, 0, 0);
         let plan = SendPlan {
             upstream,
             tried,
@@ -298,10 +320,9 @@
             resume_from: None,
         });
         self.metrics.add(Counter::UpstreamSends, 1);
-        let work = Work::call(upstream, 0, 0);
         let attempt = Attempt::new(upstream.clone(), work, request);
         let answered: Attempt<Answered> = attempt
-            .send(clearance, call.headers.call_id.as_ref())
+            .send(clearance, written, call.headers.call_id.as_ref())
             .await?;
         self.record_connected(&answered);
         let read = answer_body::read(answered, call.deadline).await;
@@ -351,7 +372,8 @@
                 upstream.avoid(now);
             }
             AttemptFailure::NotExecuted => upstream.mark_full(now),
-            AttemptFailure::Resting => {}
+            // A probe that waits for its answer ranks a silent upstream behind others.
+            AttemptFailure::Silent | AttemptFailure::Resting => {}
         }
     }
 }
--- a/src/forward/present_answer.rs
+++ b/src/forward/present_answer.rs
@@ -9,6 +9,7 @@
 
 use super::connection::Connection;
 use super::upstream::Upstream;
+use super::write_signal::WriteSignal;
 
 /// The part of an answer that has not arrived. Dropping it closes the connection,
 /// which cancels the run.
@@ -25,8 +26,8 @@
     upstream: Arc<Upstream>,
     call_id: String,
     broke: Option<hyper::Error>,
-    /// When the call was sent to the other upstream.
-    sent_elsewhere_at: Option<Instant>,
+    /// Set when the call is sent to the other upstream.
+    sent_elsewhere: Option<WriteSignal>,
 }
 
 impl PresentAnswer {
@@ -36,13 +37,13 @@
             upstream: upstream.clone(),
             call_id: call_id.to_owned(),
             broke: None,
-            sent_elsewhere_at: None,
+            sent_elsewhere: None,
         }
     }
 
-    /// Records that the call is being sent to the other upstream.
-    pub(super) fn sent_elsewhere(&mut self) {
-        self.sent_elsewhere_at = Some(Instant::now());
+    /// Records that the call goes to another upstream, and the signal of that send.
+    pub(super) fn moves_with(&mut self, written: WriteSignal) {
+        self.sent_elsewhere = Some(written);
     }
 
     /// Whether the upstream reads a close, as far as is known. One that can't be reached
@@ -74,7 +75,8 @@
     /// Until the upstream reads the close, both may work on the call, so the log states
     /// for how long, see `docs/OPERATIONS.md`.
     pub(super) fn close(self) -> Option<hyper::Error> {
-        let overlap = self.sent_elsewhere_at.map(|at| at.elapsed().as_millis());
+        let sent_elsewhere_at = self.sent_elsewhere.and_then(|signal| signal.written_at());
+        let overlap = sent_elsewhere_at.map(|at| at.elapsed().as_millis());
         let silence = self.upstream.time_since_contact(Instant::now());
         log::info!(
             "event=run_closed call={} upstream={} had_broken={} overlap_ms={overlap:?} heard_ms_ago={:?}",
--- a/src/forward/send_history.rs
+++ b/src/forward/send_history.rs
@@ -1,6 +1,7 @@
 //! Counts the sends of a call, and tracks whether one of them may have run it.
 
 use super::attempt::AttemptFailure;
+use super::write_signal::WriteSignal;
 use crate::policy::failure_response::Progress;
 
 /// The sends of one call so far. Sends of a plain call may overlap.
@@ -11,6 +12,8 @@
     unconnected_count: u32,
     /// Sends that were begun, less those that ended and cannot have run the call.
     may_have_run_count: u32,
+    /// The sends that were begun, less those that ended unsent.
+    writes: Vec<WriteSignal>,
 }
 
 impl SendHistory {
@@ -21,14 +24,23 @@
             undelivered_count: 0,
             unconnected_count: 0,
             may_have_run_count: 0,
+            writes: Vec::new(),
         }
     }
 
-    /// Records the start of a send. Until it is known how the send ends, the
-    /// call may be running.
-    pub(crate) fn begin(&mut self) {
+    /// Records the start of a send, which sets the signal when its bytes leave. From then
+    /// on, until it is known how the send ends, the call may be running.
+    pub(crate) fn begin(&mut self) -> WriteSignal {
+        let written = WriteSignal::default();
+        self.begin_with(&written);
+        written
+    }
+
+    /// Records the start of a send like [`Self::begin`], with this signal.
+    pub(crate) fn begin_with(&mut self, written: &WriteSignal) {
         self.may_have_run_count += 1;
         self.sent_count += 1;
+        self.writes.push(written.clone());
     }
 
     /// Records that a send failed. Returns true if this send cannot have made an
@@ -44,16 +56,27 @@
                 self.sent_count -= 1;
                 self.undelivered_count += 1;
             }
-            AttemptFailure::Resting => self.sent_count -= 1,
+            AttemptFailure::Silent | AttemptFailure::Resting => self.sent_count -= 1,
             AttemptFailure::Misdirected(_) => self.undelivered_count += 1,
             AttemptFailure::NotExecuted => {}
             AttemptFailure::MayHaveRun(_) | AttemptFailure::Abandoned(_) => return false,
         }
         self.may_have_run_count -= 1;
+        if failure.is_unsent() {
+            self.remove_unwritten();
+        }
         true
     }
 
-    /// Number of sends of which bytes left this node.
+    /// Drops one of the sends of which no byte has left.
+    fn remove_unwritten(&mut self) {
+        let unwritten = self.writes.iter().position(|w| w.written_at().is_none());
+        if let Some(at) = unwritten {
+            self.writes.swap_remove(at);
+        }
+    }
+
+    /// Number of sends of which bytes left this node, or still may.
     pub(crate) fn sent_count(&self) -> u32 {
         self.sent_count
     }
@@ -70,7 +93,8 @@
 
     /// Whether an upstream may have run the call.
     pub(crate) fn progress(&self) -> Progress {
-        if self.may_have_run_count == 0 {
+        let waiting = self.writes.iter().filter(|w| w.written_at().is_none());
+        if self.may_have_run_count as usize <= waiting.count() {
             Progress::NotRun
         } else {
             Progress::MayHaveRun
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -24,6 +24,7 @@
 use super::send_history::SendHistory;
 use super::send_probe::SendPlan;
 use super::upstream::{Upstream, Work, version_for_log};
+use super::write_signal::WriteSignal;
 use crate::http::HttpResponse;
 use crate::observe::metrics::Counter;
 use crate::platform::call::{ReplicaRef, UpstreamHeaders};
@@ -66,6 +67,8 @@
     pub(super) replica: ReplicaSlot,
     /// Set when the stream was moved away from a silent upstream.
     pub(super) next: Option<NextUpstream>,
+    /// Set when the bytes of the next send begin to leave.
+    pub(super) next_write: WriteSignal,
     /// Index of the last event that the caller has received.
     pub(super) last_event: Option<u64>,
     /// The upstream that sent the first event of the run, if an event was passed
@@ -114,6 +117,7 @@
             origin: None,
             is_origin_recorded: false,
             next: None,
+            next_write: WriteSignal::default(),
             crash_check: None,
             has_survived: false,
             event_count: 0,
@@ -170,9 +174,10 @@
             };
             let NextUpstream { upstream, replica } = next;
             self.tried.push(upstream.clone());
-            self.sends.begin();
+            let written = std::mem::take(&mut self.next_write);
+            self.sends.begin_with(&written);
             self.has_upstream_sent_event = false;
-            let failure = match self.send(&upstream, replica).await {
+            let failure = match self.send(&upstream, replica, &written).await {
                 Ok(attempt) if attempt.state.headers.status.is_success() => {
                     self.forwarder.record_connected(&attempt);
                     return Ok(attempt);
@@ -182,6 +187,9 @@
             };
             self.forwarder
                 .handle_failure(&self.call, &upstream, &failure);
+            if written.written_at().is_none() {
+                self.next_write = written;
+            }
             if self.sends.record_failure(&failure) {
                 // The run did not begin, so no replica of it was streamed.
                 lock(&self.replica).take();
@@ -317,6 +325,7 @@
         &mut self,
         upstream: &Arc<Upstream>,
         replica: Option<RunReplica>,
+        written: &WriteSignal,
     ) -> Result<Attempt<Answered>, AttemptFailure> {
         let has_replica = replica.is_some();
         // A holder that restarted has no replica and refuses the call itself.
@@ -329,6 +338,14 @@
                 "the engine did not report, or has restarted since it registered",
             ));
         }
+        let (own_prompt_tokens, own_calls) =
+            (upstream.pending_prompt_tokens(), upstream.call_count());
+        let prompt_tokens = if has_replica {
+            REPLICA_PREFILL_TOKENS
+        } else {
+            self.call.headers.prompt_tokens
+        };
+        let work = Work::call(upstream, prompt_tokens, self.call.kv_cache_tokens());
         let plan = SendPlan {
             upstream,
             tried: &self.tried,
@@ -364,23 +381,17 @@
             self.last_event,
             self.call.resumed_id().unwrap_or("-"),
             self.origin_for_log(),
-            upstream.pending_prompt_tokens(),
-            upstream.call_count(),
+            own_prompt_tokens,
+            own_calls,
             self.call.age().as_millis()
         );
         *lock(&self.replica) = next_replica;
-        let prompt_tokens = if has_replica {
-            REPLICA_PREFILL_TOKENS
-        } else {
-            self.call.headers.prompt_tokens
-        };
-        let work = Work::call(upstream, prompt_tokens, self.call.kv_cache_tokens());
         let attempt = Attempt::new(upstream.clone(), work, request);
         let forwarder = &self.forwarder;
         forwarder.metrics.add(Counter::UpstreamSends, 1);
         let mut loss_watch = LossWatch::new(&forwarder.directory, upstream.clone());
         let call_id = self.call.headers.call_id.clone();
-        let sending = attempt.send(clearance, call_id.as_ref());
+        let sending = attempt.send(clearance, written, call_id.as_ref());
         tokio::pin!(sending);
         loop {
             let forwarder = self.forwarder.clone();
--- a/src/forward/stream_move.rs
+++ b/src/forward/stream_move.rs
@@ -22,6 +22,7 @@
 use super::stream_call::{NextUpstream, OpenFailure, StreamRun};
 use super::stream_relay::EventSender;
 use super::upstream::Upstream;
+use super::write_signal::WriteSignal;
 use crate::observe::metrics::Counter;
 use crate::policy::failure_response::GiveUpReason;
 use crate::policy::liveness::OVERLAP_MAX;
@@ -93,8 +94,9 @@
     }
 
     /// Waits for the first of two: the other upstream answers, or the present one
-    /// goes on. A present one that can be reached is cancelled after [`OVERLAP_MAX`]: the
-    /// other has not refused the call by then, and may work on it long before it answers.
+    /// goes on. A present one that can be reached is cancelled [`OVERLAP_MAX`] after the call
+    /// was sent to the other, which has not refused it by then, and may work on it long
+    /// before it answers.
     async fn race_move(&mut self, mut present: PresentAnswer, sender: &EventSender) -> MoveOutcome {
         let deadline = self.call.deadline;
         let is_prepared = tokio::select! {
@@ -104,8 +106,14 @@
         if !is_prepared {
             return stays(present);
         }
-        present.sent_elsewhere();
+        let written = WriteSignal::default();
+        self.next_write = written.clone();
+        present.moves_with(written.clone());
         let is_reached = present.is_reached();
+        let overlap_ends = async {
+            written.wait().await;
+            tokio::time::sleep(OVERLAP_MAX).await;
+        };
         let opening = self.open();
         tokio::pin!(opening);
         tokio::select! {
@@ -114,7 +122,7 @@
                 Ok(attempt) => MoveOutcome::Moved(Box::new(attempt), present.close()),
                 Err(_) => stays(present),
             },
-            () = tokio::time::sleep(OVERLAP_MAX), if is_reached => {}
+            () = overlap_ends, if is_reached => {}
         }
         let broke = present.close();
         tokio::select! {
--- a/src/forward/tests/send_history.rs
+++ b/src/forward/tests/send_history.rs
@@ -7,7 +7,7 @@
 fn history_of_failed_sends(failures: &[AttemptFailure]) -> SendHistory {
     let mut history = SendHistory::new();
     for failure in failures {
-        history.begin();
+        history.begin().set();
         history.record_failure(failure);
     }
     history
@@ -21,7 +21,7 @@
 fn a_call_in_flight_may_have_run() {
     let mut history = SendHistory::new();
 
-    history.begin();
+    history.begin().set();
 
     assert_eq!(history.progress(), Progress::MayHaveRun);
 }
@@ -48,8 +48,8 @@
 #[test]
 fn a_call_whose_overlapping_sends_all_failed_to_leave_the_node_has_not_run() {
     let mut history = SendHistory::new();
-    history.begin();
-    history.begin();
+    history.begin().set();
+    history.begin().set();
 
     history.record_failure(&AttemptFailure::NotSent("timed out"));
     assert_eq!(history.progress(), Progress::MayHaveRun);
@@ -61,10 +61,33 @@
 #[test]
 fn a_call_may_have_run_while_an_earlier_send_goes_on() {
     let mut history = SendHistory::new();
-    history.begin();
-    history.begin();
+    history.begin().set();
+    history.begin().set();
 
     history.record_failure(&AttemptFailure::NotExecuted);
 
     assert_eq!(history.progress(), Progress::MayHaveRun);
 }
+
+#[test]
+fn a_call_of_which_no_byte_has_left_has_not_run() {
+    let mut history = SendHistory::new();
+    let written = history.begin();
+
+    assert_eq!(history.progress(), Progress::NotRun);
+    written.set();
+
+    assert_eq!(history.progress(), Progress::MayHaveRun);
+}
+
+#[test]
+fn a_send_that_ended_unsent_does_not_hide_one_that_left() {
+    let mut history = SendHistory::new();
+    history.begin().set();
+    let _waiting = history.begin();
+
+    history.record_failure(&AttemptFailure::Silent);
+
+    assert_eq!(history.progress(), Progress::MayHaveRun);
+    assert_eq!((history.sent_count(), history.undelivered_count()), (1, 0));
+}
