Check again what held when a call's upstream was chosen, once its probe is answered (GONE)

Found by a review of the probe that precedes sends: after a wait of up to the deadline a call went to an upstream that drains or is gone (DRAIN), or without a permit of a limit that began meanwhile (LIMIT); an answered probe wiped the memory of failed calls, so that an upstream which answers health checks and fails calls was tried again at once (BUDGET); a waiter that ran late asked again though the upstream had just answered; a paused engine got a second probe beside the one that waits for it.

Change: draining, the directory and the limit are checked after the wait; an answer to a probe shows life and keeps the avoidance of failed calls; any sign of life since the wait began releases the call; no probe is begun where one met silence; an upstream whose probe had no answer for two seconds is avoided; a handshake ends the belief that a host can't be reached; an unreadable health path is no probe.

--- a/src/forward/send_probe.rs
+++ b/src/forward/send_probe.rs
@@ -10,8 +10,8 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::Request;
 use hyper::header::HOST;
+use hyper::{Request, Uri};
 use tokio::sync::Notify;
 
 use super::attempt::AttemptFailure;
@@ -108,18 +108,24 @@
     /// Waits until a call may be sent to its upstream: at once, or after the upstream has
     /// answered a probe. Fails if the upstream can't be reached, or is silent while the
     /// call may go to another one.
+    ///
+    /// What held when the upstream was chosen may have changed in a long wait, and is
+    /// checked again.
     pub(crate) async fn clear_send(
         self: &Arc<Self>,
         plan: SendPlan<'_>,
     ) -> Result<SendClearance, AttemptFailure> {
         let upstream = plan.upstream;
         let started_at = Instant::now();
+        let was_limited = upstream.is_limited();
         let mut patience_ends_at = None;
         loop {
             let changed = upstream.send_probe.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            if !self.conditions(upstream).need_probe() {
+            let conditions = self.conditions(upstream);
+            if !conditions.need_probe() || upstream.was_heard_since(started_at) {
+                self.check_after_wait(upstream, was_limited).await?;
                 return Ok(SendClearance(()));
             }
             match upstream.send_probe.failure_since(started_at) {
@@ -145,13 +151,32 @@
                 .is_err()
             {
                 if self.has_other(&plan) {
-                    return Err(AttemptFailure::NotSent("the upstream is silent"));
+                    return Err(AttemptFailure::Silent);
                 }
                 patience_ends_at = Some(Instant::now() + patience);
             }
         }
     }
 
+    /// Checks that the upstream still takes calls, and gets a permit if it began to limit
+    /// them after it was chosen.
+    async fn check_after_wait(
+        &self,
+        upstream: &Arc<Upstream>,
+        was_limited: bool,
+    ) -> Result<(), AttemptFailure> {
+        let known = self.directory.get(&upstream.entry.id);
+        let is_known = known.is_some_and(|known| Arc::ptr_eq(&known, upstream));
+        if upstream.is_draining() || !is_known {
+            return Err(AttemptFailure::NotSent("the upstream leaves"));
+        }
+        if !was_limited && upstream.is_limited() {
+            let permit = self.acquire_permit(upstream).await;
+            return permit.map_err(|_| AttemptFailure::Resting);
+        }
+        Ok(())
+    }
+
     fn conditions(&self, upstream: &Upstream) -> SendConditions {
         let now = Instant::now();
         SendConditions {
@@ -183,7 +208,9 @@
         let Some(path) = self.probe_path(upstream) else {
             return false;
         };
-        if upstream.send_probe.begin(Instant::now()) {
+        let now = Instant::now();
+        // The answer to the probe that met silence is awaited, and wakes the calls.
+        if !upstream.has_silent_probe(now) && upstream.send_probe.begin(now) {
             self.metrics.add(Counter::SendProbes, 1);
             tokio::spawn(probe(upstream.clone(), path));
         }
@@ -196,7 +223,8 @@
         if options.engine.is_some() {
             return Some(REPORT_PATH.to_owned());
         }
-        options.health_path
+        let is_valid = |path: &String| path.parse::<Uri>().is_ok();
+        options.health_path.filter(is_valid)
     }
 }
 
@@ -219,8 +247,11 @@
             time.as_millis()
         );
     }
-    if matches!(answered, Ok(Ok(()))) {
-        upstream.record_contact(Instant::now());
+    match &answered {
+        Ok(Ok(())) => upstream.record_alive(Instant::now()),
+        Ok(Err(_)) => {}
+        // Beyond what a sound upstream's silence lasts.
+        Err(_) => upstream.avoid(Instant::now()),
     }
     upstream.send_probe.end(failure, Instant::now());
 }
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -146,10 +146,29 @@
         self.send_probe.notify_heard();
     }
 
+    /// Records that the upstream answered a request that is no call. Whether it serves calls
+    /// is not known, so one that is avoided because calls failed stays so.
+    pub(crate) fn record_alive(&self, now: Instant) {
+        let mut health = self.health();
+        health.contacted_at = Some(now);
+        health.silent_probe_at = None;
+        health.is_unreachable = false;
+        drop(health);
+        self.send_probe.notify_heard();
+    }
+
+    /// Whether anything of the upstream arrived at or after `since`.
+    pub(crate) fn was_heard_since(&self, since: Instant) -> bool {
+        self.health().contacted_at.is_some_and(|at| at >= since)
+    }
+
     /// Records that a probe met silence. The upstream may be lost, or may go on.
     pub(crate) fn mark_silent(&self, now: Instant) {
         self.avoid(now);
-        self.health().silent_probe_at = Some(now);
+        let mut health = self.health();
+        health.silent_probe_at = Some(now);
+        // Its host completed a handshake.
+        health.is_unreachable = false;
     }
 
     /// Records that the host of the upstream completed no handshake.
