Avoid a silent engine until it is heard, or may be probed again

After 400 ms a paused engine got new calls again, as trials. Found by reading for what hung on the probes it took away.

A silent engine is now avoided for the two seconds until the next probe; whatever arrives from it ends that at once. The new unit test fails without the change.

--- a/src/forward/tests/probe.rs
+++ b/src/forward/tests/probe.rs
@@ -12,7 +12,7 @@
 use crate::forward::probe::{LossReason, LossWatch, ProbeFailure, check_alive};
 use crate::forward::upstream::{Upstream, UpstreamEntry};
 use crate::observe::metrics::Metrics;
-use crate::policy::liveness::{StreamPhase, probe_delay};
+use crate::policy::liveness::{SOUND_SILENCE_MAX, StreamPhase, probe_delay};
 
 /// A port on which nothing listens.
 const CLOSED_PORT: u16 = 1;
@@ -106,3 +106,19 @@
     assert_eq!(unreachable, Err(ProbeFailure::Unreachable));
     assert_eq!(refused, Err(ProbeFailure::Broken));
 }
+
+/// It is probed once, so nothing else keeps new calls away from it.
+#[test]
+fn a_silent_engine_is_avoided_until_it_is_heard_or_may_be_probed_again() {
+    let engine = unreachable_upstream("e1");
+    let now = Instant::now();
+
+    engine.mark_silent(now);
+    let before_next_probe = now + SOUND_SILENCE_MAX - Duration::from_millis(1);
+    let is_avoided = engine.avoided_until(before_next_probe).is_some();
+    engine.record_contact(now);
+    let is_avoided_when_heard = engine.avoided_until(now).is_some();
+
+    assert!(is_avoided);
+    assert!(!is_avoided_when_heard);
+}
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -173,10 +173,14 @@
         health.failure_count = 0;
     }
 
-    /// Records that a probe met silence. The upstream may be lost, or may go on.
+    /// Records that a probe met silence. The upstream may be lost, or may go on. It is
+    /// avoided until something arrives, or until it may be probed again.
     pub(crate) fn mark_silent(&self, now: Instant) {
         self.avoid(now);
-        self.health().silent_probe_at = Some(now);
+        let mut health = self.health();
+        health.silent_probe_at = Some(now);
+        let until = now + SOUND_SILENCE_MAX;
+        health.avoided_until = health.avoided_until.max(Some(until));
     }
 
     /// Records that the host of the upstream completed no handshake.
