--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -151,8 +151,11 @@
     pub(crate) fn record_alive(&self, now: Instant) {
         let mut health = self.health();
         health.contacted_at = Some(now);
-        health.silent_probe_at = None;
         health.is_unreachable = false;
+        if health.silent_probe_at.take().is_some() {
+            // It was avoided for its silence.
+            health.avoided_until = None;
+        }
         drop(health);
         self.send_probe.notify_heard();
     }
@@ -162,13 +165,16 @@
         self.health().contacted_at.is_some_and(|at| at >= since)
     }
 
-    /// Records that a probe met silence. The upstream may be lost, or may go on.
+    /// Records that a probe met silence. The upstream may be lost, or may go on. It is
+    /// avoided until something arrives, or until it may be probed again.
     pub(crate) fn mark_silent(&self, now: Instant) {
         self.avoid(now);
         let mut health = self.health();
         health.silent_probe_at = Some(now);
         // Its host completed a handshake.
         health.is_unreachable = false;
+        let until = now + SOUND_SILENCE_MAX;
+        health.avoided_until = health.avoided_until.max(Some(until));
     }
 
     /// Records that the host of the upstream completed no handshake.
