--- a/src/policy/send_probe.rs
+++ b/src/policy/send_probe.rs
@@ -12,7 +12,7 @@
 /// sent into a silence within this time may be read late.
 const HEARD_MAX_AGE: Duration = Duration::from_millis(5);
 /// Time for which a caller that left its call unanswered lets more of them be expected.
-const DEPARTURE_MEMORY: Duration = Duration::from_secs(10);
+const DEPARTURE_MEMORY: Duration = Duration::from_secs(30);
 /// Shortest time without an answer after which an upstream counts as silent.
 const PATIENCE_MIN: Duration = Duration::from_millis(100);
 /// The same time as a multiple of the average latency.
