--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -9,6 +9,7 @@
 
 use tokio::sync::broadcast;
 
+use super::departed_wishes::DepartedWishes;
 use super::observation::{Observation, Observations};
 use super::probe::ProbeFailure;
 use super::run_origin::RunOrigin;
@@ -37,6 +38,7 @@
     expiry: EntryExpiry,
     outage_detector: OutageDetector,
     version_history: VersionHistory,
+    departed_wishes: DepartedWishes,
 }
 
 impl State {
@@ -59,9 +61,27 @@
 
     fn remove(&mut self, id: &UpstreamId, now: Instant) {
         if let Some(upstream) = self.upstreams.remove(id) {
-            self.version_history.record_departure(&upstream, now);
+            self.record_departure(&upstream, now);
         }
     }
+
+    fn record_departure(&mut self, upstream: &Upstream, now: Instant) {
+        self.version_history.record_departure(upstream, now);
+        self.departed_wishes.keep(upstream);
+    }
+
+    /// Adds the upstream that an entry describes, and returns the one that it replaces.
+    fn insert(&mut self, entry: UpstreamEntry) -> Option<Arc<Upstream>> {
+        let replaced = self.upstreams.remove(&entry.id);
+        if let Some(replaced) = &replaced {
+            self.record_departure(replaced, Instant::now());
+        }
+        let wishes = self.departed_wishes.find(&entry).unwrap_or_default();
+        let id = entry.id.clone();
+        let upstream = Arc::new(Upstream::with_wishes(entry, wishes));
+        self.upstreams.insert(id, upstream);
+        replaced
+    }
 }
 
 impl Directory {
@@ -99,14 +119,13 @@
         if let Some(known) = state.upstreams.get(&entry.id)
             && known.is_same_incarnation(&entry)
         {
-            if known.is_draining() != entry.draining {
+            if known.set_draining(entry.draining) {
                 log::info!(
                     "event=upstream_state upstream={} draining={}",
                     entry.id,
                     entry.draining
                 );
             }
-            known.set_draining(entry.draining);
             if let Some(version) = entry.software_version {
                 known.learn_software_version(version);
             }
@@ -116,13 +135,7 @@
             return None;
         }
         let mut superseded = state.take_earlier_incarnations(&entry);
-        let upstream = Arc::new(Upstream::new(entry.clone()));
-        let replaced = state.upstreams.insert(entry.id.clone(), upstream);
-        if let Some(replaced) = replaced {
-            let now = Instant::now();
-            state.version_history.record_departure(&replaced, now);
-            superseded.push(replaced);
-        }
+        superseded.extend(state.insert(entry.clone()));
         drop(state);
         for upstream in superseded {
             self.notify_lost(&upstream, "superseded", Instant::now());
@@ -295,9 +308,11 @@
     ) {
         match failure {
             ProbeFailure::Silent => self.mark_silent(upstream, cause, now),
-            ProbeFailure::Unreachable | ProbeFailure::Broken => {
+            ProbeFailure::Unreachable => {
+                upstream.mark_unreachable();
                 self.mark_lost(upstream, cause, now);
             }
+            ProbeFailure::Broken => self.mark_lost(upstream, cause, now),
         }
     }
 
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -17,13 +17,16 @@
 
 pub(crate) mod answer_body;
 pub(crate) mod attempt;
+pub(crate) mod caller_departures;
 pub(crate) mod caller_resume;
 pub(crate) mod connection;
+mod departed_wishes;
 pub(crate) mod directory;
 pub(crate) mod forwarder;
 pub(crate) mod incarnation_check;
 pub(crate) mod observation;
 pub(crate) mod plain_call;
+pub(crate) mod present_answer;
 pub(crate) mod probe;
 pub(crate) mod reach_monitor;
 pub(crate) mod refusal;
@@ -35,6 +38,7 @@
 pub(crate) mod run_origin;
 pub(crate) mod run_replica;
 pub(crate) mod send_history;
+pub(crate) mod send_probe;
 pub(crate) mod sessions;
 pub(crate) mod stream_call;
 pub(crate) mod stream_choice;
@@ -43,8 +47,10 @@
 pub(crate) mod successor;
 pub(crate) mod unanswered_send;
 pub(crate) mod upstream;
+mod upstream_entry;
 pub(crate) mod upstream_permits;
 pub(crate) mod version_history;
+pub(crate) mod write_signal;
 
 #[cfg(test)]
 mod tests;
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -1,7 +1,6 @@
 //! One incarnation of an upstream: one start of it, with its registration, its
 //! recent health, and the load that this node puts on it.
 
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
@@ -9,66 +8,28 @@
 use tokio::sync::watch;
 
 use super::connection::ConnectionPool;
-use crate::id::{DataCentreId, ServiceId, UpstreamId};
-use crate::platform::answer::StatedLimit;
+use super::send_probe::SendProbe;
+pub(crate) use super::upstream_entry::{SoftwareVersion, UpstreamEntry, version_for_log};
+use crate::platform::answer::{AnswerHeaders, StatedLimit};
 use crate::policy::liveness::{SILENT_PROBE_INTERVAL, SOUND_SILENCE_MAX};
+use crate::policy::send_decision::{self, SendDecision};
+use crate::policy::send_probe::answer_patience;
 use crate::policy::upstream_limit::UpstreamLimit;
+use crate::policy::upstream_wishes::UpstreamWishes;
 
-/// Version of the software that an upstream runs, as its registration states it.
-/// It has no order, and is not the version of a model's weights.
-pub(crate) type SoftwareVersion = String;
+/// The wishes of one incarnation, which outlive its entry.
+pub(crate) type SharedWishes = Arc<Mutex<UpstreamWishes>>;
 
 /// Shortest time for which an upstream that failed is avoided.
 const AVOID_MIN: Duration = Duration::from_millis(400);
 /// Longest time for which an upstream that failed is avoided.
 const AVOID_MAX: Duration = Duration::from_millis(3_200);
 
-/// Shortest time without an answer after which an upstream of plain calls is avoided.
-const OVERDUE_MIN: Duration = Duration::from_millis(100);
-/// The same time as a multiple of the average latency.
-const OVERDUE_LATENCIES: u32 = 2;
 /// Weight of one call in the moving averages of latency and failures.
 const MOVING_AVERAGE_WEIGHT: f64 = 0.15;
 /// Time for which an upstream that refused a call for lack of capacity is avoided.
 const AVOID_FULL_DURATION: Duration = Duration::from_millis(150);
 
-/// An upstream's registration.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct UpstreamEntry {
-    /// Id of this incarnation.
-    pub(crate) id: UpstreamId,
-    /// Start of this incarnation, in Unix milliseconds; zero if unknown.
-    pub(crate) born_unix_ms: u64,
-    /// Service that the upstream belongs to.
-    pub(crate) service: ServiceId,
-    /// Address at which the upstream listens for calls.
-    pub(crate) address: SocketAddr,
-    /// Data centre that the upstream runs in.
-    pub(crate) data_centre: DataCentreId,
-    /// Version of the upstream's software; `None` if unknown.
-    pub(crate) software_version: Option<SoftwareVersion>,
-    /// Maximum number of calls that the upstream runs at once.
-    pub(crate) slot_count: u32,
-    /// Whether the upstream is draining: it accepts no new calls.
-    pub(crate) draining: bool,
-}
-
-impl UpstreamEntry {
-    /// Whether `other` is a later incarnation at the same address. After a crash,
-    /// the store keeps the old entry beside the successor's until it expires,
-    /// which takes some heartbeat intervals.
-    pub(crate) fn precedes(&self, other: &Self) -> bool {
-        self.address == other.address
-            && self.id != other.id
-            && self.born_unix_ms < other.born_unix_ms
-    }
-}
-
-/// A software version in the log; `-` if unknown.
-pub(crate) fn version_for_log(version: Option<&SoftwareVersion>) -> &str {
-    version.map_or("-", String::as_str)
-}
-
 /// How an upstream answered this node recently.
 #[derive(Clone, Copy, Debug, Default)]
 struct Health {
@@ -81,6 +42,9 @@
     probe_began_at: Option<Instant>,
     /// When a probe last met silence, if nothing arrived since.
     silent_probe_at: Option<Instant>,
+    /// Whether its host completed no handshake when it was probed last, and nothing
+    /// arrived since.
+    is_unreachable: bool,
     /// Number of failures since the last answer or event.
     failure_count: u32,
     latency: Duration,
@@ -102,13 +66,21 @@
     call_count: AtomicU32,
     health: Mutex<Health>,
     limit: Mutex<UpstreamLimit>,
+    wishes: SharedWishes,
+    /// The probe that precedes calls where one is needed.
+    pub(crate) send_probe: SendProbe,
     /// Number of times that the upstream was marked as lost.
     losses: watch::Sender<u64>,
 }
 
 impl Upstream {
-    /// Creates an upstream without calls.
+    /// Creates an upstream without calls, of which nothing is known.
     pub(crate) fn new(entry: UpstreamEntry) -> Self {
+        Self::with_wishes(entry, SharedWishes::default())
+    }
+
+    /// Creates an upstream without calls, which may have stated these wishes before.
+    pub(crate) fn with_wishes(entry: UpstreamEntry, wishes: SharedWishes) -> Self {
         let software_version = OnceLock::new();
         if let Some(version) = entry.software_version.clone() {
             software_version.get_or_init(|| version);
@@ -122,6 +94,8 @@
             call_count: AtomicU32::new(0),
             health: Mutex::default(),
             limit: Mutex::default(),
+            wishes,
+            send_probe: SendProbe::default(),
             losses: watch::Sender::new(0),
             entry,
         }
@@ -129,12 +103,10 @@
 
     /// Whether `entry` describes this incarnation.
     pub(crate) fn is_same_incarnation(&self, entry: &UpstreamEntry) -> bool {
-        let (known_start, entry_start) = (self.entry.born_unix_ms, entry.born_unix_ms);
         let versions = (self.software_version(), &entry.software_version);
         let has_other_version = matches!(versions, (Some(known), Some(stated)) if known != stated);
         !has_other_version
-            && self.entry.id == entry.id
-            && (known_start == entry_start || known_start == 0 || entry_start == 0)
+            && self.entry.is_same_start(entry)
             && self.entry.address == entry.address
             && self.entry.service == entry.service
     }
@@ -149,13 +121,15 @@
         self.software_version.get_or_init(|| version);
     }
 
-    /// Whether the upstream is draining: it accepts no new calls.
+    /// Whether the upstream is draining, by its entry or its answers: it accepts no new
+    /// calls.
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.draining.load(Ordering::Relaxed) || self.wishes().is_leaving()
     }
 
-    pub(crate) fn set_draining(&self, draining: bool) {
-        self.draining.store(draining, Ordering::Relaxed);
+    /// Sets what the upstream's entry says, and returns whether that is new.
+    pub(crate) fn set_draining(&self, draining: bool) -> bool {
+        self.draining.swap(draining, Ordering::Relaxed) != draining
     }
 
     /// Records that an answer or event of the upstream arrived, and stops
@@ -166,13 +140,52 @@
         health.avoided_until = None;
         health.unanswered_since = None;
         health.silent_probe_at = None;
+        health.is_unreachable = false;
         health.failure_count = 0;
+        drop(health);
+        self.send_probe.notify_heard();
     }
 
-    /// Records that a probe met silence. The upstream may be lost, or may go on.
+    /// Records that the upstream answered a request that is no call. Whether it serves calls
+    /// is not known, so one that is avoided because calls failed stays so.
+    pub(crate) fn record_alive(&self, now: Instant) {
+        let mut health = self.health();
+        health.contacted_at = Some(now);
+        health.is_unreachable = false;
+        if health.silent_probe_at.take().is_some() {
+            // It was avoided for its silence.
+            health.avoided_until = None;
+        }
+        drop(health);
+        self.send_probe.notify_heard();
+    }
+
+    /// Whether anything of the upstream arrived at or after `since`.
+    pub(crate) fn was_heard_since(&self, since: Instant) -> bool {
+        self.health().contacted_at.is_some_and(|at| at >= since)
+    }
+
+    /// Records that a probe met silence. The upstream may be lost, or may go on. It is
+    /// avoided until something arrives, or until it may be probed again.
     pub(crate) fn mark_silent(&self, now: Instant) {
         self.avoid(now);
-        self.health().silent_probe_at = Some(now);
+        let mut health = self.health();
+        health.silent_probe_at = Some(now);
+        // Its host completed a handshake.
+        health.is_unreachable = false;
+        let until = now + SOUND_SILENCE_MAX;
+        health.avoided_until = health.avoided_until.max(Some(until));
+    }
+
+    /// Records that the host of the upstream completed no handshake.
+    pub(crate) fn mark_unreachable(&self) {
+        self.health().is_unreachable = true;
+    }
+
+    /// Whether the upstream can't be told anything, as far as is known: its host
+    /// completed no handshake, and nothing arrived since.
+    pub(crate) fn is_unreachable(&self) -> bool {
+        self.health().is_unreachable
     }
 
     /// Whether a probe met silence within [`SOUND_SILENCE_MAX`], and nothing arrived
@@ -195,9 +208,20 @@
         true
     }
 
-    /// Records what an answer to a request sent at `sent_at` says of the upstream's
-    /// limit.
-    pub(crate) fn record_limit(&self, stated: StatedLimit, sent_at: Instant) {
+    /// Records what an answer to a request sent at `sent_at` says of what may be sent to
+    /// the upstream.
+    pub(crate) fn record_statements(&self, headers: &AnswerHeaders, sent_at: Instant) {
+        self.record_limit(headers.limit, sent_at);
+        match headers.rest {
+            Some(rest) => self.record_rest(rest),
+            None => self.wishes().rest.record_answered(sent_at),
+        }
+        if headers.is_leaving {
+            self.record_leaving();
+        }
+    }
+
+    fn record_limit(&self, stated: StatedLimit, sent_at: Instant) {
         let now = Instant::now();
         let id = &self.entry.id;
         match stated {
@@ -216,6 +240,45 @@
         }
     }
 
+    /// Records the rest that the upstream asks of this node in an answer.
+    pub(crate) fn record_rest(&self, rest: Duration) {
+        self.wishes().rest.record_asked(rest, Instant::now());
+        let (id, rest_ms) = (&self.entry.id, rest.as_millis());
+        log::info!("event=upstream_rests upstream={id} rest_ms={rest_ms}");
+    }
+
+    /// Records that the upstream says that it leaves. No entry takes that back.
+    fn record_leaving(&self) {
+        if self.wishes().record_leaving() {
+            log::info!("event=upstream_leaves upstream={}", self.entry.id);
+        }
+    }
+
+    /// What this incarnation asked of this node.
+    pub(crate) fn wishes(&self) -> MutexGuard<'_, UpstreamWishes> {
+        self.wishes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The wishes, which a later entry of this incarnation shares.
+    pub(crate) fn shared_wishes(&self) -> SharedWishes {
+        self.wishes.clone()
+    }
+
+    /// Whether the upstream wants no request at all from this node now.
+    pub(crate) fn is_resting(&self) -> bool {
+        self.wishes().rest.is_resting(Instant::now())
+    }
+
+    /// Decides whether a call may be sent to the upstream now.
+    pub(crate) fn decide(&self, now: Instant) -> SendDecision {
+        send_decision::decide(&self.wishes().rest, &mut self.limit(), now)
+    }
+
+    /// Whether a request that is no call would cost the upstream what it wants to spare.
+    pub(crate) fn wants_calls_only(&self) -> bool {
+        self.is_resting() || self.is_limited()
+    }
+
     /// Whether the upstream limits what is sent to it.
     pub(crate) fn is_limited(&self) -> bool {
         self.limit().is_limited(Instant::now())
@@ -245,13 +308,23 @@
     /// Records that a call is being sent. One that goes to an upstream that has sent
     /// nothing since it failed is a trial: until it is answered, others go elsewhere.
     pub(crate) fn record_send(&self, now: Instant) {
-        let has_failed = self.health().failure_count > 0;
-        if has_failed {
+        if self.has_failed() {
             self.avoid(now);
         }
         self.health().unanswered_since.get_or_insert(now);
     }
 
+    /// Whether the upstream failed and has sent nothing since.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.health().failure_count > 0
+    }
+
+    /// Time since the first send that has no answer, if nothing has arrived since then.
+    pub(crate) fn time_unanswered(&self, now: Instant) -> Duration {
+        let since = self.health().unanswered_since;
+        since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+
     /// Avoids an upstream of plain calls that has sent nothing at all for much longer
     /// than an answer takes. One that is only slow answers other calls in the meantime.
     pub(crate) fn avoid_if_overdue(&self, now: Instant) {
@@ -259,13 +332,23 @@
         let Some(since) = health.unanswered_since else {
             return;
         };
-        let patience = OVERDUE_MIN.max(health.latency * OVERDUE_LATENCIES);
         let is_known = !health.latency.is_zero();
-        if is_known && now.saturating_duration_since(since) >= patience {
+        let silence = now.saturating_duration_since(since);
+        if is_known && silence >= answer_patience(health.latency) {
             self.avoid(now);
         }
     }
 
+    /// Whether a probe that precedes calls has had no answer for longer than an answer
+    /// takes, and nothing else has arrived either.
+    pub(crate) fn has_overdue_probe(&self, now: Instant) -> bool {
+        let patience = answer_patience(self.latency());
+        let is_open = self.send_probe.time_open(now);
+        let is_overdue = is_open.is_some_and(|time| time >= patience);
+        let silence = self.time_since_contact(now);
+        is_overdue && silence.is_none_or(|silence| silence >= patience)
+    }
+
     /// Updates the moving averages of latency and failures with a call that
     /// ended, answered or not.
     pub(crate) fn record_call(&self, duration: Duration, has_failed: bool) {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,9 +13,13 @@
 pub(crate) mod placement;
 pub(crate) mod poison_detector;
 pub(crate) mod retry_budget_share;
+pub(crate) mod send_decision;
+pub(crate) mod send_probe;
 pub(crate) mod store_contact;
 pub(crate) mod upstream_limit;
 pub(crate) mod upstream_reach;
+pub(crate) mod upstream_rest;
+pub(crate) mod upstream_wishes;
 pub(crate) mod watchers;
 
 #[cfg(test)]
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -11,10 +11,14 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use super::asked_rest::AskedRest;
+use super::framing::Framing;
 use super::free_address;
 use super::named_limit::NamedLimit;
 use super::process::StandInProcess;
-use super::raw::{RawRequest, RequestHandler, reply, reset_on_close, serve, wait_for_close};
+use super::raw::{
+    LISTEN_QUEUE, RawRequest, RequestHandler, reply, reset_on_close, serve, wait_for_close,
+};
 use super::run_log::RunLog;
 
 /// A part of a prompt that begins with this crashes each engine that begins to write
@@ -62,12 +66,18 @@
     /// When prompts with a [crashing part](CRASHING_PART) crashed this engine.
     part_crashes: Mutex<Vec<(String, Instant)>>,
     crashed_at: Mutex<Option<Instant>>,
+    /// Number of new connections that wait to be accepted, from the next start on.
+    pub listen_queue: AtomicU32,
     /// Resets new connections; open ones are served.
     pub refuses_connections: AtomicBool,
     /// Refuses new runs with status 503 and the header that says they did not run.
     pub is_full: AtomicBool,
     /// The limit that its answers name, if any. Probes count as arrivals.
     pub named_limit: NamedLimit,
+    /// The rest that it asks of nodes, if any. Probes count, and are turned away too.
+    pub asked_rest: AskedRest,
+    /// Says in the heads of its streams that it leaves.
+    is_leaving: AtomicBool,
     /// Calls that arrived, run or not; probes are left out.
     pub run_log: RunLog,
     /// Runs that this engine began.
@@ -89,38 +99,6 @@
     server: Mutex<Option<JoinHandle<()>>>,
 }
 
-/// How an answer's end is marked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    Chunked,
-    /// The answer ends with its connection.
-    CloseDelimited,
-}
-
-impl Framing {
-    fn of(is_close_delimited: bool) -> Self {
-        if is_close_delimited {
-            Self::CloseDelimited
-        } else {
-            Self::Chunked
-        }
-    }
-
-    fn header(self) -> &'static str {
-        match self {
-            Self::Chunked => "transfer-encoding: chunked\r\n",
-            Self::CloseDelimited => "",
-        }
-    }
-
-    fn frame(self, data: &[u8]) -> Vec<u8> {
-        match self {
-            Self::Chunked => [format!("{:x}\r\n", data.len()).as_bytes(), data, b"\r\n"].concat(),
-            Self::CloseDelimited => data.to_vec(),
-        }
-    }
-}
-
 /// The crashing part of a prompt, and the number of events that an engine sends before
 /// the part crashes it; none if the prompt has no crashing part.
 fn crashing_part(request: &RawRequest) -> Option<(String, u64)> {
@@ -157,9 +135,12 @@
             next_break: Mutex::default(),
             part_crashes: Mutex::default(),
             crashed_at: Mutex::default(),
+            listen_queue: AtomicU32::new(LISTEN_QUEUE),
             refuses_connections: AtomicBool::new(false),
             is_full: AtomicBool::new(false),
             named_limit: NamedLimit::default(),
+            asked_rest: AskedRest::default(),
+            is_leaving: AtomicBool::new(false),
             run_log: RunLog::default(),
             work_log: RunLog::default(),
             process: StandInProcess::start(),
@@ -273,6 +254,17 @@
         *self.software_version.lock().expect("unpoisoned") = version.to_owned();
     }
 
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.is_leaving.store(is_leaving, Ordering::Relaxed);
+    }
+
+    fn leaving_header(&self) -> &'static str {
+        if self.is_leaving.load(Ordering::Relaxed) {
+            return "server-leaving: 1\r\n";
+        }
+        ""
+    }
+
     /// While frozen, it answers no requests and sends no events; its connections stay
     /// open.
     pub fn set_frozen(&self, is_frozen: bool) {
@@ -341,10 +333,11 @@
         }
         let framing = Framing::of(self.is_close_delimited.load(Ordering::Relaxed));
         let head = format!(
-            "HTTP/1.1 200 OK\r\n{}{}content-type: text/event-stream\r\n\
+            "HTTP/1.1 200 OK\r\n{}{}{}content-type: text/event-stream\r\n\
              x-zinniawing-attempt-id: {call_id}\r\nx-zinniawing-server-signature: sig-{call_id}\r\n\r\n",
             framing.header(),
-            self.named_limit.header()
+            self.named_limit.header(),
+            self.leaving_header()
         );
         if stream.write_all(head.as_bytes()).await.is_err() {
             return false;
@@ -424,8 +417,13 @@
         !self.refuses_connections.load(Ordering::Relaxed)
     }
 
+    fn listen_queue(&self) -> u32 {
+        self.listen_queue.load(Ordering::Relaxed)
+    }
+
     async fn handle(self: Arc<Self>, request: RawRequest, stream: &mut TcpStream) -> bool {
         self.named_limit.record_arrival();
+        self.asked_rest.record_arrival(&request, stream);
         let call_id = request.header("x-zinniawing-attempt-id");
         let _arrival = call_id.map(|call_id| self.run_log.begin(call_id));
         let is_answered_frozen =
@@ -438,6 +436,9 @@
             let instance_header = format!("x-zinniawing-instance-id: {}\r\n", self.id());
             return reply(stream, 421, &instance_header, b"").await;
         }
+        if let Some(refusal) = self.asked_rest.refusal(stream) {
+            return reply(stream, 503, &refusal, b"").await;
+        }
         match request.path() {
             "/report" => {
                 let report = json!({
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -4,10 +4,14 @@
 //! They implement the published wire format on their own instead of using the
 //! node's code, so that tests find mistakes in the node's platform adapter.
 
+pub mod asked_rest;
 pub mod caller;
 pub mod client_process;
+pub mod double_run;
 pub mod engine;
 pub mod first_tries;
+pub mod framing;
+pub mod leaving_callers;
 pub mod named_limit;
 pub mod process;
 pub mod proxy;
@@ -22,7 +26,7 @@
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, mpsc};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -43,6 +47,8 @@
 pub const SINGLE_RUN_STREAM_PATH: &str = "/summary/1";
 pub const IDEMPOTENT_PATH: &str = "/balance/1";
 pub const NON_IDEMPOTENT_PATH: &str = "/disburse/1";
+/// Path at which upstreams state whether they are healthy.
+pub const HEALTH_PATH: &str = "/healthz";
 pub const PUBLIC_PATH: &str = "/open/1";
 
 /// Header lines that only nodes may send to each other, as a caller may forge them.
@@ -90,9 +96,9 @@
             summary,
         ],
         "services": [
-            { "name": "llm", "health-path": "/healthz", "max-connections": 100,
+            { "name": "llm", "health-path": HEALTH_PATH, "max-connections": 100,
               "engine": { "slots": 8, "kv-capacity": 88000, "replicas": true } },
-            { "name": "pay", "health-path": "/healthz", "max-connections": 100 },
+            { "name": "pay", "health-path": HEALTH_PATH, "max-connections": 100 },
         ],
         "limits": { "max-header-bytes": 16384, "max-body-bytes": 100000,
                     "header-timeout-ms": 3000, "idle-timeout-ms": 15000 },
@@ -297,17 +303,22 @@
         .expect("the node starts")
 }
 
-/// An entry node on threads of its own, which can be killed without any notice to
+/// Number of threads of a [`KillableNode`].
+const NODE_THREADS: usize = 2;
+
+/// An entry node on threads of its own, which can be paused, or killed without any notice to
 /// its peers and callers.
 pub struct KillableNode {
     runtime: Runtime,
+    /// Set while its threads are paused; dropping the senders ends the pause.
+    pauses: Mutex<Vec<mpsc::Sender<()>>>,
     _node: EdgeNode,
 }
 
 impl KillableNode {
     pub async fn start(spec: &NodeSpec, store: SocketAddr) -> Self {
         let runtime = runtime::Builder::new_multi_thread()
-            .worker_threads(2)
+            .worker_threads(NODE_THREADS)
             .enable_all()
             .build()
             .expect("a runtime");
@@ -316,6 +327,21 @@
         Self {
             _node: started.await.expect("no panic"),
             runtime,
+            pauses: Mutex::default(),
+        }
+    }
+
+    /// Pauses all of its threads, as SIGSTOP pauses a process, or ends the pause. The
+    /// kernel keeps its connections open and queues what is sent to them.
+    pub fn set_paused(&self, is_paused: bool) {
+        let mut pauses = self.pauses.lock().expect("unpoisoned");
+        pauses.clear();
+        for _ in 0..if is_paused { NODE_THREADS } else { 0 } {
+            let (sender, receiver) = mpsc::channel::<()>();
+            self.runtime.spawn(async move {
+                let _ = receiver.recv();
+            });
+            pauses.push(sender);
         }
     }
 
