--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -8,6 +8,7 @@
 mod poison_detector;
 mod retry_budget_share;
 mod send_probe;
+mod store_contact;
 mod upstream_limit;
 mod upstream_reach;
 mod upstream_rest;
