--- a/tests/resting_upstreams.rs
+++ b/tests/resting_upstreams.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use support::edge_environment::asked_rest::{AskedRest, NODE_HEADER};
+use support::edge_environment::asked_rest::AskedRest;
 use support::edge_environment::caller::{Caller, Response};
 use support::edge_environment::running_stream::assert_stream_complete;
 use support::edge_environment::{
@@ -30,18 +30,14 @@
     let began_at = Instant::now();
     let mut sent: Vec<(Instant, JoinHandle<Response>)> = Vec::new();
     while began_at.elapsed() < duration {
-        let node = sent.len() % callers.len();
-        let caller = callers[node].clone();
+        let caller = callers[sent.len() % callers.len()].clone();
         let (method, path) = match (sent.len() / callers.len()) % 3 {
             0 => ("GET", IDEMPOTENT_PATH),
             1 => ("POST", NON_IDEMPOTENT_PATH),
             _ => ("POST", STREAM_PATH),
         };
-        let headers = format!(
-            "{NODE_HEADER}: n{node}\r\nx-zinniawing-deadline-ms: 1500\r\n\
-             x-zinniawing-token-usage: 200,8\r\n"
-        );
-        let call = tokio::spawn(async move { caller.call(method, path, &headers).await });
+        let headers = "x-zinniawing-deadline-ms: 1500\r\nx-zinniawing-token-usage: 200,8\r\n";
+        let call = tokio::spawn(async move { caller.call(method, path, headers).await });
         sent.push((Instant::now(), call));
         tokio::time::sleep(CALL_INTERVAL).await;
     }
@@ -57,8 +53,8 @@
     served.count() as f64 / answers.len() as f64
 }
 
-fn assert_kept(what: &str, rest: &AskedRest) {
-    let most = rest.arrivals_in_rest_max();
+fn assert_kept(what: &str, rest: &AskedRest, since: Instant) {
+    let most = rest.arrivals_in_rest_max(since);
     let (refused_count, returns) = (rest.refusal_count(), rest.return_times());
     println!(
         "{what}: {most} requests from one node in a rest, {refused_count} turned away, \
@@ -75,6 +71,7 @@
     let mut environment = TestEnvironment::start(4).await;
     environment.add_services(1).await;
     let (_nodes, callers) = environment.start_ready_nodes(NODE_COUNT).await;
+    let callers: Vec<Caller> = callers.into_iter().map(Caller::naming_node).collect();
     environment.set_event_interval(Duration::from_millis(20));
     let mut streams = Vec::new();
     for caller in callers.iter().chain(&callers) {
@@ -87,6 +84,7 @@
     eventually("all streams run", all_run).await;
     let (plain, engine) = (&environment.services[0], environment.running_engine());
 
+    let asked_at = Instant::now();
     for rest in [&plain.asked_rest, &engine.asked_rest] {
         rest.refuse_all(REFUSING_TIME, &REST_S.to_string());
     }
@@ -96,8 +94,8 @@
 
     let (share, share_after) = (served_share(&answers), served_share(&after));
     println!("served {share:.3} in the rest, {share_after:.3} after it");
-    assert_kept("plain", &plain.asked_rest);
-    assert_kept("engine", &engine.asked_rest);
+    assert_kept("plain", &plain.asked_rest, asked_at);
+    assert_kept("engine", &engine.asked_rest, asked_at);
     assert!(share >= 0.9, "{share}");
     assert!(share_after >= 0.98, "{share_after}");
     for rest in [&plain.asked_rest, &engine.asked_rest] {
@@ -114,16 +112,17 @@
     const SPREAD_S: f64 = 1.0;
     let environment = TestEnvironment::start(2).await;
     let (_nodes, callers) = environment.start_ready_nodes(NODE_COUNT).await;
+    let callers: Vec<Caller> = callers.into_iter().map(Caller::naming_node).collect();
     let (plain, engines) = (&environment.services, &environment.engines);
     let all_rests = || {
         let of_engines = engines.iter().map(|engine| &engine.asked_rest);
         let of_services = plain.iter().map(|service| &service.asked_rest);
         of_engines.chain(of_services)
     };
+    let asked_at = Instant::now();
     for rest in all_rests() {
         rest.refuse_all(REFUSING_TIME, &REST_S.to_string());
     }
-    let asked_at = Instant::now();
     send_calls(&callers, Duration::from_millis(700)).await;
     let known_at = Instant::now();
 
@@ -132,7 +131,7 @@
     let after = send_calls(&callers, Duration::from_secs(1)).await;
 
     for rest in all_rests() {
-        assert_kept("one of all", rest);
+        assert_kept("one of all", rest, asked_at);
     }
     for (sent_at, answer) in &answers {
         assert_eq!(answer.status, 503, "{answer:?}");
--- a/tests/soak/fault_kind.rs
+++ b/tests/soak/fault_kind.rs
@@ -32,6 +32,9 @@
     CrashingPart,
     /// An upstream names a limit on the requests of all nodes together.
     NameLimit,
+    /// An upstream turns everything away for a while, and asks each node for rest. It is
+    /// injected only by its name.
+    AskForRest,
     FreezeEngine,
     CutEngineLink,
     DrainEngine,
@@ -104,7 +107,8 @@
 
 impl FaultKind {
     /// The kinds that `SOAK_FAULTS` names, by their names or the starts of their
-    /// names, separated by commas. Without it, all kinds but `MuteLink` and `MuteNode`.
+    /// names, separated by commas. Without it, all kinds but `MuteLink`,
+    /// `MuteNode` and `AskForRest`.
     pub fn selected() -> Vec<Self> {
         std::env::var("SOAK_FAULTS")
             .map_or_else(|_| DEFAULT_KINDS.to_vec(), |names| Self::named(&names))
@@ -114,9 +118,10 @@
     pub fn named(names: &str) -> Vec<Self> {
         let mut selected: Vec<Self> = Vec::new();
         for name in names.split(',') {
-            let all = DEFAULT_KINDS
-                .into_iter()
-                .chain([Self::MuteLink, Self::MuteNode]);
+            let all =
+                DEFAULT_KINDS
+                    .into_iter()
+                    .chain([Self::MuteLink, Self::MuteNode, Self::AskForRest]);
             let count_before = selected.len();
             selected.extend(all.filter(|kind| format!("{kind:?}").starts_with(name)));
             assert!(selected.len() > count_before, "no kind of fault is {name}");
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -16,6 +16,7 @@
 use crate::history::{Occurrence, UpstreamAt};
 use crate::named_limits::NamedLimits;
 use crate::node::SoakEnvironment;
+use crate::rests::Rests;
 use crate::silences::{self, SilenceMode, Silences};
 
 /// A draining engine must get no new runs later than this after it was marked.
@@ -41,6 +42,7 @@
     cut_nodes: CutNodes,
     crashing_parts: CrashingParts,
     named_limits: NamedLimits,
+    rests: Rests,
     draining: Vec<DrainingEngine>,
     /// Times at which faults that can delay the news of a draining engine began or
     /// ended.
@@ -58,6 +60,7 @@
             cut_nodes: CutNodes::default(),
             crashing_parts: CrashingParts::default(),
             named_limits: NamedLimits::default(),
+            rests: Rests::default(),
             draining: Vec::new(),
             disturbances: Vec::new(),
             violations: Vec::new(),
@@ -81,6 +84,7 @@
         }
         environment.restart_crashed_engines().await;
         self.named_limits.end(environment, false);
+        self.rests.check_ended(environment);
         if self.random.random_bool(0.3) {
             self.heal(environment).await;
         }
@@ -131,6 +135,7 @@
                 self.named_limits
                     .start(upstream, environment, &mut self.random);
             }
+            FaultKind::AskForRest => self.rests.start(upstream, environment, &mut self.random),
             FaultKind::FreezeEngine => environment.engines[engine].0.set_frozen(true),
             FaultKind::CutEngineLink => environment.engines[engine].1.set_mode(mode),
             FaultKind::DrainEngine => self.drain_engine(environment, engine),
@@ -283,6 +288,7 @@
         let mut violations = std::mem::take(&mut self.violations);
         violations.extend(self.crashing_parts.violations(environment));
         violations.extend(self.named_limits.take_violations());
+        violations.extend(self.rests.take_violations(environment));
         violations
     }
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -13,6 +13,8 @@
 //!   unless another fault began or ended shortly before the run.
 //! - Few requests with a part that crashes engines reach engines after all nodes can
 //!   know, and an upstream that names a limit gets no more than that from all nodes.
+//! - At most two requests reach an upstream from a node that it asked for rest, from half
+//!   a second after until the end of that rest.
 //! - A stream does not run at two engines for long, and few calls reach upstreams after
 //!   their callers left, unless a node or an upstream was disturbed. A suspended upstream
 //!   is not disturbed.
@@ -43,6 +45,7 @@
 mod lost;
 mod named_limits;
 mod node;
+mod rests;
 mod silences;
 
 use std::time::Duration;
@@ -56,6 +59,12 @@
 const CI_SEEDS: [u64; 3] = [1, 2, 3];
 /// Seed that CI runs with cut nodes alone, so that their callers are compared with others.
 const CI_CUT_NODES_SEED: u64 = 2;
+/// Seed that CI runs with rests and faults that leave upstreams audible.
+const CI_REST_SEED: u64 = 4000;
+const REST_KINDS: &str = "AskForRest,ChangeVersion,ForgetHistory,CrashEngine";
+/// Seed that CI would run with rests and silent upstreams.
+const CI_SILENT_REST_SEED: u64 = 4031;
+const SILENT_REST_KINDS: &str = "AskForRest,Silence,Suspend,ChangeVersion";
 /// How long CI injects faults for each seed.
 const CI_FAULT_DURATION: Duration = Duration::from_secs(8);
 /// Number of entry nodes in CI.
@@ -105,6 +114,14 @@
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nodes_leave_resting_upstreams_alone_that_fall_silent() {
+    let _running = RUNNING.lock().await;
+    let kinds = FaultKind::named(SILENT_REST_KINDS);
+    let SeedResult { violations, .. } = run_seed(CI_SILENT_REST_SEED, kinds).await;
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 fn number_from_env(variable: &str) -> Option<u64> {
     std::env::var(variable).ok()?.parse().ok()
 }
@@ -117,7 +134,8 @@
     }
     let cut_nodes = (CI_CUT_NODES_SEED, vec![FaultKind::CutNode]);
     let runs = CI_SEEDS.map(with_selected);
-    runs.into_iter().chain([cut_nodes]).collect()
+    let rests = (CI_REST_SEED, FaultKind::named(REST_KINDS));
+    runs.into_iter().chain([cut_nodes, rests]).collect()
 }
 
 /// The seeds that `SOAK_SEEDS` sets, if it does.
--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -9,6 +9,7 @@
 
 use crate::config_changes::{OTHER_SERVICE, OperatorConfig};
 use crate::edge_environment::NodeSpec;
+use crate::edge_environment::asked_rest::AskedRest;
 use crate::edge_environment::caller::Caller;
 use crate::edge_environment::engine::{self, Engine};
 use crate::edge_environment::named_limit::NamedLimit;
@@ -49,7 +50,7 @@
         let text = spec.settings(store_link.address, GRACE_PERIOD.as_secs() as u32);
         fs::write(&settings_path, text).expect("the settings file is written");
         let mut node = Self {
-            caller: Caller::new(&spec),
+            caller: Caller::new(&spec).naming_node(),
             log_path: folder.join(format!("{}.log", spec.name)),
             spec,
             store_link,
@@ -225,6 +226,13 @@
         }
     }
 
+    pub fn asked_rest(&self, upstream: UpstreamAt) -> &AskedRest {
+        match upstream {
+            UpstreamAt::Engine(at) => &self.engines[at].0.asked_rest,
+            UpstreamAt::Service(at) => &self.services[at].0.asked_rest,
+        }
+    }
+
     /// Restarts engines that have been down for a while.
     pub async fn restart_crashed_engines(&self) {
         for (engine, _) in &self.engines {
--- a/tests/support/edge_environment/asked_rest.rs
+++ b/tests/support/edge_environment/asked_rest.rs
@@ -1,10 +1,13 @@
 //! The rest that an upstream asks of each node whose request it turns away.
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
 use tokio::net::TcpStream;
 
 use super::raw::RawRequest;
@@ -19,6 +22,8 @@
     port: u16,
     at: Instant,
     until: Instant,
+    /// The node had closed the connection before it was turned away.
+    had_left: bool,
 }
 
 #[derive(Debug, Default)]
@@ -61,7 +66,13 @@
         let (_, text) = state.refusing.clone().filter(|(until, _)| at < *until)?;
         let rest_s = text.parse().unwrap_or(0.0);
         let until = at + Duration::from_secs_f64(rest_s);
-        state.refusals.push(Refusal { port, at, until });
+        let had_left = has_closed(stream);
+        state.refusals.push(Refusal {
+            port,
+            at,
+            until,
+            had_left,
+        });
         Some(format!(
             "x-zinniawing-not-executed: 1\r\nretry-after: {text}\r\n"
         ))
@@ -101,10 +112,24 @@
         times
     }
 
-    /// Largest number of requests that one node sent between half a second after it was
-    /// turned away and the end of that rest. Requests over connections without a call
-    /// count as those of one more node.
-    pub fn arrivals_in_rest_max(&self) -> usize {
+    /// Records that the upstream started again. A new incarnation has asked for nothing.
+    pub fn record_start(&self) {
+        let mut state = self.state.lock().expect("unpoisoned");
+        state.refusing = None;
+        state.refusals.clear();
+    }
+
+    /// Number of refusals that their nodes can't have read.
+    pub fn unread_count(&self, since: Instant) -> usize {
+        let state = self.state.lock().expect("unpoisoned");
+        let refusals = state.refusals.iter().filter(|refusal| refusal.at >= since);
+        refusals.filter(|refusal| refusal.had_left).count()
+    }
+
+    /// Of the refusals not before `since`, the one after which its node sent most requests
+    /// from half a second later to the end of that rest: when it was, and when they arrived.
+    /// Requests over connections without a call count as those of one more node.
+    pub fn worst_rest(&self, since: Instant) -> Option<(Instant, Vec<Instant>, bool)> {
         let state = self.state.lock().expect("unpoisoned");
         let arrivals_in = |refusal: &Refusal| {
             let is_counted = |(port, at): &&(u16, Instant)| {
@@ -112,8 +137,24 @@
                     && *at > refusal.at + GRACE
                     && *at < refusal.until
             };
-            state.arrivals.iter().filter(is_counted).count()
+            let counted = state.arrivals.iter().filter(is_counted);
+            let arrivals = counted.map(|(_, at)| *at).collect();
+            (refusal.at, arrivals, refusal.had_left)
         };
-        state.refusals.iter().map(arrivals_in).max().unwrap_or(0)
+        let refusals = state.refusals.iter().filter(|refusal| refusal.at >= since);
+        let rests = refusals.map(arrivals_in);
+        rests.max_by_key(|(_, arrivals, _): &(Instant, Vec<Instant>, bool)| arrivals.len())
+    }
+
+    /// Largest number of requests that one node sent in such a time.
+    pub fn arrivals_in_rest_max(&self, since: Instant) -> usize {
+        self.worst_rest(since)
+            .map_or(0, |(_, arrivals, _)| arrivals.len())
     }
 }
+
+/// Whether the other end has closed the connection.
+fn has_closed(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    !matches!(SockRef::from(stream).peek(&mut byte), Err(error) if error.kind() == ErrorKind::WouldBlock)
+}
--- a/tests/support/edge_environment/caller.rs
+++ b/tests/support/edge_environment/caller.rs
@@ -8,6 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use super::asked_rest::NODE_HEADER;
 use super::raw::find;
 use super::{API_KEY, HOST, NodeSpec};
 
@@ -60,6 +61,8 @@
     pub status_address: SocketAddr,
     pub readiness: SocketAddr,
     pub key: String,
+    /// Header lines of each request.
+    pub own_headers: String,
 }
 
 pub fn new_call_id() -> String {
@@ -76,6 +79,15 @@
             status_address: spec.status_address,
             readiness: spec.readiness,
             key: API_KEY.to_owned(),
+            own_headers: String::new(),
+        }
+    }
+
+    /// Names the node in each request, so that upstreams know whose connections they have.
+    pub fn naming_node(self) -> Self {
+        Self {
+            own_headers: format!("{NODE_HEADER}: {}\r\n", self.address),
+            ..self
         }
     }
 
@@ -97,8 +109,8 @@
     pub fn head(&self, method: &str, path: &str, call_id: &str, extra_headers: &str) -> String {
         format!(
             "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nx-zinniawing-attempt-id: {call_id}\r\n\
-             api-key: {}\r\n{extra_headers}",
-            self.key
+             api-key: {}\r\n{}{extra_headers}",
+            self.key, self.own_headers
         )
     }
 
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -241,6 +241,7 @@
     pub async fn restart_under_same_id(self: &Arc<Self>) {
         self.incarnation.fetch_add(1, Ordering::Relaxed);
         self.named_limit.record_start();
+        self.asked_rest.record_start();
         self.clone().listen().await;
     }
 
