Declare a silent engine lost only after a probe at the end of the two seconds

Cause: took the repeated probes away, and with them the one at the end. An engine was lost when two seconds had passed since it was heard, on the word of a probe 1.6 s old. Before, a probe just then had 150 ms for its answer.

Change: at the end of the two seconds the engine is probed once more, over a second connection, and only the watch that made this probe declares the loss. In between nothing is opened, as before.

--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -131,18 +131,21 @@
     /// probes.
     async fn is_lost(&self, directory: &Directory, metrics: &Metrics) -> bool {
         let upstream = &self.upstream;
-        let was_probed = upstream.has_silent_probe(Instant::now());
-        if !was_probed && upstream.begin_probe(Instant::now()) {
-            metrics.add(Counter::EngineProbes, 1);
-            let Err(failure) = check_alive(upstream).await else {
-                return false;
-            };
-            directory.apply_probe_failure(upstream, failure, "no_report", Instant::now());
-            if failure != ProbeFailure::Silent {
-                return true;
-            }
+        let now = Instant::now();
+        let was_probed = upstream.has_silent_probe(now);
+        let is_probe_due = !was_probed || self.silence(now) >= SOUND_SILENCE_MAX;
+        if !is_probe_due || !upstream.begin_probe(now) {
+            return false;
         }
+        metrics.add(Counter::EngineProbes, 1);
+        let Err(failure) = check_alive(upstream).await else {
+            return false;
+        };
         let now = Instant::now();
+        directory.apply_probe_failure(upstream, failure, "no_report", now);
+        if failure != ProbeFailure::Silent {
+            return true;
+        }
         let is_lost = was_probed && self.silence(now) >= SOUND_SILENCE_MAX;
         if is_lost {
             directory.mark_lost(upstream, "silent", now);
@@ -197,7 +200,7 @@
 /// listen queue, so that it looked unreachable. The report that was requested is awaited
 /// instead.
 pub(crate) async fn probe_engine(upstream: &Arc<Upstream>) -> Result<EngineReport, ProbeFailure> {
-    if upstream.has_silent_probe(Instant::now()) {
+    if upstream.is_report_awaited(Instant::now()) {
         return Err(ProbeFailure::Silent);
     }
     let probed = fetch_report_or_connect(upstream).await;
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -202,6 +202,13 @@
         probed_at.is_some_and(|at| now.saturating_duration_since(at) < SOUND_SILENCE_MAX)
     }
 
+    /// Whether the report that a probe requested may still come, because the upstream has
+    /// not been silent for longer than a sound one.
+    pub(crate) fn is_report_awaited(&self, now: Instant) -> bool {
+        let silence = self.time_since_contact(now);
+        self.has_silent_probe(now) && silence.is_none_or(|silence| silence < SOUND_SILENCE_MAX)
+    }
+
     /// Begins a probe of the upstream, which is silent. Returns false if another one
     /// began within [`SILENT_PROBE_INTERVAL`].
     pub(crate) fn begin_probe(&self, now: Instant) -> bool {
