Take a broken probe before a send for a hint of a lost path (GONE)

Cause: a call that a broken probe held back ended as not sent, which neither the reach monitor nor the relay takes for a hint; without the probe it would have been a broken send, which they do.

Change: it counts as not connected.

--- a/src/forward/send_probe.rs
+++ b/src/forward/send_probe.rs
@@ -133,7 +133,7 @@
                     return Err(AttemptFailure::NotConnected(cause));
                 }
                 Some(ProbeBreak::Broken) => {
-                    return Err(AttemptFailure::NotSent("a probe broke off"));
+                    return Err(AttemptFailure::NotConnected("a probe broke off"));
                 }
                 None => {}
             }
