Split the wait for a send probe into its steps, and name what upstreams say notices

A reading as a newcomer: clear_send was 50 lines with four exits, and 'wishes' is no term of the field. The check of draining, the directory and limits now also stands where an upstream has nothing to probe.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -126,7 +126,7 @@
             work,
             state: Unsent { request },
         } = self;
-        if !upstream.wishes().rest.begin_call(Instant::now()) {
+        if !upstream.notices().rest.begin_call(Instant::now()) {
             return Err(AttemptFailure::Resting);
         }
         let unanswered = UnansweredSend::new(&upstream, call_id);
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -9,7 +9,7 @@
 
 use tokio::sync::broadcast;
 
-use super::departed_wishes::DepartedWishes;
+use super::departed_notices::DepartedNotices;
 use super::observation::{Observation, Observations};
 use super::probe::ProbeFailure;
 use super::run_origin::RunOrigin;
@@ -38,7 +38,7 @@
     expiry: EntryExpiry,
     outage_detector: OutageDetector,
     version_history: VersionHistory,
-    departed_wishes: DepartedWishes,
+    departed_notices: DepartedNotices,
 }
 
 impl State {
@@ -67,7 +67,7 @@
 
     fn record_departure(&mut self, upstream: &Upstream, now: Instant) {
         self.version_history.record_departure(upstream, now);
-        self.departed_wishes.keep(upstream);
+        self.departed_notices.keep(upstream);
     }
 
     /// Adds the upstream that an entry describes, and returns the one that it replaces.
@@ -76,9 +76,9 @@
         if let Some(replaced) = &replaced {
             self.record_departure(replaced, Instant::now());
         }
-        let wishes = self.departed_wishes.find(&entry).unwrap_or_default();
+        let notices = self.departed_notices.find(&entry).unwrap_or_default();
         let id = entry.id.clone();
-        let upstream = Arc::new(Upstream::with_wishes(entry, wishes));
+        let upstream = Arc::new(Upstream::with_notices(entry, notices));
         self.upstreams.insert(id, upstream);
         replaced
     }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -20,7 +20,7 @@
 pub(crate) mod caller_departures;
 pub(crate) mod caller_resume;
 pub(crate) mod connection;
-mod departed_wishes;
+mod departed_notices;
 pub(crate) mod directory;
 pub(crate) mod forwarder;
 pub(crate) mod incarnation_check;
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -183,7 +183,7 @@
 /// Probes an engine like [`responds`], and returns what the probe met if it shows no
 /// life.
 pub(crate) async fn check_alive(upstream: &Arc<Upstream>) -> Result<(), ProbeFailure> {
-    if !upstream.wants_calls_only() {
+    if !upstream.counts_probes() {
         let probed = probe_engine(upstream).await.map(drop);
         // An engine that asks for rest is alive, whatever became of its report.
         if probed != Err(ProbeFailure::Broken) || !upstream.is_resting() {
--- a/src/forward/run_replica.rs
+++ b/src/forward/run_replica.rs
@@ -241,7 +241,7 @@
 /// streamed replicas themselves.
 pub(crate) fn free_replica(source: Arc<Upstream>, replica: RunReplica) {
     // A request that frees the replica would count like a call.
-    if !replica.is_requested || source.wants_calls_only() {
+    if !replica.is_requested || source.counts_probes() {
         return;
     }
     tokio::spawn(async move {
--- a/src/forward/send_probe.rs
+++ b/src/forward/send_probe.rs
@@ -104,6 +104,23 @@
     }
 }
 
+impl From<ProbeBreak> for AttemptFailure {
+    fn from(failure: ProbeBreak) -> Self {
+        match failure {
+            ProbeBreak::NotConnected(cause) => Self::NotConnected(cause),
+            ProbeBreak::Broken => Self::NotConnected("a probe broke off"),
+        }
+    }
+}
+
+/// When a call that begins to wait now takes the upstream for silent. The time for which
+/// the probe has been open counts.
+fn end_of_patience(upstream: &Upstream) -> Instant {
+    let now = Instant::now();
+    let time_open = upstream.send_probe.time_open(now).unwrap_or_default();
+    now + answer_patience(upstream.latency()).saturating_sub(time_open)
+}
+
 impl<N: NodeContext> Forwarder<N> {
     /// Waits until a call may be sent to its upstream: at once, or after the upstream has
     /// answered a probe. Fails if the upstream can't be reached, or is silent while the
@@ -120,47 +137,36 @@
         let was_limited = upstream.is_limited();
         let mut patience_ends_at = None;
         loop {
+            // Enabled before the checks, so that no change between them and the wait is missed.
             let changed = upstream.send_probe.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            let conditions = self.conditions(upstream);
-            if !conditions.need_probe() || upstream.was_heard_since(started_at) {
-                self.check_after_wait(upstream, was_limited).await?;
-                return Ok(SendClearance(()));
+            if !self.needs_probe(upstream, started_at) {
+                break;
             }
-            match upstream.send_probe.failure_since(started_at) {
-                Some(ProbeBreak::NotConnected(cause)) => {
-                    return Err(AttemptFailure::NotConnected(cause));
-                }
-                Some(ProbeBreak::Broken) => {
-                    return Err(AttemptFailure::NotConnected("a probe broke off"));
-                }
-                None => {}
+            if let Some(failure) = upstream.send_probe.failure_since(started_at) {
+                return Err(failure.into());
             }
             if !self.begin_send_probe(upstream) {
                 // The upstream has nothing that could be probed.
-                return Ok(SendClearance(()));
+                break;
+            }
+            let ends_at = *patience_ends_at.get_or_insert_with(|| end_of_patience(upstream));
+            let waited = tokio::time::timeout_at(ends_at.into(), changed).await;
+            if waited.is_err() && self.has_other(&plan) {
+                return Err(AttemptFailure::Silent);
             }
-            let now = Instant::now();
-            let patience = answer_patience(upstream.latency());
-            let time_open = upstream.send_probe.time_open(now).unwrap_or_default();
-            let ends_at =
-                *patience_ends_at.get_or_insert_with(|| now + patience.saturating_sub(time_open));
-            if tokio::time::timeout_at(ends_at.into(), changed)
-                .await
-                .is_err()
-            {
-                if self.has_other(&plan) {
-                    return Err(AttemptFailure::Silent);
-                }
-                patience_ends_at = Some(Instant::now() + patience);
+            if waited.is_err() {
+                patience_ends_at = Some(Instant::now() + answer_patience(upstream.latency()));
             }
         }
+        self.check_still_accepts(upstream, was_limited).await?;
+        Ok(SendClearance(()))
     }
 
     /// Checks that the upstream still takes calls, and gets a permit if it began to limit
     /// them after it was chosen.
-    async fn check_after_wait(
+    async fn check_still_accepts(
         &self,
         upstream: &Arc<Upstream>,
         was_limited: bool,
@@ -177,14 +183,17 @@
         Ok(())
     }
 
-    fn conditions(&self, upstream: &Upstream) -> SendConditions {
+    /// Whether the upstream must answer a probe first. Any sign of life since the wait began
+    /// is as good as an answer.
+    fn needs_probe(&self, upstream: &Upstream, started_at: Instant) -> bool {
         let now = Instant::now();
-        SendConditions {
+        let conditions = SendConditions {
             silence: upstream.time_since_contact(now),
             has_failed: upstream.has_failed(),
-            counts_probes: upstream.wants_calls_only(),
+            counts_probes: upstream.counts_probes(),
             time_since_departure: self.departures.time_since_last(now),
-        }
+        };
+        conditions.need_probe() && !upstream.was_heard_since(started_at)
     }
 
     /// Whether the call may go to another upstream, which is not avoided.
@@ -197,7 +206,7 @@
             other.entry.id != plan.upstream.entry.id
                 && !is_excluded(other)
                 && plan.origin.is_none_or(|origin| origin.admits(other))
-                && !other.wants_calls_only()
+                && !other.counts_probes()
                 && !self.is_avoided(other, now)
         })
     }
@@ -265,7 +274,7 @@
     let host = host.parse().map_err(|_| invalid(()))?;
     request.headers_mut().insert(HOST, host);
     let sent_at = Instant::now();
-    let may_send = || !upstream.wants_calls_only();
+    let may_send = || !upstream.counts_probes();
     let (connection, response) = upstream.pool.send_if(request, may_send).await?;
     let headers = answer::read(response.status(), response.headers(), None);
     upstream.record_statements(&headers, sent_at);
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -2,7 +2,7 @@
 //! upstreams.
 
 mod connection;
-mod departed_wishes;
+mod departed_notices;
 mod probe;
 mod run_origin;
 mod send_history;
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -15,10 +15,10 @@
 use crate::policy::send_decision::{self, SendDecision};
 use crate::policy::send_probe::answer_patience;
 use crate::policy::upstream_limit::UpstreamLimit;
-use crate::policy::upstream_wishes::UpstreamWishes;
+use crate::policy::upstream_notices::UpstreamNotices;
 
-/// The wishes of one incarnation, which outlive its entry.
-pub(crate) type SharedWishes = Arc<Mutex<UpstreamWishes>>;
+/// The notices of one incarnation, which outlive its entry.
+pub(crate) type SharedNotices = Arc<Mutex<UpstreamNotices>>;
 
 /// Shortest time for which an upstream that failed is avoided.
 const AVOID_MIN: Duration = Duration::from_millis(400);
@@ -66,7 +66,7 @@
     call_count: AtomicU32,
     health: Mutex<Health>,
     limit: Mutex<UpstreamLimit>,
-    wishes: SharedWishes,
+    notices: SharedNotices,
     /// The probe that precedes calls where one is needed.
     pub(crate) send_probe: SendProbe,
     /// Number of times that the upstream was marked as lost.
@@ -76,11 +76,11 @@
 impl Upstream {
     /// Creates an upstream without calls, of which nothing is known.
     pub(crate) fn new(entry: UpstreamEntry) -> Self {
-        Self::with_wishes(entry, SharedWishes::default())
+        Self::with_notices(entry, SharedNotices::default())
     }
 
-    /// Creates an upstream without calls, which may have stated these wishes before.
-    pub(crate) fn with_wishes(entry: UpstreamEntry, wishes: SharedWishes) -> Self {
+    /// Creates an upstream without calls, which may have stated these notices before.
+    pub(crate) fn with_notices(entry: UpstreamEntry, notices: SharedNotices) -> Self {
         let software_version = OnceLock::new();
         if let Some(version) = entry.software_version.clone() {
             software_version.get_or_init(|| version);
@@ -94,7 +94,7 @@
             call_count: AtomicU32::new(0),
             health: Mutex::default(),
             limit: Mutex::default(),
-            wishes,
+            notices,
             send_probe: SendProbe::default(),
             losses: watch::Sender::new(0),
             entry,
@@ -124,7 +124,7 @@
     /// Whether the upstream is draining, by its entry or its answers: it accepts no new
     /// calls.
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed) || self.wishes().is_leaving()
+        self.draining.load(Ordering::Relaxed) || self.notices().is_leaving()
     }
 
     /// Sets what the upstream's entry says, and returns whether that is new.
@@ -221,7 +221,7 @@
         self.record_limit(headers.limit, sent_at);
         match headers.rest {
             Some(rest) => self.record_rest(rest),
-            None => self.wishes().rest.record_answered(sent_at),
+            None => self.notices().rest.record_answered(sent_at),
         }
         if headers.is_leaving {
             self.record_leaving();
@@ -249,40 +249,40 @@
 
     /// Records the rest that the upstream asks of this node in an answer.
     pub(crate) fn record_rest(&self, rest: Duration) {
-        self.wishes().rest.record_asked(rest, Instant::now());
+        self.notices().rest.record_asked(rest, Instant::now());
         let (id, rest_ms) = (&self.entry.id, rest.as_millis());
         log::info!("event=upstream_rests upstream={id} rest_ms={rest_ms}");
     }
 
     /// Records that the upstream says that it leaves. No entry takes that back.
     fn record_leaving(&self) {
-        if self.wishes().record_leaving() {
+        if self.notices().record_leaving() {
             log::info!("event=upstream_leaves upstream={}", self.entry.id);
         }
     }
 
     /// What this incarnation asked of this node.
-    pub(crate) fn wishes(&self) -> MutexGuard<'_, UpstreamWishes> {
-        self.wishes.lock().unwrap_or_else(PoisonError::into_inner)
+    pub(crate) fn notices(&self) -> MutexGuard<'_, UpstreamNotices> {
+        self.notices.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The wishes, which a later entry of this incarnation shares.
-    pub(crate) fn shared_wishes(&self) -> SharedWishes {
-        self.wishes.clone()
+    /// The notices, which a later entry of this incarnation shares.
+    pub(crate) fn shared_notices(&self) -> SharedNotices {
+        self.notices.clone()
     }
 
     /// Whether the upstream wants no request at all from this node now.
     pub(crate) fn is_resting(&self) -> bool {
-        self.wishes().rest.is_resting(Instant::now())
+        self.notices().rest.is_resting(Instant::now())
     }
 
     /// Decides whether a call may be sent to the upstream now.
     pub(crate) fn decide(&self, now: Instant) -> SendDecision {
-        send_decision::decide(&self.wishes().rest, &mut self.limit(), now)
+        send_decision::decide(&self.notices().rest, &mut self.limit(), now)
     }
 
     /// Whether a request that is no call would cost the upstream what it wants to spare.
-    pub(crate) fn wants_calls_only(&self) -> bool {
+    pub(crate) fn counts_probes(&self) -> bool {
         self.is_resting() || self.is_limited()
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -17,9 +17,9 @@
 pub(crate) mod send_probe;
 pub(crate) mod store_contact;
 pub(crate) mod upstream_limit;
+pub(crate) mod upstream_notices;
 pub(crate) mod upstream_reach;
 pub(crate) mod upstream_rest;
-pub(crate) mod upstream_wishes;
 pub(crate) mod watchers;
 
 #[cfg(test)]
--- a/src/policy/upstream_wishes.rs
+++ b/src/policy/upstream_notices.rs
@@ -5,12 +5,12 @@
 
 /// What one incarnation of an upstream asked of this node.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct UpstreamWishes {
+pub(crate) struct UpstreamNotices {
     pub(crate) rest: UpstreamRest,
     is_leaving: bool,
 }
 
-impl UpstreamWishes {
+impl UpstreamNotices {
     /// Records that the upstream leaves, which nothing takes back. Returns whether it is
     /// new.
     pub(crate) fn record_leaving(&mut self) -> bool {
