Pause the upstreams that the node prefers in the scene of calls that run once (TWICE)

The scene asserts that some call met a paused upstream. It now pauses those that served most calls so far, to which the next calls go.

--- a/tests/second_runs.rs
+++ b/tests/second_runs.rs
@@ -289,16 +289,22 @@
     let environment = TestEnvironment::start(ENGINE_COUNT).await;
     let (_node, caller) = environment.start_ready_node("n1").await;
     let mut calls = Vec::new();
-    let upstreams = [
-        &environment.engines[0].process,
-        &environment.services[0].process,
-    ];
+    let mut paused = Vec::new();
 
     for n in 0..CALL_COUNT {
         if n == CALL_COUNT / 3 {
-            upstreams
+            // The node sends its next calls to the upstreams that it has preferred so far.
+            let engine = environment
+                .engines
                 .iter()
-                .for_each(|process| process.set_paused(true));
+                .max_by_key(|e| e.run_log.all().len());
+            let service = environment
+                .services
+                .iter()
+                .max_by_key(|s| s.run_log.all().len());
+            paused.push(&engine.expect("an engine").process);
+            paused.push(&service.expect("a service").process);
+            paused.iter().for_each(|process| process.set_paused(true));
         }
         let (caller, path) = (caller.clone(), PATHS[n % PATHS.len()]);
         let call = async move { caller.call("POST", path, HEADERS).await };
@@ -306,9 +312,7 @@
         tokio::time::sleep(INTERVAL).await;
     }
     let answers = join_all(calls).await;
-    upstreams
-        .iter()
-        .for_each(|process| process.set_paused(false));
+    paused.iter().for_each(|process| process.set_paused(false));
     tokio::time::sleep(DOUBLE_RUN_MAX).await;
 
     let answers = answers.into_iter().map(|got| got.expect("no panic"));
