Take the failures of a node without peers for an outage of the store as before (DRAIN)

Change: the 1.5 s count only while peers pass on the store's heartbeat; heartbeats and the node's own answers are told apart.

The properties now name heartbeats as such; what they hold is the same.

--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -97,7 +97,7 @@
         if self.heartbeat().receive(count, now) {
             let membership = &self.exchange.membership;
             membership.hold_document(HEARTBEAT_DOCUMENT, count);
-            self.forwarder.directory.set_store_reachable(true, now);
+            self.forwarder.directory.record_store_heartbeat(now);
             self.forwarder.node.set_store_reachable(true, now);
         }
     }
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -178,8 +178,13 @@
         }
     }
 
-    /// Records that the store answered this node or a peer, or that a request of
-    /// this node to it failed.
+    /// Records that a peer passed on that the store answers.
+    pub(crate) fn record_store_heartbeat(&self, now: Instant) {
+        self.lock().expiry.record_peer_heartbeat(now);
+    }
+
+    /// Records that the store answered this node, or that a request of this node to it
+    /// failed.
     pub(crate) fn set_store_reachable(&self, is_reachable: bool, now: Instant) {
         self.lock().expiry.set_store_reachable(is_reachable, now);
     }
--- a/src/policy/entry_expiry.rs
+++ b/src/policy/entry_expiry.rs
@@ -45,8 +45,8 @@
 }
 
 impl EntryExpiry {
-    /// Records that the store answered this node or a peer, or that a request of
-    /// this node to it failed.
+    /// Records that the store answered this node, or that a request of this node to it
+    /// failed.
     pub(crate) fn set_store_reachable(&mut self, is_reachable: bool, now: Instant) {
         if is_reachable {
             self.store.record_answer(now);
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Records that a peer passed on that the store answers.
+    pub(crate) fn record_peer_heartbeat(&mut self, now: Instant) {
+        self.store.record_peer_heartbeat(now);
+    }
+
     /// Decides what to do when an entry of a service with `service_size`
     /// upstreams was removed.
     pub(crate) fn entry_removed(
--- a/src/policy/tests/store_contact.rs
+++ b/src/policy/tests/store_contact.rs
@@ -15,11 +15,17 @@
     Duration::from_millis(ms)
 }
 
-/// What a node learns of the store, in the order of the times in ms.
+/// What a node learns of the store: heartbeats from peers (true) and failures of its own,
+/// in the order of the times in ms.
 fn apply(expiry: &mut EntryExpiry, start: Instant, mut contacts: Vec<(u64, bool)>) {
     contacts.sort_unstable();
-    for (at_ms, is_reachable) in contacts {
-        expiry.set_store_reachable(is_reachable, start + ms(at_ms));
+    for (at_ms, is_heartbeat) in contacts {
+        let at = start + ms(at_ms);
+        if is_heartbeat {
+            expiry.record_peer_heartbeat(at);
+        } else {
+            expiry.set_store_reachable(false, at);
+        }
     }
 }
 
@@ -61,9 +67,9 @@
         let (mut expiry, start) = (EntryExpiry::default(), Instant::now());
         let failures = failures_ms.into_iter().map(|at_ms| (at_ms, false));
 
-        expiry.set_store_reachable(true, start);
+        expiry.record_peer_heartbeat(start);
         apply(&mut expiry, start, failures.collect());
-        expiry.set_store_reachable(true, start + ms(outage_ms));
+        expiry.record_peer_heartbeat(start + ms(outage_ms));
         let decision = remove_entry(&mut expiry, start + ms(outage_ms + removal_delay_ms));
 
         prop_assert!(matches!(decision, ExpiryDecision::KeepUntil(_)));
