--- a/tests/nodes_cut_from_store.rs
+++ b/tests/nodes_cut_from_store.rs
@@ -77,9 +77,10 @@
         }
     }
 
-    /// Calls the node until some time after the bound, and returns how many calls reached
-    /// the upstream that left later than the bound allows.
-    async fn count_late_calls(&self, leaving: &Service, removed_at: Instant) -> usize {
+    /// Has an upstream leave, calls the node until some time after the bound, and returns
+    /// how many calls reached that upstream later than the bound allows.
+    async fn count_late_calls_after_removal(&self) -> usize {
+        let (leaving, removed_at) = self.remove_first_service();
         let bound = removed_at + LEAVING_BOUND;
         self.call_until(bound + LOAD_AFTER_BOUND).await;
         leaving.run_log.count_between(bound, Instant::now())
@@ -112,13 +113,9 @@
     scene
         .call_until(Instant::now() + Duration::from_millis(1_000))
         .await;
-    let (leaving, removed_at) = scene.remove_first_service();
-    let late_count = scene.count_late_calls(&leaving, removed_at).await;
+    let late_count = scene.count_late_calls_after_removal().await;
 
-    assert_eq!(
-        late_count, 0,
-        "calls over {LEAVING_BOUND:?} after the removal"
-    );
+    assert_eq!(late_count, 0, "calls {LEAVING_BOUND:?} after the removal");
 }
 
 #[tokio::test]
@@ -133,11 +130,7 @@
     scene
         .call_until(Instant::now() + Duration::from_millis(100))
         .await;
-    let (leaving, removed_at) = scene.remove_first_service();
-    let late_count = scene.count_late_calls(&leaving, removed_at).await;
+    let late_count = scene.count_late_calls_after_removal().await;
 
-    assert_eq!(
-        late_count, 0,
-        "calls over {LEAVING_BOUND:?} after the removal"
-    );
+    assert_eq!(late_count, 0, "calls {LEAVING_BOUND:?} after the removal");
 }
