--- a/tests/resting_upstreams.rs
+++ b/tests/resting_upstreams.rs
@@ -6,11 +6,11 @@
 
 use support::edge_environment::asked_rest::AskedRest;
 use support::edge_environment::caller::{Caller, Response};
+use support::edge_environment::load::{call_in_turn, served_share};
 use support::edge_environment::running_stream::assert_stream_complete;
 use support::edge_environment::{
     IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, STREAM_PATH, TestEnvironment, eventually,
 };
-use tokio::task::JoinHandle;
 
 const NODE_COUNT: usize = 7;
 /// Time for which an upstream turns everything away.
@@ -27,30 +27,13 @@
 /// Calls the nodes in turn for `duration` with calls that may repeat, calls that may not,
 /// and streams. Returns when each was sent, and its answer.
 async fn send_calls(callers: &[Caller], duration: Duration) -> Vec<(Instant, Response)> {
-    let began_at = Instant::now();
-    let mut sent: Vec<(Instant, JoinHandle<Response>)> = Vec::new();
-    while began_at.elapsed() < duration {
-        let caller = callers[sent.len() % callers.len()].clone();
-        let (method, path) = match (sent.len() / callers.len()) % 3 {
-            0 => ("GET", IDEMPOTENT_PATH),
-            1 => ("POST", NON_IDEMPOTENT_PATH),
-            _ => ("POST", STREAM_PATH),
-        };
-        let headers = "x-zinniawing-deadline-ms: 1500\r\nx-zinniawing-token-usage: 200,8\r\n";
-        let call = tokio::spawn(async move { caller.call(method, path, headers).await });
-        sent.push((Instant::now(), call));
-        tokio::time::sleep(CALL_INTERVAL).await;
-    }
-    let mut answers = Vec::new();
-    for (sent_at, call) in sent {
-        answers.push((sent_at, call.await.expect("no panic")));
-    }
-    answers
-}
-
-fn served_share(answers: &[(Instant, Response)]) -> f64 {
-    let served = answers.iter().filter(|(_, answer)| answer.status == 200);
-    served.count() as f64 / answers.len() as f64
+    const HEADERS: &str = "x-zinniawing-deadline-ms: 1500\r\nx-zinniawing-token-usage: 200,8\r\n";
+    let shape_of = |n: usize| match (n / callers.len()) % 3 {
+        0 => ("GET", IDEMPOTENT_PATH, HEADERS),
+        1 => ("POST", NON_IDEMPOTENT_PATH, HEADERS),
+        _ => ("POST", STREAM_PATH, HEADERS),
+    };
+    call_in_turn(callers, duration, CALL_INTERVAL, shape_of).await
 }
 
 fn assert_kept(what: &str, rest: &AskedRest, since: Instant) {
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -12,6 +12,7 @@
 pub mod first_tries;
 pub mod framing;
 pub mod leaving_callers;
+pub mod load;
 pub mod named_limit;
 pub mod process;
 pub mod proxy;
--- a/tests/upstream_limits.rs
+++ b/tests/upstream_limits.rs
@@ -5,11 +5,11 @@
 use std::time::{Duration, Instant};
 
 use support::edge_environment::caller::{Caller, Response};
+use support::edge_environment::load::{call_in_turn, served_share};
 use support::edge_environment::named_limit::NamedLimit;
 use support::edge_environment::{
     IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, STREAM_PATH, TestEnvironment,
 };
-use tokio::task::JoinHandle;
 use zinniawing::EdgeNode;
 
 /// Time after which all nodes know what one of them saw.
@@ -40,29 +40,12 @@
 /// Sends calls to the nodes in turn for `duration`, every second one idempotent.
 /// Returns when each was sent, and its answer.
 async fn send_calls(callers: &[Caller], duration: Duration) -> Vec<(Instant, Response)> {
-    let began_at = Instant::now();
-    let mut sent: Vec<(Instant, JoinHandle<Response>)> = Vec::new();
-    while began_at.elapsed() < duration {
-        let caller = callers[sent.len() % callers.len()].clone();
-        let (method, path) = match sent.len() % 2 {
-            0 => ("GET", IDEMPOTENT_PATH),
-            _ => ("POST", NON_IDEMPOTENT_PATH),
-        };
-        let headers = "x-zinniawing-deadline-ms: 1500\r\n";
-        let call = tokio::spawn(async move { caller.call(method, path, headers).await });
-        sent.push((Instant::now(), call));
-        tokio::time::sleep(CALL_INTERVAL).await;
-    }
-    let mut answers = Vec::new();
-    for (sent_at, call) in sent {
-        answers.push((sent_at, call.await.expect("no panic")));
-    }
-    answers
-}
-
-fn served_share(answers: &[(Instant, Response)]) -> f64 {
-    let served = answers.iter().filter(|(_, answer)| answer.status == 200);
-    served.count() as f64 / answers.len() as f64
+    const HEADERS: &str = "x-zinniawing-deadline-ms: 1500\r\n";
+    let shape_of = |n: usize| match n % 2 {
+        0 => ("GET", IDEMPOTENT_PATH, HEADERS),
+        _ => ("POST", NON_IDEMPOTENT_PATH, HEADERS),
+    };
+    call_in_turn(callers, duration, CALL_INTERVAL, shape_of).await
 }
 
 fn assert_within(limit: &NamedLimit, limit_per_s: f64, since: Instant) {
