Log by which configuration a call is refused and what was known of its age (CONFIG)

Cause: the log of a refused call had the version that decided and whether it counted as fresh. It could not tell a missed version from a silent watch or from one that a peer had announced and that was not fetched yet. Change: call_rejected states the age of the store's last answer to any node and to this node about the configuration, whether its last request failed, and the highest version that a peer announced.

--- a/src/configuration/document_exchange.rs
+++ b/src/configuration/document_exchange.rs
@@ -97,10 +97,13 @@
         }
         match decompress(&reply.body) {
             Some(body) => {
-                self.offer(Object {
-                    version: reply.version,
-                    body,
-                });
+                let version = reply.version;
+                if self.offer(Object { version, body }) {
+                    log::info!(
+                        "event=document_fetched name={} version={version} peer={peer_address}",
+                        self.name
+                    );
+                }
             }
             None => log::error!(
                 "event=peer_unreadable peer={peer_address} what={}",
--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -20,10 +20,10 @@
 use crate::forward::relay::RelayPeer;
 use crate::forward::run_origin::{ORIGIN_LIFETIME, RunKey, RunOrigin};
 use crate::hash::{Fnv, rendezvous_order};
-use crate::id::{NodeId, ServiceId, UpstreamId};
+use crate::id::{NodeId, ServiceId, UpstreamId, Version};
 use crate::membership::members::Member;
 use crate::membership::message::{PermitReply, PermitRequest};
-use crate::policy::freshness::ConfigFreshness;
+use crate::policy::freshness::{ConfigEvidence, ConfigFreshness};
 use crate::policy::upstream_limit::{Grant, PermitDemand};
 use crate::policy::watchers;
 
@@ -175,6 +175,24 @@
         freshness.set_store_reachable(is_reachable, now);
     }
 
+    /// Records that the store answered this node about the configuration.
+    pub(crate) fn record_config_confirmation(&self, now: Instant) {
+        let mut freshness = self
+            .freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        freshness.record_confirmation(now);
+    }
+
+    /// Records that a peer announced a version of the configuration.
+    pub(crate) fn record_announced_config(&self, version: Version) {
+        let mut freshness = self
+            .freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        freshness.record_announced(version);
+    }
+
     /// Answers another node's request for permits.
     pub(crate) fn answer_permits(&self, request: &PermitRequest) -> PermitReply {
         self.peer_permits.answer(request)
@@ -219,6 +237,14 @@
         freshness.is_fresh(Instant::now())
     }
 
+    fn config_evidence(&self) -> ConfigEvidence {
+        let freshness = self
+            .freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        freshness.evidence(Instant::now())
+    }
+
     fn is_draining(&self) -> bool {
         self.stop.get().is_some()
     }
--- a/src/edge/peer_api.rs
+++ b/src/edge/peer_api.rs
@@ -10,7 +10,7 @@
 
 use super::cluster_view::ClusterView;
 use super::peer_run_origins::{from_record, to_record};
-use super::store_watch::{HEARTBEAT_DOCUMENT, StoreWatch, UPSTREAMS_DOCUMENT};
+use super::store_watch::{HEARTBEAT_DOCUMENT, ROUTING_DOCUMENT, StoreWatch, UPSTREAMS_DOCUMENT};
 use super::upstream_log::{UpstreamLog, decode};
 use crate::configuration::document::DocumentStore;
 use crate::forward::forwarder::Forwarder;
@@ -91,6 +91,7 @@
             };
             match name.as_str() {
                 HEARTBEAT_DOCUMENT => self.apply_heartbeat(version),
+                ROUTING_DOCUMENT => self.forwarder.node.record_announced_config(version),
                 UPSTREAMS_DOCUMENT if version > self.upstreams.revision() => {
                     self.fetch_upstreams(peer).await;
                 }
--- a/src/edge/status_api.rs
+++ b/src/edge/status_api.rs
@@ -10,6 +10,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::forward::forwarder::{Forwarder, NodeContext};
 use crate::http::{self, Handler, HttpResponse};
+use crate::observe::metrics::gauge_line;
 use crate::platform::address::{self, ADDRESS_PATH, READY_PATH};
 
 const METRICS_PATH: &str = "/metrics";
@@ -54,7 +55,21 @@
     }
 
     fn counters(&self) -> HttpResponse {
-        HttpResponse::new(http::full(self.forwarder.metrics.to_text()))
+        let text = self.forwarder.metrics.to_text() + &self.config_gauges();
+        HttpResponse::new(http::full(text))
+    }
+
+    /// The version of the configuration in force, and the age of the store's last
+    /// answer to this node about it.
+    fn config_gauges(&self) -> String {
+        let version = self.forwarder.config_version();
+        let evidence = self.forwarder.node.config_evidence();
+        let mut text = gauge_line("config_version", version);
+        if let Some(age) = evidence.confirmation_age {
+            let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+            text += &gauge_line("config_confirmed_age_ms", age_ms);
+        }
+        text
     }
 }
 
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -105,6 +105,13 @@
     /// Applies an update of the upstreams, and announces its revision to peers.
     pub(crate) fn apply_update(&self, update: &UpstreamUpdate, now: Instant) {
         if !self.upstreams.apply(update, now) {
+            if update.is_snapshot {
+                log::warn!(
+                    "event=upstreams_ignored revision={} held={}",
+                    update.revision,
+                    self.upstreams.revision()
+                );
+            }
             return;
         }
         let directory = &self.forwarder.directory;
@@ -161,12 +168,7 @@
             Ok(table) => table,
             Err(error) => return log::error!("event=config_unreadable cause={error}"),
         };
-        let in_force = self
-            .forwarder
-            .route_table
-            .load()
-            .as_ref()
-            .map_or(0, |t| t.version);
+        let in_force = self.forwarder.config_version();
         if table.version > in_force {
             log::info!(
                 "event=config_in_force version={} before={in_force}",
@@ -203,10 +205,15 @@
                         self.offer_config(text, "store");
                     }
                     revision = Some(new_revision);
-                    self.record_store_answer(Instant::now());
+                    let now = Instant::now();
+                    self.record_store_answer(now);
+                    self.forwarder.node.record_config_confirmation(now);
                     log_recovery(&mut is_store_lost, "config");
                 }
-                Err(StoreFailure::RevisionExpired) => revision = None,
+                Err(StoreFailure::RevisionExpired) => {
+                    log::info!("event=store_revision_expired what=config revision={revision:?}");
+                    revision = None;
+                }
                 Err(failure) => {
                     let now = Instant::now();
                     self.forwarder.node.set_store_reachable(false, now);
@@ -239,7 +246,10 @@
                     log_recovery(&mut is_store_lost, "upstreams");
                     tokio::time::sleep(BATCH_DELAY).await;
                 }
-                Err(StoreFailure::RevisionExpired) => is_revision_expired = true,
+                Err(StoreFailure::RevisionExpired) => {
+                    log::info!("event=store_revision_expired what=upstreams revision={revision}");
+                    is_revision_expired = true;
+                }
                 Err(failure) => {
                     self.forwarder.directory.set_store_reachable(false, now);
                     log_loss(&mut is_store_lost, "upstreams", failure);
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -23,10 +23,11 @@
 use super::upstream::Upstream;
 use crate::error::{Error, ErrorKind};
 use crate::http::{self, HttpResponse, read_body};
-use crate::id::{DataCentreId, NodeId, ServiceId, UpstreamId};
+use crate::id::{DataCentreId, NodeId, ServiceId, UpstreamId, Version};
 use crate::observe::metrics::{Counter, Metrics};
 use crate::platform::call::{self, CallHeaders, RelayHeaders};
 use crate::policy::failure_response::{GiveUpReason, Progress};
+use crate::policy::freshness::ConfigEvidence;
 use crate::policy::placement::{Candidate, is_assigned};
 use crate::policy::upstream_limit::{Grant, PermitDemand};
 
@@ -48,6 +49,8 @@
     fn peak_node_count(&self) -> usize;
     /// Whether the configuration in force is known to be current.
     fn is_config_fresh(&self) -> bool;
+    /// What this node knows about the age of its configuration.
+    fn config_evidence(&self) -> ConfigEvidence;
     /// Whether this node is shutting down.
     fn is_draining(&self) -> bool;
     /// Asks other nodes to spend a retry from their shares of the service's
@@ -122,6 +125,11 @@
 }
 
 impl<N: NodeContext> Forwarder<N> {
+    /// Version of the configuration in force, or zero if there is none.
+    pub(crate) fn config_version(&self) -> Version {
+        self.route_table.load().as_ref().map_or(0, |t| t.version)
+    }
+
     /// Answers one call of a caller.
     pub(crate) async fn forward(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
         self.forward_from(request, None).await
--- a/src/forward/refusal.rs
+++ b/src/forward/refusal.rs
@@ -26,14 +26,11 @@
         self.metrics.add(Counter::CallsRejected, 1);
         let id = headers.call_id.as_ref().and_then(|id| id.to_str().ok());
         log::info!(
-            "event=call_rejected call={} kind={} config={} fresh={}",
+            "event=call_rejected call={} kind={} config={} {}",
             id.unwrap_or("-"),
             error.kind.name(),
-            self.route_table
-                .load()
-                .as_ref()
-                .map_or(0, |table| table.version),
-            self.node.is_config_fresh()
+            self.config_version(),
+            self.node.config_evidence()
         );
         let mut response = http::error_response(error);
         if response.status() == StatusCode::SERVICE_UNAVAILABLE {
--- a/src/id.rs
+++ b/src/id.rs
@@ -35,6 +35,9 @@
 pub type AttemptNumber = u32;
 /// Position of a token within its generation, from zero.
 pub type TokenIndex = u64;
+/// Number of the copy that the platform's store runs from. It rises each time the
+/// store comes back from an older copy of its data, which sets its revisions back.
+pub type Era = u64;
 /// Version of an object in the platform's object store. It rises with each
 /// accepted write.
 pub type Version = u64;
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -18,6 +18,11 @@
 /// Prefix of the name of every counter and histogram.
 const PREFIX: &str = "zinniawing";
 
+/// One line of a gauge in the text of the counters.
+pub(crate) fn gauge_line(name: &str, value: u64) -> String {
+    format!("{PREFIX}_{name} {value}\n")
+}
+
 /// One counter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(usize)]
