--- a/tests/support/edge_environment/store.rs
+++ b/tests/support/edge_environment/store.rs
@@ -18,8 +18,20 @@
 /// pages.
 const PAGE_ENTRIES: usize = 3;
 
+/// Status of a request whose connection is closed without an answer.
+const CUT: u16 = 0;
+
+/// The content of the store at some time, from which it can come back.
+#[derive(Clone)]
+pub struct StoreCopy {
+    revision: u64,
+    objects: BTreeMap<(String, String), Value>,
+}
+
 #[derive(Default)]
 struct State {
+    /// Rises each time the store comes back from a copy.
+    era: u64,
     revision: u64,
     /// Watches from before this revision are answered with status 410.
     oldest_revision: u64,
@@ -162,6 +174,38 @@
         }
     }
 
+    /// Copies what the store holds now.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.state.lock().expect("unpoisoned");
+        StoreCopy {
+            revision: state.revision,
+            objects: state.objects.clone(),
+        }
+    }
+
+    /// Comes back from a copy: later changes are gone, their revisions will be given out
+    /// again, and open watches are cut.
+    pub fn come_back_from(&self, copy: &StoreCopy) {
+        let mut state = self.state.lock().expect("unpoisoned");
+        state.era += 1;
+        state.revision = copy.revision;
+        state.objects = copy.objects.clone();
+        state.history.retain(|(at, ..)| *at <= copy.revision);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Makes `count` changes that concern no node, as heartbeats of upstreams do.
+    pub fn raise_revision(&self, count: usize) {
+        for n in 0..count {
+            self.put("other", "thing", json!({ "n": n }));
+        }
+    }
+
+    fn era(&self) -> u64 {
+        self.state.lock().expect("unpoisoned").era
+    }
+
     /// Drops the history of changes, so that running watches are answered with
     /// status 410 and nodes must list again.
     pub fn expire_history(&self) {
@@ -187,7 +231,8 @@
 
     fn events(&self, kind: &str, after_revision: u64) -> Result<Option<Value>, ()> {
         let state = self.state.lock().expect("unpoisoned");
-        if after_revision < state.oldest_revision {
+        let is_known = (state.oldest_revision..=state.revision).contains(&after_revision);
+        if !is_known {
             return Err(());
         }
         let newer = state
@@ -203,8 +248,12 @@
 
     async fn watch(&self, kind: &str, after_revision: u64, wait: Duration) -> (u16, Value) {
         let deadline = tokio::time::Instant::now() + wait;
+        let era = self.era();
         loop {
             let changed = self.changed.notified();
+            if self.era() != era {
+                return (CUT, Value::Null);
+            }
             match self.events(kind, after_revision) {
                 Err(()) => return (410, json!({ "error": "gone" })),
                 Ok(Some(events)) => return (200, events),
@@ -258,11 +307,18 @@
 impl RequestHandler for Store {
     async fn handle(self: Arc<Self>, request: RawRequest, stream: &mut TcpStream) -> bool {
         let (status, body) = self.answer(&request).await;
-        reply_with_json(stream, status, &body.to_string()).await
+        self.reply(stream, status, &body.to_string()).await
     }
 }
 
-pub async fn reply_with_json(stream: &mut TcpStream, status: u16, body: &str) -> bool {
-    let headers = "content-type: application/json\r\n";
-    reply(stream, status, headers, body.as_bytes()).await
+impl Store {
+    /// Writes an answer, which names the store's era.
+    pub async fn reply(&self, stream: &mut TcpStream, status: u16, body: &str) -> bool {
+        if status == CUT {
+            return false;
+        }
+        let era = self.era();
+        let headers = format!("content-type: application/json\r\nstore-era: {era}\r\n");
+        reply(stream, status, &headers, body.as_bytes()).await
+    }
 }
--- a/tests/support/edge_environment/store_view.rs
+++ b/tests/support/edge_environment/store_view.rs
@@ -9,7 +9,7 @@
 
 use super::free_address;
 use super::raw::{RawRequest, RequestHandler, serve};
-use super::store::{Store, reply_with_json};
+use super::store::Store;
 
 /// Answers as the store does, but replaces addresses of upstreams.
 struct StoreView {
@@ -36,6 +36,6 @@
         for (stored, own) in &self.addresses {
             body = body.replace(&format!("\"{stored}\""), &format!("\"{own}\""));
         }
-        reply_with_json(stream, status, &body).await
+        self.store.reply(stream, status, &body).await
     }
 }
