Order what comes from the store by its era before its revision (CONFIG)

What callers saw: a route added after the store had come back from an older copy was refused with 404, at all nodes, until the next change; upstreams that joined then got no calls. Cause: revisions were compared as numbers. The store may set them back, so a number is no order in time. A watch from a revision of the earlier era was taken by the store once its counter had passed it, and what lay between was never seen; until then each list was dropped as older, and a peer's list of the earlier era was taken for newer than the store's. Change: a revision is an era and a number, ordered by type; revisions of which one names no era are not ordered. A watch whose answer is of another era has expired. Nodes pass the era on in fields that earlier builds skip; a list that such a build announces without an era is asked for at the store. Why it works: nothing of one era is compared with a number of another one, at the store's client, in the log of upstreams, or in the gossip.

--- a/src/configuration/document.rs
+++ b/src/configuration/document.rs
@@ -74,6 +74,7 @@
         newer.map_or_else(DocumentReply::default, |object| DocumentReply {
             version: object.version,
             body: self.compress(&peer_held.name, &object),
+            era: None,
         })
     }
 
--- a/src/configuration/document_exchange.rs
+++ b/src/configuration/document_exchange.rs
@@ -18,6 +18,7 @@
 use crate::membership::message::{DocumentVersion, ReplyBody, RequestBody};
 use crate::membership::peer::PeerClient;
 use crate::store::object_store::Object;
+use crate::store::revision::Revision;
 
 /// Time-out of a request for a document to a peer.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
@@ -68,6 +69,7 @@
                     name,
                     version,
                     peer_address,
+                    ..
                 }) if name == self.name => {
                     if version > self.version() {
                         self.fetch(peer_address).await;
@@ -83,10 +85,8 @@
         if self.faults.is_cut(&peer_address) {
             return;
         }
-        let request = RequestBody::Fetch(DocumentVersion {
-            name: self.name.to_owned(),
-            version: self.version(),
-        });
+        let held = Revision::without_era(self.version());
+        let request = RequestBody::Fetch(DocumentVersion::new(self.name.to_owned(), held));
         let result = self.peers.call(peer_address, request, FETCH_TIMEOUT).await;
         let Ok(ReplyBody::Document(reply)) = result else {
             return;
--- a/src/configuration/tests/mod.rs
+++ b/src/configuration/tests/mod.rs
@@ -7,6 +7,7 @@
 use crate::membership::compression::decompress;
 use crate::membership::message::DocumentVersion;
 use crate::store::object_store::Object;
+use crate::store::revision::Revision;
 
 /// Maximum compressed size of a configuration of 350 routes, so that a node with
 /// a link of 10 Mbit/s can send it to thirty peers within a second. The document
@@ -36,10 +37,7 @@
             body: body.clone(),
         },
     );
-    let peer_held = DocumentVersion {
-        name: "routing".to_owned(),
-        version: 3,
-    };
+    let peer_held = DocumentVersion::new("routing".to_owned(), Revision::without_era(3));
 
     let reply = store.reply(&peer_held);
 
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -142,6 +142,7 @@
             exchange: config_exchange(&membership, &peers),
             upstreams: Arc::default(),
             heartbeat: Arc::default(),
+            is_list_in_doubt: Arc::default(),
         };
         serve_peer_api(&settings, &watch, &shutdown)?;
         spawn_background_tasks(&settings, watch);
--- a/src/edge/peer_api.rs
+++ b/src/edge/peer_api.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use tokio::sync::broadcast::error::RecvError;
@@ -20,6 +21,7 @@
     RunOriginRequest,
 };
 use crate::membership::peer::PeerHandler;
+use crate::store::revision::Revision;
 
 /// Time-out for fetching upstream changes from a peer.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
@@ -37,8 +39,14 @@
         if wanted.name != UPSTREAMS_DOCUMENT {
             return self.documents.reply(wanted);
         }
-        let (version, body) = self.upstreams.encode_changes_since(wanted.version);
-        DocumentReply { version, body }
+        // A node without a list asks with version zero.
+        let since = Some(wanted.revision()).filter(|since| since.number > 0);
+        let (revision, body) = self.upstreams.encode_changes_since(since);
+        revision.map_or_else(DocumentReply::default, |revision| DocumentReply {
+            version: revision.number,
+            body,
+            era: revision.era,
+        })
     }
 }
 
@@ -80,37 +88,61 @@
     pub(crate) async fn follow_peers(self) {
         let mut events = self.exchange.membership.subscribe();
         loop {
-            let (name, version, peer) = match events.recv().await {
+            let (name, revision, peer) = match events.recv().await {
                 Ok(MembershipEvent::Document {
                     name,
-                    version,
+                    version: number,
+                    era,
                     peer_address,
-                }) => (name, version, peer_address),
+                }) => (name, Revision { era, number }, peer_address),
                 Ok(_) | Err(RecvError::Lagged(_)) => continue,
                 Err(RecvError::Closed) => return,
             };
             match name.as_str() {
-                HEARTBEAT_DOCUMENT => self.apply_heartbeat(version),
-                ROUTING_DOCUMENT => self.forwarder.node.record_announced_config(version),
-                UPSTREAMS_DOCUMENT if version > self.upstreams.revision() => {
-                    self.fetch_upstreams(peer).await;
+                HEARTBEAT_DOCUMENT => self.apply_heartbeat(revision.number),
+                ROUTING_DOCUMENT => {
+                    let node = &self.forwarder.node;
+                    node.record_announced_config(revision.number);
                 }
+                UPSTREAMS_DOCUMENT => self.follow_announced_list(revision, peer).await,
                 _ => {}
             }
         }
     }
 
+    /// Fetches a list of upstreams that a peer announced, if it is newer. If its order
+    /// is unknown, since an earlier build announced it without its era, this node asks
+    /// the store instead.
+    async fn follow_announced_list(&self, announced: Revision, peer: SocketAddr) {
+        let held = self.upstreams.revision();
+        if announced.replaces(held) {
+            if held != Some(announced) {
+                self.fetch_upstreams(peer).await;
+            }
+        } else if held.is_some_and(|held| announced.partial_cmp(&held).is_none()) {
+            self.is_list_in_doubt.store(true, Ordering::Relaxed);
+        }
+    }
+
     async fn fetch_upstreams(&self, peer: SocketAddr) {
-        let request = RequestBody::Fetch(DocumentVersion {
-            name: UPSTREAMS_DOCUMENT.to_owned(),
-            version: self.upstreams.revision(),
-        });
+        let held = self.upstreams.revision();
+        let held = held.unwrap_or(Revision::without_era(0));
+        let name = UPSTREAMS_DOCUMENT.to_owned();
+        let request = RequestBody::Fetch(DocumentVersion::new(name, held));
         let peers = &self.exchange.peers;
         let result = peers.call(peer, request, FETCH_TIMEOUT).await;
         let Ok(ReplyBody::Document(reply)) = result else {
             return;
         };
-        match decode(reply.version, &reply.body) {
+        // A peer that has no list sends version zero and no body.
+        if reply.version == 0 {
+            return;
+        }
+        let revision = Revision {
+            era: reply.era,
+            number: reply.version,
+        };
+        match decode(revision, &reply.body) {
             Some(update) => self.apply_update(&update, Instant::now()),
             None => log::error!("event=peer_unreadable peer={peer} what=upstreams"),
         }
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -5,6 +5,7 @@
 //! themselves only if these stop. The store heartbeat is a counter that rises
 //! while the store answers.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,7 @@
 use crate::platform::store::{Changes, ConfigText, Store, StoreFailure, UpstreamChange};
 use crate::policy::watchers::{StoreHeartbeat, peer_list_wait};
 use crate::store::object_store::Object;
+use crate::store::revision::Revision;
 
 /// Name of the document that holds the configuration, in exchanges with peers.
 pub(crate) const ROUTING_DOCUMENT: &str = "routing";
@@ -58,15 +60,18 @@
     pub(crate) exchange: DocumentExchange,
     pub(crate) upstreams: Arc<UpstreamLog>,
     pub(crate) heartbeat: Arc<Mutex<StoreHeartbeat>>,
+    /// Whether a peer announced a list of upstreams of which this node can't tell
+    /// whether it is newer than its own.
+    pub(crate) is_list_in_doubt: Arc<AtomicBool>,
 }
 
 impl StoreWatch {
     /// Waits until this node has to poll the store: it is a watcher, it has no
-    /// data yet, or the store heartbeat from the watchers is overdue.
-    async fn wait_until_poll_needed(&self, has_data: bool) {
+    /// data yet, the store heartbeat from the watchers is overdue, or `is_in_doubt`.
+    async fn wait_until_poll_needed(&self, has_data: bool, is_in_doubt: impl Fn() -> bool) {
         let jitter = rand::rng().random_range(0.0..1.0);
         while has_data && !self.forwarder.node.is_watcher() {
-            if self.heartbeat().is_overdue(jitter, Instant::now()) {
+            if is_in_doubt() || self.heartbeat().is_overdue(jitter, Instant::now()) {
                 return;
             }
             tokio::time::sleep(POLL_CHECK_INTERVAL).await;
@@ -106,10 +111,11 @@
     pub(crate) fn apply_update(&self, update: &UpstreamUpdate, now: Instant) {
         if !self.upstreams.apply(update, now) {
             if update.is_snapshot {
+                let held = self.upstreams.revision();
                 log::warn!(
                     "event=upstreams_ignored revision={} held={}",
                     update.revision,
-                    self.upstreams.revision()
+                    for_log(held)
                 );
             }
             return;
@@ -131,7 +137,7 @@
         }
         if update.is_snapshot || !update.changes.is_empty() {
             let membership = &self.exchange.membership;
-            membership.hold_document(UPSTREAMS_DOCUMENT, update.revision);
+            membership.hold_revision(UPSTREAMS_DOCUMENT, update.revision);
         }
     }
 
@@ -185,7 +191,7 @@
         let mut revision = None;
         let mut is_store_lost = false;
         loop {
-            self.wait_until_poll_needed(self.exchange.version() > 0)
+            self.wait_until_poll_needed(self.exchange.version() > 0, || false)
                 .await;
             let read = match revision {
                 None => self.count_call(self.store.read_config()).await,
@@ -211,7 +217,8 @@
                     log_recovery(&mut is_store_lost, "config");
                 }
                 Err(StoreFailure::RevisionExpired) => {
-                    log::info!("event=store_revision_expired what=config revision={revision:?}");
+                    let revision_text = for_log(revision);
+                    log::info!("event=store_revision_expired what=config revision={revision_text}");
                     revision = None;
                 }
                 Err(failure) => {
@@ -230,14 +237,17 @@
         let mut is_revision_expired = false;
         let mut is_store_lost = false;
         loop {
+            let has_list = self.upstreams.revision().is_some();
+            let is_in_doubt = || self.is_list_in_doubt.load(Ordering::Relaxed);
+            self.wait_until_poll_needed(has_list, is_in_doubt).await;
+            self.is_list_in_doubt.store(false, Ordering::Relaxed);
             let revision = self.upstreams.revision();
-            self.wait_until_poll_needed(revision > 0).await;
-            let needs_list = revision == 0 || is_revision_expired;
-            let result = if needs_list {
-                self.list_upstreams().await
-            } else {
-                self.watch_upstreams(self.upstreams.revision(), self.poll_time(is_store_lost))
-                    .await
+            let result = match revision.filter(|_| !is_revision_expired) {
+                None => self.list_upstreams().await,
+                Some(revision) => {
+                    let wait = self.poll_time(is_store_lost);
+                    self.watch_upstreams(revision, wait).await
+                }
             };
             let now = Instant::now();
             match result {
@@ -247,6 +257,7 @@
                     tokio::time::sleep(BATCH_DELAY).await;
                 }
                 Err(StoreFailure::RevisionExpired) => {
+                    let revision = for_log(revision);
                     log::info!("event=store_revision_expired what=upstreams revision={revision}");
                     is_revision_expired = true;
                 }
@@ -262,8 +273,8 @@
     async fn list_upstreams(&self) -> Result<(), StoreFailure> {
         let first = self.count_call(self.store.list_upstreams(None)).await?;
         self.record_store_answer(Instant::now());
-        if first.next.is_some() && self.upstreams.revision() == 0 && self.wait_for_peer_list().await
-        {
+        let has_list = self.upstreams.revision().is_some();
+        if first.next.is_some() && !has_list && self.wait_for_peer_list().await {
             return Ok(());
         }
         // Changes made while the pages are read are not lost: the next watch
@@ -275,6 +286,9 @@
             let page = self
                 .count_call(self.store.list_upstreams(Some(&after)))
                 .await?;
+            if page.revision.era != revision.era {
+                return Err(StoreFailure::RevisionExpired);
+            }
             entries.extend(page.entries);
             next = page.next;
         }
@@ -295,10 +309,10 @@
     async fn wait_for_peer_list(&self) -> bool {
         let jitter = rand::rng().random_range(0.0..1.0);
         let deadline = Instant::now() + peer_list_wait(self.forwarder.node.is_seed(), jitter);
-        while self.upstreams.revision() == 0 && Instant::now() < deadline {
+        while self.upstreams.revision().is_none() && Instant::now() < deadline {
             tokio::time::sleep(PEER_LIST_CHECK_INTERVAL).await;
         }
-        self.upstreams.revision() > 0
+        self.upstreams.revision().is_some()
     }
 
     fn poll_time(&self, is_store_lost: bool) -> Duration {
@@ -309,7 +323,11 @@
         }
     }
 
-    async fn watch_upstreams(&self, revision: Version, wait: Duration) -> Result<(), StoreFailure> {
+    async fn watch_upstreams(
+        &self,
+        revision: Revision,
+        wait: Duration,
+    ) -> Result<(), StoreFailure> {
         let watch = self.store.watch_upstreams(revision, wait);
         let changes = self.count_call(watch).await?;
         let now = Instant::now();
@@ -348,6 +366,10 @@
     }
 }
 
+fn for_log(revision: Option<Revision>) -> String {
+    revision.map_or_else(|| "-".to_owned(), |revision| revision.to_string())
+}
+
 fn log_loss(is_store_lost: &mut bool, what: &str, failure: StoreFailure) {
     if !*is_store_lost {
         log::warn!("event=store_lost what={what} cause={failure}");
--- a/src/edge/tests/upstream_log.rs
+++ b/src/edge/tests/upstream_log.rs
@@ -5,8 +5,9 @@
 use crate::edge::upstream_log::{UpstreamLog, UpstreamUpdate, decode};
 use crate::forward::upstream::UpstreamEntry;
 use crate::platform::store::UpstreamChange;
+use crate::store::revision::Revision;
 
-fn entry(id: &str) -> UpstreamEntry {
+pub(super) fn entry(id: &str) -> UpstreamEntry {
     UpstreamEntry {
         id: id.to_owned(),
         born_unix_ms: 5,
@@ -19,19 +20,19 @@
     }
 }
 
-fn registered(id: &str) -> UpstreamChange {
+pub(super) fn registered(id: &str) -> UpstreamChange {
     UpstreamChange::Registered(entry(id))
 }
 
-fn removed(id: &str) -> UpstreamChange {
+pub(super) fn removed(id: &str) -> UpstreamChange {
     UpstreamChange::Removed(id.to_owned())
 }
 
-fn update(is_snapshot: bool, changes: Vec<UpstreamChange>, revision: u64) -> UpstreamUpdate {
+fn update(is_snapshot: bool, changes: Vec<UpstreamChange>, number: u64) -> UpstreamUpdate {
     UpstreamUpdate {
         is_snapshot,
         changes,
-        revision,
+        revision: Revision::without_era(number),
     }
 }
 
@@ -44,7 +45,12 @@
 }
 
 fn changes_since(log: &UpstreamLog, since: u64) -> UpstreamUpdate {
+    changes_after(log, Some(Revision::without_era(since)))
+}
+
+pub(super) fn changes_after(log: &UpstreamLog, since: Option<Revision>) -> UpstreamUpdate {
     let (revision, body) = log.encode_changes_since(since);
+    let revision = revision.expect("the log has a list");
     decode(revision, &body).expect("an encoded update decodes")
 }
 
@@ -88,14 +94,14 @@
         11,
     )]);
 
-    let changes = changes_since(&source, target.revision());
+    let changes = changes_after(&source, target.revision());
     target.apply(&changes, Instant::now());
 
     assert_eq!(
         changes_since(&target, 0).changes,
         changes_since(&source, 0).changes
     );
-    assert_eq!(target.revision(), 15);
+    assert_eq!(target.revision(), Some(Revision::without_era(15)));
 }
 
 #[test]
@@ -130,7 +136,7 @@
     };
     let log = log_of(vec![update(true, (0..3_000).map(numbered).collect(), 10)]);
 
-    let (_, body) = log.encode_changes_since(0);
+    let (_, body) = log.encode_changes_since(None);
 
     assert!(body.len() < SNAPSHOT_MAX_BYTES, "{} bytes", body.len());
     assert_eq!(changes_since(&log, 0).changes.len(), 3_000);
--- a/src/edge/upstream_log.rs
+++ b/src/edge/upstream_log.rs
@@ -13,6 +13,7 @@
 use crate::id::{UpstreamId, Version};
 use crate::membership::compression;
 use crate::platform::store::UpstreamChange;
+use crate::store::revision::Revision;
 
 /// How long the tombstone of a removed upstream is kept.
 const TOMBSTONE_RETENTION: Duration = Duration::from_secs(60);
@@ -64,16 +65,18 @@
     pub(crate) is_snapshot: bool,
     pub(crate) changes: Vec<UpstreamChange>,
     /// Revision up to which all changes are included.
-    pub(crate) revision: Version,
+    pub(crate) revision: Revision,
 }
 
 #[derive(Debug, Default)]
 struct State {
-    revision: Version,
-    /// Revision after which the log still has every change. Older tombstones
-    /// have been removed.
+    /// Revision up to which all changes are known; `None` before the first list.
+    revision: Option<Revision>,
+    /// Number of the revision after which the log still has every change of its era.
+    /// Older tombstones have been removed.
     complete_since: Version,
-    /// Last change of each upstream with its revision; `None` is a tombstone.
+    /// Last change of each upstream with the number of its revision, which is of the
+    /// era of `revision`; `None` is a tombstone.
     last_changes: BTreeMap<UpstreamId, (Version, Option<UpstreamEntry>)>,
     removed_at: BTreeMap<UpstreamId, Instant>,
     /// The last reply. After a change many peers send the same request.
@@ -82,8 +85,8 @@
 
 #[derive(Clone, Debug)]
 struct CachedReply {
-    since: Version,
-    revision: Version,
+    since: Option<Revision>,
+    revision: Option<Revision>,
     body: Bytes,
 }
 
@@ -95,9 +98,9 @@
 }
 
 impl UpstreamLog {
-    /// Revision of the store up to which all changes are known; zero if no list
+    /// Revision of the store up to which all changes are known; `None` if no list
     /// of upstreams has been received yet.
-    pub(crate) fn revision(&self) -> Version {
+    pub(crate) fn revision(&self) -> Option<Revision> {
         self.lock().revision
     }
 
@@ -105,28 +108,29 @@
     /// if it was applied.
     pub(crate) fn apply(&self, update: &UpstreamUpdate, now: Instant) -> bool {
         let mut state = self.lock();
-        let is_older = update.revision < state.revision;
-        let is_empty = update.changes.is_empty() && !update.is_snapshot;
-        if is_older || (update.revision == state.revision && is_empty) {
+        if !state.can_apply(update) {
             return false;
         }
         state.remove_old_tombstones(now);
-        state.revision = update.revision;
+        state.revision = Some(update.revision);
         state.cached_reply = None;
         if update.is_snapshot {
             state.last_changes.clear();
             state.removed_at.clear();
-            state.complete_since = update.revision;
+            state.complete_since = update.revision.number;
         }
         for change in &update.changes {
-            state.record_change(change, update.revision, now);
+            state.record_change(change, update.revision.number, now);
         }
         true
     }
 
     /// Encodes the changes after the revision `since` for a peer, and gives the
-    /// revision up to which they go.
-    pub(crate) fn encode_changes_since(&self, since: Version) -> (Version, Bytes) {
+    /// revision up to which they go, if the log has one.
+    pub(crate) fn encode_changes_since(
+        &self,
+        since: Option<Revision>,
+    ) -> (Option<Revision>, Bytes) {
         let mut state = self.lock();
         let revision = state.revision;
         let cached = state.cached_reply.as_ref();
@@ -148,30 +152,41 @@
 }
 
 impl State {
-    fn changes_since(&self, since: Version) -> ChangesRecord {
-        let is_snapshot = since < self.complete_since;
+    /// An update of another era than the log's can only be a snapshot, since its
+    /// changes follow on others than those of the log.
+    fn can_apply(&self, update: &UpstreamUpdate) -> bool {
+        let follows_on = self.revision.is_some_and(|r| r.era == update.revision.era);
+        let is_empty = update.changes.is_empty() && !update.is_snapshot;
+        let has_effect = !is_empty || self.revision != Some(update.revision);
+        has_effect && (update.is_snapshot || follows_on) && update.revision.replaces(self.revision)
+    }
+
+    fn changes_since(&self, since: Option<Revision>) -> ChangesRecord {
+        let era = self.revision.and_then(|revision| revision.era);
+        let since = since.filter(|since| since.era == era);
+        let since = since.filter(|since| since.number >= self.complete_since);
         let changes = self.last_changes.iter();
-        let changes = changes.filter(|(_, (revision, entry))| {
-            (is_snapshot && entry.is_some()) || (!is_snapshot && *revision > since)
+        let changes = changes.filter(|(_, (number, entry))| match since {
+            None => entry.is_some(),
+            Some(since) => *number > since.number,
         });
         let upstreams = changes.map(|(id, (_, entry))| to_record(id, entry.as_ref()));
         ChangesRecord {
-            is_snapshot,
+            is_snapshot: since.is_none(),
             upstreams: upstreams.collect(),
         }
     }
 
-    fn record_change(&mut self, change: &UpstreamChange, revision: Version, now: Instant) {
+    fn record_change(&mut self, change: &UpstreamChange, number: Version, now: Instant) {
         match change {
             UpstreamChange::Registered(entry) => {
                 let id = entry.id.clone();
                 self.removed_at.remove(&id);
-                self.last_changes
-                    .insert(id, (revision, Some(entry.clone())));
+                self.last_changes.insert(id, (number, Some(entry.clone())));
             }
             UpstreamChange::Removed(id) => {
                 self.removed_at.insert(id.clone(), now);
-                self.last_changes.insert(id.clone(), (revision, None));
+                self.last_changes.insert(id.clone(), (number, None));
             }
         }
     }
@@ -182,8 +197,8 @@
         let old: Vec<UpstreamId> = old.map(|(id, _)| id.clone()).collect();
         for id in old {
             self.removed_at.remove(&id);
-            if let Some((revision, _)) = self.last_changes.remove(&id) {
-                self.complete_since = self.complete_since.max(revision);
+            if let Some((number, _)) = self.last_changes.remove(&id) {
+                self.complete_since = self.complete_since.max(number);
             }
         }
     }
@@ -191,7 +206,7 @@
 
 /// Decodes a reply that a peer encoded with
 /// [`UpstreamLog::encode_changes_since`].
-pub(crate) fn decode(revision: Version, body: &[u8]) -> Option<UpstreamUpdate> {
+pub(crate) fn decode(revision: Revision, body: &[u8]) -> Option<UpstreamUpdate> {
     let record = ChangesRecord::decode(compression::decompress(body)?).ok()?;
     let changes: Option<Vec<UpstreamChange>> =
         record.upstreams.into_iter().map(from_record).collect();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -88,8 +88,8 @@
 pub use fleet::runner::{ModelVersion, Order, RunnerReport};
 pub use generation::token_chain::{BrokenChain, TokenChain};
 pub use id::{
-    AttemptNumber, CustomerId, DataCentreId, Fence, GenerationId, Incarnation, IntentId, KindId,
-    ModelId, NodeId, RunnerId, ServiceId, TokenIndex, Version,
+    AttemptNumber, CustomerId, DataCentreId, Era, Fence, GenerationId, Incarnation, IntentId,
+    KindId, ModelId, NodeId, RunnerId, ServiceId, TokenIndex, Version,
 };
 pub use membership::announcement::Announcement;
 pub use membership::control_traffic::ControlTraffic;
@@ -112,3 +112,4 @@
 pub use stand_in::service::{Executed, Receipt, ServiceFaults, StandInService};
 pub use store::object_api::{Vm, VmRole, VmState};
 pub use store::object_store::{ABSENT, MemoryStore, Object, ObjectStore, StoreError};
+pub use store::revision::Revision;
--- a/src/membership/gossip/mod.rs
+++ b/src/membership/gossip/mod.rs
@@ -24,7 +24,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::broadcast;
 
-use crate::id::Version;
+use crate::id::{Era, Version};
 use crate::membership::announcement::{Announcement, Update, to_record};
 use crate::membership::control_traffic::{ControlTraffic, TrafficCounter};
 use crate::membership::gossip::synchronisation::SyncHandler;
@@ -33,6 +33,7 @@
 use crate::membership::peer::{PeerClient, serve_peers};
 use crate::membership::state::State;
 use crate::shutdown::{Shutdown, ShutdownTrigger};
+use crate::store::revision::Revision;
 
 /// Events that may be queued for a slow subscriber.
 const EVENT_BACKLOG: usize = 4096;
@@ -64,6 +65,8 @@
         name: String,
         /// Version that the peer holds.
         version: Version,
+        /// Era of the store in which the version is a revision, if it has one.
+        era: Option<Era>,
         /// Address at which the peer listens for other nodes; the document can
         /// be fetched from it.
         peer_address: SocketAddr,
@@ -181,10 +184,17 @@
     /// Tells peers that this node holds `version` of the document `name`, so that
     /// they can fetch it. Does nothing if a version as new was already stated.
     pub fn hold_document(&self, name: &str, version: Version) {
+        self.hold_revision(name, Revision::without_era(version));
+    }
+
+    /// Does the same for a document whose version is a revision of the store.
+    pub(crate) fn hold_revision(&self, name: &str, revision: Revision) {
         let mut state = self.state();
-        let held = state.documents.entry(name.to_owned()).or_default();
-        let is_newer = version > *held;
-        *held = version.max(*held);
+        let held = state.documents.get(name).copied();
+        let is_newer = held != Some(revision) && revision.replaces(held);
+        if is_newer {
+            state.documents.insert(name.to_owned(), revision);
+        }
         drop(state);
         if is_newer {
             self.schedule_push();
--- a/src/membership/gossip/updates.rs
+++ b/src/membership/gossip/updates.rs
@@ -1,6 +1,7 @@
 //! Application of received updates (member records, announcements and document
 //! versions) to the state of this node.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -96,21 +97,23 @@
 }
 
 /// Events for those documents of which the peer holds a newer version than this
-/// node.
+/// node, or one whose order is unknown.
 fn newer_documents(
     state: &State,
     documents: Vec<DocumentVersion>,
     peer_address: SocketAddr,
 ) -> Vec<MembershipEvent> {
     let is_newer = |document: &DocumentVersion| {
-        let own_version = state.documents.get(&document.name).copied();
-        document.version > own_version.unwrap_or(0)
+        let held = state.documents.get(&document.name);
+        let order = held.and_then(|held| document.revision().partial_cmp(held));
+        order.is_none_or(Ordering::is_gt)
     };
     let newer = documents.into_iter().filter(is_newer);
     newer
         .map(|document| MembershipEvent::Document {
             name: document.name,
             version: document.version,
+            era: document.era,
             peer_address,
         })
         .collect()
--- a/src/membership/message/datagram.rs
+++ b/src/membership/message/datagram.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use prost::{Enumeration, Message};
 
+use crate::store::revision::Revision;
+
 /// Kind of datagram (SWIM's ping, ack and ping-req).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Enumeration)]
 #[repr(i32)]
@@ -95,6 +97,27 @@
     pub(crate) name: String,
     #[prost(uint64, tag = "2")]
     pub(crate) version: u64,
+    /// Era of the store in which the version is a revision. Absent if the document has
+    /// none, the store names none, or an earlier build sent it.
+    #[prost(uint64, optional, tag = "3")]
+    pub(crate) era: Option<u64>,
+}
+
+impl DocumentVersion {
+    pub(crate) fn new(name: String, revision: Revision) -> Self {
+        Self {
+            name,
+            version: revision.number,
+            era: revision.era,
+        }
+    }
+
+    pub(crate) fn revision(&self) -> Revision {
+        Revision {
+            era: self.era,
+            number: self.version,
+        }
+    }
 }
 
 /// One datagram between nodes.
--- a/src/membership/message/mod.rs
+++ b/src/membership/message/mod.rs
@@ -162,6 +162,10 @@
     /// Content, compressed if documents of this name are sent compressed.
     #[prost(bytes = "bytes", tag = "2")]
     pub(crate) body: Bytes,
+    /// Era of the store in which the version is a revision, as in
+    /// [`DocumentVersion`].
+    #[prost(uint64, optional, tag = "3")]
+    pub(crate) era: Option<u64>,
 }
 
 /// Reply to [`StatusRequest`].
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -5,10 +5,10 @@
 
 use tokio::sync::oneshot;
 
-use crate::id::Version;
 use crate::membership::announcement::{Announcements, UpdateQueue};
 use crate::membership::members::{Member, Members};
 use crate::membership::message::DocumentVersion;
+use crate::store::revision::Revision;
 
 /// What one node knows of its peers, and the updates it has yet to send.
 #[derive(Debug)]
@@ -20,7 +20,7 @@
     /// Updates that this node still has to piggyback on datagrams.
     pub(crate) updates: UpdateQueue,
     /// Versions of the documents that this node holds.
-    pub(crate) documents: BTreeMap<String, Version>,
+    pub(crate) documents: BTreeMap<String, Revision>,
     /// Pings and ping requests that wait for an ack, by sequence number.
     pub(crate) pending_acks: BTreeMap<u64, oneshot::Sender<()>>,
     /// Sequence number of the latest ping or ping request.
@@ -48,12 +48,9 @@
 }
 
 /// Converts document versions for a datagram.
-pub(crate) fn document_versions(documents: &BTreeMap<String, Version>) -> Vec<DocumentVersion> {
+pub(crate) fn document_versions(documents: &BTreeMap<String, Revision>) -> Vec<DocumentVersion> {
     documents
         .iter()
-        .map(|(name, version)| DocumentVersion {
-            name: name.clone(),
-            version: *version,
-        })
+        .map(|(name, revision)| DocumentVersion::new(name.clone(), *revision))
         .collect()
 }
--- a/src/node_state.rs
+++ b/src/node_state.rs
@@ -23,6 +23,7 @@
 use crate::observe::metrics::Metrics;
 use crate::settings::Settings;
 use crate::store::object_api::PlatformClient;
+use crate::store::revision::Revision;
 
 /// The components of one node.
 #[derive(Debug)]
@@ -85,10 +86,8 @@
             documents: versions
                 .map(|(name, version)| {
                     let is_config = name == crate::store::object_api::CONFIG_KEY;
-                    DocumentVersion {
-                        version: if is_config { applied_version } else { version },
-                        name,
-                    }
+                    let version = if is_config { applied_version } else { version };
+                    DocumentVersion::new(name, Revision::without_era(version))
                 })
                 .collect(),
             in_flight_count: self.admission.demand_count() as u32,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod object_api;
 pub(crate) mod object_store;
+pub(crate) mod revision;
 
 #[cfg(test)]
 mod tests;
