--- a/tests/support/edge_environment/proxy.rs
+++ b/tests/support/edge_environment/proxy.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -51,10 +51,15 @@
 struct Modes {
     of_all: Mode,
     of_processes: BTreeMap<u32, Mode>,
+    /// Connections that were opened before are silent for good.
+    silent_before: Option<Instant>,
 }
 
 impl Modes {
-    fn of_client(&self, process: &mut ClientProcess) -> Mode {
+    fn of_client(&self, process: &mut ClientProcess, opened_at: Instant) -> Mode {
+        if self.silent_before.is_some_and(|before| opened_at < before) {
+            return Mode::Silent;
+        }
         let mut of_processes = self.of_processes.iter();
         let own = of_processes.find(|(process_id, _)| process.is(**process_id));
         own.map_or(self.of_all, |(_, mode)| *mode)
@@ -73,6 +78,7 @@
         let modes = watch::Sender::new(Modes {
             of_all: Mode::Pass,
             of_processes: BTreeMap::new(),
+            silent_before: None,
         });
         tokio::spawn(accept(listener, target, modes.subscribe()));
         Arc::new(Self { address, modes })
@@ -82,6 +88,12 @@
         self.modes.send_modify(|modes| modes.of_all = mode);
     }
 
+    /// Holds back all traffic on the connections that are open, for good. New ones work.
+    pub fn silence_open_connections(&self) {
+        self.modes
+            .send_modify(|modes| modes.silent_before = Some(Instant::now()));
+    }
+
     /// Sets the mode for the connections of one process, from when they are accepted:
     /// new ones of an unreachable process hang after they are established.
     pub fn set_mode_of_process(&self, process_id: u32, mode: Mode) {
@@ -123,10 +135,11 @@
         return;
     };
     let mut process = ClientProcess::of_connection(from, to);
-    let mode = watch::Sender::new(modes.borrow_and_update().of_client(&mut process));
+    let opened_at = Instant::now();
+    let mode = watch::Sender::new(modes.borrow_and_update().of_client(&mut process, opened_at));
     let follow_modes = async {
         while modes.changed().await.is_ok() {
-            mode.send_replace(modes.borrow_and_update().of_client(&mut process));
+            mode.send_replace(modes.borrow_and_update().of_client(&mut process, opened_at));
         }
         std::future::pending::<()>().await;
     };
--- a/tests/support/edge_environment/store.rs
+++ b/tests/support/edge_environment/store.rs
@@ -1,7 +1,7 @@
 //! The platform's store: holds objects by kind and name, lists them in pages and
 //! answers watches.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -64,9 +64,13 @@
     pub is_unavailable: AtomicBool,
     /// Accepts requests and never answers them.
     pub is_silent: AtomicBool,
+    /// Kinds about which it answers no request, not even those that wait.
+    silent_kinds: Mutex<BTreeSet<String>>,
     pub call_count: AtomicUsize,
     /// Watches of upstreams that wait for a change.
     pub waiting_watch_count: AtomicUsize,
+    /// Watches of the configuration so far.
+    config_watch_count: AtomicUsize,
     /// Requests so far about `run-origins`, by method.
     run_origin_calls: Mutex<BTreeMap<String, usize>>,
     list_count: AtomicUsize,
@@ -80,8 +84,10 @@
             changed: Notify::new(),
             is_unavailable: AtomicBool::new(false),
             is_silent: AtomicBool::new(false),
+            silent_kinds: Mutex::default(),
             call_count: AtomicUsize::new(0),
             waiting_watch_count: AtomicUsize::new(0),
+            config_watch_count: AtomicUsize::new(0),
             run_origin_calls: Mutex::default(),
             list_count: AtomicUsize::new(0),
         });
@@ -117,6 +123,26 @@
         self.changed.notify_waiters();
     }
 
+    /// Leaves all requests about this kind without an answer.
+    pub fn silence(&self, kind: &str) {
+        let mut silent = self.silent_kinds.lock().expect("unpoisoned");
+        silent.insert(kind.to_owned());
+    }
+
+    fn is_kind_silent(&self, kind: &str) -> bool {
+        let silent = self.silent_kinds.lock().expect("unpoisoned");
+        silent.contains(kind)
+    }
+
+    /// Waits until the next watch of the configuration arrives.
+    pub async fn wait_for_config_watch(&self) {
+        let count = || self.config_watch_count.load(Ordering::Relaxed);
+        let before = count();
+        while count() == before {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     /// Number of list requests for upstreams so far, one a page.
     pub fn list_count(&self) -> usize {
         self.list_count.load(Ordering::Relaxed)
@@ -291,6 +317,9 @@
         let number = |name| request.query(name).and_then(|v| v.parse::<u64>().ok());
         match number("watch") {
             Some(after_revision) => {
+                let is_config = usize::from(kind == "config");
+                self.config_watch_count
+                    .fetch_add(is_config, Ordering::Relaxed);
                 let wait = Duration::from_millis(number("wait-ms").unwrap_or(0));
                 self.watch(kind, after_revision, wait).await
             }
@@ -307,6 +336,10 @@
 impl RequestHandler for Store {
     async fn handle(self: Arc<Self>, request: RawRequest, stream: &mut TcpStream) -> bool {
         let (status, body) = self.answer(&request).await;
+        let kind = request.path().trim_start_matches("/objects/");
+        if self.is_kind_silent(kind) {
+            std::future::pending::<()>().await;
+        }
         self.reply(stream, status, &body.to_string()).await
     }
 }
