Refuse a call for good only where a newer configuration would be known (CONFIG)

What callers saw: 404 for a route more than 2 s after the version that added it had been acknowledged, at a node whose watch of the configuration was silent. Cause: an answer to any request of the node, or of any peer, up to 6 s old stood for the age of the configuration. So answers about upstreams, and the heartbeats that they raised, made a version count as current that nobody had asked for; a newer version that a peer had announced, or one that could not be parsed, did not count against it. Change: freshness is about the configuration alone: its own answers, and the heartbeats of peers, which only such answers raise. A node passes a heartbeat on only if it has the version that was announced with it. The confirmation must be younger than the bound in the settings less 0.25 s; an announced newer version, an unreadable one or a failed request ends it, and a node that can't fetch an announced version for half a second reads the store. Whether upstreams that the store doesn't list may be used asks, as before, for any answer in 6 s; that is a type of its own. Why it works: a version that must be in force was confirmed before the node's own last confirmation, so the node has it or knows that it exists. Opposite error: 503 for a wrong path or key instead of 404 or 401, for clients that come back in vain.

--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use tokio_util::sync::CancellationToken;
@@ -24,6 +24,7 @@
 use crate::membership::members::Member;
 use crate::membership::message::{PermitReply, PermitRequest};
 use crate::policy::freshness::{self, ConfigEvidence, ConfigFreshness};
+use crate::policy::store_reachability::StoreReachability;
 use crate::policy::upstream_limit::{Grant, PermitDemand};
 use crate::policy::watchers;
 
@@ -58,6 +59,7 @@
     stop: OnceLock<Stop>,
     shutdown_imminent: CancellationToken,
     freshness: Mutex<ConfigFreshness>,
+    store_reachability: Mutex<StoreReachability>,
     /// The live nodes that are not leaving.
     nodes: Mutex<Vec<Member>>,
     relay: PeerRelay,
@@ -89,7 +91,8 @@
             is_watcher: AtomicBool::new(is_seed),
             stop: OnceLock::new(),
             shutdown_imminent: CancellationToken::new(),
-            freshness: Mutex::default(),
+            freshness: Mutex::new(ConfigFreshness::new(config_bound)),
+            store_reachability: Mutex::default(),
             config_bound,
             nodes: Mutex::default(),
             relay,
@@ -143,12 +146,6 @@
         watchers::watch_timeout(self.node_count.load(Ordering::Relaxed))
     }
 
-    /// Longest wait of one long poll for the configuration.
-    pub(crate) fn config_watch_timeout(&self) -> Duration {
-        let longest = freshness::watch_timeout_max(self.config_bound);
-        self.watch_timeout().min(longest)
-    }
-
     /// The other nodes as ways to upstreams.
     pub(crate) fn relay(&self) -> &PeerRelay {
         &self.relay
@@ -175,32 +172,25 @@
         ordered.take(ADDRESSES_MAX).collect()
     }
 
+    /// Longest wait of one long poll for the configuration.
+    pub(crate) fn config_watch_timeout(&self) -> Duration {
+        let longest = freshness::watch_timeout_max(self.config_bound);
+        self.watch_timeout().min(longest)
+    }
+
     /// Records that the store answered this node or a peer (true), or that this
     /// node's last request for the configuration failed (false).
     pub(crate) fn set_store_reachable(&self, is_reachable: bool, now: Instant) {
-        let mut freshness = self
-            .freshness
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        freshness.set_store_reachable(is_reachable, now);
-    }
-
-    /// Records that the store answered this node about the configuration.
-    pub(crate) fn record_config_confirmation(&self, now: Instant) {
-        let mut freshness = self
-            .freshness
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        freshness.record_confirmation(now);
+        let reachability = self.store_reachability.lock();
+        let mut reachability = reachability.unwrap_or_else(PoisonError::into_inner);
+        reachability.set(is_reachable, now);
     }
 
-    /// Records that a peer announced a version of the configuration.
-    pub(crate) fn record_announced_config(&self, version: Version) {
-        let mut freshness = self
-            .freshness
+    /// What this node knows of the age of its configuration.
+    pub(crate) fn freshness(&self) -> MutexGuard<'_, ConfigFreshness> {
+        self.freshness
             .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        freshness.record_announced(version);
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Answers another node's request for permits.
@@ -239,20 +229,18 @@
         self.peak_node_count.load(Ordering::Relaxed)
     }
 
-    fn is_config_fresh(&self) -> bool {
-        let freshness = self
-            .freshness
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        freshness.is_fresh(Instant::now())
+    fn is_config_fresh(&self, in_force: Version) -> bool {
+        self.freshness().is_fresh(in_force, Instant::now())
     }
 
-    fn config_evidence(&self) -> ConfigEvidence {
-        let freshness = self
-            .freshness
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        freshness.evidence(Instant::now())
+    fn config_evidence(&self, in_force: Version) -> ConfigEvidence {
+        self.freshness().evidence(in_force, Instant::now())
+    }
+
+    fn is_store_reachable(&self) -> bool {
+        let reachability = self.store_reachability.lock();
+        let reachability = reachability.unwrap_or_else(PoisonError::into_inner);
+        reachability.is_reachable(Instant::now())
     }
 
     fn is_draining(&self) -> bool {
--- a/src/edge/observations.rs
+++ b/src/edge/observations.rs
@@ -161,10 +161,9 @@
             forwarder.directory.record_loss(&body_text(), key, now);
         }
         DISCOVERY_TOPIC => match decode_entry(&announcement.body) {
-            // A discovered upstream is used only while the store does not answer
-            // (then the configuration is not fresh); otherwise the store's list
-            // decides.
-            Some(entry) if !forwarder.node.is_config_fresh() => {
+            // A discovered upstream is used only while the store does not answer;
+            // otherwise the store's list decides.
+            Some(entry) if !forwarder.node.is_store_reachable() => {
                 if forwarder.directory.has_earlier_incarnation(&entry) {
                     forwarder.directory.put(entry);
                 }
--- a/src/edge/peer_api.rs
+++ b/src/edge/peer_api.rs
@@ -101,8 +101,8 @@
             match name.as_str() {
                 HEARTBEAT_DOCUMENT => self.apply_heartbeat(revision.number),
                 ROUTING_DOCUMENT => {
-                    let node = &self.forwarder.node;
-                    node.record_announced_config(revision.number);
+                    let mut freshness = self.forwarder.node.freshness();
+                    freshness.record_announced(revision.number, Instant::now());
                 }
                 UPSTREAMS_DOCUMENT => self.follow_announced_list(revision, peer).await,
                 _ => {}
--- a/src/edge/status_api.rs
+++ b/src/edge/status_api.rs
@@ -63,11 +63,11 @@
     /// answer to this node about it.
     fn config_gauges(&self) -> String {
         let version = self.forwarder.config_version();
-        let evidence = self.forwarder.node.config_evidence();
+        let evidence = self.forwarder.node.config_evidence(version);
         let mut text = gauge_line("config_version", version);
-        if let Some(age) = evidence.confirmation_age {
+        if let Some(age) = evidence.read_age {
             let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-            text += &gauge_line("config_confirmed_age_ms", age_ms);
+            text += &gauge_line("config_read_age_ms", age_ms);
         }
         text
     }
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -84,11 +84,18 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that the store answered, and publishes a heartbeat to peers
-    /// unless the last one is recent.
     fn record_store_answer(&self, now: Instant) {
         self.forwarder.directory.set_store_reachable(true, now);
         self.forwarder.node.set_store_reachable(true, now);
+    }
+
+    /// Records that the store answered about the configuration, and publishes a
+    /// heartbeat to peers unless the last one is recent. The answer to another request
+    /// says nothing about the configuration, of which peers take the heartbeat for
+    /// a confirmation.
+    fn record_config_answer(&self, now: Instant) {
+        self.record_store_answer(now);
+        self.forwarder.node.freshness().record_read(now);
         let count = self.heartbeat().store_answered(now);
         if let Some(count) = count {
             let membership = &self.exchange.membership;
@@ -96,15 +103,25 @@
         }
     }
 
-    /// Applies a store heartbeat from a peer.
+    /// Applies a store heartbeat from a peer. It confirms the configuration at this
+    /// node, and is passed on, only if this node has the newest version that was
+    /// announced with it.
     pub(crate) fn apply_heartbeat(&self, count: Version) {
         let now = Instant::now();
-        if self.heartbeat().receive(count, now) {
-            let membership = &self.exchange.membership;
-            membership.hold_document(HEARTBEAT_DOCUMENT, count);
-            self.forwarder.directory.record_store_heartbeat(now);
-            self.forwarder.node.set_store_reachable(true, now);
+        if !self.heartbeat().receive(count, now) {
+            return;
         }
+        self.forwarder.directory.record_store_heartbeat(now);
+        self.forwarder.node.set_store_reachable(true, now);
+        let in_force = self.forwarder.config_version();
+        let mut freshness = self.forwarder.node.freshness();
+        if freshness.is_newer_announced(in_force) {
+            return;
+        }
+        freshness.record_peer_confirmation(now);
+        drop(freshness);
+        let membership = &self.exchange.membership;
+        membership.hold_document(HEARTBEAT_DOCUMENT, count);
     }
 
     /// Applies an update of the upstreams, and announces its revision to peers.
@@ -141,10 +158,20 @@
         }
     }
 
+    fn is_fetch_overdue(&self) -> bool {
+        let in_force = self.forwarder.config_version();
+        let freshness = self.forwarder.node.freshness();
+        freshness.is_fetch_overdue(in_force, Instant::now())
+    }
+
     /// Stores a configuration in the document exchange, unless that already
     /// holds the same or a newer version.
     fn offer_config(&self, text: ConfigText, source: &str) {
-        match routing::read(&text) {
+        let table = routing::read(&text);
+        let mut freshness = self.forwarder.node.freshness();
+        freshness.set_newest_readable(table.is_ok());
+        drop(freshness);
+        match table {
             Ok(table) => {
                 let version = table.version;
                 let body = text;
@@ -191,7 +218,8 @@
         let mut revision = None;
         let mut is_store_lost = false;
         loop {
-            self.wait_until_poll_needed(self.exchange.version() > 0, || false)
+            let has_config = self.exchange.version() > 0;
+            self.wait_until_poll_needed(has_config, || self.is_fetch_overdue())
                 .await;
             let read = match revision {
                 None => self.count_call(self.store.read_config()).await,
@@ -216,8 +244,7 @@
                     }
                     revision = Some(new_revision);
                     let now = Instant::now();
-                    self.record_store_answer(now);
-                    self.forwarder.node.record_config_confirmation(now);
+                    self.record_config_answer(now);
                     log_recovery(&mut is_store_lost, "config");
                 }
                 Err(StoreFailure::RevisionExpired) => {
@@ -228,6 +255,7 @@
                 Err(failure) => {
                     let now = Instant::now();
                     self.forwarder.node.set_store_reachable(false, now);
+                    self.forwarder.node.freshness().record_failure();
                     log_loss(&mut is_store_lost, "config", failure);
                     self.back_off().await;
                 }
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -47,10 +47,13 @@
     /// this node's start. Nodes that are unreachable now may still spend their
     /// shares of the retry budget.
     fn peak_node_count(&self) -> usize;
-    /// Whether the configuration in force is known to be current.
-    fn is_config_fresh(&self) -> bool;
-    /// What this node knows about the age of its configuration.
-    fn config_evidence(&self) -> ConfigEvidence;
+    /// Whether the configuration in force, of the given version, is known to be
+    /// current.
+    fn is_config_fresh(&self, in_force: Version) -> bool;
+    /// What this node knows about the age of the configuration in force.
+    fn config_evidence(&self, in_force: Version) -> ConfigEvidence;
+    /// Whether the store answers, so that its list of upstreams decides.
+    fn is_store_reachable(&self) -> bool;
     /// Whether this node is shutting down.
     fn is_draining(&self) -> bool;
     /// Asks other nodes to spend a retry from their shares of the service's
@@ -186,7 +189,7 @@
             Ok(matched) => return Ok(Admission { table, matched }),
             Err(denied) => denied,
         };
-        if !self.node.is_config_fresh() {
+        if !self.node.is_config_fresh(table.version) {
             let text = "no route or customer matches, but the configuration may be outdated";
             return Err(Error::new(ErrorKind::NotReady, text));
         }
--- a/src/forward/refusal.rs
+++ b/src/forward/refusal.rs
@@ -30,7 +30,7 @@
             id.unwrap_or("-"),
             error.kind.name(),
             self.config_version(),
-            self.node.config_evidence()
+            self.node.config_evidence(self.config_version())
         );
         let mut response = http::error_response(error);
         if response.status() == StatusCode::SERVICE_UNAVAILABLE {
--- a/src/forward/successor.rs
+++ b/src/forward/successor.rs
@@ -24,7 +24,7 @@
     /// directory as its successor, if the store is unreachable and `actual` can
     /// only belong to the same service.
     pub(crate) fn find_successor(self: &Arc<Self>, earlier: UpstreamEntry, actual: UpstreamId) {
-        if self.node.is_config_fresh() || self.directory.knows(&actual) {
+        if self.node.is_store_reachable() || self.directory.knows(&actual) {
             return;
         }
         let forwarder = self.clone();
--- a/src/policy/freshness.rs
+++ b/src/policy/freshness.rs
@@ -10,12 +10,14 @@
 
 use crate::id::Version;
 
-/// Age of the store's last answer above which the configuration may be stale.
-const STORE_ANSWER_MAX_AGE: Duration = Duration::from_secs(6);
-
 /// Part of the bound on configurations for which a watch of the store may wait: its
 /// answer must arrive before the one before it is outdated.
 const WATCH_PART_OF_BOUND: f64 = 0.7;
+/// Time that an answer of the store, or its news from a peer, may have taken.
+const ANSWER_TIME_MAX: Duration = Duration::from_millis(250);
+
+/// Time in which an announced configuration is usually fetched from a peer.
+const FETCH_TIME: Duration = Duration::from_millis(500);
 
 /// Longest time for which a watch of the configuration may wait, given the time
 /// within which a confirmed configuration must be in force.
@@ -23,52 +25,106 @@
     config_bound.mul_f64(WATCH_PART_OF_BOUND)
 }
 
-/// When the store, which holds the configuration, last answered this node or a
-/// peer, and whether a request has failed since.
-#[derive(Clone, Copy, Debug, Default)]
+/// What this node knows of the age of the configuration in force.
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct ConfigFreshness {
-    answered_at: Option<Instant>,
-    has_failed: bool,
+    /// Time within which a confirmed configuration must be in force.
+    config_bound: Duration,
     /// When the store last answered this node about the configuration.
+    read_at: Option<Instant>,
+    /// When this node last knew, by the store or by a peer, that there was no newer
+    /// configuration.
     confirmed_at: Option<Instant>,
-    /// Highest version that a peer has announced.
+    /// Whether this node's last request for the configuration failed, and no peer has
+    /// confirmed it since.
+    has_failed: bool,
+    /// Highest version that a peer has announced since the store was last read.
     announced_version: Version,
+    /// When that version was first announced.
+    announced_at: Option<Instant>,
+    /// Whether the store's configuration cannot be parsed.
+    is_newest_unreadable: bool,
 }
 
 impl ConfigFreshness {
-    /// Records that the store answered this node or a peer, or that a request of
-    /// this node to it failed.
-    pub(crate) fn set_store_reachable(&mut self, is_reachable: bool, now: Instant) {
-        if is_reachable {
-            self.answered_at = Some(now);
+    pub(crate) fn new(config_bound: Duration) -> Self {
+        Self {
+            config_bound,
+            read_at: None,
+            confirmed_at: None,
+            has_failed: false,
+            announced_version: 0,
+            announced_at: None,
+            is_newest_unreadable: false,
         }
-        self.has_failed = !is_reachable;
     }
 
-    /// Records that the store answered this node about the configuration.
-    pub(crate) fn record_confirmation(&mut self, now: Instant) {
+    /// Records that the store answered this node about the configuration. What the
+    /// store does not have, no peer can have from it.
+    pub(crate) fn record_read(&mut self, now: Instant) {
+        self.read_at = Some(now);
         self.confirmed_at = Some(now);
+        self.has_failed = false;
+        self.announced_version = 0;
+    }
+
+    /// Records whether the configuration that the store returned could be parsed.
+    pub(crate) fn set_newest_readable(&mut self, is_readable: bool) {
+        self.is_newest_unreadable = !is_readable;
+    }
+
+    /// Records that a request of this node for the configuration failed.
+    pub(crate) fn record_failure(&mut self) {
+        self.has_failed = true;
+    }
+
+    /// Records that a peer, which has announced all that it knows, passed on that the
+    /// store answers about the configuration.
+    pub(crate) fn record_peer_confirmation(&mut self, now: Instant) {
+        self.confirmed_at = Some(now);
+        self.has_failed = false;
     }
 
     /// Records that a peer announced a version of the configuration.
-    pub(crate) fn record_announced(&mut self, version: Version) {
-        self.announced_version = self.announced_version.max(version);
+    pub(crate) fn record_announced(&mut self, version: Version, now: Instant) {
+        if version > self.announced_version {
+            self.announced_version = version;
+            self.announced_at = Some(now);
+        }
+    }
+
+    /// Whether a peer has announced a newer version than the one in force.
+    pub(crate) fn is_newer_announced(&self, in_force: Version) -> bool {
+        self.announced_version > in_force
+    }
+
+    /// Whether a peer announced a newer version so long ago that this node should have
+    /// fetched it, and reads the store instead.
+    pub(crate) fn is_fetch_overdue(&self, in_force: Version, now: Instant) -> bool {
+        let is_over = |at: Instant| now.saturating_duration_since(at) >= FETCH_TIME;
+        self.is_newer_announced(in_force) && self.announced_at.is_some_and(is_over)
     }
 
-    /// Whether the store answered recently and no request has failed since.
-    pub(crate) fn is_fresh(&self, now: Instant) -> bool {
-        let age = self.answered_at.map(|at| now.saturating_duration_since(at));
-        !self.has_failed && age.is_some_and(|age| age <= STORE_ANSWER_MAX_AGE)
+    /// Whether a version that was confirmed so long ago that it must be in force would
+    /// be known to this node. Otherwise it may not refuse a call for good.
+    pub(crate) fn is_fresh(&self, in_force: Version, now: Instant) -> bool {
+        let max_age = self.config_bound.saturating_sub(ANSWER_TIME_MAX);
+        let is_recent = |at: Instant| now.saturating_duration_since(at) <= max_age;
+        !self.has_failed
+            && !self.is_newest_unreadable
+            && !self.is_newer_announced(in_force)
+            && self.confirmed_at.is_some_and(is_recent)
     }
 
-    /// What decided whether the configuration is fresh, for the log.
-    pub(crate) fn evidence(&self, now: Instant) -> ConfigEvidence {
+    /// What decides whether the configuration is fresh, for the log.
+    pub(crate) fn evidence(&self, in_force: Version, now: Instant) -> ConfigEvidence {
         let age = |at: Option<Instant>| at.map(|at| now.saturating_duration_since(at));
         ConfigEvidence {
-            is_fresh: self.is_fresh(now),
+            is_fresh: self.is_fresh(in_force, now),
             has_failed: self.has_failed,
-            answer_age: age(self.answered_at),
+            is_newest_unreadable: self.is_newest_unreadable,
             confirmation_age: age(self.confirmed_at),
+            read_age: age(self.read_at),
             announced_version: self.announced_version,
         }
     }
@@ -79,9 +135,10 @@
 pub(crate) struct ConfigEvidence {
     is_fresh: bool,
     has_failed: bool,
-    answer_age: Option<Duration>,
+    is_newest_unreadable: bool,
+    confirmation_age: Option<Duration>,
     /// Age of the store's last answer to this node about the configuration.
-    pub(crate) confirmation_age: Option<Duration>,
+    pub(crate) read_age: Option<Duration>,
     announced_version: Version,
 }
 
@@ -89,11 +146,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "fresh={} store_failed={} answered_ms_ago={:?} confirmed_ms_ago={:?} announced={}",
+            "fresh={} store_failed={} unreadable={} confirmed_ms_ago={:?} read_ms_ago={:?} announced={}",
             self.is_fresh,
             self.has_failed,
-            self.answer_age.map(|age| age.as_millis()),
+            self.is_newest_unreadable,
             self.confirmation_age.map(|age| age.as_millis()),
+            self.read_age.map(|age| age.as_millis()),
             self.announced_version
         )
     }
--- a/src/policy/tests/entry_expiry.rs
+++ b/src/policy/tests/entry_expiry.rs
@@ -1,7 +1,6 @@
 use std::time::{Duration, Instant};
 
 use crate::policy::entry_expiry::{EntryExpiry, ExpiryDecision};
-use crate::policy::freshness::ConfigFreshness;
 
 const SERVICE_SIZE: usize = 8;
 
@@ -96,23 +95,3 @@
             .all(|decision| decision == ExpiryDecision::Remove)
     );
 }
-
-#[test]
-fn a_configuration_is_fresh_only_after_a_recent_answer_of_the_store() {
-    let mut freshness = ConfigFreshness::default();
-    let start = Instant::now();
-    assert!(!freshness.is_fresh(start), "the store has not answered yet");
-
-    freshness.set_store_reachable(true, start);
-    assert!(freshness.is_fresh(start + ms(4_000)));
-    assert!(
-        !freshness.is_fresh(start + ms(7_000)),
-        "the last answer is too old"
-    );
-
-    freshness.set_store_reachable(false, start + ms(4_000));
-    assert!(
-        !freshness.is_fresh(start + ms(4_001)),
-        "the store is unreachable"
-    );
-}
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod entry_expiry;
 mod failure_response;
+mod freshness;
 mod liveness;
 mod outage;
 mod placement;
