Fetch an announced document from another peer while the first stands still (CONFIG)

What callers saw: a node that learnt of configurations from its peers put one in force up to 2 s late, and applied nothing else that its peers said meanwhile. Cause: the loop that hears the events of the gossip awaited each fetch, for up to 2 s (0.8 s for upstreams). A peer that had announced a version and then stood still, or whose way back was cut, held back every other announcement. At 89 nodes all but the watchers live by these announcements. Change: fetches run beside the loop (PeerFetches, for the configuration and the list of upstreams, so on the serve road too). A second peer is asked after 0.25 s, four at most at once; the last announcement waits for its turn. Why it works: no event waits for a peer, and a version is late by 0.25 s for each peer that stands still.

--- a/src/configuration/document_exchange.rs
+++ b/src/configuration/document_exchange.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 
 use crate::configuration::document::DocumentStore;
+use crate::configuration::peer_fetches::PeerFetches;
 use crate::id::Version;
 use crate::membership::compression::decompress;
 use crate::membership::gossip::{Membership, MembershipEvent};
@@ -63,20 +64,24 @@
     /// a sender of the event channel, which thus stays open.
     pub(crate) async fn follow_peers(&self) {
         let mut events = self.membership.subscribe();
+        let mut fetches = PeerFetches::new();
         loop {
-            match events.recv().await {
-                Ok(MembershipEvent::Document {
-                    name,
-                    version,
-                    peer_address,
-                    ..
-                }) if name == self.name => {
+            tokio::select! {
+                event = events.recv() => match event {
+                    Ok(MembershipEvent::Document {
+                        name,
+                        version,
+                        peer_address,
+                        ..
+                    }) if name == self.name => fetches.announce(version, peer_address),
+                    Ok(_) | Err(RecvError::Lagged(_)) => {}
+                    Err(RecvError::Closed) => return,
+                },
+                (version, peer) = fetches.next_due() => {
                     if version > self.version() {
-                        self.fetch(peer_address).await;
+                        fetches.begin(peer, self.fetch(peer));
                     }
                 }
-                Ok(_) | Err(RecvError::Lagged(_)) => {}
-                Err(RecvError::Closed) => return,
             }
         }
     }
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod document_sync;
 pub(crate) mod intent;
 pub(crate) mod intent_manager;
+pub(crate) mod peer_fetches;
 pub(crate) mod plan;
 
 #[cfg(test)]
--- a/src/edge/peer_api.rs
+++ b/src/edge/peer_api.rs
@@ -14,6 +14,7 @@
 use super::store_watch::{HEARTBEAT_DOCUMENT, ROUTING_DOCUMENT, StoreWatch, UPSTREAMS_DOCUMENT};
 use super::upstream_log::{UpstreamLog, decode};
 use crate::configuration::document::DocumentStore;
+use crate::configuration::peer_fetches::PeerFetches;
 use crate::forward::forwarder::Forwarder;
 use crate::membership::gossip::{Membership, MembershipEvent};
 use crate::membership::message::{
@@ -87,41 +88,59 @@
     /// runtime: it holds a sender of its event channel, which thus stays open.
     pub(crate) async fn follow_peers(self) {
         let mut events = self.exchange.membership.subscribe();
+        let mut fetches = PeerFetches::new();
         loop {
-            let (name, revision, peer) = match events.recv().await {
-                Ok(MembershipEvent::Document {
-                    name,
-                    version: number,
-                    era,
-                    peer_address,
-                }) => (name, Revision { era, number }, peer_address),
-                Ok(_) | Err(RecvError::Lagged(_)) => continue,
-                Err(RecvError::Closed) => return,
-            };
-            match name.as_str() {
-                HEARTBEAT_DOCUMENT => self.apply_heartbeat(revision.number),
-                ROUTING_DOCUMENT => {
-                    let mut freshness = self.forwarder.node.freshness();
-                    freshness.record_announced(revision.number, Instant::now());
+            tokio::select! {
+                event = events.recv() => match event {
+                    Ok(MembershipEvent::Document {
+                        name,
+                        version: number,
+                        era,
+                        peer_address,
+                    }) => {
+                        let revision = Revision { era, number };
+                        if self.apply_announced(&name, revision) {
+                            fetches.announce(revision, peer_address);
+                        }
+                    }
+                    Ok(_) | Err(RecvError::Lagged(_)) => {}
+                    Err(RecvError::Closed) => return,
+                },
+                (revision, peer) = fetches.next_due() => {
+                    if self.is_list_newer(revision) {
+                        fetches.begin(peer, self.fetch_upstreams(peer));
+                    }
                 }
-                UPSTREAMS_DOCUMENT => self.follow_announced_list(revision, peer).await,
-                _ => {}
             }
         }
     }
 
-    /// Fetches a list of upstreams that a peer announced, if it is newer. If its order
-    /// is unknown, since an earlier build announced it without its era, this node asks
-    /// the store instead.
-    async fn follow_announced_list(&self, announced: Revision, peer: SocketAddr) {
-        let held = self.upstreams.revision();
-        if announced.replaces(held) {
-            if held != Some(announced) {
-                self.fetch_upstreams(peer).await;
+    /// Applies what the version of a document alone says; true if it is a list of
+    /// upstreams that should be fetched.
+    fn apply_announced(&self, name: &str, revision: Revision) -> bool {
+        match name {
+            HEARTBEAT_DOCUMENT => self.apply_heartbeat(revision.number),
+            ROUTING_DOCUMENT => {
+                let mut freshness = self.forwarder.node.freshness();
+                freshness.record_announced(revision.number, Instant::now());
             }
-        } else if held.is_some_and(|held| announced.partial_cmp(&held).is_none()) {
+            UPSTREAMS_DOCUMENT => return self.is_list_newer(revision),
+            _ => {}
+        }
+        false
+    }
+
+    /// Whether a list of upstreams that a peer announced is newer than this node's. If
+    /// its order is unknown, since an earlier build announced it without its era, this
+    /// node asks the store.
+    fn is_list_newer(&self, announced: Revision) -> bool {
+        let held = self.upstreams.revision();
+        let replaces = announced.replaces(held);
+        let is_unordered = held.is_some_and(|held| announced.partial_cmp(&held).is_none());
+        if is_unordered && !replaces {
             self.is_list_in_doubt.store(true, Ordering::Relaxed);
         }
+        held != Some(announced) && replaces
     }
 
     async fn fetch_upstreams(&self, peer: SocketAddr) {
