--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -126,9 +126,9 @@
 
     /// Applies an update of the upstreams, and announces its revision to peers.
     pub(crate) fn apply_update(&self, update: &UpstreamUpdate, now: Instant) {
+        let held = self.upstreams.revision();
         if !self.upstreams.apply(update, now) {
             if update.is_snapshot {
-                let held = self.upstreams.revision();
                 log::warn!(
                     "event=upstreams_ignored revision={} held={}",
                     update.revision,
@@ -143,7 +143,12 @@
                 UpstreamChange::Registered(entry) => Some(entry.clone()),
                 UpstreamChange::Removed(_) => None,
             });
-            directory.replace_all(entries.collect(), now);
+            let entries = entries.collect();
+            if held.is_some_and(|held| held.era != update.revision.era) {
+                directory.replace_all_from_copy(entries, now);
+            } else {
+                directory.replace_all(entries, now);
+            }
         } else {
             for change in &update.changes {
                 match change {
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -59,6 +59,18 @@
         earlier
     }
 
+    /// Brings an entry of a copy up to date with what is known of its incarnation;
+    /// `None` if that has left.
+    fn update_copied(&self, mut entry: UpstreamEntry) -> Option<UpstreamEntry> {
+        let known = self.upstreams.get(&entry.id);
+        match known.filter(|known| known.is_same_incarnation(&entry)) {
+            Some(known) => entry.draining |= known.is_draining(),
+            None if self.departed_notices.find(&entry).is_some() => return None,
+            None => {}
+        }
+        Some(entry)
+    }
+
     fn remove(&mut self, id: &UpstreamId, now: Instant) {
         if let Some(upstream) = self.upstreams.remove(id) {
             self.record_departure(&upstream, now);
@@ -178,6 +190,19 @@
         }
     }
 
+    /// Applies the list of a store that came back from an older copy of its data. What
+    /// the node knows may be newer: an upstream that the copy lacks has time to register
+    /// again, one that drains goes on draining, and one that left stays away until it
+    /// registers again.
+    pub(crate) fn replace_all_from_copy(&self, entries: Vec<UpstreamEntry>, now: Instant) {
+        let mut state = self.lock();
+        state.expiry.record_return_from_copy(now);
+        let entries = entries.into_iter().filter_map(|e| state.update_copied(e));
+        let entries = entries.collect();
+        drop(state);
+        self.replace_all(entries, now);
+    }
+
     /// Records that a peer passed on that the store answers.
     pub(crate) fn record_store_heartbeat(&self, now: Instant) {
         self.lock().expiry.record_peer_heartbeat(now);
--- a/src/policy/entry_expiry.rs
+++ b/src/policy/entry_expiry.rs
@@ -60,6 +60,12 @@
         self.store.record_peer_heartbeat(now);
     }
 
+    /// Records that the store came back from a copy of its data, which lacks the entries
+    /// that upstreams have written since.
+    pub(crate) fn record_return_from_copy(&mut self, now: Instant) {
+        self.store.record_return_from_copy(now);
+    }
+
     /// Decides what to do when an entry of a service with `service_size`
     /// upstreams was removed.
     pub(crate) fn entry_removed(
--- a/src/policy/store_contact.rs
+++ b/src/policy/store_contact.rs
@@ -42,6 +42,11 @@
         self.failing_since = None;
     }
 
+    /// Records that the store came back from a copy of its data, as after an outage.
+    pub(crate) fn record_return_from_copy(&mut self, now: Instant) {
+        self.outage_ended_at = Some(now);
+    }
+
     /// Records that a request of this node to the store failed.
     pub(crate) fn record_failure(&mut self, now: Instant) {
         self.failing_since.get_or_insert(now);
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -157,6 +157,74 @@
     assert!(!executes(gone, &caller).await, "the peer's list is used");
 }
 
+/// Number of calls that reach the service within a second of the store's return.
+async fn calls_after_return(service: &Service, caller: &Caller) -> usize {
+    let before = service.received().len();
+    let until = Instant::now() + Duration::from_secs(1);
+    while Instant::now() < until {
+        assert_eq!(caller.call("GET", IDEMPOTENT_PATH, "").await.status, 200);
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    service.received().len() - before
+}
+
+#[tokio::test]
+async fn upstreams_that_a_copy_lacks_stay_in_use_until_they_could_register_again() {
+    let environment = TestEnvironment::start(0).await;
+    let entries: Vec<_> = environment.services.iter().map(|s| &s.id).collect();
+    entries
+        .iter()
+        .for_each(|id| environment.store.delete("servers", id));
+    let copy = environment.store.copy();
+    for service in &environment.services {
+        let entry = service.entry("ready");
+        environment.store.put("servers", &service.id, entry);
+    }
+    let (_node, caller) = environment.start_ready_node("n1").await;
+
+    environment.store.come_back_from(&copy);
+    let reached = calls_after_return(&environment.services[0], &caller).await;
+    tokio::time::sleep(CONTACT_TIME).await;
+
+    assert!(reached > 0);
+    let got = caller.call("GET", IDEMPOTENT_PATH, "").await;
+    assert_eq!(got.status, 503, "they did not register again");
+}
+
+#[tokio::test]
+async fn an_upstream_that_drains_gets_no_calls_after_the_store_forgot_it() {
+    let environment = TestEnvironment::start(0).await;
+    let (_node, caller) = environment.start_ready_node("n1").await;
+    let copy = environment.store.copy();
+    let drains = &environment.services[0];
+    let entry = drains.entry("draining");
+    environment.store.put("servers", &drains.id, entry);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    environment.store.come_back_from(&copy);
+
+    assert_eq!(calls_after_return(drains, &caller).await, 0);
+}
+
+#[tokio::test]
+async fn an_upstream_that_left_gets_no_calls_after_the_store_forgot_it() {
+    let environment = TestEnvironment::start(0).await;
+    let (_node, caller) = environment.start_ready_node("n1").await;
+    let copy = environment.store.copy();
+    let left = &environment.services[0];
+    environment.store.delete("servers", &left.id);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    environment.store.come_back_from(&copy);
+    let reached = calls_after_return(left, &caller).await;
+    let entry = left.entry("ready");
+    environment.store.put("servers", &left.id, entry);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    assert_eq!(reached, 0);
+    assert!(executes(left, &caller).await, "it registered again");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn every_node_of_a_grown_deployment_follows_a_store_that_came_back_from_a_copy() {
     let environment = TestEnvironment::start(0).await;
