--- a/src/edge/stored_run_origins.rs
+++ b/src/edge/stored_run_origins.rs
@@ -201,6 +201,12 @@
         }
         own.exists = Some(true);
         own.written = records.iter().map(|record| record.key).collect();
+        let newest = records.iter().map(|record| record.recorded_unix_ms).max();
+        log::info!(
+            "event=run_origins_written runs={} newest_unix_ms={} services={services:?}",
+            records.len(),
+            newest.unwrap_or_default()
+        );
         Ok(())
     }
 
@@ -235,6 +241,10 @@
         own.exists = None;
         let delete = self.store.delete_run_origins(&self.node, None);
         self.count_call(delete).await?;
+        log::info!(
+            "event=run_origins_deleted node={} cause=not_needed",
+            self.node
+        );
         own.may_exist = false;
         Ok(())
     }
@@ -277,6 +287,13 @@
         for object in &list.objects {
             found.add(object, now_unix_ms);
         }
+        log::info!(
+            "event=run_origins_read pages={} objects={} runs={} is_complete={}",
+            list.page_count,
+            list.objects.len(),
+            found.origins.len(),
+            list.is_complete
+        );
         found.valid_until = Some(Instant::now() + read_interval(node_count, list.page_count));
         *lock(&self.found) = found;
         let this = self.clone();
@@ -324,6 +341,7 @@
             if self.count_call(delete).await.is_err() {
                 return;
             }
+            log::info!("event=run_origins_deleted node={} cause=old", object.node);
         }
     }
 
--- a/src/forward/caller_resume.rs
+++ b/src/forward/caller_resume.rs
@@ -31,6 +31,11 @@
             return Ok(());
         }
         let Some((origin, source)) = self.known_origin().await else {
+            log::info!(
+                "event=stream_origin_unknown call={} resumes={}",
+                self.call.id(),
+                self.call.resumed_id().unwrap_or("-")
+            );
             let cause = "the software version that began the stream is unknown".to_owned();
             return Err(OpenFailure::GivenUp(GiveUpReason::NoUpstream, cause));
         };
@@ -99,6 +104,13 @@
         if std::mem::replace(&mut self.is_origin_recorded, true) {
             return;
         }
+        log::info!(
+            "event=stream_began call={} service={} version={} upstream={}",
+            self.call.id(),
+            origin.service,
+            version_for_log(origin.software_version.as_ref()),
+            origin.upstream
+        );
         let headers = &self.call.headers;
         let Some(id) = headers.resumes.as_ref().or(headers.call_id.as_ref()) else {
             return;
