--- a/tests/software_versions/main.rs
+++ b/tests/software_versions/main.rs
@@ -6,6 +6,7 @@
 
 mod entries;
 mod fixtures;
+mod killed_nodes;
 mod one_answer;
 mod resumes;
 mod stored_origins;
