Know where a stream began without one late write and one read of the store (LOST)

What callers saw: after all nodes had been killed, streams that they took up again were refused with 503 though engines of their version were there. Cause: a run's origin was written up to 0.25 s after its first event, so what began shortly before the kill was in no object; and it was sought by one read of 0.3 s at the node that was asked, though the store may turn that node away and serve the others. A search without a result said three things. Change: the store gets the version to which a run is sent, while its prompt is processed. If the run is sent to another version, its first event waits for up to 1 s until the store has that one, or the stream is lost. A search says found, absent or unknown; a node that can't tell has the nodes that may keep the record look in the store, by a field that earlier builds skip. Why it works: a prompt takes longer than a write, and a node that reads the store is enough. Opposite error: runs without a first event are written too, within the same number of writes; the first event of a run that changed its version is held back.

--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -18,7 +18,7 @@
 use super::stored_run_origins::StoredRunOrigins;
 use crate::forward::forwarder::NodeContext;
 use crate::forward::relay::RelayPeer;
-use crate::forward::run_origin::{ORIGIN_LIFETIME, RunKey, RunOrigin};
+use crate::forward::run_origin::{ORIGIN_LIFETIME, OriginSearch, RunKey, RunOrigin};
 use crate::hash::{Fnv, rendezvous_order};
 use crate::id::{NodeId, ServiceId, UpstreamId, Version};
 use crate::membership::members::Member;
@@ -198,6 +198,12 @@
         self.peer_permits.answer(request)
     }
 
+    /// Looks for the origin of a run in the store, by this node's own reads.
+    pub(crate) async fn read_stored_origin(&self, key: RunKey) -> OriginSearch {
+        let node_count = self.node_count.load(Ordering::Relaxed);
+        self.stored_origins.find(key, node_count).await
+    }
+
     /// Records the time of the stop signal.
     pub(crate) fn begin_stop(&self, aborts_at: Instant) {
         // A second signal does not extend the first.
@@ -269,9 +275,19 @@
         self.peer_origins.find(key).await
     }
 
-    async fn find_stored_origin(&self, key: RunKey) -> Option<RunOrigin> {
-        let node_count = self.node_count.load(Ordering::Relaxed);
-        self.stored_origins.find(key, node_count).await
+    fn record_sent_to(&self, key: RunKey, origin: &RunOrigin) {
+        self.stored_origins.record(key, origin);
+    }
+
+    async fn wait_for_origin_correction(&self, key: RunKey) -> bool {
+        self.stored_origins.wait_for_correction(key).await
+    }
+
+    async fn find_stored_origin(&self, key: RunKey) -> OriginSearch {
+        match self.read_stored_origin(key).await {
+            OriginSearch::Unknown => self.peer_origins.find_stored(key).await,
+            search => search,
+        }
     }
 
     fn has_started_recently(&self) -> bool {
--- a/src/edge/peer_api.rs
+++ b/src/edge/peer_api.rs
@@ -16,6 +16,7 @@
 use crate::configuration::document::DocumentStore;
 use crate::configuration::peer_fetches::PeerFetches;
 use crate::forward::forwarder::Forwarder;
+use crate::forward::run_origin::OriginSearch;
 use crate::membership::gossip::{Membership, MembershipEvent};
 use crate::membership::message::{
     DocumentReply, DocumentVersion, ReplyBody, RequestBody, RetryReply, RunOriginReply,
@@ -52,15 +53,32 @@
 }
 
 impl EdgePeerApi {
-    fn run_origin(&self, request: RunOriginRequest) -> RunOriginReply {
+    async fn run_origin(&self, request: RunOriginRequest) -> RunOriginReply {
         let origins = &self.forwarder.run_origins;
         let now = Instant::now();
-        let Some(record) = request.origin else {
-            let origin = origins.get(request.key, now).map(to_record);
-            return RunOriginReply { origin };
+        if let Some(record) = request.origin {
+            origins.record(request.key, from_record(record), now);
+            return RunOriginReply::default();
+        }
+        if let Some(origin) = origins.get(request.key, now) {
+            return RunOriginReply {
+                origin: Some(to_record(origin)),
+                has_read_store: false,
+            };
+        }
+        if !request.reads_store {
+            return RunOriginReply::default();
+        }
+        let search = self.forwarder.node.read_stored_origin(request.key).await;
+        let has_read_store = search != OriginSearch::Unknown;
+        let origin = match search {
+            OriginSearch::Found(origin) => Some(to_record(origin)),
+            OriginSearch::Absent | OriginSearch::Unknown => None,
         };
-        origins.record(request.key, from_record(record), now);
-        RunOriginReply { origin: None }
+        RunOriginReply {
+            origin,
+            has_read_store,
+        }
     }
 }
 
@@ -77,7 +95,9 @@
             RequestBody::Permit(request) => Some(ReplyBody::Permit(
                 self.forwarder.node.answer_permits(&request),
             )),
-            RequestBody::RunOrigin(request) => Some(ReplyBody::RunOrigin(self.run_origin(request))),
+            RequestBody::RunOrigin(request) => {
+                Some(ReplyBody::RunOrigin(self.run_origin(request).await))
+            }
             _ => None,
         }
     }
--- a/src/edge/peer_run_origins.rs
+++ b/src/edge/peer_run_origins.rs
@@ -12,7 +12,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
-use crate::forward::run_origin::{RunKey, RunOrigin};
+use crate::forward::run_origin::{OriginSearch, RunKey, RunOrigin};
 use crate::hash::rendezvous_order;
 use crate::membership::gossip::Membership;
 use crate::membership::members::Member;
@@ -29,6 +29,9 @@
 /// Longest time that a caller waits for the origin of its stream.
 const FIND_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Longest time that a caller waits for other nodes to look in the store.
+const FIND_STORED_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Access to the origins that other nodes keep.
 #[derive(Clone, Debug)]
 pub(crate) struct PeerRunOrigins {
@@ -45,8 +48,13 @@
         let mut keepers = self.keepers(key).into_iter();
         let record = to_record(origin);
         let store = |address| {
-            let request = request(key, Some(record.clone()));
-            self.peers.call(address, request, STORE_TIMEOUT)
+            let request = RunOriginRequest {
+                key,
+                origin: Some(record.clone()),
+                reads_store: false,
+            };
+            self.peers
+                .call(address, RequestBody::RunOrigin(request), STORE_TIMEOUT)
         };
         let mut sent: FuturesUnordered<_> = keepers.by_ref().take(COPY_COUNT).map(store).collect();
         while let Some(reply) = sent.next().await {
@@ -60,18 +68,42 @@
 
     /// Asks the nodes that may keep the origin of a run, all at once.
     pub(crate) async fn find(&self, key: RunKey) -> Option<RunOrigin> {
+        match self.ask(key, false, FIND_TIMEOUT).await {
+            OriginSearch::Found(origin) => Some(origin),
+            OriginSearch::Absent | OriginSearch::Unknown => None,
+        }
+    }
+
+    /// Has the same nodes look for the origin in the store.
+    pub(crate) async fn find_stored(&self, key: RunKey) -> OriginSearch {
+        self.ask(key, true, FIND_STORED_TIMEOUT).await
+    }
+
+    async fn ask(&self, key: RunKey, reads_store: bool, timeout: Duration) -> OriginSearch {
+        let request = RunOriginRequest {
+            key,
+            origin: None,
+            reads_store,
+        };
+        let ask = |address| {
+            let request = RequestBody::RunOrigin(request.clone());
+            self.peers.call(address, request, timeout)
+        };
         let keepers = self.keepers(key).into_iter();
-        let mut replies: FuturesUnordered<_> = keepers
-            .map(|address| self.peers.call(address, request(key, None), FIND_TIMEOUT))
-            .collect();
+        let mut replies: FuturesUnordered<_> = keepers.map(ask).collect();
+        let mut search = OriginSearch::Unknown;
         while let Some(reply) = replies.next().await {
-            if let Ok(ReplyBody::RunOrigin(reply)) = reply
-                && let Some(record) = reply.origin
-            {
-                return Some(from_record(record));
+            let Ok(ReplyBody::RunOrigin(reply)) = reply else {
+                continue;
+            };
+            if let Some(record) = reply.origin {
+                return OriginSearch::Found(from_record(record));
+            }
+            if reply.has_read_store {
+                search = OriginSearch::Absent;
             }
         }
-        None
+        search
     }
 
     fn keepers(&self, key: RunKey) -> Vec<SocketAddr> {
@@ -94,10 +126,6 @@
     ordered.map(|member| member.peer_address).collect()
 }
 
-fn request(key: RunKey, origin: Option<RunOriginRecord>) -> RequestBody {
-    RequestBody::RunOrigin(RunOriginRequest { key, origin })
-}
-
 /// Encodes an origin for another node.
 pub(crate) fn to_record(origin: RunOrigin) -> RunOriginRecord {
     RunOriginRecord {
--- a/src/edge/run_origin_log.rs
+++ b/src/edge/run_origin_log.rs
@@ -1,7 +1,7 @@
 //! The origins of the runs that began at this node, as it writes them to the
 //! platform's store.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::forward::run_origin::{ORIGIN_LIFETIME, RunKey, RunOrigin};
 use crate::forward::upstream::SoftwareVersion;
@@ -34,16 +34,20 @@
 pub(crate) struct RunOriginLog {
     records: VecDeque<OriginRecord>,
     keys: BTreeSet<RunKey>,
+    /// Runs whose version changed after a write may have included the earlier one.
+    changed: BTreeSet<RunKey>,
 }
 
 impl RunOriginLog {
-    /// Adds a run that began now. A run whose version is unknown is left out: it
-    /// goes on only at the incarnation that began it.
+    /// Adds a run that was sent to its origin now. A run whose version is unknown is
+    /// left out: it goes on only at the incarnation that began it. A run that is sent
+    /// to another version before its first event changes its record.
     pub(crate) fn record(&mut self, key: RunKey, origin: &RunOrigin, now_unix_ms: u64) {
         let Some(software_version) = origin.software_version.clone() else {
             return;
         };
         if !self.keys.insert(key) {
+            self.change_version(key, software_version);
             return;
         }
         self.records.push_back(OriginRecord {
@@ -55,6 +59,40 @@
         self.trim(now_unix_ms);
     }
 
+    fn change_version(&mut self, key: RunKey, software_version: SoftwareVersion) {
+        let mut newest_first = self.records.iter_mut().rev();
+        let Some(record) = newest_first.find(|record| record.key == key) else {
+            return;
+        };
+        if record.software_version != software_version {
+            record.software_version = software_version;
+            self.changed.insert(key);
+        }
+    }
+
+    /// Whether the version of the run has changed since it was first recorded, and no
+    /// write of the new one was acknowledged. The store may then have the earlier one.
+    pub(crate) fn is_change_unwritten(&self, key: RunKey) -> bool {
+        self.changed.contains(&key)
+    }
+
+    /// Applies that a write of these records was acknowledged.
+    pub(crate) fn record_written(&mut self, written: &[OriginRecord]) {
+        if self.changed.is_empty() {
+            return;
+        }
+        let current: BTreeMap<RunKey, &SoftwareVersion> = self
+            .records
+            .iter()
+            .map(|record| (record.key, &record.software_version))
+            .collect();
+        for record in written {
+            if current.get(&record.key) == Some(&&record.software_version) {
+                self.changed.remove(&record.key);
+            }
+        }
+    }
+
     /// Adds the records that this node wrote before it was restarted.
     pub(crate) fn merge(&mut self, earlier: Vec<OriginRecord>, now_unix_ms: u64) {
         for record in earlier {
@@ -74,6 +112,7 @@
             && (self.records.len() > RECORDS_MAX || !oldest.is_within(lifetime_ms, now_unix_ms))
         {
             self.keys.remove(&oldest.key);
+            self.changed.remove(&oldest.key);
             self.records.pop_front();
         }
     }
--- a/src/edge/stored_run_origins.rs
+++ b/src/edge/stored_run_origins.rs
@@ -16,7 +16,8 @@
 use super::run_origin_log::{OriginRecord, RunOriginLog};
 use crate::clock::unix_ms;
 use crate::forward::forwarder::{Forwarder, NodeContext};
-use crate::forward::run_origin::{RunKey, RunOrigin};
+use crate::forward::run_origin::{OriginSearch, RunKey, RunOrigin};
+use crate::forward::upstream::SoftwareVersion;
 use crate::id::{NodeId, ServiceId};
 use crate::observe::metrics::{Counter, Metrics};
 use crate::platform::run_origin_objects::RunOriginObject;
@@ -38,6 +39,10 @@
 const RECORDS_READ_MAX: usize = 131_072;
 /// Longest time that a caller waits for the store.
 const FIND_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest time that the first event of a run is held back because the store may name
+/// another version for it.
+const CORRECTION_TIMEOUT: Duration = Duration::from_secs(1);
+const CORRECTION_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Age from which a record is of no use, whatever the difference of two clocks.
 const RECORD_AGE_MAX_MS: u64 = 120_000;
 /// Maximum number of other nodes' objects that a node deletes in
@@ -64,6 +69,8 @@
     origins: BTreeMap<RunKey, Arc<RunOrigin>>,
     /// Time until which the list is not read again.
     valid_until: Option<Instant>,
+    /// Whether the last read returned the objects of all nodes.
+    is_complete: bool,
 }
 
 impl Found {
@@ -126,8 +133,14 @@
     exists: Option<bool>,
     /// Whether the store may hold the object.
     may_exist: bool,
-    /// Keys of the last write that was acknowledged.
-    written: BTreeSet<RunKey>,
+    /// Versions of the runs in the last write that was acknowledged.
+    written: BTreeMap<RunKey, SoftwareVersion>,
+}
+
+impl OwnObject {
+    fn has(&self, record: &OriginRecord) -> bool {
+        self.written.get(&record.key) == Some(&record.software_version)
+    }
 }
 
 impl StoredRunOrigins {
@@ -144,11 +157,25 @@
         }
     }
 
-    /// Records a run that began at this node. The next write includes it.
+    /// Records to which origin a run is sent, or where it began. The next write
+    /// includes it.
     pub(crate) fn record(&self, key: RunKey, origin: &RunOrigin) {
         lock(&self.log).record(key, origin, unix_ms());
     }
 
+    /// Waits until the store can't have another origin of the run than the last one
+    /// recorded; false if that takes longer than [`CORRECTION_TIMEOUT`].
+    pub(crate) async fn wait_for_correction(&self, key: RunKey) -> bool {
+        let deadline = Instant::now() + CORRECTION_TIMEOUT;
+        while lock(&self.log).is_change_unwritten(key) {
+            if Instant::now() >= deadline {
+                return false;
+            }
+            tokio::time::sleep(CORRECTION_CHECK_INTERVAL).await;
+        }
+        true
+    }
+
     /// Writes the recent runs at intervals. Never returns; it ends with the
     /// runtime.
     pub(crate) async fn write_periodically(
@@ -184,8 +211,7 @@
         if services.is_empty() {
             return self.delete_own(own).await;
         }
-        let is_new = |record: &OriginRecord| !own.written.contains(&record.key);
-        if !self.recent(services).iter().any(is_new) {
+        if self.recent(services).iter().all(|record| own.has(record)) {
             return Ok(());
         }
         let exists = self.check_exists(own).await?;
@@ -200,7 +226,9 @@
             self.count_call(create).await?;
         }
         own.exists = Some(true);
-        own.written = records.iter().map(|record| record.key).collect();
+        lock(&self.log).record_written(&records);
+        let versions = records.iter().map(|r| (r.key, r.software_version.clone()));
+        own.written = versions.collect();
         let newest = records.iter().map(|record| record.recorded_unix_ms).max();
         log::info!(
             "event=run_origins_written runs={} newest_unix_ms={} services={services:?}",
@@ -251,19 +279,18 @@
 
     /// Looks for the origin of a run in the store, within [`FIND_TIMEOUT`]. A read
     /// that takes longer goes on for the caller's next try.
-    pub(crate) async fn find(
-        self: &Arc<Self>,
-        key: RunKey,
-        node_count: usize,
-    ) -> Option<RunOrigin> {
+    pub(crate) async fn find(self: &Arc<Self>, key: RunKey, node_count: usize) -> OriginSearch {
         if let Some(origin) = self.found(key) {
-            return Some(origin);
+            return OriginSearch::Found(origin);
         }
         let this = self.clone();
         let read = tokio::spawn(async move { this.read_if_due(node_count).await });
-        // Without a result in time, the origin stays unknown for this try.
-        let _ = tokio::time::timeout(FIND_TIMEOUT, read).await;
-        self.found(key)
+        let is_complete = tokio::time::timeout(FIND_TIMEOUT, read).await;
+        match (self.found(key), is_complete) {
+            (Some(origin), _) => OriginSearch::Found(origin),
+            (None, Ok(Ok(true))) => OriginSearch::Absent,
+            (None, _) => OriginSearch::Unknown,
+        }
     }
 
     fn found(&self, key: RunKey) -> Option<RunOrigin> {
@@ -272,11 +299,17 @@
         Some(origin.as_ref().clone())
     }
 
-    async fn read_if_due(self: &Arc<Self>, node_count: usize) {
+    /// Reads the objects of all nodes unless that was done recently. Returns whether
+    /// the last read was complete.
+    async fn read_if_due(self: &Arc<Self>, node_count: usize) -> bool {
         let _reading = self.reading.lock().await;
-        let valid_until = lock(&self.found).valid_until;
-        if valid_until.is_some_and(|until| Instant::now() < until) {
-            return;
+        let is_due = |until| Instant::now() >= until;
+        let (is_complete, valid_until) = {
+            let found = lock(&self.found);
+            (found.is_complete, found.valid_until)
+        };
+        if !valid_until.is_none_or(is_due) {
+            return is_complete;
         }
         let list = self.read_list().await;
         let now_unix_ms = unix_ms();
@@ -295,9 +328,11 @@
             list.is_complete
         );
         found.valid_until = Some(Instant::now() + read_interval(node_count, list.page_count));
+        found.is_complete = list.is_complete;
         *lock(&self.found) = found;
         let this = self.clone();
         tokio::spawn(async move { this.delete_old(&list.objects, now_unix_ms).await });
+        list.is_complete
     }
 
     /// Reads the objects of all nodes, or of some if the store fails meanwhile.
--- a/src/edge/tests/run_origin_log.rs
+++ b/src/edge/tests/run_origin_log.rs
@@ -87,3 +87,21 @@
     assert_eq!(records[0].key, u64::MAX - 1);
     assert!(object.len() < 1 << 20, "{} bytes", object.len());
 }
+
+#[test]
+fn a_change_of_a_runs_version_is_unwritten_until_a_write_of_the_new_one_is_acknowledged() {
+    let mut log = RunOriginLog::default();
+    let services = BTreeSet::from(["llm".to_owned()]);
+    log.record(1, &origin("llm", Some("v1")), 0);
+    let written_before = log.of_services(&services);
+    assert!(!log.is_change_unwritten(1));
+
+    log.record(1, &origin("llm", Some("v2")), 1);
+    log.record_written(&written_before);
+    assert!(log.is_change_unwritten(1), "the store has the earlier one");
+
+    let written = log.of_services(&services);
+    log.record_written(&written);
+    assert!(!log.is_change_unwritten(1));
+    assert_eq!(written[0].software_version, "v2");
+}
--- a/src/forward/caller_resume.rs
+++ b/src/forward/caller_resume.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use super::forwarder::{Forwarder, NodeContext};
-use super::run_origin::{RunKey, RunOrigin, run_key};
+use super::run_origin::{OriginSearch, RunKey, RunOrigin, run_key};
 use super::stream_call::{OpenFailure, StreamRun};
 use super::upstream::{Upstream, version_for_log};
 use crate::policy::failure_response::GiveUpReason;
@@ -84,7 +84,9 @@
     async fn stored_origin(&self) -> Option<RunOrigin> {
         let key = self.resumed_run_key()?;
         let forwarder = &self.forwarder;
-        let origin = forwarder.node.find_stored_origin(key).await?;
+        let OriginSearch::Found(origin) = forwarder.node.find_stored_origin(key).await else {
+            return None;
+        };
         let now = Instant::now();
         forwarder.run_origins.record(key, origin.clone(), now);
         Some(origin)
@@ -96,13 +98,28 @@
         Some(run_key(resumed.as_bytes()))
     }
 
+    /// Has the store keep where the run will begin if `upstream`, to which it is sent,
+    /// sends the first event. The prompt takes longer to process than the write, so
+    /// that the record is there before a caller could ask for the rest.
+    pub(super) fn record_sent_to(&self, upstream: &Upstream) {
+        let headers = &self.call.headers;
+        if self.origin.is_none()
+            && let Some(id) = &headers.call_id
+        {
+            let origin = RunOrigin::at(upstream);
+            let node = &self.forwarder.node;
+            node.record_sent_to(run_key(id.as_bytes()), &origin);
+        }
+    }
+
     /// Records, before the first event is passed on, that the run began at
     /// `upstream`, and publishes it to other nodes, which need it if this node is
-    /// lost.
-    pub(super) fn record_origin(&mut self, upstream: &Upstream) {
+    /// lost. Returns false if the store may say that it began at another version, to
+    /// which it was sent before.
+    pub(super) async fn record_origin(&mut self, upstream: &Upstream) -> bool {
         let origin = self.origin.get_or_insert_with(|| RunOrigin::at(upstream));
         if std::mem::replace(&mut self.is_origin_recorded, true) {
-            return;
+            return true;
         }
         log::info!(
             "event=stream_began call={} service={} version={} upstream={}",
@@ -113,10 +130,13 @@
         );
         let headers = &self.call.headers;
         let Some(id) = headers.resumes.as_ref().or(headers.call_id.as_ref()) else {
-            return;
+            return true;
         };
-        self.forwarder
-            .publish_origin(run_key(id.as_bytes()), origin.clone());
+        let key = run_key(id.as_bytes());
+        self.forwarder.publish_origin(key, origin.clone());
+        let is_correct = self.forwarder.node.wait_for_origin_correction(key).await;
+        self.is_origin_recorded = is_correct;
+        is_correct
     }
 
     /// Whether the run may go on, or begin, at `upstream`.
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -18,7 +18,7 @@
 use super::request_crashes::{Permission, RequestCrashes};
 use super::retry_budgets::RetryBudgets;
 use super::route_table::{AdmissionError, MatchedRoute, RouteTable};
-use super::run_origin::{RunKey, RunOrigin, RunOrigins};
+use super::run_origin::{OriginSearch, RunKey, RunOrigin, RunOrigins};
 use super::sessions::Sessions;
 use super::upstream::Upstream;
 use crate::error::{Error, ErrorKind};
@@ -72,8 +72,15 @@
     fn publish_origin(&self, key: RunKey, origin: RunOrigin);
     /// Asks other nodes for the origin of a run.
     fn find_origin(&self, key: RunKey) -> impl Future<Output = Option<RunOrigin>> + Send;
-    /// Looks in the platform's store for the origin of a run that no node knows.
-    fn find_stored_origin(&self, key: RunKey) -> impl Future<Output = Option<RunOrigin>> + Send;
+    /// Has the platform's store keep the origin to which a run is sent, before its
+    /// first event.
+    fn record_sent_to(&self, key: RunKey, origin: &RunOrigin);
+    /// Waits until the store can't name an origin of the run to which it was sent
+    /// before; false if that fails.
+    fn wait_for_origin_correction(&self, key: RunKey) -> impl Future<Output = bool> + Send;
+    /// Looks in the platform's store for the origin of a run that no node knows, and
+    /// has other nodes look there if this node can't.
+    fn find_stored_origin(&self, key: RunKey) -> impl Future<Output = OriginSearch> + Send;
     /// Whether this node started so recently that versions may have left which it
     /// does not know.
     fn has_started_recently(&self) -> bool;
--- a/src/forward/run_origin.rs
+++ b/src/forward/run_origin.rs
@@ -64,6 +64,16 @@
     }
 }
 
+/// Result of a search for the origin of a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum OriginSearch {
+    Found(RunOrigin),
+    /// All records were read, and none is of this run.
+    Absent,
+    /// The records could not be read, or only some of them.
+    Unknown,
+}
+
 /// The origins of recent runs: of those that this node relayed, and of those that
 /// other nodes stored here.
 #[derive(Debug, Default)]
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -385,6 +385,7 @@
             own_calls,
             self.call.age().as_millis()
         );
+        self.record_sent_to(upstream);
         *lock(&self.replica) = next_replica;
         let attempt = Attempt::new(upstream.clone(), work, request);
         let forwarder = &self.forwarder;
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -261,8 +261,9 @@
                 if began_at.elapsed() >= SURVIVAL_TIME {
                     self.record_survival(began_at);
                 }
-                if self.event_count == 0 {
-                    self.record_origin(&upstream);
+                if self.event_count == 0 && !self.record_origin(&upstream).await {
+                    let cause = "the store may name another version as the stream's origin";
+                    return SegmentEnd::Lost(cause.to_owned());
                 }
                 work.prefill_done();
                 if let Err(end) = self.relay_event(event.bytes, event.index, sender).await {
--- a/src/membership/message/run_origin.rs
+++ b/src/membership/message/run_origin.rs
@@ -11,6 +11,9 @@
     /// The origin, if the receiver is to keep it.
     #[prost(message, optional, tag = "2")]
     pub(crate) origin: Option<RunOriginRecord>,
+    /// Whether the receiver is to look in the store as well, because the sender can't.
+    #[prost(bool, tag = "3")]
+    pub(crate) reads_store: bool,
 }
 
 /// Reply to [`RunOriginRequest`].
@@ -19,6 +22,9 @@
     /// The origin, if the sender asked for it and the receiver knows it.
     #[prost(message, optional, tag = "1")]
     pub(crate) origin: Option<RunOriginRecord>,
+    /// Whether the receiver read all of the store's records for this request.
+    #[prost(bool, tag = "2")]
+    pub(crate) has_read_store: bool,
 }
 
 /// The upstream that sent the first event of a run.
