--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -116,8 +116,7 @@
         self.peak_node_count
             .fetch_max(staying.len(), Ordering::Relaxed);
         let rank = watch_rank(own_name, &staying);
-        let is_watcher = watchers::is_membership_settled(self.is_seed, self.started_at.elapsed())
-            && watchers::is_watcher(staying.len(), rank);
+        let is_watcher = self.is_membership_settled() && watchers::is_watcher(staying.len(), rank);
         if self.is_watcher.swap(is_watcher, Ordering::Relaxed) != is_watcher {
             log::info!(
                 "event=watcher is_watcher={is_watcher} nodes={}",
@@ -141,6 +140,12 @@
         self.is_watcher.load(Ordering::Relaxed)
     }
 
+    /// Whether this node knows enough of the others to tell which tasks are assigned
+    /// to it.
+    pub(crate) fn is_membership_settled(&self) -> bool {
+        watchers::is_membership_settled(self.is_seed, self.started_at.elapsed())
+    }
+
     /// Maximum duration of one long poll of the store.
     pub(crate) fn watch_timeout(&self) -> Duration {
         watchers::watch_timeout(self.node_count.load(Ordering::Relaxed))
@@ -199,9 +204,9 @@
     }
 
     /// Looks for the origin of a run in the store, by this node's own reads.
-    pub(crate) async fn read_stored_origin(&self, key: RunKey) -> OriginSearch {
+    pub(crate) async fn read_stored_origin(&self, key: RunKey, service: &str) -> OriginSearch {
         let node_count = self.node_count.load(Ordering::Relaxed);
-        self.stored_origins.find(key, node_count).await
+        self.stored_origins.find(key, service, node_count).await
     }
 
     /// Records the time of the stop signal.
@@ -283,9 +288,9 @@
         self.stored_origins.wait_for_correction(key).await
     }
 
-    async fn find_stored_origin(&self, key: RunKey) -> OriginSearch {
-        match self.read_stored_origin(key).await {
-            OriginSearch::Unknown => self.peer_origins.find_stored(key).await,
+    async fn find_stored_origin(&self, key: RunKey, service: &str) -> OriginSearch {
+        match self.read_stored_origin(key, service).await {
+            OriginSearch::Unknown => self.peer_origins.find_stored(key, service).await,
             search => search,
         }
     }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod peer_run_origins;
 pub(crate) mod relay_api;
 pub(crate) mod run_origin_log;
+pub(crate) mod served_versions;
 pub(crate) mod settings;
 pub(crate) mod status_api;
 pub(crate) mod store_watch;
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -20,6 +20,7 @@
 use super::peer_retry_budget::PeerRetryBudget;
 use super::peer_run_origins::PeerRunOrigins;
 use super::relay_api::RelayApi;
+use super::served_versions::ServedVersionsWriter;
 use super::settings::EdgeSettings;
 use super::status_api::StatusApi;
 use super::store_watch::{ROUTING_DOCUMENT, StoreWatch};
@@ -148,6 +149,11 @@
         serve_peer_api(&settings, &watch, &shutdown)?;
         spawn_background_tasks(&settings, watch);
         tokio::spawn(stored_origins.write_periodically(forwarder.clone()));
+        let served_versions = ServedVersionsWriter {
+            store: Store::new(settings.store),
+            forwarder: forwarder.clone(),
+        };
+        tokio::spawn(served_versions.run());
         let status_api = Arc::new(StatusApi {
             forwarder: forwarder.clone(),
             address_ttl_max: settings.address_keep,
--- a/src/edge/peer_api.rs
+++ b/src/edge/peer_api.rs
@@ -63,21 +63,25 @@
         if let Some(origin) = origins.get(request.key, now) {
             return RunOriginReply {
                 origin: Some(to_record(origin)),
-                has_read_store: false,
+                ..RunOriginReply::default()
             };
         }
         if !request.reads_store {
             return RunOriginReply::default();
         }
-        let search = self.forwarder.node.read_stored_origin(request.key).await;
-        let has_read_store = search != OriginSearch::Unknown;
-        let origin = match search {
-            OriginSearch::Found(origin) => Some(to_record(origin)),
-            OriginSearch::Absent | OriginSearch::Unknown => None,
-        };
-        RunOriginReply {
-            origin,
-            has_read_store,
+        let node = &self.forwarder.node;
+        match node.read_stored_origin(request.key, &request.service).await {
+            OriginSearch::Found(origin) => RunOriginReply {
+                origin: Some(to_record(origin)),
+                has_read_store: true,
+                served_versions: Vec::new(),
+            },
+            OriginSearch::Absent(served) => RunOriginReply {
+                origin: None,
+                has_read_store: true,
+                served_versions: served.into_iter().collect(),
+            },
+            OriginSearch::Unknown => RunOriginReply::default(),
         }
     }
 }
--- a/src/edge/peer_run_origins.rs
+++ b/src/edge/peer_run_origins.rs
@@ -51,7 +51,7 @@
             let request = RunOriginRequest {
                 key,
                 origin: Some(record.clone()),
-                reads_store: false,
+                ..RunOriginRequest::default()
             };
             self.peers
                 .call(address, RequestBody::RunOrigin(request), STORE_TIMEOUT)
@@ -68,22 +68,30 @@
 
     /// Asks the nodes that may keep the origin of a run, all at once.
     pub(crate) async fn find(&self, key: RunKey) -> Option<RunOrigin> {
-        match self.ask(key, false, FIND_TIMEOUT).await {
+        match self.ask(key, None, FIND_TIMEOUT).await {
             OriginSearch::Found(origin) => Some(origin),
-            OriginSearch::Absent | OriginSearch::Unknown => None,
+            OriginSearch::Absent(_) | OriginSearch::Unknown => None,
         }
     }
 
     /// Has the same nodes look for the origin in the store.
-    pub(crate) async fn find_stored(&self, key: RunKey) -> OriginSearch {
-        self.ask(key, true, FIND_STORED_TIMEOUT).await
+    pub(crate) async fn find_stored(&self, key: RunKey, service: &str) -> OriginSearch {
+        self.ask(key, Some(service), FIND_STORED_TIMEOUT).await
     }
 
-    async fn ask(&self, key: RunKey, reads_store: bool, timeout: Duration) -> OriginSearch {
+    /// Asks the nodes that may keep the origin. They look in the store as well if the
+    /// service of the run is given.
+    async fn ask(
+        &self,
+        key: RunKey,
+        stored_service: Option<&str>,
+        timeout: Duration,
+    ) -> OriginSearch {
         let request = RunOriginRequest {
             key,
             origin: None,
-            reads_store,
+            reads_store: stored_service.is_some(),
+            service: stored_service.unwrap_or_default().to_owned(),
         };
         let ask = |address| {
             let request = RequestBody::RunOrigin(request.clone());
@@ -100,7 +108,7 @@
                 return OriginSearch::Found(from_record(record));
             }
             if reply.has_read_store {
-                search = OriginSearch::Absent;
+                search = OriginSearch::Absent(reply.served_versions.into_iter().collect());
             }
         }
         search
--- a/src/edge/stored_run_origins.rs
+++ b/src/edge/stored_run_origins.rs
@@ -21,6 +21,7 @@
 use crate::id::{NodeId, ServiceId};
 use crate::observe::metrics::{Counter, Metrics};
 use crate::platform::run_origin_objects::RunOriginObject;
+use crate::platform::service_version_objects::ServedVersions;
 use crate::platform::store::{Store, StoreFailure};
 
 /// Shortest interval between two writes of a node.
@@ -71,6 +72,8 @@
     valid_until: Option<Instant>,
     /// Whether the last read returned the objects of all nodes.
     is_complete: bool,
+    /// The versions that have served each service lately, if they were read.
+    served: BTreeMap<ServiceId, ServedVersions>,
 }
 
 impl Found {
@@ -279,7 +282,12 @@
 
     /// Looks for the origin of a run in the store, within [`FIND_TIMEOUT`]. A read
     /// that takes longer goes on for the caller's next try.
-    pub(crate) async fn find(self: &Arc<Self>, key: RunKey, node_count: usize) -> OriginSearch {
+    pub(crate) async fn find(
+        self: &Arc<Self>,
+        key: RunKey,
+        service: &str,
+        node_count: usize,
+    ) -> OriginSearch {
         if let Some(origin) = self.found(key) {
             return OriginSearch::Found(origin);
         }
@@ -288,7 +296,7 @@
         let is_complete = tokio::time::timeout(FIND_TIMEOUT, read).await;
         match (self.found(key), is_complete) {
             (Some(origin), _) => OriginSearch::Found(origin),
-            (None, Ok(Ok(true))) => OriginSearch::Absent,
+            (None, Ok(Ok(true))) => OriginSearch::Absent(self.served_versions(service)),
             (None, _) => OriginSearch::Unknown,
         }
     }
@@ -299,6 +307,12 @@
         Some(origin.as_ref().clone())
     }
 
+    fn served_versions(&self, service: &str) -> BTreeSet<SoftwareVersion> {
+        let found = lock(&self.found);
+        let served = found.served.get(service);
+        served.map_or_else(BTreeSet::new, |served| served.versions.clone())
+    }
+
     /// Reads the objects of all nodes unless that was done recently. Returns whether
     /// the last read was complete.
     async fn read_if_due(self: &Arc<Self>, node_count: usize) -> bool {
@@ -312,6 +326,7 @@
             return is_complete;
         }
         let list = self.read_list().await;
+        let served = self.count_call(self.store.list_service_versions()).await;
         let now_unix_ms = unix_ms();
         let mut found = std::mem::take(&mut *lock(&self.found));
         if list.is_complete {
@@ -329,6 +344,7 @@
         );
         found.valid_until = Some(Instant::now() + read_interval(node_count, list.page_count));
         found.is_complete = list.is_complete;
+        found.served = served.unwrap_or_default();
         *lock(&self.found) = found;
         let this = self.clone();
         tokio::spawn(async move { this.delete_old(&list.objects, now_unix_ms).await });
--- a/src/edge/tests/peer_run_origins.rs
+++ b/src/edge/tests/peer_run_origins.rs
@@ -67,7 +67,7 @@
         body: Some(RequestBody::RunOrigin(RunOriginRequest {
             key: u64::MAX,
             origin: Some(to_record(origin)),
-            reads_store: false,
+            ..RunOriginRequest::default()
         })),
     };
 
--- a/src/forward/caller_resume.rs
+++ b/src/forward/caller_resume.rs
@@ -1,12 +1,13 @@
 //! Finds out where a stream began of which a caller requests the rest, so that it
 //! goes on at the same software version or is refused.
 
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 use super::forwarder::{Forwarder, NodeContext};
 use super::run_origin::{OriginSearch, RunKey, RunOrigin, run_key};
 use super::stream_call::{OpenFailure, StreamRun};
-use super::upstream::{Upstream, version_for_log};
+use super::upstream::{SoftwareVersion, Upstream, version_for_log};
 use crate::policy::failure_response::GiveUpReason;
 
 /// Where a node learnt the origin of a run.
@@ -18,7 +19,8 @@
     Peer,
     /// No node has its record, but the platform's store does.
     Store,
-    /// There is no record of it, and the service has only one version.
+    /// There is no record of it, and only one version has served the service lately,
+    /// as this node saw itself or as the store says.
     OnlyVersion,
 }
 
@@ -72,24 +74,33 @@
         }
         let now = Instant::now();
         let only = forwarder.directory.only_origin(&self.call.service, now);
-        if (only.is_none() || forwarder.node.has_started_recently())
-            && let Some(origin) = self.stored_origin().await
+        if !forwarder.node.has_started_recently()
+            && let Some(only) = only
         {
-            return Some((origin, OriginSource::Store));
+            return Some((only, OriginSource::OnlyVersion));
+        }
+        match self.stored_origin().await {
+            OriginSearch::Found(origin) => Some((origin, OriginSource::Store)),
+            OriginSearch::Absent(served) => {
+                let only = only.filter(|only| is_only_served(&served, only));
+                Some((only?, OriginSource::OnlyVersion))
+            }
+            OriginSearch::Unknown => None,
         }
-        Some((only?, OriginSource::OnlyVersion))
     }
 
-    /// The origin that the platform's store has, which this node then keeps.
-    async fn stored_origin(&self) -> Option<RunOrigin> {
-        let key = self.resumed_run_key()?;
+    /// Looks for the origin in the platform's store; this node keeps what it finds.
+    async fn stored_origin(&self) -> OriginSearch {
         let forwarder = &self.forwarder;
-        let OriginSearch::Found(origin) = forwarder.node.find_stored_origin(key).await else {
-            return None;
-        };
-        let now = Instant::now();
-        forwarder.run_origins.record(key, origin.clone(), now);
-        Some(origin)
+        // No run has the key of an empty id, for which the search tells the versions.
+        let key = self.resumed_run_key().unwrap_or_else(|| run_key(&[]));
+        let service = &self.call.service;
+        let search = forwarder.node.find_stored_origin(key, service).await;
+        if let OriginSearch::Found(origin) = &search {
+            let now = Instant::now();
+            forwarder.run_origins.record(key, origin.clone(), now);
+        }
+        search
     }
 
     /// Key of the run that the call resumes.
@@ -147,6 +158,12 @@
     }
 }
 
+/// Whether no version but that of `only` has served the service lately.
+fn is_only_served(served: &BTreeSet<SoftwareVersion>, only: &RunOrigin) -> bool {
+    let mut served = served.iter();
+    served.next() == only.software_version.as_ref() && served.next().is_none()
+}
+
 impl<N: NodeContext> Forwarder<N> {
     fn publish_origin(&self, key: RunKey, origin: RunOrigin) {
         self.run_origins.record(key, origin.clone(), Instant::now());
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -13,7 +13,7 @@
 use super::observation::{Observation, Observations};
 use super::probe::ProbeFailure;
 use super::run_origin::RunOrigin;
-use super::upstream::{Upstream, UpstreamEntry, version_for_log};
+use super::upstream::{SoftwareVersion, Upstream, UpstreamEntry, version_for_log};
 use super::version_history::VersionHistory;
 use crate::id::{DataCentreId, ServiceId, UpstreamId};
 use crate::policy::entry_expiry::{EntryExpiry, ExpiryDecision};
@@ -246,19 +246,31 @@
         is_only.then_some(origin)
     }
 
-    /// The services of which several versions are present or left recently.
-    pub(crate) fn services_with_several_versions(&self, now: Instant) -> BTreeSet<ServiceId> {
+    /// The known versions of each service that are present or left recently.
+    pub(crate) fn versions_by_service(
+        &self,
+        now: Instant,
+    ) -> BTreeMap<ServiceId, BTreeSet<SoftwareVersion>> {
         let state = self.lock();
-        let mut versions: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+        let mut versions: BTreeMap<ServiceId, BTreeSet<SoftwareVersion>> = BTreeMap::new();
         for upstream in state.upstreams.values() {
-            let of_service = versions.entry(&upstream.entry.service).or_default();
-            of_service.extend(upstream.software_version().map(String::as_str));
+            if let Some(version) = upstream.software_version() {
+                let service = upstream.entry.service.clone();
+                versions.entry(service).or_default().insert(version.clone());
+            }
         }
         for (service, version) in state.version_history.departed(now) {
-            versions.entry(service).or_default().insert(version);
+            let of_service = versions.entry(service.to_owned()).or_default();
+            of_service.insert(version.to_owned());
         }
-        let several = versions.into_iter().filter(|(_, known)| known.len() > 1);
-        several.map(|(service, _)| service.to_owned()).collect()
+        versions
+    }
+
+    /// The services of which several versions are present or left recently.
+    pub(crate) fn services_with_several_versions(&self, now: Instant) -> BTreeSet<ServiceId> {
+        let versions = self.versions_by_service(now).into_iter();
+        let several = versions.filter(|(_, known)| known.len() > 1);
+        several.map(|(service, _)| service).collect()
     }
 
     /// Records that a peer read the limit of an upstream.
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -78,9 +78,13 @@
     /// Waits until the store can't name an origin of the run to which it was sent
     /// before; false if that fails.
     fn wait_for_origin_correction(&self, key: RunKey) -> impl Future<Output = bool> + Send;
-    /// Looks in the platform's store for the origin of a run that no node knows, and
-    /// has other nodes look there if this node can't.
-    fn find_stored_origin(&self, key: RunKey) -> impl Future<Output = OriginSearch> + Send;
+    /// Looks in the platform's store for the origin of a run of the service that no
+    /// node knows, and has other nodes look there if this node can't.
+    fn find_stored_origin(
+        &self,
+        key: RunKey,
+        service: &str,
+    ) -> impl Future<Output = OriginSearch> + Send;
     /// Whether this node started so recently that versions may have left which it
     /// does not know.
     fn has_started_recently(&self) -> bool;
--- a/src/forward/run_origin.rs
+++ b/src/forward/run_origin.rs
@@ -6,7 +6,7 @@
 //! caller may request the rest through any node, so nodes keep the origins of
 //! recent runs and exchange them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -68,8 +68,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum OriginSearch {
     Found(RunOrigin),
-    /// All records were read, and none is of this run.
-    Absent,
+    /// All records were read, and none is of this run. The versions that have served
+    /// its service lately are empty if they are not known.
+    Absent(BTreeSet<SoftwareVersion>),
     /// The records could not be read, or only some of them.
     Unknown,
 }
--- a/src/membership/message/run_origin.rs
+++ b/src/membership/message/run_origin.rs
@@ -14,6 +14,9 @@
     /// Whether the receiver is to look in the store as well, because the sender can't.
     #[prost(bool, tag = "3")]
     pub(crate) reads_store: bool,
+    /// Service of the run, if the receiver is to look in the store.
+    #[prost(string, tag = "4")]
+    pub(crate) service: String,
 }
 
 /// Reply to [`RunOriginRequest`].
@@ -25,6 +28,9 @@
     /// Whether the receiver read all of the store's records for this request.
     #[prost(bool, tag = "2")]
     pub(crate) has_read_store: bool,
+    /// Versions that have served the service lately, if the receiver read them.
+    #[prost(string, repeated, tag = "3")]
+    pub(crate) served_versions: Vec<String>,
 }
 
 /// The upstream that sent the first event of a run.
