--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -99,9 +99,10 @@
         let (trigger, shutdown) = Shutdown::channel();
         let peers = PeerClient::default();
         let membership = join(&settings, peers.clone(), shutdown.clone()).await?;
+        let store = Store::new(settings.store);
         let stored_origins = Arc::new(StoredRunOrigins::new(
             settings.node.clone(),
-            Store::new(settings.store),
+            store.with_own_connections(),
             metrics.clone(),
         ));
         let observation_channel = Observations::default();
@@ -139,7 +140,7 @@
             in_flight: Arc::default(),
         });
         let watch = StoreWatch {
-            store: Store::new(settings.store),
+            store: store.clone(),
             forwarder: forwarder.clone(),
             exchange: config_exchange(&membership, &peers),
             upstreams: Arc::default(),
@@ -150,7 +151,7 @@
         spawn_background_tasks(&settings, watch);
         tokio::spawn(stored_origins.write_periodically(forwarder.clone()));
         let served_versions = ServedVersionsWriter {
-            store: Store::new(settings.store),
+            store: store.with_own_connections(),
             forwarder: forwarder.clone(),
         };
         tokio::spawn(served_versions.run());
--- a/src/edge/stored_run_origins.rs
+++ b/src/edge/stored_run_origins.rs
@@ -18,7 +18,7 @@
 use crate::forward::forwarder::{Forwarder, NodeContext};
 use crate::forward::run_origin::{OriginSearch, RunKey, RunOrigin};
 use crate::forward::upstream::SoftwareVersion;
-use crate::id::{NodeId, ServiceId};
+use crate::id::{Era, NodeId, ServiceId};
 use crate::observe::metrics::{Counter, Metrics};
 use crate::platform::run_origin_objects::RunOriginObject;
 use crate::platform::service_version_objects::ServedVersions;
@@ -138,9 +138,20 @@
     may_exist: bool,
     /// Versions of the runs in the last write that was acknowledged.
     written: BTreeMap<RunKey, SoftwareVersion>,
+    /// Era of the store in which that is true.
+    era: Option<Era>,
 }
 
 impl OwnObject {
+    /// Forgets what is known of the store if it came back from an older copy since.
+    fn enter_era(&mut self, era: Option<Era>) {
+        if self.era != era {
+            self.exists = None;
+            self.written.clear();
+            self.era = era;
+        }
+    }
+
     fn has(&self, record: &OriginRecord) -> bool {
         self.written.get(&record.key) == Some(&record.software_version)
     }
@@ -211,6 +222,7 @@
         own: &mut OwnObject,
         services: &BTreeSet<ServiceId>,
     ) -> Result<(), StoreFailure> {
+        own.enter_era(self.store.era());
         if services.is_empty() {
             return self.delete_own(own).await;
         }
--- a/tests/software_versions/stored_origins.rs
+++ b/tests/software_versions/stored_origins.rs
@@ -238,6 +238,24 @@
     eventually("all runs are in the store again", is_written).await;
 }
 
+#[tokio::test]
+async fn origins_and_versions_are_written_again_after_the_store_came_back_from_a_copy() {
+    let environment = TestEnvironment::start_with_versions(&["v1", "v2"]).await;
+    let copy = environment.store.copy();
+    let (_node, caller) = environment.start_ready_node("n1").await;
+    begin_streams(&caller, TAKEN_UP_COUNT).await;
+    let store = &environment.store;
+    let is_written = || {
+        stored_runs(&environment, "n1").len() == TAKEN_UP_COUNT
+            && store.spec("service-versions", "llm").is_some()
+    };
+    eventually("the runs are in the store", is_written).await;
+
+    store.come_back_from(&copy);
+
+    eventually("they are there again", is_written).await;
+}
+
 #[tokio::test]
 async fn a_read_deletes_some_of_the_objects_that_nodes_left_behind() {
     let environment = TestEnvironment::start_with_versions(&["v1", "v2"]).await;
