--- a/tests/soak/fault_kind.rs
+++ b/tests/soak/fault_kind.rs
@@ -24,6 +24,9 @@
     StoreSilent,
     /// The store drops the history of changes, so that nodes must list again.
     ForgetHistory,
+    /// The store comes back from a copy some seconds old; upstreams and operator write
+    /// again what they wrote since. It is injected only by its name.
+    RestoreStore,
     /// The engine crashes and starts again as a new incarnation.
     CrashEngine,
     /// All engines of a data centre crash and start again, one after the other.
@@ -108,7 +111,7 @@
 impl FaultKind {
     /// The kinds that `SOAK_FAULTS` names, by their names or the starts of their
     /// names, separated by commas. Without it, all kinds but `MuteLink`,
-    /// `MuteNode` and `AskForRest`.
+    /// `MuteNode`, `AskForRest` and `RestoreStore`.
     pub fn selected() -> Vec<Self> {
         std::env::var("SOAK_FAULTS")
             .map_or_else(|_| DEFAULT_KINDS.to_vec(), |names| Self::named(&names))
@@ -118,10 +121,12 @@
     pub fn named(names: &str) -> Vec<Self> {
         let mut selected: Vec<Self> = Vec::new();
         for name in names.split(',') {
-            let all =
-                DEFAULT_KINDS
-                    .into_iter()
-                    .chain([Self::MuteLink, Self::MuteNode, Self::AskForRest]);
+            let all = DEFAULT_KINDS.into_iter().chain([
+                Self::MuteLink,
+                Self::MuteNode,
+                Self::AskForRest,
+                Self::RestoreStore,
+            ]);
             let count_before = selected.len();
             selected.extend(all.filter(|kind| format!("{kind:?}").starts_with(name)));
             assert!(selected.len() > count_before, "no kind of fault is {name}");
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -18,6 +18,7 @@
 use crate::node::SoakEnvironment;
 use crate::rests::Rests;
 use crate::silences::{self, SilenceMode, Silences};
+use crate::store_copies::StoreCopies;
 
 /// A draining engine must get no new runs later than this after it was marked.
 const DRAINING_BOUND: Duration = Duration::from_secs(2);
@@ -43,6 +44,7 @@
     crashing_parts: CrashingParts,
     named_limits: NamedLimits,
     rests: Rests,
+    store_copies: StoreCopies,
     draining: Vec<DrainingEngine>,
     /// Times at which faults that can delay the news of a draining engine began or
     /// ended.
@@ -61,6 +63,7 @@
             crashing_parts: CrashingParts::default(),
             named_limits: NamedLimits::default(),
             rests: Rests::default(),
+            store_copies: StoreCopies::default(),
             draining: Vec::new(),
             disturbances: Vec::new(),
             violations: Vec::new(),
@@ -74,6 +77,7 @@
     /// Injects one fault, waits, restarts nodes that have exited, and ends all faults
     /// with a probability of 0.3; otherwise the fault overlaps with the next one.
     pub async fn step(&mut self, environment: &mut SoakEnvironment) {
+        self.store_copies.keep(&environment.store);
         let kind = self.kinds[self.random.random_range(0..self.kinds.len())];
         *self.counts.entry(kind).or_default() += 1;
         self.inject(kind, environment).await;
@@ -122,6 +126,10 @@
                 .store(true, Ordering::Relaxed),
             FaultKind::StoreSilent => environment.store.is_silent.store(true, Ordering::Relaxed),
             FaultKind::ForgetHistory => environment.store.expire_history(),
+            FaultKind::RestoreStore => {
+                let copies = &self.store_copies;
+                copies.restore(&environment.store, &mut self.random).await;
+            }
             FaultKind::CrashEngine => restart_engine(environment, engine).await,
             FaultKind::CrashDataCentre => {
                 for at in (engine % 2..environment.engines.len()).step_by(2) {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -47,6 +47,7 @@
 mod node;
 mod rests;
 mod silences;
+mod store_copies;
 
 use std::time::Duration;
 
@@ -62,6 +63,9 @@
 /// Seed that CI runs with rests and faults that leave upstreams audible.
 const CI_REST_SEED: u64 = 4000;
 const REST_KINDS: &str = "AskForRest,ChangeVersion,ForgetHistory,CrashEngine";
+/// Seed that CI runs with a store that comes back from copies.
+const CI_RESTORE_SEED: u64 = 6000;
+const RESTORE_KINDS: &str = "RestoreStore,Change,DrainEngine,CrashEngine,StoreAway,KillNode";
 /// Seed that CI would run with rests and silent upstreams.
 const CI_SILENT_REST_SEED: u64 = 4031;
 const SILENT_REST_KINDS: &str = "AskForRest,Silence,Suspend,ChangeVersion";
@@ -135,7 +139,10 @@
     let cut_nodes = (CI_CUT_NODES_SEED, vec![FaultKind::CutNode]);
     let runs = CI_SEEDS.map(with_selected);
     let rests = (CI_REST_SEED, FaultKind::named(REST_KINDS));
-    runs.into_iter().chain([cut_nodes, rests]).collect()
+    let restores = (CI_RESTORE_SEED, FaultKind::named(RESTORE_KINDS));
+    runs.into_iter()
+        .chain([cut_nodes, rests, restores])
+        .collect()
 }
 
 /// The seeds that `SOAK_SEEDS` sets, if it does.
--- a/tests/support/edge_environment/store.rs
+++ b/tests/support/edge_environment/store.rs
@@ -168,6 +168,23 @@
         state.objects.get(&key).map(|object| object["spec"].clone())
     }
 
+    /// The fields `spec` of all objects of a kind, by name.
+    pub fn specs(&self, kind: &str) -> BTreeMap<String, Value> {
+        let state = self.state.lock().expect("unpoisoned");
+        let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
+        let specs = of_kind.map(|((_, name), object)| (name.clone(), object["spec"].clone()));
+        specs.collect()
+    }
+
+    /// Has the writers of a kind write again what they wrote before.
+    pub fn write_again(&self, kind: &str, specs: BTreeMap<String, Value>) {
+        let stale = self.specs(kind).into_keys();
+        stale
+            .filter(|name| !specs.contains_key(name))
+            .for_each(|name| self.delete(kind, &name));
+        self.put_all(kind, specs);
+    }
+
     /// Answers a request about one object: reads, replaces or deletes it, or creates
     /// it if `name` is empty.
     fn change(&self, kind: &str, name: &str, request: &RawRequest) -> (u16, Value) {
