Wait for the stored versions in a test of a resume at a node that just started

Before, the node went on without being able to know the version. No check is narrowed: what happens before the object exists is the rule that who can't tell must not join.

--- a/tests/stream_resume.rs
+++ b/tests/stream_resume.rs
@@ -239,6 +239,7 @@
 async fn a_caller_resumes_where_its_connection_broke() {
     let environment = TestEnvironment::start(4).await;
     let (_node, caller) = environment.start_ready_node("n1").await;
+    environment.wait_for_served_versions().await;
 
     let extra_headers = "last-event-id: 7\r\nx-zinniawing-token-usage: 800,10\r\n";
     let got = caller.call("POST", STREAM_PATH, extra_headers).await;
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -272,6 +272,13 @@
         })
     }
 
+    /// Waits until the store says which versions of the engines serve. Before, a node that
+    /// has just started can't know that a stream didn't begin at another one.
+    pub async fn wait_for_served_versions(&self) {
+        let is_written = || self.store.spec("service-versions", "llm").is_some();
+        eventually("the versions are in the store", is_written).await;
+    }
+
     pub fn running_engine(&self) -> &Arc<Engine> {
         let mut engines = self.engines.iter();
         let running = engines.find(|engine| engine.running_count() > 0);
