--- a/src/membership/message/mod.rs
+++ b/src/membership/message/mod.rs
@@ -67,6 +67,22 @@
     Permit(PermitRequest),
 }
 
+impl RequestBody {
+    /// Kind of the request, for the log.
+    pub(crate) fn kind(&self) -> &'static str {
+        match self {
+            Self::Sync(_) => "sync",
+            Self::Fetch(_) => "fetch",
+            Self::Claim(_) => "claim",
+            Self::Status(_) => "status",
+            Self::Crashes(_) => "crashes",
+            Self::Retry(_) => "retry",
+            Self::RunOrigin(_) => "run_origin",
+            Self::Permit(_) => "permit",
+        }
+    }
+}
+
 /// Asks for one retry. The nodes share a budget of retries; a node that has
 /// used up its share borrows from others.
 #[derive(Clone, PartialEq, Eq, Message)]
--- a/src/membership/peer.rs
+++ b/src/membership/peer.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -68,10 +68,24 @@
     reply: oneshot::Sender<Option<ReplyBody>>,
 }
 
+/// A connection to one peer, as its users see it.
+#[derive(Clone, Debug)]
+struct PeerConnection {
+    requests: mpsc::Sender<PendingRequest>,
+    /// When the last frame arrived; `None` before the first.
+    heard_at: Arc<Mutex<Option<Instant>>>,
+}
+
+impl PeerConnection {
+    fn heard_at(&self) -> Option<Instant> {
+        *self.heard_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Sends requests to other nodes, over one connection to each.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PeerClient {
-    connections: Arc<Mutex<BTreeMap<SocketAddr, mpsc::Sender<PendingRequest>>>>,
+    connections: Arc<Mutex<BTreeMap<SocketAddr, PeerConnection>>>,
     traffic: Arc<PeerTraffic>,
 }
 
@@ -88,35 +102,51 @@
         body: RequestBody,
         timeout: Duration,
     ) -> Result<ReplyBody, NoReply> {
+        let what = body.kind();
         let (sender, receiver) = oneshot::channel();
         let request = PendingRequest {
             body,
             reply: sender,
         };
         let connection = self.connection(address);
-        connection.try_send(request).map_err(|_| NoReply)?;
+        connection.requests.try_send(request).map_err(|_| NoReply)?;
         let reply = tokio::time::timeout(timeout, receiver).await;
+        if reply.is_err() {
+            let heard_ms_ago = connection.heard_at().map(|at| at.elapsed().as_millis());
+            log::info!(
+                "event=peer_unanswered peer={address} what={what} waited_ms={} heard_ms_ago={heard_ms_ago:?}",
+                timeout.as_millis()
+            );
+        }
         reply.ok().and_then(Result::ok).flatten().ok_or(NoReply)
     }
 
-    fn connection(&self, address: SocketAddr) -> mpsc::Sender<PendingRequest> {
+    fn connection(&self, address: SocketAddr) -> PeerConnection {
         let mut connections = self
             .connections
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        if let Some(open) = connections.get(&address).filter(|c| !c.is_closed()) {
+        let known = connections.get(&address);
+        if let Some(open) = known.filter(|c| !c.requests.is_closed()) {
             return open.clone();
         }
         let (sender, receiver) = mpsc::channel(QUEUE_CAPACITY);
-        connections.insert(address, sender.clone());
-        tokio::spawn(run_connection(address, receiver, self.traffic.clone()));
-        sender
+        let connection = PeerConnection {
+            requests: sender,
+            heard_at: Arc::default(),
+        };
+        connections.insert(address, connection.clone());
+        let heard_at = connection.heard_at.clone();
+        let traffic = self.traffic.clone();
+        tokio::spawn(run_connection(address, receiver, heard_at, traffic));
+        connection
     }
 }
 
 async fn run_connection(
     address: SocketAddr,
     mut requests: mpsc::Receiver<PendingRequest>,
+    heard_at: Arc<Mutex<Option<Instant>>>,
     traffic: Arc<PeerTraffic>,
 ) {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
@@ -142,6 +172,8 @@
             }
             frame = framed.next() => {
                 let Some(Ok(frame)) = frame else { return };
+                let now = Instant::now();
+                *heard_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
                 traffic.count_received(&frame);
                 let Ok(reply) = PeerReply::decode(frame) else { return };
                 if let Some(sender) = pending_replies.remove(&reply.id) {
