Leave a connection to a peer that has fallen silent (CONFIG)

What callers saw: calls handled by a version that had been replaced over 3 s before, and 404 for routes that were there, at some nodes of a grown site after open connections fell silent. Cause: a node has one connection to each peer. A request that gets no reply in time fails, and the connection stays: the next one goes into the same silence, until 20 s have passed without any request. Links fall silent at 9.0 s, the version is acknowledged at 13.5 s; 60 nodes have it in force within 0.1 s, 10 after 2.0 s, 4 after 4.0 s and 2 after 6.0 s: the time-out of a fetch, once for each dead connection that the node tried. The watchers had it at 13.54 s, so it isn't their watch. Change: where nothing arrives for 0.25 s over a connection that has worked before, later requests use a new one, and this one too if it may be repeated. One that timed out in silence is left in any case. The serving side closes what has been idle for 30 s. Why it works: a new connection is the only proof; a slow peer gets a read once more at most, and the reply over the first connection is still taken.

--- a/src/membership/message/mod.rs
+++ b/src/membership/message/mod.rs
@@ -81,6 +81,17 @@
             Self::Permit(_) => "permit",
         }
     }
+
+    /// Whether a peer that gets the request twice does the same as if it got it once.
+    pub(crate) fn may_be_repeated(&self) -> bool {
+        match self {
+            Self::Sync(_) | Self::Fetch(_) | Self::Status(_) | Self::RunOrigin(_) => true,
+            // A claim's nonce identifies its operation.
+            Self::Claim(_) => true,
+            // Each of them may grant what only one may have.
+            Self::Crashes(_) | Self::Retry(_) | Self::Permit(_) => false,
+        }
+    }
 }
 
 /// Asks for one retry. The nodes share a budget of retries; a node that has
--- a/src/membership/peer.rs
+++ b/src/membership/peer.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -26,6 +26,11 @@
 const FRAME_MAX_BYTES: usize = 1024 * 1024 + 4096;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time without a request after which the server closes a connection, which its client has
+/// closed before, or can't reach it any more.
+const SERVER_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time without a frame after which a connection on which a reply is due counts as silent.
+const SILENCE_MAX: Duration = Duration::from_millis(250);
 /// Requests or replies that may be queued for one connection.
 const QUEUE_CAPACITY: usize = 1024;
 
@@ -63,6 +68,9 @@
     }
 }
 
+/// The reply to one request; `None` if the peer gives none.
+type Reply = oneshot::Receiver<Option<ReplyBody>>;
+
 struct PendingRequest {
     body: RequestBody,
     reply: oneshot::Sender<Option<ReplyBody>>,
@@ -77,12 +85,29 @@
 }
 
 impl PeerConnection {
+    fn send(&self, body: RequestBody) -> Result<Reply, NoReply> {
+        let (sender, reply) = oneshot::channel();
+        let request = PendingRequest {
+            body,
+            reply: sender,
+        };
+        self.requests.try_send(request).map_err(|_| NoReply)?;
+        Ok(reply)
+    }
+
     fn heard_at(&self) -> Option<Instant> {
         *self.heard_at.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn was_heard_since(&self, since: Instant) -> bool {
+        self.heard_at().is_some_and(|at| at >= since)
+    }
 }
 
 /// Sends requests to other nodes, over one connection to each.
+///
+/// An open connection may fall silent for good, without a reset, while new ones work.
+/// Nothing but a reply that does not come shows it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PeerClient {
     connections: Arc<Mutex<BTreeMap<SocketAddr, PeerConnection>>>,
@@ -95,37 +120,42 @@
         &self.traffic
     }
 
-    /// Sends a request to the node at `address` and waits for the reply.
+    /// Sends a request to the node at `address` and waits for the reply. If its connection
+    /// is silent, later requests use a new one, and this one too if it may be repeated.
     pub(crate) async fn call(
         &self,
         address: SocketAddr,
         body: RequestBody,
         timeout: Duration,
     ) -> Result<ReplyBody, NoReply> {
-        let what = body.kind();
-        let (sender, receiver) = oneshot::channel();
-        let request = PendingRequest {
-            body,
-            reply: sender,
-        };
+        let sent_at = Instant::now();
+        let (what, repeated) = (body.kind(), body.may_be_repeated().then(|| body.clone()));
         let connection = self.connection(address);
-        connection.requests.try_send(request).map_err(|_| NoReply)?;
-        let reply = tokio::time::timeout(timeout, receiver).await;
+        let has_worked = connection.heard_at().is_some();
+        let mut first = connection.send(body)?;
+        let patience = SILENCE_MAX.min(timeout);
+        if let Ok(reply) = tokio::time::timeout(patience, &mut first).await {
+            return reply.ok().flatten().ok_or(NoReply);
+        }
+        let is_silent = !connection.was_heard_since(sent_at);
+        let mut second = None;
+        if is_silent && has_worked {
+            self.leave(address, &connection);
+            second = repeated.and_then(|body| self.connection(address).send(body).ok());
+        }
+        let reply = first_of(first, second);
+        let reply = tokio::time::timeout(timeout - patience, reply).await;
         if reply.is_err() {
-            let heard_ms_ago = connection.heard_at().map(|at| at.elapsed().as_millis());
-            log::info!(
-                "event=peer_unanswered peer={address} what={what} waited_ms={} heard_ms_ago={heard_ms_ago:?}",
-                timeout.as_millis()
-            );
+            log_unanswered(address, what, timeout, &connection);
+            if !connection.was_heard_since(sent_at) {
+                self.leave(address, &connection);
+            }
         }
-        reply.ok().and_then(Result::ok).flatten().ok_or(NoReply)
+        reply.ok().flatten().ok_or(NoReply)
     }
 
     fn connection(&self, address: SocketAddr) -> PeerConnection {
-        let mut connections = self
-            .connections
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut connections = self.connections();
         let known = connections.get(&address);
         if let Some(open) = known.filter(|c| !c.requests.is_closed()) {
             return open.clone();
@@ -141,6 +171,42 @@
         tokio::spawn(run_connection(address, receiver, heard_at, traffic));
         connection
     }
+
+    /// Has later requests use a new connection. Those that wait for replies over this one go
+    /// on waiting, after which it is closed.
+    fn leave(&self, address: SocketAddr, connection: &PeerConnection) {
+        let mut connections = self.connections();
+        let known = connections.get(&address);
+        if known.is_some_and(|known| known.requests.same_channel(&connection.requests)) {
+            connections.remove(&address);
+        }
+    }
+
+    fn connections(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, PeerConnection>> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Waits for the first of two replies to one request.
+async fn first_of(first: Reply, second: Option<Reply>) -> Option<ReplyBody> {
+    let Some(second) = second else {
+        return first.await.ok().flatten();
+    };
+    tokio::select! {
+        Ok(reply) = first => reply,
+        Ok(reply) = second => reply,
+        else => None,
+    }
+}
+
+fn log_unanswered(address: SocketAddr, what: &str, timeout: Duration, connection: &PeerConnection) {
+    let heard_ms_ago = connection.heard_at().map(|at| at.elapsed().as_millis());
+    log::info!(
+        "event=peer_unanswered peer={address} what={what} waited_ms={} heard_ms_ago={heard_ms_ago:?}",
+        timeout.as_millis()
+    );
 }
 
 async fn run_connection(
@@ -247,6 +313,7 @@
                     return;
                 }
             }
+            () = tokio::time::sleep(SERVER_IDLE_TIMEOUT) => return,
             () = shutdown.wait_for_closing() => return,
         }
     }
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -20,6 +20,7 @@
 pub mod run_log;
 pub mod running_stream;
 pub mod service;
+pub mod silent_links;
 pub mod slow_link;
 pub mod store;
 pub mod store_view;
