Bound the watch of upstreams by the time after which a draining one gets no calls (DRAIN)

What callers saw: a request reached an upstream that drains, later than the drain-timeout after the store had its entry. Change: both watches wait for seven tenths of the bound on what they watch at most; the drain-timeout comes from the settings.

--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -23,7 +23,7 @@
 use crate::id::{NodeId, ServiceId, UpstreamId, Version};
 use crate::membership::members::Member;
 use crate::membership::message::{PermitReply, PermitRequest};
-use crate::policy::freshness::{self, ConfigEvidence, ConfigFreshness};
+use crate::policy::freshness::{ConfigEvidence, ConfigFreshness};
 use crate::policy::store_reachability::StoreReachability;
 use crate::policy::upstream_limit::{Grant, PermitDemand};
 use crate::policy::watchers;
@@ -35,6 +35,15 @@
 /// Maximum number of node addresses that a caller gets.
 const ADDRESSES_MAX: usize = 64;
 
+/// Times within which changes in the store must take effect at all nodes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ChangeBounds {
+    /// Time within which a configuration must be in force.
+    pub(crate) config: Duration,
+    /// Time after which an upstream that drains gets no calls.
+    pub(crate) drain: Duration,
+}
+
 /// The times of this node's shutdown.
 #[derive(Clone, Copy, Debug)]
 struct Stop {
@@ -67,15 +76,14 @@
     peer_permits: PeerPermits,
     peer_origins: PeerRunOrigins,
     stored_origins: Arc<StoredRunOrigins>,
-    /// Time within which a confirmed configuration must be in force.
-    config_bound: Duration,
+    bounds: ChangeBounds,
 }
 
 impl ClusterView {
     /// Creates a view in which no other node is known.
     pub(crate) fn new(
         is_seed: bool,
-        config_bound: Duration,
+        bounds: ChangeBounds,
         relay: PeerRelay,
         peer_budget: PeerRetryBudget,
         peer_permits: PeerPermits,
@@ -91,9 +99,9 @@
             is_watcher: AtomicBool::new(is_seed),
             stop: OnceLock::new(),
             shutdown_imminent: CancellationToken::new(),
-            freshness: Mutex::new(ConfigFreshness::new(config_bound)),
+            freshness: Mutex::new(ConfigFreshness::new(bounds.config)),
             store_reachability: Mutex::default(),
-            config_bound,
+            bounds,
             nodes: Mutex::default(),
             relay,
             peer_budget,
@@ -146,12 +154,6 @@
         watchers::is_membership_settled(self.is_seed, self.started_at.elapsed())
     }
 
-    /// Maximum duration of one long poll of the store.
-    pub(crate) fn watch_timeout(&self) -> Duration {
-        let node_count = self.node_count.load(Ordering::Relaxed);
-        watchers::watch_timeout(node_count, self.is_watcher())
-    }
-
     /// The other nodes as ways to upstreams.
     pub(crate) fn relay(&self) -> &PeerRelay {
         &self.relay
@@ -180,8 +182,19 @@
 
     /// Longest wait of one long poll for the configuration.
     pub(crate) fn config_watch_timeout(&self) -> Duration {
-        let longest = freshness::watch_timeout_max(self.config_bound);
-        self.watch_timeout().min(longest)
+        self.watch_timeout(self.bounds.config)
+    }
+
+    /// Longest wait of one long poll for upstreams.
+    pub(crate) fn upstreams_watch_timeout(&self) -> Duration {
+        self.watch_timeout(self.bounds.drain)
+    }
+
+    /// Longest wait of one long poll for changes that must be known within `bound`.
+    fn watch_timeout(&self, bound: Duration) -> Duration {
+        let node_count = self.node_count.load(Ordering::Relaxed);
+        let usual = watchers::watch_timeout(node_count, self.is_watcher());
+        usual.min(watchers::watch_timeout_max(bound))
     }
 
     /// Records that the store answered this node or a peer (true), or that this
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinHandle;
 
 use super::caller_handler::CallerHandler;
-use super::cluster_view::ClusterView;
+use super::cluster_view::{ChangeBounds, ClusterView};
 use super::drain::{abort_time, wait_until_drained};
 use super::observations;
 use super::peer_api::EdgePeerApi;
@@ -120,7 +120,10 @@
             data_centre: settings.data_centre.clone(),
             node: ClusterView::new(
                 settings.is_seed(),
-                settings.config_bound,
+                ChangeBounds {
+                    config: settings.config_bound,
+                    drain: settings.drain_bound,
+                },
                 PeerRelay::new(settings.data_centre.clone()),
                 PeerRetryBudget {
                     membership: membership.clone(),
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -37,6 +37,8 @@
     pub grace: Duration,
     /// Time within which a new configuration must be in force on all nodes.
     pub config_bound: Duration,
+    /// Time after which an upstream that drains must get no calls from any node.
+    pub drain_bound: Duration,
     /// Maximum ratio of retries to calls in a window, over all nodes together.
     pub retry_ratio: f64,
     /// Window over which calls and retries are counted.
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -229,12 +229,8 @@
             let read = match revision {
                 None => self.count_call(self.store.read_config()).await,
                 Some(revision) => {
-                    let wait = self.forwarder.node.config_watch_timeout();
-                    let wait = if is_store_lost {
-                        POLL_TIME_AFTER_FAILURE
-                    } else {
-                        wait
-                    };
+                    let usual = self.forwarder.node.config_watch_timeout();
+                    let wait = poll_time(usual, is_store_lost);
                     let watch = self.store.watch_config(revision, wait);
                     self.count_call(watch).await
                 }
@@ -282,7 +278,8 @@
             let result = match revision.filter(|_| !is_revision_expired) {
                 None => self.list_upstreams().await,
                 Some(revision) => {
-                    let wait = self.poll_time(is_store_lost);
+                    let usual = self.forwarder.node.upstreams_watch_timeout();
+                    let wait = poll_time(usual, is_store_lost);
                     self.watch_upstreams(revision, wait).await
                 }
             };
@@ -352,14 +349,6 @@
         self.upstreams.revision().is_some()
     }
 
-    fn poll_time(&self, is_store_lost: bool) -> Duration {
-        if is_store_lost {
-            POLL_TIME_AFTER_FAILURE
-        } else {
-            self.forwarder.node.watch_timeout()
-        }
-    }
-
     async fn watch_upstreams(
         &self,
         revision: Revision,
@@ -414,6 +403,15 @@
     }
 }
 
+/// Wait of one long poll, which is `usual` unless the store is lost.
+fn poll_time(usual: Duration, is_store_lost: bool) -> Duration {
+    if is_store_lost {
+        POLL_TIME_AFTER_FAILURE
+    } else {
+        usual
+    }
+}
+
 fn for_log(revision: Option<Revision>) -> String {
     revision.map_or_else(|| "-".to_owned(), |revision| revision.to_string())
 }
--- a/src/policy/freshness.rs
+++ b/src/policy/freshness.rs
@@ -10,21 +10,12 @@
 
 use crate::id::Version;
 
-/// Part of the bound on configurations for which a watch of the store may wait: its
-/// answer must arrive before the one before it is outdated.
-const WATCH_PART_OF_BOUND: f64 = 0.7;
 /// Time that an answer of the store, or its news from a peer, may have taken.
 const ANSWER_TIME_MAX: Duration = Duration::from_millis(250);
 
 /// Time in which an announced configuration is usually fetched from a peer.
 const FETCH_TIME: Duration = Duration::from_millis(500);
 
-/// Longest time for which a watch of the configuration may wait, given the time
-/// within which a confirmed configuration must be in force.
-pub(crate) fn watch_timeout_max(config_bound: Duration) -> Duration {
-    config_bound.mul_f64(WATCH_PART_OF_BOUND)
-}
-
 /// What this node knows of the age of the configuration in force.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ConfigFreshness {
--- a/src/policy/tests/freshness.rs
+++ b/src/policy/tests/freshness.rs
@@ -2,8 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use crate::policy::freshness::{ConfigFreshness, watch_timeout_max};
+use crate::policy::freshness::ConfigFreshness;
 use crate::policy::store_reachability::StoreReachability;
+use crate::policy::watchers::watch_timeout_max;
 
 const BOUND: Duration = Duration::from_secs(2);
 const IN_FORCE: u64 = 5;
--- a/src/policy/watchers.rs
+++ b/src/policy/watchers.rs
@@ -10,6 +10,9 @@
 
 use std::time::{Duration, Instant};
 
+/// Part of the bound on a kind of change for which a watch of it may wait. What is left is for
+/// the time-out of a watch whose connection is dead, and for the request after it.
+const WATCH_PART_OF_BOUND: f64 = 0.7;
 /// Largest cluster in which every node watches the store itself.
 pub(crate) const SMALL_CLUSTER_MAX_NODES: usize = 12;
 /// Nodes of each data centre that watch the store in a large cluster.
@@ -60,6 +63,12 @@
     }
 }
 
+/// Longest time for which a watch may wait, given the time within which a change must be
+/// known.
+pub(crate) fn watch_timeout_max(bound: Duration) -> Duration {
+    bound.mul_f64(WATCH_PART_OF_BOUND)
+}
+
 /// How long a node that knows no upstream waits for its peers to send the list
 /// of upstreams before it reads the remaining pages from the store. Without this
 /// wait, three hundred nodes that start at once would request sixty pages each.
