Hear in a relayed answer that its upstream leaves (DRAIN)

What callers saw: a request reached an upstream after it had said that it leaves. Cause: a node that reaches no upstream has a peer send its calls, and passes the answer on, Server-Leaving and all, without reading it. It couldn't have: the answer doesn't say which upstream gave it. When its own paths work again it sends calls there, though it is bound by the answer that it passed on. Change: the peer names the upstream and its start in the answer; the node keeps the notice for that incarnation, whether it knows the upstream now or did. Cost: some 60 bytes in the answers to relayed calls.

--- a/src/edge/relay_api.rs
+++ b/src/edge/relay_api.rs
@@ -12,6 +12,7 @@
 use super::unanswered_call::UnansweredCall;
 use crate::error::{Error, ErrorKind, Execution};
 use crate::forward::forwarder::Forwarder;
+use crate::forward::upstream::UpstreamStart;
 use crate::http::{self, ConnectionLimits, Handler, HttpResponse};
 use crate::observe::metrics::Counter;
 use crate::platform::call;
@@ -58,6 +59,8 @@
         let own_error = response.extensions().get::<ErrorKind>();
         let is_refused = own_error.is_some_and(|kind| kind.answer().execution == Execution::NotRun);
         call::set_relay_refused(response.headers_mut(), is_refused);
+        let upstream = response.extensions().get::<UpstreamStart>().cloned();
+        call::set_relay_upstream(response.headers_mut(), upstream.as_ref());
         response
     }
 }
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -141,7 +141,9 @@
         };
         let answered = upstream.pool.send_if(request, begin_write).await;
         unanswered.ended();
-        let (connection, response) = answered.map_err(AttemptFailure::from)?;
+        let (connection, mut response) = answered.map_err(AttemptFailure::from)?;
+        // Tells a peer that relayed the call whose answer it passes on.
+        response.extensions_mut().insert(upstream.entry.start());
         let headers = answer::read(response.status(), response.headers(), call_id);
         let attempt = Attempt {
             upstream,
--- a/src/forward/departed_notices.rs
+++ b/src/forward/departed_notices.rs
@@ -5,7 +5,7 @@
 
 use std::collections::VecDeque;
 
-use super::upstream::{SharedNotices, Upstream, UpstreamEntry};
+use super::upstream::{SharedNotices, Upstream, UpstreamEntry, UpstreamStart};
 
 /// Number of upstreams whose notices are kept.
 const DEPARTED_MAX: usize = 256;
@@ -27,10 +27,10 @@
             .push_back((upstream.entry.clone(), upstream.shared_notices()));
     }
 
-    /// The notices of the incarnation that the entry describes, if it was known.
-    pub(crate) fn find(&self, entry: &UpstreamEntry) -> Option<SharedNotices> {
+    /// The notices of the incarnation with this start, if it was known.
+    pub(crate) fn find(&self, start: &UpstreamStart) -> Option<SharedNotices> {
         let mut latest_first = self.notices.iter().rev();
-        let found = latest_first.find(|(known, _)| known.is_same_start(entry));
+        let found = latest_first.find(|(known, _)| known.is_start(start));
         found.map(|(_, notices)| notices.clone())
     }
 }
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -13,7 +13,10 @@
 use super::observation::{Observation, Observations};
 use super::probe::ProbeFailure;
 use super::run_origin::RunOrigin;
-use super::upstream::{SoftwareVersion, Upstream, UpstreamEntry, version_for_log};
+use super::upstream::{
+    SoftwareVersion, Upstream, UpstreamEntry, UpstreamStart, lock_notices, log_leaving,
+    version_for_log,
+};
 use super::version_history::VersionHistory;
 use crate::id::{DataCentreId, ServiceId, UpstreamId};
 use crate::policy::entry_expiry::{EntryExpiry, ExpiryDecision};
@@ -65,7 +68,7 @@
         let known = self.upstreams.get(&entry.id);
         match known.filter(|known| known.is_same_incarnation(&entry)) {
             Some(known) => entry.draining |= known.is_draining(),
-            None if self.departed_notices.find(&entry).is_some() => return None,
+            None if self.departed_notices.find(&entry.start()).is_some() => return None,
             None => {}
         }
         Some(entry)
@@ -88,7 +91,10 @@
         if let Some(replaced) = &replaced {
             self.record_departure(replaced, Instant::now());
         }
-        let notices = self.departed_notices.find(&entry).unwrap_or_default();
+        let notices = self
+            .departed_notices
+            .find(&entry.start())
+            .unwrap_or_default();
         let id = entry.id.clone();
         let upstream = Arc::new(Upstream::with_notices(entry, notices));
         self.upstreams.insert(id, upstream);
@@ -281,6 +287,25 @@
         }
     }
 
+    /// Records that an upstream said that it leaves, in an answer that a peer got from it.
+    pub(crate) fn record_leaving(&self, start: &UpstreamStart) {
+        let state = self.lock();
+        let known = state.upstreams.get(&start.id);
+        let known = known.filter(|known| known.entry.is_start(start));
+        let notices = match known {
+            Some(known) => Some(known.shared_notices()),
+            None => state.departed_notices.find(start),
+        };
+        drop(state);
+        let Some(notices) = notices else {
+            return;
+        };
+        let is_new = lock_notices(&notices).record_leaving();
+        if is_new {
+            log_leaving(&start.id);
+        }
+    }
+
     /// The upstreams of a service, those that drain included.
     pub(crate) fn of_service(&self, service: &str) -> Vec<Arc<Upstream>> {
         let state = self.lock();
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -7,8 +7,8 @@
 
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::Response;
 use hyper::body::Incoming;
+use hyper::{HeaderMap, Response};
 
 use super::connection::{Connection, ConnectionPool, SendFailure};
 use super::forwarder::{Forwarder, NodeContext};
@@ -17,6 +17,7 @@
 use crate::http::{self, HttpResponse, TruncatedResponse};
 use crate::id::NodeId;
 use crate::observe::metrics::Counter;
+use crate::platform::answer;
 use crate::platform::call::{self, RelayHeaders};
 use crate::policy::failure_response::{GiveUpReason, Progress};
 
@@ -197,6 +198,7 @@
         connection: Connection,
     ) -> RelayOutcome {
         let (mut head, body) = response.into_parts();
+        self.record_relayed_statements(&head.headers);
         call::strip_hop_headers(&mut head.headers);
         if call.matched.route.kind.is_stream() {
             let body = RelayedBody {
@@ -217,6 +219,18 @@
     }
 }
 
+impl<N: NodeContext> Forwarder<N> {
+    /// Records what an upstream says of itself in an answer that a peer got from it. A rest
+    /// or a limit is the peer's to keep.
+    fn record_relayed_statements(&self, headers: &HeaderMap) {
+        if answer::says_leaving(headers)
+            && let Some(start) = call::relay_upstream(headers)
+        {
+            self.directory.record_leaving(&start);
+        }
+    }
+}
+
 impl RelayedBody {
     fn into_frames(self) -> http::ResponseBody {
         let frames = stream::unfold(self, |mut relayed| async move {
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -9,7 +9,10 @@
 
 use super::connection::ConnectionPool;
 use super::send_probe::SendProbe;
-pub(crate) use super::upstream_entry::{SoftwareVersion, UpstreamEntry, version_for_log};
+pub(crate) use super::upstream_entry::{
+    SoftwareVersion, UpstreamEntry, UpstreamStart, version_for_log,
+};
+use crate::id::UpstreamId;
 use crate::platform::answer::{AnswerHeaders, StatedLimit};
 use crate::policy::liveness::{SILENT_PROBE_INTERVAL, SOUND_SILENCE_MAX};
 use crate::policy::send_decision::{self, SendDecision};
@@ -257,13 +260,13 @@
     /// Records that the upstream says that it leaves. No entry takes that back.
     fn record_leaving(&self) {
         if self.notices().record_leaving() {
-            log::info!("event=upstream_leaves upstream={}", self.entry.id);
+            log_leaving(&self.entry.id);
         }
     }
 
     /// What this incarnation asked of this node.
     pub(crate) fn notices(&self) -> MutexGuard<'_, UpstreamNotices> {
-        self.notices.lock().unwrap_or_else(PoisonError::into_inner)
+        lock_notices(&self.notices)
     }
 
     /// The notices, which a later entry of this incarnation shares.
@@ -426,6 +429,15 @@
     }
 }
 
+pub(crate) fn lock_notices(notices: &SharedNotices) -> MutexGuard<'_, UpstreamNotices> {
+    notices.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Logs that an upstream says that it leaves.
+pub(crate) fn log_leaving(id: &UpstreamId) {
+    log::info!("event=upstream_leaves upstream={id}");
+}
+
 /// Load that is counted at an upstream until this is dropped.
 #[derive(Debug)]
 pub(crate) struct Work {
--- a/src/forward/upstream_entry.rs
+++ b/src/forward/upstream_entry.rs
@@ -8,6 +8,15 @@
 /// It has no order, and is not the version of a model's weights.
 pub(crate) type SoftwareVersion = String;
 
+/// One start of an upstream, as its answers and its registration name it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct UpstreamStart {
+    /// Id under which the upstream is registered.
+    pub(crate) id: UpstreamId,
+    /// Time of the start, in Unix milliseconds; zero if unknown.
+    pub(crate) born_unix_ms: u64,
+}
+
 /// An upstream's registration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct UpstreamEntry {
@@ -30,10 +39,23 @@
 }
 
 impl UpstreamEntry {
+    /// The start of the upstream that this entry describes.
+    pub(crate) fn start(&self) -> UpstreamStart {
+        UpstreamStart {
+            id: self.id.clone(),
+            born_unix_ms: self.born_unix_ms,
+        }
+    }
+
     /// Whether `other` describes the same start of the upstream, as far as is known.
     pub(crate) fn is_same_start(&self, other: &Self) -> bool {
-        let (start, other_start) = (self.born_unix_ms, other.born_unix_ms);
-        self.id == other.id && (start == other_start || start == 0 || other_start == 0)
+        self.is_start(&other.start())
+    }
+
+    /// Whether the entry describes this start, as far as is known.
+    pub(crate) fn is_start(&self, start: &UpstreamStart) -> bool {
+        let (own_born, born) = (self.born_unix_ms, start.born_unix_ms);
+        self.id == start.id && (own_born == born || own_born == 0 || born == 0)
     }
 
     /// Whether `other` is a later incarnation at the same address. After a crash,
--- a/tests/cut_nodes/main.rs
+++ b/tests/cut_nodes/main.rs
@@ -4,6 +4,7 @@
 mod support;
 
 mod evidence;
+mod leaving;
 mod one_call;
 mod paused_peers;
 mod scene;
