Believe a refusal only if it is the refusal of this call (REFUSED, TWICE)

What callers saw: 503, 'not run', for a call that runs, or its second run elsewhere. Cause: an answer's 'not executed' and 421 were read before its call id, so an earlier refusal that is written once more on a kept connection was taken for this call's. The rest, limit and leave in it were recorded of the upstream; a report that met such an answer counted the engine as broken. Change: whose answer it is is read at the boundary (AnswerOwner). A refusal counts if it names this call, or no call and is the first on its connection. Requests that are no calls drop an answer that names one, with its connection.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -161,7 +161,8 @@
 
 impl Attempt<Answered> {
     fn check_answer(self) -> Result<Self, AttemptFailure> {
-        match classify(&self.state.headers) {
+        let is_first = !self.state.connection.is_reused();
+        match classify(&self.state.headers, is_first) {
             AnswerClass::Final | AnswerClass::Failed => {
                 self.record_answer();
                 Ok(self)
@@ -175,8 +176,9 @@
                 Err(AttemptFailure::Misdirected(actual))
             }
             AnswerClass::Foreign => Err(AttemptFailure::MayHaveRun(format!(
-                "answer with status {} belongs to another call, or another party sent or changed it",
-                self.state.headers.status.as_u16()
+                "answer with status {} ({:?}) belongs to another call, or another party sent or changed it",
+                self.state.headers.status.as_u16(),
+                self.state.headers.owner
             ))),
         }
     }
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -19,7 +19,7 @@
 use super::upstream::Upstream;
 use crate::id::DataCentreId;
 use crate::observe::metrics::{Counter, Metrics};
-use crate::platform::answer::stated_rest;
+use crate::platform::answer::{AnswerOwner, owner, stated_rest};
 use crate::platform::engine::{EngineReport, REPORT_PATH, read_report};
 use crate::policy::liveness::{
     OUTAGE_ALERT_DURATION, SOUND_SILENCE_MAX, StreamPhase, probe_delay, stall_timeout,
@@ -296,9 +296,11 @@
     send_over(upstream, connection, request).await
 }
 
+/// Sends the request over a connection. If the answer there is one to a call, written
+/// again, sends it over a new connection, on which it is the only request.
 async fn send_over(
     upstream: &Upstream,
-    mut connection: Connection,
+    connection: Connection,
     mut request: Request<Full<Bytes>>,
 ) -> Option<(StatusCode, Bytes)> {
     let host = upstream.entry.address.to_string().parse().ok()?;
@@ -307,15 +309,43 @@
         upstream.pool.put(connection, None);
         return None;
     }
+    if let ControlAnswer::Own(status, body) =
+        exchange_over(upstream, connection, request.clone()).await?
+    {
+        return Some((status, body));
+    }
+    let connection = upstream.pool.open().await.ok()?;
+    match exchange_over(upstream, connection, request).await? {
+        ControlAnswer::Own(status, body) => Some((status, body)),
+        ControlAnswer::OfCall => None,
+    }
+}
+
+/// What arrived where the answer to a request that is no call was due.
+enum ControlAnswer {
+    Own(StatusCode, Bytes),
+    /// An answer that names a call. Nothing in it is about this request.
+    OfCall,
+}
+
+async fn exchange_over(
+    upstream: &Upstream,
+    mut connection: Connection,
+    request: Request<Full<Bytes>>,
+) -> Option<ControlAnswer> {
     let response = connection.send(request).await.ok()?;
+    let headers = response.headers();
+    if owner(headers, None) == AnswerOwner::AnotherCall {
+        return Some(ControlAnswer::OfCall);
+    }
     let status = response.status();
-    if let Some(rest) = stated_rest(status, response.headers()) {
+    if let Some(rest) = stated_rest(status, headers) {
         upstream.record_rest(rest);
     }
     let body = Limited::new(response.into_body(), CONTROL_ANSWER_MAX_BYTES);
     let body = body.collect().await.ok()?.to_bytes();
     upstream.pool.put(connection, None);
-    Some((status, body))
+    Some(ControlAnswer::Own(status, body))
 }
 
 impl<N: NodeContext> Forwarder<N> {
--- a/src/forward/send_probe.rs
+++ b/src/forward/send_probe.rs
@@ -20,7 +20,7 @@
 use super::run_origin::RunOrigin;
 use super::upstream::Upstream;
 use crate::observe::metrics::Counter;
-use crate::platform::answer;
+use crate::platform::answer::{self, AnswerOwner};
 use crate::platform::engine::REPORT_PATH;
 use crate::policy::liveness::SOUND_SILENCE_MAX;
 use crate::policy::send_probe::{SendConditions, answer_patience};
@@ -277,6 +277,11 @@
     let may_send = || !upstream.counts_probes();
     let (connection, response) = upstream.pool.send_if(request, may_send).await?;
     let headers = answer::read(response.status(), response.headers(), None);
+    if headers.owner == AnswerOwner::AnotherCall {
+        return Err(SendFailure::NotSent(
+            "the connection brought another answer",
+        ));
+    }
     upstream.record_statements(&headers, sent_at);
     let body = Limited::new(response.into_body(), ANSWER_MAX_BYTES);
     let is_complete = body.collect().await.is_ok();
--- a/src/policy/answer_class.rs
+++ b/src/policy/answer_class.rs
@@ -1,6 +1,6 @@
 //! Classifies an upstream's answer by what it means for the call.
 
-use crate::platform::answer::AnswerHeaders;
+use crate::platform::answer::{AnswerHeaders, AnswerOwner};
 
 /// What an answer means for the call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,16 +18,25 @@
     Foreign,
 }
 
-/// Classifies an answer by its status and headers.
-pub(crate) fn classify(answer: &AnswerHeaders) -> AnswerClass {
-    if answer.is_misdirected {
+/// Classifies an answer by its status and headers. `is_first` says that it is the first
+/// answer on its connection, which can't be one to an earlier call.
+///
+/// A refusal promises that the call has not run, so it must be the refusal of this call.
+pub(crate) fn classify(answer: &AnswerHeaders, is_first: bool) -> AnswerClass {
+    let may_refuse = match answer.owner {
+        AnswerOwner::ThisCall => true,
+        AnswerOwner::Unnamed => is_first,
+        AnswerOwner::AnotherCall => false,
+    };
+    if may_refuse && answer.is_misdirected {
         return AnswerClass::Misdirected;
     }
-    if answer.is_not_executed {
+    if may_refuse && answer.is_not_executed {
         return AnswerClass::NotExecuted;
     }
+    let is_of_call = answer.owner == AnswerOwner::ThisCall;
     let is_success = answer.status.is_success();
-    if !answer.matches_call || answer.is_encoded || (is_success && !answer.is_signed) {
+    if !is_of_call || answer.is_encoded || (is_success && !answer.is_signed) {
         return AnswerClass::Foreign;
     }
     if answer.status.is_server_error() {
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -20,6 +20,7 @@
     LISTEN_QUEUE, RawRequest, RequestHandler, reply, reset_on_close, serve, wait_for_close,
 };
 use super::run_log::RunLog;
+use super::service::EARLIER_REFUSAL;
 
 /// A part of a prompt that begins with this crashes each engine that begins to write
 /// an answer on it, after the number of events that follows in its name.
@@ -85,6 +86,8 @@
     pub process: StandInProcess,
     /// Answers probes also while it is frozen.
     pub reports_while_frozen: AtomicBool,
+    /// Where the next report is due stands an earlier refusal of a call.
+    pub has_earlier_refusal: AtomicBool,
     name: String,
     /// Number of the current process, from which its start time follows.
     incarnation: AtomicU64,
@@ -145,6 +148,7 @@
             work_log: RunLog::default(),
             process: StandInProcess::start(),
             reports_while_frozen: AtomicBool::new(false),
+            has_earlier_refusal: AtomicBool::new(false),
             name: name.to_owned(),
             incarnation: AtomicU64::new(1),
             id_number: AtomicU64::new(1),
@@ -281,8 +285,10 @@
             .header("x-zinniawing-attempt-id")
             .unwrap_or("-")
             .to_owned();
+        let not_executed =
+            format!("x-zinniawing-attempt-id: {call_id}\r\nx-zinniawing-not-executed: 1\r\n");
         if self.is_full.load(Ordering::Relaxed) {
-            return reply(stream, 503, "x-zinniawing-not-executed: 1\r\n", b"").await;
+            return reply(stream, 503, &not_executed, b"").await;
         }
         let replica = request.header("kv-from").map(str::to_owned);
         if let Some(replica) = &replica {
@@ -291,7 +297,7 @@
                 .expect("the address of a holder and the name of a replica");
             let key = (self.advertised_address(), name.to_owned());
             if !self.held_replicas.lock().expect("unpoisoned").remove(&key) {
-                return reply(stream, 503, "x-zinniawing-not-executed: 1\r\n", b"").await;
+                return reply(stream, 503, &not_executed, b"").await;
             }
         }
         let from_event = request.number("last-event-id").unwrap_or(0);
@@ -427,6 +433,8 @@
         self.asked_rest.record_arrival(&request, stream);
         let call_id = request.header("x-zinniawing-attempt-id");
         let _arrival = call_id.map(|call_id| self.run_log.begin(call_id));
+        let own_id = call_id.map(|id| format!("x-zinniawing-attempt-id: {id}\r\n"));
+        let own_id = own_id.unwrap_or_default();
         let is_answered_frozen =
             request.path() == "/report" && self.reports_while_frozen.load(Ordering::Relaxed);
         if !is_answered_frozen {
@@ -434,13 +442,16 @@
         }
         let expected = request.header("x-zinniawing-expect-instance");
         if expected.is_some_and(|expected| expected != self.id()) {
-            let instance_header = format!("x-zinniawing-instance-id: {}\r\n", self.id());
+            let instance_header = format!("{own_id}x-zinniawing-instance-id: {}\r\n", self.id());
             return reply(stream, 421, &instance_header, b"").await;
         }
         if let Some(refusal) = self.asked_rest.refusal(stream) {
-            return reply(stream, 503, &refusal, b"").await;
+            return reply(stream, 503, &(own_id + &refusal), b"").await;
         }
         match request.path() {
+            "/report" if self.has_earlier_refusal.swap(false, Ordering::Relaxed) => {
+                reply(stream, 503, EARLIER_REFUSAL, b"").await
+            }
             "/report" => {
                 let report = json!({
                     "phase": "mixed", "models": [{ "name": "m", "version": 1, "adapters": [] }],
--- a/tests/support/edge_environment/service.rs
+++ b/tests/support/edge_environment/service.rs
@@ -27,6 +27,11 @@
 /// arrives.
 const RESET_DELAY: Duration = Duration::from_millis(20);
 
+/// Header lines of a refusal of another call, with all that an upstream may state in one.
+pub const EARLIER_REFUSAL: &str = "x-zinniawing-attempt-id: earlier\r\n\
+    x-zinniawing-not-executed: 1\r\nretry-after: 60\r\nserver-leaving: 1\r\n\
+    server-limit: 0.01\r\nkeep-alive: timeout=5\r\n";
+
 /// A fault in the handling of one of the next calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextFault {
@@ -59,9 +64,19 @@
     EndlessHead,
     /// The call is executed, and the body of the answer has no end.
     EndlessBody,
+    /// The call is executed, and where its answer is due stands an earlier refusal, with the
+    /// id of the call that was refused.
+    EarlierRefusal,
+    /// Like `EarlierRefusal`, with status 421.
+    EarlierMisdirection,
+    /// The call is refused as by `NotExecuted`, by an answer without its id.
+    UnnamedRefusal,
 }
 
 impl NextFault {
+    /// Refusals that are not those of the call.
+    pub const EARLIER: [Self; 2] = [Self::EarlierRefusal, Self::EarlierMisdirection];
+    /// All faults but those that concern whose answer it is.
     pub const ALL: [Self; 12] = [
         Self::ServerError,
         Self::NotExecuted,
@@ -237,8 +252,9 @@
             .to_owned();
         let _arrival = self.run_log.begin(&call_id);
         self.wait_until_unfrozen().await;
+        let own_id = format!("x-zinniawing-attempt-id: {call_id}\r\n");
         if let Some(refusal) = self.asked_rest.refusal(stream) {
-            return reply(stream, 503, &refusal, b"").await;
+            return reply(stream, 503, &(own_id + &refusal), b"").await;
         }
         self.received
             .lock()
@@ -250,8 +266,11 @@
             self.named_limit.header()
         );
         match fault {
-            Some(NextFault::NotExecuted) => return reply(stream, 503, &not_executed, b"").await,
-            Some(NextFault::Misdirected) => return reply(stream, 421, "", b"").await,
+            Some(NextFault::NotExecuted) => {
+                return reply(stream, 503, &(own_id + &not_executed), b"").await;
+            }
+            Some(NextFault::UnnamedRefusal) => return reply(stream, 503, &not_executed, b"").await,
+            Some(NextFault::Misdirected) => return reply(stream, 421, &own_id, b"").await,
             _ => {}
         }
         self.executed
@@ -296,6 +315,8 @@
             Some(NextFault::WrongCallId) => {
                 reply(stream, 200, &answer_headers("another"), b"not yours").await
             }
+            Some(NextFault::EarlierRefusal) => reply(stream, 503, EARLIER_REFUSAL, b"").await,
+            Some(NextFault::EarlierMisdirection) => reply(stream, 421, EARLIER_REFUSAL, b"").await,
             Some(NextFault::DuplicateAnswer) => {
                 reply(stream, 200, &headers, body.as_bytes()).await
                     && reply(stream, 200, &headers, b"surplus").await
