--- a/src/caller/sse.rs
+++ b/src/caller/sse.rs
@@ -22,15 +22,6 @@
     pub(crate) data: Bytes,
 }
 
-/// The bytes of one event, as received, with its index if it has one.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct RawEvent {
-    /// The event, including the blank line that ends it.
-    pub(crate) bytes: Bytes,
-    /// Value of the `id` field, if it is a number.
-    pub(crate) index: Option<u64>,
-}
-
 /// Splits a byte stream into events.
 #[derive(Debug, Default)]
 pub(crate) struct EventBuffer {
@@ -61,12 +52,10 @@
         Some(parse_event(&raw.slice(..end)))
     }
 
-    /// Takes the bytes of the next complete event.
-    pub(crate) fn next_raw(&mut self) -> Option<RawEvent> {
+    /// Takes the bytes of the next complete event, including the blank line that ends it.
+    pub(crate) fn next_raw(&mut self) -> Option<Bytes> {
         let end = find(&self.bytes, END_OF_EVENT)?;
-        let bytes = self.bytes.split_to(end + END_OF_EVENT.len()).freeze();
-        let index = parse_index(&parse_event(&bytes.slice(..end)).id);
-        Some(RawEvent { bytes, index })
+        Some(self.bytes.split_to(end + END_OF_EVENT.len()).freeze())
     }
 
     /// Whether no part of an unfinished event is buffered.
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -178,7 +178,7 @@
             self.sends.begin_with(&written);
             self.has_upstream_sent_event = false;
             let failure = match self.send(&upstream, replica, &written).await {
-                Ok(attempt) if attempt.state.headers.status.is_success() => {
+                Ok(attempt) if attempt.state.headers.begins_stream() => {
                     self.forwarder.record_connected(&attempt);
                     return Ok(attempt);
                 }
@@ -422,7 +422,9 @@
         let status = attempt.state.headers.status;
         let may_be_sent = self.sends.sent_count() < self.call.sends_max;
         let is_retried = status.is_server_error() && self.may_repeat() && may_be_sent;
-        if is_retried {
+        // The caller would take the body for the next part of its stream.
+        let is_no_part = status.is_success() && self.last_event.is_some();
+        if is_retried || is_no_part {
             let cause = format!("upstream answered with status {}", status.as_u16());
             return Ok(AttemptFailure::MayHaveRun(cause));
         }
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -28,6 +28,7 @@
 use crate::http::{HttpResponse, TruncatedResponse};
 use crate::observe::metrics::{Counter, Span};
 use crate::platform::call::strip_hop_headers;
+use crate::platform::event_stream::{StreamPart, read_part};
 use crate::policy::crash_evidence::SURVIVAL_TIME;
 use crate::policy::liveness::StreamPhase;
 
@@ -173,6 +174,7 @@
         let mut events = EventBuffer::default();
         let mut phase = StreamPhase::Prefill;
         let mut first_event_at = None;
+        let mut last_index = None;
         let mut _replica_task = None;
         let deadline = self.call.deadline.into();
         let mut is_handed_over = false;
@@ -222,9 +224,10 @@
                 () = tokio::time::sleep_until(deadline) => return SegmentEnd::TimeOver,
             };
             let data = match frame {
-                None if is_close_delimited && !self.has_begun() => {
+                None if events.is_empty() && !self.is_end(last_index) => {
                     self.handle_disconnect(&upstream, first_event_at);
-                    return SegmentEnd::Lost("the answer ended before an event".to_owned());
+                    let cause = format!("the answer ended after event {last_index:?}");
+                    return SegmentEnd::Lost(cause);
                 }
                 None if events.is_empty() => {
                     if let Some(idle_timeout) = reuse {
@@ -252,6 +255,16 @@
                 return SegmentEnd::Lost("an event exceeds the maximum size".to_owned());
             }
             while let Some(event) = events.next_raw() {
+                let index = match read_part(&event) {
+                    StreamPart::Event(index) => index,
+                    StreamPart::Comment => continue,
+                    StreamPart::Other => {
+                        self.handle_disconnect(&upstream, first_event_at);
+                        let cause = "the answer has bytes that are no event";
+                        return SegmentEnd::Lost(cause.to_owned());
+                    }
+                };
+                last_index = Some(index);
                 if phase == StreamPhase::Prefill {
                     self.record_prefill(&upstream);
                     _replica_task = self.maintain_replica(&upstream);
@@ -266,16 +279,18 @@
                     return SegmentEnd::Lost(cause.to_owned());
                 }
                 work.prefill_done();
-                if let Err(end) = self.relay_event(event.bytes, event.index, sender).await {
+                if let Err(end) = self.relay_event(event, index, sender).await {
                     return end;
                 }
             }
         }
     }
 
-    /// Whether the caller has an event of the stream.
-    fn has_begun(&self) -> bool {
-        self.event_count > 0 || self.last_event.is_some()
+    /// Whether an answer that ended in order, with `last_index` as its last event, ends the
+    /// stream. One that ends before what the caller has, or brings no event, looks like the
+    /// answer of an upstream that failed.
+    fn is_end(&self, last_index: Option<u64>) -> bool {
+        last_index.is_some_and(|index| self.last_event <= Some(index))
     }
 
     /// Records that the upstream finished the prefill of the call.
@@ -350,10 +365,10 @@
     async fn relay_event(
         &mut self,
         bytes: Bytes,
-        index: Option<u64>,
+        index: u64,
         sender: &EventSender,
     ) -> Result<(), SegmentEnd> {
-        if let (Some(index), Some(last)) = (index, self.last_event) {
+        if let Some(last) = self.last_event {
             if index <= last {
                 return Ok(());
             }
@@ -370,7 +385,7 @@
             Ok(Err(_)) => return Err(SegmentEnd::CallerGone),
             Err(_) => return Err(SegmentEnd::TimeOver),
         }
-        self.last_event = index.or(self.last_event);
+        self.last_event = Some(index);
         self.has_upstream_sent_event = true;
         self.record_event();
         Ok(())
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinHandle;
 
 use super::asked_rest::AskedRest;
+use super::error_answer::ErrorAnswer;
 use super::framing::Framing;
 use super::free_address;
 use super::named_limit::NamedLimit;
@@ -86,6 +87,9 @@
     pub process: StandInProcess,
     /// Answers probes also while it is frozen.
     pub reports_while_frozen: AtomicBool,
+    /// Answers the next calls so: those that go on with a stream, or all.
+    pub error_answers: Mutex<Vec<ErrorAnswer>>,
+    pub fails_first_sends: AtomicBool,
     /// Where the next report is due stands an earlier refusal of a call.
     pub has_earlier_refusal: AtomicBool,
     name: String,
@@ -148,6 +152,8 @@
             work_log: RunLog::default(),
             process: StandInProcess::start(),
             reports_while_frozen: AtomicBool::new(false),
+            error_answers: Mutex::default(),
+            fails_first_sends: AtomicBool::new(false),
             has_earlier_refusal: AtomicBool::new(false),
             name: name.to_owned(),
             incarnation: AtomicU64::new(1),
@@ -339,6 +345,9 @@
             held_replicas.insert((holder, call_id.clone()));
         }
         let framing = Framing::of(self.is_close_delimited.load(Ordering::Relaxed));
+        if let Some(error) = self.next_error_answer(from_event) {
+            return error.write(stream, framing, &call_id, from_event + 1).await;
+        }
         let head = format!(
             "HTTP/1.1 200 OK\r\n{}{}{}content-type: text/event-stream\r\n\
              x-zinniawing-attempt-id: {call_id}\r\nx-zinniawing-server-signature: sig-{call_id}\r\n\r\n",
@@ -389,6 +398,13 @@
         framing == Framing::Chunked && stream.write_all(b"0\r\n\r\n").await.is_ok()
     }
 
+    /// How a call that goes on after `from_event` fails, if it does.
+    fn next_error_answer(&self, from_event: u64) -> Option<ErrorAnswer> {
+        let is_meant = from_event > 0 || self.fails_first_sends.load(Ordering::Relaxed);
+        let mut errors = self.error_answers.lock().expect("unpoisoned");
+        is_meant.then(|| errors.pop()).flatten()
+    }
+
     /// The break at the event with this number within its run, if one is due.
     fn take_break(&self, number: u64) -> Option<StreamBreak> {
         let mut next = self.next_break.lock().expect("unpoisoned");
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -9,6 +9,7 @@
 pub mod client_process;
 pub mod double_run;
 pub mod engine;
+pub mod error_answer;
 pub mod first_tries;
 pub mod framing;
 pub mod leaving_callers;
