Run the scenes of silenced connections one after the other

Cause: the filter silences the connections of the whole process, so each of the two scenes disturbed the other one. Change: a lock. Checks and bounds stay.

--- a/tests/silent_peer_links.rs
+++ b/tests/silent_peer_links.rs
@@ -30,6 +30,9 @@
 const CHANGES_AFTER: u64 = 8;
 const CHANGE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Held while a scene runs, as the connections of the whole process are silenced.
+static RUNNING: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
 fn added_path(version: u64) -> String {
     format!("/added-{version}/1")
 }
@@ -85,6 +88,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn versions_are_in_force_at_89_nodes_after_connections_between_nodes_fell_silent() {
+    let _running = RUNNING.lock().await;
     let environment = TestEnvironment::start(0).await;
     let (_nodes, callers) = start_nodes(&environment).await;
     for version in 2..2 + CHANGES_BEFORE {
@@ -125,6 +129,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_draining_upstream_gets_no_calls_of_89_nodes_whose_connections_fell_silent() {
+    let _running = RUNNING.lock().await;
     let environment = TestEnvironment::start(0).await;
     let (_nodes, callers) = start_nodes(&environment).await;
     for version in 2..2 + CHANGES_BEFORE {
