Show that a dead connection to the only peer is left (CONFIG)

Change: a scene of the cause itself: a node that is cut from the store, whose only peer's connection falls silent.

--- a/tests/silent_peer_links.rs
+++ b/tests/silent_peer_links.rs
@@ -8,6 +8,7 @@
 use futures_util::future::join_all;
 use serde_json::Value;
 use support::edge_environment::caller::Caller;
+use support::edge_environment::proxy::{Mode, Proxy};
 use support::edge_environment::silent_links::silence_open_connections;
 use support::edge_environment::{
     IDEMPOTENT_PATH, NodeSpec, TestEnvironment, config, route, start_node,
@@ -149,3 +150,29 @@
     assert!(ends > 0, "nodes have connections to each other");
     assert_eq!(draining.received().len() - received_count, 0);
 }
+
+/// The node has no other way to the configuration than this one connection.
+#[tokio::test]
+async fn a_node_cut_from_the_store_asks_its_only_peer_again_over_a_new_connection() {
+    let _running = RUNNING.lock().await;
+    let environment = TestEnvironment::start(0).await;
+    let specs = NodeSpec::cluster(2);
+    let link = Proxy::start(environment.store.address).await;
+    let _connected = start_node(&specs[0], environment.store.address).await;
+    let _cut = start_node(&specs[1], link.address).await;
+    let caller = [Caller::new(&specs[1])];
+    caller[0].wait_until_ready().await;
+    link.set_mode(Mode::Silent);
+    let store = &environment.store;
+    store.put("config", "main", config_with_route(2));
+    let in_time = Instant::now() + CONFIG_BOUND;
+    let before = not_serving_at(in_time, &caller, &added_path(2)).await;
+
+    silence_open_connections(PEER_PORT);
+    store.put("config", "main", config_with_route(3));
+    let in_time = Instant::now() + CONFIG_BOUND;
+    let after = not_serving_at(in_time, &caller, &added_path(3)).await;
+
+    assert!(before.is_empty(), "it learns from its peer");
+    assert!(after.is_empty(), "it learns nothing more");
+}
