Have links fall silent and outside parties err in the soak

Cause: the soak knew silent links for a while only, and no writer, service or engine that says what is no entry, no refusal of this call, or no stream. Links between nodes, which are processes there, go through no proxy.

--- a/tests/soak/fault_kind.rs
+++ b/tests/soak/fault_kind.rs
@@ -57,6 +57,18 @@
     /// The proxy to an upstream holds back all traffic for one to two and a half
     /// seconds. It is injected only by its name.
     MuteLink,
+    /// The open connections of all nodes to the store and to upstreams fall silent for good,
+    /// while new ones work. It is injected only by its name.
+    SeverLinks,
+    /// Another writer puts an entry among those of the upstreams that can't be read. It is
+    /// injected only by its name.
+    OddEntry,
+    /// A service writes an earlier refusal where the answer to a call is due. It is injected
+    /// only by its name.
+    EarlierRefusal,
+    /// An engine answers the next call that goes on with a stream with an error. It is
+    /// injected only by its name.
+    ErrorInStream,
     /// A new version without other changes.
     ChangeVersion,
     ChangeIdleLimit,
@@ -108,10 +120,22 @@
     FaultKind::ChangeKeys,
 ];
 
+/// Kinds that are injected only by their names.
+const NAMED_KINDS: [FaultKind; 8] = [
+    FaultKind::MuteLink,
+    FaultKind::MuteNode,
+    FaultKind::AskForRest,
+    FaultKind::RestoreStore,
+    FaultKind::SeverLinks,
+    FaultKind::OddEntry,
+    FaultKind::EarlierRefusal,
+    FaultKind::ErrorInStream,
+];
+
 impl FaultKind {
     /// The kinds that `SOAK_FAULTS` names, by their names or the starts of their
-    /// names, separated by commas. Without it, all kinds but `MuteLink`,
-    /// `MuteNode`, `AskForRest` and `RestoreStore`.
+    /// names, separated by commas. Without it, all kinds but those that are injected only
+    /// by their names.
     pub fn selected() -> Vec<Self> {
         std::env::var("SOAK_FAULTS")
             .map_or_else(|_| DEFAULT_KINDS.to_vec(), |names| Self::named(&names))
@@ -121,12 +145,7 @@
     pub fn named(names: &str) -> Vec<Self> {
         let mut selected: Vec<Self> = Vec::new();
         for name in names.split(',') {
-            let all = DEFAULT_KINDS.into_iter().chain([
-                Self::MuteLink,
-                Self::MuteNode,
-                Self::AskForRest,
-                Self::RestoreStore,
-            ]);
+            let all = DEFAULT_KINDS.into_iter().chain(NAMED_KINDS);
             let count_before = selected.len();
             selected.extend(all.filter(|kind| format!("{kind:?}").starts_with(name)));
             assert!(selected.len() > count_before, "no kind of fault is {name}");
@@ -136,6 +155,13 @@
 
     /// Whether it leaves the news of a draining engine as they are.
     pub fn keeps_draining_bound(self) -> bool {
-        matches!(self, Self::CrashEngine | Self::DrainEngine)
+        matches!(
+            self,
+            Self::CrashEngine
+                | Self::DrainEngine
+                | Self::OddEntry
+                | Self::EarlierRefusal
+                | Self::ErrorInStream
+        )
     }
 }
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -16,6 +16,7 @@
 use crate::history::{Occurrence, UpstreamAt};
 use crate::named_limits::NamedLimits;
 use crate::node::SoakEnvironment;
+use crate::outside;
 use crate::rests::Rests;
 use crate::silences::{self, SilenceMode, Silences};
 use crate::store_copies::StoreCopies;
@@ -106,7 +107,7 @@
         }
         for disturbed in disturbed_upstreams(kind, engine, service, environment) {
             let what = Occurrence::UpstreamDisturbed(disturbed);
-            if matches!(kind, FaultKind::CrashEngine | FaultKind::CrashDataCentre) {
+            if is_over_at_once(kind) {
                 environment.history.record(what);
             } else {
                 environment.history.begin(what);
@@ -153,6 +154,16 @@
                     .0
                     .queue_fault(NextFault::ALL[fault]);
             }
+            FaultKind::SeverLinks => environment.sever_links(),
+            FaultKind::OddEntry => outside::put_odd_entry(environment, &mut self.random),
+            FaultKind::EarlierRefusal => {
+                let faults = NextFault::EARLIER;
+                let fault = faults[self.random.random_range(0..faults.len())];
+                environment.services[service].0.queue_fault(fault);
+            }
+            FaultKind::ErrorInStream => {
+                outside::fail_next_resume(environment, engine, &mut self.random);
+            }
             FaultKind::CutServiceLink => environment.services[service].1.set_mode(mode),
             FaultKind::SilenceUpstream => {
                 self.silence(SilenceMode::Frozen, vec![upstream], environment);
@@ -301,6 +312,13 @@
     }
 }
 
+fn is_over_at_once(kind: FaultKind) -> bool {
+    matches!(
+        kind,
+        FaultKind::CrashEngine | FaultKind::CrashDataCentre | FaultKind::SeverLinks
+    )
+}
+
 /// Upstreams that a fault disturbs: at once by a crash, else until the faults end.
 fn disturbed_upstreams(
     kind: FaultKind,
@@ -316,7 +334,10 @@
             .step_by(2)
             .map(UpstreamAt::Engine)
             .collect(),
-        FaultKind::ServiceFails | FaultKind::CutServiceLink => vec![UpstreamAt::Service(service)],
+        FaultKind::ServiceFails | FaultKind::CutServiceLink | FaultKind::EarlierRefusal => {
+            vec![UpstreamAt::Service(service)]
+        }
+        FaultKind::SeverLinks => environment.upstreams(),
         _ => Vec::new(),
     }
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -45,6 +45,7 @@
 mod lost;
 mod named_limits;
 mod node;
+mod outside;
 mod rests;
 mod silences;
 mod store_copies;
@@ -66,6 +67,10 @@
 /// Seed that CI runs with a store that comes back from copies.
 const CI_RESTORE_SEED: u64 = 6000;
 const RESTORE_KINDS: &str = "RestoreStore,Change,DrainEngine,CrashEngine,StoreAway,KillNode";
+/// Seed that CI runs with links that fall silent, and with what other parties get wrong.
+const CI_OUTSIDE_SEED: u64 = 7000;
+const OUTSIDE_KINDS: &str =
+    "SeverLinks,OddEntry,EarlierRefusal,ErrorInStream,CrashEngine,DrainEngine,ChangeRoutes";
 /// Seed that CI would run with rests and silent upstreams.
 const CI_SILENT_REST_SEED: u64 = 4031;
 const SILENT_REST_KINDS: &str = "AskForRest,Silence,Suspend,ChangeVersion";
@@ -140,8 +145,9 @@
     let runs = CI_SEEDS.map(with_selected);
     let rests = (CI_REST_SEED, FaultKind::named(REST_KINDS));
     let restores = (CI_RESTORE_SEED, FaultKind::named(RESTORE_KINDS));
+    let outside = (CI_OUTSIDE_SEED, FaultKind::named(OUTSIDE_KINDS));
     runs.into_iter()
-        .chain([cut_nodes, rests, restores])
+        .chain([cut_nodes, rests, restores, outside])
         .collect()
 }
 
--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -143,6 +143,15 @@
 }
 
 impl SoakEnvironment {
+    /// Silences the open connections of all nodes to the store and to upstreams for good.
+    pub fn sever_links(&self) {
+        let to_store = self.nodes.iter().map(|node| &node.store_link);
+        let to_engines = self.engines.iter().map(|(_, link)| link);
+        let to_services = self.services.iter().map(|(_, link)| link);
+        let links = to_store.chain(to_engines).chain(to_services);
+        links.for_each(|link| link.silence_open_connections());
+    }
+
     pub async fn start(seed: u64, node_count: usize) -> Self {
         let process = std::process::id();
         let folder = std::env::temp_dir().join(format!("zinniawing-soak-{process}-{seed}"));
