--- a/tests/outdated_configurations.rs
+++ b/tests/outdated_configurations.rs
@@ -53,11 +53,8 @@
 #[tokio::test]
 async fn a_version_is_in_force_in_time_after_open_connections_to_the_store_fell_silent() {
     let environment = TestEnvironment::start(0).await;
-    let spec = NodeSpec::new("n1", "dc-a");
     let link = Proxy::start(environment.store.address).await;
-    let _node = start_node(&spec, link.address).await;
-    let caller = Caller::new(&spec);
-    caller.wait_until_ready().await;
+    let (_node, caller) = TestEnvironment::start_ready_node_at("n1", link.address).await;
 
     environment.store.wait_for_config_watch().await;
     link.silence_open_connections();
--- a/tests/silent_peer_links.rs
+++ b/tests/silent_peer_links.rs
@@ -13,7 +13,6 @@
 use support::edge_environment::{
     IDEMPOTENT_PATH, NodeSpec, TestEnvironment, config, route, start_node,
 };
-use zinniawing::EdgeNode;
 
 /// Number of nodes of the grown deployment, most of which learn from peers what the store
 /// has.
@@ -48,19 +47,6 @@
     changed
 }
 
-async fn start_nodes(environment: &TestEnvironment) -> (Vec<EdgeNode>, Vec<Caller>) {
-    let specs = NodeSpec::cluster(GROWN_NODE_COUNT);
-    let mut nodes = Vec::new();
-    for spec in &specs {
-        nodes.push(start_node(spec, environment.store.address).await);
-    }
-    let callers: Vec<Caller> = specs.iter().map(Caller::new).collect();
-    for caller in &callers {
-        caller.wait_until_ready().await;
-    }
-    (nodes, callers)
-}
-
 /// Changes the configuration and an upstream's entry, so that nodes fetch both from peers.
 async fn change_both(environment: &TestEnvironment, version: u64) {
     let store = &environment.store;
@@ -91,7 +77,7 @@
 async fn versions_are_in_force_at_89_nodes_after_connections_between_nodes_fell_silent() {
     let _running = RUNNING.lock().await;
     let environment = TestEnvironment::start(0).await;
-    let (_nodes, callers) = start_nodes(&environment).await;
+    let (_nodes, callers) = environment.start_ready_nodes(GROWN_NODE_COUNT).await;
     for version in 2..2 + CHANGES_BEFORE {
         change_both(&environment, version).await;
     }
@@ -132,7 +118,7 @@
 async fn a_draining_upstream_gets_no_calls_of_89_nodes_whose_connections_fell_silent() {
     let _running = RUNNING.lock().await;
     let environment = TestEnvironment::start(0).await;
-    let (_nodes, callers) = start_nodes(&environment).await;
+    let (_nodes, callers) = environment.start_ready_nodes(GROWN_NODE_COUNT).await;
     for version in 2..2 + CHANGES_BEFORE {
         change_both(&environment, version).await;
     }
--- a/tests/silent_store_links.rs
+++ b/tests/silent_store_links.rs
@@ -5,11 +5,8 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use support::edge_environment::caller::Caller;
 use support::edge_environment::proxy::Proxy;
-use support::edge_environment::{
-    IDEMPOTENT_PATH, NodeSpec, TestEnvironment, eventually, start_node,
-};
+use support::edge_environment::{IDEMPOTENT_PATH, TestEnvironment, eventually};
 
 /// Time after which a silenced connection excuses nothing any more.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -30,11 +27,8 @@
 #[tokio::test]
 async fn a_draining_upstream_gets_no_calls_after_connections_to_the_store_fell_silent() {
     let environment = TestEnvironment::start(0).await;
-    let spec = NodeSpec::new("n1", "dc-a");
     let link = Proxy::start(environment.store.address).await;
-    let _node = start_node(&spec, link.address).await;
-    let caller = Caller::new(&spec);
-    caller.wait_until_ready().await;
+    let (_node, caller) = TestEnvironment::start_ready_node_at("n1", link.address).await;
     let draining = &environment.services[0];
 
     wait_for_new_watch(&environment).await;
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -235,8 +235,14 @@
 
     /// Starts a node in this process, and waits until it is ready.
     pub async fn start_ready_node(&self, name: &str) -> (EdgeNode, Caller) {
+        Self::start_ready_node_at(name, self.store.address).await
+    }
+
+    /// Starts a node that reaches the store at `store`, such as a proxy, and waits until it
+    /// is ready.
+    pub async fn start_ready_node_at(name: &str, store: SocketAddr) -> (EdgeNode, Caller) {
         let spec = NodeSpec::new(name, "dc-a");
-        let node = start_node(&spec, self.store.address).await;
+        let node = start_node(&spec, store).await;
         let caller = Caller::new(&spec);
         caller.wait_until_ready().await;
         (node, caller)
