Show that each loss of an outage has every replica's holder probed (size)

Cause to show: a stream whose replica is in a data centre under suspicion probes the holder at each new loss there, so that probes grow with streams times losses.

--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -101,6 +101,7 @@
     held_replicas: HeldReplicas,
     runs: Mutex<Vec<EngineRun>>,
     replica_requests: AtomicUsize,
+    report_requests: AtomicUsize,
     running: AtomicUsize,
     frozen: tokio::sync::watch::Sender<bool>,
     server: Mutex<Option<JoinHandle<()>>>,
@@ -162,6 +163,7 @@
             held_replicas: held_replicas.clone(),
             runs: Mutex::default(),
             replica_requests: AtomicUsize::new(0),
+            report_requests: AtomicUsize::new(0),
             running: AtomicUsize::new(0),
             frozen: tokio::sync::watch::Sender::new(false),
             server: Mutex::default(),
@@ -211,6 +213,11 @@
         self.replica_requests.load(Ordering::Relaxed)
     }
 
+    /// Number of requests for its report, answered or not.
+    pub fn report_request_count(&self) -> usize {
+        self.report_requests.load(Ordering::Relaxed)
+    }
+
     /// Resets all connections, stops listening, and drops the replicas it holds.
     pub fn crash(&self) {
         *self.crashed_at.lock().expect("unpoisoned") = Some(Instant::now());
@@ -451,8 +458,10 @@
         let _arrival = call_id.map(|call_id| self.run_log.begin(call_id));
         let own_id = call_id.map(|id| format!("x-zinniawing-attempt-id: {id}\r\n"));
         let own_id = own_id.unwrap_or_default();
-        let is_answered_frozen =
-            request.path() == "/report" && self.reports_while_frozen.load(Ordering::Relaxed);
+        let is_probe = request.path() == "/report";
+        self.report_requests
+            .fetch_add(usize::from(is_probe), Ordering::Relaxed);
+        let is_answered_frozen = is_probe && self.reports_while_frozen.load(Ordering::Relaxed);
         if !is_answered_frozen {
             self.wait_until_unfrozen().await;
         }
