Probe the holder of replicas once an outage, not at each loss in it (size)

Change: a holder that was heard after the first recent loss in its data centre is not probed, and the streams of a node share the probes of one holder.

--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -431,6 +431,18 @@
             .is_outage_suspected(data_centre, now)
     }
 
+    /// Whether the upstream was heard after the first recent loss in its data centre, so
+    /// that the outage which the losses indicate has spared it.
+    pub(crate) fn has_survived_outage(&self, upstream: &Upstream, now: Instant) -> bool {
+        let state = self.lock();
+        let data_centre = &upstream.entry.data_centre;
+        let began_at = state
+            .outage_detector
+            .recent_losses_began_at(data_centre, now);
+        drop(state);
+        began_at.is_some_and(|began_at| upstream.was_heard_since(began_at))
+    }
+
     /// Receives the data centres whose outage is suspected, once for each new
     /// loss.
     pub(crate) fn subscribe_outages(&self) -> broadcast::Receiver<DataCentreId> {
--- a/src/forward/run_replica.rs
+++ b/src/forward/run_replica.rs
@@ -140,6 +140,9 @@
 /// Probes the holder of the replica in `slot` if it is in `data_centre`, of which
 /// an outage is suspected. Otherwise the loss of the holder would go unnoticed
 /// until the replica is needed.
+///
+/// Each loss in the data centre leads here for each stream, so the streams share their
+/// probes, and a holder that was heard in this outage is not probed again.
 async fn probe_holder<N: NodeContext>(
     forwarder: &Arc<Forwarder<N>>,
     data_centre: &DataCentreId,
@@ -149,9 +152,13 @@
     let Some(holder) = holder.filter(|holder| holder.entry.data_centre == *data_centre) else {
         return;
     };
+    let (directory, now) = (&forwarder.directory, Instant::now());
+    if directory.has_survived_outage(&holder, now) || !holder.begin_probe(now) {
+        return;
+    }
     forwarder.metrics.add(Counter::EngineProbes, 1);
     if let Err(failure) = check_alive(&holder).await {
-        let (directory, now) = (&forwarder.directory, Instant::now());
+        let now = Instant::now();
         directory.apply_probe_failure(&holder, failure, "keeper_silent", now);
     }
 }
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -206,8 +206,8 @@
         self.has_silent_probe(now) && silence.is_none_or(|silence| silence < SOUND_SILENCE_MAX)
     }
 
-    /// Begins a probe of the upstream, which is silent. Returns false if another one
-    /// began within [`SILENT_PROBE_INTERVAL`].
+    /// Begins a probe of the upstream, which is silent or may be lost. Returns false if
+    /// another one began within [`SILENT_PROBE_INTERVAL`].
     pub(crate) fn begin_probe(&self, now: Instant) -> bool {
         let mut health = self.health();
         let is_recent = |at: Instant| now.saturating_duration_since(at) < SILENT_PROBE_INTERVAL;
--- a/src/policy/outage.rs
+++ b/src/policy/outage.rs
@@ -41,6 +41,17 @@
         losses.insert(upstream.clone(), now).is_none()
     }
 
+    /// When the first of the data centre's recent losses was recorded.
+    pub(crate) fn recent_losses_began_at(
+        &self,
+        data_centre: &str,
+        now: Instant,
+    ) -> Option<Instant> {
+        let losses = self.losses.get(data_centre)?.values();
+        let is_recent = |at: &&Instant| now.saturating_duration_since(**at) < SUSPICION_DURATION;
+        losses.filter(is_recent).min().copied()
+    }
+
     /// Whether recent losses indicate an outage of the data centre.
     pub(crate) fn is_outage_suspected(&self, data_centre: &str, now: Instant) -> bool {
         let Some(losses) = self.losses.get(data_centre) else {
