Wait for the first configuration in one long poll, and log who polls the store (size)

Cause: a node that had no configuration repeated a watch of 50 ms, which is meant for nodes whose peers fell silent. Change: a watch of 0.6 s until there is a configuration; the log says which node that is no watcher polls, and why.

--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -180,9 +180,14 @@
         ordered.take(ADDRESSES_MAX).collect()
     }
 
-    /// Longest wait of one long poll for the configuration.
-    pub(crate) fn config_watch_timeout(&self) -> Duration {
-        self.watch_timeout(self.bounds.config)
+    /// Longest wait of one long poll for the configuration, of which this node may have
+    /// none yet.
+    pub(crate) fn config_watch_timeout(&self, has_config: bool) -> Duration {
+        if has_config {
+            self.watch_timeout(self.bounds.config)
+        } else {
+            watchers::FIRST_CONFIG_WATCH_TIMEOUT
+        }
     }
 
     /// Longest wait of one long poll for upstreams.
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -68,10 +68,23 @@
 impl StoreWatch {
     /// Waits until this node has to poll the store: it is a watcher, it has no
     /// data yet, the store heartbeat from the watchers is overdue, or `is_in_doubt`.
-    async fn wait_until_poll_needed(&self, has_data: bool, is_in_doubt: impl Fn() -> bool) {
+    /// Logs why a node that is no watcher polls; `what` names what it polls for.
+    async fn wait_until_poll_needed(
+        &self,
+        what: &str,
+        has_data: bool,
+        is_in_doubt: impl Fn() -> bool,
+    ) {
         let jitter = rand::rng().random_range(0.0..1.0);
         while has_data && !self.forwarder.node.is_watcher() {
-            if is_in_doubt() || self.heartbeat().is_overdue(jitter, Instant::now()) {
+            let is_in_doubt = is_in_doubt();
+            let heartbeat = *self.heartbeat();
+            let now = Instant::now();
+            if is_in_doubt || heartbeat.is_overdue(jitter, now) {
+                let heartbeat_ms = heartbeat.age(now).map(|age| age.as_millis());
+                log::info!(
+                    "event=store_polled what={what} in_doubt={is_in_doubt} heartbeat_ms_ago={heartbeat_ms:?}"
+                );
                 return;
             }
             tokio::time::sleep(POLL_CHECK_INTERVAL).await;
@@ -224,12 +237,12 @@
         let mut is_store_lost = false;
         loop {
             let has_config = self.exchange.version() > 0;
-            self.wait_until_poll_needed(has_config, || self.is_fetch_overdue())
+            self.wait_until_poll_needed("config", has_config, || self.is_fetch_overdue())
                 .await;
             let read = match revision {
                 None => self.count_call(self.store.read_config()).await,
                 Some(revision) => {
-                    let usual = self.forwarder.node.config_watch_timeout();
+                    let usual = self.forwarder.node.config_watch_timeout(has_config);
                     let wait = poll_time(usual, is_store_lost);
                     let watch = self.store.watch_config(revision, wait);
                     self.count_call(watch).await
@@ -272,7 +285,8 @@
         loop {
             let has_list = self.upstreams.revision().is_some();
             let is_in_doubt = || self.is_list_in_doubt.load(Ordering::Relaxed);
-            self.wait_until_poll_needed(has_list, is_in_doubt).await;
+            self.wait_until_poll_needed("upstreams", has_list, is_in_doubt)
+                .await;
             self.is_list_in_doubt.store(false, Ordering::Relaxed);
             let revision = self.upstreams.revision();
             let result = match revision.filter(|_| !is_revision_expired) {
--- a/src/policy/watchers.rs
+++ b/src/policy/watchers.rs
@@ -23,6 +23,9 @@
 /// Time-out of one watch of a node that is not a watcher. It polls because its peers are
 /// silent, and its own open connection to the store may be silent too.
 const OWN_POLL_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time-out of one watch for the first configuration. No peer has one to send while a whole
+/// fleet starts, and the connection is new, so asking again sooner would bring nothing.
+pub(crate) const FIRST_CONFIG_WATCH_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time-out of one watch in a small cluster, where no other node depends on it.
 const SMALL_CLUSTER_WATCH_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Age of the last store heartbeat above which a node polls the store itself.
@@ -123,7 +126,8 @@
         self.age(now).is_none_or(|age| age >= limit)
     }
 
-    fn age(&self, now: Instant) -> Option<Duration> {
+    /// Time since the counter was raised; `None` if it never was.
+    pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
         let raised_at = self.raised_at?;
         Some(now.saturating_duration_since(raised_at))
     }
--- a/tests/store_and_peers.rs
+++ b/tests/store_and_peers.rs
@@ -13,6 +13,12 @@
 };
 use zinniawing::EdgeNode;
 
+/// Time that a node waits for its first configuration.
+const FIRST_CONFIG_PERIOD: Duration = Duration::from_millis(900);
+/// Requests to the store in that time: two for the configuration, two for the upstreams, and
+/// three for the versions that have served.
+const FIRST_CONFIG_CALLS_MAX: usize = 7;
+
 async fn wait_for_status(caller: &Caller, path: &str, status: u16) -> Duration {
     let since = std::time::Instant::now();
     loop {
@@ -125,6 +131,31 @@
     assert_eq!(ready.status, 503);
 }
 
+/// All nodes of a fleet start before the operator has written the first configuration, and
+/// each asks the store for it.
+#[tokio::test]
+async fn a_node_asks_seldom_for_its_first_configuration_and_has_it_at_once() {
+    let environment = TestEnvironment::start(2).await;
+    environment.store.delete("config", "main");
+    let spec = NodeSpec::new("n1", "dc-a");
+    let _node = start_node(&spec, environment.store.address).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let before = environment.store.call_count.load(Ordering::Relaxed);
+
+    tokio::time::sleep(FIRST_CONFIG_PERIOD).await;
+    let after = environment.store.call_count.load(Ordering::Relaxed);
+    environment.store.put("config", "main", config(1));
+    let caller = Caller::new(&spec);
+    let served_after = wait_for_status(&caller, IDEMPOTENT_PATH, 200).await;
+
+    let calls = after - before;
+    assert!(calls <= FIRST_CONFIG_CALLS_MAX, "{calls} calls");
+    assert!(
+        served_after < Duration::from_millis(300),
+        "{served_after:?}"
+    );
+}
+
 #[tokio::test]
 async fn upstreams_stay_in_use_after_a_store_outage_until_they_could_register_again() {
     let environment = TestEnvironment::start(0).await;
