--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -154,6 +154,12 @@
         watchers::is_membership_settled(self.is_seed, self.started_at.elapsed())
     }
 
+    /// Whether this node started so recently that versions may have left which it
+    /// does not know.
+    pub(crate) fn has_started_recently(&self) -> bool {
+        self.started_at.elapsed() < ORIGIN_LIFETIME
+    }
+
     /// The other nodes as ways to upstreams.
     pub(crate) fn relay(&self) -> &PeerRelay {
         &self.relay
@@ -314,10 +320,6 @@
         }
     }
 
-    fn has_started_recently(&self) -> bool {
-        self.started_at.elapsed() < ORIGIN_LIFETIME
-    }
-
     async fn shutdown_imminent(&self) {
         self.shutdown_imminent.cancelled().await;
     }
--- a/src/forward/caller_resume.rs
+++ b/src/forward/caller_resume.rs
@@ -19,8 +19,8 @@
     Peer,
     /// No node has its record, but the platform's store does.
     Store,
-    /// There is no record of it, and only one version has served the service lately,
-    /// as this node saw itself or as the store says.
+    /// There is no record of it, and only one version has served the service lately, as
+    /// the store says too.
     OnlyVersion,
 }
 
@@ -74,11 +74,8 @@
         }
         let now = Instant::now();
         let only = forwarder.directory.only_origin(&self.call.service, now);
-        if !forwarder.node.has_started_recently()
-            && let Some(only) = only
-        {
-            return Some((only, OriginSource::OnlyVersion));
-        }
+        // The node may have been cut off, or stood still, while upstreams of another version
+        // joined, so that its own list alone proves nothing.
         match self.stored_origin().await {
             OriginSearch::Found(origin) => Some((origin, OriginSource::Store)),
             OriginSearch::Absent(served) => {
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -85,9 +85,6 @@
         key: RunKey,
         service: &str,
     ) -> impl Future<Output = OriginSearch> + Send;
-    /// Whether this node started so recently that versions may have left which it
-    /// does not know.
-    fn has_started_recently(&self) -> bool;
     /// Completes shortly before this node closes the streams that still run.
     fn shutdown_imminent(&self) -> impl Future<Output = ()> + Send;
     /// Whether new streams are refused, because this node shuts down before they
