Take the repetition of a request to a peer out of its call (cleaning)

Cause: PeerClient::call did three things. Change: send_again leaves a connection that may be dead and repeats the request. Result: no change of behaviour; the 3 scenes of silent links between nodes are green.

--- a/src/membership/peer.rs
+++ b/src/membership/peer.rs
@@ -137,13 +137,9 @@
         if let Ok(reply) = tokio::time::timeout(patience, &mut first).await {
             return reply.ok().flatten().ok_or(NoReply);
         }
-        let is_silent = !connection.was_heard_since(sent_at);
-        let mut second = None;
-        if is_silent && has_worked {
-            self.leave(address, &connection);
-            second = repeated.and_then(|body| self.connection(address).send(body).ok());
-        }
-        let reply = first_of(first, second);
+        let is_dead = has_worked && !connection.was_heard_since(sent_at);
+        let second = is_dead.then(|| self.send_again(address, &connection, repeated));
+        let reply = first_of(first, second.flatten());
         let reply = tokio::time::timeout(timeout - patience, reply).await;
         if reply.is_err() {
             log_unanswered(address, what, timeout, &connection);
@@ -154,6 +150,18 @@
         reply.ok().flatten().ok_or(NoReply)
     }
 
+    /// Leaves a connection that may be dead, and sends the request over a new one if it may
+    /// be repeated.
+    fn send_again(
+        &self,
+        address: SocketAddr,
+        dead: &PeerConnection,
+        repeated: Option<RequestBody>,
+    ) -> Option<Reply> {
+        self.leave(address, dead);
+        self.connection(address).send(repeated?).ok()
+    }
+
     fn connection(&self, address: SocketAddr) -> PeerConnection {
         let mut connections = self.connections();
         let known = connections.get(&address);
