--- a/tests/heads_that_break_off.rs
+++ b/tests/heads_that_break_off.rs
@@ -25,7 +25,6 @@
 
 /// An upstream that sends only the first bytes of its answers, and then closes.
 struct CutUpstream {
-    name: &'static str,
     service: &'static str,
     is_framed: bool,
     /// Bytes of the next answers that it sends.
@@ -36,7 +35,6 @@
 impl CutUpstream {
     async fn start(store: &Store, service: &'static str, is_framed: bool) -> Arc<Self> {
         let upstream = Arc::new(Self {
-            name: "u-1",
             service,
             is_framed,
             cut_at: AtomicUsize::new(UNCUT),
@@ -48,12 +46,12 @@
             "service": service, "address": address.to_string(), "zone": "dc-a", "version": "v1",
             "slots": 8, "state": "ready", "sequence": 1, "born": 1000,
         });
-        store.put("servers", &format!("{}-{service}", upstream.name), entry);
+        store.put("servers", &upstream.id(), entry);
         upstream
     }
 
     fn id(&self) -> String {
-        format!("{}-{}", self.name, self.service)
+        format!("u-{}", self.service)
     }
 
     fn head(&self, call_id: &str) -> String {
