Review, case 3: streams can't be taken up at runners that name a limit

Cause: a stream that is taken up needs two permits of one runner at once, and the bucket of a limit under 2.2 a second never holds two. Change: a script that shows it (review/3); nothing is fixed.

--- a/review/cases.rs
+++ b/review/cases.rs
@@ -132,6 +132,176 @@
     lost > 3
 }
 
-pub fn late_write_of_origins(_scene: &Scene) -> bool {
-    false
+/// Takes streams up at intervals, and returns what the clients got.
+fn take_up(
+    scene: &Scene,
+    addresses: &[SocketAddr],
+    streams: &[Got],
+    interval: u64,
+    tokens: u64,
+) -> Vec<Got> {
+    let results = Results::default();
+    let mut threads = Vec::new();
+    for (n, began) in streams.iter().enumerate() {
+        let Some(last_event) = began.last_event() else { continue };
+        let part = TakenUp { last_event, resumes: began.id.clone() };
+        let address = addresses[n % addresses.len()];
+        let (record, results) = (scene.record.clone(), results.clone());
+        let id = format!("{}-again", began.id);
+        threads.push(thread::spawn(move || {
+            // One more event shows that the stream goes on.
+            let mut client = Client::new(address, &record);
+            let got = client.stream(&id, tokens, Some(&part), |at| at <= last_event);
+            results.lock().unwrap().push(got);
+        }));
+        sleep(interval);
+    }
+    for thread in threads {
+        let _ = thread.join();
+    }
+    let results = results.lock().unwrap();
+    results.clone()
+}
+
+/// LOST: of twelve streams or more that clients take up again, the share that goes on is
+/// under half of the share of new streams that begin.
+pub fn late_write_of_origins(scene: &Scene) -> bool {
+    let runner = |id, version| Runner::new(id, version, 30, 100, &scene.record);
+    let runners =
+        [runner("i-a1", "v1"), runner("i-b2", "v1"), runner("i-c3", "v2"), runner("i-d4", "v2")];
+    for runner in &runners {
+        runner.start();
+        scene.register(runner);
+    }
+    let mut nodes = start_nodes(2, &scene.store, &scene.folder, &scene.record);
+    sleep(2_000);
+    let addresses: Vec<SocketAddr> = nodes.iter().map(Node::frontend).collect();
+    for n in 0..2 {
+        Client::new(addresses[n], &scene.record).stream(&format!("w{n}"), 14, None, |_| true);
+    }
+    sleep(1_000);
+    let tokens = 7 * 180;
+    let begun = Results::default();
+    let mut threads = Vec::new();
+    let mut begin = |n: usize, address: SocketAddr| {
+        let (record, begun) = (scene.record.clone(), begun.clone());
+        threads.push(thread::spawn(move || {
+            let id = format!("s{n:02}");
+            let got = Client::new(address, &record).stream(&id, tokens, None, |_| true);
+            begun.lock().unwrap().push(got);
+        }));
+    };
+    if scene.trouble {
+        scene.store.lose_next_write("run-origins", ms(5_000));
+    }
+    begin(0, addresses[0]);
+    sleep(600);
+    for n in 1..15 {
+        begin(n, addresses[0]);
+        sleep(100);
+    }
+    sleep(4_000);
+    // All processes are killed at once, and started again.
+    nodes.iter_mut().for_each(Node::kill);
+    for thread in threads {
+        let _ = thread.join();
+    }
+    sleep(800);
+    nodes.iter_mut().for_each(Node::start);
+    nodes.iter().for_each(Node::wait_until_ready);
+    sleep(4_000);
+    let begun: Vec<Got> = begun.lock().unwrap().iter().filter(|g| g.id != "s00").cloned().collect();
+    let again = take_up(scene, &addresses, &begun, 100, tokens);
+    let goes_on = again.iter().filter(|got| !got.events.is_empty()).count();
+    let fresh: Vec<Got> = (0..12)
+        .map(|n| {
+            let mut client = Client::new(addresses[n % 2], &scene.record);
+            client.stream(&format!("n{n:02}"), 14, None, |_| true)
+        })
+        .collect();
+    let begins = fresh.iter().filter(|got| !got.events.is_empty()).count();
+    let text = format!(
+        "taken up {}, go on {goes_on}; new streams {}, begin {begins}",
+        again.len(),
+        fresh.len()
+    );
+    scene.record.line(&text);
+    println!("{text}");
+    let share_on = goes_on as f64 / again.len().max(1) as f64;
+    again.len() >= 12 && share_on < 0.5 * begins as f64 / fresh.len() as f64
+}
+
+/// The rate that each runner names, in requests a second.
+const LIMIT: &str = "2";
+
+/// LOST: of twelve streams or more that clients take up again, the share that goes on is
+/// under half of the share of new streams that begin.
+pub fn streams_of_limited_runners(scene: &Scene) -> bool {
+    let runner = |id| Runner::new(id, "v1", 30, 100, &scene.record);
+    let runners = [runner("i-a1"), runner("i-b2"), runner("i-c3"), runner("i-d4")];
+    for runner in &runners {
+        runner.start();
+        scene.register(runner);
+    }
+    let mut nodes = start_nodes(3, &scene.store, &scene.folder, &scene.record);
+    sleep(2_000);
+    let addresses: Vec<SocketAddr> = nodes.iter().map(Node::frontend).collect();
+    let tokens = 7 * 180;
+    let begun = Results::default();
+    let mut threads = Vec::new();
+    for n in 0..14 {
+        let (record, begun, address) = (scene.record.clone(), begun.clone(), addresses[0]);
+        threads.push(thread::spawn(move || {
+            let id = format!("s{n:02}");
+            let got = Client::new(address, &record).stream(&id, tokens, None, |_| true);
+            begun.lock().unwrap().push(got);
+        }));
+        sleep(100);
+    }
+    if scene.trouble {
+        scene.record.line(&format!("runners: name a limit of {LIMIT} a second"));
+        for runner in &runners {
+            *runner.limit.lock().unwrap() = Some(LIMIT.to_owned());
+        }
+    }
+    // The other nodes go on with new streams, about one a second each.
+    let fresh = Results::default();
+    let mut new_streams = |count: usize| {
+        for n in 0..count {
+            let (record, fresh, address) = (scene.record.clone(), fresh.clone(), addresses[1 + n % 2]);
+            let id = format!("n{:03}", threads.len());
+            threads.push(thread::spawn(move || {
+                let got = Client::new(address, &record).stream(&id, 14, None, |_| true);
+                fresh.lock().unwrap().push(got);
+            }));
+            sleep(500);
+        }
+    };
+    new_streams(8);
+    // The machine that runs the streams is lost; its clients take them up at the others.
+    nodes[0].kill();
+    while begun.lock().unwrap().len() < 14 {
+        sleep(10);
+    }
+    let begun = begun.lock().unwrap().clone();
+    let again = thread::scope(|scope| {
+        let taking_up = scope.spawn(|| take_up(scene, &addresses[1..], &begun, 500, tokens));
+        new_streams(14);
+        taking_up.join().unwrap_or_default()
+    });
+    for thread in threads {
+        let _ = thread.join();
+    }
+    let fresh = fresh.lock().unwrap();
+    let goes_on = again.iter().filter(|got| !got.events.is_empty()).count();
+    let begins = fresh.iter().filter(|got| !got.events.is_empty()).count();
+    let text = format!(
+        "taken up {}, go on {goes_on}; new streams {}, begin {begins}",
+        again.len(),
+        fresh.len()
+    );
+    scene.record.line(&text);
+    println!("{text}");
+    let share_on = goes_on as f64 / again.len().max(1) as f64;
+    again.len() >= 12 && share_on < 0.5 * begins as f64 / fresh.len() as f64
 }
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -404,6 +404,8 @@
     is_up: AtomicBool,
     /// Turns all requests away with 503 and `X-Zinniawing-Not-Executed`.
     is_full: AtomicBool,
+    /// The limit that all its answers name, if any.
+    limit: Mutex<Option<String>>,
     prefill: Duration,
     event_interval: Duration,
     connections: Mutex<Vec<TcpStream>>,
@@ -421,6 +423,7 @@
             born: AtomicU64::new(unix_ms()),
             is_up: AtomicBool::new(false),
             is_full: AtomicBool::new(false),
+            limit: Mutex::default(),
             prefill: ms(prefill),
             event_interval: ms(interval),
             connections: Mutex::default(),
@@ -494,7 +497,9 @@
 
     fn handle(&self, request: &Message, stream: &mut TcpStream) -> bool {
         let call = request.header("x-zinniawing-attempt-id").unwrap_or("-").to_owned();
-        let echo = format!("x-zinniawing-attempt-id: {call}\r\n");
+        let limit = self.limit.lock().unwrap().clone();
+        let limit = limit.map_or(String::new(), |limit| format!("server-limit: {limit}\r\n"));
+        let echo = format!("x-zinniawing-attempt-id: {call}\r\n{limit}");
         let born = self.born.load(Ordering::SeqCst);
         match request.path() {
             "/report" => {
@@ -503,10 +508,12 @@
                      \"busy\":false,\"sequence\":1,\"queued\":0,\"active\":1,\"kv-used\":100,\
                      \"kv-size\":880000,\"open-handles\":0,\"state\":\"ready\",\"born\":{born}}}"
                 );
-                return reply(stream, 200, "content-type: application/json\r\n", body.as_bytes());
+                self.record.line(&format!("runner {}: reports", self.id));
+                let headers = format!("content-type: application/json\r\n{limit}");
+                return reply(stream, 200, &headers, body.as_bytes());
             }
             "/healthz" => {
-                let id = format!("x-zinniawing-instance-id: {}\r\n", self.id);
+                let id = format!("x-zinniawing-instance-id: {}\r\n{limit}", self.id);
                 return reply(stream, 200, &id, b"");
             }
             path if path.starts_with("/kv-") => return reply(stream, 404, "", b"{}"),
@@ -522,10 +529,10 @@
             let headers = format!("{echo}x-zinniawing-not-executed: 1\r\n");
             return reply(stream, 503, &headers, b"");
         }
-        self.run(request, &call, stream)
+        self.run(request, &call, &limit, stream)
     }
 
-    fn run(&self, request: &Message, call: &str, stream: &mut TcpStream) -> bool {
+    fn run(&self, request: &Message, call: &str, limit: &str, stream: &mut TcpStream) -> bool {
         let version = self.version();
         let from = request.header("last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0_u64);
         let usage = request.header("x-zinniawing-token-usage").unwrap_or("0,0");
@@ -538,7 +545,7 @@
         let head = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\
              x-zinniawing-attempt-id: {call}\r\nx-zinniawing-weight-versions: 1\r\n\
-             x-zinniawing-server-signature: {}.{version}.{call}\r\n\r\n",
+             x-zinniawing-server-signature: {}.{version}.{call}\r\n{limit}\r\n",
             self.id
         );
         if stream.write_all(head.as_bytes()).is_err() {
@@ -933,6 +940,7 @@
     let is_broken = match case.as_str() {
         "restart-at-another-version" => cases::restart_at_another_version(&scene),
         "correction-while-store-is-away" => cases::correction_while_store_is_away(&scene),
+        "streams-of-limited-runners" => cases::streams_of_limited_runners(&scene),
         "late-write-of-origins" => cases::late_write_of_origins(&scene),
         _ => give_up("no such case"),
     };
