--- a/review/cases.rs
+++ b/review/cases.rs
@@ -305,3 +305,54 @@
     let share_on = goes_on as f64 / again.len().max(1) as f64;
     again.len() >= 12 && share_on < 0.5 * begins as f64 / fresh.len() as f64
 }
+
+/// LOST: of twelve streams or more that clients take up again, the share that goes on is
+/// under half of the share of new streams that begin.
+pub fn broken_off_before_the_end(scene: &Scene) -> bool {
+    let ids = ["i-a1", "i-b2", "i-c3", "i-d4", "i-e5", "i-f6"];
+    let runners = ids.map(|id| Runner::new(id, "v1", 10, 5, &scene.record));
+    for runner in &runners {
+        runner.start();
+        scene.register(runner);
+    }
+    let nodes = start_nodes(2, &scene.store, &scene.folder, &scene.record);
+    sleep(2_000);
+    if scene.trouble {
+        for runner in &runners[..3] {
+            runner.breaks_one_in.store(50, Ordering::SeqCst);
+        }
+    }
+    let addresses: Vec<SocketAddr> = nodes.iter().map(Node::frontend).collect();
+    let (again, fresh) = (Results::default(), Results::default());
+    let mut threads = Vec::new();
+    for n in 0..2_800 {
+        let (record, again, fresh) = (scene.record.clone(), again.clone(), fresh.clone());
+        let (address, other) = (addresses[n % 2], addresses[(n + 1) % 2]);
+        threads.push(thread::spawn(move || {
+            let id = format!("s{n:04}");
+            let got = Client::new(address, &record).stream(&id, 70, None, |_| true);
+            fresh.lock().unwrap().push(got.clone());
+            let (Some(last_event), false) = (got.last_event(), got.is_complete) else { return };
+            let part = TakenUp { last_event, resumes: id.clone() };
+            let mut client = Client::new(other, &record);
+            let rest = client.stream(&format!("{id}-again"), 70, Some(&part), |_| true);
+            again.lock().unwrap().push(rest);
+        }));
+        sleep(8);
+    }
+    for thread in threads {
+        let _ = thread.join();
+    }
+    let (again, fresh) = (again.lock().unwrap(), fresh.lock().unwrap());
+    let ends = again.iter().filter(|got| got.status == 200 && got.is_complete).count();
+    let begins = fresh.iter().filter(|got| !got.events.is_empty()).count();
+    let text = format!(
+        "taken up {}, of which end whole {ends}; new streams {}, begin {begins}",
+        again.len(),
+        fresh.len()
+    );
+    scene.record.line(&text);
+    println!("{text}");
+    let share_on = ends as f64 / again.len().max(1) as f64;
+    again.len() >= 12 && share_on < 0.5 * begins as f64 / fresh.len() as f64
+}
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -406,6 +406,8 @@
     is_full: AtomicBool,
     /// The limit that all its answers name, if any.
     limit: Mutex<Option<String>>,
+    /// Breaks one of so many answers off after the last event, before its end; zero: none.
+    breaks_one_in: AtomicUsize,
     prefill: Duration,
     event_interval: Duration,
     connections: Mutex<Vec<TcpStream>>,
@@ -424,6 +426,7 @@
             is_up: AtomicBool::new(false),
             is_full: AtomicBool::new(false),
             limit: Mutex::default(),
+            breaks_one_in: AtomicUsize::new(0),
             prefill: ms(prefill),
             event_interval: ms(interval),
             connections: Mutex::default(),
@@ -538,7 +541,7 @@
         let usage = request.header("x-zinniawing-token-usage").unwrap_or("0,0");
         let tokens: u64 = usage.split(',').nth(1).and_then(|n| n.trim().parse().ok()).unwrap_or(0);
         let last = tokens.div_ceil(7);
-        self.run_count.fetch_add(1, Ordering::SeqCst);
+        let number = self.run_count.fetch_add(1, Ordering::SeqCst) + 1;
         let text = format!("runner {} ({version}): runs {call} from event {}", self.id, from + 1);
         self.record.line(&text);
         thread::sleep(self.prefill);
@@ -560,6 +563,11 @@
             }
             thread::sleep(self.event_interval);
         }
+        let one_in = self.breaks_one_in.load(Ordering::SeqCst);
+        if one_in > 0 && number % one_in == 0 {
+            self.record.line(&format!("runner {}: {call} is broken off before its end", self.id));
+            return false;
+        }
         self.record.line(&format!("runner {}: {call} is complete", self.id));
         stream.write_all(b"0\r\n\r\n").is_ok()
     }
@@ -941,6 +949,7 @@
         "restart-at-another-version" => cases::restart_at_another_version(&scene),
         "correction-while-store-is-away" => cases::correction_while_store_is_away(&scene),
         "streams-of-limited-runners" => cases::streams_of_limited_runners(&scene),
+        "broken-off-before-the-end" => cases::broken_off_before_the_end(&scene),
         "late-write-of-origins" => cases::late_write_of_origins(&scene),
         _ => give_up("no such case"),
     };
