Review, case 2: a crashing part behind sixteen others is never found

Cause: only the first sixteen shared parts of a prompt are suspects, so that a crashing part behind them is convicted by nothing.

--- a/review/cases.rs
+++ b/review/cases.rs
@@ -356,3 +356,83 @@
     let share_on = ends as f64 / again.len().max(1) as f64;
     again.len() >= 12 && share_on < 0.5 * begins as f64 / fresh.len() as f64
 }
+
+/// Time after the fifth crash from which requests with the part count.
+const CONTACT: Duration = Duration::from_millis(3_000);
+
+/// BUDGET: no more than three requests with a part that crashes runners reach runners later
+/// than `contact-ms` after the fifth crash.
+pub fn crashing_part_of_a_long_chat(scene: &Scene) -> bool {
+    let part_count: usize = std::env::var("PARTS").ok().and_then(|n| n.parse().ok()).unwrap_or(16);
+    let runners: Vec<Arc<Runner>> =
+        (0..8).map(|n| Runner::new(&format!("i-r{n}"), "v1", 30, 50, &scene.record)).collect();
+    for runner in &runners {
+        runner.crashes_under_part.store(scene.trouble, Ordering::SeqCst);
+        runner.start();
+        scene.register(runner);
+        // It is back after some seconds, as a new incarnation.
+        let (runner, store) = (runner.clone(), scene.store.clone());
+        thread::spawn(move || {
+            loop {
+                sleep(20);
+                if !runner.is_up.load(Ordering::SeqCst) {
+                    sleep(1_500);
+                    runner.start();
+                    store.put("servers", &runner.id, &runner.entry("ready"));
+                }
+            }
+        });
+    }
+    let nodes = start_nodes(2, &scene.store, &scene.folder, &scene.record);
+    sleep(2_000);
+    let addresses: Vec<SocketAddr> = nodes.iter().map(Node::frontend).collect();
+    // The turns of the chats, which all of them share.
+    let turns: String = (1..=part_count).map(|n| format!("c0{n:02}:40,")).collect();
+    let (sound, threads) = (Results::default(), Mutex::new(Vec::new()));
+    let send = |id: String, address: SocketAddr, parts: String, events: u64, is_sound: bool| {
+        let (record, sound) = (scene.record.clone(), sound.clone());
+        let thread = thread::spawn(move || {
+            let mut client = Client::new(address, &record);
+            client.parts = parts;
+            let got = client.stream(&id, events * 7, None, |_| true);
+            if is_sound {
+                sound.lock().unwrap().push(got);
+            }
+        });
+        threads.lock().unwrap().push(thread);
+    };
+    for n in 0..160 {
+        let address = addresses[n % 2];
+        send(format!("s{n:03}"), address, turns.clone(), 20, true);
+        if n % 5 == 4 && n > 20 {
+            send(format!("x{n:03}"), addresses[n / 5 % 2], turns.clone() + "dead:40,", 20, false);
+        }
+        sleep(100);
+    }
+    for thread in threads.into_inner().unwrap() {
+        let _ = thread.join();
+    }
+    let all = |of: fn(&Runner) -> &Mutex<Vec<Instant>>| {
+        let mut times: Vec<Instant> =
+            runners.iter().flat_map(|r| of(r).lock().unwrap().clone()).collect();
+        times.sort();
+        times
+    };
+    let crashes = all(|runner| &runner.part_crashes);
+    let arrivals = all(|runner| &runner.part_arrivals);
+    let late = crashes.get(4).map_or(0, |fifth| {
+        arrivals.iter().filter(|at| **at > *fifth + CONTACT).count()
+    });
+    let sound = sound.lock().unwrap();
+    let lost = sound.iter().filter(|got| !(got.status == 200 && got.is_complete)).count();
+    let text = format!(
+        "crashes {}, requests with the part at runners {}, of which late {late}; \
+         sound streams {}, not whole {lost}",
+        crashes.len(),
+        arrivals.len(),
+        sound.len()
+    );
+    scene.record.line(&text);
+    println!("{text}");
+    late > 3
+}
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -395,6 +395,20 @@
 
 // ---------------------------------------------------------------- runners
 
+/// A port that stays free while its runner is down: it is below those that the system hands
+/// out for connections.
+fn free_address() -> SocketAddr {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let first = u64::from(std::process::id()) * 41 % 9_000;
+    loop {
+        let port = 10_000 + (first + NEXT.fetch_add(1, Ordering::SeqCst)) % 10_000;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
 /// A runner of the service `llm`. One start of it is an incarnation.
 pub struct Runner {
     id: String,
@@ -408,6 +422,11 @@
     limit: Mutex<Option<String>>,
     /// Breaks one of so many answers off after the last event, before its end; zero: none.
     breaks_one_in: AtomicUsize,
+    /// Crashes when it has begun to write an answer on a prompt with the part `dead`.
+    crashes_under_part: AtomicBool,
+    /// When requests with that part reached it, and when they crashed it.
+    part_arrivals: Mutex<Vec<Instant>>,
+    part_crashes: Mutex<Vec<Instant>>,
     prefill: Duration,
     event_interval: Duration,
     connections: Mutex<Vec<TcpStream>>,
@@ -417,16 +436,18 @@
 
 impl Runner {
     pub fn new(id: &str, version: &str, prefill: u64, interval: u64, rec: &Arc<Record>) -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         Arc::new(Self {
             id: id.to_owned(),
-            address: listener.local_addr().expect("an address"),
+            address: free_address(),
             version: Mutex::new(version.to_owned()),
             born: AtomicU64::new(unix_ms()),
             is_up: AtomicBool::new(false),
             is_full: AtomicBool::new(false),
             limit: Mutex::default(),
             breaks_one_in: AtomicUsize::new(0),
+            crashes_under_part: AtomicBool::new(false),
+            part_arrivals: Mutex::default(),
+            part_crashes: Mutex::default(),
             prefill: ms(prefill),
             event_interval: ms(interval),
             connections: Mutex::default(),
@@ -554,7 +575,18 @@
         if stream.write_all(head.as_bytes()).is_err() {
             return false;
         }
+        let parts = request.header("x-zinniawing-prefix-hash").unwrap_or("");
+        let has_part = parts.split(',').any(|part| part.starts_with("dead:"));
+        if has_part {
+            self.part_arrivals.lock().unwrap().push(Instant::now());
+        }
         for id in from + 1..=last {
+            if has_part && id > from + 1 && self.crashes_under_part.load(Ordering::SeqCst) {
+                self.record.line(&format!("runner {}: crashes under {call}", self.id));
+                self.part_crashes.lock().unwrap().push(Instant::now());
+                self.stop();
+                return false;
+            }
             let event = format!("id: {id}\ndata: {version} {} {id}\n\n", self.id);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).is_err() {
@@ -762,6 +794,8 @@
 /// A client with one connection, which it keeps.
 pub struct Client {
     address: SocketAddr,
+    /// The parts of its prompts that others share.
+    parts: String,
     connection: Option<BufReader<TcpStream>>,
     record: Arc<Record>,
 }
@@ -774,7 +808,8 @@
 
 impl Client {
     pub fn new(address: SocketAddr, record: &Arc<Record>) -> Self {
-        Self { address, connection: None, record: record.clone() }
+        let parts = "aa01:200,".to_owned();
+        Self { address, parts, connection: None, record: record.clone() }
     }
 
     /// Sends one attempt and reads its answer, of which `on_event` sees each event and may
@@ -822,10 +857,11 @@
         let mut request = format!(
             "POST /gen/{0} HTTP/1.1\r\nhost: {HOST}\r\nx-zinniawing-attempt-id: {0}\r\n\
              x-zinniawing-model: m\r\nx-zinniawing-token-usage: 800,{tokens}\r\n\
-             x-zinniawing-prefix-hash: aa01:200,{1:x}:600\r\n\
+             x-zinniawing-prefix-hash: {2}{1:x}:600\r\n\
              x-zinniawing-deadline-ms: 25000\r\napi-key: {KEY}\r\ncontent-length: 6\r\n",
             got.id,
-            got.id.bytes().fold(7_u64, |h, b| h.wrapping_mul(31).wrapping_add(b.into()))
+            got.id.bytes().fold(7_u64, |h, b| h.wrapping_mul(31).wrapping_add(b.into())),
+            self.parts
         );
         if let Some(part) = taken_up {
             request += &format!("last-event-id: {}\r\nresumes: {}\r\n", part.last_event, part.resumes);
@@ -950,6 +986,7 @@
         "correction-while-store-is-away" => cases::correction_while_store_is_away(&scene),
         "streams-of-limited-runners" => cases::streams_of_limited_runners(&scene),
         "broken-off-before-the-end" => cases::broken_off_before_the_end(&scene),
+        "crashing-part-of-a-long-chat" => cases::crashing_part_of_a_long_chat(&scene),
         "late-write-of-origins" => cases::late_write_of_origins(&scene),
         _ => give_up("no such case"),
     };
