--- a/review/cases.rs
+++ b/review/cases.rs
@@ -52,9 +52,10 @@
             store.set_silent(true);
         }
         sleep(500);
-        // The release restarts the runner in place, at the next version of its software.
+        // The runner crashes. It is back under its id, at the next version of its software,
+        // which was put in place since it started last.
         upgraded.stop();
-        sleep(300);
+        sleep(1_200);
         *upgraded.version.lock().unwrap() = "v2".to_owned();
         upgraded.start();
         let registered = upgraded.clone();
@@ -66,17 +67,18 @@
             }
             registry.put("servers", &registered.id, &registered.entry("ready"));
         });
+        // It crashes again.
         sleep(4_000);
         upgraded.stop();
         sleep(1_200);
         upgraded.start();
-        sleep(1_000);
+        sleep(500);
         if trouble {
             store.set_silent(false);
         }
     });
     let addresses: Vec<SocketAddr> = nodes.iter().map(Node::frontend).collect();
-    let got = send_streams(scene, &addresses, "s", (60, 280), start + ms(7_000));
+    let got = send_streams(scene, &addresses, "s", (60, 280), start + ms(8_000));
     let _ = events.join();
     let mixed: Vec<&Got> = got.iter().filter(|got| got.versions().len() > 1).collect();
     let text = format!("streams {}, of two versions {}", got.len(), mixed.len());
