--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-target/review/standin correction-while-store-is-away "review/4"
+target/review/standin streams-of-limited-runners "review/4"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/cases.rs
+++ b/review/cases.rs
@@ -440,3 +440,65 @@
     println!("{text}");
     late > 3
 }
+
+/// ORDER: no more than two streams hold events of two software versions.
+pub fn two_records_of_a_relayed_stream(scene: &Scene) -> bool {
+    let runner = |id, version| Runner::new(id, version, 1_000, 100, &scene.record);
+    let runners =
+        [runner("i-a1", "v1"), runner("i-b2", "v1"), runner("i-c3", "v2"), runner("i-d4", "v2")];
+    for runner in &runners {
+        runner.start();
+        runner.start_cut_path();
+        scene.register(runner);
+        let paths = (runner.address.to_string(), runner.cut_path.to_string());
+        scene.store.view.lock().unwrap().push(paths);
+    }
+    let stores = [scene.store.address, scene.store.view_address];
+    let mut nodes = start_nodes_at(&stores, &scene.folder, &scene.record);
+    // The retry budget grows with the time that a node runs.
+    sleep(11_000);
+    let address = nodes[1].frontend();
+    let tokens = 7 * 180;
+    let begun = Results::default();
+    let threads: Vec<_> = (0..16)
+        .map(|n| {
+            let (record, begun) = (scene.record.clone(), begun.clone());
+            thread::spawn(move || {
+                let id = format!("s{n:02}");
+                let got = Client::new(address, &record).stream(&id, tokens, None, |_| true);
+                begun.lock().unwrap().push(got);
+            })
+        })
+        .collect();
+    sleep(600);
+    if scene.trouble {
+        scene.record.line("the second node is cut off from all runners");
+        runners.iter().for_each(|runner| runner.cut());
+    }
+    sleep(4_000);
+    nodes.iter_mut().for_each(Node::kill);
+    for thread in threads {
+        let _ = thread.join();
+    }
+    sleep(800);
+    // The cut has healed: the second node reaches the runners at their own addresses.
+    scene.store.view.lock().unwrap().clear();
+    nodes.iter_mut().for_each(Node::start);
+    nodes.iter().for_each(Node::wait_until_ready);
+    sleep(1_500);
+    let addresses: Vec<SocketAddr> = nodes.iter().map(Node::frontend).collect();
+    let begun = begun.lock().unwrap().clone();
+    let again = take_up(scene, &addresses, &begun, 100, tokens);
+    let mut mixed = 0;
+    for rest in &again {
+        let first = begun.iter().find(|got| rest.id == format!("{}-again", got.id));
+        let versions: BTreeSet<String> =
+            first.into_iter().chain([rest]).flat_map(Got::versions).collect();
+        mixed += usize::from(versions.len() > 1);
+    }
+    let went_on = again.iter().filter(|got| !got.events.is_empty()).count();
+    let text = format!("taken up {}, went on {went_on}, of two versions {mixed}", again.len());
+    scene.record.line(&text);
+    println!("{text}");
+    mixed > 2
+}
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -210,6 +210,9 @@
     address: SocketAddr,
     state: Mutex<StoreState>,
     changed: Condvar,
+    /// Second address of the store, for one node. Its answers name other addresses.
+    view_address: SocketAddr,
+    view: Mutex<Vec<(String, String)>>,
     /// While set, no call is done or answered.
     is_silent: AtomicBool,
     /// The next write of this kind is not answered, and is done so much later.
@@ -229,8 +232,11 @@
 impl Store {
     pub fn start(record: &Arc<Record>) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let view_listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let store = Arc::new(Self {
             address: listener.local_addr().expect("an address"),
+            view_address: view_listener.local_addr().expect("an address"),
+            view: Mutex::default(),
             state: Mutex::default(),
             changed: Condvar::new(),
             is_silent: AtomicBool::new(false),
@@ -238,13 +244,15 @@
             late_write_done: AtomicBool::new(false),
             record: record.clone(),
         });
-        let served = store.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let store = served.clone();
-                thread::spawn(move || store.serve(stream));
-            }
-        });
+        for (listener, is_view) in [(listener, false), (view_listener, true)] {
+            let served = store.clone();
+            thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    let store = served.clone();
+                    thread::spawn(move || store.serve(stream, is_view));
+                }
+            });
+        }
         store
     }
 
@@ -269,7 +277,7 @@
         *self.late_write.lock().unwrap() = Some((kind.to_owned(), done_after));
     }
 
-    fn serve(self: Arc<Self>, mut stream: TcpStream) {
+    fn serve(self: Arc<Self>, mut stream: TcpStream, is_view: bool) {
         let _ = stream.set_nodelay(true);
         let mut input = BufReader::new(stream.try_clone().expect("a clone"));
         while let Some(request) = read_request(&mut input) {
@@ -278,10 +286,15 @@
                 let _ = input.read(&mut [0; 1]);
                 return;
             }
-            let Some((status, body)) = self.answer(&request) else {
+            let Some((status, mut body)) = self.answer(&request) else {
                 let _ = input.read(&mut [0; 1]);
                 return;
             };
+            if is_view {
+                for (address, path) in self.view.lock().unwrap().iter() {
+                    body = body.replace(address, path);
+                }
+            }
             let headers = "content-type: application/json\r\n";
             if !reply(&mut stream, status, headers, body.as_bytes()) {
                 return;
@@ -413,6 +426,10 @@
 pub struct Runner {
     id: String,
     address: SocketAddr,
+    /// Second address, at which it listens for one node whose path can be cut.
+    cut_path: SocketAddr,
+    is_cut: AtomicBool,
+    cut_connections: Mutex<Vec<TcpStream>>,
     version: Mutex<String>,
     born: AtomicU64,
     is_up: AtomicBool,
@@ -439,6 +456,9 @@
         Arc::new(Self {
             id: id.to_owned(),
             address: free_address(),
+            cut_path: free_address(),
+            is_cut: AtomicBool::new(false),
+            cut_connections: Mutex::default(),
             version: Mutex::new(version.to_owned()),
             born: AtomicU64::new(unix_ms()),
             is_up: AtomicBool::new(false),
@@ -499,6 +519,37 @@
         });
     }
 
+    /// Listens at the second address too, until the path is cut.
+    pub fn start_cut_path(self: &Arc<Self>) {
+        let listener = TcpListener::bind(self.cut_path).expect("a free port");
+        listener.set_nonblocking(true).expect("non-blocking");
+        let runner = self.clone();
+        thread::spawn(move || {
+            while !runner.is_cut.load(Ordering::SeqCst) {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        let _ = stream.set_nonblocking(false);
+                        let _ = stream.set_nodelay(true);
+                        let kept = stream.try_clone().expect("a clone");
+                        runner.cut_connections.lock().unwrap().push(kept);
+                        let runner = runner.clone();
+                        thread::spawn(move || runner.serve(stream));
+                    }
+                    Err(_) => sleep(1),
+                }
+            }
+        });
+    }
+
+    /// Cuts the path of one node: its connections end, and new ones are refused.
+    pub fn cut(&self) {
+        self.is_cut.store(true, Ordering::SeqCst);
+        sleep(5);
+        for connection in self.cut_connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Ends all connections and stops listening.
     pub fn stop(&self) {
         self.record.line(&format!("runner {}: ends", self.id));
@@ -757,15 +808,24 @@
 
 /// Starts `count` nodes that know each other.
 pub fn start_nodes(count: u8, store: &Store, folder: &PathBuf, record: &Arc<Record>) -> Vec<Node> {
+    start_nodes_at(&vec![store.address; count.into()], folder, record)
+}
+
+/// Starts one node for each address of the store.
+pub fn start_nodes_at(
+    stores: &[SocketAddr],
+    folder: &PathBuf,
+    record: &Arc<Record>,
+) -> Vec<Node> {
     let draw = std::process::id() ^ unix_ms() as u32;
     let net = [127, 20 + (draw % 200) as u8, 1 + (draw / 200 % 250) as u8];
     let ip = |n: u8| Ipv4Addr::new(net[0], net[1], net[2], 10 + n);
     let ports = Ports { base: 21_000 + (draw % 9_000) as u16 };
     let mut nodes = Vec::new();
-    for n in 0..count {
+    for (n, store) in (0..).zip(stores) {
         let name = format!("edge-z-a-{}", n + 1);
         let settings = folder.join(format!("{name}.yaml"));
-        let text = settings_text(&name, ip(n), ports, ip(0), store.address);
+        let text = settings_text(&name, ip(n), ports, ip(0), *store);
         fs::write(&settings, text).expect("a temporary file");
         let log = folder.join(format!("{name}.log"));
         let mut node = Node {
@@ -998,6 +1058,7 @@
         "streams-of-limited-runners" => cases::streams_of_limited_runners(&scene),
         "broken-off-before-the-end" => cases::broken_off_before_the_end(&scene),
         "crashing-part-of-a-long-chat" => cases::crashing_part_of_a_long_chat(&scene),
+        "two-records-of-a-relayed-stream" => cases::two_records_of_a_relayed_stream(&scene),
         "late-write-of-origins" => cases::late_write_of_origins(&scene),
         _ => give_up("no such case"),
     };
