--- a/review/cases.rs
+++ b/review/cases.rs
@@ -100,35 +100,49 @@
     sleep(2_000);
     let addresses: Vec<SocketAddr> = nodes.iter().map(Node::frontend).collect();
     // Clients that keep their connections.
-    let mut clients: Vec<Client> =
-        (0..16).map(|n| Client::new(addresses[n % 2], &scene.record)).collect();
+    let mut clients: Vec<Client> = (0..110)
+        .map(|n| Client::new(addresses[n % 2], &scene.record))
+        .collect();
     for (n, client) in clients.iter_mut().enumerate() {
-        client.stream(&format!("w{n:02}"), 14, None, |_| true);
+        client.stream(&format!("w{n:03}"), 14, None, |_| true);
     }
+    let start = Instant::now();
+    let back_at = start + ms(7_600);
     if scene.trouble {
         scene.store.set_silent(true);
     }
     for runner in &old {
         runner.is_full.store(true, Ordering::SeqCst);
     }
-    sleep(500);
     let threads: Vec<_> = clients
         .into_iter()
         .enumerate()
         .map(|(n, mut client)| {
             thread::spawn(move || {
-                sleep(200 * n as u64);
-                client.stream(&format!("s{n:02}"), 280, None, |_| true)
+                sleep(500 + 100 * n as u64);
+                let got = client.stream(&format!("s{n:03}"), 280, None, |_| true);
+                (got, Instant::now())
             })
         })
         .collect();
-    let got: Vec<Got> = threads.into_iter().filter_map(|t| t.join().ok()).collect();
+    thread::sleep(back_at.saturating_duration_since(Instant::now()));
     if scene.trouble {
         scene.store.set_silent(false);
     }
-    let lost = got.iter().filter(|got| got.status == 200 && !got.is_complete).count();
-    let refused = got.iter().filter(|got| got.status == 503).count();
-    let text = format!("streams {}, broken off {lost}, refused {refused}", got.len());
+    let got: Vec<(Got, Instant)> = threads.into_iter().filter_map(|t| t.join().ok()).collect();
+    let is_lost = |got: &Got| got.status == 200 && !got.is_complete && got.events.is_empty();
+    let lost = got.iter().filter(|(got, _)| is_lost(got)).count();
+    let lost_at = got
+        .iter()
+        .filter(|(got, _)| is_lost(got))
+        .map(|(_, at)| *at);
+    let last = lost_at
+        .max()
+        .map_or(0, |at| at.saturating_duration_since(back_at).as_millis());
+    let text = format!(
+        "streams {}, broken off without an event {lost}, the last {last} ms after the store's return",
+        got.len()
+    );
     scene.record.line(&text);
     println!("{text}");
     lost > 3
@@ -145,8 +159,13 @@
     let results = Results::default();
     let mut threads = Vec::new();
     for (n, began) in streams.iter().enumerate() {
-        let Some(last_event) = began.last_event() else { continue };
-        let part = TakenUp { last_event, resumes: began.id.clone() };
+        let Some(last_event) = began.last_event() else {
+            continue;
+        };
+        let part = TakenUp {
+            last_event,
+            resumes: began.id.clone(),
+        };
         let address = addresses[n % addresses.len()];
         let (record, results) = (scene.record.clone(), results.clone());
         let id = format!("{}-again", began.id);
@@ -169,8 +188,12 @@
 /// under half of the share of new streams that begin.
 pub fn late_write_of_origins(scene: &Scene) -> bool {
     let runner = |id, version| Runner::new(id, version, 30, 100, &scene.record);
-    let runners =
-        [runner("i-a1", "v1"), runner("i-b2", "v1"), runner("i-c3", "v2"), runner("i-d4", "v2")];
+    let runners = [
+        runner("i-a1", "v1"),
+        runner("i-b2", "v1"),
+        runner("i-c3", "v2"),
+        runner("i-d4", "v2"),
+    ];
     for runner in &runners {
         runner.start();
         scene.register(runner);
@@ -212,7 +235,13 @@
     nodes.iter_mut().for_each(Node::start);
     nodes.iter().for_each(Node::wait_until_ready);
     sleep(4_000);
-    let begun: Vec<Got> = begun.lock().unwrap().iter().filter(|g| g.id != "s00").cloned().collect();
+    let begun: Vec<Got> = begun
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|g| g.id != "s00")
+        .cloned()
+        .collect();
     let again = take_up(scene, &addresses, &begun, 100, tokens);
     let goes_on = again.iter().filter(|got| !got.events.is_empty()).count();
     let fresh: Vec<Got> = (0..12)
@@ -240,7 +269,12 @@
 /// under half of the share of new streams that begin.
 pub fn streams_of_limited_runners(scene: &Scene) -> bool {
     let runner = |id| Runner::new(id, "v1", 30, 100, &scene.record);
-    let runners = [runner("i-a1"), runner("i-b2"), runner("i-c3"), runner("i-d4")];
+    let runners = [
+        runner("i-a1"),
+        runner("i-b2"),
+        runner("i-c3"),
+        runner("i-d4"),
+    ];
     for runner in &runners {
         runner.start();
         scene.register(runner);
@@ -261,7 +295,9 @@
         sleep(100);
     }
     if scene.trouble {
-        scene.record.line(&format!("runners: name a limit of {LIMIT} a second"));
+        scene
+            .record
+            .line(&format!("runners: name a limit of {LIMIT} a second"));
         for runner in &runners {
             *runner.limit.lock().unwrap() = Some(LIMIT.to_owned());
         }
@@ -270,7 +306,8 @@
     let fresh = Results::default();
     let mut new_streams = |count: usize| {
         for n in 0..count {
-            let (record, fresh, address) = (scene.record.clone(), fresh.clone(), addresses[1 + n % 2]);
+            let (record, fresh, address) =
+                (scene.record.clone(), fresh.clone(), addresses[1 + n % 2]);
             let id = format!("n{:03}", threads.len());
             threads.push(thread::spawn(move || {
                 let got = Client::new(address, &record).stream(&id, 14, None, |_| true);
@@ -336,8 +373,13 @@
             let id = format!("s{n:04}");
             let got = Client::new(address, &record).stream(&id, 70, None, |_| true);
             fresh.lock().unwrap().push(got.clone());
-            let (Some(last_event), false) = (got.last_event(), got.is_complete) else { return };
-            let part = TakenUp { last_event, resumes: id.clone() };
+            let (Some(last_event), false) = (got.last_event(), got.is_complete) else {
+                return;
+            };
+            let part = TakenUp {
+                last_event,
+                resumes: id.clone(),
+            };
             let mut client = Client::new(other, &record);
             let rest = client.stream(&format!("{id}-again"), 70, Some(&part), |_| true);
             again.lock().unwrap().push(rest);
@@ -348,7 +390,10 @@
         let _ = thread.join();
     }
     let (again, fresh) = (again.lock().unwrap(), fresh.lock().unwrap());
-    let ends = again.iter().filter(|got| got.status == 200 && got.is_complete).count();
+    let ends = again
+        .iter()
+        .filter(|got| got.status == 200 && got.is_complete)
+        .count();
     let begins = fresh.iter().filter(|got| !got.events.is_empty()).count();
     let text = format!(
         "taken up {}, of which end whole {ends}; new streams {}, begin {begins}",
@@ -367,11 +412,17 @@
 /// BUDGET: no more than three requests with a part that crashes runners reach runners later
 /// than `contact-ms` after the fifth crash.
 pub fn crashing_part_of_a_long_chat(scene: &Scene) -> bool {
-    let part_count: usize = std::env::var("PARTS").ok().and_then(|n| n.parse().ok()).unwrap_or(16);
-    let runners: Vec<Arc<Runner>> =
-        (0..8).map(|n| Runner::new(&format!("i-r{n}"), "v1", 30, 50, &scene.record)).collect();
+    let part_count: usize = std::env::var("PARTS")
+        .ok()
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(16);
+    let runners: Vec<Arc<Runner>> = (0..8)
+        .map(|n| Runner::new(&format!("i-r{n}"), "v1", 30, 50, &scene.record))
+        .collect();
     for runner in &runners {
-        runner.crashes_under_part.store(scene.trouble, Ordering::SeqCst);
+        runner
+            .crashes_under_part
+            .store(scene.trouble, Ordering::SeqCst);
         runner.start();
         scene.register(runner);
         // It is back after some seconds, as a new incarnation.
@@ -409,7 +460,13 @@
         let address = addresses[n % 2];
         send(format!("s{n:03}"), address, turns.clone(), 20, true);
         if n % 5 == 4 && n > 20 {
-            send(format!("x{n:03}"), addresses[n / 5 % 2], turns.clone() + "dead:40,", 20, false);
+            send(
+                format!("x{n:03}"),
+                addresses[n / 5 % 2],
+                turns.clone() + "dead:40,",
+                20,
+                false,
+            );
         }
         sleep(100);
     }
@@ -417,8 +474,10 @@
         let _ = thread.join();
     }
     let all = |of: fn(&Runner) -> &Mutex<Vec<Instant>>| {
-        let mut times: Vec<Instant> =
-            runners.iter().flat_map(|r| of(r).lock().unwrap().clone()).collect();
+        let mut times: Vec<Instant> = runners
+            .iter()
+            .flat_map(|r| of(r).lock().unwrap().clone())
+            .collect();
         times.sort();
         times
     };
@@ -428,7 +487,10 @@
         arrivals.iter().filter(|at| **at > *fifth + CONTACT).count()
     });
     let sound = sound.lock().unwrap();
-    let lost = sound.iter().filter(|got| !(got.status == 200 && got.is_complete)).count();
+    let lost = sound
+        .iter()
+        .filter(|got| !(got.status == 200 && got.is_complete))
+        .count();
     let text = format!(
         "crashes {}, requests with the part at runners {}, of which late {late}; \
          sound streams {}, not whole {lost}",
@@ -444,8 +506,12 @@
 /// ORDER: no more than two streams hold events of two software versions.
 pub fn two_records_of_a_relayed_stream(scene: &Scene) -> bool {
     let runner = |id, version| Runner::new(id, version, 1_000, 100, &scene.record);
-    let runners =
-        [runner("i-a1", "v1"), runner("i-b2", "v1"), runner("i-c3", "v2"), runner("i-d4", "v2")];
+    let runners = [
+        runner("i-a1", "v1"),
+        runner("i-b2", "v1"),
+        runner("i-c3", "v2"),
+        runner("i-d4", "v2"),
+    ];
     for runner in &runners {
         runner.start();
         runner.start_cut_path();
@@ -472,7 +538,9 @@
         .collect();
     sleep(600);
     if scene.trouble {
-        scene.record.line("the second node is cut off from all runners");
+        scene
+            .record
+            .line("the second node is cut off from all runners");
         runners.iter().for_each(|runner| runner.cut());
     }
     sleep(4_000);
@@ -491,13 +559,21 @@
     let again = take_up(scene, &addresses, &begun, 100, tokens);
     let mut mixed = 0;
     for rest in &again {
-        let first = begun.iter().find(|got| rest.id == format!("{}-again", got.id));
-        let versions: BTreeSet<String> =
-            first.into_iter().chain([rest]).flat_map(Got::versions).collect();
+        let first = begun
+            .iter()
+            .find(|got| rest.id == format!("{}-again", got.id));
+        let versions: BTreeSet<String> = first
+            .into_iter()
+            .chain([rest])
+            .flat_map(Got::versions)
+            .collect();
         mixed += usize::from(versions.len() > 1);
     }
     let went_on = again.iter().filter(|got| !got.events.is_empty()).count();
-    let text = format!("taken up {}, went on {went_on}, of two versions {mixed}", again.len());
+    let text = format!(
+        "taken up {}, went on {went_on}, of two versions {mixed}",
+        again.len()
+    );
     scene.record.line(&text);
     println!("{text}");
     mixed > 2
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -88,7 +88,11 @@
     }
 
     fn status(&self) -> u16 {
-        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+        self.first
+            .split(' ')
+            .nth(1)
+            .and_then(|s| s.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -112,12 +116,19 @@
         headers.push((name.trim().to_ascii_lowercase(), value.trim().to_owned()));
     }
     let first = first.trim_end().to_owned();
-    Some(Message { first, headers, body: Vec::new() })
+    Some(Message {
+        first,
+        headers,
+        body: Vec::new(),
+    })
 }
 
 fn read_request(input: &mut impl BufRead) -> Option<Message> {
     let mut message = read_head(input)?;
-    let length = message.header("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
+    let length = message
+        .header("content-length")
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     input.read_exact(&mut body).ok()?;
     message.body = body;
@@ -125,8 +136,13 @@
 }
 
 fn reply(out: &mut TcpStream, status: u16, headers: &str, body: &[u8]) -> bool {
-    let head = format!("HTTP/1.1 {status} -\r\n{headers}content-length: {}\r\n\r\n", body.len());
-    out.write_all(head.as_bytes()).and_then(|()| out.write_all(body)).is_ok()
+    let head = format!(
+        "HTTP/1.1 {status} -\r\n{headers}content-length: {}\r\n\r\n",
+        body.len()
+    );
+    out.write_all(head.as_bytes())
+        .and_then(|()| out.write_all(body))
+        .is_ok()
 }
 
 // ---------------------------------------------------------------- JSON, as text
@@ -159,7 +175,9 @@
 
 fn member<'a>(object: &'a str, key: &str) -> Option<&'a str> {
     let prefix = format!("\"{key}\"");
-    let found = parts(object).into_iter().find_map(|part| part.strip_prefix(prefix.as_str()));
+    let found = parts(object)
+        .into_iter()
+        .find_map(|part| part.strip_prefix(prefix.as_str()));
     found.map(|rest| rest.trim_start().trim_start_matches(':').trim())
 }
 
@@ -191,15 +209,33 @@
         }
         self.revision += 1;
         let revision = self.revision;
-        self.objects.insert(key, Stored { revision, spec: spec.to_owned() });
-        self.history.push((revision, kind.to_owned(), name.to_owned(), spec.to_owned(), false));
+        self.objects.insert(
+            key,
+            Stored {
+                revision,
+                spec: spec.to_owned(),
+            },
+        );
+        self.history.push((
+            revision,
+            kind.to_owned(),
+            name.to_owned(),
+            spec.to_owned(),
+            false,
+        ));
     }
 
     fn delete(&mut self, kind: &str, name: &str) {
         let key = (kind.to_owned(), name.to_owned());
         if let Some(held) = self.objects.remove(&key) {
             self.revision += 1;
-            let change = (self.revision, kind.to_owned(), name.to_owned(), held.spec, true);
+            let change = (
+                self.revision,
+                kind.to_owned(),
+                name.to_owned(),
+                held.spec,
+                true,
+            );
             self.history.push(change);
         }
     }
@@ -217,8 +253,6 @@
     is_silent: AtomicBool,
     /// The next write of this kind is not answered, and is done so much later.
     late_write: Mutex<Option<(String, Duration)>>,
-    /// Set when such a write was done.
-    late_write_done: AtomicBool,
     record: Arc<Record>,
 }
 
@@ -241,7 +275,6 @@
             changed: Condvar::new(),
             is_silent: AtomicBool::new(false),
             late_write: Mutex::default(),
-            late_write_done: AtomicBool::new(false),
             record: record.clone(),
         });
         for (listener, is_view) in [(listener, false), (view_listener, true)] {
@@ -261,14 +294,12 @@
         self.changed.notify_all();
     }
 
-    pub fn spec(&self, kind: &str, name: &str) -> Option<String> {
-        let state = self.state.lock().unwrap();
-        let held = state.objects.get(&(kind.to_owned(), name.to_owned()));
-        held.map(|held| held.spec.clone())
-    }
-
     pub fn set_silent(&self, is_silent: bool) {
-        self.record.line(if is_silent { "store: falls silent" } else { "store: answers again" });
+        self.record.line(if is_silent {
+            "store: falls silent"
+        } else {
+            "store: answers again"
+        });
         self.is_silent.store(is_silent, Ordering::SeqCst);
         self.changed.notify_all();
     }
@@ -309,7 +340,11 @@
         let is_read = request.method() == "GET";
         if !is_read {
             let text = String::from_utf8_lossy(&request.body);
-            self.record.line(&format!("store: {} {} {text}", request.method(), request.target()));
+            self.record.line(&format!(
+                "store: {} {} {text}",
+                request.method(),
+                request.target()
+            ));
             let mut late = self.late_write.lock().unwrap();
             if let Some((_, after)) = late.take_if(|(of, _)| of == kind) {
                 let (store, request) = (self.clone(), request.clone());
@@ -318,8 +353,9 @@
                 thread::spawn(move || {
                     thread::sleep(after);
                     let (status, _) = store.write(&request);
-                    store.record.line(&format!("store: the late write is done, status {status}"));
-                    store.late_write_done.store(true, Ordering::SeqCst);
+                    store
+                        .record
+                        .line(&format!("store: the late write is done, status {status}"));
                 });
                 return None;
             }
@@ -327,7 +363,10 @@
             return Some(self.write(request));
         }
         if let Some(after) = request.query("watch").and_then(|n| n.parse().ok()) {
-            let wait = request.query("wait-ms").and_then(|n| n.parse().ok()).unwrap_or(0);
+            let wait = request
+                .query("wait-ms")
+                .and_then(|n| n.parse().ok())
+                .unwrap_or(0);
             return self.watch(kind, after, ms(wait)).map(|body| (200, body));
         }
         let state = self.state.lock().unwrap();
@@ -339,11 +378,18 @@
             });
         }
         let after = request.query("after").unwrap_or_default();
-        let of_kind = state.objects.iter().filter(|((k, n), _)| k == kind && *n > after);
-        let entries: Vec<String> =
-            of_kind.map(|((_, n), held)| object_text(n, held.revision, &held.spec)).collect();
+        let of_kind = state
+            .objects
+            .iter()
+            .filter(|((k, n), _)| k == kind && *n > after);
+        let entries: Vec<String> = of_kind
+            .map(|((_, n), held)| object_text(n, held.revision, &held.spec))
+            .collect();
         let (entries, at) = (entries.join(","), state.revision);
-        Some((200, format!("{{\"entries\":[{entries}],\"has-more\":false,\"at\":{at}}}")))
+        Some((
+            200,
+            format!("{{\"entries\":[{entries}],\"has-more\":false,\"at\":{at}}}"),
+        ))
     }
 
     fn write(&self, request: &Message) -> (u16, String) {
@@ -352,13 +398,20 @@
         let body = String::from_utf8_lossy(&request.body).into_owned();
         let metadata = member(&body, "metadata").unwrap_or("{}");
         let named = text_member(metadata, "name").unwrap_or_default();
-        let name = if name.is_empty() { named } else { name.to_owned() };
+        let name = if name.is_empty() {
+            named
+        } else {
+            name.to_owned()
+        };
         let stated = member(metadata, "revision").map(str::to_owned);
-        let stated: Option<u64> =
-            stated.or(request.query("revision")).and_then(|n| n.parse().ok());
+        let stated: Option<u64> = stated
+            .or(request.query("revision"))
+            .and_then(|n| n.parse().ok());
         let mut state = self.state.lock().unwrap();
         let held = state.objects.get(&(kind.to_owned(), name.clone())).cloned();
-        let is_other = held.as_ref().is_some_and(|h| stated.is_some_and(|at| at != h.revision));
+        let is_other = held
+            .as_ref()
+            .is_some_and(|h| stated.is_some_and(|at| at != h.revision));
         let answer = match (request.method(), held) {
             ("POST", Some(held)) => (409, object_text(&name, held.revision, &held.spec)),
             ("POST", None) => {
@@ -389,7 +442,10 @@
             if self.is_silent.load(Ordering::SeqCst) {
                 return None;
             }
-            let newer = state.history.iter().filter(|(at, k, ..)| *at > after && k == kind);
+            let newer = state
+                .history
+                .iter()
+                .filter(|(at, k, ..)| *at > after && k == kind);
             let events: Vec<String> = newer
                 .map(|(at, _, name, spec, deleted)| {
                     let object = object_text(name, *at, spec);
@@ -401,7 +457,11 @@
                 let at = state.revision;
                 return Some(format!("{{\"events\":[{}],\"at\":{at}}}", events.join(",")));
             }
-            state = self.changed.wait_timeout(state, left.min(ms(50))).unwrap().0;
+            state = self
+                .changed
+                .wait_timeout(state, left.min(ms(50)))
+                .unwrap()
+                .0;
         }
     }
 }
@@ -452,7 +512,13 @@
 }
 
 impl Runner {
-    pub fn new(id: &str, version: &str, prefill: u64, interval: u64, rec: &Arc<Record>) -> Arc<Self> {
+    pub fn new(
+        id: &str,
+        version: &str,
+        prefill: u64,
+        interval: u64,
+        rec: &Arc<Record>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             id: id.to_owned(),
             address: free_address(),
@@ -500,7 +566,11 @@
         listener.set_nonblocking(true).expect("non-blocking");
         self.born.store(unix_ms(), Ordering::SeqCst);
         self.is_up.store(true, Ordering::SeqCst);
-        self.record.line(&format!("runner {}: starts at version {}", self.id, self.version()));
+        self.record.line(&format!(
+            "runner {}: starts at version {}",
+            self.id,
+            self.version()
+        ));
         let runner = self.clone();
         thread::spawn(move || {
             while runner.is_up.load(Ordering::SeqCst) {
@@ -571,7 +641,10 @@
     }
 
     fn handle(&self, request: &Message, stream: &mut TcpStream) -> bool {
-        let call = request.header("x-zinniawing-attempt-id").unwrap_or("-").to_owned();
+        let call = request
+            .header("x-zinniawing-attempt-id")
+            .unwrap_or("-")
+            .to_owned();
         let limit = self.limit.lock().unwrap().clone();
         let limit = limit.map_or(String::new(), |limit| format!("server-limit: {limit}\r\n"));
         let echo = format!("x-zinniawing-attempt-id: {call}\r\n{limit}");
@@ -600,7 +673,8 @@
             return reply(stream, 421, &headers, b"");
         }
         if self.is_full.load(Ordering::SeqCst) {
-            self.record.line(&format!("runner {}: full, does not run {call}", self.id));
+            self.record
+                .line(&format!("runner {}: full, does not run {call}", self.id));
             let headers = format!("{echo}x-zinniawing-not-executed: 1\r\n");
             return reply(stream, 503, &headers, b"");
         }
@@ -609,12 +683,23 @@
 
     fn run(&self, request: &Message, call: &str, limit: &str, stream: &mut TcpStream) -> bool {
         let version = self.version();
-        let from = request.header("last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0_u64);
+        let from = request
+            .header("last-event-id")
+            .and_then(|n| n.parse().ok())
+            .unwrap_or(0_u64);
         let usage = request.header("x-zinniawing-token-usage").unwrap_or("0,0");
-        let tokens: u64 = usage.split(',').nth(1).and_then(|n| n.trim().parse().ok()).unwrap_or(0);
+        let tokens: u64 = usage
+            .split(',')
+            .nth(1)
+            .and_then(|n| n.trim().parse().ok())
+            .unwrap_or(0);
         let last = tokens.div_ceil(7);
         let number = self.run_count.fetch_add(1, Ordering::SeqCst) + 1;
-        let text = format!("runner {} ({version}): runs {call} from event {}", self.id, from + 1);
+        let text = format!(
+            "runner {} ({version}): runs {call} from event {}",
+            self.id,
+            from + 1
+        );
         self.record.line(&text);
         thread::sleep(self.prefill);
         let head = format!(
@@ -633,7 +718,8 @@
         }
         for id in from + 1..=last {
             if has_part && id > from + 1 && self.crashes_under_part.load(Ordering::SeqCst) {
-                self.record.line(&format!("runner {}: crashes under {call}", self.id));
+                self.record
+                    .line(&format!("runner {}: crashes under {call}", self.id));
                 self.part_crashes.lock().unwrap().push(Instant::now());
                 self.stop();
                 return false;
@@ -641,17 +727,24 @@
             let event = format!("id: {id}\ndata: {version} {} {id}\n\n", self.id);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).is_err() {
-                self.record.line(&format!("runner {}: {call} was closed at event {id}", self.id));
+                self.record.line(&format!(
+                    "runner {}: {call} was closed at event {id}",
+                    self.id
+                ));
                 return false;
             }
             thread::sleep(self.event_interval);
         }
         let one_in = self.breaks_one_in.load(Ordering::SeqCst);
         if one_in > 0 && number % one_in == 0 {
-            self.record.line(&format!("runner {}: {call} is broken off before its end", self.id));
+            self.record.line(&format!(
+                "runner {}: {call} is broken off before its end",
+                self.id
+            ));
             return false;
         }
-        self.record.line(&format!("runner {}: {call} is complete", self.id));
+        self.record
+            .line(&format!("runner {}: {call} is complete", self.id));
         stream.write_all(b"0\r\n\r\n").is_ok()
     }
 }
@@ -693,7 +786,11 @@
 
     /// Starts the command of the deploy file.
     pub fn start(&mut self) {
-        let log = File::options().create(true).append(true).open(&self.log).expect("a log");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("a log");
         let child = Command::new("target/release/zinniawing")
             .args(["edge", "--metrics-port", "9464"])
             .env("ZINNIAWING_SETTINGS", &self.settings)
@@ -740,22 +837,13 @@
         let Some(child) = &self.child else { return };
         let id = child.lock().unwrap().id().to_string();
         self.record.line(&format!("node {}: SIGTERM", self.name));
-        let sent = Command::new("sh").args(["-c", "kill -TERM \"$0\"", &id]).status();
+        let sent = Command::new("sh")
+            .args(["-c", "kill -TERM \"$0\"", &id])
+            .status();
         if !sent.is_ok_and(|status| status.success()) {
             give_up("the signal could not be sent");
         }
     }
-
-    /// Peak of the memory of the process, in kB.
-    pub fn peak_kb(&self) -> u64 {
-        let Some(child) = &self.child else { return 0 };
-        let id = child.lock().unwrap().id();
-        let status = fs::read_to_string(format!("/proc/{id}/status"));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-        let digits = line.map(|l| l.chars().filter(char::is_ascii_digit).collect::<String>());
-        digits.and_then(|d| d.parse().ok()).unwrap_or(0)
-    }
 }
 
 impl Drop for Node {
@@ -779,7 +867,13 @@
     exit(2);
 }
 
-fn settings_text(name: &str, ip: Ipv4Addr, ports: Ports, seed: Ipv4Addr, store: SocketAddr) -> String {
+fn settings_text(
+    name: &str,
+    ip: Ipv4Addr,
+    ports: Ports,
+    seed: Ipv4Addr,
+    store: SocketAddr,
+) -> String {
     let base = ports.base;
     let (ready, control, directory) = (base + 1, base + 2, base + 3);
     let (first, last) = (base + 4, base + 15);
@@ -812,15 +906,13 @@
 }
 
 /// Starts one node for each address of the store.
-pub fn start_nodes_at(
-    stores: &[SocketAddr],
-    folder: &PathBuf,
-    record: &Arc<Record>,
-) -> Vec<Node> {
+pub fn start_nodes_at(stores: &[SocketAddr], folder: &PathBuf, record: &Arc<Record>) -> Vec<Node> {
     let draw = std::process::id() ^ unix_ms() as u32;
     let net = [127, 20 + (draw % 200) as u8, 1 + (draw / 200 % 250) as u8];
     let ip = |n: u8| Ipv4Addr::new(net[0], net[1], net[2], 10 + n);
-    let ports = Ports { base: 21_000 + (draw % 9_000) as u16 };
+    let ports = Ports {
+        base: 21_000 + (draw % 9_000) as u16,
+    };
     let mut nodes = Vec::new();
     for (n, store) in (0..).zip(stores) {
         let name = format!("edge-z-a-{}", n + 1);
@@ -829,7 +921,13 @@
         fs::write(&settings, text).expect("a temporary file");
         let log = folder.join(format!("{name}.log"));
         let mut node = Node {
-            name, ip: ip(n), ports, settings, log, child: None, record: record.clone(),
+            name,
+            ip: ip(n),
+            ports,
+            settings,
+            log,
+            child: None,
+            record: record.clone(),
         };
         node.start();
         nodes.push(node);
@@ -854,7 +952,10 @@
 
 impl Got {
     fn versions(&self) -> BTreeSet<String> {
-        self.events.iter().map(|(_, version)| version.clone()).collect()
+        self.events
+            .iter()
+            .map(|(_, version)| version.clone())
+            .collect()
     }
 
     fn last_event(&self) -> Option<u64> {
@@ -880,7 +981,12 @@
 impl Client {
     pub fn new(address: SocketAddr, record: &Arc<Record>) -> Self {
         let parts = "aa01:200,".to_owned();
-        Self { address, parts, connection: None, record: record.clone() }
+        Self {
+            address,
+            parts,
+            connection: None,
+            record: record.clone(),
+        }
     }
 
     /// Sends one attempt and reads its answer, of which `on_event` sees each event and may
@@ -892,7 +998,10 @@
         taken_up: Option<&TakenUp>,
         mut on_event: impl FnMut(u64) -> bool,
     ) -> Got {
-        let mut got = Got { id: id.to_owned(), ..Got::default() };
+        let mut got = Got {
+            id: id.to_owned(),
+            ..Got::default()
+        };
         let result = self.exchange(&mut got, tokens, taken_up, &mut on_event);
         if let Err(error) = result {
             got.error = error;
@@ -931,20 +1040,34 @@
              x-zinniawing-prefix-hash: {2}{1:x}:600\r\n\
              x-zinniawing-deadline-ms: 25000\r\napi-key: {KEY}\r\ncontent-length: 6\r\n",
             got.id,
-            got.id.bytes().fold(7_u64, |h, b| h.wrapping_mul(31).wrapping_add(b.into())),
+            got.id
+                .bytes()
+                .fold(7_u64, |h, b| h.wrapping_mul(31).wrapping_add(b.into())),
             self.parts
         );
         if let Some(part) = taken_up {
-            request += &format!("last-event-id: {}\r\nresumes: {}\r\n", part.last_event, part.resumes);
+            request += &format!(
+                "last-event-id: {}\r\nresumes: {}\r\n",
+                part.last_event, part.resumes
+            );
         }
         request += "\r\nprompt";
-        self.record.line(&format!("client: sends {} to {}", got.id, self.address));
-        input.get_mut().write_all(request.as_bytes()).map_err(|e| e.to_string())?;
+        self.record
+            .line(&format!("client: sends {} to {}", got.id, self.address));
+        input
+            .get_mut()
+            .write_all(request.as_bytes())
+            .map_err(|e| e.to_string())?;
         let head = read_head(input).ok_or("closed without an answer")?;
         got.status = head.status();
-        let closes = head.header("connection").is_some_and(|v| v.contains("close"));
+        let closes = head
+            .header("connection")
+            .is_some_and(|v| v.contains("close"));
         if head.header("transfer-encoding").is_none() {
-            let length = head.header("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
+            let length = head
+                .header("content-length")
+                .and_then(|n| n.parse().ok())
+                .unwrap_or(0);
             let mut body = vec![0; length];
             input.read_exact(&mut body).map_err(|e| e.to_string())?;
             got.is_complete = true;
@@ -1028,24 +1151,35 @@
 impl Scene {
     fn new(out: &PathBuf) -> Self {
         let file = File::create(out.join("record.txt")).expect("a record");
-        let record = Arc::new(Record { file: Mutex::new(file), start: Instant::now() });
+        let record = Arc::new(Record {
+            file: Mutex::new(file),
+            start: Instant::now(),
+        });
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let store = Store::start(&record);
         store.put("config", "main", &config_text(1));
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
         record.line(&format!("trouble: {trouble}"));
-        Self { record, store, folder, trouble }
+        Self {
+            record,
+            store,
+            folder,
+            trouble,
+        }
     }
 
     fn register(&self, runner: &Arc<Runner>) {
-        self.store.put("servers", &runner.id, &runner.entry("ready"));
+        self.store
+            .put("servers", &runner.id, &runner.entry("ready"));
     }
 }
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
-    let [_, case, out] = args.as_slice() else { give_up("usage: standin CASE FOLDER") };
+    let [_, case, out] = args.as_slice() else {
+        give_up("usage: standin CASE FOLDER")
+    };
     let out = PathBuf::from(out);
     thread::spawn(|| {
         thread::sleep(CASE_TIME_MAX);
@@ -1063,6 +1197,13 @@
         _ => give_up("no such case"),
     };
     drop(scene);
-    println!("{}", if is_broken { "the rule was broken" } else { "the rule held" });
+    println!(
+        "{}",
+        if is_broken {
+            "the rule was broken"
+        } else {
+            "the rule held"
+        }
+    );
     exit(i32::from(is_broken));
 }
