--- a/review/cases.rs
+++ b/review/cases.rs
@@ -416,7 +416,7 @@
         .ok()
         .and_then(|n| n.parse().ok())
         .unwrap_or(16);
-    let runners: Vec<Arc<Runner>> = (0..8)
+    let runners: Vec<Arc<Runner>> = (0..16)
         .map(|n| Runner::new(&format!("i-r{n}"), "v1", 30, 50, &scene.record))
         .collect();
     for runner in &runners {
@@ -431,7 +431,7 @@
             loop {
                 sleep(20);
                 if !runner.is_up.load(Ordering::SeqCst) {
-                    sleep(1_500);
+                    sleep(3_000);
                     runner.start();
                     store.put("servers", &runner.id, &runner.entry("ready"));
                 }
