Withdraw the origin of a run that goes on through a peer

Cause: the node had recorded in the store to which version it sent the run, and left that record when it sent the call through a peer, which recorded where the run began. A search took either record. Change: a node that relays a run withdraws its record, and passes events on only after a write without it was acknowledged. Differing records of one run count as unknown. An earlier read counts only if the list can't be read now.

--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -309,6 +309,10 @@
         self.stored_origins.record(key, origin);
     }
 
+    fn withdraw_origin(&self, key: RunKey) {
+        self.stored_origins.withdraw(key);
+    }
+
     async fn wait_for_origin_correction(&self, key: RunKey) -> bool {
         self.stored_origins.wait_for_correction(key).await
     }
--- a/src/edge/run_origin_log.rs
+++ b/src/edge/run_origin_log.rs
@@ -34,8 +34,9 @@
 pub(crate) struct RunOriginLog {
     records: VecDeque<OriginRecord>,
     keys: BTreeSet<RunKey>,
-    /// Runs whose version changed after a write may have included the earlier one.
-    changed: BTreeSet<RunKey>,
+    /// Runs of which the store may have a record that no longer holds: their version has
+    /// changed, or their record was withdrawn, after a write may have included it.
+    outdated: BTreeSet<RunKey>,
 }
 
 impl RunOriginLog {
@@ -66,37 +67,46 @@
         };
         if record.software_version != software_version {
             record.software_version = software_version;
-            self.changed.insert(key);
+            self.outdated.insert(key);
         }
     }
 
-    /// Whether the version of the run has changed since it was first recorded, and no
-    /// write of the new one was acknowledged. The store may then have the earlier one.
-    pub(crate) fn is_change_unwritten(&self, key: RunKey) -> bool {
-        self.changed.contains(&key)
+    /// Removes the record of a run that another node sends to its origin from now on, and
+    /// records where it begins.
+    pub(crate) fn withdraw(&mut self, key: RunKey) {
+        if self.keys.remove(&key) {
+            self.records.retain(|record| record.key != key);
+            self.outdated.insert(key);
+        }
+    }
+
+    /// Whether the store may have a record of the run that no longer holds.
+    pub(crate) fn is_outdated_in_store(&self, key: RunKey) -> bool {
+        self.outdated.contains(&key)
+    }
+
+    /// Whether the store may have records that no longer hold, of any run.
+    pub(crate) fn has_outdated_in_store(&self) -> bool {
+        !self.outdated.is_empty()
     }
 
-    /// Applies that a write of these records was acknowledged.
+    /// Applies that a write was acknowledged, after which the store has just these records
+    /// of this node.
     pub(crate) fn record_written(&mut self, written: &[OriginRecord]) {
-        if self.changed.is_empty() {
+        if self.outdated.is_empty() {
             return;
         }
-        let current: BTreeMap<RunKey, &SoftwareVersion> = self
-            .records
-            .iter()
-            .map(|record| (record.key, &record.software_version))
-            .collect();
-        for record in written {
-            if current.get(&record.key) == Some(&&record.software_version) {
-                self.changed.remove(&record.key);
-            }
-        }
+        let current = versions(&self.records);
+        let written = versions(written);
+        let is_outdated =
+            |key: &RunKey| written.contains_key(key) && written.get(key) != current.get(key);
+        self.outdated.retain(is_outdated);
     }
 
     /// Adds the records that this node wrote before it was restarted.
     pub(crate) fn merge(&mut self, earlier: Vec<OriginRecord>, now_unix_ms: u64) {
         for record in earlier {
-            if self.keys.insert(record.key) {
+            if !self.outdated.contains(&record.key) && self.keys.insert(record.key) {
                 self.records.push_back(record);
             }
         }
@@ -112,7 +122,7 @@
             && (self.records.len() > RECORDS_MAX || !oldest.is_within(lifetime_ms, now_unix_ms))
         {
             self.keys.remove(&oldest.key);
-            self.changed.remove(&oldest.key);
+            self.outdated.remove(&oldest.key);
             self.records.pop_front();
         }
     }
@@ -126,3 +136,13 @@
             .collect()
     }
 }
+
+/// The versions that records name, by run.
+fn versions<'a>(
+    records: impl IntoIterator<Item = &'a OriginRecord>,
+) -> BTreeMap<RunKey, &'a SoftwareVersion> {
+    let records = records.into_iter();
+    records
+        .map(|record| (record.key, &record.software_version))
+        .collect()
+}
--- a/src/edge/stored_run_origins.rs
+++ b/src/edge/stored_run_origins.rs
@@ -64,10 +64,15 @@
     deletes: Mutex<DeleteBudget>,
 }
 
+/// Origins that were read; `None` for a run whose records differ. A node that can't reach
+/// the upstreams sends its runs through a peer, and one that runs an earlier build leaves its
+/// record in place.
+type OriginsRead = BTreeMap<RunKey, Option<Arc<RunOrigin>>>;
+
 /// What the last read of the list returned.
 #[derive(Debug, Default)]
 struct Found {
-    origins: BTreeMap<RunKey, Arc<RunOrigin>>,
+    origins: OriginsRead,
     /// Time until which the list is not read again.
     valid_until: Option<Instant>,
     /// Whether the last read returned the objects of all nodes.
@@ -77,17 +82,13 @@
 }
 
 impl Found {
-    fn add(&mut self, object: &RunOriginObject, now_unix_ms: u64) {
-        let mut origins: BTreeMap<(&str, &str), Arc<RunOrigin>> = BTreeMap::new();
-        for record in &object.records {
-            let is_useful = record.is_within(RECORD_AGE_MAX_MS, now_unix_ms);
-            if !is_useful || self.origins.len() >= RECORDS_READ_MAX {
-                continue;
-            }
-            let version = (record.service.as_str(), record.software_version.as_str());
-            let origin = origins.entry(version).or_insert_with(|| origin_of(record));
-            self.origins.insert(record.key, origin.clone());
+    /// Adds what a read returned. One that was not complete leaves the others as they are.
+    fn apply(&mut self, list: &ObjectList, now_unix_ms: u64) {
+        if list.is_complete {
+            self.origins.clear();
         }
+        self.origins.extend(list.origins(now_unix_ms));
+        self.is_complete = list.is_complete;
     }
 }
 
@@ -109,6 +110,26 @@
     is_complete: bool,
 }
 
+impl ObjectList {
+    /// The origins of the runs in these objects.
+    fn origins(&self, now_unix_ms: u64) -> OriginsRead {
+        let mut shared: BTreeMap<(&str, &str), Arc<RunOrigin>> = BTreeMap::new();
+        let mut origins = OriginsRead::new();
+        let records = self.objects.iter().flat_map(|object| &object.records);
+        for record in records.filter(|r| r.is_within(RECORD_AGE_MAX_MS, now_unix_ms)) {
+            let version = (record.service.as_str(), record.software_version.as_str());
+            let origin = shared.entry(version).or_insert_with(|| origin_of(record));
+            let earlier = origins.get(&record.key).cloned().flatten();
+            if earlier.is_some_and(|earlier| earlier != *origin) {
+                origins.insert(record.key, None);
+            } else if origins.len() < RECORDS_READ_MAX {
+                origins.entry(record.key).or_insert(Some(origin.clone()));
+            }
+        }
+        origins
+    }
+}
+
 /// Limits how many objects of other nodes a node deletes.
 #[derive(Debug, Default)]
 struct DeleteBudget {
@@ -177,11 +198,16 @@
         lock(&self.log).record(key, origin, unix_ms());
     }
 
+    /// Withdraws the record of a run that a peer runs from now on.
+    pub(crate) fn withdraw(&self, key: RunKey) {
+        lock(&self.log).withdraw(key);
+    }
+
     /// Waits until the store can't have another origin of the run than the last one
     /// recorded; false if that takes longer than [`CORRECTION_TIMEOUT`].
     pub(crate) async fn wait_for_correction(&self, key: RunKey) -> bool {
         let deadline = Instant::now() + CORRECTION_TIMEOUT;
-        while lock(&self.log).is_change_unwritten(key) {
+        while lock(&self.log).is_outdated_in_store(key) {
             if Instant::now() >= deadline {
                 return false;
             }
@@ -226,7 +252,8 @@
         if services.is_empty() {
             return self.delete_own(own).await;
         }
-        if self.recent(services).iter().all(|record| own.has(record)) {
+        let is_written = self.recent(services).iter().all(|record| own.has(record));
+        if is_written && !lock(&self.log).has_outdated_in_store() {
             return Ok(());
         }
         let exists = self.check_exists(own).await?;
@@ -279,6 +306,7 @@
     async fn delete_own(&self, own: &mut OwnObject) -> Result<(), StoreFailure> {
         own.written.clear();
         if !own.may_exist {
+            lock(&self.log).record_written(&[]);
             return Ok(());
         }
         own.exists = None;
@@ -289,34 +317,32 @@
             self.node
         );
         own.may_exist = false;
+        lock(&self.log).record_written(&[]);
         Ok(())
     }
 
     /// Looks for the origin of a run in the store, within [`FIND_TIMEOUT`]. A read
-    /// that takes longer goes on for the caller's next try.
+    /// that takes longer goes on for the caller's next try. Only if the store can't be read,
+    /// an earlier read counts, since a node may have corrected its record in the meantime.
     pub(crate) async fn find(
         self: &Arc<Self>,
         key: RunKey,
         service: &str,
         node_count: usize,
     ) -> OriginSearch {
-        if let Some(origin) = self.found(key) {
-            return OriginSearch::Found(origin);
-        }
         let this = self.clone();
         let read = tokio::spawn(async move { this.read_if_due(node_count).await });
         let is_complete = tokio::time::timeout(FIND_TIMEOUT, read).await;
         match (self.found(key), is_complete) {
-            (Some(origin), _) => OriginSearch::Found(origin),
+            (Some(Some(origin)), _) => OriginSearch::Found(origin.as_ref().clone()),
+            (Some(None), _) => OriginSearch::Unknown,
             (None, Ok(Ok(true))) => OriginSearch::Absent(self.served_versions(service)),
             (None, _) => OriginSearch::Unknown,
         }
     }
 
-    fn found(&self, key: RunKey) -> Option<RunOrigin> {
-        let found = lock(&self.found);
-        let origin = found.origins.get(&key)?;
-        Some(origin.as_ref().clone())
+    fn found(&self, key: RunKey) -> Option<Option<Arc<RunOrigin>>> {
+        lock(&self.found).origins.get(&key).cloned()
     }
 
     fn served_versions(&self, service: &str) -> BTreeSet<SoftwareVersion> {
@@ -341,12 +367,7 @@
         let served = self.count_call(self.store.list_service_versions()).await;
         let now_unix_ms = unix_ms();
         let mut found = std::mem::take(&mut *lock(&self.found));
-        if list.is_complete {
-            found.origins.clear();
-        }
-        for object in &list.objects {
-            found.add(object, now_unix_ms);
-        }
+        found.apply(&list, now_unix_ms);
         log::info!(
             "event=run_origins_read pages={} objects={} runs={} is_complete={}",
             list.page_count,
@@ -355,7 +376,6 @@
             list.is_complete
         );
         found.valid_until = Some(Instant::now() + read_interval(node_count, list.page_count));
-        found.is_complete = list.is_complete;
         found.served = served.unwrap_or_default();
         *lock(&self.found) = found;
         let this = self.clone();
--- a/src/edge/tests/run_origin_log.rs
+++ b/src/edge/tests/run_origin_log.rs
@@ -94,14 +94,34 @@
     let services = BTreeSet::from(["llm".to_owned()]);
     log.record(1, &origin("llm", Some("v1")), 0);
     let written_before = log.of_services(&services);
-    assert!(!log.is_change_unwritten(1));
+    assert!(!log.is_outdated_in_store(1));
 
     log.record(1, &origin("llm", Some("v2")), 1);
     log.record_written(&written_before);
-    assert!(log.is_change_unwritten(1), "the store has the earlier one");
+    assert!(log.is_outdated_in_store(1), "the store has the earlier one");
 
     let written = log.of_services(&services);
     log.record_written(&written);
-    assert!(!log.is_change_unwritten(1));
+    assert!(!log.is_outdated_in_store(1));
     assert_eq!(written[0].software_version, "v2");
 }
+
+#[test]
+fn a_withdrawn_record_is_outdated_until_a_write_without_it_is_acknowledged() {
+    let mut log = RunOriginLog::default();
+    let services = BTreeSet::from(["llm".to_owned()]);
+    log.record(1, &origin("llm", Some("v1")), 0);
+    let written_before = log.of_services(&services);
+
+    log.withdraw(1);
+    log.record_written(&written_before);
+    log.merge(written_before, 1);
+
+    assert!(log.is_outdated_in_store(1));
+    assert_eq!(keys(&log, "llm"), Vec::<RunKey>::new());
+
+    let written = log.of_services(&services);
+    log.record_written(&written);
+
+    assert!(!log.has_outdated_in_store());
+}
--- a/src/forward/caller_resume.rs
+++ b/src/forward/caller_resume.rs
@@ -110,13 +110,11 @@
     /// sends the first event. The prompt takes longer to process than the write, so
     /// that the record is there before a caller could ask for the rest.
     pub(super) fn record_sent_to(&self, upstream: &Upstream) {
-        let headers = &self.call.headers;
         if self.origin.is_none()
-            && let Some(id) = &headers.call_id
+            && let Some(run) = self.call.new_run()
         {
             let origin = RunOrigin::at(upstream);
-            let node = &self.forwarder.node;
-            node.record_sent_to(run_key(id.as_bytes()), &origin);
+            self.forwarder.node.record_sent_to(run, &origin);
         }
     }
 
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -75,6 +75,8 @@
     /// Has the platform's store keep the origin to which a run is sent, before its
     /// first event.
     fn record_sent_to(&self, key: RunKey, origin: &RunOrigin);
+    /// Withdraws that record, because a peer sends the run to its origin, and records it.
+    fn withdraw_origin(&self, key: RunKey);
     /// Waits until the store can't name an origin of the run to which it was sent
     /// before; false if that fails.
     fn wait_for_origin_correction(&self, key: RunKey) -> impl Future<Output = bool> + Send;
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use futures_util::stream;
+use futures_util::{TryFutureExt, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Response};
@@ -13,6 +13,7 @@
 use super::connection::{Connection, ConnectionPool, SendFailure};
 use super::forwarder::{Forwarder, NodeContext};
 use super::request::Call;
+use super::run_origin::RunKey;
 use super::send_history::SendHistory;
 use crate::http::{self, HttpResponse, TruncatedResponse};
 use crate::id::NodeId;
@@ -88,7 +89,7 @@
 
     /// Relays a call as it arrives, if this node can't reach its service. The peer
     /// counts it in its retry budget.
-    pub(super) async fn relay_on_arrival(&self, call: &Call) -> Option<HttpResponse> {
+    pub(super) async fn relay_on_arrival(self: &Arc<Self>, call: &Call) -> Option<HttpResponse> {
         let sends = SendHistory::new();
         if !self.should_relay(call, &sends) {
             return None;
@@ -106,7 +107,7 @@
 
     /// Relays a call whose sends all failed, if it may be sent again.
     pub(super) async fn relay_after_failures(
-        &self,
+        self: &Arc<Self>,
         call: &Call,
         sends: &SendHistory,
     ) -> Option<HttpResponse> {
@@ -135,8 +136,16 @@
     }
 
     /// Sends the call to one peer after the other until one answers it.
-    async fn relay(&self, call: &Call, sends: &SendHistory, is_counted: bool) -> RelayOutcome {
+    async fn relay(
+        self: &Arc<Self>,
+        call: &Call,
+        sends: &SendHistory,
+        is_counted: bool,
+    ) -> RelayOutcome {
         let may_repeat = call.matched.route.kind.may_repeat();
+        if let Some(run) = call.new_run() {
+            self.node.withdraw_origin(run);
+        }
         let mut tried: Vec<NodeId> = Vec::new();
         let mut outcome = RelayOutcome::NotRun;
         while tried.len() < PEERS_TRIED_MAX {
@@ -189,9 +198,10 @@
     }
 
     /// Passes the peer's answer on: events as they arrive, any other body once it is
-    /// complete.
+    /// complete. Events wait until the store has no record by this node of where the stream
+    /// was to begin, since the peer may have sent it to another version.
     async fn pass_on(
-        &self,
+        self: &Arc<Self>,
         call: &Call,
         peer: &RelayPeer,
         response: Response<Incoming>,
@@ -207,7 +217,9 @@
                 _peer_call: peer.calls.clone(),
                 _in_flight: call.in_flight.clone(),
             };
-            return RelayOutcome::Answered(HttpResponse::from_parts(head, body.into_frames()));
+            let withdrawn = self.clone().wait_until_withdrawn(call.new_run());
+            let frames = body.into_frames(withdrawn);
+            return RelayOutcome::Answered(HttpResponse::from_parts(head, frames));
         }
         let collected = tokio::time::timeout_at(call.deadline.into(), body.collect()).await;
         let Ok(Ok(collected)) = collected else {
@@ -220,6 +232,17 @@
 }
 
 impl<N: NodeContext> Forwarder<N> {
+    /// Waits until the store has no record by this node of where the run was to begin. Fails
+    /// if that takes too long.
+    async fn wait_until_withdrawn(
+        self: Arc<Self>,
+        run: Option<RunKey>,
+    ) -> Result<(), TruncatedResponse> {
+        let Some(run) = run else { return Ok(()) };
+        let is_withdrawn = self.node.wait_for_origin_correction(run).await;
+        is_withdrawn.then_some(()).ok_or(TruncatedResponse)
+    }
+
     /// Records what an upstream says of itself in an answer that a peer got from it. A rest
     /// or a limit is the peer's to keep.
     fn record_relayed_statements(&self, headers: &HeaderMap) {
@@ -232,11 +255,16 @@
 }
 
 impl RelayedBody {
-    fn into_frames(self) -> http::ResponseBody {
+    /// The frames of the body, once `ready` has completed.
+    fn into_frames(
+        self,
+        ready: impl Future<Output = Result<(), TruncatedResponse>> + Send + 'static,
+    ) -> http::ResponseBody {
         let frames = stream::unfold(self, |mut relayed| async move {
             let frame = relayed.body.frame().await?;
             Some((frame.map_err(|_| TruncatedResponse), relayed))
         });
+        let frames = ready.map_ok(|()| frames).try_flatten_stream();
         BodyExt::boxed_unsync(StreamBody::new(frames))
     }
 }
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -8,6 +8,7 @@
 use hyper::{HeaderMap, Method, Request, Uri};
 
 use super::route_table::MatchedRoute;
+use super::run_origin::{RunKey, run_key};
 use crate::hash::Fnv;
 use crate::id::{Fingerprint, ServiceId};
 use crate::platform::call::{self, CallHeaders, RelayHeaders, UpstreamHeaders};
@@ -87,6 +88,14 @@
         self.headers.resumes.as_ref()?.to_str().ok()
     }
 
+    /// Key of the run that begins with this call, if it is a stream and does not resume an
+    /// earlier one.
+    pub(crate) fn new_run(&self) -> Option<RunKey> {
+        let begins_run = self.matched.route.kind.is_stream() && self.headers.last_event.is_none();
+        let id = self.headers.call_id.as_ref().filter(|_| begins_run)?;
+        Some(run_key(id.as_bytes()))
+    }
+
     /// What may crash an upstream that runs this call: the request as a whole, and
     /// then the parts of its prompt that other calls may share.
     pub(crate) fn features(&self) -> Vec<Fingerprint> {
--- a/tests/software_versions/main.rs
+++ b/tests/software_versions/main.rs
@@ -9,5 +9,6 @@
 mod killed_nodes;
 mod nodes_out_of_step;
 mod one_answer;
+mod relayed;
 mod resumes;
 mod stored_origins;
