Have streams that go on wait for the permits that they need

Cause: a stream that goes on needs one permit for the report that shows its engine's incarnation and one for itself, both at the same moment. A bucket never has two below 2.2 a second, so the first was spent in vain at one engine after the other. Change: the call's permit pays for the report, and the call waits for another one. A stream that has begun waits for a permit that is expected within 2.5 s.

--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -5,7 +5,7 @@
 //! at once; this is how a call is cancelled.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -60,9 +60,23 @@
     /// Task that reads from and writes to the socket. Aborting it closes the
     /// connection.
     _driver: AbortOnDropHandle<()>,
+    /// Referenced by the driver alone until the connection is closed.
+    open: Weak<()>,
     is_reused: bool,
 }
 
+/// Tells whether a connection, which may be in use, is still open.
+#[derive(Clone, Debug)]
+pub(crate) struct ConnectionLife(Weak<()>);
+
+impl ConnectionLife {
+    /// Whether neither side has closed the connection, as far as this node has seen. After
+    /// a restart of the peer's host, keep-alive probes close it.
+    pub(crate) fn is_open(&self) -> bool {
+        self.0.strong_count() > 0
+    }
+}
+
 impl Connection {
     async fn open(address: SocketAddr) -> Result<Self, SendFailure> {
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
@@ -79,12 +93,16 @@
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|_| SendFailure::NotSent("handshake failed"))?;
         // A failure of the driver also fails the request or the answer's body.
+        let is_open = Arc::new(());
+        let open = Arc::downgrade(&is_open);
         let driver = tokio::spawn(async move {
+            let _is_open = is_open;
             let _ = driver.await;
         });
         Ok(Self {
             sender,
             _driver: AbortOnDropHandle::new(driver),
+            open,
             is_reused: false,
         })
     }
@@ -94,6 +112,11 @@
         self.is_reused
     }
 
+    /// Tells whether the connection is open, wherever it is.
+    pub(crate) fn life(&self) -> ConnectionLife {
+        ConnectionLife(self.open.clone())
+    }
+
     /// Whether the upstream has closed the connection.
     fn is_closed(&self) -> bool {
         self.sender.is_closed()
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -21,6 +21,7 @@
 use super::run_origin::{OriginSearch, RunKey, RunOrigin, RunOrigins};
 use super::sessions::Sessions;
 use super::upstream::Upstream;
+use super::upstream_permits::PermitWait;
 use crate::error::{Error, ErrorKind};
 use crate::http::{self, HttpResponse, read_body};
 use crate::id::{DataCentreId, NodeId, ServiceId, UpstreamId, Version};
@@ -360,24 +361,24 @@
 
     /// Chooses among the upstreams of a service like [`Self::choose_upstream`], and
     /// gets a permit to send to the chosen one. If none of those that are left has
-    /// room, returns the time after which the caller may return.
+    /// room, returns when the call or its caller may try again.
     pub(crate) async fn choose_permitted(
         &self,
         tried: &[Arc<Upstream>],
         choose: impl Fn(&[Arc<Upstream>]) -> Option<Arc<Upstream>>,
-    ) -> Result<Arc<Upstream>, Option<Duration>> {
+    ) -> Result<Arc<Upstream>, Option<PermitWait>> {
         let mut excluded = tried.to_vec();
-        let mut shortest_wait: Option<Duration> = None;
+        let mut waits: Vec<PermitWait> = Vec::new();
         while let Some(upstream) = choose(&excluded) {
             match self.acquire_permit(&upstream).await {
                 Ok(()) => return Ok(upstream),
                 Err(wait) => {
-                    shortest_wait = Some(shortest_wait.map_or(wait, |w| w.min(wait)));
+                    waits.push(wait);
                     excluded.push(upstream);
                 }
             }
         }
-        Err(shortest_wait)
+        Err(waits.into_iter().min_by_key(|wait| wait.of_caller()))
     }
 
     /// Spends one retry for a service from this node's share of the budget, for
--- a/src/forward/incarnation_check.rs
+++ b/src/forward/incarnation_check.rs
@@ -3,31 +3,64 @@
 //! An engine may restart under the id that it had, with other software. Until its
 //! new entry arrives, calls with that id reach it, and nothing in its answers
 //! tells the two incarnations apart. Its report on itself states its start.
+//!
+//! An engine that names a limit counts the report like a call. The permit that the call has
+//! pays for it, and the call then waits for another one; `docs/LIMITS.md` says for how long.
 
 use std::sync::Arc;
+use std::time::Instant;
 
+use super::attempt::AttemptFailure;
 use super::forwarder::{Forwarder, NodeContext};
 use super::probe::probe_engine;
 use super::upstream::{Upstream, UpstreamEntry};
+use super::upstream_permits::PERMIT_WAIT_MAX;
 use crate::observe::metrics::Counter;
 
 impl<N: NodeContext> Forwarder<N> {
-    /// Whether the engine reports that it is the incarnation that registered. One
-    /// that restarted is known from now on as an incarnation whose software version
-    /// is unknown.
-    pub(crate) async fn is_registered_incarnation(&self, upstream: &Arc<Upstream>) -> bool {
-        if self.acquire_permit(upstream).await.is_err() {
-            return false;
+    /// Checks that the engine is the incarnation that registered, before a call for which
+    /// this node has a permit is sent to it. One that restarted is known from now on as an
+    /// incarnation whose software version is unknown.
+    pub(super) async fn check_incarnation(
+        &self,
+        upstream: &Arc<Upstream>,
+    ) -> Result<(), AttemptFailure> {
+        if !upstream.counts_probes() {
+            let reported = self.request_start(upstream).await?;
+            return self.compare_start(upstream, reported);
+        }
+        let wait_ends_at = Instant::now() + PERMIT_WAIT_MAX;
+        loop {
+            if let Some(reported) = upstream.reported_start(Instant::now()) {
+                return self.compare_start(upstream, reported);
+            }
+            if upstream.is_resting() {
+                return Err(AttemptFailure::Resting);
+            }
+            let reported = self.request_start(upstream).await?;
+            self.compare_start(upstream, reported)?;
+            if !self.wait_for_permit(upstream, wait_ends_at).await {
+                return Err(AttemptFailure::Resting);
+            }
         }
+    }
+
+    /// Requests the start of the engine's incarnation, in Unix milliseconds.
+    async fn request_start(&self, upstream: &Arc<Upstream>) -> Result<u64, AttemptFailure> {
         self.metrics.add(Counter::EngineProbes, 1);
-        let Ok(report) = probe_engine(upstream).await else {
-            return false;
-        };
+        match probe_engine(upstream).await {
+            Ok(report) => Ok(report.born_unix_ms),
+            Err(_) if upstream.is_resting() => Err(AttemptFailure::Resting),
+            Err(_) => Err(AttemptFailure::NotSent("the engine did not report")),
+        }
+    }
+
+    fn compare_start(&self, upstream: &Upstream, reported: u64) -> Result<(), AttemptFailure> {
         let entry = &upstream.entry;
-        let (registered, reported) = (entry.born_unix_ms, report.born_unix_ms);
+        let registered = entry.born_unix_ms;
         let is_unknown = registered == 0 || reported == 0;
         if is_unknown || registered == reported {
-            return true;
+            return Ok(());
         }
         log::info!(
             "event=upstream_restarted upstream={} born={registered} reported={reported}",
@@ -38,6 +71,8 @@
             software_version: None,
             ..entry.clone()
         });
-        false
+        Err(AttemptFailure::NotSent(
+            "the engine has restarted since it registered",
+        ))
     }
 }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -31,6 +31,7 @@
 pub(crate) mod reach_monitor;
 pub(crate) mod refusal;
 pub(crate) mod relay;
+mod reported_start;
 pub(crate) mod request;
 pub(crate) mod request_crashes;
 pub(crate) mod retry_budgets;
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -14,6 +14,7 @@
 use super::send_history::SendHistory;
 use super::send_probe::SendPlan;
 use super::upstream::{Upstream, Work};
+use super::upstream_permits::PermitWait;
 use super::write_signal::WriteSignal;
 use crate::http::HttpResponse;
 use crate::observe::metrics::{Counter, Span};
@@ -266,7 +267,7 @@
         let upstream = match chosen.await {
             Ok(upstream) => upstream,
             Err(wait) => {
-                state.over_limit_wait = wait;
+                state.over_limit_wait = wait.map(PermitWait::of_caller);
                 return None;
             }
         };
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -13,9 +13,10 @@
 use tokio::sync::{broadcast, watch};
 use tokio::task::{JoinError, JoinHandle};
 
-use super::connection::{Connection, SendFailure};
+use super::connection::{Connection, ConnectionLife, SendFailure};
 use super::directory::Directory;
 use super::forwarder::{Forwarder, NodeContext};
+use super::reported_start::ReportedStart;
 use super::upstream::Upstream;
 use crate::id::DataCentreId;
 use crate::observe::metrics::{Counter, Metrics};
@@ -267,8 +268,10 @@
     tokio::spawn(async move {
         let fetching = fetch_report(&upstream, connection);
         let fetched = tokio::time::timeout(SOUND_SILENCE_MAX, fetching).await;
-        let report = fetched.ok().flatten()?;
-        upstream.record_contact(Instant::now());
+        let (report, life) = fetched.ok().flatten()?;
+        let now = Instant::now();
+        upstream.record_contact(now);
+        upstream.record_reported_start(ReportedStart::new(report.born_unix_ms, life, now));
         Some(report)
     })
 }
@@ -280,11 +283,17 @@
     fetched.ok().flatten().ok_or(ProbeFailure::Broken)
 }
 
-async fn fetch_report(upstream: &Upstream, connection: Connection) -> Option<EngineReport> {
+/// Requests the report. The connection that brought it belongs to the engine's incarnation.
+async fn fetch_report(
+    upstream: &Upstream,
+    connection: Connection,
+) -> Option<(EngineReport, ConnectionLife)> {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = REPORT_PATH.parse().ok()?;
-    let (status, body) = send_over(upstream, connection, request).await?;
-    (status == StatusCode::OK).then(|| read_report(&body))?
+    let response = send_over(upstream, connection, request).await?;
+    let is_ok = response.status == StatusCode::OK;
+    let report = is_ok.then(|| read_report(&response.body))??;
+    Some((report, response.life))
 }
 
 /// Sends a request that is not a caller's call, and reads the whole answer.
@@ -293,7 +302,8 @@
     request: Request<Full<Bytes>>,
 ) -> Option<(StatusCode, Bytes)> {
     let connection = upstream.pool.take().await.ok()?;
-    send_over(upstream, connection, request).await
+    let response = send_over(upstream, connection, request).await?;
+    Some((response.status, response.body))
 }
 
 /// Sends the request over a connection. If the answer there is one to a call, written
@@ -302,28 +312,36 @@
     upstream: &Upstream,
     connection: Connection,
     mut request: Request<Full<Bytes>>,
-) -> Option<(StatusCode, Bytes)> {
+) -> Option<ControlResponse> {
     let host = upstream.entry.address.to_string().parse().ok()?;
     request.headers_mut().insert(HOST, host);
     if upstream.is_resting() {
         upstream.pool.put(connection, None);
         return None;
     }
-    if let ControlAnswer::Own(status, body) =
+    if let ControlAnswer::Own(response) =
         exchange_over(upstream, connection, request.clone()).await?
     {
-        return Some((status, body));
+        return Some(response);
     }
     let connection = upstream.pool.open().await.ok()?;
     match exchange_over(upstream, connection, request).await? {
-        ControlAnswer::Own(status, body) => Some((status, body)),
+        ControlAnswer::Own(response) => Some(response),
         ControlAnswer::OfCall => None,
     }
 }
 
+/// The answer to a request that is no call.
+struct ControlResponse {
+    status: StatusCode,
+    body: Bytes,
+    /// Of the connection that brought it.
+    life: ConnectionLife,
+}
+
 /// What arrived where the answer to a request that is no call was due.
 enum ControlAnswer {
-    Own(StatusCode, Bytes),
+    Own(ControlResponse),
     /// An answer that names a call. Nothing in it is about this request.
     OfCall,
 }
@@ -344,8 +362,9 @@
     }
     let body = Limited::new(response.into_body(), CONTROL_ANSWER_MAX_BYTES);
     let body = body.collect().await.ok()?.to_bytes();
+    let life = connection.life();
     upstream.pool.put(connection, None);
-    Some(ControlAnswer::Own(status, body))
+    Some(ControlAnswer::Own(ControlResponse { status, body, life }))
 }
 
 impl<N: NodeContext> Forwarder<N> {
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -329,14 +329,8 @@
     ) -> Result<Attempt<Answered>, AttemptFailure> {
         let has_replica = replica.is_some();
         // A holder that restarted has no replica and refuses the call itself.
-        let needs_check = self.origin.is_some() && !has_replica;
-        if needs_check && !self.forwarder.is_registered_incarnation(upstream).await {
-            if upstream.is_resting() {
-                return Err(AttemptFailure::Resting);
-            }
-            return Err(AttemptFailure::NotSent(
-                "the engine did not report, or has restarted since it registered",
-            ));
+        if self.origin.is_some() && !has_replica {
+            self.forwarder.check_incarnation(upstream).await?;
         }
         let (own_prompt_tokens, own_calls) =
             (upstream.pending_prompt_tokens(), upstream.call_count());
--- a/src/forward/stream_choice.rs
+++ b/src/forward/stream_choice.rs
@@ -7,19 +7,32 @@
 use super::run_replica::{RunReplica, lock};
 use super::stream_call::{NextUpstream, OpenFailure, StreamRun};
 use super::upstream::Upstream;
+use super::upstream_permits::{PERMIT_WAIT_MAX, pause_before_retry};
 use crate::policy::failure_response::GiveUpReason;
 use crate::policy::placement::choose_engine;
 
 impl<N: NodeContext> StreamRun<N> {
-    /// Chooses an upstream that has room for the call.
+    /// Chooses an upstream that has room for the call. A stream that has begun waits for a
+    /// moment if none has.
     pub(super) async fn choose_upstream(&self) -> Result<Arc<Upstream>, OpenFailure> {
-        let choosing = self
-            .forwarder
-            .choose_permitted(&self.tried, |excluded| self.candidate(excluded));
-        choosing.await.map_err(|wait| match wait {
-            Some(wait) => OpenFailure::OverLimit(wait),
-            None => OpenFailure::given_up(GiveUpReason::NoUpstream, self.no_upstream_cause()),
-        })
+        let wait_ends_at = Instant::now() + PERMIT_WAIT_MAX;
+        loop {
+            let choosing = self
+                .forwarder
+                .choose_permitted(&self.tried, |excluded| self.candidate(excluded));
+            let wait = match choosing.await {
+                Ok(upstream) => return Ok(upstream),
+                Err(Some(wait)) => wait,
+                Err(None) => {
+                    let cause = self.no_upstream_cause();
+                    return Err(OpenFailure::given_up(GiveUpReason::NoUpstream, cause));
+                }
+            };
+            let may_wait = self.origin.is_some();
+            if !may_wait || !pause_before_retry(wait, wait_ends_at).await {
+                return Err(OpenFailure::OverLimit(wait.of_caller()));
+            }
+        }
     }
 
     /// Chooses the holder of the run's replica if there is one, otherwise the
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -8,6 +8,7 @@
 use tokio::sync::watch;
 
 use super::connection::ConnectionPool;
+use super::reported_start::ReportedStart;
 use super::send_probe::SendProbe;
 pub(crate) use super::upstream_entry::{
     SoftwareVersion, UpstreamEntry, UpstreamStart, version_for_log,
@@ -72,6 +73,8 @@
     notices: SharedNotices,
     /// The probe that precedes calls where one is needed.
     pub(crate) send_probe: SendProbe,
+    /// Its last report on itself.
+    reported_start: Mutex<Option<ReportedStart>>,
     /// Number of times that the upstream was marked as lost.
     losses: watch::Sender<u64>,
 }
@@ -99,6 +102,7 @@
             limit: Mutex::default(),
             notices,
             send_probe: SendProbe::default(),
+            reported_start: Mutex::default(),
             losses: watch::Sender::new(0),
             entry,
         }
@@ -299,6 +303,22 @@
         self.limit.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records a report of the upstream on itself.
+    pub(crate) fn record_reported_start(&self, reported: ReportedStart) {
+        *self.lock_reported_start() = Some(reported);
+    }
+
+    /// Start, in Unix milliseconds, of the incarnation that runs at the upstream's address;
+    /// `None` if no recent report shows it.
+    pub(crate) fn reported_start(&self, now: Instant) -> Option<u64> {
+        self.lock_reported_start().as_ref()?.get(now)
+    }
+
+    fn lock_reported_start(&self) -> MutexGuard<'_, Option<ReportedStart>> {
+        let reported = self.reported_start.lock();
+        reported.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Time since the last answer or event of the upstream arrived.
     pub(crate) fn time_since_contact(&self, now: Instant) -> Option<Duration> {
         let contacted_at = self.health().contacted_at?;
--- a/src/forward/upstream_permits.rs
+++ b/src/forward/upstream_permits.rs
@@ -19,6 +19,28 @@
 /// Time until the next request for a permit after no grantor answered.
 const NO_GRANTOR_WAIT: Duration = Duration::from_millis(500);
 
+/// Longest time for which a call waits for a permit, where it is not refused at once.
+pub(super) const PERMIT_WAIT_MAX: Duration = Duration::from_millis(2_500);
+/// Shortest and longest time between two requests for a permit by a call that waits.
+const PERMIT_RETRY_MIN: Duration = Duration::from_millis(20);
+const PERMIT_RETRY_MAX: Duration = Duration::from_millis(400);
+
+/// When a call that got no permit may ask again.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PermitWait {
+    /// Time until the next permit can be expected.
+    next: Duration,
+    /// Drawn from the time that the permits for all refused callers take.
+    spread: Duration,
+}
+
+impl PermitWait {
+    /// Time after which a caller may return, so that not all of them do at once.
+    pub(crate) fn of_caller(self) -> Duration {
+        self.next + self.spread
+    }
+}
+
 /// The permits that this node grants to all nodes.
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamPermits {
@@ -44,8 +66,8 @@
 
 impl<N: NodeContext> Forwarder<N> {
     /// Finds out whether one request may be sent to the upstream, and gets a permit if
-    /// that needs one. Otherwise returns the time after which the caller may return.
-    pub(crate) async fn acquire_permit(&self, upstream: &Arc<Upstream>) -> Result<(), Duration> {
+    /// that needs one.
+    pub(crate) async fn acquire_permit(&self, upstream: &Arc<Upstream>) -> Result<(), PermitWait> {
         let mut decision = upstream.decide(Instant::now());
         if let SendDecision::Ask(demand) = decision {
             self.announce_limit(upstream);
@@ -62,12 +84,27 @@
             SendDecision::Refuse(wait, backlog) => {
                 self.metrics.add(Counter::SendsOverLimit, 1);
                 let spread = backlog.mul_f64(rand::rng().random_range(0.0..1.0));
-                Err(wait + spread)
+                Err(PermitWait { next: wait, spread })
             }
             SendDecision::Send | SendDecision::Ask(_) => Ok(()),
         }
     }
 
+    /// Waits until one request may be sent to the upstream; false if that would be later than
+    /// `wait_ends_at`.
+    pub(super) async fn wait_for_permit(
+        &self,
+        upstream: &Arc<Upstream>,
+        wait_ends_at: Instant,
+    ) -> bool {
+        while let Err(wait) = self.acquire_permit(upstream).await {
+            if !pause_before_retry(wait, wait_ends_at).await {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Tells the other nodes of a limit that this node read in an answer just now.
     fn announce_limit(&self, upstream: &Upstream) {
         if let Some(rate) = upstream.limit().news(Instant::now()) {
@@ -78,3 +115,15 @@
         }
     }
 }
+
+/// Pauses a call that waits for a permit; false at once if none is expected until
+/// `wait_ends_at`.
+pub(super) async fn pause_before_retry(wait: PermitWait, wait_ends_at: Instant) -> bool {
+    let now = Instant::now();
+    if now + wait.next.max(PERMIT_RETRY_MIN) > wait_ends_at {
+        return false;
+    }
+    let pause = wait.next.clamp(PERMIT_RETRY_MIN, PERMIT_RETRY_MAX);
+    tokio::time::sleep(pause).await;
+    true
+}
--- a/tests/software_versions/main.rs
+++ b/tests/software_versions/main.rs
@@ -7,6 +7,7 @@
 mod entries;
 mod fixtures;
 mod killed_nodes;
+mod limited;
 mod nodes_out_of_step;
 mod one_answer;
 mod relayed;
