Suspect the parts of a prompt that sound prompts lack, wherever they stand

Cause: only the first sixteen parts of a prompt were kept as evidence (on our own interface the sixteen longest lines), so that what stood behind them could not be convicted. Change: a crash is evidence against 64 parts, those first that were least lately in a sound prompt. A new clearance displaces the oldest one instead of being lost.

--- a/src/fleet/part_crashes.rs
+++ b/src/fleet/part_crashes.rs
@@ -13,7 +13,7 @@
 use crate::membership::announcement::Announcement;
 use crate::membership::crash_announcement::{from_clearance, from_crash, to_clearance, to_crash};
 use crate::membership::gossip::Membership;
-use crate::policy::crash_evidence::{Crash, PARTS_MAX, SURVIVAL_TIME};
+use crate::policy::crash_evidence::{Crash, SURVIVAL_TIME};
 use crate::policy::poison_detector::{Decision, PoisonDetector};
 
 /// Length below which a line of a prompt is no part: it says too little.
@@ -61,18 +61,11 @@
 }
 
 impl PromptParts<'_> {
-    /// The longest lines of the prompt, in their order.
+    /// The lines of the prompt that are long enough, in their order.
     fn hashes(&self) -> Vec<Fingerprint> {
-        let mut lines = split_lines(self.prompt);
-        lines.retain(|line| line.len() >= PART_BYTES_MIN);
-        let mut by_length: Vec<usize> = lines.iter().map(|line| line.len()).collect();
-        by_length.sort_unstable_by(|a, b| b.cmp(a));
-        let shortest = by_length.get(PARTS_MAX - 1).copied().unwrap_or(0);
-        lines.retain(|line| line.len() >= shortest);
-        let hashes = lines
-            .into_iter()
-            .map(|line| Fnv::new().bytes(line).finish());
-        hashes.take(PARTS_MAX).collect()
+        let lines = split_lines(self.prompt).into_iter();
+        let parts = lines.filter(|line| line.len() >= PART_BYTES_MIN);
+        parts.map(|line| Fnv::new().bytes(line).finish()).collect()
     }
 
     fn features(&self) -> Vec<Fingerprint> {
@@ -101,14 +94,17 @@
         if phase == RunPhase::Surviving {
             return;
         }
+        let mut detector = self.lock();
         let crash = Crash {
             upstream: format!("{runner}@{incarnation}"),
             request: parts.request,
-            parts: parts.hashes(),
+            parts: detector.suspect_parts(parts.hashes()),
             was_writing: phase == RunPhase::Beginning,
             version: unix_ms(),
         };
-        if self.lock().record_crash(crash.clone(), Instant::now()) {
+        let is_new = detector.record_crash(crash.clone(), Instant::now());
+        drop(detector);
+        if is_new {
             self.membership.announce(from_crash(&crash));
         }
     }
@@ -116,6 +112,7 @@
     /// Records that a runner began to write an answer at `began_at` and went on.
     pub(crate) fn record_survival(&self, parts: PromptParts<'_>, began_at: Instant) {
         let mut detector = self.lock();
+        detector.record_sound_parts(&parts.hashes(), Instant::now());
         if detector.is_empty() {
             return;
         }
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -12,7 +12,6 @@
 use crate::hash::Fnv;
 use crate::id::{Fingerprint, ServiceId};
 use crate::platform::call::{self, CallHeaders, RelayHeaders, UpstreamHeaders};
-use crate::policy::crash_evidence::PARTS_MAX;
 
 /// Time reserved for returning an answer from the upstream to the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(8);
@@ -107,8 +106,7 @@
     /// Hashes of the prompt's parts that other calls may share.
     pub(crate) fn shared_parts(&self) -> Vec<Fingerprint> {
         let parts = call::shared_prompt_parts(&self.forwarded_headers).into_iter();
-        let hashes = parts.map(|part| Fnv::new().text(part).finish());
-        hashes.take(PARTS_MAX).collect()
+        parts.map(|part| Fnv::new().text(part).finish()).collect()
     }
 
     /// Returns the hashes of the prompt's parts that other calls may share,
--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -80,6 +80,7 @@
     /// went on for [`SURVIVAL_TIME`] or to the end.
     pub(crate) fn record_survival(&self, call: &Call, began_at: Instant) {
         let mut detector = self.lock();
+        detector.record_sound_parts(&call.shared_parts(), Instant::now());
         if detector.is_empty() {
             return;
         }
@@ -113,15 +114,15 @@
 
     /// Records that the upstream crashed under the call.
     fn record_crash(&self, call: &Call, upstream: &Upstream, was_writing: bool) {
+        let now = Instant::now();
+        let mut detector = self.lock();
         let crash = Crash {
             upstream: upstream.entry.id.clone(),
             request: call.fingerprint(),
-            parts: call.shared_parts(),
+            parts: detector.suspect_parts(call.shared_parts()),
             was_writing,
             version: unix_ms(),
         };
-        let now = Instant::now();
-        let mut detector = self.lock();
         let is_new = detector.record_crash(crash.clone(), now);
         let verdict = detector.verdict(&call.features(), now);
         let conviction_count = detector.conviction_count(now);
--- a/src/membership/crash_announcement.rs
+++ b/src/membership/crash_announcement.rs
@@ -6,7 +6,7 @@
 
 use super::announcement::Announcement;
 use super::message::CrashedCallRecord;
-use crate::policy::crash_evidence::{Clearance, Crash, EVIDENCE_TTL, PARTS_MAX};
+use crate::policy::crash_evidence::{Clearance, Crash, EVIDENCE_TTL, SUSPECT_PARTS_MAX};
 
 /// Topic of announcements that an upstream crashed while it ran a call.
 pub(crate) const CRASH_TOPIC: u32 = 4;
@@ -45,7 +45,7 @@
 pub(crate) fn to_crash(announcement: &Announcement) -> Option<Crash> {
     let (request, upstream) = announcement.key.split_once('/')?;
     let mut record = CrashedCallRecord::decode(announcement.body.clone()).ok()?;
-    record.parts.truncate(PARTS_MAX);
+    record.parts.truncate(SUSPECT_PARTS_MAX);
     Some(Crash {
         upstream: upstream.to_owned(),
         request: u64::from_str_radix(request, 16).ok()?,
--- a/src/policy/crash_evidence.rs
+++ b/src/policy/crash_evidence.rs
@@ -22,9 +22,10 @@
 /// Maximum number of crashes that are kept.
 const CRASHES_MAX: usize = 256;
 /// Maximum number of clearances that are kept.
-const CLEARANCES_MAX: usize = 1_024;
-/// Maximum number of parts of one prompt that are kept.
-pub(crate) const PARTS_MAX: usize = 16;
+const CLEARANCES_MAX: usize = 4_096;
+/// Maximum number of parts of one prompt against which a crash is evidence. An announcement of
+/// them fits into a datagram.
+pub(crate) const SUSPECT_PARTS_MAX: usize = 64;
 /// Crashes that become known within this time of each other may have one cause.
 const SIMULTANEOUS: Duration = Duration::from_millis(300);
 
@@ -34,7 +35,7 @@
     pub(crate) upstream: UpstreamId,
     /// The request as a whole.
     pub(crate) request: Fingerprint,
-    /// The parts of the prompt that other prompts may share.
+    /// The most suspicious of the parts of the prompt that other prompts may share.
     pub(crate) parts: Vec<Fingerprint>,
     /// Whether the upstream had begun to write its answer.
     pub(crate) was_writing: bool,
@@ -133,8 +134,9 @@
         if self.cleared_up_to(feature) >= up_to {
             return false;
         }
-        if self.clearances.len() < CLEARANCES_MAX || self.clearances.contains_key(&feature) {
-            self.clearances.insert(feature, (up_to, now));
+        self.clearances.insert(feature, (up_to, now));
+        if self.clearances.len() > CLEARANCES_MAX {
+            self.remove_oldest_clearance();
         }
         true
     }
@@ -148,8 +150,8 @@
         now: Instant,
     ) -> Refutation {
         let mut refutation = Refutation::default();
-        for feature in features {
-            let under_feature = self.crashes.iter().filter(|k| k.crash.has(*feature));
+        for feature in self.suspected_of(features) {
+            let under_feature = self.crashes.iter().filter(|k| k.crash.has(feature));
             let known_before = under_feature.clone().filter(|k| k.known_at < began_at);
             let Some(up_to) = known_before.map(|known| known.crash.version).max() else {
                 continue;
@@ -157,10 +159,7 @@
             let upstreams: BTreeSet<&str> =
                 under_feature.map(|k| k.crash.upstream.as_str()).collect();
             let is_shared = upstreams.len() > 1;
-            let clearance = Clearance {
-                feature: *feature,
-                up_to,
-            };
+            let clearance = Clearance { feature, up_to };
             if self.add_clearance(clearance, now) {
                 refutation.has_cleared = true;
                 refutation
@@ -171,6 +170,24 @@
         refutation
     }
 
+    /// Those of the features under which an upstream crashed.
+    fn suspected_of(&self, features: &[Fingerprint]) -> BTreeSet<Fingerprint> {
+        let features: BTreeSet<Fingerprint> = features.iter().copied().collect();
+        let crashes = self.crashes.iter().map(|known| &known.crash);
+        let suspected = crashes.flat_map(|crash| crash.parts.iter().chain([&crash.request]));
+        suspected
+            .copied()
+            .filter(|feature| features.contains(feature))
+            .collect()
+    }
+
+    fn remove_oldest_clearance(&mut self) {
+        let oldest = self.clearances.iter().min_by_key(|(_, (_, at))| *at);
+        if let Some(feature) = oldest.map(|(feature, _)| *feature) {
+            self.clearances.remove(&feature);
+        }
+    }
+
     pub(crate) fn crash_count(&self) -> usize {
         self.crashes.len()
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod retry_budget_share;
 pub(crate) mod send_decision;
 pub(crate) mod send_probe;
+pub(crate) mod sound_parts;
 pub(crate) mod store_contact;
 pub(crate) mod store_reachability;
 pub(crate) mod upstream_limit;
--- a/src/policy/poison_detector.rs
+++ b/src/policy/poison_detector.rs
@@ -14,8 +14,9 @@
 use std::time::{Duration, Instant};
 
 use super::crash_evidence::{
-    Clearance, Crash, CrashEventId, CrashEvidence, Suspicion, events_by_feature,
+    Clearance, Crash, CrashEventId, CrashEvidence, SUSPECT_PARTS_MAX, Suspicion, events_by_feature,
 };
+use super::sound_parts::SoundParts;
 use crate::hash::Fnv;
 use crate::id::{Fingerprint, UpstreamId};
 
@@ -88,6 +89,7 @@
     crash_counts: BTreeMap<Fingerprint, usize>,
     /// Start of this node's last trial of each conviction.
     trials: BTreeMap<Fingerprint, Instant>,
+    sound_parts: SoundParts,
     /// Whether the evidence changed since it was evaluated.
     is_outdated: bool,
     evaluated_at: Option<Instant>,
@@ -122,6 +124,18 @@
         is_new
     }
 
+    /// Chooses the parts of a prompt against which the crash of its upstream is evidence.
+    pub(crate) fn suspect_parts(&self, parts: Vec<Fingerprint>) -> Vec<Fingerprint> {
+        let mut suspects = self.sound_parts.rank_suspects(parts);
+        suspects.truncate(SUSPECT_PARTS_MAX);
+        suspects
+    }
+
+    /// Records the parts of a prompt under which an upstream went on.
+    pub(crate) fn record_sound_parts(&mut self, parts: &[Fingerprint], now: Instant) {
+        self.sound_parts.add(parts, now);
+    }
+
     /// Records that a run with these features, which began to write its answer at
     /// `began_at`, went on. Returns the clearances that other nodes need.
     pub(crate) fn record_survival(
--- a/src/policy/tests/poison_detector.rs
+++ b/src/policy/tests/poison_detector.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use crate::policy::crash_evidence::{Clearance, Crash};
+use crate::policy::crash_evidence::{Clearance, Crash, SUSPECT_PARTS_MAX};
 use crate::policy::poison_detector::{PoisonDetector, Verdict};
 
 /// The first part of most prompts.
@@ -293,3 +293,19 @@
         assert!(scene.is_refused(9, &[COMMON]), "cleared at {clearance_at}");
     }
 }
+
+/// A part that was sound before is found too, since the others are sound after it.
+#[test]
+fn the_parts_that_were_least_lately_in_sound_prompts_are_suspects_first() {
+    let mut scene = Scene::new();
+    let company: Vec<u64> = (2_000..3_000).collect();
+    scene.detector.record_sound_parts(&[CRASHING], scene.now);
+    scene.wait(DELAY);
+    scene.detector.record_sound_parts(&company, scene.now);
+    let parts = [&[CRASHING], company.as_slice(), &[RARE]].concat();
+
+    let suspects = scene.detector.suspect_parts(parts);
+
+    assert_eq!(suspects.len(), SUSPECT_PARTS_MAX);
+    assert_eq!(suspects[..3], [RARE, CRASHING, 2_999]);
+}
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -140,13 +140,10 @@
     })
 }
 
-/// Each request differs, so no request crashes three engines and comes again. The
-/// crashing part is the first, or stands behind parts that sound prompts have too.
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn a_part_that_crashes_engines_reaches_three_at_most_and_sound_prompts_are_served() {
-    const CRASHING: &[&str] = &["aa:200,dead0:300,", "aa:200,bb:50,dead0:300,", "dead0:300,"];
-    const SOUND: &[&str] = &["aa:200,", "aa:200,bb:50,", "aa:200,cc:40,"];
-    assert!(CRASHING.iter().all(|parts| parts.contains(CRASHING_PART)));
+/// Sends prompts with a crashing part beside sound ones, while other engines crash too, and
+/// checks how many of the first reach engines, and that the others are served.
+async fn assert_part_is_found(crashing: &'static [&'static str], sound: &'static [&'static str]) {
+    assert!(crashing.iter().all(|parts| parts.contains(CRASHING_PART)));
     let environment = TestEnvironment::start(ENGINE_COUNT).await;
     for engine in &environment.engines {
         *engine.prefill_time.lock().expect("unpoisoned") = Duration::from_millis(300);
@@ -155,11 +152,11 @@
     let (_nodes, callers) = environment.start_ready_nodes(NODE_COUNT).await;
     let restarting = environment.restart_crashed_engines(ENGINE_DOWN_TIME);
     let is_over = Arc::new(AtomicBool::new(false));
-    let sound = send_sound_parts(&callers, SOUND, &is_over);
+    let sound = send_sound_parts(&callers, sound, &is_over);
     tokio::time::sleep(Duration::from_secs(2)).await;
 
     let began_at = Instant::now();
-    let crashing = send_crashing_parts(&callers, CRASHING, Duration::from_millis(150));
+    let crashing = send_crashing_parts(&callers, crashing, Duration::from_millis(150));
     let outages = crash_a_data_centre_in_turn(&environment);
     tokio::time::sleep(CRASHING_TIME).await;
     is_over.store(true, Ordering::Relaxed);
@@ -185,3 +182,33 @@
     );
     assert!(share_after >= share_before / 2.0);
 }
+
+/// Each request differs, so no request crashes three engines and comes again. The
+/// crashing part is the first, or stands behind parts that sound prompts have too.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_that_crashes_engines_reaches_three_at_most_and_sound_prompts_are_served() {
+    const CRASHING: &[&str] = &["aa:200,dead0:300,", "aa:200,bb:50,dead0:300,", "dead0:300,"];
+    const SOUND: &[&str] = &["aa:200,", "aa:200,bb:50,", "aa:200,cc:40,"];
+    assert_part_is_found(CRASHING, SOUND).await;
+}
+
+/// A prompt with `count` parts that sound prompts have too, and the crashing one at `place`.
+fn long_prompt(count: usize, place: Option<usize>) -> &'static str {
+    let mut parts: Vec<String> = (1..=count).map(|n| format!("c{n:04}:20,")).collect();
+    if let Some(place) = place {
+        parts.insert(place, format!("{CRASHING_PART}0:40,"));
+    }
+    parts.concat().leak()
+}
+
+/// Guards against a crashing part that is never found because a prompt has many parts, of which
+/// only the first were suspects.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_crashing_part_is_found_among_any_number_of_parts_that_sound_prompts_share() {
+    let crashing: Vec<&str> = [16, 100, 400]
+        .into_iter()
+        .flat_map(|count| [0, count / 2, count].map(|place| long_prompt(count, Some(place))))
+        .collect();
+    let sound = [16, 100, 400].map(|count| long_prompt(count, None));
+    assert_part_is_found(crashing.leak(), Vec::from(sound).leak()).await;
+}
