Hold the first event of a stream instead of throwing the stream away

Cause: a run that a full version had refused counted as recorded in the store under that version, though no write had ever included it; the first event waited a second for a correction that could not be written, and the stream was given up, at one upstream after the other. Change: a record is outdated in the store only if it was in a write. The first event of such a run waits as long as its caller, and the stream stays where it is. A write for which callers wait comes sooner, and at once when the store is back. A relayed stream waits alike.

--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -313,8 +313,8 @@
         self.stored_origins.withdraw(key);
     }
 
-    async fn wait_for_origin_correction(&self, key: RunKey) -> bool {
-        self.stored_origins.wait_for_correction(key).await
+    async fn wait_for_origin_correction(&self, key: RunKey) {
+        self.stored_origins.wait_for_correction(key).await;
     }
 
     async fn find_stored_origin(&self, key: RunKey, service: &str) -> OriginSearch {
--- a/src/edge/run_origin_log.rs
+++ b/src/edge/run_origin_log.rs
@@ -34,8 +34,10 @@
 pub(crate) struct RunOriginLog {
     records: VecDeque<OriginRecord>,
     keys: BTreeSet<RunKey>,
+    /// Runs whose present record was in a write, answered or not.
+    offered: BTreeSet<RunKey>,
     /// Runs of which the store may have a record that no longer holds: their version has
-    /// changed, or their record was withdrawn, after a write may have included it.
+    /// changed, or their record was withdrawn, after it was in a write.
     outdated: BTreeSet<RunKey>,
 }
 
@@ -67,6 +69,12 @@
         };
         if record.software_version != software_version {
             record.software_version = software_version;
+            self.mark_outdated_if_offered(key);
+        }
+    }
+
+    fn mark_outdated_if_offered(&mut self, key: RunKey) {
+        if self.offered.remove(&key) {
             self.outdated.insert(key);
         }
     }
@@ -76,7 +84,7 @@
     pub(crate) fn withdraw(&mut self, key: RunKey) {
         if self.keys.remove(&key) {
             self.records.retain(|record| record.key != key);
-            self.outdated.insert(key);
+            self.mark_outdated_if_offered(key);
         }
     }
 
@@ -107,6 +115,7 @@
     pub(crate) fn merge(&mut self, earlier: Vec<OriginRecord>, now_unix_ms: u64) {
         for record in earlier {
             if !self.outdated.contains(&record.key) && self.keys.insert(record.key) {
+                self.offered.insert(record.key);
                 self.records.push_back(record);
             }
         }
@@ -122,11 +131,19 @@
             && (self.records.len() > RECORDS_MAX || !oldest.is_within(lifetime_ms, now_unix_ms))
         {
             self.keys.remove(&oldest.key);
+            self.offered.remove(&oldest.key);
             self.outdated.remove(&oldest.key);
             self.records.pop_front();
         }
     }
 
+    /// The records of runs of these services, for a write that begins now.
+    pub(crate) fn offer(&mut self, services: &BTreeSet<ServiceId>) -> Vec<OriginRecord> {
+        let records = self.of_services(services);
+        self.offered.extend(records.iter().map(|record| record.key));
+        records
+    }
+
     /// The records of runs of these services.
     pub(crate) fn of_services(&self, services: &BTreeSet<ServiceId>) -> Vec<OriginRecord> {
         let records = self.records.iter();
--- a/src/edge/stored_run_origins.rs
+++ b/src/edge/stored_run_origins.rs
@@ -7,10 +7,12 @@
 //! stream whose origin no node knows.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
+use tokio::sync::Notify;
 
 use super::cluster_view::ClusterView;
 use super::run_origin_log::{OriginRecord, RunOriginLog};
@@ -40,10 +42,10 @@
 const RECORDS_READ_MAX: usize = 131_072;
 /// Longest time that a caller waits for the store.
 const FIND_TIMEOUT: Duration = Duration::from_millis(300);
-/// Longest time that the first event of a run is held back because the store may name
-/// another version for it.
-const CORRECTION_TIMEOUT: Duration = Duration::from_secs(1);
-const CORRECTION_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Maximum number of writes a second of all nodes together while callers wait for them.
+const AWAITED_WRITES_PER_S_MAX: f64 = 300.0;
+/// Time between two checks whether the store is back, while callers wait for a write.
+const RETURN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Age from which a record is of no use, whatever the difference of two clocks.
 const RECORD_AGE_MAX_MS: u64 = 120_000;
 /// Maximum number of other nodes' objects that a node deletes in
@@ -59,6 +61,12 @@
     metrics: Arc<Metrics>,
     log: Mutex<RunOriginLog>,
     found: Mutex<Found>,
+    /// Callers that wait until the store has no record of their run that no longer holds.
+    waiting_count: AtomicUsize,
+    /// Notified when one begins to wait.
+    wait_began: Notify,
+    /// Notified when a write was acknowledged.
+    written: Notify,
     /// Held during a read, so that resumes that wait share it.
     reading: tokio::sync::Mutex<()>,
     deletes: Mutex<DeleteBudget>,
@@ -178,6 +186,23 @@
     }
 }
 
+/// A caller that waits for a write, until this is dropped.
+struct WaitingCaller<'a>(&'a StoredRunOrigins);
+
+impl<'a> WaitingCaller<'a> {
+    fn begin(origins: &'a StoredRunOrigins) -> Self {
+        origins.waiting_count.fetch_add(1, Ordering::Relaxed);
+        origins.wait_began.notify_one();
+        Self(origins)
+    }
+}
+
+impl Drop for WaitingCaller<'_> {
+    fn drop(&mut self) {
+        self.0.waiting_count.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl StoredRunOrigins {
     /// Creates the records of one node, which are empty.
     pub(crate) fn new(node: NodeId, store: Store, metrics: Arc<Metrics>) -> Self {
@@ -187,6 +212,9 @@
             metrics,
             log: Mutex::default(),
             found: Mutex::default(),
+            waiting_count: AtomicUsize::default(),
+            wait_began: Notify::new(),
+            written: Notify::new(),
             reading: tokio::sync::Mutex::default(),
             deletes: Mutex::default(),
         }
@@ -204,16 +232,21 @@
     }
 
     /// Waits until the store can't have another origin of the run than the last one
-    /// recorded; false if that takes longer than [`CORRECTION_TIMEOUT`].
-    pub(crate) async fn wait_for_correction(&self, key: RunKey) -> bool {
-        let deadline = Instant::now() + CORRECTION_TIMEOUT;
-        while lock(&self.log).is_outdated_in_store(key) {
-            if Instant::now() >= deadline {
-                return false;
+    /// recorded. That takes as long as the store is away, if a write of another one began.
+    pub(crate) async fn wait_for_correction(&self, key: RunKey) {
+        if !lock(&self.log).is_outdated_in_store(key) {
+            return;
+        }
+        let _waiting = WaitingCaller::begin(self);
+        loop {
+            let written = self.written.notified();
+            tokio::pin!(written);
+            written.as_mut().enable();
+            if !lock(&self.log).is_outdated_in_store(key) {
+                return;
             }
-            tokio::time::sleep(CORRECTION_CHECK_INTERVAL).await;
+            written.await;
         }
-        true
     }
 
     /// Writes the recent runs at intervals. Never returns; it ends with the
@@ -225,8 +258,8 @@
         let mut own = OwnObject::default();
         let mut failure_count = 0;
         loop {
-            let (_, node_count) = forwarder.node.position();
-            tokio::time::sleep(write_pause(node_count, failure_count)).await;
+            self.pause_between_writes(&forwarder.node, failure_count)
+                .await;
             let directory = &forwarder.directory;
             let services = directory.services_with_several_versions(Instant::now());
             let result = self.update(&mut own, &services).await;
@@ -242,6 +275,37 @@
         }
     }
 
+    /// Pauses until the next write, which is due earlier if callers wait for it and the store
+    /// answers.
+    async fn pause_between_writes(&self, node: &ClusterView, failure_count: u32) {
+        let began_at = Instant::now();
+        let (_, node_count) = node.position();
+        let awaited = async {
+            self.wait_until_awaited(node).await;
+            let due_at = began_at + jittered(awaited_write_interval(node_count));
+            tokio::time::sleep_until(due_at.into()).await;
+        };
+        tokio::select! {
+            () = tokio::time::sleep(write_pause(node_count, failure_count)) => {}
+            () = awaited => {}
+        }
+    }
+
+    /// Waits until a caller waits for a write, and the store answers.
+    async fn wait_until_awaited(&self, node: &ClusterView) {
+        loop {
+            let wait_began = self.wait_began.notified();
+            if self.waiting_count.load(Ordering::Relaxed) == 0 {
+                wait_began.await;
+                continue;
+            }
+            if node.is_store_reachable() {
+                return;
+            }
+            tokio::time::sleep(RETURN_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Brings this node's object up to date, or deletes it if no service needs it.
     async fn update(
         &self,
@@ -257,7 +321,7 @@
             return Ok(());
         }
         let exists = self.check_exists(own).await?;
-        let records = self.recent(services);
+        let records = lock(&self.log).offer(services);
         own.may_exist = true;
         own.exists = None;
         if exists {
@@ -268,7 +332,7 @@
             self.count_call(create).await?;
         }
         own.exists = Some(true);
-        lock(&self.log).record_written(&records);
+        self.record_written(&records);
         let versions = records.iter().map(|r| (r.key, r.software_version.clone()));
         own.written = versions.collect();
         let newest = records.iter().map(|record| record.recorded_unix_ms).max();
@@ -280,6 +344,11 @@
         Ok(())
     }
 
+    fn record_written(&self, records: &[OriginRecord]) {
+        lock(&self.log).record_written(records);
+        self.written.notify_waiters();
+    }
+
     fn recent(&self, services: &BTreeSet<ServiceId>) -> Vec<OriginRecord> {
         let mut log = lock(&self.log);
         log.trim(unix_ms());
@@ -306,7 +375,7 @@
     async fn delete_own(&self, own: &mut OwnObject) -> Result<(), StoreFailure> {
         own.written.clear();
         if !own.may_exist {
-            lock(&self.log).record_written(&[]);
+            self.record_written(&[]);
             return Ok(());
         }
         own.exists = None;
@@ -317,7 +386,7 @@
             self.node
         );
         own.may_exist = false;
-        lock(&self.log).record_written(&[]);
+        self.record_written(&[]);
         Ok(())
     }
 
@@ -443,6 +512,13 @@
     shared.max(WRITE_INTERVAL_MIN)
 }
 
+/// Shortest interval between two writes of a node for which callers wait, so that all nodes
+/// together stay below [`AWAITED_WRITES_PER_S_MAX`].
+pub(crate) fn awaited_write_interval(node_count: usize) -> Duration {
+    let shared = Duration::from_secs_f64(node_count as f64 / AWAITED_WRITES_PER_S_MAX);
+    shared.max(WRITE_INTERVAL_MIN)
+}
+
 /// Interval between the reads of a node, so that all nodes together stay below
 /// [`PAGES_PER_S_MAX`].
 pub(crate) fn read_interval(node_count: usize, page_count: usize) -> Duration {
@@ -454,7 +530,10 @@
 fn write_pause(node_count: usize, failure_count: u32) -> Duration {
     let interval = write_interval(node_count);
     let backoff = interval.saturating_mul(1 << failure_count.min(8));
-    let pause = backoff.min(WRITE_BACKOFF_MAX.max(interval));
+    jittered(backoff.min(WRITE_BACKOFF_MAX.max(interval)))
+}
+
+fn jittered(pause: Duration) -> Duration {
     pause.mul_f64(rand::rng().random_range(1.0..1.1))
 }
 
--- a/src/edge/tests/run_origin_log.rs
+++ b/src/edge/tests/run_origin_log.rs
@@ -93,14 +93,14 @@
     let mut log = RunOriginLog::default();
     let services = BTreeSet::from(["llm".to_owned()]);
     log.record(1, &origin("llm", Some("v1")), 0);
-    let written_before = log.of_services(&services);
+    let written_before = log.offer(&services);
     assert!(!log.is_outdated_in_store(1));
 
     log.record(1, &origin("llm", Some("v2")), 1);
     log.record_written(&written_before);
     assert!(log.is_outdated_in_store(1), "the store has the earlier one");
 
-    let written = log.of_services(&services);
+    let written = log.offer(&services);
     log.record_written(&written);
     assert!(!log.is_outdated_in_store(1));
     assert_eq!(written[0].software_version, "v2");
@@ -111,7 +111,7 @@
     let mut log = RunOriginLog::default();
     let services = BTreeSet::from(["llm".to_owned()]);
     log.record(1, &origin("llm", Some("v1")), 0);
-    let written_before = log.of_services(&services);
+    let written_before = log.offer(&services);
 
     log.withdraw(1);
     log.record_written(&written_before);
@@ -120,8 +120,21 @@
     assert!(log.is_outdated_in_store(1));
     assert_eq!(keys(&log, "llm"), Vec::<RunKey>::new());
 
-    let written = log.of_services(&services);
+    let written = log.offer(&services);
     log.record_written(&written);
 
     assert!(!log.has_outdated_in_store());
 }
+
+/// Guards against a sound stream that waits for the store, which never had its earlier record.
+#[test]
+fn a_record_that_changed_before_any_write_is_not_outdated_in_the_store() {
+    let mut log = RunOriginLog::default();
+    log.record(1, &origin("llm", Some("v1")), 0);
+    log.record(2, &origin("llm", Some("v1")), 0);
+
+    log.record(1, &origin("llm", Some("v2")), 0);
+    log.withdraw(2);
+
+    assert!(!log.has_outdated_in_store());
+}
--- a/src/edge/tests/stored_run_origins.rs
+++ b/src/edge/tests/stored_run_origins.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::edge::stored_run_origins::{read_interval, write_interval};
+use crate::edge::stored_run_origins::{awaited_write_interval, read_interval, write_interval};
 
 /// Writes or reads a second of all nodes together.
 fn rate(node_count: usize, interval: Duration) -> f64 {
@@ -17,6 +17,14 @@
     }
 }
 
+#[test]
+fn writes_that_callers_wait_for_stay_below_what_the_store_accepts() {
+    for node_count in 1..=400 {
+        let writes_per_s = rate(node_count, awaited_write_interval(node_count));
+        assert!(writes_per_s <= 300.01, "{node_count}: {writes_per_s}");
+    }
+}
+
 #[test]
 fn all_nodes_together_read_at_most_a_quarter_of_what_the_store_accepts() {
     for node_count in 1..=400 {
--- a/src/forward/caller_resume.rs
+++ b/src/forward/caller_resume.rs
@@ -120,12 +120,12 @@
 
     /// Records, before the first event is passed on, that the run began at
     /// `upstream`, and publishes it to other nodes, which need it if this node is
-    /// lost. Returns false if the store may say that it began at another version, to
-    /// which it was sent before.
-    pub(super) async fn record_origin(&mut self, upstream: &Upstream) -> bool {
+    /// lost. Returns the key of the run if it was recorded now. The store may still say that
+    /// it began at another version, to which it was sent before.
+    pub(super) fn record_origin(&mut self, upstream: &Upstream) -> Option<RunKey> {
         let origin = self.origin.get_or_insert_with(|| RunOrigin::at(upstream));
         if std::mem::replace(&mut self.is_origin_recorded, true) {
-            return true;
+            return None;
         }
         log::info!(
             "event=stream_began call={} service={} version={} upstream={}",
@@ -135,14 +135,10 @@
             origin.upstream
         );
         let headers = &self.call.headers;
-        let Some(id) = headers.resumes.as_ref().or(headers.call_id.as_ref()) else {
-            return true;
-        };
+        let id = headers.resumes.as_ref().or(headers.call_id.as_ref())?;
         let key = run_key(id.as_bytes());
         self.forwarder.publish_origin(key, origin.clone());
-        let is_correct = self.forwarder.node.wait_for_origin_correction(key).await;
-        self.is_origin_recorded = is_correct;
-        is_correct
+        Some(key)
     }
 
     /// Whether the run may go on, or begin, at `upstream`.
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -79,8 +79,8 @@
     /// Withdraws that record, because a peer sends the run to its origin, and records it.
     fn withdraw_origin(&self, key: RunKey);
     /// Waits until the store can't name an origin of the run to which it was sent
-    /// before; false if that fails.
-    fn wait_for_origin_correction(&self, key: RunKey) -> impl Future<Output = bool> + Send;
+    /// before, however long that takes.
+    fn wait_for_origin_correction(&self, key: RunKey) -> impl Future<Output = ()> + Send;
     /// Looks in the platform's store for the origin of a run of the service that no
     /// node knows, and has other nodes look there if this node can't.
     fn find_stored_origin(
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -217,7 +217,9 @@
                 _peer_call: peer.calls.clone(),
                 _in_flight: call.in_flight.clone(),
             };
-            let withdrawn = self.clone().wait_until_withdrawn(call.new_run());
+            let withdrawn = self
+                .clone()
+                .wait_until_withdrawn(call.new_run(), call.deadline);
             let frames = body.into_frames(withdrawn);
             return RelayOutcome::Answered(HttpResponse::from_parts(head, frames));
         }
@@ -233,14 +235,16 @@
 
 impl<N: NodeContext> Forwarder<N> {
     /// Waits until the store has no record by this node of where the run was to begin. Fails
-    /// if that takes too long.
+    /// at the deadline.
     async fn wait_until_withdrawn(
         self: Arc<Self>,
         run: Option<RunKey>,
+        deadline: Instant,
     ) -> Result<(), TruncatedResponse> {
         let Some(run) = run else { return Ok(()) };
-        let is_withdrawn = self.node.wait_for_origin_correction(run).await;
-        is_withdrawn.then_some(()).ok_or(TruncatedResponse)
+        let withdrawn = self.node.wait_for_origin_correction(run);
+        let waited = tokio::time::timeout_at(deadline.into(), withdrawn).await;
+        waited.map_err(|_| TruncatedResponse)
     }
 
     /// Records what an upstream says of itself in an answer that a peer got from it. A rest
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -274,9 +274,10 @@
                 if began_at.elapsed() >= SURVIVAL_TIME {
                     self.record_survival(began_at);
                 }
-                if self.event_count == 0 && !self.record_origin(&upstream).await {
-                    let cause = "the store may name another version as the stream's origin";
-                    return SegmentEnd::Lost(cause.to_owned());
+                if self.event_count == 0
+                    && let Err(end) = self.begin_run(&upstream, sender).await
+                {
+                    return end;
                 }
                 work.prefill_done();
                 if let Err(end) = self.relay_event(event, index, sender).await {
@@ -286,6 +287,28 @@
         }
     }
 
+    /// Records that the run begins at the upstream, and holds its first event back until the
+    /// store can't name another version as its origin. The upstream is sound meanwhile, and the
+    /// stream goes on at no other one.
+    async fn begin_run(
+        &mut self,
+        upstream: &Arc<Upstream>,
+        sender: &EventSender,
+    ) -> Result<(), SegmentEnd> {
+        let Some(run) = self.record_origin(upstream) else {
+            return Ok(());
+        };
+        tokio::select! {
+            biased;
+            () = self.forwarder.node.wait_for_origin_correction(run) => Ok(()),
+            () = sender.closed() => {
+                self.free_current_replica(upstream);
+                Err(SegmentEnd::CallerGone)
+            }
+            () = tokio::time::sleep_until(self.call.deadline.into()) => Err(SegmentEnd::TimeOver),
+        }
+    }
+
     /// Whether an answer that ended in order, with `last_index` as its last event, ends the
     /// stream. One that ends before what the caller has, or brings no event, looks like the
     /// answer of an upstream that failed.
--- a/tests/software_versions/main.rs
+++ b/tests/software_versions/main.rs
@@ -12,4 +12,5 @@
 mod one_answer;
 mod relayed;
 mod resumes;
+mod store_away;
 mod stored_origins;
