Hold no more than the start of an answer that a peer relays

Cause: a node that is cut off from the upstreams read a plain answer from its peer to the end before it passed anything on; only the direct road had a bound. Change: both roads hold 64 KiB at most and pass a longer answer on as it arrives. Evidence: a_cut_node_passes_an_answer_without_end_on_as_it_arrives failed on the code before (502 after the deadline) and passes now.

--- a/src/forward/answer_body.rs
+++ b/src/forward/answer_body.rs
@@ -1,5 +1,6 @@
 //! Reads the start of an answer's body before the caller gets any of it, so that
-//! a short answer reaches the caller completely or not at all.
+//! a short answer reaches the caller completely or not at all. A node never holds more than
+//! this start of an answer, however long it is.
 
 use std::time::Instant;
 
@@ -15,6 +16,13 @@
 /// Number of bytes of an answer that are read before the caller gets any.
 const READ_AHEAD_BYTES: usize = 64 * 1024;
 
+/// A body of which the start has been read.
+pub(super) enum BodyStart {
+    Whole(Bytes),
+    /// The start, and what follows it.
+    Long(Bytes, Incoming),
+}
+
 /// Reads the answer. The part of the body that exceeds [`READ_AHEAD_BYTES`] is
 /// passed on to the caller as it arrives, until `deadline`.
 pub(crate) async fn read(
@@ -27,28 +35,37 @@
         state,
     } = attempt;
     let reuse = state.reuse();
-    let (mut parts, mut body) = state.response.into_parts();
+    let (mut parts, body) = state.response.into_parts();
     strip_hop_headers(&mut parts.headers);
-    let mut start = BytesMut::new();
-    while start.len() < READ_AHEAD_BYTES {
-        let Some(frame) = body.frame().await else {
+    let body = match read_start(body).await? {
+        BodyStart::Whole(bytes) => {
             if let Some(idle_timeout) = reuse {
                 upstream.pool.put(state.connection, idle_timeout);
             }
-            let full_body = http::full(start.freeze());
-            return Ok(HttpResponse::from_parts(parts, full_body));
+            http::full(bytes)
+        }
+        BodyStart::Long(start, rest) => pass_on(start, rest, deadline, (state.connection, work)),
+    };
+    Ok(HttpResponse::from_parts(parts, body))
+}
+
+/// Reads a body to its end, or until [`READ_AHEAD_BYTES`] of it have arrived.
+pub(super) async fn read_start(mut body: Incoming) -> Result<BodyStart, hyper::Error> {
+    let mut start = BytesMut::new();
+    while start.len() < READ_AHEAD_BYTES {
+        let Some(frame) = body.frame().await else {
+            return Ok(BodyStart::Whole(start.freeze()));
         };
         if let Ok(data) = frame?.into_data() {
             start.extend_from_slice(&data);
         }
     }
-    let rest = rest(start.freeze(), body, deadline, (state.connection, work));
-    Ok(HttpResponse::from_parts(parts, rest))
+    Ok(BodyStart::Long(start.freeze(), body))
 }
 
 /// Passes on the body of a long answer until `deadline`: a faulty upstream may send
 /// without end. Its connection is not reused; `kept` is held until the body has ended.
-fn rest<K: Send + 'static>(
+pub(super) fn pass_on<K: Send + 'static>(
     start: Bytes,
     body: Incoming,
     deadline: Instant,
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Response};
 
+use super::answer_body::{self, BodyStart};
 use super::connection::{Connection, ConnectionPool, SendFailure};
 use super::forwarder::{Forwarder, NodeContext};
 use super::request::Call;
@@ -198,7 +199,7 @@
     }
 
     /// Passes the peer's answer on: events as they arrive, any other body once it is
-    /// complete. Events wait until the store has no record by this node of where the stream
+    /// complete or as it arrives if it is long. Events wait until the store has no record by this node of where the stream
     /// was to begin, since the peer may have sent it to another version.
     async fn pass_on(
         self: &Arc<Self>,
@@ -223,12 +224,20 @@
             let frames = body.into_frames(withdrawn);
             return RelayOutcome::Answered(HttpResponse::from_parts(head, frames));
         }
-        let collected = tokio::time::timeout_at(call.deadline.into(), body.collect()).await;
-        let Ok(Ok(collected)) = collected else {
-            return RelayOutcome::MayHaveRun("the peer's answer was not complete".to_owned());
+        let start = answer_body::read_start(body);
+        let body = match tokio::time::timeout_at(call.deadline.into(), start).await {
+            Ok(Ok(BodyStart::Whole(bytes))) => {
+                peer.pool.put(connection, None);
+                http::full(bytes)
+            }
+            Ok(Ok(BodyStart::Long(start, rest))) => {
+                let kept = (connection, peer.calls.clone(), call.in_flight.clone());
+                answer_body::pass_on(start, rest, call.deadline, kept)
+            }
+            Ok(Err(_)) | Err(_) => {
+                return RelayOutcome::MayHaveRun("the peer's answer was not complete".to_owned());
+            }
         };
-        peer.pool.put(connection, None);
-        let body = http::full(collected.to_bytes());
         RelayOutcome::Answered(HttpResponse::from_parts(head, body))
     }
 }
--- a/tests/cut_nodes/one_call.rs
+++ b/tests/cut_nodes/one_call.rs
@@ -9,6 +9,7 @@
 use crate::support::edge_environment::first_tries::{CONTACT_TIME, FirstTries};
 use crate::support::edge_environment::proxy::Mode;
 use crate::support::edge_environment::raw::RawRequest;
+use crate::support::edge_environment::service::NextFault;
 use crate::support::edge_environment::{
     FORGED_RELAY_HEADERS, IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH,
 };
@@ -18,6 +19,9 @@
 /// Time within which upstreams stop to work for a caller that has left.
 const LEAVING_TIME: Duration = Duration::from_millis(500);
 
+/// Most bytes of an answer that a node holds.
+const HELD_MAX_BYTES: usize = 64 * 1024;
+
 /// More calls than one node takes from others at a time.
 const CALLS_BEYOND_BOUND: usize = 300;
 
@@ -88,6 +92,25 @@
     assert_eq!(got.status, 200, "{got:?}");
 }
 
+/// Guards against a node that keeps all that a faulty upstream sends without end through a
+/// peer, until its memory is used up.
+#[tokio::test]
+async fn a_cut_node_passes_an_answer_without_end_on_as_it_arrives() {
+    let scene = start_with_cut_nodes(3, &[0]).await;
+    for service in &scene.environment.services {
+        service.queue_fault(NextFault::EndlessBody);
+    }
+    let headers = "x-zinniawing-deadline-ms: 1500\r\n";
+
+    let got = scene.callers[0]
+        .call("POST", NON_IDEMPOTENT_PATH, headers)
+        .await;
+
+    assert_eq!(got.status, 200, "{}", got.head);
+    assert!(!got.is_complete);
+    assert!(got.body.len() > HELD_MAX_BYTES, "{} bytes", got.body.len());
+}
+
 #[tokio::test]
 async fn a_stream_of_a_cut_node_ends_at_the_upstream_when_its_caller_leaves() {
     let scene = start_with_cut_nodes(3, &[0]).await;
