Refuse calls that a stopping node can't finish

Cause: a stopping node took a call while 500 ms were left, whatever calls of its service take. Change: it takes one only if 1.25 times the latency of the slowest upstream is left. Evidence: calls_that_a_stopping_node_can_not_finish_are_refused_unrun failed on the code before (504 for a call that ran) and passes now: each call is answered with 200, or with 503 and has not run.

--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -35,6 +35,9 @@
 /// Shortest time before the shutdown of this node in which a plain call is begun
 /// that might not end before it.
 const CALL_TIME_MIN: Duration = Duration::from_millis(500);
+/// Factor of the time that calls of a service have taken, within which one that begins now
+/// will probably end.
+const CALL_TIME_FACTOR: f64 = 1.25;
 
 /// The forwarder's view of its node and of the cluster.
 pub(crate) trait NodeContext: Send + Sync + 'static {
@@ -273,8 +276,9 @@
         }
     }
 
-    /// Whether the call can be served before this node shuts down. Moves the deadline
-    /// of a plain call so that it is answered before its connection is closed.
+    /// Whether the call can be served before this node shuts down, by what calls of its
+    /// service have taken. Moves the deadline of a plain call so that it is answered before
+    /// its connection is closed.
     fn has_time_before_shutdown(&self, call: &mut Call) -> bool {
         if call.matched.route.kind.is_stream() {
             return !self.node.refuses_streams();
@@ -285,13 +289,22 @@
         if call.deadline <= answered_by {
             return true;
         }
-        if answered_by.saturating_duration_since(Instant::now()) < CALL_TIME_MIN {
+        let time_left = answered_by.saturating_duration_since(Instant::now());
+        if time_left < self.expected_call_time(&call.service) {
             return false;
         }
         call.deadline = answered_by;
         true
     }
 
+    /// Time that a plain call of the service takes, by the slowest of its upstreams.
+    fn expected_call_time(&self, service: &str) -> Duration {
+        let upstreams = self.directory.serving(service).into_iter();
+        let latency = upstreams.map(|upstream| upstream.latency()).max();
+        let expected = latency.unwrap_or_default().mul_f64(CALL_TIME_FACTOR);
+        expected.max(CALL_TIME_MIN)
+    }
+
     /// Waits until a call must be answered: until its deadline, or shortly before
     /// this node closes its connection. The stop signal may come while the call waits.
     pub(crate) async fn wait_until_answer_due(&self, call_deadline: Instant) {
--- a/tests/stopping_node.rs
+++ b/tests/stopping_node.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use support::edge_environment::caller::Caller;
@@ -13,6 +14,13 @@
 use zinniawing::EdgeNode;
 
 const GRACE_PERIOD_S: u32 = 2;
+/// A grace period in which calls of [`WORK_TIME`] can end.
+const LONG_GRACE_PERIOD_S: u32 = 4;
+/// Time that a call takes.
+const WORK_TIME: Duration = Duration::from_millis(1_000);
+/// Calls that are sent in the grace period, and the time between two of them.
+const CALLS_IN_GRACE: usize = 34;
+const CALL_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a node without calls has stopped: it stays for three seconds
 /// for callers that have an older list of addresses.
 const IDLE_STOP_MAX: Duration = Duration::from_millis(3_500);
@@ -62,6 +70,51 @@
     );
 }
 
+/// Guards against calls that are taken in the grace period, run, and are then given up because
+/// their node shuts down before they can end.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_that_a_stopping_node_can_not_finish_are_refused_unrun() {
+    let environment = TestEnvironment::start(1).await;
+    let spec = NodeSpec::new("n1", "dc-a");
+    let node = start_node_with_grace(&spec, environment.store.address, LONG_GRACE_PERIOD_S).await;
+    let caller = Caller::new(&spec);
+    caller.wait_until_ready().await;
+    for service in &environment.services {
+        *service.answer_time.lock().expect("unpoisoned") = WORK_TIME;
+    }
+    let call = || {
+        let caller = caller.clone();
+        tokio::spawn(async move { caller.call("POST", NON_IDEMPOTENT_PATH, "").await })
+    };
+    for first in (0..4).map(|_| call()) {
+        assert_eq!(first.await.expect("no panic").status, 200);
+    }
+
+    let stopping = tokio::spawn(node.drain());
+    let mut calls = Vec::new();
+    for _ in 0..CALLS_IN_GRACE {
+        calls.push(call());
+        tokio::time::sleep(CALL_INTERVAL).await;
+    }
+    stopping.await.expect("no panic");
+
+    let runs = environment.services.iter().flat_map(|s| s.executed());
+    let run_ids: Vec<String> = runs
+        .filter_map(|run| run.header("x-zinniawing-attempt-id").map(str::to_owned))
+        .collect();
+    let mut statuses = BTreeSet::new();
+    for call in calls {
+        let got = call.await.expect("no panic");
+        let has_run = run_ids.contains(&got.call_id);
+        statuses.insert(got.status);
+        assert_eq!(has_run, got.status == 200, "{got:?}");
+    }
+    assert!(
+        statuses.is_superset(&BTreeSet::from([200, 503])),
+        "{statuses:?}"
+    );
+}
+
 /// Returns how long a node without calls takes to stop while a caller has an open
 /// connection on which it has sent `sent`.
 async fn stop_time_with_connection(sent: &[u8]) -> Duration {
