Ask an upstream for its start before a run is said to begin at its version

Cause: a run's version was taken from the upstream's entry, whichever incarnation ran it. Another incarnation's version is unknown, and the record under the earlier version is withdrawn.

--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -279,6 +279,12 @@
         reachability.is_reachable(Instant::now())
     }
 
+    fn has_store_answered_lately(&self) -> bool {
+        let reachability = self.store_reachability.lock();
+        let reachability = reachability.unwrap_or_else(PoisonError::into_inner);
+        reachability.has_answered_lately(Instant::now())
+    }
+
     fn is_draining(&self) -> bool {
         self.stop.get().is_some()
     }
--- a/src/edge/run_origin_log.rs
+++ b/src/edge/run_origin_log.rs
@@ -42,12 +42,12 @@
 }
 
 impl RunOriginLog {
-    /// Adds a run that was sent to its origin now. A run whose version is unknown is
-    /// left out: it goes on only at the incarnation that began it. A run that is sent
+    /// Adds a run that was sent to its origin now. A run whose version is unknown has no
+    /// record: it goes on only at the incarnation that began it. A run that is sent
     /// to another version before its first event changes its record.
     pub(crate) fn record(&mut self, key: RunKey, origin: &RunOrigin, now_unix_ms: u64) {
         let Some(software_version) = origin.software_version.clone() else {
-            return;
+            return self.withdraw(key);
         };
         if !self.keys.insert(key) {
             self.change_version(key, software_version);
--- a/src/forward/caller_resume.rs
+++ b/src/forward/caller_resume.rs
@@ -2,6 +2,7 @@
 //! goes on at the same software version or is refused.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Instant;
 
 use super::forwarder::{Forwarder, NodeContext};
@@ -122,8 +123,11 @@
     /// `upstream`, and publishes it to other nodes, which need it if this node is
     /// lost. Returns the key of the run if it was recorded now. The store may still say that
     /// it began at another version, to which it was sent before.
-    pub(super) fn record_origin(&mut self, upstream: &Upstream) -> Option<RunKey> {
-        let origin = self.origin.get_or_insert_with(|| RunOrigin::at(upstream));
+    pub(super) async fn record_origin(&mut self, upstream: &Arc<Upstream>) -> Option<RunKey> {
+        if self.origin.is_none() {
+            self.origin = Some(self.forwarder.origin_at(upstream).await);
+        }
+        let origin = self.origin.as_ref()?;
         if std::mem::replace(&mut self.is_origin_recorded, true) {
             return None;
         }
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -58,6 +58,9 @@
     fn config_evidence(&self, in_force: Version) -> ConfigEvidence;
     /// Whether the store answers, so that its list of upstreams decides.
     fn is_store_reachable(&self) -> bool;
+    /// Whether the store answered this node or a peer so lately that entries of upstreams
+    /// which have started again are known.
+    fn has_store_answered_lately(&self) -> bool;
     /// Whether this node is shutting down.
     fn is_draining(&self) -> bool;
     /// Asks other nodes to spend a retry from their shares of the service's
--- a/src/forward/incarnation_check.rs
+++ b/src/forward/incarnation_check.rs
@@ -13,6 +13,7 @@
 use super::attempt::AttemptFailure;
 use super::forwarder::{Forwarder, NodeContext};
 use super::probe::probe_engine;
+use super::run_origin::RunOrigin;
 use super::upstream::{Upstream, UpstreamEntry};
 use super::upstream_permits::PERMIT_WAIT_MAX;
 use crate::observe::metrics::Counter;
@@ -45,6 +46,29 @@
         }
     }
 
+    /// The origin of a run that begins at the engine now. While nobody can tell whether the
+    /// engine's entry is that of its present incarnation, its report is asked. The software
+    /// version of another incarnation is unknown.
+    pub(super) async fn origin_at(&self, upstream: &Arc<Upstream>) -> RunOrigin {
+        let origin = RunOrigin::at(upstream);
+        let is_entry_current = self.node.has_store_answered_lately() && !upstream.has_broken();
+        if is_entry_current || upstream.counts_probes() {
+            return origin;
+        }
+        let Ok(reported) = self.request_start(upstream).await else {
+            return origin;
+        };
+        if self.compare_start(upstream, reported).is_ok() {
+            upstream.record_same_start();
+            return origin;
+        }
+        RunOrigin {
+            software_version: None,
+            born_unix_ms: reported,
+            ..origin
+        }
+    }
+
     /// Requests the start of the engine's incarnation, in Unix milliseconds.
     async fn request_start(&self, upstream: &Arc<Upstream>) -> Result<u64, AttemptFailure> {
         self.metrics.add(Counter::EngineProbes, 1);
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -295,7 +295,7 @@
         upstream: &Arc<Upstream>,
         sender: &EventSender,
     ) -> Result<(), SegmentEnd> {
-        let Some(run) = self.record_origin(upstream) else {
+        let Some(run) = self.record_origin(upstream).await else {
             return Ok(());
         };
         tokio::select! {
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -73,6 +73,9 @@
     notices: SharedNotices,
     /// The probe that precedes calls where one is needed.
     pub(crate) send_probe: SendProbe,
+    /// Whether a call or connection of this node failed here since the upstream became known, or
+    /// since its last report showed the incarnation of its entry.
+    has_broken: AtomicBool,
     /// Its last report on itself.
     reported_start: Mutex<Option<ReportedStart>>,
     /// Number of times that the upstream was marked as lost.
@@ -102,6 +105,7 @@
             limit: Mutex::default(),
             notices,
             send_probe: SendProbe::default(),
+            has_broken: AtomicBool::new(false),
             reported_start: Mutex::default(),
             losses: watch::Sender::new(0),
             entry,
@@ -303,6 +307,17 @@
         self.limit.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether something of this node broke here, after which another incarnation may run at
+    /// the upstream's address.
+    pub(crate) fn has_broken(&self) -> bool {
+        self.has_broken.load(Ordering::Relaxed)
+    }
+
+    /// Records that the upstream reported the start that its entry states.
+    pub(crate) fn record_same_start(&self) {
+        self.has_broken.store(false, Ordering::Relaxed);
+    }
+
     /// Records a report of the upstream on itself.
     pub(crate) fn record_reported_start(&self, reported: ReportedStart) {
         *self.lock_reported_start() = Some(reported);
@@ -327,6 +342,7 @@
 
     /// Avoids the upstream after a failure, with exponential backoff.
     pub(crate) fn avoid(&self, now: Instant) {
+        self.has_broken.store(true, Ordering::Relaxed);
         let mut health = self.health();
         let doublings = health.failure_count.min(8);
         let duration = AVOID_MIN.saturating_mul(1 << doublings).min(AVOID_MAX);
--- a/tests/software_versions/store_away.rs
+++ b/tests/software_versions/store_away.rs
@@ -1,6 +1,7 @@
 //! Streams that are sent to one version and begin at another while the store is away, so that
 //! nodes can't write where they began.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -85,3 +86,43 @@
 
     assert_eq!(whole_count, TAKEN_UP_COUNT);
 }
+
+/// Has an engine come back under its id with other software after the store has been away for
+/// `silence`, so that it can't register, and crashes it under the streams that it begins.
+async fn crash_an_upgraded_engine_under_streams(silence: Duration) {
+    let environment = TestEnvironment::start_with_versions(&["v1", "v1"]).await;
+    set_event_interval(&environment, Duration::from_millis(50));
+    let (_node, caller) = environment.start_ready_node("n1").await;
+    let upgraded = &environment.engines[0];
+
+    environment.store.is_silent.store(true, Ordering::Relaxed);
+    tokio::time::sleep(silence).await;
+    upgraded.crash();
+    upgraded.set_software_version("v2");
+    upgraded.restart_under_same_id().await;
+    tokio::time::sleep(SILENCE_TIME).await;
+    let streams: Vec<_> = (0..TAKEN_UP_COUNT).map(|_| spawn_stream(&caller)).collect();
+    tokio::time::sleep(SILENCE_TIME).await;
+    upgraded.crash();
+    let mut versions = BTreeSet::new();
+    for stream in streams {
+        let got = stream.await.expect("no panic");
+        assert_one_version(&[&got]);
+        versions.extend(got.software_versions());
+    }
+
+    assert_eq!(versions.len(), 2, "no stream began at the upgraded engine");
+}
+
+/// Guards against streams that go on at the version in the entry of an engine that is back under
+/// its id with other software, and can't register while the store is away.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_an_engine_that_is_back_at_another_version_are_not_joined_to_its_earlier_one() {
+    crash_an_upgraded_engine_under_streams(5 * SILENCE_TIME).await;
+}
+
+/// Guards against the same before the node can have noticed that the store is away.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_an_engine_that_is_back_soon_after_the_store_left_are_not_joined() {
+    crash_an_upgraded_engine_under_streams(2 * SILENCE_TIME).await;
+}
