--- a/src/edge/cluster_view.rs
+++ b/src/edge/cluster_view.rs
@@ -231,7 +231,8 @@
     /// Looks for the origin of a run in the store, by this node's own reads.
     pub(crate) async fn read_stored_origin(&self, key: RunKey, service: &str) -> OriginSearch {
         let node_count = self.node_count.load(Ordering::Relaxed);
-        self.stored_origins.find(key, service, node_count).await
+        let reader = &self.stored_origins.reader;
+        reader.find(key, service, node_count).await
     }
 
     /// Records the time of the stop signal.
--- a/src/edge/tests/stored_run_origins.rs
+++ b/src/edge/tests/stored_run_origins.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use crate::edge::stored_run_origins::{awaited_write_interval, read_interval, write_interval};
+use crate::edge::stored_run_origin_reader::read_interval;
+use crate::edge::stored_run_origins::{awaited_write_interval, write_interval};
 
 /// Writes or reads a second of all nodes together.
 fn rate(node_count: usize, interval: Duration) -> f64 {
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -199,8 +199,9 @@
     }
 
     /// Passes the peer's answer on: events as they arrive, any other body once it is
-    /// complete or as it arrives if it is long. Events wait until the store has no record by this node of where the stream
-    /// was to begin, since the peer may have sent it to another version.
+    /// complete, or as it arrives if it is long. Events wait until the store has no record by
+    /// this node of where the stream was to begin, since the peer may have sent it to another
+    /// version.
     async fn pass_on(
         self: &Arc<Self>,
         call: &Call,
