Send the report last when a stream goes on at an upstream with a limit

Cause: after the report the call waited for its permit, and asked again if the connection of the report had closed; where an upstream closes each connection and its limit ends meanwhile, that had no end. Change: the call waits for both permits first; the report comes last.

--- a/src/forward/incarnation_check.rs
+++ b/src/forward/incarnation_check.rs
@@ -4,8 +4,8 @@
 //! new entry arrives, calls with that id reach it, and nothing in its answers
 //! tells the two incarnations apart. Its report on itself states its start.
 //!
-//! An engine that names a limit counts the report like a call. The permit that the call has
-//! pays for it, and the call then waits for another one; `docs/LIMITS.md` says for how long.
+//! An engine that names a limit counts the report like a call, which then waits for a permit
+//! beside its own; `docs/LIMITS.md` says for how long.
 
 use std::sync::Arc;
 use std::time::Instant;
@@ -26,24 +26,18 @@
         &self,
         upstream: &Arc<Upstream>,
     ) -> Result<(), AttemptFailure> {
-        if !upstream.counts_probes() {
-            let reported = self.request_start(upstream).await?;
+        let is_limited = upstream.counts_probes();
+        let known = upstream.reported_start(Instant::now());
+        if let Some(reported) = known.filter(|_| is_limited) {
             return self.compare_start(upstream, reported);
         }
+        // The report comes last, so that it is as young as can be when the call is sent.
         let wait_ends_at = Instant::now() + PERMIT_WAIT_MAX;
-        loop {
-            if let Some(reported) = upstream.reported_start(Instant::now()) {
-                return self.compare_start(upstream, reported);
-            }
-            if upstream.is_resting() {
-                return Err(AttemptFailure::Resting);
-            }
-            let reported = self.request_start(upstream).await?;
-            self.compare_start(upstream, reported)?;
-            if !self.wait_for_permit(upstream, wait_ends_at).await {
-                return Err(AttemptFailure::Resting);
-            }
+        if is_limited && !self.wait_for_permit(upstream, wait_ends_at).await {
+            return Err(AttemptFailure::Resting);
         }
+        let reported = self.request_start(upstream).await?;
+        self.compare_start(upstream, reported)
     }
 
     /// The origin of a run that begins at the engine now. While nobody can tell whether the
