Don't count a call that waits for a permit as a refused caller

Cause: each poll of a stream that waits for a permit counted as a refused caller, whose return the others are spread over, so that upstreams stayed closed at a node for up to two seconds with permits to spare. Change: a call that waits is taken back from the refused ones, and closes the upstream for the others no longer than the grantor says.

--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -21,7 +21,7 @@
 use super::run_origin::{OriginSearch, RunKey, RunOrigin, RunOrigins};
 use super::sessions::Sessions;
 use super::upstream::Upstream;
-use super::upstream_permits::PermitWait;
+use super::upstream_permits::{PermitWait, WithoutPermit};
 use crate::error::{Error, ErrorKind};
 use crate::http::{self, HttpResponse, read_body};
 use crate::id::{DataCentreId, NodeId, ServiceId, UpstreamId, Version};
@@ -381,12 +381,13 @@
     pub(crate) async fn choose_permitted(
         &self,
         tried: &[Arc<Upstream>],
+        otherwise: WithoutPermit,
         choose: impl Fn(&[Arc<Upstream>]) -> Option<Arc<Upstream>>,
     ) -> Result<Arc<Upstream>, Option<PermitWait>> {
         let mut excluded = tried.to_vec();
         let mut waits: Vec<PermitWait> = Vec::new();
         while let Some(upstream) = choose(&excluded) {
-            match self.acquire_permit(&upstream).await {
+            match self.acquire_permit(&upstream, otherwise).await {
                 Ok(()) => return Ok(upstream),
                 Err(wait) => {
                     waits.push(wait);
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -14,7 +14,7 @@
 use super::send_history::SendHistory;
 use super::send_probe::SendPlan;
 use super::upstream::{Upstream, Work};
-use super::upstream_permits::PermitWait;
+use super::upstream_permits::{PermitWait, WithoutPermit};
 use super::write_signal::WriteSignal;
 use crate::http::HttpResponse;
 use crate::observe::metrics::{Counter, Span};
@@ -259,7 +259,7 @@
         {
             return None;
         }
-        let chosen = self.choose_permitted(&state.tried, |excluded| {
+        let chosen = self.choose_permitted(&state.tried, WithoutPermit::Leaves, |excluded| {
             self.choose_upstream(&call.service, excluded, None, |candidates, draw| {
                 choose_for_plain_call(candidates, &self.data_centre, draw)
             })
--- a/src/forward/run_replica.rs
+++ b/src/forward/run_replica.rs
@@ -22,6 +22,7 @@
 use super::probe::{check_alive, send_control_request};
 use super::run_origin::RunOrigin;
 use super::upstream::{Upstream, Work};
+use super::upstream_permits::WithoutPermit;
 use crate::id::{DataCentreId, ServiceId};
 use crate::observe::metrics::Counter;
 use crate::platform::engine::{self, ReplicaReply};
@@ -214,7 +215,11 @@
     holder: Arc<Upstream>,
     slot: &ReplicaSlot,
 ) -> bool {
-    if forwarder.acquire_permit(source).await.is_err() {
+    if forwarder
+        .acquire_permit(source, WithoutPermit::Leaves)
+        .await
+        .is_err()
+    {
         return false;
     }
     forwarder.metrics.add(Counter::CopiesAskedFor, 1);
--- a/src/forward/send_probe.rs
+++ b/src/forward/send_probe.rs
@@ -19,6 +19,7 @@
 use super::forwarder::{Forwarder, NodeContext};
 use super::run_origin::RunOrigin;
 use super::upstream::Upstream;
+use super::upstream_permits::WithoutPermit;
 use crate::observe::metrics::Counter;
 use crate::platform::answer::{self, AnswerOwner};
 use crate::platform::engine::REPORT_PATH;
@@ -177,7 +178,7 @@
             return Err(AttemptFailure::NotSent("the upstream leaves"));
         }
         if !was_limited && upstream.is_limited() {
-            let permit = self.acquire_permit(upstream).await;
+            let permit = self.acquire_permit(upstream, WithoutPermit::Leaves).await;
             return permit.map_err(|_| AttemptFailure::Resting);
         }
         Ok(())
--- a/src/forward/stream_choice.rs
+++ b/src/forward/stream_choice.rs
@@ -7,7 +7,7 @@
 use super::run_replica::{RunReplica, lock};
 use super::stream_call::{NextUpstream, OpenFailure, StreamRun};
 use super::upstream::Upstream;
-use super::upstream_permits::{PERMIT_WAIT_MAX, pause_before_retry};
+use super::upstream_permits::{PERMIT_WAIT_MAX, WithoutPermit, pause_before_retry};
 use crate::policy::failure_response::GiveUpReason;
 use crate::policy::placement::choose_engine;
 
@@ -16,10 +16,14 @@
     /// moment if none has.
     pub(super) async fn choose_upstream(&self) -> Result<Arc<Upstream>, OpenFailure> {
         let wait_ends_at = Instant::now() + PERMIT_WAIT_MAX;
+        let otherwise = match self.origin {
+            Some(_) => WithoutPermit::Waits,
+            None => WithoutPermit::Leaves,
+        };
         loop {
             let choosing = self
                 .forwarder
-                .choose_permitted(&self.tried, |excluded| self.candidate(excluded));
+                .choose_permitted(&self.tried, otherwise, |excluded| self.candidate(excluded));
             let wait = match choosing.await {
                 Ok(upstream) => return Ok(upstream),
                 Err(Some(wait)) => wait,
@@ -28,7 +32,7 @@
                     return Err(OpenFailure::given_up(GiveUpReason::NoUpstream, cause));
                 }
             };
-            let may_wait = self.origin.is_some();
+            let may_wait = otherwise == WithoutPermit::Waits;
             if !may_wait || !pause_before_retry(wait, wait_ends_at).await {
                 return Err(OpenFailure::OverLimit(wait.of_caller()));
             }
--- a/src/forward/upstream_permits.rs
+++ b/src/forward/upstream_permits.rs
@@ -25,6 +25,16 @@
 const PERMIT_RETRY_MIN: Duration = Duration::from_millis(20);
 const PERMIT_RETRY_MAX: Duration = Duration::from_millis(400);
 
+/// What becomes of a call that gets no permit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WithoutPermit {
+    /// It goes to another upstream, or its caller returns later.
+    Leaves,
+    /// It waits at this node and asks again. No caller returns for it, so that it neither
+    /// counts among the refused ones, nor do the others wait for longer.
+    Waits,
+}
+
 /// When a call that got no permit may ask again.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PermitWait {
@@ -67,7 +77,11 @@
 impl<N: NodeContext> Forwarder<N> {
     /// Finds out whether one request may be sent to the upstream, and gets a permit if
     /// that needs one.
-    pub(crate) async fn acquire_permit(&self, upstream: &Arc<Upstream>) -> Result<(), PermitWait> {
+    pub(crate) async fn acquire_permit(
+        &self,
+        upstream: &Arc<Upstream>,
+        otherwise: WithoutPermit,
+    ) -> Result<(), PermitWait> {
         let mut decision = upstream.decide(Instant::now());
         if let SendDecision::Ask(demand) = decision {
             self.announce_limit(upstream);
@@ -77,12 +91,18 @@
                 wait: NO_GRANTOR_WAIT,
                 backlog: Duration::ZERO,
             });
-            let draw = rand::rng().random_range(0.0..1.0);
+            let draw = match otherwise {
+                WithoutPermit::Leaves => rand::rng().random_range(0.0..1.0),
+                WithoutPermit::Waits => 0.0,
+            };
             decision = upstream.limit().apply_grant(grant, draw, Instant::now());
         }
         match decision {
             SendDecision::Refuse(wait, backlog) => {
                 self.metrics.add(Counter::SendsOverLimit, 1);
+                if otherwise == WithoutPermit::Waits && !upstream.is_resting() {
+                    upstream.limit().take_back_refusal();
+                }
                 let spread = backlog.mul_f64(rand::rng().random_range(0.0..1.0));
                 Err(PermitWait { next: wait, spread })
             }
@@ -97,7 +117,7 @@
         upstream: &Arc<Upstream>,
         wait_ends_at: Instant,
     ) -> bool {
-        while let Err(wait) = self.acquire_permit(upstream).await {
+        while let Err(wait) = self.acquire_permit(upstream, WithoutPermit::Waits).await {
             if !pause_before_retry(wait, wait_ends_at).await {
                 return false;
             }
--- a/src/policy/upstream_limit.rs
+++ b/src/policy/upstream_limit.rs
@@ -241,6 +241,13 @@
         })
     }
 
+    /// Takes back that the last call that got no permit was refused: it waits at this node.
+    pub(crate) fn take_back_refusal(&mut self) {
+        if let Some(named) = &mut self.named {
+            named.refused_count = named.refused_count.saturating_sub(1);
+        }
+    }
+
     /// Applies the answer to a request for permits, and decides on the call for which
     /// they were asked. `draw` from 0 to below 1 spreads the nodes that ask again.
     pub(crate) fn apply_grant(&mut self, grant: Grant, draw: f64, now: Instant) -> SendDecision {
