Push changes to other data centres, which waited for a probe

Cause: a push goes to four peers of the own data centre while it has that many, so it never leaves it. Only one probe in four goes to another one, and nodes that started together make it at the same time, every 1.6 s.

Change: each push also goes to one random node of another data centre.

The new scene has 30 nodes in five data centres and no probes that help: before, none of three of the other four data centres was told within a second; now all are. Nodes send nothing of a new kind, so earlier builds take it as any ping.

--- a/src/membership/gossip/push.rs
+++ b/src/membership/gossip/push.rs
@@ -4,9 +4,13 @@
 use std::time::Duration;
 
 use crate::membership::gossip::Membership;
+use crate::membership::members::Member;
 use crate::membership::message::{Datagram, MemberState, Purpose};
 
-/// Peers to which new updates are pushed without waiting for the next probe.
+/// Peers to which new updates are pushed without waiting for the next probe, those of this
+/// data centre first. One of another data centre is added, so that a data centre of which
+/// no node reads the platform's store learns of a change as soon as the others; see
+/// `docs/CAPACITY.md`, "Pushes between data centres".
 const PUSH_FANOUT: usize = 4;
 /// Time for which new updates are collected before they are pushed.
 const PUSH_DELAY: Duration = Duration::from_millis(5);
@@ -46,11 +50,19 @@
     }
 
     fn push_to_random_peers(&self) {
-        let peers = self.state().members.random_alive(PUSH_FANOUT, "");
-        for peer in peers {
+        for peer in self.push_targets() {
             let sequence = self.next_sequence();
             let ping = self.datagram(Purpose::Ping, sequence);
             self.send(ping, peer.peer_address);
         }
     }
+
+    fn push_targets(&self) -> Vec<Member> {
+        let state = self.state();
+        let mut targets = state.members.random_alive(PUSH_FANOUT, "");
+        let remote = state.members.random_remote();
+        let is_new = |remote: &Member| targets.iter().all(|target| target.node != remote.node);
+        targets.extend(remote.filter(is_new));
+        targets
+    }
 }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -5,11 +5,18 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
-use zinniawing::{Announcement, LinkFaults, Member, Membership, MembershipSettings};
+use zinniawing::{
+    Announcement, LinkFaults, Member, Membership, MembershipEvent, MembershipSettings,
+};
 
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 const WAIT_MAX: Duration = Duration::from_secs(30);
 const ANNOUNCEMENT_COUNT: usize = 300;
+/// Interval that is longer than a scene, so that no probe helps a push.
+const PROBE_INTERVAL_WITHOUT_HELP: Duration = Duration::from_secs(2);
+/// Time within which a document that is pushed is known to all nodes.
+const PUSH_TIME_MAX: Duration = Duration::from_secs(1);
+const DOCUMENT: &str = "routing";
 
 fn settings(last_octet: u8, number: u16, links: &LinkFaults) -> MembershipSettings {
     let process = std::process::id();
@@ -169,3 +176,60 @@
 
     wait_for("each half to see the other again", || all_see(4)).await;
 }
+
+/// Passes each newer version of the document on, as a node does that has fetched it.
+async fn hold_what_peers_hold(node: Membership) {
+    let mut events = node.subscribe();
+    while let Ok(event) = events.recv().await {
+        if let MembershipEvent::Document { name, version, .. } = event {
+            node.hold_document(&name, version);
+        }
+    }
+}
+
+/// Waits until a peer has told the node of `version` of the document.
+async fn wait_for_version(node: &Membership, version: u64) {
+    let mut events = node.subscribe();
+    let is_told =
+        |event| matches!(event, MembershipEvent::Document { version: told, .. } if told >= version);
+    while !is_told(events.recv().await.expect("the node runs")) {}
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_is_pushed_to_all_data_centres_and_does_not_wait_for_a_probe() {
+    let (data_centre_count, count) = (5, 30);
+    let (last_octet, links) = (unused_last_octet(), LinkFaults::default());
+    let mut nodes = Vec::new();
+    for number in 0..count {
+        let mut settings = settings(last_octet, number, &links);
+        settings.me.data_centre = format!("dc-{}", number % data_centre_count);
+        settings.interval = PROBE_INTERVAL_WITHOUT_HELP;
+        nodes.push(Membership::start(settings).await.expect("the node starts"));
+    }
+    wait_for("all nodes to see each other", || {
+        let is_met = |node: &Membership| node.alive_count() == usize::from(count);
+        nodes.iter().all(is_met)
+    })
+    .await;
+    for node in &nodes {
+        tokio::spawn(hold_what_peers_hold(node.clone()));
+    }
+
+    let told = nodes[1..].iter().map(|node| wait_for_version(node, 1));
+    let told = told.map(|waiting| tokio::time::timeout(PUSH_TIME_MAX, waiting));
+    let told = futures_util::future::join_all(told);
+    let (told, ()) = tokio::join!(told, async {
+        tokio::task::yield_now().await;
+        nodes[0].hold_document(DOCUMENT, 1);
+    });
+
+    let missed = told
+        .iter()
+        .zip(&nodes[1..])
+        .filter(|(told, _)| told.is_err());
+    let missed: Vec<String> = missed.map(|(_, node)| node.me().data_centre).collect();
+    assert!(
+        missed.is_empty(),
+        "not told in time, by data centre: {missed:?}"
+    );
+}
