--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -424,11 +424,9 @@
         is_new
     }
 
-    /// Whether recent losses indicate an outage of the data centre.
-    pub(crate) fn is_outage_suspected(&self, data_centre: &str, now: Instant) -> bool {
-        self.lock()
-            .outage_detector
-            .is_outage_suspected(data_centre, now)
+    /// The data centres of which recent losses indicate an outage.
+    pub(crate) fn suspected_outages(&self, now: Instant) -> BTreeSet<DataCentreId> {
+        self.lock().outage_detector.suspected(now)
     }
 
     /// Whether the upstream was heard after the first recent loss in its data centre, so
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -1,5 +1,6 @@
 //! Admits calls of callers and forwards them to upstreams.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -346,6 +347,7 @@
         for (_, upstream) in &admitted {
             upstream.avoid_if_overdue(now);
         }
+        let suspected = self.directory.suspected_outages(now);
         let candidates: Vec<Candidate<'_>> = admitted
             .iter()
             .map(|(index, upstream)| Candidate {
@@ -356,7 +358,7 @@
                 call_count: upstream.call_count(),
                 latency: upstream.latency(),
                 failure_share: upstream.failure_share(),
-                is_avoided: self.is_avoided(upstream, now),
+                is_avoided: is_avoided(upstream, &suspected, now),
                 was_tried: tried.iter().any(|t| t.entry.id == upstream.entry.id),
                 is_assigned: is_assigned(*index, upstreams.len(), node_index, node_count),
             })
@@ -367,14 +369,6 @@
             .map(|(_, upstream)| Arc::clone(upstream))
     }
 
-    /// Whether calls go to other upstreams first.
-    pub(crate) fn is_avoided(&self, upstream: &Upstream, now: Instant) -> bool {
-        let data_centre = &upstream.entry.data_centre;
-        upstream.avoided_until(now).is_some()
-            || upstream.has_overdue_probe(now)
-            || self.directory.is_outage_suspected(data_centre, now)
-    }
-
     /// Chooses among the upstreams of a service like [`Self::choose_upstream`], and
     /// gets a permit to send to the chosen one. If none of those that are left has
     /// room, returns when the call or its caller may try again.
@@ -430,3 +424,15 @@
         is_borrowed
     }
 }
+
+/// Whether calls go to other upstreams first, given the data centres of which an outage is
+/// suspected.
+pub(crate) fn is_avoided(
+    upstream: &Upstream,
+    suspected_outages: &BTreeSet<DataCentreId>,
+    now: Instant,
+) -> bool {
+    upstream.avoided_until(now).is_some()
+        || upstream.has_overdue_probe(now)
+        || suspected_outages.contains(&upstream.entry.data_centre)
+}
--- a/src/forward/send_probe.rs
+++ b/src/forward/send_probe.rs
@@ -16,7 +16,7 @@
 
 use super::attempt::AttemptFailure;
 use super::connection::SendFailure;
-use super::forwarder::{Forwarder, NodeContext};
+use super::forwarder::{Forwarder, NodeContext, is_avoided};
 use super::run_origin::RunOrigin;
 use super::upstream::Upstream;
 use super::upstream_permits::WithoutPermit;
@@ -203,12 +203,13 @@
         let is_excluded =
             |other: &Arc<Upstream>| plan.tried.iter().any(|t| t.entry.id == other.entry.id);
         let others = self.directory.serving(&plan.upstream.entry.service);
+        let suspected = self.directory.suspected_outages(now);
         others.iter().any(|other| {
             other.entry.id != plan.upstream.entry.id
                 && !is_excluded(other)
                 && plan.origin.is_none_or(|origin| origin.admits(other))
                 && !other.counts_probes()
-                && !self.is_avoided(other, now)
+                && !is_avoided(other, &suspected, now)
         })
     }
 
--- a/src/policy/outage.rs
+++ b/src/policy/outage.rs
@@ -6,7 +6,7 @@
 //! they observe. Put together, the losses show which engines to probe and which
 //! data centre should get no new calls for now.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use crate::id::{DataCentreId, UpstreamId};
@@ -52,6 +52,14 @@
         losses.filter(is_recent).min().copied()
     }
 
+    /// The data centres of which recent losses indicate an outage.
+    pub(crate) fn suspected(&self, now: Instant) -> BTreeSet<DataCentreId> {
+        let all = self.losses.keys();
+        all.filter(|data_centre| self.is_outage_suspected(data_centre, now))
+            .cloned()
+            .collect()
+    }
+
     /// Whether recent losses indicate an outage of the data centre.
     pub(crate) fn is_outage_suspected(&self, data_centre: &str, now: Instant) -> bool {
         let Some(losses) = self.losses.get(data_centre) else {
--- a/src/policy/tests/outage.rs
+++ b/src/policy/tests/outage.rs
@@ -49,3 +49,16 @@
 
     assert!(!detector.is_outage_suspected("a", start + ms(810)));
 }
+
+#[test]
+fn only_the_data_centres_of_correlated_losses_are_suspected() {
+    let mut detector = OutageDetector::default();
+    let now = Instant::now();
+
+    record_loss(&mut detector, "r1", now);
+    record_loss(&mut detector, "r2", now);
+    detector.record_loss(&"b".to_owned(), &"r3".to_owned(), now);
+
+    let suspected: Vec<_> = detector.suspected(now).into_iter().collect();
+    assert_eq!(suspected, ["a"]);
+}
