--- a/src/membership/members/mod.rs
+++ b/src/membership/members/mod.rs
@@ -67,6 +67,8 @@
 #[derive(Clone, Debug)]
 struct MemberEntry {
     member: Member,
+    /// Hash of `member`, which each datagram needs of all members.
+    hash: u64,
     state: MemberState,
     state_since: Instant,
 }
@@ -147,6 +149,7 @@
         if state != entry.state {
             entry.state_since = now;
         }
+        entry.hash = hash(&member);
         entry.member = member;
         entry.state = state;
         Change::Updated
@@ -259,14 +262,8 @@
     /// members with the same incarnations.
     pub(crate) fn table_hash(&self) -> u64 {
         let others = self.entries.values().filter(|entry| entry.is_alive());
-        let members = std::iter::once(&self.me).chain(others.map(|entry| &entry.member));
-        members.fold(0, |sum: u64, member| {
-            let hash = Fnv::new()
-                .text(&member.node)
-                .number(member.incarnation)
-                .finish();
-            sum.wrapping_add(hash)
-        })
+        let hashes = others.map(|entry| entry.hash);
+        hashes.fold(hash(&self.me), u64::wrapping_add)
     }
 
     fn apply_about_me(&mut self, report: &MemberRecord) -> Change {
@@ -284,6 +281,7 @@
             self.probe_order.insert(position, member.node.clone());
         }
         let entry = MemberEntry {
+            hash: hash(&member),
             state,
             state_since: now,
             member,
@@ -303,6 +301,14 @@
     }
 }
 
+/// Hash of what tells one process of a member from another.
+fn hash(member: &Member) -> u64 {
+    Fnv::new()
+        .text(&member.node)
+        .number(member.incarnation)
+        .finish()
+}
+
 /// Incarnations of a node that differ by less than this count as those of one
 /// process. A process begins with its start time in milliseconds as incarnation,
 /// and adds one for each refutation and when it begins to drain.
--- a/src/membership/members/peer_choice.rs
+++ b/src/membership/members/peer_choice.rs
@@ -36,16 +36,19 @@
     /// Up to `count` random live nodes other than `excluded`, those of this
     /// data centre first.
     pub(crate) fn random_alive(&self, count: usize, excluded: &str) -> Vec<Member> {
+        let alive = self.entries.values().filter(|entry| entry.is_alive());
+        let members = alive.map(|entry| &entry.member);
+        let (local, remote): (Vec<&Member>, Vec<&Member>) = members
+            .filter(|member| member.node != excluded)
+            .partition(|member| member.data_centre == self.me.data_centre);
         let mut rng = rand::rng();
-        let mut candidates: Vec<&Member> = self
-            .entries
-            .values()
-            .filter(|entry| entry.is_alive() && entry.member.node != excluded)
-            .map(|entry| &entry.member)
-            .collect();
-        candidates.shuffle(&mut rng);
-        candidates.sort_by_key(|member| member.data_centre != self.me.data_centre);
-        candidates.into_iter().take(count).cloned().collect()
+        let local = local.sample(&mut rng, count);
+        let missing_count = count - local.len();
+        let remote = remote.sample(&mut rng, missing_count);
+        local
+            .chain(remote)
+            .map(|member| (*member).clone())
+            .collect()
     }
 
     fn refill_probe_order(&mut self) {
