--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -15,3 +15,6 @@
 pub(crate) mod peer;
 pub(crate) mod state;
 pub(crate) mod update_queue;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/membership/tests/mod.rs
@@ -0,0 +1,1 @@
+mod update_queue;
