--- a/src/membership/tests/update_queue.rs
+++ b/src/membership/tests/update_queue.rs
@@ -93,6 +93,22 @@
     assert_eq!(count("a"), count("c"));
 }
 
+#[test]
+fn updates_that_fit_no_datagram_hold_up_no_other() {
+    let now = Instant::now();
+    let mut queue = queue_of(&["z"], now);
+    for key in ["a", "b", "c", "d"] {
+        let mut large = record(key, TTL);
+        large.body = vec![0; BUDGET_BYTES].into();
+        queue.add(Update::Announcement(large), now);
+    }
+
+    let sent = taken(&mut queue, BUDGET_BYTES, now);
+
+    let keys: Vec<&str> = sent.iter().map(|record| record.key.as_str()).collect();
+    assert_eq!(keys, ["z"]);
+}
+
 #[test]
 fn updates_that_expired_are_removed_and_counted() {
     let start = Instant::now();
--- a/src/membership/update_queue.rs
+++ b/src/membership/update_queue.rs
@@ -77,6 +77,13 @@
     }
 }
 
+/// An update that a datagram carries, or that is to be removed.
+struct Visit {
+    place: Place,
+    /// `None` if the update's time has passed.
+    update: Option<Update>,
+}
+
 /// Updates that this node still has to piggyback on datagrams.
 #[derive(Debug, Default)]
 pub(crate) struct UpdateQueue {
@@ -128,29 +135,37 @@
         budget_bytes: usize,
         now: Instant,
     ) -> Vec<Update> {
+        let visits = self.visit(budget_bytes, now);
+        let sent_max = sent_max(node_count);
         let mut batch = Vec::new();
-        let mut visited = Vec::new();
+        for Visit { place, update } in visits {
+            self.advance(place, update.is_some(), sent_max);
+            batch.extend(update);
+        }
+        batch
+    }
+
+    /// Visits updates in their order, until no more of them fit a datagram.
+    fn visit(&self, budget_bytes: usize, now: Instant) -> Vec<Visit> {
+        let mut visits = Vec::new();
         let mut remaining_bytes = budget_bytes;
         let mut misfit_count = 0;
         for place in &self.places {
-            if misfit_count == MISFITS_MAX {
-                break;
-            }
             let update = self.updates.get(&place.1).and_then(|q| q.at(now));
             let size_bytes = update.as_ref().map_or(0, Update::encoded_bytes);
-            if size_bytes > remaining_bytes {
-                misfit_count += 1;
+            if size_bytes <= remaining_bytes {
+                remaining_bytes -= size_bytes;
+                let place = place.clone();
+                visits.push(Visit { place, update });
                 continue;
             }
-            remaining_bytes -= size_bytes;
-            visited.push((place.clone(), update.is_some()));
-            batch.extend(update);
-        }
-        let sent_max = sent_max(node_count);
-        for (place, is_sent) in visited {
-            self.advance(place, is_sent, sent_max);
+            // One that fits no datagram at all may not hold the others up.
+            misfit_count += usize::from(size_bytes <= budget_bytes);
+            if misfit_count == MISFITS_MAX {
+                break;
+            }
         }
-        batch
+        visits
     }
 
     /// Moves an update that was sent to its next place. Removes it if it has been sent often
