State once when a queued update has expired

Cause: reading the diff, the bound stood twice, and a dead update was copied before it was found dead. Change: one function says it, in the queue's search and in its clean-up; a comment in a scene reads plainly.

--- a/src/membership/update_queue.rs
+++ b/src/membership/update_queue.rs
@@ -66,12 +66,18 @@
 }
 
 impl QueuedUpdate {
+    fn has_expired(&self, now: Instant) -> bool {
+        self.expires_at.is_some_and(|expires_at| expires_at <= now)
+    }
+
     /// The update as it is to be sent now; `None` if its time has passed.
     fn at(&self, now: Instant) -> Option<Update> {
+        if self.has_expired(now) {
+            return None;
+        }
         let mut update = self.update.clone();
         if let (Update::Announcement(record), Some(expires_at)) = (&mut update, self.expires_at) {
-            let time_left = expires_at.checked_duration_since(now)?;
-            record.set_ttl(time_left);
+            record.set_ttl(expires_at.saturating_duration_since(now));
         }
         Some(update)
     }
@@ -112,11 +118,11 @@
         let before_count = self.updates.len();
         let places = &mut self.places;
         self.updates.retain(|subject, queued| {
-            let is_due = queued.expires_at.is_none_or(|expires_at| expires_at > now);
-            if !is_due {
+            let has_expired = queued.has_expired(now);
+            if has_expired {
                 places.remove(&(queued.sent_count, subject.clone()));
             }
-            is_due
+            !has_expired
         });
         before_count - self.updates.len()
     }
--- a/tests/storms_of_losses.rs
+++ b/tests/storms_of_losses.rs
@@ -20,7 +20,7 @@
 const ROUTE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Time after a route's time-out, or after its caller left, at which a call must have ended.
 const END_SLACK: Duration = Duration::from_millis(500);
-/// Time that an upstream takes which is not heard of before any time-out.
+/// Answer time of an upstream that answers no call before its time-out.
 const NO_ANSWER: Duration = Duration::from_secs(30);
 /// Time after which callers leave that do not wait for the end of their calls.
 const PATIENCE: Duration = Duration::from_millis(2_500);
