Log how long upstreams wrote, their starts, and what a clearance covers

The lines of a crash could not tell a late crash from an early one, starts under one id, or clocks that differ. stream_lost has wrote_ms, crash_suspected born and version, and suspicion_cleared up_to and ran_ms now. No decision changes; the build is the only check run.

--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -88,9 +88,11 @@
         drop(detector);
         for clearance in cleared {
             log::info!(
-                "event=suspicion_cleared call={} feature={:016x}",
+                "event=suspicion_cleared call={} feature={:016x} up_to={} ran_ms={}",
                 call.id(),
-                clearance.feature
+                clearance.feature,
+                clearance.up_to,
+                began_at.elapsed().as_millis()
             );
             self.observations.publish(Observation::Cleared(clearance));
         }
@@ -128,11 +130,13 @@
         let conviction_count = detector.conviction_count(now);
         drop(detector);
         log::warn!(
-            "event=crash_suspected call={} request={:016x} parts={} upstream={} writing={was_writing} verdict={verdict:?} convictions={conviction_count}",
+            "event=crash_suspected call={} request={:016x} parts={} upstream={} born={} version={} writing={was_writing} verdict={verdict:?} convictions={conviction_count}",
             call.id(),
             crash.request,
             call.shared_parts_for_log(),
-            crash.upstream
+            crash.upstream,
+            upstream.entry.born_unix_ms,
+            crash.version
         );
         if is_new {
             self.observations.publish(Observation::Crash(crash));
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -88,6 +88,8 @@
     pub(super) first_event_ms: Option<u128>,
     pub(super) longest_pause_ms: u128,
     pub(super) last_event_at: Option<Instant>,
+    /// When the present upstream, or the last one, sent its first event.
+    pub(super) upstream_began_at: Option<Instant>,
 }
 
 impl OpenFailure {
@@ -125,6 +127,7 @@
             first_event_ms: None,
             longest_pause_ms: 0,
             last_event_at: None,
+            upstream_began_at: None,
         };
         let deadline = run.call.deadline;
         let (service, may_move) = (run.call.service.clone(), run.call.may_move_to_peer());
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -132,7 +132,7 @@
         self.forwarder.metrics.add(Counter::StreamsLost, 1);
         let silence = upstream.time_since_contact(Instant::now());
         log::info!(
-            "event=stream_lost call={} upstream={} version={} began_at={} cause={cause:?} last_event={:?} silent_ms={} heard_ms_ago={:?} sends={} sends_max={} age_ms={}",
+            "event=stream_lost call={} upstream={} version={} began_at={} cause={cause:?} last_event={:?} silent_ms={} heard_ms_ago={:?} wrote_ms={:?} sends={} sends_max={} age_ms={}",
             self.call.id(),
             upstream.entry.id,
             version_for_log(upstream.software_version()),
@@ -140,6 +140,7 @@
             self.last_event,
             self.silence().as_millis(),
             silence.map(|silence| silence.as_millis()),
+            self.upstream_began_at.map(|at| at.elapsed().as_millis()),
             self.sends.sent_count(),
             self.call.sends_max,
             self.call.age().as_millis()
@@ -174,6 +175,7 @@
         let mut events = EventBuffer::default();
         let mut phase = StreamPhase::Prefill;
         let mut first_event_at = None;
+        self.upstream_began_at = None;
         let mut last_index = None;
         let mut _replica_task = None;
         let deadline = self.call.deadline.into();
@@ -271,6 +273,7 @@
                 }
                 phase = StreamPhase::Decode;
                 let began_at = *first_event_at.get_or_insert_with(Instant::now);
+                self.upstream_began_at = first_event_at;
                 if began_at.elapsed() >= SURVIVAL_TIME {
                     self.record_survival(began_at);
                 }
