--- a/src/edge/observations.rs
+++ b/src/edge/observations.rs
@@ -16,7 +16,7 @@
 use crate::id::{DataCentreId, NodeId, ServiceId, UpstreamId};
 use crate::membership::announcement::Announcement;
 use crate::membership::crash_announcement::{
-    CLEARANCE_TOPIC, CRASH_TOPIC, from_clearance, from_crash, to_clearance, to_crash,
+    CRASH_TOPIC, from_clearance, from_crash, is_clearance_topic, to_clearance, to_crash,
 };
 use crate::membership::gossip::{Membership, MembershipEvent};
 use crate::policy::upstream_limit::{PEER_LIMIT_TTL, Rate};
@@ -153,7 +153,7 @@
             Some(crash) => forwarder.request_crashes.apply_crash(crash),
             None => log::error!("event=peer_unreadable what=crash key={key:?}"),
         },
-        CLEARANCE_TOPIC => match to_clearance(announcement) {
+        topic if is_clearance_topic(topic) => match to_clearance(announcement) {
             Some(clearance) => forwarder.request_crashes.apply_clearance(clearance),
             None => log::error!("event=peer_unreadable what=clearance key={key:?}"),
         },
--- a/src/experiment/evidence.rs
+++ b/src/experiment/evidence.rs
@@ -11,6 +11,7 @@
 use crate::observe::process_usage::ProcessUsage;
 use crate::observe::report::Report;
 use crate::policy::crash_evidence::{Clearance, Crash};
+use crate::policy::crash_time::CrashTime;
 use crate::policy::poison_detector::PoisonDetector;
 
 /// Numbers of known crashes; a node keeps no more than the last.
@@ -62,6 +63,7 @@
         request: u64::MAX - number,
         parts: [0].into_iter().chain(own_parts).collect(),
         was_writing: true,
+        time: CrashTime::IMMEDIATE,
         version: crate::clock::unix_ms(),
     }
 }
@@ -70,6 +72,7 @@
     Clearance {
         feature: u64::MAX,
         up_to: crate::clock::unix_ms(),
+        longest: CrashTime::IMMEDIATE,
     }
 }
 
--- a/src/fleet/part_crashes.rs
+++ b/src/fleet/part_crashes.rs
@@ -13,7 +13,8 @@
 use crate::membership::announcement::Announcement;
 use crate::membership::crash_announcement::{from_clearance, from_crash, to_clearance, to_crash};
 use crate::membership::gossip::Membership;
-use crate::policy::crash_evidence::{Crash, SURVIVAL_TIME};
+use crate::policy::crash_evidence::Crash;
+use crate::policy::crash_time::{CrashTime, SURVIVAL_TIME, Survival};
 use crate::policy::poison_detector::{Decision, PoisonDetector};
 
 /// Length below which a line of a prompt is no part: it says too little.
@@ -100,6 +101,7 @@
             request: parts.request,
             parts: detector.suspect_parts(parts.hashes()),
             was_writing: phase == RunPhase::Beginning,
+            time: CrashTime::IMMEDIATE,
             version: unix_ms(),
         };
         let is_new = detector.record_crash(crash.clone(), Instant::now());
@@ -116,7 +118,11 @@
         if detector.is_empty() {
             return;
         }
-        let cleared = detector.record_survival(&parts.features(), began_at, Instant::now());
+        let survival = Survival {
+            began_at,
+            refutes: CrashTime::IMMEDIATE,
+        };
+        let cleared = detector.record_survival(&parts.features(), survival, Instant::now());
         drop(detector);
         for clearance in cleared {
             self.membership.announce(from_clearance(clearance));
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -10,7 +10,7 @@
 use super::attempt::{Answered, Attempt, AttemptFailure};
 use super::forwarder::{Forwarder, NodeContext};
 use super::request::Call;
-use super::request_crashes::Permission;
+use super::request_crashes::{AnswerPhase, Permission};
 use super::send_history::SendHistory;
 use super::send_probe::SendPlan;
 use super::upstream::{Upstream, Work};
@@ -213,7 +213,8 @@
         let SendResult { upstream, answer } = result;
         let may_repeat = call.matched.route.kind.may_repeat();
         if answer.is_ok() {
-            self.request_crashes.record_survival(call, Instant::now());
+            self.request_crashes
+                .record_whole_answer(call, Instant::now());
         }
         match answer {
             Ok(response) if response.status().is_server_error() && may_repeat => {
@@ -230,7 +231,7 @@
                 }
                 state.cause = format!("{}: {failure}", upstream.entry.id);
                 if matches!(failure, AttemptFailure::MayHaveRun(_)) {
-                    self.check_for_crash(call, &upstream, false);
+                    self.check_for_crash(call, &upstream, AnswerPhase::Waiting);
                 }
                 None
             }
--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -14,7 +14,8 @@
 use super::request::Call;
 use super::upstream::Upstream;
 use crate::clock::unix_ms;
-use crate::policy::crash_evidence::{Clearance, Crash, SURVIVAL_TIME};
+use crate::policy::crash_evidence::{Clearance, Crash};
+use crate::policy::crash_time::{CrashTime, SURVIVAL_TIME, Survival};
 use crate::policy::failure_response::GiveUpReason;
 use crate::policy::poison_detector::{Decision, PoisonDetector};
 
@@ -32,6 +33,15 @@
     Refused(GiveUpReason, Duration),
 }
 
+/// How far an upstream had got with a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AnswerPhase {
+    /// It had sent nothing.
+    Waiting,
+    /// It had written the answer for this time, which is zero before the first event.
+    Writing(Duration),
+}
+
 /// The crashes of upstreams under the calls of this node and of its peers.
 #[derive(Debug)]
 pub(crate) struct RequestCrashes {
@@ -76,23 +86,29 @@
         }
     }
 
-    /// Records that an upstream began to write the call's answer at `began_at` and
-    /// went on for [`SURVIVAL_TIME`] or to the end.
-    pub(crate) fn record_survival(&self, call: &Call, began_at: Instant) {
+    /// Records that an upstream wrote the call's whole answer from `began_at` on.
+    pub(crate) fn record_whole_answer(&self, call: &Call, began_at: Instant) {
+        let now = Instant::now();
+        self.lock().record_sound_parts(&call.shared_parts(), now);
+        self.record_survival(call, Survival::of_whole_answer(began_at, now));
+    }
+
+    /// Records that an upstream goes on with the call's answer.
+    pub(crate) fn record_survival(&self, call: &Call, survival: Survival) {
         let mut detector = self.lock();
-        detector.record_sound_parts(&call.shared_parts(), Instant::now());
         if detector.is_empty() {
             return;
         }
-        let cleared = detector.record_survival(&call.features(), began_at, Instant::now());
+        let cleared = detector.record_survival(&call.features(), survival, Instant::now());
         drop(detector);
         for clearance in cleared {
             log::info!(
-                "event=suspicion_cleared call={} feature={:016x} up_to={} ran_ms={}",
+                "event=suspicion_cleared call={} feature={:016x} up_to={} longest_ms={} ran_ms={}",
                 call.id(),
                 clearance.feature,
                 clearance.up_to,
-                began_at.elapsed().as_millis()
+                clearance.longest.as_ms(),
+                survival.began_at.elapsed().as_millis()
             );
             self.observations.publish(Observation::Cleared(clearance));
         }
@@ -115,7 +131,11 @@
     }
 
     /// Records that the upstream crashed under the call.
-    fn record_crash(&self, call: &Call, upstream: &Upstream, was_writing: bool) {
+    fn record_crash(&self, call: &Call, upstream: &Upstream, phase: AnswerPhase) {
+        let (was_writing, written) = match phase {
+            AnswerPhase::Waiting => (false, Duration::ZERO),
+            AnswerPhase::Writing(written) => (true, written),
+        };
         let now = Instant::now();
         let mut detector = self.lock();
         let crash = Crash {
@@ -123,6 +143,7 @@
             request: call.fingerprint(),
             parts: detector.suspect_parts(call.shared_parts()),
             was_writing,
+            time: CrashTime::of(written),
             version: unix_ms(),
         };
         let is_new = detector.record_crash(crash.clone(), now);
@@ -130,13 +151,14 @@
         let conviction_count = detector.conviction_count(now);
         drop(detector);
         log::warn!(
-            "event=crash_suspected call={} request={:016x} parts={} upstream={} born={} version={} writing={was_writing} verdict={verdict:?} convictions={conviction_count}",
+            "event=crash_suspected call={} request={:016x} parts={} upstream={} born={} version={} writing={was_writing} wrote_ms={} verdict={verdict:?} convictions={conviction_count}",
             call.id(),
             crash.request,
             call.shared_parts_for_log(),
             crash.upstream,
             upstream.entry.born_unix_ms,
-            crash.version
+            crash.version,
+            written.as_millis()
         );
         if is_new {
             self.observations.publish(Observation::Crash(crash));
@@ -158,12 +180,12 @@
     /// Connects to the upstream again, after it broke off, to check whether it has
     /// crashed. If it cannot be reached, but another one can, counts the crash
     /// against the call.
-    /// `was_writing` tells whether it had just begun to write the answer.
+    /// `phase` tells how far it had got with the answer.
     pub(crate) fn check_for_crash(
         self: &Arc<Self>,
         call: &Call,
         upstream: &Arc<Upstream>,
-        was_writing: bool,
+        phase: AnswerPhase,
     ) -> JoinHandle<()> {
         let (forwarder, call, upstream) = (self.clone(), call.clone(), upstream.clone());
         tokio::spawn(async move {
@@ -173,7 +195,7 @@
             }
             if forwarder.reaches_another(&upstream).await {
                 let crashes = &forwarder.request_crashes;
-                crashes.record_crash(&call, &upstream, was_writing);
+                crashes.record_crash(&call, &upstream, phase);
             }
         })
     }
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -18,7 +18,7 @@
 use super::forwarder::{Forwarder, NodeContext};
 use super::probe::LossWatch;
 use super::request::Call;
-use super::request_crashes::Permission;
+use super::request_crashes::{AnswerPhase, Permission};
 use super::run_origin::RunOrigin;
 use super::run_replica::{ReplicaSlot, ReplicatedRun, RunReplica, choose_holder, lock};
 use super::send_history::SendHistory;
@@ -78,7 +78,7 @@
     pub(super) is_origin_recorded: bool,
     /// The check whether the upstream that was lost last has crashed.
     pub(super) crash_check: Option<JoinHandle<()>>,
-    /// Whether an upstream went on with the answer, so that the call does not crash
+    /// Whether an upstream went on with the answer for so long that the call does not crash
     /// upstreams.
     pub(super) has_survived: bool,
     pub(super) event_count: u64,
@@ -197,7 +197,7 @@
                 // The run did not begin, so no replica of it was streamed.
                 lock(&self.replica).take();
             } else if matches!(failure, AttemptFailure::MayHaveRun(_)) {
-                self.check_for_crash(&upstream, false);
+                self.check_for_crash(&upstream, AnswerPhase::Waiting);
             }
             if self.sends.progress() == Progress::MayHaveRun && !self.may_repeat() {
                 let cause =
@@ -208,9 +208,9 @@
     }
 
     /// Checks whether the upstream, which broke off, has crashed.
-    pub(super) fn check_for_crash(&mut self, upstream: &Arc<Upstream>, was_writing: bool) {
+    pub(super) fn check_for_crash(&mut self, upstream: &Arc<Upstream>, phase: AnswerPhase) {
         let forwarder = &self.forwarder;
-        let check = forwarder.check_for_crash(&self.call, upstream, was_writing);
+        let check = forwarder.check_for_crash(&self.call, upstream, phase);
         self.crash_check = Some(check);
     }
 
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -20,6 +20,7 @@
 use super::forwarder::NodeContext;
 use super::present_answer::{OpenAnswer, PresentAnswer};
 use super::probe::{LossReason, LossWatch};
+use super::request_crashes::AnswerPhase;
 use super::run_replica::{free_replica, lock, maintain_replica};
 use super::stream_call::StreamRun;
 use super::stream_move::MoveOutcome;
@@ -29,11 +30,13 @@
 use crate::observe::metrics::{Counter, Span};
 use crate::platform::call::strip_hop_headers;
 use crate::platform::event_stream::{StreamPart, read_part};
-use crate::policy::crash_evidence::SURVIVAL_TIME;
+use crate::policy::crash_time::{LATE_CRASH_MAX, SURVIVAL_TIME, Survival};
 use crate::policy::liveness::StreamPhase;
 
 /// Maximum number of events that are queued for a slow caller.
 const QUEUED_EVENTS_MAX: usize = 8;
+/// Interval at which a run that goes on refutes crashes which took longer.
+const SURVIVAL_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The part of the stream that one upstream sends.
 #[derive(Debug)]
@@ -180,6 +183,7 @@
         let mut _replica_task = None;
         let deadline = self.call.deadline.into();
         let mut is_handed_over = false;
+        let mut survival_due = SURVIVAL_TIME;
         loop {
             let frame = tokio::select! {
                 () = forwarder.node.shutdown_imminent(), if !is_handed_over => {
@@ -238,7 +242,7 @@
                     self.free_current_replica(&upstream);
                     // An upstream that crashes may seem to end such an answer.
                     if !is_close_delimited {
-                        self.record_survival(first_event_at.unwrap_or_else(Instant::now));
+                        self.record_whole_answer(first_event_at);
                     }
                     return SegmentEnd::Complete;
                 }
@@ -274,7 +278,8 @@
                 phase = StreamPhase::Decode;
                 let began_at = *first_event_at.get_or_insert_with(Instant::now);
                 self.upstream_began_at = first_event_at;
-                if began_at.elapsed() >= SURVIVAL_TIME {
+                if began_at.elapsed() >= survival_due {
+                    survival_due = began_at.elapsed() + SURVIVAL_INTERVAL;
                     self.record_survival(began_at);
                 }
                 if self.event_count == 0
@@ -345,21 +350,29 @@
         ))
     }
 
-    /// Records once that an upstream went on with the answer that it began to write
-    /// at `began_at`.
+    /// Records that an upstream goes on with the answer that it began to write at `began_at`.
     fn record_survival(&mut self, began_at: Instant) {
-        if !std::mem::replace(&mut self.has_survived, true) {
+        self.has_survived |= began_at.elapsed() >= LATE_CRASH_MAX;
+        if let Some(survival) = Survival::of_running(began_at, Instant::now()) {
             let crashes = &self.forwarder.request_crashes;
-            crashes.record_survival(&self.call, began_at);
+            crashes.record_survival(&self.call, survival);
         }
     }
 
+    /// Records that an upstream wrote the answer to its end.
+    fn record_whole_answer(&self, first_event_at: Option<Instant>) {
+        let began_at = first_event_at.unwrap_or_else(Instant::now);
+        let crashes = &self.forwarder.request_crashes;
+        crashes.record_whole_answer(&self.call, began_at);
+    }
+
     /// Checks what became of an upstream whose connection broke. One that had sent
-    /// events for a while survived the start of the call.
+    /// events for long did not crash under the call.
     fn handle_disconnect(&mut self, upstream: &Arc<Upstream>, first_event_at: Option<Instant>) {
         upstream.avoid(Instant::now());
-        if first_event_at.is_none_or(|at| at.elapsed() < SURVIVAL_TIME) {
-            self.check_for_crash(upstream, true);
+        let written = first_event_at.map_or(Duration::ZERO, |at| at.elapsed());
+        if written < LATE_CRASH_MAX {
+            self.check_for_crash(upstream, AnswerPhase::Writing(written));
         }
         self.forwarder.probe_after_disconnect(upstream);
     }
--- a/src/membership/message/crash.rs
+++ b/src/membership/message/crash.rs
@@ -49,4 +49,8 @@
     /// Whether the upstream had begun to write its answer.
     #[prost(bool, tag = "2")]
     pub(crate) was_writing: bool,
+    /// How long it had written the answer, in milliseconds; zero if the crash was immediate or
+    /// the sender does not tell.
+    #[prost(uint32, tag = "3")]
+    pub(crate) time_ms: u32,
 }
--- a/src/membership/tests/mod.rs
+++ b/src/membership/tests/mod.rs
@@ -1,1 +1,2 @@
+mod crash_announcement;
 mod update_queue;
--- a/src/node/background.rs
+++ b/src/node/background.rs
@@ -129,7 +129,7 @@
         match events.recv().await {
             Ok(MembershipEvent::Announced(announcement)) => match announcement.topic {
                 CRASH_TOPIC | POISON_TOPIC => state.crash_tracker.apply_announcement(&announcement),
-                crash_announcement::CRASH_TOPIC | crash_announcement::CLEARANCE_TOPIC => {
+                topic if is_part_topic(topic) => {
                     state.crash_tracker.parts.apply_announcement(&announcement);
                 }
                 RUNNER_TOPIC => apply_report(&state, &announcement.key, &announcement.body),
@@ -141,6 +141,11 @@
     }
 }
 
+/// Whether the topic is about the parts of prompts that crash runners.
+fn is_part_topic(topic: u32) -> bool {
+    topic == crash_announcement::CRASH_TOPIC || crash_announcement::is_clearance_topic(topic)
+}
+
 fn apply_report(state: &NodeState, runner: &str, body: &[u8]) {
     if let Ok(report) = serde_json::from_slice::<RunnerReport>(body) {
         state.fleet.apply_announced_report(runner, &report);
--- a/src/policy/crash_evidence.rs
+++ b/src/policy/crash_evidence.rs
@@ -3,8 +3,8 @@
 //! What may crash an upstream is called a feature of a call here: the request as a
 //! whole, or a part of its prompt. An upstream's crash is evidence against the
 //! features of the calls at which it was writing; if it was writing none, against
-//! those of all calls that it had. A run that began later and went on is evidence
-//! for its features: it clears them of the crashes known before.
+//! those of all calls that it had. A run that began later and went on for longer than a
+//! crash took is evidence for its features: it clears them of the crashes known before.
 //!
 //! Crashes and clearances arrive in any order, and again. Nodes that know the same
 //! ones come to the same conclusions. `docs/CRASHES.md` weighs the alternatives.
@@ -12,13 +12,11 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
+use super::crash_time::{CrashTime, Survival};
 use crate::id::{Fingerprint, UpstreamId, Version};
 
 /// Lifetime of a crash, and of a clearance, as evidence.
 pub(crate) const EVIDENCE_TTL: Duration = Duration::from_secs(1_800);
-/// Time for which an upstream must go on with an answer to show that the call does
-/// not crash it.
-pub(crate) const SURVIVAL_TIME: Duration = Duration::from_millis(500);
 /// Maximum number of crashes that are kept.
 const CRASHES_MAX: usize = 256;
 /// Maximum number of clearances that are kept.
@@ -28,6 +26,9 @@
 pub(crate) const SUSPECT_PARTS_MAX: usize = 64;
 /// Crashes that become known within this time of each other may have one cause.
 const SIMULTANEOUS: Duration = Duration::from_millis(300);
+/// Late crashes under one feature that become known within this time of the first of them count
+/// as one event, since long streams run wherever a data centre is lost.
+const LATE_EVENT_DURATION: Duration = Duration::from_millis(500);
 
 /// The crash of an upstream, as seen by one call that ran there.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,15 +40,19 @@
     pub(crate) parts: Vec<Fingerprint>,
     /// Whether the upstream had begun to write its answer.
     pub(crate) was_writing: bool,
+    /// How long it had written the answer.
+    pub(crate) time: CrashTime,
     /// Unix milliseconds at the node that saw the crash.
     pub(crate) version: Version,
 }
 
-/// States that a feature did not cause the crashes up to a version.
+/// States that a feature did not cause the crashes up to a version, as far as these came no
+/// later in their answers than `longest`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Clearance {
     pub(crate) feature: Fingerprint,
     pub(crate) up_to: Version,
+    pub(crate) longest: CrashTime,
 }
 
 /// What a sound run refuted.
@@ -77,6 +82,7 @@
     pub(crate) request: Fingerprint,
     /// The features, each with the event as which the crash counts against it.
     pub(crate) features: BTreeMap<Fingerprint, CrashEventId>,
+    pub(crate) time: CrashTime,
     pub(crate) known_at: Instant,
 }
 
@@ -85,13 +91,19 @@
 pub(crate) struct CrashEvidence {
     /// Crashes in the order in which they became known.
     crashes: VecDeque<KnownCrash>,
-    clearances: BTreeMap<Fingerprint, (Version, Instant)>,
+    /// By feature and the longest crash time that is cleared.
+    clearances: BTreeMap<(Fingerprint, CrashTime), (Version, Instant)>,
 }
 
 impl Crash {
     pub(crate) fn has(&self, feature: Fingerprint) -> bool {
         self.request == feature || self.parts.contains(&feature)
     }
+
+    /// Whether the upstream had just begun to write the answer.
+    fn is_at_beginning(&self) -> bool {
+        self.was_writing && !self.time.is_late()
+    }
 }
 
 impl Suspicion {
@@ -130,36 +142,47 @@
     /// Clears a feature of the crashes up to a version. Returns false if it was
     /// cleared of them before.
     pub(crate) fn add_clearance(&mut self, clearance: Clearance, now: Instant) -> bool {
-        let Clearance { feature, up_to } = clearance;
-        if self.cleared_up_to(feature) >= up_to {
+        let Clearance {
+            feature,
+            up_to,
+            longest,
+        } = clearance;
+        if self.cleared_up_to(feature, longest) >= up_to {
             return false;
         }
-        self.clearances.insert(feature, (up_to, now));
+        self.clearances.insert((feature, longest), (up_to, now));
         if self.clearances.len() > CLEARANCES_MAX {
             self.remove_oldest_clearance();
         }
         true
     }
 
-    /// Clears the features of a run that began to write its answer at `began_at` and
-    /// went on.
+    /// Clears the features of a run that went on.
     pub(crate) fn add_survival(
         &mut self,
         features: &[Fingerprint],
-        began_at: Instant,
+        survival: Survival,
         now: Instant,
     ) -> Refutation {
+        let is_refuted = |known: &&KnownCrash| {
+            known.known_at < survival.began_at && known.crash.time <= survival.refutes
+        };
         let mut refutation = Refutation::default();
         for feature in self.suspected_of(features) {
             let under_feature = self.crashes.iter().filter(|k| k.crash.has(feature));
-            let known_before = under_feature.clone().filter(|k| k.known_at < began_at);
-            let Some(up_to) = known_before.map(|known| known.crash.version).max() else {
+            let refuted = under_feature.clone().filter(is_refuted);
+            let Some(up_to) = refuted.clone().map(|known| known.crash.version).max() else {
                 continue;
             };
+            let longest = refuted.map(|known| known.crash.time).max();
             let upstreams: BTreeSet<&str> =
                 under_feature.map(|k| k.crash.upstream.as_str()).collect();
             let is_shared = upstreams.len() > 1;
-            let clearance = Clearance { feature, up_to };
+            let clearance = Clearance {
+                feature,
+                up_to,
+                longest: longest.unwrap_or_default(),
+            };
             if self.add_clearance(clearance, now) {
                 refutation.has_cleared = true;
                 refutation
@@ -183,8 +206,8 @@
 
     fn remove_oldest_clearance(&mut self) {
         let oldest = self.clearances.iter().min_by_key(|(_, (_, at))| *at);
-        if let Some(feature) = oldest.map(|(feature, _)| *feature) {
-            self.clearances.remove(&feature);
+        if let Some(key) = oldest.map(|(key, _)| *key) {
+            self.clearances.remove(&key);
         }
     }
 
@@ -207,29 +230,36 @@
         suspicions
     }
 
-    /// The crashes with the features that were not cleared of them. A call that waited
-    /// is no suspect at an upstream that was writing an answer to another one.
+    /// The crashes with the features that were not cleared of them. A call that waited is no
+    /// suspect at an upstream that had just begun to write an answer to another one. One whose
+    /// answer was under way is, since either may have crashed the upstream.
     fn uncleared(&self) -> Vec<Suspicion> {
-        let writing = self.crashes.iter().filter(|k| k.crash.was_writing);
-        let writing: BTreeSet<&str> = writing.map(|k| k.crash.upstream.as_str()).collect();
+        let beginning = self.crashes.iter().filter(|k| k.crash.is_at_beginning());
+        let beginning: BTreeSet<&str> = beginning.map(|k| k.crash.upstream.as_str()).collect();
         let is_suspect =
-            |crash: &Crash| crash.was_writing || !writing.contains(crash.upstream.as_str());
+            |crash: &Crash| crash.was_writing || !beginning.contains(crash.upstream.as_str());
         let suspects = self.crashes.iter().filter(|k| is_suspect(&k.crash));
         let suspicions = suspects.map(|KnownCrash { crash, known_at }| {
             let features = crash.parts.iter().chain([&crash.request]);
-            let uncleared = features.filter(|f| self.cleared_up_to(**f) < crash.version);
+            let uncleared =
+                features.filter(|f| self.cleared_up_to(**f, crash.time) < crash.version);
             Suspicion {
                 upstream: crash.upstream.clone(),
                 request: crash.request,
                 features: uncleared.map(|feature| (*feature, 0)).collect(),
+                time: crash.time,
                 known_at: *known_at,
             }
         });
         suspicions.collect()
     }
 
-    fn cleared_up_to(&self, feature: Fingerprint) -> Version {
-        self.clearances.get(&feature).map_or(0, |(up_to, _)| *up_to)
+    /// The version up to which a feature is cleared of crashes with this crash time.
+    fn cleared_up_to(&self, feature: Fingerprint, time: CrashTime) -> Version {
+        let clearances = self
+            .clearances
+            .range((feature, time)..=(feature, CrashTime::MAX));
+        clearances.map(|(_, (up_to, _))| *up_to).max().unwrap_or(0)
     }
 
     fn remove_expired(&mut self, now: Instant) {
@@ -260,7 +290,8 @@
 /// The features of one crash, each with the event as which the crash counts. Usually
 /// that is the crash of its upstream. If most of the crashes at about the same time
 /// are not under the feature, they have another cause, such as the loss of a data
-/// centre, and those under the feature count as one event together.
+/// centre, and those under the feature count as one event together. Late crashes that come
+/// together always do.
 fn events(all: &[Suspicion], at: usize) -> BTreeMap<Fingerprint, CrashEventId> {
     let suspicion = &all[at];
     if suspicion.features.is_empty() {
@@ -281,6 +312,9 @@
         .iter()
         .position(|other| other.upstream == suspicion.upstream);
     let event = |feature: &Fingerprint| {
+        if suspicion.time.is_late() {
+            return late_event(all, at, *feature);
+        }
         let has_feature = |other: &Suspicion| other.features.contains_key(feature);
         if 2 * count(&has_feature) >= near_count {
             return of_upstream;
@@ -294,6 +328,28 @@
         .collect()
 }
 
+/// The event as which a late crash counts against a feature.
+fn late_event(all: &[Suspicion], at: usize, feature: Fingerprint) -> Option<CrashEventId> {
+    let is_under_feature =
+        |other: &Suspicion| other.time.is_late() && other.features.contains_key(&feature);
+    let mut event: Option<CrashEventId> = None;
+    for (place, other) in all.iter().enumerate().take(at + 1) {
+        if !is_under_feature(other) {
+            continue;
+        }
+        let is_same = event.is_some_and(|first| {
+            other
+                .known_at
+                .saturating_duration_since(all[first].known_at)
+                <= LATE_EVENT_DURATION
+        });
+        if !is_same {
+            event = Some(place);
+        }
+    }
+    event
+}
+
 /// Events under each feature.
 pub(crate) fn events_by_feature(
     suspicions: &[Suspicion],
--- a/src/policy/poison_detector.rs
+++ b/src/policy/poison_detector.rs
@@ -16,6 +16,7 @@
 use super::crash_evidence::{
     Clearance, Crash, CrashEventId, CrashEvidence, SUSPECT_PARTS_MAX, Suspicion, events_by_feature,
 };
+use super::crash_time::Survival;
 use super::sound_parts::SoundParts;
 use crate::hash::Fnv;
 use crate::id::{Fingerprint, UpstreamId};
@@ -28,6 +29,9 @@
 /// Time from the crash that convicts until requests other than those that crashed
 /// upstreams are refused.
 const CONVICTION_DELAY: Duration = Duration::from_secs(1);
+/// Maximum time by which a conviction takes effect later because its crashes took long: sound
+/// runs need longer to refute these.
+const LATE_CONVICTION_DELAY_MAX: Duration = Duration::from_secs(1);
 /// Time from the last crash to the first trial.
 const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(6);
 /// Factor by which the time to the next trial grows with each that fails.
@@ -136,15 +140,15 @@
         self.sound_parts.add(parts, now);
     }
 
-    /// Records that a run with these features, which began to write its answer at
-    /// `began_at`, went on. Returns the clearances that other nodes need.
+    /// Records that a run with these features went on. Returns the clearances that other nodes
+    /// need.
     pub(crate) fn record_survival(
         &mut self,
         features: &[Fingerprint],
-        began_at: Instant,
+        survival: Survival,
         now: Instant,
     ) -> Vec<Clearance> {
-        let refutation = self.evidence.add_survival(features, began_at, now);
+        let refutation = self.evidence.add_survival(features, survival, now);
         self.is_outdated |= refutation.has_cleared;
         refutation.needed_by_peers
     }
@@ -274,7 +278,7 @@
     let delay = if bars_only_one_request {
         Duration::ZERO
     } else {
-        CONVICTION_DELAY
+        CONVICTION_DELAY + late_delay(&under_cause)
     };
     Some(Conviction {
         features,
@@ -283,6 +287,15 @@
     })
 }
 
+/// How much longer than after immediate crashes sound runs have to refute these.
+fn late_delay(under_cause: &[&Suspicion]) -> Duration {
+    let longest = under_cause.iter().map(|s| s.time).max();
+    longest
+        .unwrap_or_default()
+        .as_duration()
+        .min(LATE_CONVICTION_DELAY_MAX)
+}
+
 /// The cause, and the features that stood beside it in most events.
 fn accompanying_features(
     under_cause: &[&Suspicion],
--- a/src/policy/tests/poison_detector.rs
+++ b/src/policy/tests/poison_detector.rs
@@ -1,6 +1,7 @@
 use std::time::{Duration, Instant};
 
 use crate::policy::crash_evidence::{Clearance, Crash, SUSPECT_PARTS_MAX};
+use crate::policy::crash_time::{CrashTime, Survival};
 use crate::policy::poison_detector::{PoisonDetector, Verdict};
 
 /// The first part of most prompts.
@@ -55,12 +56,27 @@
             request,
             parts: parts.to_vec(),
             was_writing,
+            time: CrashTime::IMMEDIATE,
             version: 1_000 + self.next_upstream,
         };
         self.detector.record_crash(crash.clone(), self.now);
         crash
     }
 
+    /// A crash of an upstream that had written the answer for this time.
+    fn late_crash(&mut self, request: u64, parts: &[u64], written: Duration) {
+        self.next_upstream += 1;
+        let crash = Crash {
+            upstream: format!("e-{}", self.next_upstream),
+            request,
+            parts: parts.to_vec(),
+            was_writing: true,
+            time: CrashTime::of(written),
+            version: 1_000 + self.next_upstream,
+        };
+        self.detector.record_crash(crash, self.now);
+    }
+
     /// Crashes half a second apart.
     fn crashes(&mut self, parts_by_request: &[(u64, &[u64])]) {
         for (request, parts) in parts_by_request {
@@ -70,10 +86,16 @@
     }
 
     fn survival(&mut self, request: u64, parts: &[u64]) -> Vec<Clearance> {
+        self.survival_of(request, parts, Duration::from_millis(500))
+    }
+
+    /// A run that goes on for this time.
+    fn survival_of(&mut self, request: u64, parts: &[u64], time: Duration) -> Vec<Clearance> {
         let began_at = self.now;
-        self.wait(Duration::from_millis(500));
+        self.wait(time);
         let features = features(request, parts);
-        self.detector.record_survival(&features, began_at, self.now)
+        let survival = Survival::of_running(began_at, self.now).expect("it went on");
+        self.detector.record_survival(&features, survival, self.now)
     }
 
     fn verdict(&mut self, request: u64, parts: &[u64]) -> Verdict {
@@ -275,6 +297,7 @@
     let clearance = Clearance {
         feature: COMMON,
         up_to: 1_002,
+        longest: CrashTime::IMMEDIATE,
     };
     for clearance_at in 0..=3 {
         let mut scene = Scene::new();
@@ -309,3 +332,74 @@
     assert_eq!(suspects.len(), SUSPECT_PARTS_MAX);
     assert_eq!(suspects[..3], [RARE, CRASHING, 2_999]);
 }
+
+/// Guards against runs that clear the part of earlier crashes, though they end in one as late.
+#[test]
+fn a_late_crash_is_refuted_only_by_runs_that_go_on_for_longer() {
+    let mut scene = Scene::new();
+    let crash_time = Duration::from_millis(880);
+    for request in 1..=3 {
+        scene.late_crash(request, &[COMMON, CRASHING], crash_time);
+        scene.survival_of(10 + request, &[CRASHING], crash_time);
+    }
+    scene.survival_of(20, &[COMMON], 2 * crash_time);
+    scene.wait(DELAY);
+
+    assert!(scene.is_refused(30, &[COMMON, CRASHING]));
+    assert!(scene.is_refused(30, &[CRASHING]));
+    assert!(!scene.is_refused(30, &[COMMON]));
+}
+
+/// Guards against a sound part that is convicted since long streams run wherever a data centre
+/// is lost: three losses, of which each ends eight streams that had gone on for a second or two.
+#[test]
+fn the_loss_of_data_centres_under_long_streams_convicts_no_part() {
+    let mut scene = Scene::new();
+
+    for loss in 0..3_u64 {
+        for n in 0..8_u64 {
+            let written = Duration::from_millis(600 + 200 * n);
+            scene.late_crash(100 * loss + n, &[COMMON], written);
+            scene.wait(Duration::from_millis(40));
+        }
+        scene.survival_of(90, &[COMMON], Duration::from_secs(4));
+        assert!(!scene.is_refused(91, &[COMMON]), "loss {loss}");
+        scene.wait(Duration::from_millis(2_700));
+    }
+}
+
+/// Guards against a late crash for which a sound call is blamed that had just begun there, and
+/// against blaming sound streams that were under way.
+#[test]
+fn calls_that_had_begun_and_those_under_way_are_suspects_until_sound_runs_clear_them() {
+    for (crashing_time, sound_time) in [(0, 1_000), (1_000, 0)] {
+        let mut scene = Scene::new();
+        for n in 0..5_u64 {
+            let crash = Crash {
+                time: CrashTime::of(Duration::from_millis(crashing_time)),
+                ..scene.crash(n, &[])
+            };
+            let sound = Crash {
+                request: 100 + n,
+                parts: vec![RARE],
+                time: CrashTime::of(Duration::from_millis(sound_time)),
+                ..crash.clone()
+            };
+            let crash = Crash {
+                request: 200 + n,
+                parts: vec![CRASHING],
+                ..crash
+            };
+            scene.detector.record_crash(crash, scene.now);
+            scene.detector.record_crash(sound, scene.now);
+            scene.wait(Duration::from_millis(700));
+        }
+        scene.survival_of(50, &[RARE], Duration::from_secs(4));
+
+        assert!(
+            scene.is_refused(10, &[CRASHING]),
+            "after {crashing_time} ms"
+        );
+        assert!(!scene.is_refused(10, &[RARE]), "beside {sound_time} ms");
+    }
+}
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -24,9 +24,36 @@
 const ENGINE_DOWN_TIME: Duration = Duration::from_millis(700);
 /// Time during which the crashing part is sent.
 const CRASHING_TIME: Duration = Duration::from_secs(14);
+/// Time between two crashes of a data centre.
+const OUTAGE_INTERVAL: Duration = Duration::from_millis(1_500);
 
 static NEXT_OWN_PART: AtomicU64 = AtomicU64::new(1);
 
+/// What is sent, and which other trouble there is.
+#[derive(Clone, Copy, Debug)]
+struct Scene {
+    /// Shared parts of the prompts that crash engines.
+    crashing: &'static [&'static str],
+    /// Shared parts of the sound prompts.
+    sound: &'static [&'static str],
+    /// Events of the answers to the crashing prompts, and to the sound ones.
+    events: (u64, u64),
+    crash_interval: Duration,
+    outage_interval: Duration,
+}
+
+impl Scene {
+    fn new(crashing: &'static [&'static str], sound: &'static [&'static str]) -> Self {
+        Self {
+            crashing,
+            sound,
+            events: (20, 60),
+            crash_interval: Duration::from_millis(150),
+            outage_interval: OUTAGE_INTERVAL,
+        }
+    }
+}
+
 /// A sound request, and whether it was served in full.
 #[derive(Clone, Copy, Debug)]
 struct SoundRequest {
@@ -47,19 +74,15 @@
     answer.is_complete && answer.event_ids() == (1..=events).collect::<Vec<u64>>()
 }
 
-/// Sends a request with a crashing part to the nodes in turn, every `interval`.
-fn send_crashing_parts(
-    callers: &[Caller],
-    prompts: &'static [&'static str],
-    interval: Duration,
-) -> JoinHandle<()> {
+/// Sends requests with a crashing part to the nodes in turn.
+fn send_crashing_parts(callers: &[Caller], scene: Scene) -> JoinHandle<()> {
     let callers = callers.to_vec();
     tokio::spawn(async move {
         for n in 0.. {
             let caller = callers[n % callers.len()].clone();
-            let shared_parts = prompts[n % prompts.len()];
-            tokio::spawn(async move { send_prompt(&caller, shared_parts, 20).await });
-            tokio::time::sleep(interval).await;
+            let shared_parts = scene.crashing[n % scene.crashing.len()];
+            tokio::spawn(async move { send_prompt(&caller, shared_parts, scene.events.0).await });
+            tokio::time::sleep(scene.crash_interval).await;
         }
     })
 }
@@ -67,7 +90,7 @@
 /// Sends sound requests to the nodes in turn until `is_over` is set.
 fn send_sound_parts(
     callers: &[Caller],
-    prompts: &'static [&'static str],
+    scene: Scene,
     is_over: &Arc<AtomicBool>,
 ) -> JoinHandle<Vec<SoundRequest>> {
     let (callers, is_over) = (callers.to_vec(), is_over.clone());
@@ -78,9 +101,12 @@
                 break;
             }
             let caller = callers[n % callers.len()].clone();
-            let shared_parts = prompts[n % prompts.len()];
+            let shared_parts = scene.sound[n % scene.sound.len()];
             let sent_at = Instant::now();
-            let sending = tokio::spawn(async move { send_prompt(&caller, shared_parts, 60).await });
+            let sending =
+                tokio::spawn(
+                    async move { send_prompt(&caller, shared_parts, scene.events.1).await },
+                );
             sent.push((sent_at, sending));
             tokio::time::sleep(Duration::from_millis(60)).await;
         }
@@ -125,12 +151,15 @@
     crashes
 }
 
-/// Crashes all engines of one data centre every second and a half.
-fn crash_a_data_centre_in_turn(environment: &TestEnvironment) -> JoinHandle<()> {
+/// Crashes all engines of one data centre again and again.
+fn crash_a_data_centre_in_turn(
+    environment: &TestEnvironment,
+    interval: Duration,
+) -> JoinHandle<()> {
     let engines = environment.engines.clone();
     tokio::spawn(async move {
         loop {
-            tokio::time::sleep(Duration::from_millis(1_500)).await;
+            tokio::time::sleep(interval).await;
             for engine in engines.iter().skip(1).step_by(2) {
                 if engine.down_time().is_none() {
                     engine.crash();
@@ -142,8 +171,9 @@
 
 /// Sends prompts with a crashing part beside sound ones, while other engines crash too, and
 /// checks how many of the first reach engines, and that the others are served.
-async fn assert_part_is_found(crashing: &'static [&'static str], sound: &'static [&'static str]) {
-    assert!(crashing.iter().all(|parts| parts.contains(CRASHING_PART)));
+async fn assert_part_is_found(scene: Scene) {
+    let mut crashing = scene.crashing.iter();
+    assert!(crashing.all(|parts| parts.contains(CRASHING_PART)));
     let environment = TestEnvironment::start(ENGINE_COUNT).await;
     for engine in &environment.engines {
         *engine.prefill_time.lock().expect("unpoisoned") = Duration::from_millis(300);
@@ -152,12 +182,12 @@
     let (_nodes, callers) = environment.start_ready_nodes(NODE_COUNT).await;
     let restarting = environment.restart_crashed_engines(ENGINE_DOWN_TIME);
     let is_over = Arc::new(AtomicBool::new(false));
-    let sound = send_sound_parts(&callers, sound, &is_over);
+    let sound = send_sound_parts(&callers, scene, &is_over);
     tokio::time::sleep(Duration::from_secs(2)).await;
 
     let began_at = Instant::now();
-    let crashing = send_crashing_parts(&callers, crashing, Duration::from_millis(150));
-    let outages = crash_a_data_centre_in_turn(&environment);
+    let crashing = send_crashing_parts(&callers, scene);
+    let outages = crash_a_data_centre_in_turn(&environment, scene.outage_interval);
     tokio::time::sleep(CRASHING_TIME).await;
     is_over.store(true, Ordering::Relaxed);
     let sound = sound.await.expect("no panic");
@@ -189,7 +219,7 @@
 async fn a_part_that_crashes_engines_reaches_three_at_most_and_sound_prompts_are_served() {
     const CRASHING: &[&str] = &["aa:200,dead0:300,", "aa:200,bb:50,dead0:300,", "dead0:300,"];
     const SOUND: &[&str] = &["aa:200,", "aa:200,bb:50,", "aa:200,cc:40,"];
-    assert_part_is_found(CRASHING, SOUND).await;
+    assert_part_is_found(Scene::new(CRASHING, SOUND)).await;
 }
 
 /// A prompt with `count` parts that sound prompts have too, and the crashing one at `place`.
@@ -210,5 +240,42 @@
         .flat_map(|count| [0, count / 2, count].map(|place| long_prompt(count, Some(place))))
         .collect();
     let sound = [16, 100, 400].map(|count| long_prompt(count, None));
-    assert_part_is_found(crashing.leak(), Vec::from(sound).leak()).await;
+    assert_part_is_found(Scene::new(crashing.leak(), Vec::from(sound).leak())).await;
+}
+
+/// Streams of up to two seconds, a crashing prompt every 0.3 s, and a data centre that crashes
+/// every four.
+fn long_streams(crashing: &'static [&'static str], sound: &'static [&'static str]) -> Scene {
+    Scene {
+        events: (120, 120),
+        crash_interval: Duration::from_millis(300),
+        outage_interval: Duration::from_secs(4),
+        ..Scene::new(crashing, sound)
+    }
+}
+
+/// Guards against crashes that count for nothing because they come over half a second after
+/// the first event of the answer: 34 events take over 0.5 s.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_that_crashes_engines_just_over_500_ms_after_the_first_event() {
+    const CRASHING: &[&str] = &[
+        "aa:200,dead34:300,",
+        "aa:200,bb:50,dead34:300,",
+        "dead34:300,",
+    ];
+    const SOUND: &[&str] = &["aa:200,", "aa:200,bb:50,", "aa:200,cc:40,"];
+    assert_part_is_found(long_streams(CRASHING, SOUND)).await;
+}
+
+/// Guards against runs that clear the part of earlier crashes though they end in one, since
+/// they went on for half a second before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_that_crashes_engines_880_ms_after_the_first_event() {
+    const CRASHING: &[&str] = &[
+        "aa:200,dead52:300,",
+        "aa:200,bb:50,dead52:300,",
+        "dead52:300,",
+    ];
+    const SOUND: &[&str] = &["aa:200,", "aa:200,bb:50,", "aa:200,cc:40,"];
+    assert_part_is_found(long_streams(CRASHING, SOUND)).await;
 }
