--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -18,7 +18,7 @@
 use super::forwarder::{Forwarder, NodeContext};
 use super::probe::LossWatch;
 use super::request::Call;
-use super::request_crashes::Permission;
+use super::request_crashes::{AnswerPhase, Permission};
 use super::run_origin::RunOrigin;
 use super::run_replica::{ReplicaSlot, ReplicatedRun, RunReplica, choose_holder, lock};
 use super::send_history::SendHistory;
@@ -78,7 +78,7 @@
     pub(super) is_origin_recorded: bool,
     /// The check whether the upstream that was lost last has crashed.
     pub(super) crash_check: Option<JoinHandle<()>>,
-    /// Whether an upstream went on with the answer, so that the call does not crash
+    /// Whether an upstream went on with the answer for so long that the call does not crash
     /// upstreams.
     pub(super) has_survived: bool,
     pub(super) event_count: u64,
@@ -88,6 +88,8 @@
     pub(super) first_event_ms: Option<u128>,
     pub(super) longest_pause_ms: u128,
     pub(super) last_event_at: Option<Instant>,
+    /// When the present upstream, or the last one, sent its first event.
+    pub(super) upstream_began_at: Option<Instant>,
 }
 
 impl OpenFailure {
@@ -125,6 +127,7 @@
             first_event_ms: None,
             longest_pause_ms: 0,
             last_event_at: None,
+            upstream_began_at: None,
         };
         let deadline = run.call.deadline;
         let (service, may_move) = (run.call.service.clone(), run.call.may_move_to_peer());
@@ -194,7 +197,7 @@
                 // The run did not begin, so no replica of it was streamed.
                 lock(&self.replica).take();
             } else if matches!(failure, AttemptFailure::MayHaveRun(_)) {
-                self.check_for_crash(&upstream, false);
+                self.check_for_crash(&upstream, AnswerPhase::Waiting);
             }
             if self.sends.progress() == Progress::MayHaveRun && !self.may_repeat() {
                 let cause =
@@ -205,9 +208,9 @@
     }
 
     /// Checks whether the upstream, which broke off, has crashed.
-    pub(super) fn check_for_crash(&mut self, upstream: &Arc<Upstream>, was_writing: bool) {
+    pub(super) fn check_for_crash(&mut self, upstream: &Arc<Upstream>, phase: AnswerPhase) {
         let forwarder = &self.forwarder;
-        let check = forwarder.check_for_crash(&self.call, upstream, was_writing);
+        let check = forwarder.check_for_crash(&self.call, upstream, phase);
         self.crash_check = Some(check);
     }
 
