Test the memory and the descriptors of a node beside crowds of callers

Callers that send large bodies and stop short of their end, or read nothing, ended a process by its memory.

--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -15,6 +15,7 @@
 pub mod leaving_callers;
 pub mod load;
 pub mod named_limit;
+pub mod node_process;
 pub mod process;
 pub mod proxy;
 pub mod raw;
