Reserve the bodies of calls from one memory budget before they are read

Each body was collected into a buffer of its own without regard to the others, so that a crowd of legal bodies ended the process. A process now has a budget of a third of its memory, of which large bodies can't take a quarter. An announced body reserves its length, a chunked one reserves pieces as it grows, and the reservation is dropped with the last clone of the bytes. A body without progress loses its memory when another waits for it (408); what finds no room within 2 s is refused (503).

--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -43,8 +43,10 @@
 use crate::membership::link_faults::LinkFaults;
 use crate::membership::members::Member;
 use crate::membership::peer::{PeerClient, serve_peers};
+use crate::memory::budget::MemoryBudget;
 use crate::observe::metrics::Metrics;
 use crate::platform::store::Store;
+use crate::policy::memory_shares::MemoryShares;
 use crate::shutdown::{Shutdown, ShutdownStage, ShutdownTrigger};
 
 /// Interval at which other nodes are probed for liveness.
@@ -116,6 +118,7 @@
             sessions: Sessions::new(observation_channel.clone()),
             run_origins: RunOrigins::default(),
             observations: observation_channel,
+            memory: MemoryBudget::new(MemoryShares::of_process(settings.memory_mb)),
             metrics,
             data_centre: settings.data_centre.clone(),
             node: ClusterView::new(
--- a/src/edge/status_api.rs
+++ b/src/edge/status_api.rs
@@ -55,7 +55,7 @@
     }
 
     fn counters(&self) -> HttpResponse {
-        let text = self.forwarder.metrics.to_text() + &self.config_gauges();
+        let text = self.forwarder.metrics.to_text() + &self.config_gauges() + &self.memory_gauges();
         HttpResponse::new(http::full(text))
     }
 
@@ -71,6 +71,13 @@
         }
         text
     }
+
+    /// The bytes that are held for calls, and those that may be.
+    fn memory_gauges(&self) -> String {
+        let memory = &self.forwarder.memory;
+        gauge_line("memory_held_bytes", memory.held_bytes() as u64)
+            + &gauge_line("memory_budget_bytes", memory.budget_bytes() as u64)
+    }
 }
 
 impl Handler for StatusApi {
--- a/src/error.rs
+++ b/src/error.rs
@@ -53,6 +53,8 @@
     OutcomeUnknown,
     /// The wait would exceed the maximum wait of the caller.
     Overloaded,
+    /// This node holds as many bytes for callers as its memory allows.
+    MemoryFull,
     /// No runner or upstream can accept the request.
     NoUpstream,
     /// The request is poison: it crashes the runners that run it.
@@ -86,7 +88,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order of the table in `docs/PROTOCOLS.md`.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::BadRequest,
         Self::Unauthorized,
         Self::NotFound,
@@ -99,6 +101,7 @@
         Self::KeyUnchecked,
         Self::OutcomeUnknown,
         Self::Overloaded,
+        Self::MemoryFull,
         Self::NoUpstream,
         Self::CrashesRunners,
         Self::Quarantined,
@@ -131,6 +134,7 @@
             Self::KeyUnchecked => (503, Unknown, Some(5_000)),
             Self::OutcomeUnknown => (504, Unknown, None),
             Self::Overloaded => (429, NotRun, Some(2_000)),
+            Self::MemoryFull => (503, NotRun, Some(1_000)),
             Self::NoUpstream => (503, NotRun, Some(1_000)),
             Self::CrashesRunners => (422, Ran, Some(600_000)),
             Self::Quarantined => (503, NotRun, Some(5_000)),
@@ -162,6 +166,7 @@
             Self::KeyUnchecked => "key_unchecked",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::Overloaded => "overloaded",
+            Self::MemoryFull => "memory_full",
             Self::NoUpstream => "no_upstream",
             Self::CrashesRunners => "crashes_runners",
             Self::Quarantined => "quarantined",
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -24,8 +24,9 @@
 use super::upstream::Upstream;
 use super::upstream_permits::{PermitWait, WithoutPermit};
 use crate::error::{Error, ErrorKind};
-use crate::http::{self, HttpResponse, read_body};
+use crate::http::{self, HttpResponse};
 use crate::id::{DataCentreId, NodeId, ServiceId, UpstreamId, Version};
+use crate::memory::budget::MemoryBudget;
 use crate::observe::metrics::{Counter, Metrics};
 use crate::platform::call::{self, CallHeaders, RelayHeaders};
 use crate::policy::failure_response::{GiveUpReason, Progress};
@@ -123,6 +124,8 @@
     pub(crate) run_origins: RunOrigins,
     /// Publishes to other nodes what this node observes.
     pub(crate) observations: Observations,
+    /// Bytes that this process may hold for calls.
+    pub(crate) memory: Arc<MemoryBudget>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) data_centre: DataCentreId,
     /// State of the node and of the cluster.
@@ -228,14 +231,9 @@
         let Admission { table, matched } = admission;
         let arrived_at = arrival.arrived_at;
         let (parts, body) = request.into_parts();
-        let body = match read_body(body, table.limits.body_bytes).await {
+        let body = match self.read_body(&parts, body, table.limits.body_bytes).await {
             Ok(body) => body,
-            Err(error) => {
-                let mut response = http::error_response(&error);
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(CONNECTION, close);
-                return response;
-            }
+            Err(response) => return response,
         };
         let Some(service) = matched.route.service(rand::rng().random()).cloned() else {
             return http::error_response(&Error::new(
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -17,6 +17,7 @@
 
 pub(crate) mod answer_body;
 pub(crate) mod attempt;
+mod call_body;
 pub(crate) mod caller_departures;
 pub(crate) mod caller_resume;
 pub(crate) mod connection;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
 mod json_parts;
 mod listener;
 mod membership;
+mod memory;
 mod node;
 mod node_state;
 mod observe;
--- /dev/null
+++ b/src/memory/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of the budget without connections.
+
+mod budget;
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -80,6 +80,16 @@
     CallsRejected,
     /// Admitted calls that this node gave up and answered with an error.
     CallsGivenUp,
+    /// Bodies of calls refused because the memory budget was full.
+    BodiesRefusedFull,
+    /// Bodies of calls that lost their memory to others because they made no progress.
+    BodiesReclaimed,
+    /// Bodies of calls that did not arrive in time.
+    BodiesTooSlow,
+    /// Bodies of calls above the limit.
+    BodiesOverLimit,
+    /// Bodies of calls that were malformed or whose connection broke.
+    BodiesUnreadable,
     /// Calls whose connection closed before this node answered.
     CallsUnanswered,
     /// Calls that a peer answered because this node reaches no upstream.
@@ -116,7 +126,7 @@
 
 impl Counter {
     /// All counters, in the order of the list in `docs/OPERATIONS.md`.
-    pub const ALL: [Self; 40] = [
+    pub const ALL: [Self; 45] = [
         Self::Completions,
         Self::Refused,
         Self::Tokens,
@@ -141,6 +151,11 @@
         Self::Calls,
         Self::CallsRejected,
         Self::CallsGivenUp,
+        Self::BodiesRefusedFull,
+        Self::BodiesReclaimed,
+        Self::BodiesTooSlow,
+        Self::BodiesOverLimit,
+        Self::BodiesUnreadable,
         Self::CallsUnanswered,
         Self::CallsRelayed,
         Self::RelayedCalls,
@@ -187,6 +202,11 @@
             Self::Calls => "calls_count",
             Self::CallsRejected => "calls_rejected_count",
             Self::CallsGivenUp => "calls_given_up_count",
+            Self::BodiesRefusedFull => "bodies_refused_full_count",
+            Self::BodiesReclaimed => "bodies_reclaimed_count",
+            Self::BodiesTooSlow => "bodies_too_slow_count",
+            Self::BodiesOverLimit => "bodies_over_limit_count",
+            Self::BodiesUnreadable => "bodies_unreadable_count",
             Self::CallsUnanswered => "calls_unanswered_count",
             Self::CallsRelayed => "calls_relayed_count",
             Self::RelayedCalls => "relayed_calls_count",
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod failure_response;
 pub(crate) mod freshness;
 pub(crate) mod liveness;
+pub(crate) mod memory_shares;
 pub(crate) mod outage;
 pub(crate) mod placement;
 pub(crate) mod poison_detector;
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -4,6 +4,7 @@
 mod failure_response;
 mod freshness;
 mod liveness;
+mod memory_shares;
 mod outage;
 mod placement;
 mod poison_detector;
