Bound unread answers and accepted connections by the process's limits

A caller that read nothing kept 550 KB at the node, since the read buffer of an upstream connection grew to 400 KB, and its connection stayed open after the deadline of its call, because the server does not poll an answer that is not read. Connections were not bounded at all. Answers are now reserved from the memory budget while they are read, upstream buffers hold at most 32 KiB, and the connection of an answer that is not read is closed one second after the deadline, or when its memory is needed. Callers get a third of max-fds; at the bound the connection that was idle longest makes room.

--- a/src/edge/caller_handler.rs
+++ b/src/edge/caller_handler.rs
@@ -7,6 +7,7 @@
 
 use super::cluster_view::ClusterView;
 use super::unanswered_call::UnansweredCall;
+use crate::connection_bound::ConnectionBound;
 use crate::forward::forwarder::Forwarder;
 use crate::forward::route_table::CallerLimits;
 use crate::http::{ConnectionLimits, Handler, HttpResponse};
@@ -17,6 +18,7 @@
 /// Passes callers' requests to the forwarder.
 pub(crate) struct CallerHandler {
     pub(crate) forwarder: Arc<Forwarder<ClusterView>>,
+    pub(crate) connections: Arc<ConnectionBound>,
 }
 
 impl Handler for CallerHandler {
@@ -24,6 +26,10 @@
         caller_connection_limits(&self.forwarder)
     }
 
+    fn connection_bound(&self) -> Option<Arc<ConnectionBound>> {
+        Some(self.connections.clone())
+    }
+
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
         let unanswered = UnansweredCall::new(&request, self.forwarder.clone());
         let response = self.forwarder.clone().forward(request).await;
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -28,6 +28,7 @@
 use crate::clock::unix_ms;
 use crate::configuration::document::DocumentStore;
 use crate::configuration::document_exchange::DocumentExchange;
+use crate::connection_bound::ConnectionBound;
 use crate::forward::caller_departures::CallerDepartures;
 use crate::forward::directory::Directory;
 use crate::forward::forwarder::Forwarder;
@@ -46,6 +47,7 @@
 use crate::memory::budget::MemoryBudget;
 use crate::observe::metrics::Metrics;
 use crate::platform::store::Store;
+use crate::policy::connection_shares::ConnectionShares;
 use crate::policy::memory_shares::MemoryShares;
 use crate::shutdown::{Shutdown, ShutdownStage, ShutdownTrigger};
 
@@ -161,9 +163,15 @@
             forwarder: forwarder.clone(),
         };
         tokio::spawn(served_versions.run());
+        let shares = ConnectionShares::of_process(settings.descriptors_max, settings.memory_mb);
+        let bound = |connections_max| {
+            let memory = forwarder.memory.clone();
+            ConnectionBound::new(connections_max, memory, forwarder.metrics.clone())
+        };
         let status_api = Arc::new(StatusApi {
             forwarder: forwarder.clone(),
             address_ttl_max: settings.address_keep,
+            connections: bound(shares.status_max),
         });
         let status_addresses = [
             Some(settings.readiness),
@@ -175,9 +183,10 @@
         }
         let handler = CallerHandler {
             forwarder: forwarder.clone(),
+            connections: bound(shares.callers_max),
         };
         let caller_server = CallServer::start(settings.callers, handler)?;
-        let relay_api = RelayApi::new(forwarder.clone());
+        let relay_api = RelayApi::new(forwarder.clone(), bound(shares.relay_max));
         let relay_server = CallServer::start(settings.relay, relay_api)?;
         Ok(Self {
             settings,
--- a/src/edge/relay_api.rs
+++ b/src/edge/relay_api.rs
@@ -10,6 +10,7 @@
 use super::caller_handler::caller_connection_limits;
 use super::cluster_view::ClusterView;
 use super::unanswered_call::UnansweredCall;
+use crate::connection_bound::ConnectionBound;
 use crate::error::{Error, ErrorKind, Execution};
 use crate::forward::forwarder::Forwarder;
 use crate::forward::upstream::UpstreamStart;
@@ -25,12 +26,17 @@
 pub(crate) struct RelayApi {
     forwarder: Arc<Forwarder<ClusterView>>,
     slots: Arc<Semaphore>,
+    connections: Arc<ConnectionBound>,
 }
 
 impl RelayApi {
-    pub(crate) fn new(forwarder: Arc<Forwarder<ClusterView>>) -> Self {
+    pub(crate) fn new(
+        forwarder: Arc<Forwarder<ClusterView>>,
+        connections: Arc<ConnectionBound>,
+    ) -> Self {
         Self {
             forwarder,
+            connections,
             slots: Arc::new(Semaphore::new(RELAYED_CALLS_MAX)),
         }
     }
@@ -52,6 +58,10 @@
         caller_connection_limits(&self.forwarder)
     }
 
+    fn connection_bound(&self) -> Option<Arc<ConnectionBound>> {
+        Some(self.connections.clone())
+    }
+
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
         let unanswered = UnansweredCall::new(&request, self.forwarder.clone());
         let mut response = self.forward(request).await;
--- a/src/edge/status_api.rs
+++ b/src/edge/status_api.rs
@@ -7,6 +7,7 @@
 use hyper::{Request, StatusCode};
 
 use super::cluster_view::ClusterView;
+use crate::connection_bound::ConnectionBound;
 use crate::error::{Error, ErrorKind};
 use crate::forward::forwarder::{Forwarder, NodeContext};
 use crate::http::{self, Handler, HttpResponse};
@@ -22,6 +23,7 @@
 pub(crate) struct StatusApi {
     pub(crate) forwarder: Arc<Forwarder<ClusterView>>,
     pub(crate) address_ttl_max: Duration,
+    pub(crate) connections: Arc<ConnectionBound>,
 }
 
 impl StatusApi {
@@ -81,6 +83,10 @@
 }
 
 impl Handler for StatusApi {
+    fn connection_bound(&self) -> Option<Arc<ConnectionBound>> {
+        Some(self.connections.clone())
+    }
+
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
         match request.uri().path() {
             READY_PATH => self.readiness(),
--- a/src/forward/answer_body.rs
+++ b/src/forward/answer_body.rs
@@ -8,26 +8,47 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use hyper::http::response::Parts;
+use tokio_util::sync::CancellationToken;
 
 use super::attempt::{Answered, Attempt};
-use crate::http::{self, HttpResponse, ResponseBody, TruncatedResponse};
+use super::connection::READ_BUFFER_MAX_BYTES;
+use super::forwarder::{Forwarder, NodeContext};
+use super::request::Call;
+use crate::connection_activity::AnswerEnd;
+use crate::http::{self, HttpResponse, TruncatedResponse};
+use crate::memory::budget::{Charge, MemoryBudget};
+use crate::memory::charged_bytes::charged;
+use crate::memory::unread_answers::UnreadAnswer;
 use crate::platform::call::strip_hop_headers;
 
 /// Number of bytes of an answer that are read before the caller gets any.
 const READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Size up to which an answer is covered by what its call has reserved.
+const UNCHARGED_BYTES: usize = 4 * 1024;
+/// Bytes that are held for an answer that is longer than its start: the start, a frame of
+/// it at the caller's connection, one on its way there, and one at the upstream's.
+const LONG_ANSWER_BYTES: usize = READ_AHEAD_BYTES + 3 * READ_BUFFER_MAX_BYTES;
 
 /// A body of which the start has been read.
 pub(super) enum BodyStart {
     Whole(Bytes),
-    /// The start, and what follows it.
-    Long(Bytes, Incoming),
+    Long(LongBody),
+}
+
+/// The start of a body, what follows it, and the reservation for both.
+pub(super) struct LongBody {
+    start: Bytes,
+    rest: Incoming,
+    charge: Charge,
 }
 
 /// Reads the answer. The part of the body that exceeds [`READ_AHEAD_BYTES`] is
-/// passed on to the caller as it arrives, until `deadline`.
-pub(crate) async fn read(
+/// passed on to the caller as it arrives, until the deadline of the call.
+pub(crate) async fn read<N: NodeContext>(
     attempt: Attempt<Answered>,
-    deadline: Instant,
+    forwarder: &Forwarder<N>,
+    call: &Call,
 ) -> Result<HttpResponse, hyper::Error> {
     let Attempt {
         upstream,
@@ -37,57 +58,119 @@
     let reuse = state.reuse();
     let (mut parts, body) = state.response.into_parts();
     strip_hop_headers(&mut parts.headers);
-    let body = match read_start(body).await? {
+    let response = match read_start(body, &forwarder.memory).await? {
         BodyStart::Whole(bytes) => {
             if let Some(idle_timeout) = reuse {
                 upstream.pool.put(state.connection, idle_timeout);
             }
-            http::full(bytes)
+            HttpResponse::from_parts(parts, http::full(bytes))
+        }
+        BodyStart::Long(body) => {
+            let kept = (state.connection, work);
+            body.pass_on(parts, forwarder, call, kept)
         }
-        BodyStart::Long(start, rest) => pass_on(start, rest, deadline, (state.connection, work)),
     };
-    Ok(HttpResponse::from_parts(parts, body))
+    Ok(response)
 }
 
-/// Reads a body to its end, or until [`READ_AHEAD_BYTES`] of it have arrived.
-pub(super) async fn read_start(mut body: Incoming) -> Result<BodyStart, hyper::Error> {
+/// Reads a body to its end, or until [`READ_AHEAD_BYTES`] of it have arrived. The body
+/// stays unread while there is no memory for it, so the caller of this function bounds the
+/// time.
+pub(super) async fn read_start(
+    mut body: Incoming,
+    memory: &MemoryBudget,
+) -> Result<BodyStart, hyper::Error> {
     let mut start = BytesMut::new();
+    let mut charge = None;
     while start.len() < READ_AHEAD_BYTES {
         let Some(frame) = body.frame().await else {
-            return Ok(BodyStart::Whole(start.freeze()));
+            return Ok(BodyStart::Whole(whole(start, charge)));
+        };
+        let Ok(data) = frame?.into_data() else {
+            continue;
         };
-        if let Ok(data) = frame?.into_data() {
-            start.extend_from_slice(&data);
+        if charge.is_none() && start.len() + data.len() > UNCHARGED_BYTES {
+            charge = Some(reserve(memory, READ_AHEAD_BYTES).await);
         }
+        start.extend_from_slice(&data);
     }
-    Ok(BodyStart::Long(start.freeze(), body))
+    Ok(BodyStart::Long(LongBody {
+        charge: reserve(memory, LONG_ANSWER_BYTES).await,
+        start: start.freeze(),
+        rest: body,
+    }))
 }
 
-/// Passes on the body of a long answer until `deadline`: a faulty upstream may send
-/// without end. Its connection is not reused; `kept` is held until the body has ended.
-pub(super) fn pass_on<K: Send + 'static>(
-    start: Bytes,
-    body: Incoming,
-    deadline: Instant,
-    kept: K,
-) -> ResponseBody {
-    let state = (Some(start), body, kept);
-    let frames = stream::unfold(state, move |(start, mut body, kept)| async move {
-        if let Some(start) = start {
-            return Some((Ok(Frame::data(start)), (None, body, kept)));
+fn whole(bytes: BytesMut, charge: Option<Charge>) -> Bytes {
+    let Some(mut charge) = charge else {
+        return bytes.freeze();
+    };
+    charge.shrink_to(bytes.capacity());
+    charged(bytes, charge)
+}
+
+/// Waits for memory as long as it takes.
+async fn reserve(memory: &MemoryBudget, bytes: usize) -> Charge {
+    loop {
+        if let Some(charge) = memory.reserve(bytes).await {
+            return charge;
         }
-        // The time-out alone would not end a body that always has a frame.
-        let in_time = (Instant::now() < deadline)
-            .then(|| tokio::time::timeout_at(deadline.into(), body.frame()));
-        let frame = match in_time {
-            Some(frame) => frame.await.ok(),
-            None => None,
-        };
-        let passed_on = match frame {
-            Some(frame) => frame?.map_err(|_| TruncatedResponse),
-            None => Err(TruncatedResponse),
-        };
-        Some((passed_on, (None, body, kept)))
-    });
-    StreamBody::new(frames).boxed_unsync()
+    }
+}
+
+impl<N: NodeContext> Forwarder<N> {
+    /// When the answer to a call must have been read.
+    pub(super) fn answer_end(&self, call: &Call, reclaimed: CancellationToken) -> AnswerEnd {
+        AnswerEnd {
+            deadline: call.deadline,
+            reclaimed,
+            unread: UnreadAnswer {
+                call: call.id().to_owned(),
+                memory: self.memory.clone(),
+                metrics: self.metrics.clone(),
+            },
+        }
+    }
+}
+
+impl LongBody {
+    /// Passes on the body of a long answer until the call's deadline: a faulty upstream may
+    /// send without end. Its connection is not reused; `kept` is held until the body has ended.
+    pub(super) fn pass_on<N: NodeContext, K: Send + 'static>(
+        self,
+        head: Parts,
+        forwarder: &Forwarder<N>,
+        call: &Call,
+        kept: K,
+    ) -> HttpResponse {
+        let deadline = call.deadline;
+        let registration = forwarder.memory.register(LONG_ANSWER_BYTES);
+        let end = forwarder.answer_end(call, registration.reclaimed().clone());
+        let held = (registration, self.charge, kept);
+        let state = (Some(self.start), self.rest, held);
+        let frames = stream::unfold(state, move |(start, mut body, held)| async move {
+            if let Some(start) = start {
+                held.0.record_progress(LONG_ANSWER_BYTES);
+                return Some((Ok(Frame::data(start)), (None, body, held)));
+            }
+            held.0.record_own_wait();
+            // The time-out alone would not end a body that always has a frame.
+            let in_time = (Instant::now() < deadline)
+                .then(|| tokio::time::timeout_at(deadline.into(), body.frame()));
+            let frame = match in_time {
+                Some(frame) => frame.await.ok(),
+                None => None,
+            };
+            held.0.record_progress(LONG_ANSWER_BYTES);
+            let passed_on = match frame {
+                Some(frame) => frame?.map_err(|_| TruncatedResponse),
+                None => Err(TruncatedResponse),
+            };
+            Some((passed_on, (None, body, held)))
+        });
+        let body = StreamBody::new(frames).boxed_unsync();
+        let mut response = HttpResponse::from_parts(head, body);
+        response.extensions_mut().insert(end);
+        response
+    }
 }
--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -33,6 +33,9 @@
 /// Time before the upstream's idle time-out at which a connection is discarded,
 /// so that no call is sent while the upstream closes it.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
+/// Maximum read buffer of a connection, which also limits the head of an answer. An answer
+/// that its caller does not read fills the buffer.
+pub(crate) const READ_BUFFER_MAX_BYTES: usize = 32 * 1024;
 /// Maximum number of idle connections in a pool.
 const IDLE_CONNECTIONS_MAX: usize = 16;
 
@@ -90,7 +93,10 @@
             Err(_) => return Err(SendFailure::NotConnected("connection timed out")),
         };
         set_socket_options(&stream);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_MAX_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, driver) = handshake.map_err(|_| SendFailure::NotSent("handshake failed"))?;
         // A failure of the driver also fails the request or the answer's body.
         let is_open = Arc::new(());
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -326,7 +326,7 @@
             .send(clearance, written, call.headers.call_id.as_ref())
             .await?;
         self.record_connected(&answered);
-        let read = answer_body::read(answered, call.deadline).await;
+        let read = answer_body::read(answered, self, call).await;
         read.map_err(|error| AttemptFailure::MayHaveRun(error.to_string()))
     }
 
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Response};
+use tokio_util::sync::CancellationToken;
 
 use super::answer_body::{self, BodyStart};
 use super::connection::{Connection, ConnectionPool, SendFailure};
@@ -223,23 +224,25 @@
                 .clone()
                 .wait_until_withdrawn(call.new_run(), call.deadline);
             let frames = body.into_frames(withdrawn);
+            let end = self.answer_end(call, CancellationToken::new());
+            head.extensions.insert(end);
             return RelayOutcome::Answered(HttpResponse::from_parts(head, frames));
         }
-        let start = answer_body::read_start(body);
-        let body = match tokio::time::timeout_at(call.deadline.into(), start).await {
+        let start = answer_body::read_start(body, &self.memory);
+        let response = match tokio::time::timeout_at(call.deadline.into(), start).await {
             Ok(Ok(BodyStart::Whole(bytes))) => {
                 peer.pool.put(connection, None);
-                http::full(bytes)
+                HttpResponse::from_parts(head, http::full(bytes))
             }
-            Ok(Ok(BodyStart::Long(start, rest))) => {
+            Ok(Ok(BodyStart::Long(body))) => {
                 let kept = (connection, peer.calls.clone(), call.in_flight.clone());
-                answer_body::pass_on(start, rest, call.deadline, kept)
+                body.pass_on(head, self, call, kept)
             }
             Ok(Err(_)) | Err(_) => {
                 return RelayOutcome::MayHaveRun("the peer's answer was not complete".to_owned());
             }
         };
-        RelayOutcome::Answered(HttpResponse::from_parts(head, body))
+        RelayOutcome::Answered(response)
     }
 }
 
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -422,7 +422,7 @@
             let cause = format!("upstream answered with status {}", status.as_u16());
             return Ok(AttemptFailure::MayHaveRun(cause));
         }
-        match answer_body::read(attempt, self.call.deadline).await {
+        match answer_body::read(attempt, &self.forwarder, &self.call).await {
             Ok(answer) => Err(OpenFailure::Answer(Box::new(answer))),
             Err(error) => Ok(AttemptFailure::MayHaveRun(error.to_string())),
         }
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -13,6 +13,7 @@
 use hyper::body::Frame;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
 use super::attempt::{Answered, Attempt};
@@ -26,6 +27,8 @@
 use super::upstream::{Upstream, Work, version_for_log};
 use crate::caller::sse::EventBuffer;
 use crate::http::{HttpResponse, TruncatedResponse};
+use crate::memory::budget::MemoryBudget;
+use crate::memory::charged_bytes::charged;
 use crate::observe::metrics::{Counter, Span};
 use crate::platform::call::strip_hop_headers;
 use crate::platform::event_stream::{StreamPart, read_part};
@@ -35,6 +38,9 @@
 /// Maximum number of events that are queued for a slow caller.
 const QUEUED_EVENTS_MAX: usize = 8;
 
+/// Size up to which queued events are covered by what their call has reserved.
+const UNCHARGED_EVENT_BYTES: usize = 512;
+
 /// The part of the stream that one upstream sends.
 #[derive(Debug)]
 struct Segment {
@@ -82,6 +88,10 @@
         // another upstream.
         head.headers.remove(CONTENT_LENGTH);
         let (sender, mut receiver) = mpsc::channel(QUEUED_EVENTS_MAX);
+        let end = self
+            .forwarder
+            .answer_end(&self.call, CancellationToken::new());
+        head.extensions.insert(end);
         tokio::spawn(self.relay(segment, sender));
         let events = stream::poll_fn(move |cx| receiver.poll_recv(cx));
         HttpResponse::from_parts(head, StreamBody::new(events).boxed_unsync())
@@ -402,8 +412,11 @@
             }
         }
         let deadline = self.call.deadline.into();
-        let sent = tokio::time::timeout_at(deadline, sender.send(Ok(Frame::data(bytes)))).await;
-        match sent {
+        let sending = async {
+            let bytes = charged_event(&self.forwarder.memory, bytes).await;
+            sender.send(Ok(Frame::data(bytes))).await
+        };
+        match tokio::time::timeout_at(deadline, sending).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) => return Err(SegmentEnd::CallerGone),
             Err(_) => return Err(SegmentEnd::TimeOver),
@@ -459,6 +472,18 @@
     }
 }
 
+/// Reserves memory for an event that is too large for what its call has reserved.
+async fn charged_event(memory: &MemoryBudget, event: Bytes) -> Bytes {
+    if event.len() <= UNCHARGED_EVENT_BYTES {
+        return event;
+    }
+    loop {
+        if let Some(charge) = memory.reserve(event.len()).await {
+            return charged(event, charge);
+        }
+    }
+}
+
 impl Segment {
     /// Splits an answer into its head and the segment that follows.
     fn new(
--- a/src/http.rs
+++ b/src/http.rs
@@ -26,6 +26,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::connection_activity::ConnectionActivity;
+use crate::connection_bound::ConnectionBound;
 use crate::error::{Error, ErrorKind};
 use crate::shutdown::Shutdown;
 
@@ -42,6 +43,8 @@
 
 /// Time within which a client must send the headers of its next request.
 const CONNECTION_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time within which an idle connection must have sent the rest of its last answer.
+const IDLE_CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time within which a client must send the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Maximum read buffer of a connection, which also limits the size of the
@@ -84,6 +87,11 @@
         ConnectionLimits::default()
     }
 
+    /// Bound on the number of open connections, if there is one.
+    fn connection_bound(&self) -> Option<Arc<ConnectionBound>> {
+        None
+    }
+
     /// Handles one request.
     fn handle(
         self: Arc<Self>,
@@ -110,20 +118,38 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        connections.spawn(serve_connection(stream, handler.clone(), shutdown.clone()));
+        let activity = ConnectionActivity::new();
+        let served = serve_connection(stream, handler.clone(), shutdown.clone(), activity.clone());
+        let Some(bound) = handler.connection_bound() else {
+            connections.spawn(served);
+            continue;
+        };
+        let Some(admitted) = bound.admit(activity) else {
+            continue;
+        };
+        connections.spawn(async move {
+            tokio::select! {
+                () = served => {}
+                () = admitted.wait_until_evicted() => {}
+            }
+        });
     }
     drop(listener);
     connections.close();
     connections.wait().await;
 }
 
-async fn serve_connection<H: Handler>(stream: TcpStream, handler: Arc<H>, mut shutdown: Shutdown) {
-    let activity = ConnectionActivity::new();
+async fn serve_connection<H: Handler>(
+    stream: TcpStream,
+    handler: Arc<H>,
+    mut shutdown: Shutdown,
+    activity: ConnectionActivity,
+) {
     let service = service_fn(|request| {
         let (handler, active) = (handler.clone(), activity.begin_request());
         async move {
             let response = handler.handle(request).await;
-            Ok::<_, Infallible>(response.map(|body| active.track(body)))
+            Ok::<_, Infallible>(active.track(response))
         }
     });
     let connection = hyper::server::conn::http1::Builder::new()
@@ -134,13 +160,17 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let abort = shutdown.abort_token();
+    let mut is_idle = false;
     // A request that has arrived is read before the connection counts as idle.
     tokio::select! {
         biased;
         _ = connection.as_mut() => return,
         () = abort.cancelled() => return,
+        () = activity.wait_until_answer_overdue() => return,
         () = shutdown.wait_for_closing() => {}
-        () = activity.wait_until_idle_for(|| handler.limits().idle_timeout) => {}
+        () = activity.wait_until_idle_for(|| handler.limits().idle_timeout) => {
+            is_idle = true;
+        }
     }
     if !activity.is_used() {
         // The first request may be incomplete, and a graceful shutdown would wait
@@ -151,6 +181,9 @@
     tokio::select! {
         _ = connection => {}
         () = abort.cancelled() => {}
+        () = activity.wait_until_answer_overdue() => {}
+        // The client does not read the end of its last answer.
+        () = tokio::time::sleep(IDLE_CLOSE_TIMEOUT), if is_idle => {}
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 mod clock;
 mod configuration;
 mod connection_activity;
+mod connection_bound;
 mod edge;
 mod error;
 mod experiment;
--- a/src/memory/budget.rs
+++ b/src/memory/budget.rs
@@ -53,7 +53,8 @@
 #[derive(Debug)]
 struct Holder {
     bytes: usize,
-    progressed_at: Instant,
+    /// `None` while the holder waits for this node or an upstream, and not for its caller.
+    progressed_at: Option<Instant>,
     reclaimed: CancellationToken,
 }
 
@@ -126,10 +127,12 @@
     /// Takes memory from stalled holders until `bytes` become free.
     pub(crate) fn reclaim(&self, bytes: usize) {
         let mut holders = self.lock();
-        let holdings = holders.by_id.iter().map(|(id, holder)| Holding {
-            id: *id,
-            bytes: holder.bytes,
-            progressed_at: holder.progressed_at,
+        let holdings = holders.by_id.iter().filter_map(|(id, holder)| {
+            Some(Holding {
+                id: *id,
+                bytes: holder.bytes,
+                progressed_at: holder.progressed_at?,
+            })
         });
         for id in choose_reclaimed(holdings, bytes, Instant::now()) {
             if let Some(holder) = holders.by_id.remove(&id) {
@@ -143,7 +146,7 @@
         let reclaimed = CancellationToken::new();
         let holder = Holder {
             bytes,
-            progressed_at: Instant::now(),
+            progressed_at: Some(Instant::now()),
             reclaimed: reclaimed.clone(),
         };
         let mut holders = self.lock();
@@ -176,7 +179,15 @@
     pub(crate) fn record_progress(&self, bytes: usize) {
         if let Some(holder) = self.budget.lock().by_id.get_mut(&self.id) {
             holder.bytes = bytes;
-            holder.progressed_at = Instant::now();
+            holder.progressed_at = Some(Instant::now());
+        }
+    }
+
+    /// Records that the holder waits for something other than its caller. It keeps its
+    /// memory until it records progress and then stalls.
+    pub(crate) fn record_own_wait(&self) {
+        if let Some(holder) = self.budget.lock().by_id.get_mut(&self.id) {
+            holder.progressed_at = None;
         }
     }
 
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -4,7 +4,9 @@
 //! `docs/design/memory-budget.md` states the shares and their sizes.
 
 pub(crate) mod budget;
+pub(crate) mod charged_bytes;
 pub(crate) mod request_body;
+pub(crate) mod unread_answers;
 
 #[cfg(test)]
 mod tests;
--- a/src/memory/request_body.rs
+++ b/src/memory/request_body.rs
@@ -8,6 +8,7 @@
 use hyper::body::{Body as _, Incoming};
 
 use super::budget::{Charge, MemoryBudget, Registration};
+use super::charged_bytes::charged;
 use crate::error::{Error, ErrorKind};
 use crate::policy::memory_shares::{FIRST_CAPACITY_BYTES, next_capacity};
 
@@ -58,19 +59,6 @@
     }
 }
 
-/// A body that holds its reservation. It is the owner of the `Bytes` that calls clone, so
-/// that the reservation ends with the last of them.
-struct ChargedBody {
-    bytes: Vec<u8>,
-    _charge: Charge,
-}
-
-impl AsRef<[u8]> for ChargedBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 /// Reads a body of at most `max_bytes` into memory of the budget. `head_bytes` are
 /// reserved with it, since the call keeps its headers as long as its body.
 pub(crate) async fn read_request_body(
@@ -161,6 +149,7 @@
     /// released after that, since both hold bytes while the body is copied.
     async fn grow(&mut self, needed: usize) -> Result<(), BodyRefusal> {
         let capacity = next_capacity(self.bytes.capacity(), needed, self.max_bytes);
+        self.registration.record_own_wait();
         let reserved = self.budget.reserve(self.head_bytes + capacity).await;
         let charge = reserved.ok_or(BodyRefusal::Full)?;
         self.bytes.reserve_exact(capacity - self.bytes.len());
@@ -174,9 +163,6 @@
         }
         self.charge
             .shrink_to(self.head_bytes + self.bytes.capacity());
-        Bytes::from_owner(ChargedBody {
-            bytes: self.bytes,
-            _charge: self.charge,
-        })
+        charged(self.bytes, self.charge)
     }
 }
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -90,6 +90,14 @@
     BodiesOverLimit,
     /// Bodies of calls that were malformed or whose connection broke.
     BodiesUnreadable,
+    /// Idle connections closed to make room for new ones.
+    ConnectionsEvicted,
+    /// New connections closed because all open ones were in use.
+    ConnectionsRefused,
+    /// Answers broken off because their callers did not read them while others needed the memory.
+    AnswersReclaimed,
+    /// Answers broken off because their callers had not read them by the deadline.
+    AnswersUnread,
     /// Calls whose connection closed before this node answered.
     CallsUnanswered,
     /// Calls that a peer answered because this node reaches no upstream.
@@ -126,7 +134,7 @@
 
 impl Counter {
     /// All counters, in the order of the list in `docs/OPERATIONS.md`.
-    pub const ALL: [Self; 45] = [
+    pub const ALL: [Self; 49] = [
         Self::Completions,
         Self::Refused,
         Self::Tokens,
@@ -156,6 +164,10 @@
         Self::BodiesTooSlow,
         Self::BodiesOverLimit,
         Self::BodiesUnreadable,
+        Self::ConnectionsEvicted,
+        Self::ConnectionsRefused,
+        Self::AnswersReclaimed,
+        Self::AnswersUnread,
         Self::CallsUnanswered,
         Self::CallsRelayed,
         Self::RelayedCalls,
@@ -207,6 +219,10 @@
             Self::BodiesTooSlow => "bodies_too_slow_count",
             Self::BodiesOverLimit => "bodies_over_limit_count",
             Self::BodiesUnreadable => "bodies_unreadable_count",
+            Self::ConnectionsEvicted => "connections_evicted_count",
+            Self::ConnectionsRefused => "connections_refused_count",
+            Self::AnswersReclaimed => "answers_reclaimed_count",
+            Self::AnswersUnread => "answers_unread_count",
             Self::CallsUnanswered => "calls_unanswered_count",
             Self::CallsRelayed => "calls_relayed_count",
             Self::RelayedCalls => "relayed_calls_count",
--- /dev/null
+++ b/src/policy/connection_shares.rs
@@ -0,0 +1,44 @@
+//! Bounds the connections that a process accepts, so that descriptors are left for those to
+//! upstreams, peers and the store, and memory for bodies and answers.
+
+/// Memory of a process whose settings name none.
+const MEMORY_DEFAULT_MB: u64 = 256;
+const BYTES_PER_MB: u64 = 1_000_000;
+/// The buffers of all accepted connections may take this part of the memory.
+const MEMORY_DIVISOR: u64 = 4;
+/// Memory of one connection that has sent a part of a head.
+const CONNECTION_BYTES: u64 = 16 * 1024;
+/// Each call needs a connection to an upstream beside that of its caller, and peers, the
+/// store and the other listeners need some as well.
+const CALLER_DIVISOR: u64 = 3;
+/// Part of the callers' connections that other nodes may open in addition.
+const RELAY_DIVISOR: u64 = 4;
+/// Part of the callers' connections that readers of addresses, readiness and counters may
+/// open in addition.
+const STATUS_DIVISOR: u64 = 8;
+
+/// Numbers of connections that the listeners of a process keep open at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ConnectionShares {
+    pub(crate) callers_max: usize,
+    pub(crate) relay_max: usize,
+    pub(crate) status_max: usize,
+}
+
+impl ConnectionShares {
+    /// Shares of a process with these limits, as far as its settings name them.
+    pub(crate) fn of_process(descriptors_max: Option<u64>, memory_mb: Option<u64>) -> Self {
+        let memory_bytes = memory_mb
+            .unwrap_or(MEMORY_DEFAULT_MB)
+            .saturating_mul(BYTES_PER_MB);
+        let by_memory = memory_bytes / MEMORY_DIVISOR / CONNECTION_BYTES;
+        let by_descriptors = descriptors_max.map_or(u64::MAX, |max| max / CALLER_DIVISOR);
+        let callers = by_memory.min(by_descriptors);
+        let count = |part: u64| usize::try_from(part.max(1)).unwrap_or(usize::MAX);
+        Self {
+            callers_max: count(callers),
+            relay_max: count(callers / RELAY_DIVISOR),
+            status_max: count(callers / STATUS_DIVISOR),
+        }
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,6 +4,7 @@
 //! Each module describes the failures that it handles; `tests` replays them.
 
 pub(crate) mod answer_class;
+pub(crate) mod connection_shares;
 pub(crate) mod crash_evidence;
 pub(crate) mod entry_expiry;
 pub(crate) mod failure_response;
--- /dev/null
+++ b/src/policy/tests/connection_shares.rs
@@ -0,0 +1,21 @@
+//! Crowds of connections that send nothing.
+
+use super::super::connection_shares::ConnectionShares;
+
+// Guards against a node whose callers leave no descriptors for its upstreams.
+#[test]
+fn accepted_connections_leave_descriptors_for_others() {
+    let shares = ConnectionShares::of_process(Some(1_024), Some(512));
+
+    assert_eq!(shares.callers_max, 341);
+    assert_eq!(shares.relay_max, 85);
+    assert_eq!(shares.status_max, 42);
+}
+
+// Guards against buffers that fill the memory where many descriptors are allowed.
+#[test]
+fn accepted_connections_are_bounded_by_the_memory_too() {
+    let shares = ConnectionShares::of_process(None, Some(110));
+
+    assert_eq!(shares.callers_max, 1_678);
+}
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests that replay the failures which the decisions have to handle.
 
+mod connection_shares;
 mod entry_expiry;
 mod failure_response;
 mod freshness;
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -351,6 +351,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_that_callers_do_not_read_stay_within_the_memory() {
     const READER_COUNT: usize = 200;
+    const ANSWER_TIME_MAX: Duration = Duration::from_secs(8);
     let mut scene = Scene::start("unread", LIMITS).await;
     let mut crowd = Vec::new();
     for _ in 0..READER_COUNT {
@@ -364,6 +365,14 @@
     }
 
     scene.check(crowd).await;
+
+    // The route's time-out is 6 s, after which nothing may be held for the callers.
+    tokio::time::sleep(ANSWER_TIME_MAX).await;
+    let descriptors = scene.node.descriptor_count();
+    assert!(
+        descriptors < READER_COUNT as u64,
+        "connections of callers that read nothing are kept: {descriptors}"
+    );
 }
 
 // Guards against a node that has no descriptors left for its upstreams.
