--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -28,6 +28,7 @@
 use crate::clock::unix_ms;
 use crate::configuration::document::DocumentStore;
 use crate::configuration::document_exchange::DocumentExchange;
+use crate::connection_bound::ConnectionBound;
 use crate::forward::caller_departures::CallerDepartures;
 use crate::forward::directory::Directory;
 use crate::forward::forwarder::Forwarder;
@@ -43,8 +44,11 @@
 use crate::membership::link_faults::LinkFaults;
 use crate::membership::members::Member;
 use crate::membership::peer::{PeerClient, serve_peers};
+use crate::memory::budget::MemoryBudget;
 use crate::observe::metrics::Metrics;
 use crate::platform::store::Store;
+use crate::policy::connection_shares::ConnectionShares;
+use crate::policy::memory_shares::MemoryShares;
 use crate::shutdown::{Shutdown, ShutdownStage, ShutdownTrigger};
 
 /// Interval at which other nodes are probed for liveness.
@@ -116,6 +120,7 @@
             sessions: Sessions::new(observation_channel.clone()),
             run_origins: RunOrigins::default(),
             observations: observation_channel,
+            memory: MemoryBudget::new(MemoryShares::of_process(settings.memory_mb)),
             metrics,
             data_centre: settings.data_centre.clone(),
             node: ClusterView::new(
@@ -158,9 +163,15 @@
             forwarder: forwarder.clone(),
         };
         tokio::spawn(served_versions.run());
+        let shares = ConnectionShares::of_process(settings.descriptors_max, settings.memory_mb);
+        let bound = |connections_max| {
+            let memory = forwarder.memory.clone();
+            ConnectionBound::new(connections_max, memory, forwarder.metrics.clone())
+        };
         let status_api = Arc::new(StatusApi {
             forwarder: forwarder.clone(),
             address_ttl_max: settings.address_keep,
+            connections: bound(shares.status_max),
         });
         let status_addresses = [
             Some(settings.readiness),
@@ -172,9 +183,10 @@
         }
         let handler = CallerHandler {
             forwarder: forwarder.clone(),
+            connections: bound(shares.callers_max),
         };
         let caller_server = CallServer::start(settings.callers, handler)?;
-        let relay_api = RelayApi::new(forwarder.clone());
+        let relay_api = RelayApi::new(forwarder.clone(), bound(shares.relay_max));
         let relay_server = CallServer::start(settings.relay, relay_api)?;
         Ok(Self {
             settings,
--- a/src/edge/status_api.rs
+++ b/src/edge/status_api.rs
@@ -7,6 +7,7 @@
 use hyper::{Request, StatusCode};
 
 use super::cluster_view::ClusterView;
+use crate::connection_bound::ConnectionBound;
 use crate::error::{Error, ErrorKind};
 use crate::forward::forwarder::{Forwarder, NodeContext};
 use crate::http::{self, Handler, HttpResponse};
@@ -22,6 +23,7 @@
 pub(crate) struct StatusApi {
     pub(crate) forwarder: Arc<Forwarder<ClusterView>>,
     pub(crate) address_ttl_max: Duration,
+    pub(crate) connections: Arc<ConnectionBound>,
 }
 
 impl StatusApi {
@@ -55,7 +57,7 @@
     }
 
     fn counters(&self) -> HttpResponse {
-        let text = self.forwarder.metrics.to_text() + &self.config_gauges();
+        let text = self.forwarder.metrics.to_text() + &self.config_gauges() + &self.memory_gauges();
         HttpResponse::new(http::full(text))
     }
 
@@ -71,9 +73,20 @@
         }
         text
     }
+
+    /// The bytes that are held for calls, and those that may be.
+    fn memory_gauges(&self) -> String {
+        let memory = &self.forwarder.memory;
+        gauge_line("memory_held_bytes", memory.held_bytes() as u64)
+            + &gauge_line("memory_budget_bytes", memory.budget_bytes() as u64)
+    }
 }
 
 impl Handler for StatusApi {
+    fn connection_bound(&self) -> Option<Arc<ConnectionBound>> {
+        Some(self.connections.clone())
+    }
+
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
         match request.uri().path() {
             READY_PATH => self.readiness(),
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -80,6 +80,24 @@
     CallsRejected,
     /// Admitted calls that this node gave up and answered with an error.
     CallsGivenUp,
+    /// Bodies of calls refused because the memory budget was full.
+    BodiesRefusedFull,
+    /// Bodies of calls that lost their memory to others because they made no progress.
+    BodiesReclaimed,
+    /// Bodies of calls that did not arrive in time.
+    BodiesTooSlow,
+    /// Bodies of calls above the limit.
+    BodiesOverLimit,
+    /// Bodies of calls that were malformed or whose connection broke.
+    BodiesUnreadable,
+    /// Idle connections closed to make room for new ones.
+    ConnectionsEvicted,
+    /// New connections closed because all open ones were in use.
+    ConnectionsRefused,
+    /// Answers broken off because their callers did not read them while others needed the memory.
+    AnswersReclaimed,
+    /// Answers broken off because their callers had not read them by the deadline.
+    AnswersUnread,
     /// Calls whose connection closed before this node answered.
     CallsUnanswered,
     /// Calls that a peer answered because this node reaches no upstream.
@@ -116,7 +134,7 @@
 
 impl Counter {
     /// All counters, in the order of the list in `docs/OPERATIONS.md`.
-    pub const ALL: [Self; 40] = [
+    pub const ALL: [Self; 49] = [
         Self::Completions,
         Self::Refused,
         Self::Tokens,
@@ -141,6 +159,15 @@
         Self::Calls,
         Self::CallsRejected,
         Self::CallsGivenUp,
+        Self::BodiesRefusedFull,
+        Self::BodiesReclaimed,
+        Self::BodiesTooSlow,
+        Self::BodiesOverLimit,
+        Self::BodiesUnreadable,
+        Self::ConnectionsEvicted,
+        Self::ConnectionsRefused,
+        Self::AnswersReclaimed,
+        Self::AnswersUnread,
         Self::CallsUnanswered,
         Self::CallsRelayed,
         Self::RelayedCalls,
@@ -187,6 +214,15 @@
             Self::Calls => "calls_count",
             Self::CallsRejected => "calls_rejected_count",
             Self::CallsGivenUp => "calls_given_up_count",
+            Self::BodiesRefusedFull => "bodies_refused_full_count",
+            Self::BodiesReclaimed => "bodies_reclaimed_count",
+            Self::BodiesTooSlow => "bodies_too_slow_count",
+            Self::BodiesOverLimit => "bodies_over_limit_count",
+            Self::BodiesUnreadable => "bodies_unreadable_count",
+            Self::ConnectionsEvicted => "connections_evicted_count",
+            Self::ConnectionsRefused => "connections_refused_count",
+            Self::AnswersReclaimed => "answers_reclaimed_count",
+            Self::AnswersUnread => "answers_unread_count",
             Self::CallsUnanswered => "calls_unanswered_count",
             Self::CallsRelayed => "calls_relayed_count",
             Self::RelayedCalls => "relayed_calls_count",
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,12 +4,14 @@
 //! Each module describes the failures that it handles; `tests` replays them.
 
 pub(crate) mod answer_class;
+pub(crate) mod connection_shares;
 pub(crate) mod crash_evidence;
 pub(crate) mod crash_time;
 pub(crate) mod entry_expiry;
 pub(crate) mod failure_response;
 pub(crate) mod freshness;
 pub(crate) mod liveness;
+pub(crate) mod memory_shares;
 pub(crate) mod outage;
 pub(crate) mod placement;
 pub(crate) mod poison_detector;
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -1,9 +1,11 @@
 //! Tests that replay the failures which the decisions have to handle.
 
+mod connection_shares;
 mod entry_expiry;
 mod failure_response;
 mod freshness;
 mod liveness;
+mod memory_shares;
 mod outage;
 mod placement;
 mod poison_detector;
