Hold calls that reach a restarted node before its first configuration

What callers saw: when all nodes are killed while the store is away, the nodes are back 0.5 s later and get a configuration 0.8 s after that; each of some 970 calls in between was refused with 503, and most callers have one retry.

Change: a node that started less than 4 s ago holds a call for a quarter of its caller's time, 1.2 s at most, 256 calls at once, and serves it as soon as a configuration is in force (docs/design/startup-wait.md).

Evidence: calls_that_arrive_before_the_first_configuration_are_served_once_the_store_is_back fails without the wait (503, Retry-After 1.82) and passes with it.

--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -37,6 +37,7 @@
 use crate::forward::retry_budgets::RetryBudgets;
 use crate::forward::run_origin::RunOrigins;
 use crate::forward::sessions::Sessions;
+use crate::forward::startup_wait::StartupWait;
 use crate::http::{Handler, serve};
 use crate::listener::bind;
 use crate::membership::gossip::{Membership, MembershipSettings};
@@ -108,6 +109,7 @@
         let observation_channel = Observations::default();
         let forwarder = Arc::new(Forwarder {
             route_table: ArcSwapOption::empty(),
+            startup_wait: StartupWait::new(Instant::now()),
             directory: Directory::new(observation_channel.clone()),
             reach: ReachMonitor::default(),
             departures: CallerDepartures::default(),
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -171,6 +171,7 @@
             }
         }
         if update.is_snapshot || !update.changes.is_empty() {
+            self.forwarder.startup_wait.notify_change();
             let membership = &self.exchange.membership;
             membership.hold_revision(UPSTREAMS_DOCUMENT, update.revision);
         }
@@ -227,6 +228,7 @@
             );
             self.forwarder.metrics.add(Counter::Configs, 1);
             self.forwarder.route_table.store(Some(Arc::new(table)));
+            self.forwarder.startup_wait.notify_change();
         }
     }
 
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -238,6 +238,13 @@
             .collect()
     }
 
+    /// Whether an upstream of the service accepts new calls.
+    pub(crate) fn has_upstreams_of(&self, service: &str) -> bool {
+        let state = self.lock();
+        let mut all = state.upstreams.values();
+        all.any(|u| u.entry.service == service && !u.is_draining())
+    }
+
     /// The origin of every run of the service that may still go on, if that is
     /// the same for all: the service's upstreams have one known version, and none
     /// of another version left recently.
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -21,6 +21,7 @@
 use super::route_table::{AdmissionError, MatchedRoute, RouteTable};
 use super::run_origin::{OriginSearch, RunKey, RunOrigin, RunOrigins};
 use super::sessions::Sessions;
+use super::startup_wait::StartupWait;
 use super::upstream::Upstream;
 use super::upstream_permits::{PermitWait, WithoutPermit};
 use crate::error::{Error, ErrorKind};
@@ -31,6 +32,7 @@
 use crate::policy::failure_response::{GiveUpReason, Progress};
 use crate::policy::freshness::ConfigEvidence;
 use crate::policy::placement::{Candidate, is_assigned};
+use crate::policy::startup_wait::EarlyCall;
 use crate::policy::upstream_limit::{Grant, PermitDemand};
 
 /// Shortest time before the shutdown of this node in which a plain call is begun
@@ -40,6 +42,9 @@
 /// will probably end.
 const CALL_TIME_FACTOR: f64 = 1.25;
 
+/// Time that a caller is assumed to wait if it does not say.
+pub(super) const CALLER_TIME_DEFAULT: Duration = Duration::from_secs(3);
+
 /// The forwarder's view of its node and of the cluster.
 pub(crate) trait NodeContext: Send + Sync + 'static {
     /// Index of this node among the live nodes that are not leaving, sorted by
@@ -108,6 +113,8 @@
 pub(crate) struct Forwarder<N> {
     /// The configuration in force, if there is one.
     pub(crate) route_table: ArcSwapOption<RouteTable>,
+    /// Calls that wait for the first configuration.
+    pub(crate) startup_wait: StartupWait,
     pub(crate) directory: Directory,
     /// Which services' upstreams this node can't reach.
     pub(crate) reach: ReachMonitor,
@@ -173,6 +180,8 @@
         let arrived_at = Instant::now();
         let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
         let headers = call::read(request.headers());
+        self.wait_at_startup(&headers, arrived_at, || self.config_version() > 0)
+            .await;
         let mut response = match self.admit(&request, headers.api_key.as_deref()) {
             Err(error) => self.reject(&headers, &error),
             Ok(admission) => {
@@ -194,6 +203,31 @@
         response
     }
 
+    /// Waits for a limited time if this node has just started and can't serve the call yet, as
+    /// `is_servable` tells.
+    async fn wait_at_startup(
+        &self,
+        headers: &CallHeaders,
+        arrived_at: Instant,
+        is_servable: impl Fn() -> bool,
+    ) {
+        let call = EarlyCall {
+            arrived_at,
+            caller_time: headers.max_wait.unwrap_or(CALLER_TIME_DEFAULT),
+        };
+        if self.node.is_draining() || !self.startup_wait.wait(call, &is_servable).await {
+            return;
+        }
+        self.metrics.add(Counter::CallsHeldAtStartup, 1);
+        log::info!(
+            "event=call_held_at_startup call={} config={} servable={} waited_ms={}",
+            headers.id(),
+            self.config_version(),
+            is_servable(),
+            arrived_at.elapsed().as_millis()
+        );
+    }
+
     fn admit(
         &self,
         request: &Request<Incoming>,
@@ -243,6 +277,10 @@
                 "the route has no service",
             ));
         };
+        self.wait_at_startup(&headers, arrived_at, || {
+            self.directory.has_upstreams_of(&service)
+        })
+        .await;
         let kind = matched.route.kind;
         let mut call = Call::new(parts, headers, body, matched, service, arrived_at);
         call.in_flight = Some(self.in_flight.clone());
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -41,6 +41,7 @@
 pub(crate) mod send_history;
 pub(crate) mod send_probe;
 pub(crate) mod sessions;
+pub(crate) mod startup_wait;
 pub(crate) mod stream_call;
 pub(crate) mod stream_choice;
 pub(crate) mod stream_move;
--- a/src/forward/refusal.rs
+++ b/src/forward/refusal.rs
@@ -6,7 +6,7 @@
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use rand::RngExt;
 
-use super::forwarder::{Forwarder, NodeContext};
+use super::forwarder::{CALLER_TIME_DEFAULT, Forwarder, NodeContext};
 use super::request::Call;
 use crate::error::Error;
 use crate::http::{self, HttpResponse};
@@ -24,17 +24,16 @@
     /// Answers a call that is not admitted.
     pub(super) fn reject(&self, headers: &CallHeaders, error: &Error) -> HttpResponse {
         self.metrics.add(Counter::CallsRejected, 1);
-        let id = headers.call_id.as_ref().and_then(|id| id.to_str().ok());
         log::info!(
             "event=call_rejected call={} kind={} config={} {}",
-            id.unwrap_or("-"),
+            headers.id(),
             error.kind.name(),
             self.config_version(),
             self.node.config_evidence(self.config_version())
         );
         let mut response = http::error_response(error);
         if response.status() == StatusCode::SERVICE_UNAVAILABLE {
-            let max_wait = headers.max_wait.unwrap_or(Duration::from_secs(3));
+            let max_wait = headers.max_wait.unwrap_or(CALLER_TIME_DEFAULT);
             let missing = if self.route_table.load().is_some() {
                 Unavailable::Upstreams
             } else {
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -77,8 +77,7 @@
 
     /// Returns the id that the caller gave the call, or `-`, for the log.
     pub(crate) fn id(&self) -> &str {
-        let id = self.headers.call_id.as_ref();
-        id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+        self.headers.id()
     }
 
     /// Returns the id of the caller's earlier call that brought the first event of
--- /dev/null
+++ b/src/forward/startup_wait.rs
@@ -0,0 +1,68 @@
+//! Calls that wait at a node which has just started, until it has what it needs to serve them.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
+
+use tokio::sync::watch;
+
+use crate::policy::startup_wait::{EarlyCall, wait_until};
+
+/// Holds the calls that a node which has just started can't serve yet.
+#[derive(Debug)]
+pub(crate) struct StartupWait {
+    started_at: Instant,
+    /// Notifies the calls that wait of a configuration or of upstreams.
+    changed: watch::Sender<()>,
+    waiting_count: AtomicUsize,
+}
+
+/// Counts a call as waiting until it is dropped.
+struct Waiting<'a>(&'a AtomicUsize);
+
+impl StartupWait {
+    /// Starts the time in which calls wait.
+    pub(crate) fn new(started_at: Instant) -> Self {
+        Self {
+            started_at,
+            changed: watch::Sender::new(()),
+            waiting_count: AtomicUsize::new(0),
+        }
+    }
+
+    /// Has the calls that wait check whether they can be served, since the configuration or
+    /// the upstreams have changed.
+    pub(crate) fn notify_change(&self) {
+        self.changed.send_replace(());
+    }
+
+    /// Waits for a limited time until the call can be served, as `is_servable` tells. Returns
+    /// whether the call waited.
+    pub(crate) async fn wait(&self, call: EarlyCall, is_servable: impl Fn() -> bool) -> bool {
+        let waiting_count = self.waiting_count.load(Ordering::Relaxed);
+        let Some(until) = wait_until(self.started_at, call, waiting_count, Instant::now()) else {
+            return false;
+        };
+        let mut changed = self.changed.subscribe();
+        if is_servable() {
+            return false;
+        }
+        let _waiting = Waiting::new(&self.waiting_count);
+        let becomes_servable = async { while changed.changed().await.is_ok() && !is_servable() {} };
+        // A call that can't be served when its wait ends is refused by its handler.
+        let _ = tokio::time::timeout_at(until.into(), becomes_servable).await;
+        true
+    }
+}
+
+impl<'a> Waiting<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -78,6 +78,9 @@
     /// Calls not admitted, because no route or no customer matches or this node
     /// has no configuration yet.
     CallsRejected,
+    /// Calls that waited for the first configuration, or the first upstream of their service,
+    /// at this node, which had just started.
+    CallsHeldAtStartup,
     /// Admitted calls that this node gave up and answered with an error.
     CallsGivenUp,
     /// Calls whose connection closed before this node answered.
@@ -116,7 +119,7 @@
 
 impl Counter {
     /// All counters, in the order of the list in `docs/OPERATIONS.md`.
-    pub const ALL: [Self; 40] = [
+    pub const ALL: [Self; 41] = [
         Self::Completions,
         Self::Refused,
         Self::Tokens,
@@ -140,6 +143,7 @@
         Self::OrdersRefused,
         Self::Calls,
         Self::CallsRejected,
+        Self::CallsHeldAtStartup,
         Self::CallsGivenUp,
         Self::CallsUnanswered,
         Self::CallsRelayed,
@@ -186,6 +190,7 @@
             Self::OrdersRefused => "orders_refused_count",
             Self::Calls => "calls_count",
             Self::CallsRejected => "calls_rejected_count",
+            Self::CallsHeldAtStartup => "calls_held_at_startup_count",
             Self::CallsGivenUp => "calls_given_up_count",
             Self::CallsUnanswered => "calls_unanswered_count",
             Self::CallsRelayed => "calls_relayed_count",
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod send_decision;
 pub(crate) mod send_probe;
 pub(crate) mod sound_parts;
+pub(crate) mod startup_wait;
 pub(crate) mod store_contact;
 pub(crate) mod store_reachability;
 pub(crate) mod upstream_limit;
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -9,6 +9,7 @@
 mod poison_detector;
 mod retry_budget_share;
 mod send_probe;
+mod startup_wait;
 mod store_contact;
 mod upstream_limit;
 mod upstream_reach;
