--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -34,6 +34,7 @@
 use crate::forward::observation::Observations;
 use crate::forward::reach_monitor::ReachMonitor;
 use crate::forward::request_crashes::RequestCrashes;
+use crate::forward::reread_line::RereadLine;
 use crate::forward::retry_budgets::RetryBudgets;
 use crate::forward::run_origin::RunOrigins;
 use crate::forward::sessions::Sessions;
@@ -113,6 +114,7 @@
             directory: Directory::new(observation_channel.clone()),
             reach: ReachMonitor::default(),
             departures: CallerDepartures::default(),
+            rereads: RereadLine::default(),
             budgets: RetryBudgets::new(settings.retry_limits()),
             request_crashes: RequestCrashes::new(observation_channel.clone()),
             sessions: Sessions::new(observation_channel.clone()),
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -17,6 +17,7 @@
 use super::relay::RelayPeer;
 use super::request::Call;
 use super::request_crashes::{Permission, RequestCrashes};
+use super::reread_line::RereadLine;
 use super::retry_budgets::RetryBudgets;
 use super::route_table::{AdmissionError, MatchedRoute, RouteTable};
 use super::run_origin::{OriginSearch, RunKey, RunOrigin, RunOrigins};
@@ -122,6 +123,8 @@
     pub(crate) departures: CallerDepartures,
     /// The shares that this node has of the services' retry budgets.
     pub(crate) budgets: RetryBudgets,
+    /// Streams that were taken up and wait to have their prompts read again.
+    pub(crate) rereads: RereadLine,
     /// Requests suspected of crashing their upstreams.
     pub(crate) request_crashes: RequestCrashes,
     /// Engines at which the prompts of recent streams are cached.
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -19,6 +19,7 @@
 use super::probe::LossWatch;
 use super::request::Call;
 use super::request_crashes::Permission;
+use super::reread_line::RereadTurn;
 use super::run_origin::RunOrigin;
 use super::run_replica::{ReplicaSlot, ReplicatedRun, RunReplica, choose_holder, lock};
 use super::send_history::SendHistory;
@@ -30,6 +31,7 @@
 use crate::platform::call::{ReplicaRef, UpstreamHeaders};
 use crate::policy::failure_response::{GiveUpReason, Progress};
 use crate::policy::liveness::StreamPhase;
+use crate::policy::reread_line::{PROMPT_TOKENS_MIN, rereads_max, wait_max};
 
 /// Number of sends that reached no upstream, or another one than intended, after
 /// which a call is given up.
@@ -69,6 +71,8 @@
     pub(super) next: Option<NextUpstream>,
     /// Set when the bytes of the next send begin to leave.
     pub(super) next_write: WriteSignal,
+    /// Held until the prompt of a stream that was taken up has been read again.
+    pub(super) reread_turn: Option<RereadTurn>,
     /// Index of the last event that the caller has received.
     pub(super) last_event: Option<u64>,
     /// The upstream that sent the first event of the run, if an event was passed
@@ -118,6 +122,7 @@
             is_origin_recorded: false,
             next: None,
             next_write: WriteSignal::default(),
+            reread_turn: None,
             crash_check: None,
             has_survived: false,
             event_count: 0,
@@ -161,9 +166,35 @@
 impl<N: NodeContext> StreamRun<N> {
     async fn open_first(&mut self) -> Result<Attempt<Answered>, OpenFailure> {
         self.find_origin().await?;
+        self.wait_for_reread_turn().await;
         self.open().await
     }
 
+    /// Waits in line if the call takes up a stream whose prompt has to be read again. Such a
+    /// stream has paused for longer than its caller allows, so new prompts go first.
+    async fn wait_for_reread_turn(&mut self) {
+        let reads_again = self.last_event.is_some()
+            && self.call.headers.prompt_tokens >= PROMPT_TOKENS_MIN
+            && self.upstream_with_cached_prompt(&[]).is_none();
+        if !reads_again {
+            return;
+        }
+        let began_at = Instant::now();
+        let engine_count = self.forwarder.directory.serving(&self.call.service).len();
+        let (_, node_count) = self.forwarder.node.position();
+        let turn = self.forwarder.rereads.wait_for_turn(
+            self.call.matched.route.priority,
+            rereads_max(engine_count, node_count),
+            wait_max(self.call.time_left(began_at)),
+        );
+        self.reread_turn = Some(turn.await);
+        log::info!(
+            "event=reread_admitted call={} engines={engine_count} nodes={node_count} waited_ms={}",
+            self.call.id(),
+            began_at.elapsed().as_millis()
+        );
+    }
+
     /// Sends the call to one upstream after the other until one begins or
     /// resumes the stream.
     pub(super) async fn open(&mut self) -> Result<Attempt<Answered>, OpenFailure> {
--- a/src/forward/stream_choice.rs
+++ b/src/forward/stream_choice.rs
@@ -98,7 +98,10 @@
 
     /// Returns the engine that has the prompt of the call's session cached,
     /// unless the engine was tried, is draining or is to be avoided.
-    fn upstream_with_cached_prompt(&self, excluded: &[Arc<Upstream>]) -> Option<Arc<Upstream>> {
+    pub(super) fn upstream_with_cached_prompt(
+        &self,
+        excluded: &[Arc<Upstream>],
+    ) -> Option<Arc<Upstream>> {
         let now = Instant::now();
         let session = self.call.headers.session.as_ref()?;
         let id = self.forwarder.sessions.cached_at(session, now)?;
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -267,6 +267,7 @@
                 last_index = Some(index);
                 if phase == StreamPhase::Prefill {
                     self.record_prefill(&upstream);
+                    self.reread_turn = None;
                     _replica_task = self.maintain_replica(&upstream);
                 }
                 phase = StreamPhase::Decode;
