--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -396,6 +396,7 @@
     /// failure there is no wait: the connection may have been dead, and the next request
     /// opens a new one.
     async fn handle_loss(&self, is_store_lost: &mut bool, what: &str, failure: StoreFailure) {
+        self.forwarder.startup_wait.record_store_failure();
         let was_lost = *is_store_lost;
         log_loss(is_store_lost, what, failure);
         if was_lost {
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -42,6 +42,8 @@
     outage_detector: OutageDetector,
     version_history: VersionHistory,
     departed_notices: DepartedNotices,
+    /// When the last upstream became known.
+    joined_at: Option<Instant>,
 }
 
 impl State {
@@ -98,6 +100,7 @@
         let id = entry.id.clone();
         let upstream = Arc::new(Upstream::with_notices(entry, notices));
         self.upstreams.insert(id, upstream);
+        self.joined_at = Some(Instant::now());
         replaced
     }
 }
@@ -238,6 +241,11 @@
             .collect()
     }
 
+    /// When the last upstream became known.
+    pub(crate) fn last_joined_at(&self) -> Option<Instant> {
+        self.lock().joined_at
+    }
+
     /// Whether an upstream of the service accepts new calls.
     pub(crate) fn has_upstreams_of(&self, service: &str) -> bool {
         let state = self.lock();
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -33,7 +33,7 @@
 use crate::policy::failure_response::{GiveUpReason, Progress};
 use crate::policy::freshness::ConfigEvidence;
 use crate::policy::placement::{Candidate, is_assigned};
-use crate::policy::startup_wait::EarlyCall;
+use crate::policy::startup_wait::{EarlyCall, have_upstreams_returned};
 use crate::policy::upstream_limit::{Grant, PermitDemand};
 
 /// Shortest time before the shutdown of this node in which a plain call is begun
@@ -231,6 +231,13 @@
         );
     }
 
+    /// Whether the upstreams are known again whose entries may have expired with the store.
+    fn have_upstreams_returned(&self) -> bool {
+        let last_joined_at = self.directory.last_joined_at();
+        !self.startup_wait.has_store_failed()
+            || have_upstreams_returned(last_joined_at, Instant::now())
+    }
+
     fn admit(
         &self,
         request: &Request<Incoming>,
@@ -280,11 +287,12 @@
                 "the route has no service",
             ));
         };
+        let kind = matched.route.kind;
         self.wait_at_startup(&headers, arrived_at, || {
             self.directory.has_upstreams_of(&service)
+                && (!kind.is_stream() || self.have_upstreams_returned())
         })
         .await;
-        let kind = matched.route.kind;
         let mut call = Call::new(parts, headers, body, matched, service, arrived_at);
         call.in_flight = Some(self.in_flight.clone());
         self.metrics.add(Counter::Calls, 1);
--- a/src/forward/startup_wait.rs
+++ b/src/forward/startup_wait.rs
@@ -1,12 +1,15 @@
 //! Calls that wait at a node which has just started, until it has what it needs to serve them.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Instant;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use tokio::sync::watch;
 
 use crate::policy::startup_wait::{EarlyCall, wait_until};
 
+/// Interval at which a call that waits checks whether it can be served.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Holds the calls that a node which has just started can't serve yet.
 #[derive(Debug)]
 pub(crate) struct StartupWait {
@@ -14,6 +17,8 @@
     /// Notifies the calls that wait of a configuration or of upstreams.
     changed: watch::Sender<()>,
     waiting_count: AtomicUsize,
+    /// Whether the store failed since the start, so that entries of upstreams may have expired.
+    has_store_failed: AtomicBool,
 }
 
 /// Counts a call as waiting until it is dropped.
@@ -26,9 +31,20 @@
             started_at,
             changed: watch::Sender::new(()),
             waiting_count: AtomicUsize::new(0),
+            has_store_failed: AtomicBool::new(false),
         }
     }
 
+    /// Records that the store failed.
+    pub(crate) fn record_store_failure(&self) {
+        self.has_store_failed.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the store failed since the start.
+    pub(crate) fn has_store_failed(&self) -> bool {
+        self.has_store_failed.load(Ordering::Relaxed)
+    }
+
     /// Has the calls that wait check whether they can be served, since the configuration or
     /// the upstreams have changed.
     pub(crate) fn notify_change(&self) {
@@ -47,7 +63,12 @@
             return false;
         }
         let _waiting = Waiting::new(&self.waiting_count);
-        let becomes_servable = async { while changed.changed().await.is_ok() && !is_servable() {} };
+        let becomes_servable = async {
+            while !is_servable() {
+                // Whether a change or the interval ended the wait plays no part.
+                let _ = tokio::time::timeout(CHECK_INTERVAL, changed.changed()).await;
+            }
+        };
         // A call that can't be served when its wait ends is refused by its handler.
         let _ = tokio::time::timeout_at(until.into(), becomes_servable).await;
         true
--- a/src/policy/startup_wait.rs
+++ b/src/policy/startup_wait.rs
@@ -12,7 +12,10 @@
 /// Time after a node's start within which it expects a configuration soon.
 const STARTUP_PERIOD: Duration = Duration::from_secs(4);
 /// Longest wait of one call.
-const WAIT_MAX: Duration = Duration::from_millis(1_200);
+const WAIT_MAX: Duration = Duration::from_millis(1_500);
+/// Time without a new upstream after which those that are back after an outage of the store are
+/// known. They register within two seconds of its end, most of them in the first.
+const JOINING_GAP: Duration = Duration::from_millis(250);
 /// Part of the caller's remaining time that the wait may take. A caller that is refused after
 /// it has the rest of its time to come back.
 const CALLER_TIME_DIVISOR: u32 = 4;
@@ -42,3 +45,10 @@
     let until = (call.arrived_at + wait).min(started_at + STARTUP_PERIOD);
     (until > now).then_some(until)
 }
+
+/// Whether the upstreams whose entries expired with the store are known again, the last of which
+/// became known at `last_joined_at`. Streams that begin before that meet at the few engines that
+/// registered first, and wait there for each other's prompts.
+pub(crate) fn have_upstreams_returned(last_joined_at: Option<Instant>, now: Instant) -> bool {
+    last_joined_at.is_some_and(|at| now.saturating_duration_since(at) >= JOINING_GAP)
+}
