--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -35,9 +35,11 @@
 use crate::forward::observation::Observations;
 use crate::forward::reach_monitor::ReachMonitor;
 use crate::forward::request_crashes::RequestCrashes;
+use crate::forward::reread_line::RereadLine;
 use crate::forward::retry_budgets::RetryBudgets;
 use crate::forward::run_origin::RunOrigins;
 use crate::forward::sessions::Sessions;
+use crate::forward::startup_wait::StartupWait;
 use crate::http::{Handler, serve};
 use crate::listener::bind;
 use crate::membership::gossip::{Membership, MembershipSettings};
@@ -112,9 +114,11 @@
         let observation_channel = Observations::default();
         let forwarder = Arc::new(Forwarder {
             route_table: ArcSwapOption::empty(),
+            startup_wait: StartupWait::new(Instant::now()),
             directory: Directory::new(observation_channel.clone()),
             reach: ReachMonitor::default(),
             departures: CallerDepartures::default(),
+            rereads: RereadLine::default(),
             budgets: RetryBudgets::new(settings.retry_limits()),
             request_crashes: RequestCrashes::new(observation_channel.clone()),
             sessions: Sessions::new(observation_channel.clone()),
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -171,6 +171,7 @@
             }
         }
         if update.is_snapshot || !update.changes.is_empty() {
+            self.forwarder.startup_wait.notify_change();
             let membership = &self.exchange.membership;
             membership.hold_revision(UPSTREAMS_DOCUMENT, update.revision);
         }
@@ -227,6 +228,7 @@
             );
             self.forwarder.metrics.add(Counter::Configs, 1);
             self.forwarder.route_table.store(Some(Arc::new(table)));
+            self.forwarder.startup_wait.notify_change();
         }
     }
 
@@ -394,6 +396,7 @@
     /// failure there is no wait: the connection may have been dead, and the next request
     /// opens a new one.
     async fn handle_loss(&self, is_store_lost: &mut bool, what: &str, failure: StoreFailure) {
+        self.forwarder.startup_wait.record_store_failure();
         let was_lost = *is_store_lost;
         log_loss(is_store_lost, what, failure);
         if was_lost {
