Move a service to a new software version under a bound on its exposure

A rollout object asks that a service's calls move to a target version. Until now both versions shared the calls at once, whatever the new one did. Nodes now send calls to the target only under a grant of the rollout's owner and from a credit of their own; the owner compares both versions by route and writes the outcome with a conditional write. Nothing changes without an object, or without the contract.

--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -20,6 +20,7 @@
 use super::peer_retry_budget::PeerRetryBudget;
 use super::peer_run_origins::PeerRunOrigins;
 use super::relay_api::RelayApi;
+use super::rollouts::RolloutCoordinator;
 use super::served_versions::ServedVersionsWriter;
 use super::settings::EdgeSettings;
 use super::status_api::StatusApi;
@@ -35,6 +36,7 @@
 use crate::forward::reach_monitor::ReachMonitor;
 use crate::forward::request_crashes::RequestCrashes;
 use crate::forward::retry_budgets::RetryBudgets;
+use crate::forward::rollouts::Rollouts;
 use crate::forward::run_origin::RunOrigins;
 use crate::forward::sessions::Sessions;
 use crate::http::{Handler, serve};
@@ -114,6 +116,7 @@
             budgets: RetryBudgets::new(settings.retry_limits()),
             request_crashes: RequestCrashes::new(observation_channel.clone()),
             sessions: Sessions::new(observation_channel.clone()),
+            rollouts: Rollouts::new(settings.rollouts),
             run_origins: RunOrigins::default(),
             observations: observation_channel,
             metrics,
@@ -150,7 +153,15 @@
             heartbeat: Arc::default(),
             is_list_in_doubt: Arc::default(),
         };
-        serve_peer_api(&settings, &watch, &shutdown)?;
+        let rollouts = RolloutCoordinator {
+            store: store.with_own_connections(),
+            forwarder: forwarder.clone(),
+            membership: membership.clone(),
+            peers,
+            owned: Arc::default(),
+        };
+        serve_peer_api(&settings, &watch, &rollouts, &shutdown)?;
+        rollouts.spawn();
         spawn_background_tasks(&settings, watch);
         tokio::spawn(stored_origins.write_periodically(forwarder.clone()));
         let served_versions = ServedVersionsWriter {
@@ -246,6 +257,7 @@
 fn serve_peer_api(
     settings: &EdgeSettings,
     watch: &StoreWatch,
+    rollouts: &RolloutCoordinator,
     shutdown: &Shutdown,
 ) -> io::Result<()> {
     let exchange = &watch.exchange;
@@ -254,6 +266,7 @@
         documents: exchange.documents.clone(),
         upstreams: watch.upstreams.clone(),
         forwarder: watch.forwarder.clone(),
+        rollouts: rollouts.clone(),
     });
     let traffic = exchange.peers.traffic().clone();
     let listener = bind(settings.peers)?;
--- a/src/edge/peer_api.rs
+++ b/src/edge/peer_api.rs
@@ -11,6 +11,7 @@
 
 use super::cluster_view::ClusterView;
 use super::peer_run_origins::{from_record, to_record};
+use super::rollouts::RolloutCoordinator;
 use super::store_watch::{HEARTBEAT_DOCUMENT, ROUTING_DOCUMENT, StoreWatch, UPSTREAMS_DOCUMENT};
 use super::upstream_log::{UpstreamLog, decode};
 use crate::configuration::document::DocumentStore;
@@ -34,6 +35,7 @@
     pub(crate) documents: Arc<DocumentStore>,
     pub(crate) upstreams: Arc<UpstreamLog>,
     pub(crate) forwarder: Arc<Forwarder<ClusterView>>,
+    pub(crate) rollouts: RolloutCoordinator,
 }
 
 impl EdgePeerApi {
@@ -102,6 +104,10 @@
             RequestBody::RunOrigin(request) => {
                 Some(ReplyBody::RunOrigin(self.run_origin(request).await))
             }
+            RequestBody::Rollout(report) => {
+                let reply = self.rollouts.receive(report);
+                Some(ReplyBody::Rollout(reply))
+            }
             _ => None,
         }
     }
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -6,6 +6,7 @@
 
 use crate::id::{DataCentreId, NodeId};
 use crate::policy::retry_budget_share::RetryLimits;
+use crate::policy::rollout::RolloutBounds;
 use crate::settings::SettingsError;
 
 /// Settings of an entry node, decoded from the platform's settings file.
@@ -50,6 +51,8 @@
     pub memory_mb: Option<u64>,
     /// Maximum number of open file descriptors.
     pub descriptors_max: Option<u64>,
+    /// Limits on rollouts of new software versions, if the deployment asks for rollouts.
+    pub(crate) rollouts: Option<RolloutBounds>,
 }
 
 impl EdgeSettings {
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -18,6 +18,7 @@
 use super::request::Call;
 use super::request_crashes::{Permission, RequestCrashes};
 use super::retry_budgets::RetryBudgets;
+use super::rollouts::Rollouts;
 use super::route_table::{AdmissionError, MatchedRoute, RouteTable};
 use super::run_origin::{OriginSearch, RunKey, RunOrigin, RunOrigins};
 use super::sessions::Sessions;
@@ -31,6 +32,7 @@
 use crate::policy::failure_response::{GiveUpReason, Progress};
 use crate::policy::freshness::ConfigEvidence;
 use crate::policy::placement::{Candidate, is_assigned};
+use crate::policy::rollout::VersionAdmission;
 use crate::policy::upstream_limit::{Grant, PermitDemand};
 
 /// Shortest time before the shutdown of this node in which a plain call is begun
@@ -119,6 +121,8 @@
     pub(crate) request_crashes: RequestCrashes,
     /// Engines at which the prompts of recent streams are cached.
     pub(crate) sessions: Sessions,
+    /// Rollouts of new software versions of the services.
+    pub(crate) rollouts: Rollouts,
     /// Where recent runs began.
     pub(crate) run_origins: RunOrigins,
     /// Publishes to other nodes what this node observes.
@@ -326,19 +330,43 @@
     }
 
     /// Chooses among the upstreams of a service, and only among those that
-    /// `origin` admits if the run has one. `choose` gets the candidates and a
-    /// random number, and returns the index of one candidate.
+    /// `origin` admits if the run has one, and that a rollout of the service admits for
+    /// the call's draw. `choose` gets the candidates and a random number, and returns the
+    /// index of one candidate.
     pub(crate) fn choose_upstream(
         &self,
         service: &str,
         tried: &[Arc<Upstream>],
         origin: Option<&RunOrigin>,
-        choose: impl FnOnce(&[Candidate<'_>], u64) -> Option<usize>,
+        call_draw: f64,
+        choose: impl Fn(&[Candidate<'_>], u64) -> Option<usize>,
     ) -> Option<Arc<Upstream>> {
         let upstreams = self.directory.serving(service);
+        let is_retry = !tried.is_empty();
+        let admission = self.rollout_admission(service, &upstreams, is_retry, origin, call_draw);
+        let choose_by = |admission: &VersionAdmission| {
+            self.choose_admitted(&upstreams, tried, origin, admission, &choose)
+        };
+        choose_by(&admission).or_else(|| admission.otherwise().and_then(|other| choose_by(&other)))
+    }
+
+    fn choose_admitted(
+        &self,
+        upstreams: &[Arc<Upstream>],
+        tried: &[Arc<Upstream>],
+        origin: Option<&RunOrigin>,
+        admission: &VersionAdmission,
+        choose: impl Fn(&[Candidate<'_>], u64) -> Option<usize>,
+    ) -> Option<Arc<Upstream>> {
         let (node_index, node_count) = self.node.position();
         let now = Instant::now();
-        let is_admitted = |upstream: &Upstream| origin.is_none_or(|o| o.admits(upstream));
+        let mut has_first = false;
+        let mut is_admitted = |upstream: &Upstream| {
+            let version = upstream.software_version();
+            let is_admitted = admission.admits(version, !has_first);
+            has_first |= is_admitted;
+            is_admitted && origin.is_none_or(|o| o.admits(upstream))
+        };
         let admitted: Vec<(usize, &Arc<Upstream>)> = upstreams
             .iter()
             .enumerate()
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -35,6 +35,7 @@
 pub(crate) mod request;
 pub(crate) mod request_crashes;
 pub(crate) mod retry_budgets;
+pub(crate) mod rollouts;
 pub(crate) mod route_table;
 pub(crate) mod run_origin;
 pub(crate) mod run_replica;
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -17,7 +17,7 @@
 use super::upstream_permits::{PermitWait, WithoutPermit};
 use super::write_signal::WriteSignal;
 use crate::http::HttpResponse;
-use crate::observe::metrics::{Counter, Span};
+use crate::observe::metrics::Span;
 use crate::platform::call::UpstreamHeaders;
 use crate::policy::failure_response::{GiveUpReason, Progress};
 use crate::policy::placement::choose_for_plain_call;
@@ -146,6 +146,7 @@
             Some(None) => GiveUpReason::UpstreamsFailed,
             None => GiveUpReason::TimeOver,
         };
+        self.record_unanswered(&call, &state);
         if reason != GiveUpReason::TimeOver
             && state.server_error.is_none()
             && let Some(response) = self.relay_after_failures(&call, &state.sends).await
@@ -193,6 +194,7 @@
             state.end_send(&result);
             if let Some(response) = self.handle_result(call, state, result) {
                 state.cancel_pending();
+                self.record_unanswered(call, state);
                 return Some(response);
             }
             let may_have_run = state.sends.progress() == Progress::MayHaveRun;
@@ -202,6 +204,14 @@
         }
     }
 
+    /// Records the sends that are given up, which took at least the time until now.
+    fn record_unanswered(&self, call: &Call, state: &PlainCallState) {
+        for send in &state.pending {
+            let time = send.sent_at.elapsed();
+            self.rollouts.record_time(call, &send.upstream, time);
+        }
+    }
+
     /// Handles the end of one send, and returns the answer for the caller if it has
     /// one.
     fn handle_result(
@@ -260,9 +270,13 @@
             return None;
         }
         let chosen = self.choose_permitted(&state.tried, WithoutPermit::Leaves, |excluded| {
-            self.choose_upstream(&call.service, excluded, None, |candidates, draw| {
-                choose_for_plain_call(candidates, &self.data_centre, draw)
-            })
+            self.choose_upstream(
+                &call.service,
+                excluded,
+                None,
+                call.draw,
+                |candidates, draw| choose_for_plain_call(candidates, &self.data_centre, draw),
+            )
         });
         let upstream = match chosen.await {
             Ok(upstream) => upstream,
@@ -288,7 +302,10 @@
         tried: Vec<Arc<Upstream>>,
         written: WriteSignal,
     ) -> SendResult {
+        let began_at = Instant::now();
         let answer = self.request_answer(call, &upstream, &tried, &written).await;
+        let time = began_at.elapsed();
+        self.rollouts.record_answer(call, &upstream, time, &answer);
         SendResult { upstream, answer }
     }
 
@@ -320,7 +337,7 @@
             replica_holder: None,
             resume_from: None,
         });
-        self.metrics.add(Counter::UpstreamSends, 1);
+        self.record_upstream_send(upstream);
         let attempt = Attempt::new(upstream.clone(), work, request);
         let answered: Attempt<Answered> = attempt
             .send(clearance, written, call.headers.call_id.as_ref())
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Request, Uri};
+use rand::RngExt;
 
 use super::route_table::MatchedRoute;
 use super::run_origin::{RunKey, run_key};
@@ -39,6 +41,9 @@
     /// Maximum number of sends of the call, not counting those that failed before a
     /// byte left the node.
     pub(crate) sends_max: u32,
+    /// Hash of the call's id as a number from 0 to below 1, by which a rollout chooses calls
+    /// for a new version.
+    pub(crate) draw: f64,
     method: Method,
     target: Uri,
     forwarded_headers: HeaderMap,
@@ -60,6 +65,7 @@
         let max_wait = headers.max_wait.map_or(timeout, |wait| wait.min(timeout));
         Self {
             forwarded_headers: call::forwardable(&parts.headers),
+            draw: draw_of(headers.call_id.as_ref()),
             method: parts.method,
             target: parts.uri,
             headers,
@@ -184,3 +190,12 @@
             .filter(|left| left.as_millis() > 0)
     }
 }
+
+fn draw_of(call_id: Option<&HeaderValue>) -> f64 {
+    let hash = match call_id {
+        Some(id) => Fnv::new().bytes(id.as_bytes()).finish(),
+        None => rand::rng().random(),
+    };
+    // The upper 53 bits fit a float, which thus stays below 1.
+    (hash >> 11) as f64 / (1_u64 << 53) as f64
+}
--- a/src/forward/run_replica.rs
+++ b/src/forward/run_replica.rs
@@ -193,7 +193,8 @@
 ) -> Option<Arc<Upstream>> {
     // A run resumes only at the version of its source.
     let origin = RunOrigin::at(source);
-    forwarder.choose_upstream(service, tried, Some(&origin), |candidates, draw| {
+    // A pinned run is admitted whatever its draw.
+    forwarder.choose_upstream(service, tried, Some(&origin), 0.0, |candidates, draw| {
         let is_source = |c: &&Candidate<'_>| c.id == source.entry.id;
         let data_centre = &source.entry.data_centre;
         let source_candidate = candidates.iter().find(is_source);
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -26,7 +26,6 @@
 use super::upstream::{Upstream, Work, version_for_log};
 use super::write_signal::WriteSignal;
 use crate::http::HttpResponse;
-use crate::observe::metrics::Counter;
 use crate::platform::call::{ReplicaRef, UpstreamHeaders};
 use crate::policy::failure_response::{GiveUpReason, Progress};
 use crate::policy::liveness::StreamPhase;
@@ -67,6 +66,8 @@
     pub(super) replica: ReplicaSlot,
     /// Set when the stream was moved away from a silent upstream.
     pub(super) next: Option<NextUpstream>,
+    /// When the call was last sent.
+    pub(super) sent_at: Instant,
     /// Set when the bytes of the next send begin to leave.
     pub(super) next_write: WriteSignal,
     /// Index of the last event that the caller has received.
@@ -117,6 +118,7 @@
             origin: None,
             is_origin_recorded: false,
             next: None,
+            sent_at: Instant::now(),
             next_write: WriteSignal::default(),
             crash_check: None,
             has_survived: false,
@@ -177,6 +179,7 @@
             let written = std::mem::take(&mut self.next_write);
             self.sends.begin_with(&written);
             self.has_upstream_sent_event = false;
+            self.sent_at = Instant::now();
             let failure = match self.send(&upstream, replica, &written).await {
                 Ok(attempt) if attempt.state.headers.begins_stream() => {
                     self.forwarder.record_connected(&attempt);
@@ -187,6 +190,8 @@
             };
             self.forwarder
                 .handle_failure(&self.call, &upstream, &failure);
+            let rollouts = &self.forwarder.rollouts;
+            rollouts.record_attempt_failure(&self.call, &upstream, &failure);
             if written.written_at().is_none() {
                 self.next_write = written;
             }
@@ -383,7 +388,7 @@
         *lock(&self.replica) = next_replica;
         let attempt = Attempt::new(upstream.clone(), work, request);
         let forwarder = &self.forwarder;
-        forwarder.metrics.add(Counter::UpstreamSends, 1);
+        forwarder.record_upstream_send(upstream);
         let mut loss_watch = LossWatch::new(&forwarder.directory, upstream.clone());
         let call_id = self.call.headers.call_id.clone();
         let sending = attempt.send(clearance, written, call_id.as_ref());
@@ -422,6 +427,10 @@
             let cause = format!("upstream answered with status {}", status.as_u16());
             return Ok(AttemptFailure::MayHaveRun(cause));
         }
+        if status.is_server_error() {
+            let rollouts = &self.forwarder.rollouts;
+            rollouts.record_failed(&self.call, &attempt.upstream);
+        }
         match answer_body::read(attempt, self.call.deadline).await {
             Ok(answer) => Err(OpenFailure::Answer(Box::new(answer))),
             Err(error) => Ok(AttemptFailure::MayHaveRun(error.to_string())),
--- a/src/forward/stream_choice.rs
+++ b/src/forward/stream_choice.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use super::forwarder::NodeContext;
+use super::request::Call;
 use super::run_replica::{RunReplica, lock};
 use super::stream_call::{NextUpstream, OpenFailure, StreamRun};
 use super::upstream::Upstream;
@@ -50,14 +51,10 @@
             .as_ref()
             .filter(|replica| self.can_resume_from(replica))
             .map(|replica| replica.holder.clone())
-            .filter(|holder| !is_over_limit(holder));
-        let forwarder = &self.forwarder;
-        let origin = self.origin.as_ref();
+            .filter(|holder| !is_over_limit(holder) && self.is_admitted_by_rollout(holder));
         holder
             .or_else(|| self.upstream_with_cached_prompt(excluded))
-            .or_else(|| {
-                forwarder.choose_upstream(&self.call.service, excluded, origin, choose_engine)
-            })
+            .or_else(|| self.choose_by_load(excluded))
             .or_else(|| self.choose_again(&excluded[self.tried.len()..]))
     }
 
@@ -70,9 +67,24 @@
         }
         let last = self.tried.last();
         let excluded: Vec<Arc<Upstream>> = last.into_iter().chain(over_limit).cloned().collect();
+        self.choose_by_load(&excluded)
+    }
+
+    fn choose_by_load(&self, excluded: &[Arc<Upstream>]) -> Option<Arc<Upstream>> {
         let origin = self.origin.as_ref();
+        let Call { service, draw, .. } = &self.call;
         self.forwarder
-            .choose_upstream(&self.call.service, &excluded, origin, choose_engine)
+            .choose_upstream(service, excluded, origin, *draw, choose_engine)
+    }
+
+    /// Whether a rollout of the service lets the call go to this upstream.
+    fn is_admitted_by_rollout(&self, upstream: &Upstream) -> bool {
+        let Call { service, draw, .. } = &self.call;
+        let forwarder = &self.forwarder;
+        let serving = forwarder.directory.serving(service);
+        let (is_retry, origin) = (!self.tried.is_empty(), self.origin.as_ref());
+        let admission = forwarder.rollout_admission(service, &serving, is_retry, origin, *draw);
+        admission.admits(upstream.software_version(), true)
     }
 
     /// Takes the run's replica, which is used only if `upstream` holds it.
@@ -105,8 +117,10 @@
         let was_tried = excluded.iter().any(|tried| tried.entry.id == id);
         let serving = self.forwarder.directory.serving(&self.call.service);
         let upstream = serving.into_iter().find(|u| u.entry.id == id)?;
-        let is_eligible =
-            !was_tried && upstream.avoided_until(now).is_none() && self.admits(&upstream);
+        let is_eligible = !was_tried
+            && upstream.avoided_until(now).is_none()
+            && self.admits(&upstream)
+            && self.is_admitted_by_rollout(&upstream);
         is_eligible.then_some(upstream)
     }
 }
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -34,6 +34,8 @@
 
 /// Maximum number of events that are queued for a slow caller.
 const QUEUED_EVENTS_MAX: usize = 8;
+/// Number of events of a segment over which the time between events is measured.
+const GAP_EVENT_COUNT: u32 = 16;
 
 /// The part of the stream that one upstream sends.
 #[derive(Debug)]
@@ -130,6 +132,11 @@
 
     fn record_loss(&self, upstream: &Upstream, cause: &str) {
         self.forwarder.metrics.add(Counter::StreamsLost, 1);
+        if self.has_upstream_sent_event {
+            self.forwarder.rollouts.record_broken(&self.call, upstream);
+        } else {
+            self.forwarder.rollouts.record_failed(&self.call, upstream);
+        }
         let silence = upstream.time_since_contact(Instant::now());
         log::info!(
             "event=stream_lost call={} upstream={} version={} began_at={} cause={cause:?} last_event={:?} silent_ms={} heard_ms_ago={:?} sends={} sends_max={} age_ms={}",
@@ -174,6 +181,7 @@
         let mut events = EventBuffer::default();
         let mut phase = StreamPhase::Prefill;
         let mut first_event_at = None;
+        let mut segment_event_count = 0;
         let mut last_index = None;
         let mut _replica_task = None;
         let deadline = self.call.deadline.into();
@@ -270,7 +278,13 @@
                     _replica_task = self.maintain_replica(&upstream);
                 }
                 phase = StreamPhase::Decode;
+                segment_event_count += 1;
                 let began_at = *first_event_at.get_or_insert_with(Instant::now);
+                if segment_event_count == GAP_EVENT_COUNT {
+                    let gap = began_at.elapsed() / (GAP_EVENT_COUNT - 1);
+                    let rollouts = &forwarder.rollouts;
+                    rollouts.record_gap(&self.call, &upstream, gap);
+                }
                 if began_at.elapsed() >= SURVIVAL_TIME {
                     self.record_survival(began_at);
                 }
@@ -319,6 +333,8 @@
     /// Records that the upstream finished the prefill of the call.
     fn record_prefill(&self, upstream: &Upstream) {
         let forwarder = &self.forwarder;
+        let time = self.sent_at.elapsed();
+        forwarder.rollouts.record_time(&self.call, upstream, time);
         if let Some(session) = &self.call.headers.session {
             let now = Instant::now();
             forwarder
--- a/src/membership/message/mod.rs
+++ b/src/membership/message/mod.rs
@@ -9,6 +9,7 @@
 mod crash;
 mod datagram;
 mod permit;
+mod rollout;
 mod run_origin;
 
 use bytes::Bytes;
@@ -20,6 +21,9 @@
     AnnouncementRecord, Datagram, DocumentVersion, MemberRecord, MemberState, Purpose,
 };
 pub(crate) use permit::{PermitReply, PermitRequest};
+pub(crate) use rollout::{
+    AnnouncedState, GrantedStage, RolloutRecord, RolloutReply, RolloutReport, TallyRecord,
+};
 pub(crate) use run_origin::{RunOriginRecord, RunOriginReply, RunOriginRequest};
 
 /// A request over framed TCP.
@@ -29,7 +33,7 @@
     #[prost(uint64, tag = "1")]
     pub(crate) id: u64,
     /// The request; absent when the receiver does not know its kind.
-    #[prost(oneof = "RequestBody", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "RequestBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub(crate) body: Option<RequestBody>,
 }
 
@@ -65,6 +69,9 @@
     /// Asks for permits to send to an upstream that names a limit.
     #[prost(message, tag = "9")]
     Permit(PermitRequest),
+    /// Reports to an owner of a rollout, and asks what may be sent to its target.
+    #[prost(message, tag = "10")]
+    Rollout(RolloutReport),
 }
 
 impl RequestBody {
@@ -79,6 +86,7 @@
             Self::Retry(_) => "retry",
             Self::RunOrigin(_) => "run_origin",
             Self::Permit(_) => "permit",
+            Self::Rollout(_) => "rollout",
         }
     }
 
@@ -86,6 +94,8 @@
     pub(crate) fn may_be_repeated(&self) -> bool {
         match self {
             Self::Sync(_) | Self::Fetch(_) | Self::Status(_) | Self::RunOrigin(_) => true,
+            // A report holds totals.
+            Self::Rollout(_) => true,
             // A claim's nonce identifies its operation.
             Self::Claim(_) => true,
             // Each of them may grant what only one may have.
@@ -135,7 +145,7 @@
     #[prost(uint64, tag = "1")]
     pub(crate) id: u64,
     /// The reply; absent when the receiver cannot give one.
-    #[prost(oneof = "ReplyBody", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "ReplyBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub(crate) body: Option<ReplyBody>,
 }
 
@@ -167,6 +177,9 @@
     /// Reply to [`RequestBody::Permit`].
     #[prost(message, tag = "9")]
     Permit(PermitReply),
+    /// Reply to [`RequestBody::Rollout`].
+    #[prost(message, tag = "10")]
+    Rollout(RolloutReply),
 }
 
 /// The members and announcements that the requester may lack.
--- a/src/node_state.rs
+++ b/src/node_state.rs
@@ -125,7 +125,10 @@
             RequestBody::Status(_) => ReplyBody::Status(self.state.status_reply()),
             // Only entry nodes share a retry budget, the origins of runs and the
             // limits of upstreams.
-            RequestBody::Retry(_) | RequestBody::RunOrigin(_) | RequestBody::Permit(_) => {
+            RequestBody::Retry(_)
+            | RequestBody::RunOrigin(_)
+            | RequestBody::Permit(_)
+            | RequestBody::Rollout(_) => {
                 return None;
             }
         };
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -108,6 +108,10 @@
     StreamsResumed,
     /// Streams truncated before their end.
     StreamsBrokenOff,
+    /// Sends of calls to the target of an unfinished rollout.
+    RolloutTargetSends,
+    /// States of rollouts that this node wrote.
+    RolloutWrites,
     /// Requests to the platform's object store.
     StoreCalls,
     /// Log lines dropped because too many were written at once.
@@ -116,7 +120,7 @@
 
 impl Counter {
     /// All counters, in the order of the list in `docs/OPERATIONS.md`.
-    pub const ALL: [Self; 40] = [
+    pub const ALL: [Self; 42] = [
         Self::Completions,
         Self::Refused,
         Self::Tokens,
@@ -155,6 +159,8 @@
         Self::StreamsLost,
         Self::StreamsResumed,
         Self::StreamsBrokenOff,
+        Self::RolloutTargetSends,
+        Self::RolloutWrites,
         Self::StoreCalls,
         Self::LogLinesDropped,
     ];
@@ -201,6 +207,8 @@
             Self::StreamsLost => "streams_lost_count",
             Self::StreamsResumed => "streams_resumed_count",
             Self::StreamsBrokenOff => "streams_broken_off_count",
+            Self::RolloutTargetSends => "rollout_target_sends_count",
+            Self::RolloutWrites => "rollout_writes_count",
             Self::StoreCalls => "store_calls_count",
             Self::LogLinesDropped => "log_lines_dropped_count",
         }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,6 +13,8 @@
 pub(crate) mod placement;
 pub(crate) mod poison_detector;
 pub(crate) mod retry_budget_share;
+pub(crate) mod rollout;
+pub(crate) mod rollout_evidence;
 pub(crate) mod send_decision;
 pub(crate) mod send_probe;
 pub(crate) mod sound_parts;
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -8,6 +8,8 @@
 mod placement;
 mod poison_detector;
 mod retry_budget_share;
+mod rollout;
+mod rollout_scene;
 mod send_probe;
 mod store_contact;
 mod upstream_limit;
--- /dev/null
+++ b/src/policy/tests/rollout.rs
@@ -0,0 +1,235 @@
+//! Rollouts of good and bad versions, replayed without a network.
+
+use std::time::Duration;
+
+use super::rollout_scene::{BOUNDS, Behaviour, Counts, DURATION_MS, Fault, SLOW, Scene, Sent};
+use crate::policy::rollout::RolloutState;
+use crate::policy::rollout_evidence::{Evidence, Outcome, Side};
+
+/// The time of a usual answer: 20 to 60 ms, and sometimes longer.
+fn usual(sent: &Sent) -> Outcome {
+    let tail = if sent.draw > 0.95 { 3.0 } else { 1.0 };
+    Outcome::Answered(Duration::from_secs_f64((0.02 + 0.04 * sent.draw) * tail))
+}
+
+fn fails(sent: &Sent, share: f64) -> Outcome {
+    let fraction = (sent.draw * 7_919.0).fract();
+    if sent.side == Side::Target && fraction < share {
+        return Outcome::Failed;
+    }
+    usual(sent)
+}
+
+fn good(sent: &Sent) -> Outcome {
+    // Both versions fail now and then.
+    if (sent.draw * 6_007.0).fract() < 0.005 {
+        return Outcome::Failed;
+    }
+    usual(sent)
+}
+
+fn bad_at_once(sent: &Sent) -> Outcome {
+    fails(sent, 0.3)
+}
+
+fn bad_later(sent: &Sent) -> Outcome {
+    fails(sent, if sent.at_ms > 7_000 { 0.4 } else { 0.0 })
+}
+
+fn bad_under_load(sent: &Sent) -> Outcome {
+    fails(sent, if sent.is_concentrated { 0.5 } else { 0.0 })
+}
+
+fn bad_on_one_route(sent: &Sent) -> Outcome {
+    let is_bad = sent.route == "disburse";
+    fails(sent, if is_bad { 0.6 } else { 0.0 })
+}
+
+fn slow(sent: &Sent) -> Outcome {
+    match (sent.side, usual(sent)) {
+        (Side::Target, Outcome::Answered(time)) => Outcome::Answered((time * 4).max(SLOW)),
+        (_, outcome) => outcome,
+    }
+}
+
+fn scene(behaviour: Behaviour, faults: &[Fault]) -> Scene {
+    Scene {
+        node_count: 6,
+        calls_per_s: 200,
+        behaviour,
+        faults: faults.to_vec(),
+    }
+}
+
+fn run(behaviour: Behaviour, faults: &[Fault]) -> Counts {
+    scene(behaviour, faults).run()
+}
+
+fn assert_completed(counts: &Counts) {
+    assert_eq!(counts.state, Some(RolloutState::Completed), "{counts:?}");
+    let settled_at_ms = counts.settled_at_ms;
+    assert!(
+        settled_at_ms.is_some_and(|at| at <= DURATION_MS),
+        "{counts:?}"
+    );
+    counts.assert_exposure_bound();
+}
+
+fn assert_reverted(counts: &Counts) {
+    assert_eq!(counts.state, Some(RolloutState::Reverted), "{counts:?}");
+    counts.assert_exposure_bound();
+    counts.assert_rollback_bound();
+}
+
+/// Guards against the opposite error: a good version is rolled back.
+#[test]
+fn a_good_version_is_completed_by_its_deadline() {
+    assert_completed(&run(good, &[]));
+}
+
+#[test]
+fn bad_versions_are_reverted_within_both_bounds() {
+    let versions: [(&str, Behaviour); 5] = [
+        ("at once", bad_at_once),
+        ("later", bad_later),
+        ("under load", bad_under_load),
+        ("on one route", bad_on_one_route),
+        ("slow", slow),
+    ];
+    for (name, behaviour) in versions {
+        let counts = run(behaviour, &[]);
+
+        println!("{name}: {counts:?}");
+        assert_reverted(&counts);
+    }
+}
+
+/// Guards against a version that is accepted because nothing is known against it.
+#[test]
+fn a_version_with_few_answers_is_reverted() {
+    let mut scene = scene(good, &[]);
+    scene.calls_per_s = 1;
+
+    assert_reverted(&scene.run());
+}
+
+/// Guards against a share that adds up to more than the bound over many nodes.
+#[test]
+fn the_exposure_bound_holds_over_many_nodes_and_in_the_hand_over() {
+    for (node_count, calls_per_s) in [(1, 50), (59, 400), (390, 4_000)] {
+        let scene = Scene {
+            node_count,
+            calls_per_s,
+            ..scene(good, &[])
+        };
+
+        let counts = scene.run();
+
+        assert_completed(&counts);
+    }
+}
+
+/// Guards against a target that gets calls without an owner, and against an outcome that
+/// nobody writes.
+#[test]
+fn the_owner_may_be_killed_at_each_step() {
+    for killed_at_ms in [0, 50, 400, 3_000, 7_500, 9_500, 11_200, 11_600, 11_700] {
+        let faults = [Fault::Killed(0, killed_at_ms)];
+
+        let good = run(good, &faults);
+        let bad = run(bad_later, &faults);
+
+        assert_eq!(
+            good.state,
+            Some(RolloutState::Completed),
+            "{killed_at_ms}: {good:?}"
+        );
+        good.assert_exposure_bound();
+        assert_reverted(&bad);
+    }
+}
+
+#[test]
+fn owner_and_standby_may_be_killed_together() {
+    let faults = [Fault::Killed(0, 7_100), Fault::Killed(1, 7_100)];
+
+    assert_reverted(&run(bad_later, &faults));
+}
+
+/// Guards against a second owner that writes over the outcome of the first, or decides by
+/// what it alone has seen.
+#[test]
+fn two_owners_write_one_outcome() {
+    for index in 0..2 {
+        let faults = [Fault::Apart(index, 2_000, 20_000)];
+
+        assert_completed(&run(good, &faults));
+        assert_reverted(&run(bad_later, &faults));
+    }
+}
+
+/// Guards against grants that go on although the store can't tell of a rollback.
+#[test]
+fn a_store_that_is_away_stops_the_calls_to_the_target() {
+    let counts = run(bad_later, &[Fault::StoreAway(6_000, 16_000)]);
+
+    assert_reverted(&counts);
+    let stopped_by_ms = 6_000 + BOUNDS.rollback.as_millis() as u64;
+    assert!(counts.last_target_send_ms < stopped_by_ms, "{counts:?}");
+    assert_completed(&run(good, &[Fault::StoreAway(3_000, 6_000)]));
+}
+
+/// Guards against a node that holds on to an old share.
+#[test]
+fn a_node_apart_from_the_others_sends_nothing_to_the_target() {
+    for behaviour in [bad_at_once, bad_later] {
+        let faults = [Fault::Apart(5, 1_000, 20_000)];
+
+        assert_reverted(&run(behaviour, &faults));
+    }
+}
+
+/// Guards against a verdict about the target for what the whole service suffers.
+#[test]
+fn failures_of_both_versions_are_no_alarm() {
+    let mut evidence = Evidence::default();
+    for number in 0..1_000 {
+        let side = if number % 20 == 0 {
+            Side::Target
+        } else {
+            Side::Old
+        };
+        let is_bad = number % 3 == 0;
+        let time = Duration::from_millis(if number % 7 == 0 { 900 } else { 30 });
+        let outcome = if is_bad {
+            Outcome::Failed
+        } else {
+            Outcome::Answered(time)
+        };
+        evidence.record("balance", side, outcome);
+    }
+
+    assert_eq!(evidence.alarm(), None);
+}
+
+/// Guards against a version that is taken for good because only its streams are slow.
+#[test]
+fn long_gaps_between_events_are_an_alarm() {
+    let mut evidence = Evidence::default();
+    for number in 0..200 {
+        let side = if number % 10 == 0 {
+            Side::Target
+        } else {
+            Side::Old
+        };
+        let gap = Duration::from_millis(if side == Side::Target { 160 } else { 40 });
+        evidence.record("chat", side, Outcome::Answered(Duration::from_millis(200)));
+        evidence.record_gap("chat", side, gap);
+    }
+
+    assert!(
+        evidence
+            .alarm()
+            .is_some_and(|cause| cause.contains("streams"))
+    );
+}
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -121,6 +121,8 @@
     pub peers: SocketAddr,
     pub metrics_port: u16,
     pub seeds: Vec<SocketAddr>,
+    /// Optional behaviour that the deployment asks for.
+    pub contracts: Vec<String>,
 }
 
 /// A loopback host of this process.
@@ -144,6 +146,7 @@
             peers: (ip, 7340).into(),
             metrics_port: 9464,
             seeds: Vec::new(),
+            contracts: Vec::new(),
         }
     }
 
@@ -171,7 +174,7 @@
              listen:\n  frontend: \"{}\"\n  readiness-addr: \"{}\"\n  directory-addr: \"{}\"\n\
              internal-port-range:\n  - {}\n  - {}\nseed-nodes: {:?}\nlimits:\n  memory-mb: 110\n\
              bounds:\n  grace-period-s: {grace_period_s}\n  retry-budget-ratio: 0.8\n  retry-window-s: 10\n  budget-slack: 150\n\
-             \x20 config-apply-ms: 2000\n  ttl_max_s: 5\nplatform:\n  address: \"{store}\"\n",
+             \x20 config-apply-ms: 2000\n  ttl_max_s: 5\ncontracts: {:?}\nplatform:\n  address: \"{store}\"\n",
             self.name,
             self.data_centre,
             self.callers.ip(),
@@ -184,6 +187,7 @@
                 .iter()
                 .map(ToString::to_string)
                 .collect::<Vec<_>>(),
+            self.contracts,
         )
     }
 }
--- a/tests/support/edge_environment/service.rs
+++ b/tests/support/edge_environment/service.rs
@@ -3,6 +3,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -119,6 +120,10 @@
     /// Calls that arrived, executed or not.
     pub run_log: RunLog,
     pub process: StandInProcess,
+    /// Version of its software in its entry.
+    pub software_version: Mutex<String>,
+    /// Of a hundred calls, how many are answered with status 500.
+    pub failure_percent: AtomicU32,
     service: String,
     frozen: tokio::sync::watch::Sender<bool>,
     next_faults: Mutex<VecDeque<NextFault>>,
@@ -140,6 +145,8 @@
             asked_rest: AskedRest::default(),
             run_log: RunLog::default(),
             process: StandInProcess::start(),
+            software_version: Mutex::new("v1".to_owned()),
+            failure_percent: AtomicU32::new(0),
             service: service.to_owned(),
             frozen: tokio::sync::watch::Sender::new(false),
             address,
@@ -160,7 +167,7 @@
 
     pub fn entry(&self, state: &str) -> Value {
         json!({ "service": self.service, "address": self.advertised_address.lock().expect("unpoisoned").to_string(), "zone": "dc-a",
-                "version": "v1", "slots": 6, "state": state, "sequence": 1, "born": 1000 })
+                "version": *self.software_version.lock().expect("unpoisoned"), "slots": 6, "state": state, "sequence": 1, "born": 1000 })
     }
 
     /// While frozen, it answers nothing; its connections stay open.
@@ -300,6 +307,11 @@
             return send_long_answer(stream, &headers, long_answer).await;
         }
         let body = format!("done {call_id}");
+        let number = self.executed.lock().expect("unpoisoned").len() as u32;
+        // 37 and 100 have no common factor, so that failures are spread over the calls.
+        if number * 37 % 100 < self.failure_percent.load(Ordering::Relaxed) {
+            return reply(stream, 500, &headers, b"failed").await;
+        }
         match fault {
             Some(NextFault::ServerError) => reply(stream, 500, &headers, b"failed").await,
             Some(NextFault::Reset) => {
--- a/tests/support/edge_environment/store.rs
+++ b/tests/support/edge_environment/store.rs
@@ -198,12 +198,48 @@
         self.put_all(kind, specs);
     }
 
+    /// Writes the field `status` of an object, if that has the revision which the request
+    /// names.
+    fn write_status(&self, kind: &str, name: &str, body: &Value) -> (u16, Value) {
+        let mut state = self.state.lock().expect("unpoisoned");
+        let key = (kind.to_owned(), name.to_owned());
+        let Some(mut object) = state.objects.get(&key).cloned() else {
+            return (404, json!({ "error": "no such object" }));
+        };
+        if object["metadata"]["revision"] != body["metadata"]["revision"] {
+            return (409, object);
+        }
+        state.revision += 1;
+        let revision = state.revision;
+        object["status"] = body["status"].clone();
+        object["metadata"]["revision"] = json!(revision);
+        state.objects.insert(key, object.clone());
+        let change = (revision, kind.to_owned(), object.clone(), false);
+        state.history.push(change);
+        drop(state);
+        self.changed.notify_waiters();
+        (200, object)
+    }
+
+    /// The field `status` of an object, if there is one.
+    pub fn status(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.state.lock().expect("unpoisoned");
+        let key = (kind.to_owned(), name.to_owned());
+        state
+            .objects
+            .get(&key)
+            .map(|object| object["status"].clone())
+    }
+
     /// Answers a request about one object: reads, replaces or deletes it, or creates
     /// it if `name` is empty.
     fn change(&self, kind: &str, name: &str, request: &RawRequest) -> (u16, Value) {
         let body: Value = serde_json::from_slice(&request.body).unwrap_or(Value::Null);
         let created = body["metadata"]["name"].as_str().unwrap_or_default();
         let name = if name.is_empty() { created } else { name };
+        if let Some(name) = name.strip_suffix("/status") {
+            return self.write_status(kind, name, &body);
+        }
         let key = (kind.to_owned(), name.to_owned());
         let known = {
             let state = self.state.lock().expect("unpoisoned");
