--- a/src/edge/rollout_watch.rs
+++ b/src/edge/rollout_watch.rs
@@ -23,11 +23,14 @@
 use crate::policy::rollout::Rollout;
 use crate::store::revision::Revision;
 
-/// Longest wait of one watch while a rollout is unfinished. Each answer confirms to an owner
-/// that no other one has settled the rollout.
-const UNFINISHED_WATCH_TIMEOUT: Duration = Duration::from_millis(400);
+/// Wait of one watch by an owner. Each answer confirms that no other owner has settled the
+/// rollout.
+const OWNER_WATCH_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause after the store failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
+/// Factor by which the pause is longer at nodes that neither watch for others nor own a
+/// rollout. In a large cluster they would be hundreds.
+const OTHERS_PAUSE_FACTOR: u32 = 5;
 
 impl RolloutCoordinator {
     /// Follows the rollouts in the store. Never returns; it ends with the runtime.
@@ -51,7 +54,13 @@
                     if !std::mem::replace(&mut is_store_lost, true) {
                         log::warn!("event=store_lost what=rollouts cause={failure}");
                     }
-                    tokio::time::sleep(FAILURE_PAUSE).await;
+                    let is_needed_soon = self.forwarder.node.is_watcher() || self.is_any_owner();
+                    let factor = if is_needed_soon {
+                        1
+                    } else {
+                        OTHERS_PAUSE_FACTOR
+                    };
+                    tokio::time::sleep(FAILURE_PAUSE * factor).await;
                 }
             }
         }
@@ -72,10 +81,10 @@
             return self.list().await;
         };
         let usual = self.forwarder.node.config_watch_timeout(true);
-        let wait = if self.forwarder.rollouts.unfinished().is_empty() {
-            usual
+        let wait = if self.is_any_owner() {
+            OWNER_WATCH_TIMEOUT
         } else {
-            usual.min(UNFINISHED_WATCH_TIMEOUT)
+            usual
         };
         let changes = self.store.watch_rollouts(revision, wait).await?;
         for change in changes.changes {
--- a/src/edge/rollouts.rs
+++ b/src/edge/rollouts.rs
@@ -330,7 +330,7 @@
         if collected.target != rollout.target {
             *collected = Collected::new(&rollout.target, now);
         }
-        collected.granted = None;
+        let granted_before = collected.granted.take().map(|(grant, _)| grant.stage);
         if rollout.state.is_settled() {
             return Step::Withhold;
         }
@@ -347,7 +347,19 @@
         };
         let step = next_step(&situation, bounds);
         match &step {
-            Step::Grant(grant) => collected.granted = Some((*grant, now)),
+            Step::Grant(grant) => {
+                if granted_before != Some(grant.stage) {
+                    log::info!(
+                        "event=rollout_step service={} target={} rank={rank:?} stage={:?} share={:.3} age_ms={}",
+                        rollout.service,
+                        rollout.target,
+                        grant.stage,
+                        grant.share,
+                        situation.age.as_millis()
+                    );
+                }
+                collected.granted = Some((*grant, now));
+            }
             Step::Revert(cause) => collected.verdict = Some(cause.clone()),
             Step::Withhold | Step::Record | Step::Complete => {}
         }
--- /dev/null
+++ b/tests/rollouts/main.rs
@@ -0,0 +1,137 @@
+//! Rollouts of a new software version of a service by a few nodes, against a stand-in for
+//! the store.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod scene;
+mod streams;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use scene::{DURATION, NEWS_TIME, NODE_COUNT, RUNNING, Scene};
+use support::edge_environment::load::served_share;
+
+/// Guards against a rollout that does not end, or that callers notice.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_good_version_is_completed_within_the_exposure_bound() {
+    let _running = RUNNING.lock().await;
+    let scene = Scene::start(&["rollout"]).await;
+    scene.stop_old_when_completed();
+
+    scene.request_rollout();
+    let answers = scene.call_for(&scene.callers, DURATION).await;
+
+    assert_eq!(scene.state(), "completed v2");
+    scene.assert_exposure_bound();
+    let share = served_share(&answers);
+    assert!(share > 0.97, "{share} of the calls were served");
+    let (old, _) = scene.received();
+    let answers = scene.call_for(&scene.callers, Duration::from_secs(1)).await;
+    assert_eq!(scene.received().0, old, "calls reach the old version");
+    assert!(served_share(&answers) > 0.99);
+}
+
+/// Guards against a bad version that keeps its calls, or is accepted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_bad_version_is_reverted_within_both_bounds() {
+    let _running = RUNNING.lock().await;
+    let scene = Scene::start(&["rollout"]).await;
+    for service in &scene.new {
+        service.failure_percent.store(30, Ordering::Relaxed);
+    }
+
+    scene.request_rollout();
+    scene.call_for(&scene.callers, DURATION).await;
+
+    assert_eq!(scene.state(), "reverted v2");
+    scene.assert_exposure_bound();
+    let (_, new) = scene.received();
+    scene.call_for(&scene.callers, Duration::from_secs(1)).await;
+    assert_eq!(scene.received().1, new, "calls reach the reverted version");
+}
+
+/// Guards against a version that turns bad late, after half of the time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_version_that_turns_bad_is_reverted() {
+    let _running = RUNNING.lock().await;
+    let scene = Scene::start(&["rollout"]).await;
+
+    scene.request_rollout();
+    scene.call_for(&scene.callers, DURATION / 2).await;
+    for service in &scene.new {
+        service.failure_percent.store(50, Ordering::Relaxed);
+    }
+    scene.call_for(&scene.callers, DURATION / 2).await;
+
+    assert_eq!(scene.state(), "reverted v2");
+    scene.assert_exposure_bound();
+}
+
+/// Guards against an owner whose loss stops the rollout or loses its evidence. Each node is
+/// killed in turn, so that one of them is the owner and one the standby.
+async fn replay_with_killed_node(failure_percent: u32) -> Vec<String> {
+    let mut states = Vec::new();
+    for killed in 0..NODE_COUNT {
+        let mut scene = Scene::start(&["rollout"]).await;
+        for service in &scene.new {
+            let percent = &service.failure_percent;
+            percent.store(failure_percent, Ordering::Relaxed);
+        }
+
+        scene.request_rollout();
+        scene
+            .call_for(&scene.callers, Duration::from_millis(600))
+            .await;
+        drop(scene.nodes[killed].take());
+        let mut callers = scene.callers.clone();
+        callers.remove(killed);
+        scene
+            .call_for(&callers, DURATION - Duration::from_millis(600))
+            .await;
+
+        scene.assert_exposure_bound();
+        states.push(scene.state());
+    }
+    states
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_good_version_is_completed_after_a_node_was_killed() {
+    let _running = RUNNING.lock().await;
+
+    let states = replay_with_killed_node(0).await;
+
+    assert_eq!(states, ["completed v2"; 3]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_bad_version_is_reverted_after_a_node_was_killed() {
+    let _running = RUNNING.lock().await;
+
+    let states = replay_with_killed_node(20).await;
+
+    assert_eq!(states, ["reverted v2"; 3]);
+}
+
+/// Guards against a rule for versions where nobody asked for one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn versions_share_the_calls_if_no_rollout_is_requested() {
+    let _running = RUNNING.lock().await;
+    for (contracts, is_requested) in [(&["rollout"][..], false), (&[][..], true)] {
+        let scene = Scene::start(contracts).await;
+
+        if is_requested {
+            scene.request_rollout();
+        } else {
+            scene.register_new();
+        }
+        tokio::time::sleep(NEWS_TIME).await;
+        scene.call_for(&scene.callers, Duration::from_secs(2)).await;
+
+        let (old, new) = scene.received();
+        assert!(new * 4 > old && old * 4 > new, "old {old} new {new}");
+        assert_ne!(scene.state(), "in_progress v2");
+    }
+}
