Test rollouts whose store is away, and a further request under the same name

With three node processes, the target gets no call from 4 s after the store fell away until it is back, and the rollout is completed by its deadline; a request for v3 after v2 was reverted is completed.

--- a/tests/rollouts/main.rs
+++ b/tests/rollouts/main.rs
@@ -10,9 +10,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use scene::{DURATION, NEWS_TIME, NODE_COUNT, RUNNING, Scene};
+use scene::{DURATION, NEWS_TIME, NODE_COUNT, RUNNING, Scene, request_rollout_of};
 use support::edge_environment::load::served_share;
 
+/// Time after which nothing is granted without the store: 0.7 of 5 s, and one round of
+/// reports.
+const STOP_TIME: Duration = Duration::from_millis(4_000);
+
 /// Guards against a rollout that does not end, or that callers notice.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_good_version_is_completed_within_the_exposure_bound() {
@@ -135,3 +139,54 @@
         assert_ne!(scene.state(), "in_progress v2");
     }
 }
+
+/// Guards against calls to the target while nobody can write that it is reverted, and against
+/// a rollout that does not go on afterwards.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_target_gets_no_calls_while_the_store_is_away() {
+    let _running = RUNNING.lock().await;
+    let scene = Scene::start(&["rollout"]).await;
+    let store = &scene.environment.store;
+
+    scene.request_rollout();
+    scene.call_for(&scene.callers, DURATION / 8).await;
+    let before = scene.received().1;
+    store.is_unavailable.store(true, Ordering::Relaxed);
+    scene.call_for(&scene.callers, STOP_TIME).await;
+    let stopped = scene.received().1;
+    scene.call_for(&scene.callers, DURATION / 8).await;
+    let meanwhile = scene.received().1 - stopped;
+    store.is_unavailable.store(false, Ordering::Relaxed);
+    scene
+        .call_for(&scene.callers, DURATION / 8 * 6 - STOP_TIME)
+        .await;
+
+    assert!(before > 0, "nothing reached the target before");
+    assert_eq!(meanwhile, 0, "calls reach the target without the store");
+    assert_eq!(scene.state(), "completed v2");
+    scene.assert_exposure_bound();
+}
+
+/// Guards against an outcome that holds for a later request of another version too.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_further_request_under_the_same_name_is_followed() {
+    let _running = RUNNING.lock().await;
+    let scene = Scene::start(&["rollout"]).await;
+    for service in &scene.new {
+        service.failure_percent.store(60, Ordering::Relaxed);
+    }
+
+    scene.request_rollout();
+    scene.call_for(&scene.callers, DURATION / 2).await;
+    let first_state = scene.state();
+    for service in &scene.new {
+        service.failure_percent.store(0, Ordering::Relaxed);
+        *service.software_version.lock().expect("unpoisoned") = "v3".to_owned();
+    }
+    scene.register_new();
+    request_rollout_of(&scene.environment, "pay", "v3");
+    scene.call_for(&scene.callers, DURATION).await;
+
+    assert_eq!(first_state, "reverted v2");
+    assert_eq!(scene.state(), "completed v3");
+}
--- a/tests/rollouts/scene.rs
+++ b/tests/rollouts/scene.rs
@@ -73,7 +73,11 @@
 
 /// Requests the rollout of `v2` of a service.
 pub fn request_rollout(environment: &TestEnvironment, service: &str) {
-    let spec = json!({ "service": service, "target": "v2", "duration-s": DURATION.as_secs() });
+    request_rollout_of(environment, service, "v2");
+}
+
+pub fn request_rollout_of(environment: &TestEnvironment, service: &str, target: &str) {
+    let spec = json!({ "service": service, "target": target, "duration-s": DURATION.as_secs() });
     environment.store.put("rollouts", service, spec);
 }
 
