--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -37,6 +37,7 @@
 pub(crate) mod request_crashes;
 pub(crate) mod reread_line;
 pub(crate) mod retry_budgets;
+pub(crate) mod rollouts;
 pub(crate) mod route_table;
 pub(crate) mod run_origin;
 pub(crate) mod run_replica;
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -10,6 +10,8 @@
 mod placement;
 mod poison_detector;
 mod retry_budget_share;
+mod rollout;
+mod rollout_scene;
 mod send_probe;
 mod startup_wait;
 mod store_contact;
