--- a/src/cli.rs
+++ b/src/cli.rs
@@ -28,6 +28,9 @@
         /// Port that serves the counters, on the IP address for callers
         #[bpaf(long("metrics-port"), argument("PORT"), optional)]
         metrics_port: Option<u16>,
+        /// Options file of the operators
+        #[bpaf(long, argument("FILE"), optional)]
+        options: Option<PathBuf>,
         /// Settings file written by the platform
         #[bpaf(long, argument("FILE"), env("ZINNIAWING_SETTINGS"))]
         settings: PathBuf,
@@ -112,7 +115,7 @@
         #[bpaf(long, argument("FORMAT"), fallback(Format::Text))]
         format: Format,
         /// Experiment to run: resume, claims, crashes, overload, config,
-        /// control, spread, idle, sizes, placement or losses
+        /// control, spread, idle, sizes, placement, losses or hedging
         #[bpaf(positional("NAME"))]
         name: ExperimentName,
     },
@@ -283,6 +286,7 @@
             "sizes" => Experiment::Sizes,
             "placement" => Experiment::Placement,
             "losses" => Experiment::Losses,
+            "hedging" => Experiment::Hedging,
             _ => return Err(format!("unknown experiment '{text}'")),
         };
         Ok(Self(experiment))
--- a/src/command.rs
+++ b/src/command.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -54,8 +54,9 @@
     match command {
         Command::Edge {
             metrics_port,
+            options,
             settings,
-        } => edge(&settings, metrics, metrics_port).await,
+        } => edge(&EdgeFiles { settings, options }, metrics, metrics_port).await,
         Command::Serve { settings } => serve(&settings).await,
         Command::Check { kind, file } => check(kind, &file),
         Command::Intent { operator, file } => {
@@ -101,12 +102,28 @@
     }
 }
 
+/// The files that an entry node reads at its start.
+struct EdgeFiles {
+    settings: PathBuf,
+    options: Option<PathBuf>,
+}
+
+impl EdgeFiles {
+    fn load(&self) -> Result<EdgeSettings, SettingsError> {
+        let mut settings = EdgeSettings::load(&self.settings)?;
+        if let Some(options) = &self.options {
+            settings.load_options(options)?;
+        }
+        Ok(settings)
+    }
+}
+
 async fn edge(
-    path: &Path,
+    files: &EdgeFiles,
     metrics: Arc<Metrics>,
     metrics_port: Option<u16>,
 ) -> Result<(), Failure> {
-    let settings = EdgeSettings::load(path)?;
+    let settings = files.load()?;
     let mut stop_signals = StopSignals::new()?;
     let mut reload_signals = signal(SignalKind::hangup())?;
     let metrics_address = metrics_port.map(|port| SocketAddr::new(settings.callers.ip(), port));
@@ -123,7 +140,7 @@
     loop {
         tokio::select! {
             () = stop_signals.next() => break,
-            _ = reload_signals.recv() => reload(path),
+            _ = reload_signals.recv() => reload(files),
         }
     }
     log::info!("event=stop cause=signal");
@@ -132,10 +149,10 @@
     Ok(())
 }
 
-/// Checks the settings file on SIGHUP. Changed settings take effect at the next
+/// Checks the files on SIGHUP. Changed settings and options take effect at the next
 /// start.
-fn reload(path: &Path) {
-    match EdgeSettings::load(path) {
+fn reload(files: &EdgeFiles) {
+    match files.load() {
         Ok(settings) => log::info!("event=reload node={} outcome=checked", settings.node),
         Err(error) => log::error!("event=reload outcome=refused cause={error:?}"),
     }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod log_writer;
 pub(crate) mod node;
 pub(crate) mod observations;
+pub(crate) mod options;
 pub(crate) mod peer_api;
 pub(crate) mod peer_permits;
 pub(crate) mod peer_relay;
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -31,6 +31,7 @@
 use crate::forward::caller_departures::CallerDepartures;
 use crate::forward::directory::Directory;
 use crate::forward::forwarder::Forwarder;
+use crate::forward::hedges::Hedges;
 use crate::forward::observation::Observations;
 use crate::forward::reach_monitor::ReachMonitor;
 use crate::forward::request_crashes::RequestCrashes;
@@ -112,6 +113,7 @@
             reach: ReachMonitor::default(),
             departures: CallerDepartures::default(),
             budgets: RetryBudgets::new(settings.retry_limits()),
+            hedges: Hedges::new(settings.hedge_limits.clone()),
             request_crashes: RequestCrashes::new(observation_channel.clone()),
             sessions: Sessions::new(observation_channel.clone()),
             run_origins: RunOrigins::default(),
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -4,7 +4,9 @@
 use std::path::Path;
 use std::time::Duration;
 
+use super::options;
 use crate::id::{DataCentreId, NodeId};
+use crate::policy::hedging::HedgeLimits;
 use crate::policy::retry_budget_share::RetryLimits;
 use crate::settings::SettingsError;
 
@@ -50,6 +52,8 @@
     pub memory_mb: Option<u64>,
     /// Maximum number of open file descriptors.
     pub descriptors_max: Option<u64>,
+    /// Limits on hedged requests, from the options file.
+    pub(crate) hedge_limits: HedgeLimits,
 }
 
 impl EdgeSettings {
@@ -63,6 +67,20 @@
         crate::platform::settings::read(text)
     }
 
+    /// Reads and checks the options file of the operators, and applies it.
+    pub fn load_options(&mut self, path: &Path) -> Result<(), SettingsError> {
+        let options = options::load(path, self.retry_ratio)?;
+        self.hedge_limits = options.hedging;
+        Ok(())
+    }
+
+    /// Parses and checks the text of an options file, and applies it.
+    pub fn parse_options(&mut self, text: &str) -> Result<(), SettingsError> {
+        let options = options::read(text, self.retry_ratio)?;
+        self.hedge_limits = options.hedging;
+        Ok(())
+    }
+
     /// Whether this node is one of the seeds, or no seeds are configured.
     pub(crate) fn is_seed(&self) -> bool {
         self.seeds.is_empty() || self.seeds.contains(&self.peers)
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -226,6 +226,7 @@
                 table.version
             );
             self.forwarder.metrics.add(Counter::Configs, 1);
+            self.forwarder.hedges.warn_of_single_attempts(&table);
             self.forwarder.route_table.store(Some(Arc::new(table)));
         }
     }
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of single parts of an entry node.
 
+mod options;
 mod peer_relay;
 mod peer_run_origins;
 mod run_origin_log;
--- a/src/experiment/catalogue.rs
+++ b/src/experiment/catalogue.rs
@@ -6,6 +6,7 @@
 use crate::experiment::control::{measure_control, measure_spread};
 use crate::experiment::crashes::measure_crashes;
 use crate::experiment::evidence::measure_evidence;
+use crate::experiment::hedging::measure_hedging;
 use crate::experiment::idle::measure_idle;
 use crate::experiment::limits::measure_limits;
 use crate::experiment::overload::measure_overload;
@@ -50,6 +51,8 @@
     /// Ways to resume streams after the loss of engines, compared in a
     /// simulation.
     Losses,
+    /// Second sends of plain calls, compared in a simulation.
+    Hedging,
 }
 
 impl Experiment {
@@ -70,6 +73,7 @@
             Self::Sizes => measure_sizes().await,
             Self::Placement => measure_placement(seed),
             Self::Losses => measure_losses(seed),
+            Self::Hedging => measure_hedging(seed),
         }
     }
 }
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod demo;
 pub(crate) mod deployment;
 pub(crate) mod evidence;
+pub(crate) mod hedging;
 pub(crate) mod idle;
 pub(crate) mod limits;
 pub(crate) mod local_cluster;
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -12,6 +12,7 @@
 
 use super::caller_departures::CallerDepartures;
 use super::directory::Directory;
+use super::hedges::Hedges;
 use super::observation::Observations;
 use super::reach_monitor::ReachMonitor;
 use super::relay::RelayPeer;
@@ -115,6 +116,8 @@
     pub(crate) departures: CallerDepartures,
     /// The shares that this node has of the services' retry budgets.
     pub(crate) budgets: RetryBudgets,
+    /// When plain calls are hedged.
+    pub(crate) hedges: Hedges,
     /// Requests suspected of crashing their upstreams.
     pub(crate) request_crashes: RequestCrashes,
     /// Engines at which the prompts of recent streams are cached.
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -23,6 +23,8 @@
 mod departed_notices;
 pub(crate) mod directory;
 pub(crate) mod forwarder;
+mod hedged_call;
+pub(crate) mod hedges;
 pub(crate) mod incarnation_check;
 pub(crate) mod observation;
 pub(crate) mod plain_call;
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use futures_util::{Stream, StreamExt};
 
 use super::answer_body;
 use super::attempt::{Answered, Attempt, AttemptFailure};
 use super::forwarder::{Forwarder, NodeContext};
+use super::hedged_call::SentHedge;
 use super::request::Call;
 use super::request_crashes::Permission;
 use super::send_history::SendHistory;
@@ -21,9 +22,10 @@
 use crate::platform::call::UpstreamHeaders;
 use crate::policy::failure_response::{GiveUpReason, Progress};
 use crate::policy::placement::choose_for_plain_call;
+use crate::policy::send_probe::answer_patience;
 
 /// Silence after which a call that may run more than once is sent to another
-/// upstream as well.
+/// upstream as well, if the operators set no limit on hedges of its service.
 const HEDGE_DELAY: Duration = Duration::from_millis(200);
 /// Number of sends that reached no upstream, or another one than intended, after
 /// which a call is given up.
@@ -31,9 +33,18 @@
 
 /// A send that was begun and whose answer has not been received.
 #[derive(Debug)]
-struct PendingSend {
-    upstream: Arc<Upstream>,
-    sent_at: Instant,
+pub(super) struct PendingSend {
+    pub(super) upstream: Arc<Upstream>,
+    pub(super) sent_at: Instant,
+}
+
+impl PendingSend {
+    /// Whether the upstream has sent nothing at all since it got the call, for longer than
+    /// an answer takes. One that is only slow answers other calls in the meantime.
+    fn is_silent(&self) -> bool {
+        let patience = HEDGE_DELAY.max(answer_patience(self.upstream.latency()));
+        self.sent_at.elapsed() >= patience && !self.upstream.was_heard_since(self.sent_at)
+    }
 }
 
 /// How one send ended.
@@ -43,15 +54,37 @@
     answer: Result<HttpResponse, AttemptFailure>,
 }
 
+/// What a plain call in flight does next.
+#[derive(Debug)]
+enum NextStep {
+    /// It is sent to the next upstream.
+    Send,
+    /// It is hedged, if that is due and allowed.
+    Hedge,
+    /// It handles the end of a send.
+    Handle(SendResult),
+    /// It waits on.
+    Wait,
+    /// No send is in flight.
+    Stop,
+}
+
 /// State of one plain call across its sends.
 #[derive(Debug)]
-struct PlainCallState {
-    tried: Vec<Arc<Upstream>>,
+pub(super) struct PlainCallState {
+    pub(super) tried: Vec<Arc<Upstream>>,
     /// Upstreams that were silent when the call was due there. Each may be chosen again once.
     silent: Vec<Arc<Upstream>>,
     /// The sends in flight; more than one only if the call may be repeated.
-    pending: Vec<PendingSend>,
-    sends: SendHistory,
+    pub(super) pending: Vec<PendingSend>,
+    pub(super) sends: SendHistory,
+    /// Whether the operators set a limit on hedges for the call.
+    is_hedgeable: bool,
+    /// When to look next whether the call is to be hedged.
+    pub(super) hedge_check_at: Option<Instant>,
+    /// When to look next whether the upstreams are silent.
+    silence_check_at: Instant,
+    pub(super) hedge: Option<SentHedge>,
     /// The last server error of an upstream, which is passed on if no other
     /// upstream succeeds.
     server_error: Option<HttpResponse>,
@@ -62,8 +95,12 @@
 }
 
 impl PlainCallState {
-    fn new() -> Self {
+    fn new(is_hedgeable: bool) -> Self {
         Self {
+            is_hedgeable,
+            hedge_check_at: None,
+            silence_check_at: Instant::now(),
+            hedge: None,
             tried: Vec::new(),
             silent: Vec::new(),
             pending: Vec::new(),
@@ -78,19 +115,60 @@
     fn begin_send(&mut self, upstream: &Arc<Upstream>) -> WriteSignal {
         self.tried.push(upstream.clone());
         let written = self.sends.begin();
+        let sent_at = Instant::now();
+        self.silence_check_at = sent_at + HEDGE_DELAY;
         self.pending.push(PendingSend {
             upstream: upstream.clone(),
-            sent_at: Instant::now(),
+            sent_at,
         });
         written
     }
 
-    /// Records the result of a send in the averages of its upstream.
-    fn end_send(&mut self, result: &SendResult) {
+    /// Records the result of a send in the averages of its upstream. Returns when the send
+    /// began.
+    fn end_send(&mut self, result: &SendResult) -> Option<Instant> {
         let is_ended = |send: &mut PendingSend| Arc::ptr_eq(&send.upstream, &result.upstream);
-        for send in self.pending.extract_if(.., is_ended) {
+        let ended: Vec<PendingSend> = self.pending.extract_if(.., is_ended).collect();
+        for send in &ended {
             record_result(&send.upstream, send.sent_at, &result.answer);
         }
+        ended.last().map(|send| send.sent_at)
+    }
+
+    /// The send in flight, if there is just one and the call was not hedged before.
+    pub(super) fn only_pending(&self) -> Option<&PendingSend> {
+        match self.pending.as_slice() {
+            [send] if self.hedge.is_none() => Some(send),
+            _ => None,
+        }
+    }
+
+    /// What to do at a time at which to look whether the call needs another send.
+    fn step_at_check(&mut self, now: Instant) -> NextStep {
+        if !self.is_hedgeable {
+            return NextStep::Send;
+        }
+        if now >= self.silence_check_at {
+            self.silence_check_at = now + HEDGE_DELAY;
+            if self.pending.iter().all(PendingSend::is_silent) {
+                return NextStep::Send;
+            }
+        }
+        match self.hedge_check_at {
+            Some(check_at) if now >= check_at => NextStep::Hedge,
+            _ => NextStep::Wait,
+        }
+    }
+
+    /// When to look whether the call needs another send.
+    fn next_check_at(&self, now: Instant) -> Instant {
+        if !self.is_hedgeable {
+            return now + HEDGE_DELAY;
+        }
+        let hedge_check_at = self
+            .hedge_check_at
+            .filter(|_| self.only_pending().is_some());
+        hedge_check_at.map_or(self.silence_check_at, |at| at.min(self.silence_check_at))
     }
 
     /// Allows that the call returns once to an upstream to which nothing was sent.
@@ -110,10 +188,22 @@
         }
     }
 
-    /// Records the sends that are cancelled because another upstream answered.
+    /// Records the sends that are cancelled because another upstream answered. The first
+    /// send of a hedged call was slow, and has not failed. The hedge was only late, so that
+    /// its time says nothing.
     fn cancel_pending(&self) {
+        let is_hedge = |send: &PendingSend| {
+            let hedge = self.hedge.as_ref();
+            hedge.is_some_and(|hedge| hedge.is_to(&send.upstream)) && !send.is_silent()
+        };
         for send in &self.pending {
-            send.upstream.record_call(send.sent_at.elapsed(), true);
+            if is_hedge(send) {
+                send.upstream.record_withdrawn(send.sent_at);
+                continue;
+            }
+            let has_failed = !self.is_hedgeable || send.is_silent();
+            send.upstream
+                .record_call(send.sent_at.elapsed(), has_failed);
         }
     }
 }
@@ -121,7 +211,11 @@
 impl<N: NodeContext> Forwarder<N> {
     /// Forwards a plain call and returns its answer.
     pub(crate) async fn forward_plain(self: &Arc<Self>, call: Call) -> HttpResponse {
-        let mut state = PlainCallState::new();
+        let is_hedgeable = self.hedges.covers(&call);
+        if is_hedgeable {
+            self.hedges.record_call(&call);
+        }
+        let mut state = PlainCallState::new(is_hedgeable);
         let answered = tokio::select! {
             biased;
             answered = self.send_until_answered(&call, &mut state) => Some(answered),
@@ -146,6 +240,12 @@
             Some(None) => GiveUpReason::UpstreamsFailed,
             None => GiveUpReason::TimeOver,
         };
+        if is_hedgeable {
+            self.finish_hedge(&call, &state, None);
+            if reason == GiveUpReason::TimeOver {
+                self.record_time_over(&call, &state.pending);
+            }
+        }
         if reason != GiveUpReason::TimeOver
             && state.server_error.is_none()
             && let Some(response) = self.relay_after_failures(&call, &state.sends).await
@@ -164,7 +264,8 @@
     ///
     /// If the call may run more than once and its upstream is silent, another one
     /// gets it as well, and the first answer is taken: the silent upstream may still
-    /// answer.
+    /// answer. If the operators set a limit on hedges, another one gets it as soon as the
+    /// answer takes longer than usual, see `docs/design/hedged-requests.md`.
     async fn send_until_answered(
         self: &Arc<Self>,
         call: &Call,
@@ -172,34 +273,65 @@
     ) -> Option<HttpResponse> {
         let may_repeat = call.matched.route.kind.may_repeat();
         let mut sends = FuturesUnordered::new();
+        let mut step = NextStep::Send;
         loop {
-            if let Some(upstream) = self.next_upstream(call, state).await {
-                state.avoid_silent_upstreams();
+            let upstream = match step {
+                NextStep::Send => self.next_upstream(call, state).await,
+                NextStep::Hedge => self.next_hedge(call, state).await,
+                NextStep::Wait => None,
+                NextStep::Stop => return None,
+                NextStep::Handle(result) => {
+                    if let Some(response) = self.end_send(call, state, result) {
+                        return Some(response);
+                    }
+                    let may_have_run = state.sends.progress() == Progress::MayHaveRun;
+                    if may_have_run && !may_repeat {
+                        return None;
+                    }
+                    step = NextStep::Send;
+                    continue;
+                }
+            };
+            if let Some(upstream) = upstream {
+                if !matches!(step, NextStep::Hedge) {
+                    state.avoid_silent_upstreams();
+                }
                 let written = state.begin_send(&upstream);
+                self.schedule_hedge(call, state);
                 let tried = state.tried.clone();
                 sends.push(self.send(call, upstream, tried, written));
             }
-            let ended = if may_repeat {
-                tokio::time::timeout(HEDGE_DELAY, sends.next()).await
-            } else {
-                Ok(sends.next().await)
-            };
-            // Without an end, the upstreams are silent.
-            let Ok(ended) = ended else {
-                continue;
-            };
-            // Nothing is pending, and no upstream is left.
-            let result = ended?;
-            state.end_send(&result);
-            if let Some(response) = self.handle_result(call, state, result) {
-                state.cancel_pending();
-                return Some(response);
-            }
-            let may_have_run = state.sends.progress() == Progress::MayHaveRun;
-            if may_have_run && !may_repeat {
-                return None;
+            step = wait_for_step(state, &mut sends, may_repeat).await;
+        }
+    }
+
+    /// Sets when the call is due for a hedge, if it may have one and has none yet.
+    fn schedule_hedge(&self, call: &Call, state: &mut PlainCallState) {
+        if !state.is_hedgeable {
+            return;
+        }
+        let sent_at = state.only_pending().map(|send| send.sent_at);
+        state.hedge_check_at = sent_at.map(|at| self.hedge_due_at(call, at, HEDGE_DELAY));
+    }
+
+    /// Records the end of one send, and returns the answer for the caller if it has one.
+    fn end_send(
+        self: &Arc<Self>,
+        call: &Call,
+        state: &mut PlainCallState,
+        result: SendResult,
+    ) -> Option<HttpResponse> {
+        let sent_at = state.end_send(&result);
+        let upstream = result.upstream.clone();
+        let response = self.handle_result(call, state, result)?;
+        if state.is_hedgeable {
+            self.finish_hedge(call, state, Some(&upstream));
+            if let Some(sent_at) = sent_at.filter(|_| !response.status().is_server_error()) {
+                self.record_answer_time(call, state, sent_at);
             }
         }
+        state.cancel_pending();
+        Some(response)
     }
 
     /// Handles the end of one send, and returns the answer for the caller if it has
@@ -275,7 +407,7 @@
     }
 
     /// Whether calls of this kind crash upstreams. A trial is sent once.
-    fn is_refused(&self, call: &Call, is_first: bool) -> bool {
+    pub(super) fn is_refused(&self, call: &Call, is_first: bool) -> bool {
         let may_be_sent = call.is_trial && is_first;
         !may_be_sent && matches!(self.permission(call), Permission::Refused(..))
     }
@@ -379,6 +511,26 @@
     }
 }
 
+/// Waits until a send ends, or until it is time to look whether the call needs another one.
+async fn wait_for_step(
+    state: &mut PlainCallState,
+    sends: &mut (impl Stream<Item = SendResult> + Unpin),
+    may_repeat: bool,
+) -> NextStep {
+    let ended = if may_repeat {
+        let check_at = state.next_check_at(Instant::now());
+        tokio::time::timeout_at(check_at.into(), sends.next()).await
+    } else {
+        Ok(sends.next().await)
+    };
+    match ended {
+        Ok(Some(result)) => NextStep::Handle(result),
+        // Nothing is pending, and no upstream is left.
+        Ok(None) => NextStep::Stop,
+        Err(_) => state.step_at_check(Instant::now()),
+    }
+}
+
 /// Updates the upstream's latency and failure rate from the call, unless the call
 /// was not sent, was refused or was misdirected.
 fn record_result(
--- a/src/forward/route_table.rs
+++ b/src/forward/route_table.rs
@@ -227,6 +227,18 @@
         })
     }
 
+    /// The services that routes name, with the highest `attempts_max` of these routes.
+    pub(crate) fn attempts_by_service(&self) -> BTreeMap<ServiceId, u32> {
+        let mut attempts = BTreeMap::new();
+        for route in self.routes.values().flatten() {
+            for weighted in &route.services {
+                let highest: &mut u32 = attempts.entry(weighted.service.clone()).or_default();
+                *highest = route.attempts_max.max(*highest);
+            }
+        }
+        attempts
+    }
+
     /// The services whose upstreams are model engines.
     pub(crate) fn engine_services(&self) -> impl Iterator<Item = &ServiceId> {
         let services = self.services.iter();
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -360,6 +360,14 @@
         self.health().unanswered_since.get_or_insert(now);
     }
 
+    /// Records that a send that began at or after `sent_at` was cancelled before its answer
+    /// was due, so that it says nothing of the upstream.
+    pub(crate) fn record_withdrawn(&self, sent_at: Instant) {
+        let mut health = self.health();
+        let is_withdrawn = |since: &mut Instant| *since >= sent_at;
+        health.unanswered_since.take_if(is_withdrawn);
+    }
+
     /// Whether the upstream failed and has sent nothing since.
     pub(crate) fn has_failed(&self) -> bool {
         self.health().failure_count > 0
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -92,6 +92,26 @@
     UpstreamSends,
     /// Retries that the retry budget did not allow.
     RetriesOverBudget,
+    /// Plain calls sent to a second upstream while the first could still answer.
+    HedgesSent,
+    /// Hedges that answered before the first send.
+    HedgesWon,
+    /// Hedges that did not answer before the first send.
+    HedgesLost,
+    /// Hedges withheld because too few answers were known.
+    HedgesWithheldFewSamples,
+    /// Hedges withheld because all answers were slow.
+    HedgesWithheldAllSlow,
+    /// Hedges withheld because they would have saved too little.
+    HedgesWithheldSmallGain,
+    /// Hedges withheld by the operators' limit.
+    HedgesWithheldOverLimit,
+    /// Hedges withheld by the retry budget.
+    HedgesWithheldOverBudget,
+    /// Hedges withheld because no upstream was expected to answer sooner.
+    HedgesWithheldNoTarget,
+    /// Hedges of calls that could not be sent again.
+    HedgesWithheldNotAllowed,
     /// Sends that the limits of upstreams did not allow.
     SendsOverLimit,
     /// Liveness probes sent to engines.
@@ -116,7 +136,7 @@
 
 impl Counter {
     /// All counters, in the order of the list in `docs/OPERATIONS.md`.
-    pub const ALL: [Self; 40] = [
+    pub const ALL: [Self; 50] = [
         Self::Completions,
         Self::Refused,
         Self::Tokens,
@@ -147,6 +167,16 @@
         Self::RelayedCallsRefused,
         Self::UpstreamSends,
         Self::RetriesOverBudget,
+        Self::HedgesSent,
+        Self::HedgesWon,
+        Self::HedgesLost,
+        Self::HedgesWithheldFewSamples,
+        Self::HedgesWithheldAllSlow,
+        Self::HedgesWithheldSmallGain,
+        Self::HedgesWithheldOverLimit,
+        Self::HedgesWithheldOverBudget,
+        Self::HedgesWithheldNoTarget,
+        Self::HedgesWithheldNotAllowed,
         Self::SendsOverLimit,
         Self::EngineProbes,
         Self::SendProbes,
@@ -193,6 +223,16 @@
             Self::RelayedCallsRefused => "relayed_calls_refused_count",
             Self::UpstreamSends => "upstream_sends_count",
             Self::RetriesOverBudget => "retries_over_budget_count",
+            Self::HedgesSent => "hedges_sent_count",
+            Self::HedgesWon => "hedges_won_count",
+            Self::HedgesLost => "hedges_lost_count",
+            Self::HedgesWithheldFewSamples => "hedges_withheld_few_samples_count",
+            Self::HedgesWithheldAllSlow => "hedges_withheld_all_slow_count",
+            Self::HedgesWithheldSmallGain => "hedges_withheld_small_gain_count",
+            Self::HedgesWithheldOverLimit => "hedges_withheld_over_limit_count",
+            Self::HedgesWithheldOverBudget => "hedges_withheld_over_budget_count",
+            Self::HedgesWithheldNoTarget => "hedges_withheld_no_target_count",
+            Self::HedgesWithheldNotAllowed => "hedges_withheld_not_allowed_count",
             Self::SendsOverLimit => "sends_over_limit_count",
             Self::EngineProbes => "engine_probes_count",
             Self::SendProbes => "send_probes_count",
@@ -213,6 +253,10 @@
 pub enum Span {
     /// From the arrival of a plain call to its answer.
     PlainCall,
+    /// The same, of calls that were hedged.
+    PlainCallHedged,
+    /// The same, of calls to services with a limit on hedges that were not hedged.
+    PlainCallUnhedged,
     /// From the arrival of a streaming call to its first event.
     FirstEvent,
     /// Longest pause between two events of a stream.
@@ -223,8 +267,10 @@
 
 impl Span {
     /// All spans, in the order of the list in `docs/OPERATIONS.md`.
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 6] = [
         Self::PlainCall,
+        Self::PlainCallHedged,
+        Self::PlainCallUnhedged,
         Self::FirstEvent,
         Self::LongestPause,
         Self::Resume,
@@ -234,6 +280,8 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::PlainCall => "plain_call_ms",
+            Self::PlainCallHedged => "plain_call_hedged_ms",
+            Self::PlainCallUnhedged => "plain_call_unhedged_ms",
             Self::FirstEvent => "first_event_ms",
             Self::LongestPause => "longest_pause_ms",
             Self::Resume => "stream_resume_ms",
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod entry_expiry;
 pub(crate) mod failure_response;
 pub(crate) mod freshness;
+pub(crate) mod hedging;
 pub(crate) mod liveness;
 pub(crate) mod outage;
 pub(crate) mod placement;
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -3,6 +3,7 @@
 mod entry_expiry;
 mod failure_response;
 mod freshness;
+mod hedging;
 mod liveness;
 mod outage;
 mod placement;
--- a/src/simulation/mod.rs
+++ b/src/simulation/mod.rs
@@ -9,6 +9,7 @@
 //! bench, which plays whole deployments.
 
 pub(crate) mod engine;
+pub(crate) mod hedging;
 pub(crate) mod permits;
 pub(crate) mod simulator;
 pub(crate) mod stream;
--- a/src/simulation/tests/mod.rs
+++ b/src/simulation/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of the simulation against figures calculated by hand.
 
+mod hedging;
+
 use std::time::Duration;
 
 use crate::simulation::engine::{Engine, EngineProfile, Progress, StreamWork};
--- /dev/null
+++ b/tests/hedged_requests.rs
@@ -0,0 +1,125 @@
+//! Plain calls that are sent to a second upstream because they take longer than usual.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use support::edge_environment::caller::Caller;
+use support::edge_environment::service::{ANSWER_TIME_QUERY, NextFault, Service};
+use support::edge_environment::{IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, NodeSpec, TestEnvironment};
+use zinniawing::{Counter, EdgeNode, EdgeSettings, Metrics};
+
+const OPTIONS: &str = "hedging: {default_extra_sends_percent: 20}";
+/// Calls after which a node knows what an answer takes.
+const LEARNING_CALLS: usize = 40;
+/// Calls within which an upstream with a fault is met.
+const FAULTY_CALLS_MAX: usize = 60;
+
+struct Hedging {
+    environment: TestEnvironment,
+    caller: Caller,
+    metrics: Arc<Metrics>,
+    _node: EdgeNode,
+}
+
+impl Hedging {
+    async fn start(options: &str) -> Self {
+        let environment = TestEnvironment::start(0).await;
+        for service in &environment.services {
+            *service.answer_time.lock().expect("unpoisoned") = Duration::from_millis(5);
+        }
+        let spec = NodeSpec::new("n1", "dc-a");
+        let text = spec.settings(environment.store.address, 8);
+        let mut settings = EdgeSettings::parse(&text).expect("valid settings");
+        settings.parse_options(options).expect("valid options");
+        let metrics = Arc::new(Metrics::default());
+        let started = EdgeNode::start(settings, metrics.clone(), None).await;
+        let caller = Caller::new(&spec);
+        caller.wait_until_ready().await;
+        Self {
+            environment,
+            caller,
+            metrics,
+            _node: started.expect("the node starts"),
+        }
+    }
+
+    /// Makes calls of which one in ten is slow.
+    async fn learn(&self, method: &str, path: &str) {
+        for number in 0..LEARNING_CALLS {
+            let answer_ms = if number % 10 == 9 { 150 } else { 5 };
+            let path = format!("{path}?{ANSWER_TIME_QUERY}={answer_ms}");
+            let got = self.caller.call(method, &path, "").await;
+            assert_eq!(got.status, 200, "{got:?}");
+        }
+    }
+
+    /// The service that took the last call.
+    async fn serving(&self) -> &Arc<Service> {
+        let counts = || self.environment.services.iter().map(|s| s.received().len());
+        let before: Vec<usize> = counts().collect();
+        self.caller.call("GET", IDEMPOTENT_PATH, "").await;
+        let taker = counts().zip(before).position(|(now, before)| now > before);
+        &self.environment.services[taker.expect("a service took the call")]
+    }
+
+    /// Makes calls until one has met an upstream that doesn't answer it.
+    async fn call_until_unanswered(&self) {
+        let service = self.serving().await;
+        service.queue_fault(NextFault::NoAnswer);
+        for _ in 0..FAULTY_CALLS_MAX {
+            let got = self.caller.call("GET", IDEMPOTENT_PATH, "").await;
+            assert_eq!(got.status, 200, "{got:?}");
+            if service.all_faults_used() {
+                return;
+            }
+        }
+        panic!("no call met the fault");
+    }
+}
+
+/// Guards against a hedge that isn't sent, or whose answer isn't taken.
+#[tokio::test]
+async fn a_call_without_an_answer_is_answered_by_its_hedge() {
+    let hedging = Hedging::start(OPTIONS).await;
+    hedging.learn("GET", IDEMPOTENT_PATH).await;
+    let won_before = hedging.metrics.get(Counter::HedgesWon);
+
+    hedging.call_until_unanswered().await;
+
+    assert!(hedging.metrics.get(Counter::HedgesWon) > won_before);
+}
+
+/// Guards against hedges where no operator asked for them.
+#[tokio::test]
+async fn without_a_limit_no_call_is_hedged() {
+    let hedging = Hedging::start("hedging: {}").await;
+    hedging.learn("GET", IDEMPOTENT_PATH).await;
+
+    hedging.call_until_unanswered().await;
+
+    assert_eq!(hedging.metrics.get(Counter::HedgesSent), 0);
+}
+
+/// Guards against calls that wait for a silent upstream until their deadline, because too
+/// few answers are known for a hedge.
+#[tokio::test]
+async fn a_call_leaves_a_silent_upstream_of_a_node_that_has_just_started() {
+    let hedging = Hedging::start(OPTIONS).await;
+
+    hedging.call_until_unanswered().await;
+
+    assert_eq!(hedging.metrics.get(Counter::HedgesSent), 0);
+}
+
+/// Guards against a second run of a call that must run at most once.
+#[tokio::test]
+async fn a_call_that_may_not_repeat_is_never_hedged() {
+    let hedging = Hedging::start(OPTIONS).await;
+
+    hedging.learn("POST", NON_IDEMPOTENT_PATH).await;
+
+    assert_eq!(hedging.metrics.get(Counter::HedgesSent), 0);
+    assert_eq!(hedging.environment.executed_count(), LEARNING_CALLS);
+}
