--- a/src/experiment/hedging.rs
+++ b/src/experiment/hedging.rs
@@ -31,8 +31,10 @@
         "p99.9_ms",
         "on_time_%",
         "extra_%",
-        "extra_in_trouble_%",
-        "extra_at_onset",
+        "hedges_%",
+        "trouble_extra_%",
+        "trouble_hedges_%",
+        "onset_extra",
     ];
     let mut report = Report::new("plain calls sent a second time (model)", &columns);
     for trouble in [
@@ -64,7 +66,9 @@
                 totals.answer_times.quantile(0.999),
                 percent(totals.on_time_count, totals.call_count),
                 percent(totals.extra_send_count, totals.call_count),
+                percent(totals.hedge_count, totals.call_count),
                 percent(totals.trouble_extra_send_count, totals.trouble_call_count),
+                percent(totals.trouble_hedge_count, totals.trouble_call_count),
                 totals.onset_extra_send_count.to_string(),
             ]);
         }
@@ -80,6 +84,8 @@
     call_count: u64,
     on_time_count: u64,
     extra_send_count: u64,
+    hedge_count: u64,
+    trouble_hedge_count: u64,
     trouble_call_count: u64,
     trouble_extra_send_count: u64,
     onset_extra_send_count: u64,
@@ -101,6 +107,8 @@
         }
         self.call_count += result.call_count;
         self.extra_send_count += result.extra_send_count;
+        self.hedge_count += result.hedge_count;
+        self.trouble_hedge_count += result.trouble_hedge_count;
         self.trouble_call_count += result.trouble_call_count;
         self.trouble_extra_send_count += result.trouble_extra_send_count;
         self.onset_extra_send_count += result.onset_extra_send_count;
--- a/src/forward/hedged_call.rs
+++ b/src/forward/hedged_call.rs
@@ -5,7 +5,7 @@
 
 use super::forwarder::{Forwarder, NodeContext};
 use super::hedges::withheld_counter;
-use super::plain_call::{PendingSend, PlainCallState};
+use super::plain_call::{HEDGE_DELAY, PendingSend, PlainCallState};
 use super::request::Call;
 use super::upstream::Upstream;
 use super::upstream_permits::WithoutPermit;
@@ -80,8 +80,7 @@
                     call.id(),
                     waited.as_millis()
                 );
-                // The time doubles, so that a long wait costs few decisions.
-                let pause = waited.max(Duration::from_millis(1));
+                let pause = waited.clamp(Duration::from_millis(1), HEDGE_DELAY);
                 state.hedge_check_at = Some(Instant::now() + pause);
                 None
             }
--- a/src/forward/hedges.rs
+++ b/src/forward/hedges.rs
@@ -80,6 +80,15 @@
         times.plan(share, Instant::now())
     }
 
+    /// Time without an answer after which the call leaves an upstream that has sent nothing
+    /// in that time, and whose calls take `latency` on average.
+    pub(crate) fn silence_patience(&self, call: &Call, latency: Duration) -> Duration {
+        let answer_times = lock(&self.answer_times);
+        let times = answer_times.get(&source(call));
+        let patience = |times: &AnswerTimes| times.silence_patience(latency);
+        times.map_or_else(|| patience(&AnswerTimes::default()), patience)
+    }
+
     /// Warns of services with a limit whose calls are never sent twice.
     pub(crate) fn warn_of_single_attempts(&self, table: &RouteTable) {
         for (service, attempts_max) in table.attempts_by_service() {
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -22,11 +22,10 @@
 use crate::platform::call::UpstreamHeaders;
 use crate::policy::failure_response::{GiveUpReason, Progress};
 use crate::policy::placement::choose_for_plain_call;
-use crate::policy::send_probe::answer_patience;
 
 /// Silence after which a call that may run more than once is sent to another
 /// upstream as well, if the operators set no limit on hedges of its service.
-const HEDGE_DELAY: Duration = Duration::from_millis(200);
+pub(super) const HEDGE_DELAY: Duration = Duration::from_millis(200);
 /// Number of sends that reached no upstream, or another one than intended, after
 /// which a call is given up.
 const UNDELIVERED_SENDS_MAX: u32 = 4;
@@ -36,14 +35,15 @@
 pub(super) struct PendingSend {
     pub(super) upstream: Arc<Upstream>,
     pub(super) sent_at: Instant,
+    /// Time after which the upstream counts as silent if it has sent nothing since.
+    patience: Duration,
 }
 
 impl PendingSend {
     /// Whether the upstream has sent nothing at all since it got the call, for longer than
     /// an answer takes. One that is only slow answers other calls in the meantime.
     fn is_silent(&self) -> bool {
-        let patience = HEDGE_DELAY.max(answer_patience(self.upstream.latency()));
-        self.sent_at.elapsed() >= patience && !self.upstream.was_heard_since(self.sent_at)
+        self.sent_at.elapsed() >= self.patience && !self.upstream.was_heard_since(self.sent_at)
     }
 }
 
@@ -112,7 +112,7 @@
     }
 
     /// Records the start of a send.
-    fn begin_send(&mut self, upstream: &Arc<Upstream>) -> WriteSignal {
+    fn begin_send(&mut self, upstream: &Arc<Upstream>, patience: Duration) -> WriteSignal {
         self.tried.push(upstream.clone());
         let written = self.sends.begin();
         let sent_at = Instant::now();
@@ -120,6 +120,7 @@
         self.pending.push(PendingSend {
             upstream: upstream.clone(),
             sent_at,
+            patience,
         });
         written
     }
@@ -296,7 +297,8 @@
                 if !matches!(step, NextStep::Hedge) {
                     state.avoid_silent_upstreams();
                 }
-                let written = state.begin_send(&upstream);
+                let patience = self.silence_patience(call, state, &upstream);
+                let written = state.begin_send(&upstream, patience);
                 self.schedule_hedge(call, state);
                 let tried = state.tried.clone();
                 sends.push(self.send(call, upstream, tried, written));
@@ -305,6 +307,19 @@
         }
     }
 
+    /// Time after which the upstream counts as silent.
+    fn silence_patience(
+        &self,
+        call: &Call,
+        state: &PlainCallState,
+        upstream: &Upstream,
+    ) -> Duration {
+        if !state.is_hedgeable {
+            return HEDGE_DELAY;
+        }
+        self.hedges.silence_patience(call, upstream.latency())
+    }
+
     /// Sets when the call is due for a hedge, if it may have one and has none yet.
     fn schedule_hedge(&self, call: &Call, state: &mut PlainCallState) {
         if !state.is_hedgeable {
--- a/src/policy/hedging.rs
+++ b/src/policy/hedging.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use super::placement::{Candidate, choose_for_plain_call};
+use super::send_probe::answer_patience;
 use crate::id::ServiceId;
 
 /// Number of answers of a route and service that are kept.
@@ -39,6 +40,14 @@
 /// Number of hedges of one service that a node keeps for a burst.
 const SAVED_HEDGES_MAX: f64 = 2.0;
 
+/// Shortest time without an answer after which a call leaves a silent upstream.
+const SILENCE_MIN: Duration = Duration::from_millis(200);
+/// Longest such time that follows from the route's answers. These take long, too, after
+/// many upstreams were silent, and must not hide the next ones.
+const SLOW_ANSWER_MAX: Duration = Duration::from_millis(800);
+/// Quantile of the route's answers above which one is slow.
+const SLOW_ANSWER_QUANTILE: f64 = 0.9;
+
 /// Share of failed calls from which an upstream is no target.
 const TARGET_FAILURE_SHARE_MAX: f64 = 0.1;
 
@@ -157,6 +166,16 @@
         })
     }
 
+    /// Time without an answer after which a call leaves an upstream whose calls take
+    /// `latency` on average, and which has sent nothing in that time.
+    pub(crate) fn silence_patience(&self, latency: Duration) -> Duration {
+        let mut sorted: Vec<Duration> = self.samples.iter().map(|s| s.duration).collect();
+        sorted.sort_unstable();
+        let slow = at_quantile(&sorted, SLOW_ANSWER_QUANTILE) * 2;
+        let usual = answer_patience(latency).max(SILENCE_MIN);
+        usual.max(slow.min(SLOW_ANSWER_MAX))
+    }
+
     fn drop_old(&mut self, now: Instant) {
         let age = |sample: &AnswerSample| now.saturating_duration_since(sample.received_at);
         while self
--- a/src/policy/tests/hedging.rs
+++ b/src/policy/tests/hedging.rs
@@ -151,6 +151,19 @@
     assert!((299..=300).contains(&count), "{count}");
 }
 
+/// Guards against calls that leave upstreams as silent while all are slow, and against
+/// calls that wait for a silent upstream because others were silent before.
+#[test]
+fn a_call_leaves_a_silent_upstream_later_where_answers_are_slow_but_not_much_later() {
+    let start = Instant::now();
+    let latency = Duration::from_millis(20);
+    let patience = |answer_ms| answer_times(start, [answer_ms; 100]).silence_patience(latency);
+
+    let patiences = [patience(15), patience(300), patience(2_000)];
+
+    assert_eq!(patiences, [200, 600, 800].map(Duration::from_millis));
+}
+
 /// Guards against hedges to an upstream that fails fast, and so looks like the quickest, or
 /// is full, slow, or unknown.
 #[test]
--- a/src/simulation/hedging.rs
+++ b/src/simulation/hedging.rs
@@ -33,6 +33,10 @@
 const TROUBLE_END: VirtualTime = Duration::from_secs(40);
 /// Time after which a call is given up.
 const DEADLINE: Duration = Duration::from_secs(2);
+/// Time without an answer after which a call leaves a silent upstream.
+const SILENCE_MIN: Duration = Duration::from_millis(200);
+/// Number of sends of one call.
+const SENDS_MAX: usize = 3;
 /// Weight of one call in a node's average latency of an upstream.
 const LATENCY_WEIGHT: f64 = 0.15;
 
@@ -60,7 +64,8 @@
     Never,
     /// After each 200 ms without an answer, within three sends and the retry budget.
     Fixed,
-    /// By [`crate::policy::hedging`], for this share of the calls.
+    /// By [`crate::policy::hedging`], for this share of the calls, and when all upstreams
+    /// that have the call have sent the node nothing for long.
     Hedge(f64),
 }
 
@@ -78,10 +83,14 @@
     /// Time to the answer of each answered call.
     pub(crate) answer_times: Vec<Duration>,
     pub(crate) call_count: u64,
+    /// Second sends, with hedges.
     pub(crate) extra_send_count: u64,
+    pub(crate) hedge_count: u64,
     /// Calls and second sends from one second after the trouble began until it ended.
     pub(crate) trouble_call_count: u64,
     pub(crate) trouble_extra_send_count: u64,
+    /// Hedges in that time.
+    pub(crate) trouble_hedge_count: u64,
     /// Second sends in the first second of the trouble.
     pub(crate) onset_extra_send_count: u64,
 }
@@ -93,6 +102,7 @@
     Arrival,
     WorkEnd { upstream: usize, work: u64 },
     SendCheck(CallId),
+    SilenceCheck(CallId),
     Deadline(CallId),
 }
 
@@ -102,6 +112,7 @@
     latency: Duration,
     call_count: u32,
     unanswered_since: Option<VirtualTime>,
+    heard_at: Option<VirtualTime>,
 }
 
 #[derive(Debug)]
@@ -195,6 +206,7 @@
             Event::Arrival => self.begin_call(),
             Event::WorkEnd { upstream, work } => self.end_work(upstream, work),
             Event::SendCheck(id) => self.check_send(id),
+            Event::SilenceCheck(id) => self.check_silence(id),
             Event::Deadline(id) => self.give_up(id),
         }
     }
@@ -313,11 +325,12 @@
         match self.scenario.second_send {
             SecondSend::Never => {}
             SecondSend::Fixed => {
-                self.schedule(now + Duration::from_millis(200), Event::SendCheck(id));
+                self.schedule(now + SILENCE_MIN, Event::SendCheck(id));
             }
             SecondSend::Hedge(share) => {
                 let plan = self.plan(node, share);
-                let delay = plan.map_or(Duration::from_millis(200), |plan| plan.delay);
+                let delay = plan.map_or(SILENCE_MIN, |plan| plan.delay);
+                self.schedule(now + SILENCE_MIN, Event::SilenceCheck(id));
                 self.schedule(now + delay, Event::SendCheck(id));
             }
         }
@@ -358,6 +371,7 @@
         let taken = self.now - call.arrived_at;
         node.times.record(taken, answered_at);
         node.known[upstream].unanswered_since = None;
+        node.known[upstream].heard_at = Some(self.now);
         self.end_sends(id, &call);
     }
 
@@ -389,7 +403,7 @@
         };
         let waited = self.now - sent_at;
         match self.scenario.second_send {
-            SecondSend::Fixed if sends < 3 => {
+            SecondSend::Fixed if sends < SENDS_MAX => {
                 if let Some(upstream) = self.choose(id, None).filter(|_| self.spend(node)) {
                     self.record_extra_send();
                     self.send(id, upstream);
@@ -401,7 +415,7 @@
                 }
                 Ok(plan) => match self.choose(id, Some(&plan)) {
                     Some(upstream) if self.spend_hedge(node) => {
-                        self.record_extra_send();
+                        self.record_hedge();
                         self.send(id, upstream);
                     }
                     _ => self.check_later(id, waited),
@@ -412,8 +426,29 @@
         }
     }
 
+    /// Sends a call again if all upstreams that have it are silent, as
+    /// `forward::plain_call` does.
+    fn check_silence(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let (node, now) = (call.node, self.now);
+        let is_silent = |(upstream, sent_at): &(usize, VirtualTime)| {
+            let known = self.nodes[node].known[*upstream];
+            let patience = self.nodes[node].times.silence_patience(known.latency);
+            now - *sent_at >= patience && known.heard_at.is_none_or(|at| at < *sent_at)
+        };
+        let may_send = call.sends.len() < SENDS_MAX && call.sends.iter().all(is_silent);
+        if may_send && let Some(upstream) = self.choose(id, None).filter(|_| self.spend(node)) {
+            self.record_extra_send();
+            self.send(id, upstream);
+        } else {
+            self.schedule(now + SILENCE_MIN, Event::SilenceCheck(id));
+        }
+    }
+
     fn check_later(&mut self, id: CallId, waited: Duration) {
-        let pause = waited.max(Duration::from_millis(1));
+        let pause = waited.clamp(Duration::from_millis(1), SILENCE_MIN);
         self.schedule(self.now + pause, Event::SendCheck(id));
     }
 
@@ -428,6 +463,13 @@
             && self.nodes[node].allowance.try_spend()
     }
 
+    fn record_hedge(&mut self) {
+        self.record_extra_send();
+        self.result.hedge_count += 1;
+        let is_after_onset = self.now >= TROUBLE_START + Duration::from_secs(1);
+        self.result.trouble_hedge_count += u64::from(self.is_in_trouble() && is_after_onset);
+    }
+
     fn record_extra_send(&mut self) {
         self.result.extra_send_count += 1;
         if !self.is_in_trouble() {
--- a/src/simulation/tests/hedging.rs
+++ b/src/simulation/tests/hedging.rs
@@ -39,17 +39,27 @@
 fn hedges_fall_to_nothing_while_all_upstreams_are_slow() {
     let result = run(Trouble::AllSlow, SecondSend::Hedge(0.05));
 
-    let share = result.trouble_extra_send_count as f64 / result.trouble_call_count as f64;
+    let share = result.trouble_hedge_count as f64 / result.trouble_call_count as f64;
     assert!(share < 0.005, "{share}");
 }
 
+/// Guards against calls that leave slow upstreams as if these were silent.
+#[test]
+fn fewer_calls_leave_slow_upstreams_than_after_a_fixed_time() {
+    let fixed = run(Trouble::AllSlow, SecondSend::Fixed);
+
+    let result = run(Trouble::AllSlow, SecondSend::Hedge(0.05));
+
+    assert!(result.trouble_extra_send_count * 2 < fixed.trouble_extra_send_count);
+}
+
 /// Guards against hedges that cost work and save no time.
 #[test]
 fn hedges_within_the_limit_shorten_the_slowest_answers() {
     let without = run(Trouble::TwoModes, SecondSend::Never);
     let hedged = run(Trouble::TwoModes, SecondSend::Hedge(0.05));
 
-    let share = hedged.extra_send_count as f64 / hedged.call_count as f64;
+    let share = hedged.hedge_count as f64 / hedged.call_count as f64;
     assert!(share <= 0.051, "{share}");
     assert!(quantile(&hedged, 0.99) < quantile(&without, 0.99).mul_f64(0.9));
     assert!(quantile(&hedged, 0.999) < quantile(&without, 0.999).mul_f64(0.9));
