Check a configuration for entry nodes before it is sent

Cause: a route that is hidden by an earlier one, a key of two customers or a limit beyond another one shows only when calls go wrong.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -35,14 +35,11 @@
         #[bpaf(long, argument("FILE"), env("ZINNIAWING_SETTINGS"))]
         settings: PathBuf,
     },
-    /// Check a settings file or an intent and list all errors in it
+    /// Check a settings file, an intent or a configuration and list all errors in it
     #[bpaf(command)]
     Check {
-        #[bpaf(external(file_kind))]
-        kind: FileKind,
-        /// File to check
-        #[bpaf(positional("FILE"))]
-        file: PathBuf,
+        #[bpaf(external(check_args))]
+        check: CheckArgs,
     },
     /// State an intent and print the plan of the changes that it would make
     #[bpaf(command)]
@@ -127,6 +124,38 @@
     },
 }
 
+/// What the command `check` checks.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) enum CheckArgs {
+    /// A configuration for entry nodes on the platform, before it is sent.
+    Configuration {
+        /// Check the file as a configuration for entry nodes on the platform. Exits with 1
+        /// if there are only warnings, and with 2 if there are errors
+        #[bpaf(argument("FILE"))]
+        configuration: PathBuf,
+        /// Configuration in force, to list what differs from it
+        #[bpaf(argument("FILE"), optional)]
+        in_force: Option<PathBuf>,
+        /// Settings of a node, whose limits the configuration must not contradict
+        #[bpaf(argument("FILE"), optional)]
+        settings: Option<PathBuf>,
+        /// Options of the operators; only with --settings
+        #[bpaf(argument("FILE"), optional)]
+        options: Option<PathBuf>,
+        /// Print JSON
+        #[bpaf(long)]
+        json: bool,
+    },
+    /// Another file.
+    File {
+        #[bpaf(external(file_kind))]
+        kind: FileKind,
+        /// File to check
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+}
+
 /// How a command reaches the operator API of a node.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) struct OperatorArgs {
--- a/src/command.rs
+++ b/src/command.rs
@@ -1,6 +1,6 @@
 //! Runs the commands of the command line.
 
-use std::io;
+use std::io::{self, IsTerminal};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -11,12 +11,14 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use zinniawing::{
     Caller, CompletionParams, Demo, DemoOptions, EdgeNode, EdgeSettings, Intent, Metrics,
-    ModelVersion, Node, Operator, OperatorError, RunnerProfile, Settings, SettingsError, StandIn,
-    StandInPlatform, StandInRunner, StandInService, Vm,
+    ModelVersion, Node, Operator, OperatorError, RunnerProfile, Settings, SettingsError, Severity,
+    StandIn, StandInPlatform, StandInRunner, StandInService, Vm, check_configuration,
 };
 
-use crate::cli::{CallArgs, Command, FileKind, Format, OperatorArgs, StandInArgs};
-use crate::output::{WithText, describe_completion, describe_record, describe_status, print};
+use crate::cli::{CallArgs, CheckArgs, Command, FileKind, Format, OperatorArgs, StandInArgs};
+use crate::output::{
+    WithText, describe_check, describe_completion, describe_record, describe_status, print,
+};
 
 /// Why a command failed. Each variant has its own exit code.
 #[derive(Debug, thiserror::Error)]
@@ -24,6 +26,12 @@
     /// A settings file or an intent is invalid; nothing was started.
     #[error("{0}")]
     Settings(#[from] SettingsError),
+    /// A checked configuration has only warnings.
+    #[error("warnings: {0}")]
+    ConfigurationWarnings(usize),
+    /// A checked configuration has errors.
+    #[error("errors: {0}")]
+    ConfigurationErrors(usize),
     /// A file could not be read, an address could not be bound, or a connection
     /// failed.
     #[error("{0}")]
@@ -40,7 +48,8 @@
     /// The failure's exit code, as listed in the README.
     pub(crate) fn exit_code(&self) -> ExitCode {
         let code = match self {
-            Self::Settings(_) => 2,
+            Self::ConfigurationWarnings(_) => 1,
+            Self::Settings(_) | Self::ConfigurationErrors(_) => 2,
             Self::Io(_) => 3,
             Self::Operator(_) => 4,
             Self::IncompleteAnswer => 5,
@@ -58,7 +67,23 @@
             settings,
         } => edge(&EdgeFiles { settings, options }, metrics, metrics_port).await,
         Command::Serve { settings } => serve(&settings).await,
-        Command::Check { kind, file } => check(kind, &file),
+        Command::Check { check } => match check {
+            CheckArgs::File { kind, file } => check_file(kind, &file),
+            CheckArgs::Configuration {
+                configuration,
+                in_force,
+                settings,
+                options,
+                json,
+            } => {
+                if options.is_some() && settings.is_none() {
+                    let problems = vec!["--options needs --settings".to_owned()];
+                    return Err(SettingsError { problems }.into());
+                }
+                let node = settings.map(|settings| EdgeFiles { settings, options });
+                check_configuration_file(&configuration, in_force.as_deref(), node, json)
+            }
+        },
         Command::Intent { operator, file } => {
             let intent = load_intent(&file)?;
             let plan = connect(&operator).state_intent(&intent).await?;
@@ -212,7 +237,7 @@
     }
 }
 
-fn check(kind: FileKind, path: &Path) -> Result<(), Failure> {
+fn check_file(kind: FileKind, path: &Path) -> Result<(), Failure> {
     match kind {
         FileKind::Settings => {
             Settings::load(path)?;
@@ -228,6 +253,32 @@
     Ok(())
 }
 
+/// Checks a configuration, against the limits of a node and the configuration in force if
+/// these are given.
+fn check_configuration_file(
+    path: &Path,
+    in_force: Option<&Path>,
+    node: Option<EdgeFiles>,
+    json: bool,
+) -> Result<(), Failure> {
+    let settings = node.map(|files| files.load()).transpose()?;
+    let text = std::fs::read_to_string(path)?;
+    let in_force = in_force.map(std::fs::read_to_string).transpose()?;
+    let report = check_configuration(&text, in_force.as_deref(), settings.as_ref());
+    let is_coloured = io::stdout().is_terminal();
+    let described = describe_check(&report, is_coloured);
+    let (errors, warnings) = (
+        report.count(Severity::Error),
+        report.count(Severity::Warning),
+    );
+    print(json, &WithText(report, described))?;
+    match (errors, warnings) {
+        (0, 0) => Ok(()),
+        (0, warnings) => Err(Failure::ConfigurationWarnings(warnings)),
+        (errors, _) => Err(Failure::ConfigurationErrors(errors)),
+    }
+}
+
 fn load_intent(path: &Path) -> Result<Intent, Failure> {
     let intent: Intent = load_yaml(path)?;
     let problems = intent.problems();
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -1,6 +1,7 @@
 //! Intents, plans, confirmed configurations, and the versioned documents in
 //! which nodes exchange them.
 
+pub(crate) mod check_report;
 pub(crate) mod config;
 pub(crate) mod document;
 pub(crate) mod document_exchange;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,6 +72,7 @@
     take_claim,
 };
 pub use claims::group_commit::ClaimSettings;
+pub use configuration::check_report::{ConfigurationReport, Difference, Finding, Severity};
 pub use configuration::config::{Config, ConfigRecord, Confirmation, key_hash};
 pub use configuration::document::DocumentStore;
 pub use configuration::intent::{
@@ -105,6 +106,7 @@
 pub use operator::client::{Operator, OperatorError};
 pub use operator::operator_api::{ConfirmBody, Confirmed, NodeStatus, RunnerStatus, Status};
 pub use orders::lease::Lease;
+pub use platform::routing_check::check as check_configuration;
 pub use settings::{Limits, Listen, Settings, SettingsError, Timing};
 pub use stand_in::platform::{PlatformCounts, PlatformFaults, StandInPlatform};
 pub use stand_in::runner::{CRASH_MARK, StandInRunner};
--- a/src/output.rs
+++ b/src/output.rs
@@ -4,7 +4,12 @@
 use std::io;
 
 use serde::Serialize;
-use zinniawing::{AuditRecord, CompletionReport, Status};
+use zinniawing::{AuditRecord, CompletionReport, ConfigurationReport, Severity, Status};
+
+/// Terminal escape sequences of the colours red and yellow, and of their end.
+const RED: &str = "\x1b[31m";
+const YELLOW: &str = "\x1b[33m";
+const COLOUR_END: &str = "\x1b[0m";
 
 /// A value to print as JSON, and the text to print without `--json`.
 pub(crate) struct WithText<T>(pub(crate) T, pub(crate) String);
@@ -31,6 +36,28 @@
     Ok(())
 }
 
+pub(crate) fn describe_check(report: &ConfigurationReport, is_coloured: bool) -> String {
+    let mut lines = Vec::new();
+    for finding in &report.findings {
+        let (label, colour) = match finding.severity {
+            Severity::Error => ("error", RED),
+            Severity::Warning => ("warning", YELLOW),
+        };
+        let label = if is_coloured {
+            format!("{colour}{label}{COLOUR_END}")
+        } else {
+            label.to_owned()
+        };
+        lines.push(format!("{label}: {}: {}", finding.place, finding.text));
+    }
+    let differences = report.differences.iter();
+    lines.extend(differences.map(|difference| format!("change: {difference}")));
+    if report.findings.is_empty() {
+        lines.push("nothing is wrong".to_owned());
+    }
+    lines.join("\n")
+}
+
 pub(crate) fn describe_status(status: &Status) -> String {
     let everywhere = if status.in_force_everywhere {
         "everywhere"
