Log a withheld hedge once for each change of its cause

Cause: a call that waits long is looked at every 200 ms, so that in an overload the lines of withheld hedges alone would exceed the 600 lines a second of the log (worked out, not run). Change: the cause is kept with the call; line and counter follow its changes.

--- a/src/forward/hedged_call.rs
+++ b/src/forward/hedged_call.rs
@@ -74,12 +74,9 @@
                 None
             }
             HedgeDecision::Withhold(reason) => {
-                self.metrics.add(withheld_counter(reason), 1);
-                log::info!(
-                    "event=hedge_withheld call={} cause={reason:?} waited_ms={}",
-                    call.id(),
-                    waited.as_millis()
-                );
+                if state.withheld.replace(reason) != Some(reason) {
+                    self.record_withheld(call, reason, waited);
+                }
                 let pause = waited.clamp(Duration::from_millis(1), HEDGE_DELAY);
                 state.hedge_check_at = Some(Instant::now() + pause);
                 None
@@ -87,6 +84,15 @@
         }
     }
 
+    fn record_withheld(&self, call: &Call, reason: Withheld, waited: Duration) {
+        self.metrics.add(withheld_counter(reason), 1);
+        log::info!(
+            "event=hedge_withheld call={} cause={reason:?} waited_ms={}",
+            call.id(),
+            waited.as_millis()
+        );
+    }
+
     async fn decide_hedge(
         &self,
         call: &Call,
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -21,6 +21,7 @@
 use crate::observe::metrics::{Counter, Span};
 use crate::platform::call::UpstreamHeaders;
 use crate::policy::failure_response::{GiveUpReason, Progress};
+use crate::policy::hedging::Withheld;
 use crate::policy::placement::choose_for_plain_call;
 
 /// Silence after which a call that may run more than once is sent to another
@@ -85,6 +86,9 @@
     /// When to look next whether the upstreams are silent.
     silence_check_at: Instant,
     pub(super) hedge: Option<SentHedge>,
+    /// Why the hedge was withheld when the call was looked at last. A call that waits long
+    /// is logged and counted once for each change of the reason.
+    pub(super) withheld: Option<Withheld>,
     /// The last server error of an upstream, which is passed on if no other
     /// upstream succeeds.
     server_error: Option<HttpResponse>,
@@ -101,6 +105,7 @@
             hedge_check_at: None,
             silence_check_at: Instant::now(),
             hedge: None,
+            withheld: None,
             tried: Vec::new(),
             silent: Vec::new(),
             pending: Vec::new(),
