Test that a slow service is not hedged, and the warning about single attempts

Change: a test on a node with two upstreams that are slow together, and one of the services that the warning names, which is now a function of its own.

--- a/src/forward/hedges.rs
+++ b/src/forward/hedges.rs
@@ -91,17 +91,24 @@
 
     /// Warns of services with a limit whose calls are never sent twice.
     pub(crate) fn warn_of_single_attempts(&self, table: &RouteTable) {
-        for (service, attempts_max) in table.attempts_by_service() {
-            let share = self.limits.share(&service);
-            if share > 0.0 && attempts_max <= 1 {
-                log::warn!(
-                    "event=hedging_without_effect service={service} percent={} cause=\"max-attempts is 1 on all its routes\"",
-                    share * 100.0
-                );
-            }
+        for service in self.services_with_single_attempts(table) {
+            log::warn!(
+                "event=hedging_without_effect service={service} percent={} cause=\"max-attempts is 1 on all its routes\"",
+                self.limits.share(&service) * 100.0
+            );
         }
     }
 
+    /// The services with a limit whose calls are never sent twice.
+    pub(crate) fn services_with_single_attempts(&self, table: &RouteTable) -> Vec<ServiceId> {
+        let attempts = table.attempts_by_service().into_iter();
+        let single = attempts.filter(|(_, attempts_max)| *attempts_max <= 1);
+        single
+            .map(|(service, _)| service)
+            .filter(|service| self.limits.share(service) > 0.0)
+            .collect()
+    }
+
     fn with_allowance<T>(
         &self,
         service: &ServiceId,
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod connection;
 mod departed_notices;
+mod hedges;
 mod probe;
 mod run_origin;
 mod send_history;
--- a/tests/hedged_requests.rs
+++ b/tests/hedged_requests.rs
@@ -91,6 +91,25 @@
     assert!(hedging.metrics.get(Counter::HedgesWon) > won_before);
 }
 
+/// Guards against hedges that add to the work of a service that is slow as a whole.
+#[tokio::test]
+async fn no_call_is_hedged_while_all_answers_are_slow() {
+    let hedging = Hedging::start(OPTIONS).await;
+    hedging.learn("GET", IDEMPOTENT_PATH).await;
+    let slow_path = |answer_ms| format!("{IDEMPOTENT_PATH}?{ANSWER_TIME_QUERY}={answer_ms}");
+    for _ in 0..20 {
+        hedging.caller.call("GET", &slow_path(100), "").await;
+    }
+    let sent_before = hedging.metrics.get(Counter::HedgesSent);
+
+    for _ in 0..5 {
+        hedging.caller.call("GET", &slow_path(500), "").await;
+    }
+
+    assert_eq!(hedging.metrics.get(Counter::HedgesSent), sent_before);
+    assert!(hedging.metrics.get(Counter::HedgesWithheldAllSlow) >= 5);
+}
+
 /// Guards against hedges where no operator asked for them.
 #[tokio::test]
 async fn without_a_limit_no_call_is_hedged() {
