--- a/src/cli.rs
+++ b/src/cli.rs
@@ -28,18 +28,18 @@
         /// Port that serves the counters, on the IP address for callers
         #[bpaf(long("metrics-port"), argument("PORT"), optional)]
         metrics_port: Option<u16>,
+        /// Options file of the operators
+        #[bpaf(long, argument("FILE"), optional)]
+        options: Option<PathBuf>,
         /// Settings file written by the platform
         #[bpaf(long, argument("FILE"), env("ZINNIAWING_SETTINGS"))]
         settings: PathBuf,
     },
-    /// Check a settings file or an intent and list all errors in it
+    /// Check a settings file, an intent or a configuration and list all errors in it
     #[bpaf(command)]
     Check {
-        #[bpaf(external(file_kind))]
-        kind: FileKind,
-        /// File to check
-        #[bpaf(positional("FILE"))]
-        file: PathBuf,
+        #[bpaf(external(check_args))]
+        check: CheckArgs,
     },
     /// State an intent and print the plan of the changes that it would make
     #[bpaf(command)]
@@ -112,7 +112,7 @@
         #[bpaf(long, argument("FORMAT"), fallback(Format::Text))]
         format: Format,
         /// Experiment to run: resume, claims, crashes, overload, config,
-        /// control, spread, idle, sizes, placement or losses
+        /// control, spread, idle, sizes, placement, losses or hedging
         #[bpaf(positional("NAME"))]
         name: ExperimentName,
     },
@@ -124,6 +124,38 @@
     },
 }
 
+/// What the command `check` checks.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) enum CheckArgs {
+    /// A configuration for entry nodes on the platform, before it is sent.
+    Configuration {
+        /// Check the file as a configuration for entry nodes on the platform. Exits with 1
+        /// if there are only warnings, and with 2 if there are errors
+        #[bpaf(argument("FILE"))]
+        configuration: PathBuf,
+        /// Configuration in force, to list what differs from it
+        #[bpaf(argument("FILE"), optional)]
+        in_force: Option<PathBuf>,
+        /// Settings of a node, whose limits the configuration must not contradict
+        #[bpaf(argument("FILE"), optional)]
+        settings: Option<PathBuf>,
+        /// Options of the operators; only with --settings
+        #[bpaf(argument("FILE"), optional)]
+        options: Option<PathBuf>,
+        /// Print JSON
+        #[bpaf(long)]
+        json: bool,
+    },
+    /// Another file.
+    File {
+        #[bpaf(external(file_kind))]
+        kind: FileKind,
+        /// File to check
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+}
+
 /// How a command reaches the operator API of a node.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) struct OperatorArgs {
@@ -283,6 +315,7 @@
             "sizes" => Experiment::Sizes,
             "placement" => Experiment::Placement,
             "losses" => Experiment::Losses,
+            "hedging" => Experiment::Hedging,
             _ => return Err(format!("unknown experiment '{text}'")),
         };
         Ok(Self(experiment))
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -33,6 +33,7 @@
 use crate::forward::caller_departures::CallerDepartures;
 use crate::forward::directory::Directory;
 use crate::forward::forwarder::Forwarder;
+use crate::forward::hedges::Hedges;
 use crate::forward::observation::Observations;
 use crate::forward::reach_monitor::ReachMonitor;
 use crate::forward::request_crashes::RequestCrashes;
@@ -122,6 +123,7 @@
             departures: CallerDepartures::default(),
             rereads: RereadLine::default(),
             budgets: RetryBudgets::new(settings.retry_limits()),
+            hedges: Hedges::new(settings.hedge_limits.clone()),
             request_crashes: RequestCrashes::new(observation_channel.clone()),
             sessions: Sessions::new(observation_channel.clone()),
             rollouts: Rollouts::new(settings.rollouts),
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -12,6 +12,7 @@
 
 use super::caller_departures::CallerDepartures;
 use super::directory::Directory;
+use super::hedges::Hedges;
 use super::observation::Observations;
 use super::reach_monitor::ReachMonitor;
 use super::relay::RelayPeer;
@@ -128,6 +129,8 @@
     pub(crate) budgets: RetryBudgets,
     /// Streams that were taken up and wait to have their prompts read again.
     pub(crate) rereads: RereadLine,
+    /// When plain calls are hedged.
+    pub(crate) hedges: Hedges,
     /// Requests suspected of crashing their upstreams.
     pub(crate) request_crashes: RequestCrashes,
     /// Engines at which the prompts of recent streams are cached.
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod connection;
 mod departed_notices;
+mod hedges;
 mod probe;
 mod reread_line;
 mod run_origin;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod entry_expiry;
 pub(crate) mod failure_response;
 pub(crate) mod freshness;
+pub(crate) mod hedging;
 pub(crate) mod liveness;
 pub(crate) mod memory_shares;
 pub(crate) mod outage;
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -4,6 +4,7 @@
 mod entry_expiry;
 mod failure_response;
 mod freshness;
+mod hedging;
 mod liveness;
 mod memory_shares;
 mod outage;
