Send engines the priority class of a call's route or customer

Routes of one service may differ in priority, but engines never learned of it and admitted all calls alike. X-Zinniawing-Priority-Class is now set on each send to an engine if the service's routes differ in priority or a customer has one.

--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -246,6 +246,7 @@
         let kind = matched.route.kind;
         let mut call = Call::new(parts, headers, body, matched, service, arrived_at);
         call.in_flight = Some(self.in_flight.clone());
+        call.priority_class = table.priority_class(&call.matched, &call.service);
         self.metrics.add(Counter::Calls, 1);
         if let Some(relayed) = arrival.relayed {
             call.set_relayed(relayed);
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -12,6 +12,7 @@
 use crate::hash::Fnv;
 use crate::id::{Fingerprint, ServiceId};
 use crate::platform::call::{self, CallHeaders, RelayHeaders, UpstreamHeaders};
+use crate::policy::priority_class::PriorityClass;
 
 /// Time reserved for returning an answer from the upstream to the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(8);
@@ -39,6 +40,8 @@
     /// Maximum number of sends of the call, not counting those that failed before a
     /// byte left the node.
     pub(crate) sends_max: u32,
+    /// Class of the call at an engine, if the configuration sets one.
+    pub(crate) priority_class: Option<PriorityClass>,
     method: Method,
     target: Uri,
     forwarded_headers: HeaderMap,
@@ -64,6 +67,7 @@
             target: parts.uri,
             headers,
             sends_max: matched.route.attempts_max,
+            priority_class: None,
             relayed: None,
             matched,
             service,
@@ -153,9 +157,18 @@
         *request.uri_mut() = self.target.clone();
         *request.headers_mut() = self.forwarded_headers.clone();
         call::write(request.headers_mut(), added_headers);
+        if let Some(class) = self.priority_class {
+            call::write_priority_class(request.headers_mut(), class);
+        }
         request
     }
 
+    /// Returns the call's class at an engine, or `-`, for the log.
+    pub(crate) fn priority_class_for_log(&self) -> String {
+        let class = self.priority_class;
+        class.map_or_else(|| "-".to_owned(), |class| class.to_string())
+    }
+
     /// Marks the call as relayed by another node, which may have sent it before.
     pub(crate) fn set_relayed(&mut self, relayed: RelayHeaders) {
         self.sends_max = self.sends_max.min(relayed.sends_left);
--- a/src/forward/route_table.rs
+++ b/src/forward/route_table.rs
@@ -1,12 +1,13 @@
 //! The configuration in force, as the forwarder uses it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 
 use crate::id::{CustomerId, ServiceId, Version};
+use crate::policy::priority_class::PriorityClass;
 
 /// The kind of a call: whether it is a stream, and whether it may be sent again
 /// or resumed after it may have run.
@@ -166,6 +167,10 @@
     /// Customers by API key. None if no customers are configured; then no route
     /// requires a key.
     keys: Option<BTreeMap<Bytes, CustomerId>>,
+    /// Services whose routes differ in priority.
+    services_with_priorities: BTreeSet<ServiceId>,
+    /// Customers with a priority of their own.
+    customer_priorities: BTreeMap<CustomerId, u32>,
 }
 
 impl RouteTable {
@@ -177,6 +182,7 @@
         limits: CallerLimits,
         keys: Option<BTreeMap<Bytes, CustomerId>>,
     ) -> Self {
+        let services_with_priorities = services_with_priorities(&routes);
         let mut by_host: BTreeMap<String, Vec<Arc<Route>>> = BTreeMap::new();
         for route in routes {
             let at_host = by_host.entry(route.host.clone()).or_default();
@@ -191,9 +197,39 @@
             routes: by_host,
             services,
             keys,
+            services_with_priorities,
+            customer_priorities: BTreeMap::new(),
         }
     }
 
+    /// Sets the priorities of customers, which take precedence over those of routes.
+    pub(crate) fn with_customer_priorities(self, priorities: BTreeMap<CustomerId, u32>) -> Self {
+        Self {
+            customer_priorities: priorities,
+            ..self
+        }
+    }
+
+    /// Class that a call gets at an engine of `service`. `None` if the service has no
+    /// engines, or if all of its calls are equally urgent, so that engines treat them
+    /// as they do without a class.
+    pub(crate) fn priority_class(
+        &self,
+        matched: &MatchedRoute,
+        service: &str,
+    ) -> Option<PriorityClass> {
+        let has_priorities =
+            self.services_with_priorities.contains(service) || !self.customer_priorities.is_empty();
+        let has_engines = matched.route.kind.is_stream() || self.service(service).engine.is_some();
+        if !has_priorities || !has_engines {
+            return None;
+        }
+        let customer = matched.customer.as_ref();
+        let of_customer = customer.and_then(|customer| self.customer_priorities.get(customer));
+        let priority = of_customer.copied().unwrap_or(matched.route.priority);
+        Some(PriorityClass::of_priority(priority))
+    }
+
     /// Finds the route for a host and a path. The path is given without its
     /// query.
     pub(crate) fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
@@ -240,3 +276,18 @@
         self.services.get(service).cloned().unwrap_or_default()
     }
 }
+
+/// Services to which routes of different priorities lead.
+fn services_with_priorities(routes: &[Route]) -> BTreeSet<ServiceId> {
+    let mut priorities: BTreeMap<&ServiceId, BTreeSet<u32>> = BTreeMap::new();
+    for route in routes {
+        for service in route.services.iter().filter(|s| s.weight > 0) {
+            let of_service = priorities.entry(&service.service).or_default();
+            of_service.insert(route.priority);
+        }
+    }
+    let differing = priorities
+        .into_iter()
+        .filter(|(_, values)| values.len() > 1);
+    differing.map(|(service, _)| service.clone()).collect()
+}
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -364,7 +364,7 @@
             }),
         });
         log::info!(
-            "event=stream_sent call={} upstream={} version={} dc={} has_copy={has_replica} keeper={} last_event={:?} resumes={} began_at={} own_prompt_tokens={} own_calls={} age_ms={}",
+            "event=stream_sent call={} upstream={} version={} dc={} has_copy={has_replica} keeper={} last_event={:?} resumes={} began_at={} own_prompt_tokens={} own_calls={} priority_class={} age_ms={}",
             self.call.id(),
             upstream.entry.id,
             version_for_log(upstream.software_version()),
@@ -377,6 +377,7 @@
             self.origin_for_log(),
             own_prompt_tokens,
             own_calls,
+            self.call.priority_class_for_log(),
             self.call.age().as_millis()
         );
         self.record_sent_to(upstream);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod outage;
 pub(crate) mod placement;
 pub(crate) mod poison_detector;
+pub(crate) mod priority_class;
 pub(crate) mod retry_budget_share;
 pub(crate) mod send_decision;
 pub(crate) mod send_probe;
--- a/tests/stream_resume.rs
+++ b/tests/stream_resume.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use support::edge_environment::caller::{Caller, Response, new_call_id};
-use support::edge_environment::engine::{Engine, StreamBreak};
+use support::edge_environment::engine::{Engine, EngineRun, StreamBreak};
 use support::edge_environment::{
-    NodeSpec, STREAM_PATH, TestEnvironment, eventually, start_node, start_node_with_grace,
+    NodeSpec, STREAM_PATH, TestEnvironment, config, eventually, start_node, start_node_with_grace,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -340,3 +340,30 @@
         "both parts of the stream must run on the same engine"
     );
 }
+
+/// A caller can't choose its own class, and an engine gets the route's class with each
+/// send, also where the stream resumes.
+#[tokio::test]
+async fn engines_get_the_priority_class_of_the_route_with_the_first_send_and_with_resumes() {
+    let environment = TestEnvironment::start(4).await;
+    let mut changed = config(2);
+    changed["routes"][0]["priority"] = serde_json::json!(2);
+    environment.store.put("config", "main", changed);
+    let (_node, caller) = environment.start_ready_node("n1").await;
+    let usage =
+        format!("x-zinniawing-token-usage: 20,{EVENT_COUNT}\r\nx-zinniawing-priority-class: 0\r\n");
+    let stream = tokio::spawn(async move { caller.call("POST", STREAM_PATH, &usage).await });
+    wait_until_running(&environment).await;
+
+    running_engine(&environment).crash();
+    let got = stream.await.expect("no panic");
+
+    assert_complete(&got);
+    let runs: Vec<_> = environment.engines.iter().flat_map(|e| e.runs()).collect();
+    let class = |run: &EngineRun| {
+        let value = run.request.header("x-zinniawing-priority-class");
+        value.map(str::to_owned)
+    };
+    let classes: Vec<_> = runs.iter().map(class).collect();
+    assert_eq!(classes, vec![Some("2".to_owned()); 2]);
+}
