Place prompts by the expected time at the learned speed of engines

Nodes counted pending tokens, so prompts queued at slow engines while fast ones were idle. They now learn prefill speed and event gaps from their own streams (lower quartile, 30 s, kept by address) and weigh milliseconds; without samples they choose as before.

--- a/src/forward/departed_notices.rs
+++ b/src/forward/departed_notices.rs
@@ -5,7 +5,7 @@
 
 use std::collections::VecDeque;
 
-use super::upstream::{SharedNotices, Upstream, UpstreamEntry, UpstreamStart};
+use super::upstream::{SharedNotices, SharedSpeed, Upstream, UpstreamEntry, UpstreamStart};
 
 /// Number of upstreams whose notices are kept.
 const DEPARTED_MAX: usize = 256;
@@ -13,7 +13,7 @@
 /// The notices of the upstreams that left last.
 #[derive(Debug, Default)]
 pub(crate) struct DepartedNotices {
-    notices: VecDeque<(UpstreamEntry, SharedNotices)>,
+    notices: VecDeque<(UpstreamEntry, SharedNotices, SharedSpeed)>,
 }
 
 impl DepartedNotices {
@@ -23,14 +23,28 @@
         if self.notices.len() == DEPARTED_MAX {
             self.notices.pop_front();
         }
-        self.notices
-            .push_back((upstream.entry.clone(), upstream.shared_notices()));
+        self.notices.push_back((
+            upstream.entry.clone(),
+            upstream.shared_notices(),
+            upstream.shared_speed(),
+        ));
     }
 
     /// The notices of the incarnation with this start, if it was known.
     pub(crate) fn find(&self, start: &UpstreamStart) -> Option<SharedNotices> {
         let mut latest_first = self.notices.iter().rev();
-        let found = latest_first.find(|(known, _)| known.is_start(start));
-        found.map(|(_, notices)| notices.clone())
+        let found = latest_first.find(|(known, ..)| known.is_start(start));
+        found.map(|(_, notices, _)| notices.clone())
+    }
+
+    /// What was learned of the speed of the incarnations that served at the entry's address.
+    /// An engine that starts again runs on the same VM.
+    pub(crate) fn find_speed(&self, entry: &UpstreamEntry) -> Option<SharedSpeed> {
+        let is_same_place = |known: &UpstreamEntry| {
+            known.address == entry.address && known.service == entry.service
+        };
+        let mut latest_first = self.notices.iter().rev();
+        let found = latest_first.find(|(known, ..)| is_same_place(known));
+        found.map(|(.., speed)| speed.clone())
     }
 }
--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -96,7 +96,8 @@
             .find(&entry.start())
             .unwrap_or_default();
         let id = entry.id.clone();
-        let upstream = Arc::new(Upstream::with_notices(entry, notices));
+        let speed = self.departed_notices.find_speed(&entry).unwrap_or_default();
+        let upstream = Arc::new(Upstream::with_history(entry, notices, speed));
         self.upstreams.insert(id, upstream);
         replaced
     }
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -362,6 +362,7 @@
                 is_avoided: is_avoided(upstream, &suspected, now),
                 was_tried: tried.iter().any(|t| t.entry.id == upstream.entry.id),
                 is_assigned: is_assigned(*index, upstreams.len(), node_index, node_count),
+                speed: upstream.speed(now),
             })
             .collect();
         let index = choose(&candidates, rand::rng().random())?;
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -339,7 +339,10 @@
         } else {
             self.call.headers.prompt_tokens
         };
-        let work = Work::call(upstream, prompt_tokens, self.call.kv_cache_tokens());
+        let mut work = Work::call(upstream, prompt_tokens, self.call.kv_cache_tokens());
+        if self.has_cached_prompt(upstream) {
+            work.skip_measurement();
+        }
         let plan = SendPlan {
             upstream,
             tried: &self.tried,
@@ -364,7 +367,7 @@
             }),
         });
         log::info!(
-            "event=stream_sent call={} upstream={} version={} dc={} has_copy={has_replica} keeper={} last_event={:?} resumes={} began_at={} own_prompt_tokens={} own_calls={} priority_class={} age_ms={}",
+            "event=stream_sent call={} upstream={} version={} dc={} has_copy={has_replica} keeper={} last_event={:?} resumes={} began_at={} own_prompt_tokens={} own_calls={} priority_class={} {} age_ms={}",
             self.call.id(),
             upstream.entry.id,
             version_for_log(upstream.software_version()),
@@ -378,6 +381,7 @@
             own_prompt_tokens,
             own_calls,
             self.call.priority_class_for_log(),
+            upstream.speed(Instant::now()),
             self.call.age().as_millis()
         );
         self.record_sent_to(upstream);
--- a/src/forward/stream_choice.rs
+++ b/src/forward/stream_choice.rs
@@ -51,13 +51,9 @@
             .filter(|replica| self.can_resume_from(replica))
             .map(|replica| replica.holder.clone())
             .filter(|holder| !is_over_limit(holder));
-        let forwarder = &self.forwarder;
-        let origin = self.origin.as_ref();
         holder
             .or_else(|| self.upstream_with_cached_prompt(excluded))
-            .or_else(|| {
-                forwarder.choose_upstream(&self.call.service, excluded, origin, choose_engine)
-            })
+            .or_else(|| self.best_engine(excluded))
             .or_else(|| self.choose_again(&excluded[self.tried.len()..]))
     }
 
@@ -70,9 +66,17 @@
         }
         let last = self.tried.last();
         let excluded: Vec<Arc<Upstream>> = last.into_iter().chain(over_limit).cloned().collect();
-        let origin = self.origin.as_ref();
+        self.best_engine(&excluded)
+    }
+
+    /// Chooses the engine at which the call's prompt costs the least time.
+    fn best_engine(&self, excluded: &[Arc<Upstream>]) -> Option<Arc<Upstream>> {
+        let (service, origin) = (&self.call.service, self.origin.as_ref());
+        let prompt_tokens = self.call.headers.prompt_tokens;
         self.forwarder
-            .choose_upstream(&self.call.service, &excluded, origin, choose_engine)
+            .choose_upstream(service, excluded, origin, |candidates, draw| {
+                choose_engine(candidates, prompt_tokens, draw)
+            })
     }
 
     /// Takes the run's replica, which is used only if `upstream` holds it.
@@ -96,6 +100,16 @@
         self.has_upstream_sent_event && replica.is_usable() && self.admits(&replica.holder)
     }
 
+    /// Whether the upstream has the prompt of the call's session cached.
+    pub(super) fn has_cached_prompt(&self, upstream: &Upstream) -> bool {
+        let session = self.call.headers.session.as_ref();
+        let cached_at = session.and_then(|session| {
+            let sessions = &self.forwarder.sessions;
+            sessions.cached_at(session, Instant::now())
+        });
+        cached_at.is_some_and(|id| id == upstream.entry.id)
+    }
+
     /// Returns the engine that has the prompt of the call's session cached,
     /// unless the engine was tried, is draining or is to be avoided.
     fn upstream_with_cached_prompt(&self, excluded: &[Arc<Upstream>]) -> Option<Arc<Upstream>> {
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -30,11 +30,16 @@
 use crate::platform::call::strip_hop_headers;
 use crate::platform::event_stream::{StreamPart, read_part};
 use crate::policy::crash_evidence::SURVIVAL_TIME;
+use crate::policy::engine_speed::GapMeter;
 use crate::policy::liveness::StreamPhase;
 
 /// Maximum number of events that are queued for a slow caller.
 const QUEUED_EVENTS_MAX: usize = 8;
 
+/// Time that an event waits for the caller from which the times of the events that follow
+/// show the speed of the caller, and not that of the engine.
+const CALLER_WAIT_MIN: Duration = Duration::from_millis(5);
+
 /// The part of the stream that one upstream sends.
 #[derive(Debug)]
 struct Segment {
@@ -175,6 +180,7 @@
         let mut phase = StreamPhase::Prefill;
         let mut first_event_at = None;
         let mut last_index = None;
+        let mut gap_meter = GapMeter::default();
         let mut _replica_task = None;
         let deadline = self.call.deadline.into();
         let mut is_handed_over = false;
@@ -265,6 +271,7 @@
                     }
                 };
                 last_index = Some(index);
+                let arrived_at = Instant::now();
                 if phase == StreamPhase::Prefill {
                     self.record_prefill(&upstream);
                     _replica_task = self.maintain_replica(&upstream);
@@ -279,10 +286,16 @@
                 {
                     return end;
                 }
-                work.prefill_done();
+                work.first_event_arrived(arrived_at);
+                if let Some(gap) = gap_meter.record_event(arrived_at) {
+                    upstream.learn_speed(|speed| speed.record_gap(gap, arrived_at));
+                }
                 if let Err(end) = self.relay_event(event, index, sender).await {
                     return end;
                 }
+                if arrived_at.elapsed() >= CALLER_WAIT_MIN {
+                    gap_meter.record_wait();
+                }
             }
         }
     }
--- a/src/forward/upstream.rs
+++ b/src/forward/upstream.rs
@@ -15,6 +15,7 @@
 };
 use crate::id::UpstreamId;
 use crate::platform::answer::{AnswerHeaders, StatedLimit};
+use crate::policy::engine_speed::{EngineSpeed, SpeedEstimate};
 use crate::policy::liveness::{SILENT_PROBE_INTERVAL, SOUND_SILENCE_MAX};
 use crate::policy::send_decision::{self, SendDecision};
 use crate::policy::send_probe::answer_patience;
@@ -24,6 +25,13 @@
 /// The notices of one incarnation, which outlive its entry.
 pub(crate) type SharedNotices = Arc<Mutex<UpstreamNotices>>;
 
+/// Size of the smallest prompt whose prefill shows the speed of an engine. That of a shorter
+/// one takes less time than the call's way there and back.
+const MEASURED_PROMPT_TOKENS_MIN: u64 = 500;
+
+/// What is known of the speed at one address, which outlives the incarnation there.
+pub(crate) type SharedSpeed = Arc<Mutex<EngineSpeed>>;
+
 /// Shortest time for which an upstream that failed is avoided.
 const AVOID_MIN: Duration = Duration::from_millis(400);
 /// Longest time for which an upstream that failed is avoided.
@@ -69,6 +77,7 @@
     kv_cache_tokens: AtomicU64,
     call_count: AtomicU32,
     health: Mutex<Health>,
+    speed: SharedSpeed,
     limit: Mutex<UpstreamLimit>,
     notices: SharedNotices,
     /// The probe that precedes calls where one is needed.
@@ -85,11 +94,16 @@
 impl Upstream {
     /// Creates an upstream without calls, of which nothing is known.
     pub(crate) fn new(entry: UpstreamEntry) -> Self {
-        Self::with_notices(entry, SharedNotices::default())
+        Self::with_history(entry, SharedNotices::default(), SharedSpeed::default())
     }
 
-    /// Creates an upstream without calls, which may have stated these notices before.
-    pub(crate) fn with_notices(entry: UpstreamEntry, notices: SharedNotices) -> Self {
+    /// Creates an upstream without calls, which may have stated these notices before, and of
+    /// whose address this speed is known.
+    pub(crate) fn with_history(
+        entry: UpstreamEntry,
+        notices: SharedNotices,
+        speed: SharedSpeed,
+    ) -> Self {
         let software_version = OnceLock::new();
         if let Some(version) = entry.software_version.clone() {
             software_version.get_or_init(|| version);
@@ -102,6 +116,7 @@
             kv_cache_tokens: AtomicU64::new(0),
             call_count: AtomicU32::new(0),
             health: Mutex::default(),
+            speed,
             limit: Mutex::default(),
             notices,
             send_probe: SendProbe::default(),
@@ -406,6 +421,25 @@
         health.failure_share += MOVING_AVERAGE_WEIGHT * (failed - health.failure_share);
     }
 
+    /// What this node learned of the speed of the upstream, which is an engine.
+    pub(crate) fn speed(&self, now: Instant) -> SpeedEstimate {
+        self.lock_speed().estimate(now)
+    }
+
+    /// Applies what a stream shows of the speed of the upstream.
+    pub(crate) fn learn_speed(&self, learn: impl FnOnce(&mut EngineSpeed)) {
+        learn(&mut self.lock_speed());
+    }
+
+    /// The speed, which a later incarnation at the address shares.
+    pub(crate) fn shared_speed(&self) -> SharedSpeed {
+        self.speed.clone()
+    }
+
+    fn lock_speed(&self) -> MutexGuard<'_, EngineSpeed> {
+        self.speed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Moving average of the time that calls took.
     pub(crate) fn latency(&self) -> Duration {
         self.health().latency
@@ -477,6 +511,11 @@
 /// Load that is counted at an upstream until this is dropped.
 #[derive(Debug)]
 pub(crate) struct Work {
+    /// When the call was counted, just before it was sent.
+    began_at: Instant,
+    /// Prompt tokens whose prefill shows the speed of the upstream. Zero if this node had
+    /// other prompts pending there, whose prefill comes first.
+    measured_prompt_tokens: u64,
     upstream: Arc<Upstream>,
     pending_prompt_tokens: u64,
     kv_cache_tokens: u64,
@@ -505,7 +544,7 @@
         kv_cache_tokens: u64,
         call_count: u32,
     ) -> Self {
-        upstream
+        let already_pending = upstream
             .pending_prompt_tokens
             .fetch_add(pending_prompt_tokens, Ordering::Relaxed);
         upstream
@@ -513,6 +552,12 @@
             .fetch_add(kv_cache_tokens, Ordering::Relaxed);
         upstream.call_count.fetch_add(call_count, Ordering::Relaxed);
         Self {
+            began_at: Instant::now(),
+            measured_prompt_tokens: if already_pending == 0 {
+                pending_prompt_tokens
+            } else {
+                0
+            },
             upstream: upstream.clone(),
             pending_prompt_tokens,
             kv_cache_tokens,
@@ -520,8 +565,26 @@
         }
     }
 
+    /// Keeps the call from being taken for a measure of the speed of the upstream, which has
+    /// its prompt cached.
+    pub(crate) fn skip_measurement(&mut self) {
+        self.measured_prompt_tokens = 0;
+    }
+
+    /// Records that the first event of the call arrived, which shows the speed of the
+    /// upstream, and stops counting the prompt.
+    pub(crate) fn first_event_arrived(&mut self, now: Instant) {
+        let tokens = std::mem::take(&mut self.measured_prompt_tokens);
+        let elapsed = now.saturating_duration_since(self.began_at);
+        if tokens >= MEASURED_PROMPT_TOKENS_MIN {
+            self.upstream
+                .learn_speed(|speed| speed.record_prefill(tokens, elapsed, now));
+        }
+        self.prefill_done();
+    }
+
     /// Stops counting the prompt, whose prefill is finished.
-    pub(crate) fn prefill_done(&mut self) {
+    fn prefill_done(&mut self) {
         let tokens = std::mem::take(&mut self.pending_prompt_tokens);
         self.upstream
             .pending_prompt_tokens
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod answer_class;
 pub(crate) mod crash_evidence;
+pub(crate) mod engine_speed;
 pub(crate) mod entry_expiry;
 pub(crate) mod failure_response;
 pub(crate) mod freshness;
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -13,6 +13,8 @@
 
 use std::time::Duration;
 
+use super::engine_speed::SpeedEstimate;
+
 /// What a node knows of one upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Candidate<'a> {
@@ -38,6 +40,8 @@
     pub(crate) was_tried: bool,
     /// Whether the upstream is assigned to this node, see [`is_assigned`].
     pub(crate) is_assigned: bool,
+    /// What this node learned of the speed of the upstream, if it is an engine.
+    pub(crate) speed: SpeedEstimate,
 }
 
 /// Prompt tokens that other nodes are assumed to have pending at an engine that
@@ -46,6 +50,16 @@
 /// Prompt tokens pending at an engine that slow a new call as much as one call
 /// in flight does.
 const PROMPT_TOKENS_PER_CALL: u64 = 150;
+/// Weight of a pause of another stream, against a later first event of the new one.
+const PAUSE_WEIGHT: f64 = 0.25;
+/// Factor of the median within which an engine counts as fast as the median. Engines of one
+/// speed seem to differ by as much, depending on what other nodes run there.
+const EQUAL_SPEED_FACTOR: f64 = 1.3;
+/// Number of engines assigned to other nodes that are weighed for one prompt. Otherwise all
+/// nodes would send their prompts to the same fast engine.
+const UNASSIGNED_WEIGHED_MAX: usize = 8;
+/// Difference in expected time that is too small to prefer an engine for.
+const TIME_RESOLUTION_MS: f64 = 50.0;
 /// Expected time that a call to another data centre takes longer, beyond the
 /// latency measured to the upstream.
 const REMOTE_COST: Duration = Duration::from_millis(4);
@@ -53,21 +67,129 @@
 /// upstream then.
 const FAILURE_COST: Duration = Duration::from_millis(60);
 
-/// Chooses the engine for a stream: the one with the least load. Returns the
-/// index of a candidate; the random `draw` breaks ties.
-pub(crate) fn choose_engine(candidates: &[Candidate<'_>], draw: u64) -> Option<usize> {
-    choose(candidates, draw, |candidate| {
-        let unknown_tokens = if candidate.is_assigned {
-            0
+/// Chooses the engine for a stream with a prompt of `prompt_tokens`: the one that costs
+/// the least time, in which the prompt waits for its first event and the streams that run
+/// there wait for the prompt. While the speed of no engine is known, the one with the
+/// fewest pending tokens. Returns the index of a candidate; the random `draw` decides
+/// among those that are equally good.
+pub(crate) fn choose_engine(
+    candidates: &[Candidate<'_>],
+    prompt_tokens: u64,
+    draw: u64,
+) -> Option<usize> {
+    match MedianSpeed::of(candidates) {
+        Some(median) => choose_by_time(candidates, &median, prompt_tokens, draw),
+        None => choose(candidates, draw, pending_tokens_score),
+    }
+}
+
+fn pending_tokens_score(candidate: &Candidate<'_>) -> u64 {
+    let unknown_tokens = if candidate.is_assigned {
+        0
+    } else {
+        UNKNOWN_PROMPT_TOKENS
+    };
+    candidate.pending_prompt_tokens
+        + unknown_tokens
+        + u64::from(candidate.call_count) * PROMPT_TOKENS_PER_CALL
+}
+
+/// Speed of the engine in the middle of those whose speed is known.
+#[derive(Clone, Copy, Debug)]
+struct MedianSpeed {
+    prefill_ms_per_token: f64,
+    event_gap_ms: Option<f64>,
+}
+
+impl MedianSpeed {
+    fn of(candidates: &[Candidate<'_>]) -> Option<Self> {
+        let speeds = || candidates.iter().map(|candidate| candidate.speed);
+        Some(Self {
+            prefill_ms_per_token: median(speeds().filter_map(|s| s.prefill_ms_per_token))?,
+            event_gap_ms: median(speeds().filter_map(|s| s.event_gap_ms)),
+        })
+    }
+
+    /// Milliseconds of prefill for each token at an engine. Prefills that were measured
+    /// behind prompts of other nodes look slow, which the time between events corrects. An
+    /// engine without samples counts as the median.
+    fn prefill_ms_per_token(&self, speed: &SpeedEstimate) -> f64 {
+        let learned = self.learned_ms_per_token(speed);
+        let factor = learned / self.prefill_ms_per_token;
+        let is_equal = (1.0 / EQUAL_SPEED_FACTOR..EQUAL_SPEED_FACTOR).contains(&factor);
+        if is_equal {
+            self.prefill_ms_per_token
         } else {
-            UNKNOWN_PROMPT_TOKENS
+            learned
+        }
+    }
+
+    fn learned_ms_per_token(&self, speed: &SpeedEstimate) -> f64 {
+        let by_gap = speed
+            .event_gap_ms
+            .zip(self.event_gap_ms)
+            .map(|(gap, median_gap)| self.prefill_ms_per_token * gap / median_gap);
+        match (speed.prefill_ms_per_token, by_gap) {
+            (Some(measured), Some(_)) if speed.is_prefill_settled => measured,
+            (Some(measured), Some(by_gap)) => measured.min(by_gap),
+            (measured, by_gap) => measured.or(by_gap).unwrap_or(self.prefill_ms_per_token),
+        }
+    }
+}
+
+fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<f64> = values.filter(|value| *value > 0.0).collect();
+    let middle = values.len() / 2;
+    if values.is_empty() {
+        return None;
+    }
+    let (_, median, _) = values.select_nth_unstable_by(middle, f64::total_cmp);
+    Some(*median)
+}
+
+fn choose_by_time(
+    candidates: &[Candidate<'_>],
+    median: &MedianSpeed,
+    prompt_tokens: u64,
+    draw: u64,
+) -> Option<usize> {
+    let unknown_ms = UNKNOWN_PROMPT_TOKENS as f64 * median.prefill_ms_per_token;
+    let weighed = limit_unassigned(candidates, draw.rotate_left(32));
+    choose(&weighed, draw, |candidate| {
+        let ms_per_token = median.prefill_ms_per_token(&candidate.speed);
+        let prefill_ms = prompt_tokens as f64 * ms_per_token;
+        let queue_ms = candidate.pending_prompt_tokens as f64 * ms_per_token;
+        let others_ms = if candidate.is_assigned {
+            0.0
+        } else {
+            unknown_ms
         };
-        candidate.pending_prompt_tokens
-            + unknown_tokens
-            + u64::from(candidate.call_count) * PROMPT_TOKENS_PER_CALL
+        let paused_ms = prefill_ms * f64::from(candidate.call_count) * PAUSE_WEIGHT;
+        let cost_ms = queue_ms + prefill_ms + others_ms + paused_ms;
+        (cost_ms / TIME_RESOLUTION_MS) as u64
     })
 }
 
+/// Leaves out all but [`UNASSIGNED_WEIGHED_MAX`] of the candidates that are assigned to other
+/// nodes, which follow each other from a random one on. Those to be avoided stay, since they
+/// are chosen only when no other is left.
+fn limit_unassigned<'a>(candidates: &[Candidate<'a>], draw: u64) -> Vec<Candidate<'a>> {
+    let is_limited = |c: &Candidate<'_>| !c.is_assigned && !c.is_avoided && !c.was_tried;
+    let limited_count = candidates.iter().filter(|c| is_limited(c)).count();
+    let first = draw.checked_rem(limited_count as u64).unwrap_or(0) as usize;
+    let mut limited = 0;
+    let weigh = |candidate: &Candidate<'a>| {
+        let mut weighed = *candidate;
+        if is_limited(candidate) {
+            let distance = (limited + limited_count - first) % limited_count;
+            weighed.was_tried = distance >= UNASSIGNED_WEIGHED_MAX;
+            limited += 1;
+        }
+        weighed
+    };
+    candidates.iter().map(weigh).collect()
+}
+
 /// Chooses the upstream for a plain call, whose answer is a single body: the
 /// one with the shortest expected time to an answer, including failures and the
 /// distance. `data_centre` is that of this node. Returns the index of a
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests that replay the failures which the decisions have to handle.
 
+mod engine_speed;
 mod entry_expiry;
 mod failure_response;
 mod freshness;
--- a/src/policy/tests/placement.rs
+++ b/src/policy/tests/placement.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::policy::engine_speed::SpeedEstimate;
 use crate::policy::placement::{
     Candidate, choose_engine, choose_for_plain_call, choose_replica_holder, is_assigned,
 };
@@ -20,6 +21,7 @@
         is_avoided: false,
         was_tried: false,
         is_assigned: false,
+        speed: SpeedEstimate::default(),
     }
 }
 
@@ -65,8 +67,8 @@
                     ..candidate(id, "dc")
                 })
                 .collect();
-            let chosen =
-                choose_engine(&candidates, draw * 31 + node as u64).expect("there are candidates");
+            let chosen = choose_engine(&candidates, PROMPT_TOKENS, draw * 31 + node as u64)
+                .expect("there are candidates");
             pending_tokens[chosen] += PROMPT_TOKENS;
             *load.entry(chosen).or_default() += 1;
         }
@@ -81,7 +83,105 @@
     assigned.pending_prompt_tokens = PROMPT_TOKENS;
     let other = candidate("other", "dc");
 
-    assert_eq!(choose_engine(&[assigned, other], 0), Some(1));
+    assert_eq!(choose_engine(&[assigned, other], PROMPT_TOKENS, 0), Some(1));
+}
+
+/// An engine whose speed is `factor` times that of one that reads 8 tokens a millisecond and
+/// sends an event each 31 ms, idle as far as this node knows.
+fn engine_of_speed(id: &str, factor: f64) -> Candidate<'_> {
+    Candidate {
+        speed: SpeedEstimate {
+            prefill_ms_per_token: Some(0.125 / factor),
+            is_prefill_settled: true,
+            event_gap_ms: Some(31.0 / factor),
+            age: Some(Duration::from_secs(1)),
+        },
+        ..candidate(id, "dc")
+    }
+}
+
+fn choose_for_prompt(candidates: &[Candidate<'_>]) -> Option<usize> {
+    choose_engine(candidates, PROMPT_TOKENS, 0)
+}
+
+/// Streams waited five seconds for their first event at a slow engine with several prompts,
+/// while fast engines were idle.
+#[test]
+fn a_prompt_goes_to_a_fast_engine_with_a_short_queue_before_a_slow_one_with_none() {
+    let mut slow = engine_of_speed("slow", 0.55);
+    let mut fast = engine_of_speed("fast", 1.2);
+    (slow.is_assigned, fast.is_assigned) = (true, true);
+    fast.pending_prompt_tokens = 5_000;
+    assert_eq!(choose_for_prompt(&[slow, fast, fast]), Some(1));
+
+    let mut fast_of_other_node = engine_of_speed("other", 1.2);
+    fast_of_other_node.is_assigned = false;
+    slow.pending_prompt_tokens = 1_000;
+    assert_eq!(choose_for_prompt(&[slow, fast_of_other_node]), Some(1));
+}
+
+#[test]
+fn an_idle_slow_engine_is_not_passed_by_when_the_fast_ones_have_long_queues() {
+    let mut slow = engine_of_speed("slow", 0.55);
+    let mut fast = engine_of_speed("fast", 1.2);
+    (slow.is_assigned, fast.is_assigned) = (true, true);
+    fast.pending_prompt_tokens = 2 * PROMPT_TOKENS;
+
+    assert_eq!(choose_for_prompt(&[fast, slow, fast]), Some(1));
+}
+
+/// A node that prefers the engines that it has measured would never learn of others.
+#[test]
+fn an_engine_without_samples_counts_as_the_median() {
+    let mut slow = engine_of_speed("slow", 0.55);
+    let mut fast = engine_of_speed("fast", 1.2);
+    let mut unknown = candidate("unknown", "dc");
+    (slow.is_assigned, fast.is_assigned, unknown.is_assigned) = (true, true, true);
+
+    assert_eq!(choose_for_prompt(&[slow, unknown]), Some(0), "one is known");
+    fast.pending_prompt_tokens = 1_000;
+    assert_eq!(choose_for_prompt(&[slow, fast, fast, unknown]), Some(3));
+}
+
+/// The prefill of a prompt pauses all streams that run at the engine.
+#[test]
+fn of_two_equal_engines_the_one_with_fewer_streams_reads_the_prompt() {
+    let mut busy = engine_of_speed("busy", 1.0);
+    let mut calm = engine_of_speed("calm", 1.0);
+    (busy.call_count, calm.call_count) = (4, 1);
+
+    assert_eq!(choose_for_prompt(&[busy, calm]), Some(1));
+}
+
+/// Two engines of one speed are measured while other nodes' prompts are read there.
+#[test]
+fn engines_that_differ_as_little_as_measurements_do_count_as_equal() {
+    let mut assigned = engine_of_speed("assigned", 0.85);
+    assigned.is_assigned = true;
+    let other = engine_of_speed("other", 1.1);
+
+    assert_eq!(choose_for_prompt(&[assigned, other, other]), Some(0));
+}
+
+/// Sixty-seven nodes know the same engine, which is three times as fast as all others.
+#[test]
+fn the_nodes_do_not_all_send_their_prompts_to_the_same_fast_engine() {
+    let names: Vec<String> = (0..120).map(|n| format!("r{n:03}")).collect();
+    let mut load = [0_u32; 120];
+    for node in 0..67_u64 {
+        let candidates: Vec<Candidate<'_>> = names
+            .iter()
+            .enumerate()
+            .map(|(at, id)| Candidate {
+                is_assigned: is_assigned(at, 120, node as usize, 67),
+                ..engine_of_speed(id, if at == 119 { 3.0 } else { 1.0 })
+            })
+            .collect();
+        let draw = (node + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let chosen = choose_engine(&candidates, PROMPT_TOKENS, draw).expect("there are candidates");
+        load[chosen] += 1;
+    }
+    assert!((1..=12).contains(&load[119]), "prompts by engine: {load:?}");
 }
 
 #[test]
@@ -93,9 +193,9 @@
     let mut tried = busy;
     tried.was_tried = true;
 
-    assert_eq!(choose_engine(&[avoided, busy], 0), Some(1));
-    assert_eq!(choose_engine(&[avoided, tried], 0), Some(0));
-    assert_eq!(choose_engine(&[tried], 0), None);
+    assert_eq!(choose_engine(&[avoided, busy], PROMPT_TOKENS, 0), Some(1));
+    assert_eq!(choose_engine(&[avoided, tried], PROMPT_TOKENS, 0), Some(0));
+    assert_eq!(choose_engine(&[tried], PROMPT_TOKENS, 0), None);
 }
 
 #[test]
--- a/src/simulation/engine.rs
+++ b/src/simulation/engine.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use super::stream::StreamId;
+use crate::policy::priority_class::PriorityClass;
 
 /// Speed and capacity of an engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -40,6 +41,9 @@
     pub(crate) cached_tokens: u64,
     /// Tokens of the answer that are still to be generated.
     pub(crate) tokens_to_generate: u64,
+    /// Urgency of the stream. The engine prefills the most urgent first, and preempts
+    /// the least urgent first.
+    pub(crate) priority_class: PriorityClass,
 }
 
 /// What happened to a stream in a step.
@@ -85,9 +89,13 @@
         }
     }
 
-    /// Adds a stream at the end of the prefill queue.
+    /// Adds a stream to the prefill queue, behind those that are as urgent.
     pub(crate) fn accept(&mut self, work: StreamWork) {
-        self.prefill_queue.push_back(work);
+        let is_ahead = |queued: &StreamWork| queued.priority_class <= work.priority_class;
+        let behind = self.prefill_queue.iter().rposition(is_ahead);
+        // The first prompt may be in prefill already, which is not interrupted.
+        let at = behind.map_or(1, |at| at + 1).min(self.prefill_queue.len());
+        self.prefill_queue.insert(at, work);
     }
 
     /// Whether no stream is queued or running.
@@ -152,13 +160,16 @@
             .retain(|run| run.generated_tokens < run.work.tokens_to_generate);
     }
 
-    /// Preempts the streams that started last until the others fit into the KV
+    /// Preempts the least urgent streams, those that started last first, until the others fit into the KV
     /// cache.
     fn preempt_streams(&mut self, progress: &mut Vec<Progress>) {
         while self.used_cache_tokens() > self.profile.kv_cache_tokens {
-            let Some(newest) = self.running.pop() else {
+            let last = self.running.iter().enumerate();
+            let last = last.max_by_key(|(at, run)| (run.work.priority_class, *at));
+            let Some((at, _)) = last else {
                 return;
             };
+            let newest = self.running.remove(at);
             let tokens_to_prefill = newest.cache_tokens();
             // Tokens of an incomplete event were not sent and are generated
             // again.
@@ -166,11 +177,12 @@
                 newest.generated_tokens - newest.generated_tokens % self.profile.tokens_per_event;
             let stream = newest.work.stream;
             progress.push(Progress::Preempted(stream, tokens_to_prefill));
-            self.prefill_queue.push_back(StreamWork {
+            self.accept(StreamWork {
                 stream,
                 tokens_to_prefill,
                 cached_tokens: 0,
                 tokens_to_generate: newest.work.tokens_to_generate - sent_tokens,
+                priority_class: newest.work.priority_class,
             });
         }
     }
--- a/src/simulation/simulator.rs
+++ b/src/simulation/simulator.rs
@@ -7,23 +7,32 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
 use super::engine::{Engine, EngineProfile, Progress, StreamWork};
 use super::stream::{Stream, StreamId, VirtualTime};
+use crate::policy::engine_speed::{EngineSpeed, GapMeter, SpeedEstimate};
 use crate::policy::liveness::{StreamPhase, probe_delay};
 use crate::policy::placement::{Candidate, choose_engine, choose_replica_holder, is_assigned};
+use crate::policy::priority_class::PriorityClass;
+
+/// Interval of the bursts of requests.
+const BURST_INTERVAL: Duration = Duration::from_secs(15);
+/// Duration of a burst.
+const BURST_DURATION: Duration = Duration::from_secs(4);
 
 /// How a node chooses the engine for a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Placement {
-    /// As real nodes do: the engine with the least known load. The load is counted
-    /// in prompt tokens that are not yet through prefill and in streams, both of
-    /// the node's own streams alone. An engine that is not assigned to the node is
+    /// As real nodes do: the engine with the least known load, by the time that it takes at
+    /// the speed that the node learned. The load is that of prompts which are not yet through
+    /// prefill and of streams, both of the node's own streams alone. An engine that is not assigned to the node is
     /// expected to have load from other nodes, too.
+    ExpectedTime,
+    /// As real nodes do that know no speed of an engine: the load is counted in tokens.
     OwnFirst,
     /// As [`Placement::OwnFirst`], but without load expected from other nodes.
     KnownTokens,
@@ -44,11 +53,49 @@
     ReadAgain,
 }
 
+/// A kind of requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct StreamKind {
+    /// Priority of its streams at engines.
+    pub(crate) priority_class: PriorityClass,
+    /// Longest time from the request to the first event of a stream on time.
+    pub(crate) first_event_max: Duration,
+    /// Factor of its requests in bursts.
+    pub(crate) burst_factor: f64,
+}
+
+/// Losses of many engines of one data centre, again and again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct RecurringLosses {
+    pub(crate) interval: Duration,
+    /// How long the engines are down.
+    pub(crate) duration: Duration,
+    /// Smallest and largest share of the data centre's engines that are lost.
+    pub(crate) share: (f64, f64),
+}
+
+/// Moments in which some engines are slow.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Slowdowns {
+    pub(crate) interval: Duration,
+    pub(crate) duration: Duration,
+    /// Share of the engines that are slow.
+    pub(crate) share: f64,
+    /// Factor of the time of a step.
+    pub(crate) factor: f64,
+}
+
 /// The load, the engines and the strategies of one simulation.
 #[derive(Clone, Debug)]
 pub(crate) struct Scenario {
     /// Speed and capacity of each engine.
     pub(crate) profile: EngineProfile,
+    /// Speeds of the engines of a data centre, relative to the profile, in turn.
+    pub(crate) speeds: Vec<f64>,
+    pub(crate) slowdowns: Option<Slowdowns>,
+    pub(crate) losses: Option<RecurringLosses>,
+    /// Kinds of the requests, which are equally frequent outside of bursts.
+    pub(crate) kinds: Vec<StreamKind>,
     pub(crate) node_count: usize,
     /// Number of engines, distributed evenly over the data centres.
     pub(crate) engine_count: usize,
@@ -87,7 +134,10 @@
     Arrival,
     StepEnd(usize),
     OutageStart,
+    LossesStart,
     OutageEnd,
+    SlowdownStart,
+    SlowdownEnd,
     LossDetected(StreamId),
 }
 
@@ -99,6 +149,11 @@
     engine: usize,
     pending_prompt_tokens: u64,
     replica_holder: Option<usize>,
+    sent_at: VirtualTime,
+    /// Prompt tokens whose prefill shows the speed of the engine, because the node had no
+    /// others pending there.
+    measured_prompt_tokens: u64,
+    gap_meter: GapMeter,
 }
 
 /// Load that one node has placed on one engine.
@@ -117,6 +172,11 @@
     engines: Vec<Engine>,
     engine_names: Vec<String>,
     is_down: Vec<bool>,
+    is_slow: Vec<bool>,
+    /// What each node learned of each engine, by node and engine.
+    learned: BTreeMap<(usize, usize), EngineSpeed>,
+    /// Instant that stands for the start of the simulation.
+    epoch: Instant,
     /// Whether the end of a step is scheduled, for each engine.
     is_stepping: Vec<bool>,
     /// Results of each engine's current step, which take effect at its end.
@@ -140,6 +200,9 @@
             engines: vec![Engine::new(scenario.profile); engine_count],
             engine_names: (0..engine_count).map(|n| format!("e-{n:04}")).collect(),
             is_down: vec![false; engine_count],
+            is_slow: vec![false; engine_count],
+            learned: BTreeMap::new(),
+            epoch: Instant::now(),
             is_stepping: vec![false; engine_count],
             step_progress: vec![Vec::new(); engine_count],
             assignments: BTreeMap::new(),
@@ -153,6 +216,12 @@
             simulator.schedule(outage_start, SimulationEvent::OutageStart);
             simulator.schedule(outage_start + outage_duration, SimulationEvent::OutageEnd);
         }
+        if let Some(losses) = simulator.scenario.losses {
+            simulator.schedule(losses.interval, SimulationEvent::LossesStart);
+        }
+        if let Some(slowdowns) = simulator.scenario.slowdowns {
+            simulator.schedule(slowdowns.interval, SimulationEvent::SlowdownStart);
+        }
         while let Some(Reverse((now, _, event))) = simulator.events.pop() {
             simulator.handle(event, now);
         }
@@ -169,23 +238,51 @@
             SimulationEvent::Arrival => self.handle_arrival(now),
             SimulationEvent::StepEnd(engine) => self.handle_step_end(engine, now),
             SimulationEvent::OutageStart => self.start_outage(now),
+            SimulationEvent::LossesStart => self.start_losses(now),
             SimulationEvent::OutageEnd => self.is_down.fill(false),
+            SimulationEvent::SlowdownStart => self.start_slowdown(now),
+            SimulationEvent::SlowdownEnd => self.is_slow.fill(false),
             SimulationEvent::LossDetected(stream) => self.resume(stream, now),
         }
     }
 
     fn handle_arrival(&mut self, now: VirtualTime) {
         let stream = self.result.streams.len();
-        self.result.streams.push(Stream::requested(now));
+        let kind = self.draw_kind(now);
+        self.result.streams.push(Stream::requested(kind, now));
         let node = self.random.random_range(0..self.scenario.node_count);
         self.place(stream, node, self.scenario.prompt_tokens, 0, now);
         let draw: f64 = self.random.random_range(f64::EPSILON..1.0);
-        let next = now + Duration::from_secs_f64(-draw.ln() / self.scenario.streams_per_s);
+        let factors = self.kind_factors(now);
+        let mean_factor = factors.iter().sum::<f64>() / factors.len() as f64;
+        let rate = self.scenario.streams_per_s * mean_factor;
+        let next = now + Duration::from_secs_f64(-draw.ln() / rate);
         if next < self.scenario.arrival_duration {
             self.schedule(next, SimulationEvent::Arrival);
         }
     }
 
+    /// Frequency of each kind of request, relative to that outside of bursts.
+    fn kind_factors(&self, now: VirtualTime) -> Vec<f64> {
+        let in_burst = now.as_millis() % BURST_INTERVAL.as_millis() < BURST_DURATION.as_millis();
+        let kinds = self.scenario.kinds.iter();
+        kinds
+            .map(|kind| if in_burst { kind.burst_factor } else { 1.0 })
+            .collect()
+    }
+
+    fn draw_kind(&mut self, now: VirtualTime) -> usize {
+        let factors = self.kind_factors(now);
+        let mut draw: f64 = self.random.random_range(0.0..factors.iter().sum());
+        for (kind, factor) in factors.iter().enumerate() {
+            draw -= factor;
+            if draw < 0.0 {
+                return kind;
+            }
+        }
+        0
+    }
+
     /// Sends a stream to the engine that the scenario's placement chooses.
     fn place(
         &mut self,
@@ -195,7 +292,7 @@
         cached_tokens: u64,
         now: VirtualTime,
     ) {
-        let Some(engine) = self.choose_engine(node) else {
+        let Some(engine) = self.choose_engine(node, tokens_to_prefill, now) else {
             return;
         };
         self.send(engine, stream, node, tokens_to_prefill, cached_tokens, now);
@@ -211,11 +308,19 @@
         now: VirtualTime,
     ) {
         let replica_holder = self.choose_holder(node, engine);
+        let has_own_pending = self.own_work(node)[engine].pending_prompt_tokens > 0;
         let assignment = Assignment {
             node,
             engine,
             pending_prompt_tokens: tokens_to_prefill,
             replica_holder,
+            sent_at: now,
+            measured_prompt_tokens: if has_own_pending || cached_tokens > 0 {
+                0
+            } else {
+                tokens_to_prefill
+            },
+            gap_meter: GapMeter::default(),
         };
         self.assignments.insert(stream, assignment);
         let generated_tokens =
@@ -225,6 +330,7 @@
             tokens_to_prefill,
             cached_tokens,
             tokens_to_generate: self.scenario.answer_tokens - generated_tokens,
+            priority_class: self.scenario.kinds[self.result.streams[stream].kind].priority_class,
         });
         self.start_step(engine, now);
     }
@@ -236,6 +342,9 @@
         let (step_time, progress) = self.engines[engine].step();
         self.is_stepping[engine] = true;
         self.step_progress[engine] = progress;
+        let at_full_speed = step_time.div_f64(self.speed(engine));
+        let slowdown = self.scenario.slowdowns.filter(|_| self.is_slow[engine]);
+        let step_time = at_full_speed.mul_f64(slowdown.map_or(1.0, |slowdown| slowdown.factor));
         self.schedule(now + step_time, SimulationEvent::StepEnd(engine));
     }
 
@@ -245,6 +354,7 @@
             match progress {
                 Progress::Event(stream) => {
                     self.result.streams[stream].record_event(now);
+                    self.learn(stream, now);
                     if let Some(assignment) = self.assignments.get_mut(&stream) {
                         assignment.pending_prompt_tokens = 0;
                     }
@@ -259,10 +369,72 @@
         self.start_step(engine, now);
     }
 
-    /// Fails the engines of the first data centre, which lose all their
-    /// streams.
+    /// Has the node of a stream learn from an event.
+    fn learn(&mut self, stream: StreamId, now: VirtualTime) {
+        let at = self.epoch + now;
+        let Some(assignment) = self.assignments.get_mut(&stream) else {
+            return;
+        };
+        let key = (assignment.node, assignment.engine);
+        let speed = self.learned.entry(key).or_default();
+        let prompt_tokens = std::mem::take(&mut assignment.measured_prompt_tokens);
+        speed.record_prefill(prompt_tokens, now.saturating_sub(assignment.sent_at), at);
+        if let Some(gap) = assignment.gap_meter.record_event(at) {
+            speed.record_gap(gap, at);
+        }
+    }
+
+    /// Speed of an engine, relative to the profile.
+    fn speed(&self, engine: usize) -> f64 {
+        let number = engine / self.scenario.data_centre_count;
+        self.scenario.speeds[number % self.scenario.speeds.len()]
+    }
+
+    fn start_slowdown(&mut self, now: VirtualTime) {
+        let Some(slowdowns) = self.scenario.slowdowns else {
+            return;
+        };
+        for engine in 0..self.engines.len() {
+            self.is_slow[engine] = self.random.random_bool(slowdowns.share);
+        }
+        self.schedule(now + slowdowns.duration, SimulationEvent::SlowdownEnd);
+        let next = now + slowdowns.interval;
+        if next < self.scenario.arrival_duration {
+            self.schedule(next, SimulationEvent::SlowdownStart);
+        }
+    }
+
+    /// Loses many engines of a random data centre.
+    fn start_losses(&mut self, now: VirtualTime) {
+        let Some(losses) = self.scenario.losses else {
+            return;
+        };
+        let share = self.random.random_range(losses.share.0..losses.share.1);
+        let data_centre_count = self.scenario.data_centre_count;
+        let first = self.random.random_range(0..data_centre_count);
+        let of_data_centre = (first..self.engines.len()).step_by(data_centre_count);
+        let lost: Vec<usize> = of_data_centre
+            .filter(|_| self.random.random_bool(share))
+            .collect();
+        self.fail(&lost, now);
+        self.schedule(now + losses.duration, SimulationEvent::OutageEnd);
+        let next = now + losses.interval;
+        if next < self.scenario.arrival_duration {
+            self.schedule(next, SimulationEvent::LossesStart);
+        }
+    }
+
+    /// Fails the engines of the first data centre.
     fn start_outage(&mut self, now: VirtualTime) {
-        for engine in (0..self.engines.len()).step_by(self.scenario.data_centre_count) {
+        let lost: Vec<usize> = (0..self.engines.len())
+            .step_by(self.scenario.data_centre_count)
+            .collect();
+        self.fail(&lost, now);
+    }
+
+    /// Fails engines, which lose all their streams.
+    fn fail(&mut self, lost: &[usize], now: VirtualTime) {
+        for &engine in lost {
             self.is_down[engine] = true;
             self.engines[engine] = Engine::new(self.scenario.profile);
             self.step_progress[engine].clear();
@@ -309,7 +481,12 @@
         }
     }
 
-    fn choose_engine(&mut self, node: usize) -> Option<usize> {
+    fn choose_engine(
+        &mut self,
+        node: usize,
+        prompt_tokens: u64,
+        now: VirtualTime,
+    ) -> Option<usize> {
         let draw = self.random.random();
         let count = self.engines.len();
         let own_work = self.own_work(node);
@@ -327,7 +504,13 @@
             })
             .collect()
         };
+        let choose_engine =
+            |candidates: &[Candidate<'_>], draw| choose_engine(candidates, prompt_tokens, draw);
         match self.scenario.placement {
+            Placement::ExpectedTime => {
+                let candidates = self.with_speeds(candidates(true, true), node, now);
+                choose_engine(&candidates, draw)
+            }
             Placement::OwnFirst => choose_engine(&candidates(true, true), draw),
             Placement::KnownTokens => choose_engine(&candidates(true, false), draw),
             Placement::FewestCalls => choose_engine(&candidates(false, false), draw),
@@ -341,7 +524,23 @@
         }
     }
 
-    fn choose_holder(&self, node: usize, source: usize) -> Option<usize> {
+    /// Adds what the node learned of the engines.
+    fn with_speeds<'a>(
+        &self,
+        mut candidates: Vec<Candidate<'a>>,
+        node: usize,
+        now: VirtualTime,
+    ) -> Vec<Candidate<'a>> {
+        for (engine, candidate) in candidates.iter_mut().enumerate() {
+            if let Some(speed) = self.learned.get(&(node, engine)) {
+                candidate.speed = speed.estimate(self.epoch + now);
+            }
+        }
+        candidates
+    }
+
+    fn choose_holder(&mut self, node: usize, source: usize) -> Option<usize> {
+        let draw = self.random.random();
         let own_work = self.own_work(node);
         let own = own_work.iter().enumerate();
         let candidates: Vec<Candidate<'_>> = own
@@ -352,7 +551,7 @@
             &candidates,
             Some(&self.engine_names[source]),
             data_centre,
-            0,
+            draw,
         )
     }
 
@@ -369,6 +568,7 @@
             is_avoided: self.is_down[engine],
             was_tried: false,
             is_assigned: false,
+            speed: SpeedEstimate::default(),
         }
     }
 
--- a/src/simulation/stream.rs
+++ b/src/simulation/stream.rs
@@ -11,6 +11,8 @@
 /// What a caller has received of its stream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Stream {
+    /// Kind of the stream, an index into those of the scenario.
+    pub(crate) kind: usize,
     /// When the caller requested the stream.
     pub(crate) requested_at: VirtualTime,
     /// Number of events received.
@@ -26,8 +28,9 @@
 
 impl Stream {
     /// Makes a stream that its caller requests at `now`.
-    pub(crate) fn requested(now: VirtualTime) -> Self {
+    pub(crate) fn requested(kind: usize, now: VirtualTime) -> Self {
         Self {
+            kind,
             requested_at: now,
             ..Self::default()
         }
@@ -41,6 +44,13 @@
         }
     }
 
+    /// Time from the request to the last event, or `None` if the stream is not
+    /// complete.
+    pub(crate) fn duration(&self) -> Option<Duration> {
+        let last = self.last_event_at.filter(|_| self.is_complete)?;
+        Some(last.saturating_sub(self.requested_at))
+    }
+
     /// Time from the request to the first event, or `None` if no event
     /// has arrived.
     pub(crate) fn time_to_first_event(&self) -> Option<Duration> {
--- a/src/simulation/tests/mod.rs
+++ b/src/simulation/tests/mod.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use crate::policy::priority_class::PriorityClass;
 use crate::simulation::engine::{Engine, EngineProfile, Progress, StreamWork};
 use crate::simulation::simulator::{
-    Placement, ResumeMethod, Scenario, SimulationResult, Simulator,
+    Placement, ResumeMethod, Scenario, SimulationResult, Simulator, StreamKind,
 };
 
 fn profile() -> EngineProfile {
@@ -24,6 +25,7 @@
         tokens_to_prefill: 8_192,
         cached_tokens: 0,
         tokens_to_generate: 70,
+        priority_class: PriorityClass::LAST,
     }
 }
 
@@ -98,6 +100,14 @@
 fn scenario() -> Scenario {
     Scenario {
         profile: profile(),
+        speeds: vec![1.0],
+        slowdowns: None,
+        losses: None,
+        kinds: vec![StreamKind {
+            priority_class: PriorityClass::LAST,
+            first_event_max: Duration::from_secs(5),
+            burst_factor: 1.0,
+        }],
         node_count: 7,
         engine_count: 24,
         data_centre_count: 3,
