Tell engine speeds apart by the time between events

Prefill times contain the wait for other nodes' prompts, so equal engines looked uneven under load. The time between events now decides, and engines within 1.5 times the median count as equal.

--- a/src/forward/stream_choice.rs
+++ b/src/forward/stream_choice.rs
@@ -8,8 +8,9 @@
 use super::stream_call::{NextUpstream, OpenFailure, StreamRun};
 use super::upstream::Upstream;
 use super::upstream_permits::{PERMIT_WAIT_MAX, WithoutPermit, pause_before_retry};
+use crate::observe::metrics::Counter;
 use crate::policy::failure_response::GiveUpReason;
-use crate::policy::placement::choose_engine;
+use crate::policy::placement::{choose_engine, knows_speed};
 
 impl<N: NodeContext> StreamRun<N> {
     /// Chooses an upstream that has room for the call. A stream that has begun waits for a
@@ -75,6 +76,9 @@
         let prompt_tokens = self.call.headers.prompt_tokens;
         self.forwarder
             .choose_upstream(service, excluded, origin, |candidates, draw| {
+                if knows_speed(candidates) {
+                    self.forwarder.metrics.add(Counter::PlacedBySpeed, 1);
+                }
                 choose_engine(candidates, prompt_tokens, draw)
             })
     }
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -106,6 +106,8 @@
     StreamsLost,
     /// Streams resumed at another upstream.
     StreamsResumed,
+    /// Choices of an engine for a prompt by learned speeds.
+    PlacedBySpeed,
     /// Streams truncated before their end.
     StreamsBrokenOff,
     /// Requests to the platform's object store.
@@ -116,7 +118,7 @@
 
 impl Counter {
     /// All counters, in the order of the list in `docs/OPERATIONS.md`.
-    pub const ALL: [Self; 40] = [
+    pub const ALL: [Self; 41] = [
         Self::Completions,
         Self::Refused,
         Self::Tokens,
@@ -154,6 +156,7 @@
         Self::CopiesAskedFor,
         Self::StreamsLost,
         Self::StreamsResumed,
+        Self::PlacedBySpeed,
         Self::StreamsBrokenOff,
         Self::StoreCalls,
         Self::LogLinesDropped,
@@ -200,6 +203,7 @@
             Self::CopiesAskedFor => "copies_asked_for_count",
             Self::StreamsLost => "streams_lost_count",
             Self::StreamsResumed => "streams_resumed_count",
+            Self::PlacedBySpeed => "placed_by_speed_count",
             Self::StreamsBrokenOff => "streams_broken_off_count",
             Self::StoreCalls => "store_calls_count",
             Self::LogLinesDropped => "log_lines_dropped_count",
--- a/src/policy/engine_speed.rs
+++ b/src/policy/engine_speed.rs
@@ -16,9 +16,6 @@
 /// Age at which a sample no longer counts. An engine that is not chosen because it
 /// was slow counts as the median after that, and so is tried again.
 const SAMPLE_AGE_MAX: Duration = Duration::from_secs(30);
-/// Number of prefills from which the estimate of their speed needs no support by the time
-/// between events. Fewer may all have been behind prompts of other nodes.
-const SETTLED_PREFILL_COUNT: usize = 4;
 /// Number of events over which the time between two events is averaged. Single events
 /// arrive unevenly.
 const EVENTS_PER_GAP_SAMPLE: u32 = 8;
@@ -37,8 +34,6 @@
 pub(crate) struct SpeedEstimate {
     /// Milliseconds of prefill for each token of a prompt.
     pub(crate) prefill_ms_per_token: Option<f64>,
-    /// Whether enough prefills were measured to rely on them alone.
-    pub(crate) is_prefill_settled: bool,
     /// Milliseconds between two events of a stream.
     pub(crate) event_gap_ms: Option<f64>,
     /// Age of the newest sample.
@@ -81,7 +76,6 @@
         let ages = [self.prefills.age(now), self.gaps.age(now)];
         SpeedEstimate {
             prefill_ms_per_token: self.prefills.lower_quartile(now),
-            is_prefill_settled: self.prefills.count(now) >= SETTLED_PREFILL_COUNT,
             event_gap_ms: self.gaps.lower_quartile(now),
             age: ages.into_iter().flatten().min(),
         }
@@ -110,10 +104,6 @@
             .map(|(_, value)| *value)
     }
 
-    fn count(&self, now: Instant) -> usize {
-        self.recent(now).count()
-    }
-
     fn age(&self, now: Instant) -> Option<Duration> {
         let (at, _) = self.samples.back()?;
         Some(now.saturating_duration_since(*at)).filter(|age| *age < SAMPLE_AGE_MAX)
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -51,10 +51,10 @@
 /// in flight does.
 const PROMPT_TOKENS_PER_CALL: u64 = 150;
 /// Weight of a pause of another stream, against a later first event of the new one.
-const PAUSE_WEIGHT: f64 = 0.25;
+const PAUSE_WEIGHT: f64 = 0.1;
 /// Factor of the median within which an engine counts as fast as the median. Engines of one
 /// speed seem to differ by as much, depending on what other nodes run there.
-const EQUAL_SPEED_FACTOR: f64 = 1.3;
+const EQUAL_SPEED_FACTOR: f64 = 1.5;
 /// Number of engines assigned to other nodes that are weighed for one prompt. Otherwise all
 /// nodes would send their prompts to the same fast engine.
 const UNASSIGNED_WEIGHED_MAX: usize = 8;
@@ -83,6 +83,12 @@
     }
 }
 
+/// Whether the speed of any candidate is known, by which [`choose_engine`] then chooses.
+pub(crate) fn knows_speed(candidates: &[Candidate<'_>]) -> bool {
+    let mut speeds = candidates.iter().map(|candidate| candidate.speed);
+    speeds.any(|speed| speed.prefill_ms_per_token.is_some())
+}
+
 fn pending_tokens_score(candidate: &Candidate<'_>) -> u64 {
     let unknown_tokens = if candidate.is_assigned {
         0
@@ -110,9 +116,8 @@
         })
     }
 
-    /// Milliseconds of prefill for each token at an engine. Prefills that were measured
-    /// behind prompts of other nodes look slow, which the time between events corrects. An
-    /// engine without samples counts as the median.
+    /// Milliseconds of prefill for each token at an engine. One without samples counts as the
+    /// median.
     fn prefill_ms_per_token(&self, speed: &SpeedEstimate) -> f64 {
         let learned = self.learned_ms_per_token(speed);
         let factor = learned / self.prefill_ms_per_token;
@@ -124,16 +129,14 @@
         }
     }
 
+    /// The time between events is trusted before the time of prefills, which contains the wait
+    /// for prompts of other nodes: with prefills alone, an engine looks slow under overload.
     fn learned_ms_per_token(&self, speed: &SpeedEstimate) -> f64 {
-        let by_gap = speed
-            .event_gap_ms
-            .zip(self.event_gap_ms)
-            .map(|(gap, median_gap)| self.prefill_ms_per_token * gap / median_gap);
-        match (speed.prefill_ms_per_token, by_gap) {
-            (Some(measured), Some(_)) if speed.is_prefill_settled => measured,
-            (Some(measured), Some(by_gap)) => measured.min(by_gap),
-            (measured, by_gap) => measured.or(by_gap).unwrap_or(self.prefill_ms_per_token),
-        }
+        let gaps = speed.event_gap_ms.zip(self.event_gap_ms);
+        let by_gap = gaps.map(|(gap, median_gap)| self.prefill_ms_per_token * gap / median_gap);
+        by_gap
+            .or(speed.prefill_ms_per_token)
+            .unwrap_or(self.prefill_ms_per_token)
     }
 }
 
