--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -300,6 +300,7 @@
         .await;
         let mut call = Call::new(parts, headers, body, matched, service, arrived_at);
         call.in_flight = Some(self.in_flight.clone());
+        call.priority_class = table.priority_class(&call.matched, &call.service);
         self.metrics.add(Counter::Calls, 1);
         if let Some(relayed) = arrival.relayed {
             call.set_relayed(relayed);
@@ -439,6 +440,7 @@
                 is_avoided: is_avoided(upstream, &suspected, now),
                 was_tried: tried.iter().any(|t| t.entry.id == upstream.entry.id),
                 is_assigned: is_assigned(*index, upstreams.len(), node_index, node_count),
+                speed: upstream.speed(now),
             })
             .collect();
         let index = choose(&candidates, rand::rng().random())?;
--- a/src/forward/stream_choice.rs
+++ b/src/forward/stream_choice.rs
@@ -9,8 +9,9 @@
 use super::stream_call::{NextUpstream, OpenFailure, StreamRun};
 use super::upstream::Upstream;
 use super::upstream_permits::{PERMIT_WAIT_MAX, WithoutPermit, pause_before_retry};
+use crate::observe::metrics::Counter;
 use crate::policy::failure_response::GiveUpReason;
-use crate::policy::placement::choose_engine;
+use crate::policy::placement::{choose_engine, knows_speed};
 
 impl<N: NodeContext> StreamRun<N> {
     /// Chooses an upstream that has room for the call. A stream that has begun waits for a
@@ -54,7 +55,7 @@
             .filter(|holder| !is_over_limit(holder) && self.is_admitted_by_rollout(holder));
         holder
             .or_else(|| self.upstream_with_cached_prompt(excluded))
-            .or_else(|| self.choose_by_load(excluded))
+            .or_else(|| self.best_engine(excluded))
             .or_else(|| self.choose_again(&excluded[self.tried.len()..]))
     }
 
@@ -67,14 +68,21 @@
         }
         let last = self.tried.last();
         let excluded: Vec<Arc<Upstream>> = last.into_iter().chain(over_limit).cloned().collect();
-        self.choose_by_load(&excluded)
+        self.best_engine(&excluded)
     }
 
-    fn choose_by_load(&self, excluded: &[Arc<Upstream>]) -> Option<Arc<Upstream>> {
-        let origin = self.origin.as_ref();
+    /// Chooses the engine at which the call's prompt costs the least time.
+    fn best_engine(&self, excluded: &[Arc<Upstream>]) -> Option<Arc<Upstream>> {
         let Call { service, draw, .. } = &self.call;
+        let origin = self.origin.as_ref();
+        let prompt_tokens = self.call.headers.prompt_tokens;
         self.forwarder
-            .choose_upstream(service, excluded, origin, *draw, choose_engine)
+            .choose_upstream(service, excluded, origin, *draw, |candidates, draw| {
+                if knows_speed(candidates) {
+                    self.forwarder.metrics.add(Counter::PlacedBySpeed, 1);
+                }
+                choose_engine(candidates, prompt_tokens, draw)
+            })
     }
 
     /// Whether a rollout of the service lets the call go to this upstream.
@@ -108,6 +116,16 @@
         self.has_upstream_sent_event && replica.is_usable() && self.admits(&replica.holder)
     }
 
+    /// Whether the upstream has the prompt of the call's session cached.
+    pub(super) fn has_cached_prompt(&self, upstream: &Upstream) -> bool {
+        let session = self.call.headers.session.as_ref();
+        let cached_at = session.and_then(|session| {
+            let sessions = &self.forwarder.sessions;
+            sessions.cached_at(session, Instant::now())
+        });
+        cached_at.is_some_and(|id| id == upstream.entry.id)
+    }
+
     /// Returns the engine that has the prompt of the call's session cached,
     /// unless the engine was tried, is draining or is to be avoided.
     pub(super) fn upstream_with_cached_prompt(
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -34,6 +34,7 @@
 use crate::platform::call::strip_hop_headers;
 use crate::platform::event_stream::{StreamPart, read_part};
 use crate::policy::crash_time::{LATE_CRASH_MAX, SURVIVAL_TIME, Survival};
+use crate::policy::engine_speed::GapMeter;
 use crate::policy::liveness::StreamPhase;
 
 /// Maximum number of events that are queued for a slow caller.
@@ -46,6 +47,10 @@
 /// Number of events of a segment over which the time between events is measured.
 const GAP_EVENT_COUNT: u32 = 16;
 
+/// Time that an event waits for the caller from which the times of the events that follow
+/// show the speed of the caller, and not that of the engine.
+const CALLER_WAIT_MIN: Duration = Duration::from_millis(5);
+
 /// The part of the stream that one upstream sends.
 #[derive(Debug)]
 struct Segment {
@@ -198,6 +203,7 @@
         self.upstream_began_at = None;
         let mut segment_event_count = 0;
         let mut last_index = None;
+        let mut gap_meter = GapMeter::default();
         let mut _replica_task = None;
         let deadline = self.call.deadline.into();
         let mut is_handed_over = false;
@@ -289,6 +295,7 @@
                     }
                 };
                 last_index = Some(index);
+                let arrived_at = Instant::now();
                 if phase == StreamPhase::Prefill {
                     self.record_prefill(&upstream);
                     self.reread_turn = None;
@@ -312,10 +319,16 @@
                 {
                     return end;
                 }
-                work.prefill_done();
+                work.first_event_arrived(arrived_at);
+                if let Some(gap) = gap_meter.record_event(arrived_at) {
+                    upstream.learn_speed(|speed| speed.record_gap(gap, arrived_at));
+                }
                 if let Err(end) = self.relay_event(event, index, sender).await {
                     return end;
                 }
+                if arrived_at.elapsed() >= CALLER_WAIT_MIN {
+                    gap_meter.record_wait();
+                }
             }
         }
     }
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -147,6 +147,8 @@
     StreamsLost,
     /// Streams resumed at another upstream.
     StreamsResumed,
+    /// Choices of an engine for a prompt by learned speeds.
+    PlacedBySpeed,
     /// Streams truncated before their end.
     StreamsBrokenOff,
     /// Sends of calls to the target of an unfinished rollout.
@@ -161,7 +163,7 @@
 
 impl Counter {
     /// All counters, in the order of the list in `docs/OPERATIONS.md`.
-    pub const ALL: [Self; 62] = [
+    pub const ALL: [Self; 63] = [
         Self::Completions,
         Self::Refused,
         Self::Tokens,
@@ -219,6 +221,7 @@
         Self::CopiesAskedFor,
         Self::StreamsLost,
         Self::StreamsResumed,
+        Self::PlacedBySpeed,
         Self::StreamsBrokenOff,
         Self::RolloutTargetSends,
         Self::RolloutWrites,
@@ -287,6 +290,7 @@
             Self::CopiesAskedFor => "copies_asked_for_count",
             Self::StreamsLost => "streams_lost_count",
             Self::StreamsResumed => "streams_resumed_count",
+            Self::PlacedBySpeed => "placed_by_speed_count",
             Self::StreamsBrokenOff => "streams_broken_off_count",
             Self::RolloutTargetSends => "rollout_target_sends_count",
             Self::RolloutWrites => "rollout_writes_count",
--- a/src/policy/tests/hedging.rs
+++ b/src/policy/tests/hedging.rs
@@ -1,5 +1,6 @@
 use std::time::{Duration, Instant};
 
+use crate::policy::engine_speed::SpeedEstimate;
 use crate::policy::hedging::{
     AnswerTimes, HedgeAllowance, HedgePlan, Withheld, choose_target, is_in_same_trouble,
 };
@@ -38,6 +39,7 @@
         is_avoided: false,
         was_tried: false,
         is_assigned: false,
+        speed: SpeedEstimate::default(),
     }
 }
 
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests that replay the failures which the decisions have to handle.
 
 mod connection_shares;
+mod engine_speed;
 mod entry_expiry;
 mod failure_response;
 mod freshness;
--- a/src/simulation/hedging.rs
+++ b/src/simulation/hedging.rs
@@ -11,6 +11,7 @@
 use rand::{RngExt, SeedableRng};
 
 use super::stream::VirtualTime;
+use crate::policy::engine_speed::SpeedEstimate;
 use crate::policy::hedging::{
     AnswerTimes, HedgeAllowance, HedgePlan, Withheld, choose_target, is_in_same_trouble,
 };
@@ -301,6 +302,7 @@
                 is_avoided: false,
                 was_tried: call.sends.iter().any(|s| s.0 == index) || is_unfit(known),
                 is_assigned: false,
+                speed: SpeedEstimate::default(),
             })
             .collect();
         let draw = self.random.random();
