Count crashes by the starts of upstreams, not by their ids

Three different ids had to crash before a part was convicted, and a crash of the same id counted once in half an hour. With two or three upstreams that come back under the same ids nothing was ever convicted. A crash names the start of its upstream (born) now; a record of an earlier build lacks it and counts as the last start known under the id.

--- a/src/experiment/evidence.rs
+++ b/src/experiment/evidence.rs
@@ -10,7 +10,7 @@
 use crate::membership::crash_announcement::{from_clearance, from_crash};
 use crate::observe::process_usage::ProcessUsage;
 use crate::observe::report::Report;
-use crate::policy::crash_evidence::{Clearance, Crash};
+use crate::policy::crash_evidence::{Clearance, Crash, Incarnation};
 use crate::policy::crash_time::CrashTime;
 use crate::policy::poison_detector::PoisonDetector;
 
@@ -59,7 +59,10 @@
 fn crash(number: u64) -> Crash {
     let own_parts = (1..PART_COUNT).map(|part| number * PART_COUNT + part + 1);
     Crash {
-        upstream: format!("i-{number:010x}"),
+        upstream: Incarnation {
+            id: format!("i-{number:010x}"),
+            born_unix_ms: crate::clock::unix_ms(),
+        },
         request: u64::MAX - number,
         parts: [0].into_iter().chain(own_parts).collect(),
         was_writing: true,
--- a/src/fleet/part_crashes.rs
+++ b/src/fleet/part_crashes.rs
@@ -13,7 +13,7 @@
 use crate::membership::announcement::Announcement;
 use crate::membership::crash_announcement::{from_clearance, from_crash, to_clearance, to_crash};
 use crate::membership::gossip::Membership;
-use crate::policy::crash_evidence::Crash;
+use crate::policy::crash_evidence::{Crash, Incarnation};
 use crate::policy::crash_time::{CrashTime, SURVIVAL_TIME, Survival};
 use crate::policy::poison_detector::{Decision, PoisonDetector};
 
@@ -97,7 +97,10 @@
         }
         let mut detector = self.lock();
         let crash = Crash {
-            upstream: format!("{runner}@{incarnation}"),
+            upstream: Incarnation {
+                id: format!("{runner}@{incarnation}"),
+                born_unix_ms: 0,
+            },
             request: parts.request,
             parts: detector.suspect_parts(parts.hashes()),
             was_writing: phase == RunPhase::Beginning,
--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -14,7 +14,7 @@
 use super::request::Call;
 use super::upstream::Upstream;
 use crate::clock::unix_ms;
-use crate::policy::crash_evidence::{Clearance, Crash};
+use crate::policy::crash_evidence::{Clearance, Crash, Incarnation};
 use crate::policy::crash_time::{CrashTime, SURVIVAL_TIME, Survival};
 use crate::policy::failure_response::GiveUpReason;
 use crate::policy::poison_detector::{Decision, PoisonDetector};
@@ -139,7 +139,10 @@
         let now = Instant::now();
         let mut detector = self.lock();
         let crash = Crash {
-            upstream: upstream.entry.id.clone(),
+            upstream: Incarnation {
+                id: upstream.entry.id.clone(),
+                born_unix_ms: upstream.entry.born_unix_ms,
+            },
             request: call.fingerprint(),
             parts: detector.suspect_parts(call.shared_parts()),
             was_writing,
@@ -155,8 +158,8 @@
             call.id(),
             crash.request,
             call.shared_parts_for_log(),
-            crash.upstream,
-            upstream.entry.born_unix_ms,
+            crash.upstream.id,
+            crash.upstream.born_unix_ms,
             crash.version,
             written.as_millis()
         );
--- a/src/membership/crash_announcement.rs
+++ b/src/membership/crash_announcement.rs
@@ -8,7 +8,9 @@
 
 use super::announcement::Announcement;
 use super::message::CrashedCallRecord;
-use crate::policy::crash_evidence::{Clearance, Crash, EVIDENCE_TTL, SUSPECT_PARTS_MAX};
+use crate::policy::crash_evidence::{
+    Clearance, Crash, EVIDENCE_TTL, Incarnation, SUSPECT_PARTS_MAX,
+};
 use crate::policy::crash_time::CrashTime;
 
 /// Topic of announcements that an upstream crashed while it ran a call.
@@ -26,10 +28,11 @@
         parts: crash.parts.clone(),
         was_writing: crash.was_writing,
         time_ms: crash.time.as_ms(),
+        born_unix_ms: crash.upstream.born_unix_ms,
     };
     Announcement {
         topic: CRASH_TOPIC,
-        key: format!("{:016x}/{}", crash.request, crash.upstream),
+        key: format!("{:016x}/{}", crash.request, crash.upstream.id),
         version: crash.version,
         ttl: EVIDENCE_TTL,
         body: record.encode_to_vec().into(),
@@ -69,7 +72,10 @@
     let mut record = CrashedCallRecord::decode(announcement.body.clone()).ok()?;
     record.parts.truncate(SUSPECT_PARTS_MAX);
     Some(Crash {
-        upstream: upstream.to_owned(),
+        upstream: Incarnation {
+            id: upstream.to_owned(),
+            born_unix_ms: record.born_unix_ms,
+        },
         request: u64::from_str_radix(request, 16).ok()?,
         parts: record.parts,
         was_writing: record.was_writing,
--- a/src/membership/message/crash.rs
+++ b/src/membership/message/crash.rs
@@ -53,4 +53,8 @@
     /// the sender does not tell.
     #[prost(uint32, tag = "3")]
     pub(crate) time_ms: u32,
+    /// Start of the upstream, in Unix milliseconds; zero if it is unknown or the sender does not
+    /// tell.
+    #[prost(uint64, tag = "4")]
+    pub(crate) born_unix_ms: u64,
 }
--- a/src/membership/tests/crash_announcement.rs
+++ b/src/membership/tests/crash_announcement.rs
@@ -5,12 +5,15 @@
 use crate::membership::announcement::Announcement;
 use crate::membership::crash_announcement::{from_clearance, from_crash, to_clearance, to_crash};
 use crate::membership::message::CrashedCallRecord;
-use crate::policy::crash_evidence::{Clearance, Crash};
+use crate::policy::crash_evidence::{Clearance, Crash, Incarnation};
 use crate::policy::crash_time::CrashTime;
 
 fn late_crash() -> Crash {
     Crash {
-        upstream: "e-1".to_owned(),
+        upstream: Incarnation {
+            id: "e-1".to_owned(),
+            born_unix_ms: 1_001,
+        },
         request: 7,
         parts: vec![1, 2],
         was_writing: true,
@@ -28,6 +31,7 @@
         parts: crash.parts.clone(),
         was_writing: true,
         time_ms: 0,
+        born_unix_ms: 0,
     };
     let announcement = Announcement {
         body: record.encode_to_vec().into(),
@@ -37,6 +41,7 @@
     let read = to_crash(&announcement).expect("readable");
 
     assert_eq!(read.time, CrashTime::IMMEDIATE);
+    assert_eq!(read.upstream.born_unix_ms, 0);
     assert_eq!(to_crash(&from_crash(&crash)), Some(crash));
 }
 
--- a/src/policy/crash_evidence.rs
+++ b/src/policy/crash_evidence.rs
@@ -30,10 +30,18 @@
 /// as one event, since long streams run wherever a data centre is lost.
 const LATE_EVENT_DURATION: Duration = Duration::from_millis(500);
 
+/// One start of an upstream. Upstreams may come back under the ids that they had.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Incarnation {
+    pub(crate) id: UpstreamId,
+    /// Unix milliseconds of the start; zero if unknown.
+    pub(crate) born_unix_ms: u64,
+}
+
 /// The crash of an upstream, as seen by one call that ran there.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Crash {
-    pub(crate) upstream: UpstreamId,
+    pub(crate) upstream: Incarnation,
     /// The request as a whole.
     pub(crate) request: Fingerprint,
     /// The most suspicious of the parts of the prompt that other prompts may share.
@@ -78,7 +86,7 @@
 /// A crash with the features that may have caused it.
 #[derive(Clone, Debug)]
 pub(crate) struct Suspicion {
-    pub(crate) upstream: UpstreamId,
+    pub(crate) upstream: Incarnation,
     pub(crate) request: Fingerprint,
     /// The features, each with the event as which the crash counts against it.
     pub(crate) features: BTreeMap<Fingerprint, CrashEventId>,
@@ -118,11 +126,12 @@
     /// one that is not needed is dropped.
     pub(crate) fn add_crash(
         &mut self,
-        crash: Crash,
+        mut crash: Crash,
         now: Instant,
         is_needed: impl Fn(&Crash) -> bool,
     ) -> bool {
         self.remove_expired(now);
+        self.complete_start(&mut crash.upstream);
         let is_same =
             |known: &Crash| known.upstream == crash.upstream && known.request == crash.request;
         if self.crashes.iter().any(|known| is_same(&known.crash)) {
@@ -139,6 +148,23 @@
         true
     }
 
+    /// Takes the start of an upstream whose start is unknown, as records of earlier builds leave
+    /// it, from another crash under its id, so that one crash does not count as two.
+    fn complete_start(&mut self, upstream: &mut Incarnation) {
+        let known = self
+            .crashes
+            .iter_mut()
+            .map(|known| &mut known.crash.upstream);
+        let mut of_id = known.filter(|other| other.id == upstream.id).rev();
+        if upstream.born_unix_ms == 0 {
+            upstream.born_unix_ms = of_id.next().map_or(0, |other| other.born_unix_ms);
+            return;
+        }
+        of_id
+            .filter(|other| other.born_unix_ms == 0)
+            .for_each(|other| other.born_unix_ms = upstream.born_unix_ms);
+    }
+
     /// Clears a feature of the crashes up to a version. Returns false if it was
     /// cleared of them before.
     pub(crate) fn add_clearance(&mut self, clearance: Clearance, now: Instant) -> bool {
@@ -175,8 +201,8 @@
                 continue;
             };
             let longest = refuted.map(|known| known.crash.time).max();
-            let upstreams: BTreeSet<&str> =
-                under_feature.map(|k| k.crash.upstream.as_str()).collect();
+            let upstreams: BTreeSet<&Incarnation> =
+                under_feature.map(|k| &k.crash.upstream).collect();
             let is_shared = upstreams.len() > 1;
             let clearance = Clearance {
                 feature,
@@ -235,9 +261,8 @@
     /// answer was under way is, since either may have crashed the upstream.
     fn uncleared(&self) -> Vec<Suspicion> {
         let beginning = self.crashes.iter().filter(|k| k.crash.is_at_beginning());
-        let beginning: BTreeSet<&str> = beginning.map(|k| k.crash.upstream.as_str()).collect();
-        let is_suspect =
-            |crash: &Crash| crash.was_writing || !beginning.contains(crash.upstream.as_str());
+        let beginning: BTreeSet<&Incarnation> = beginning.map(|k| &k.crash.upstream).collect();
+        let is_suspect = |crash: &Crash| crash.was_writing || !beginning.contains(&crash.upstream);
         let suspects = self.crashes.iter().filter(|k| is_suspect(&k.crash));
         let suspicions = suspects.map(|KnownCrash { crash, known_at }| {
             let features = crash.parts.iter().chain([&crash.request]);
@@ -271,7 +296,7 @@
 
 /// Removes features under which one upstream crashed.
 fn keep_shared_features(suspicions: &mut [Suspicion]) {
-    let mut by_feature: BTreeMap<Fingerprint, BTreeSet<&UpstreamId>> = BTreeMap::new();
+    let mut by_feature: BTreeMap<Fingerprint, BTreeSet<&Incarnation>> = BTreeMap::new();
     for suspicion in suspicions.iter() {
         for feature in suspicion.features.keys() {
             let upstreams = by_feature.entry(*feature).or_default();
@@ -304,7 +329,7 @@
     let near: Vec<&Suspicion> = all.iter().filter(|other| is_near(other)).collect();
     let count = |is_counted: &dyn Fn(&Suspicion) -> bool| {
         let counted = near.iter().filter(|other| is_counted(other));
-        let upstreams: BTreeSet<&UpstreamId> = counted.map(|other| &other.upstream).collect();
+        let upstreams: BTreeSet<&Incarnation> = counted.map(|other| &other.upstream).collect();
         upstreams.len()
     };
     let near_count = count(&|_| true);
--- a/src/policy/poison_detector.rs
+++ b/src/policy/poison_detector.rs
@@ -14,12 +14,13 @@
 use std::time::{Duration, Instant};
 
 use super::crash_evidence::{
-    Clearance, Crash, CrashEventId, CrashEvidence, SUSPECT_PARTS_MAX, Suspicion, events_by_feature,
+    Clearance, Crash, CrashEventId, CrashEvidence, Incarnation, SUSPECT_PARTS_MAX, Suspicion,
+    events_by_feature,
 };
 use super::crash_time::Survival;
 use super::sound_parts::SoundParts;
 use crate::hash::Fnv;
-use crate::id::{Fingerprint, UpstreamId};
+use crate::id::Fingerprint;
 
 /// Number of crashes that must count against a feature to convict it.
 const CONVICTION_CRASHES_MIN: usize = 3;
@@ -346,6 +347,6 @@
 /// Removes the crashes of all upstreams at which a call had all these features.
 fn remove_explained(suspicions: &mut Vec<Suspicion>, features: &BTreeSet<Fingerprint>) {
     let explained = suspicions.iter().filter(|s| s.has_all(features));
-    let explained: BTreeSet<UpstreamId> = explained.map(|s| s.upstream.clone()).collect();
+    let explained: BTreeSet<Incarnation> = explained.map(|s| s.upstream.clone()).collect();
     suspicions.retain(|s| !explained.contains(&s.upstream));
 }
--- a/src/policy/tests/poison_detector.rs
+++ b/src/policy/tests/poison_detector.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use crate::policy::crash_evidence::{Clearance, Crash, SUSPECT_PARTS_MAX};
+use crate::policy::crash_evidence::{Clearance, Crash, Incarnation, SUSPECT_PARTS_MAX};
 use crate::policy::crash_time::{CrashTime, Survival};
 use crate::policy::poison_detector::{PoisonDetector, Verdict};
 
@@ -17,6 +17,13 @@
     [&[request], parts].concat()
 }
 
+fn start_of(id: &str, born_unix_ms: u64) -> Incarnation {
+    Incarnation {
+        id: id.to_owned(),
+        born_unix_ms,
+    }
+}
+
 /// A detector, and the time since its start.
 struct Scene {
     detector: PoisonDetector,
@@ -52,7 +59,7 @@
         was_writing: bool,
     ) -> Crash {
         let crash = Crash {
-            upstream: upstream.to_owned(),
+            upstream: start_of(upstream, 1),
             request,
             parts: parts.to_vec(),
             was_writing,
@@ -67,7 +74,7 @@
     fn late_crash(&mut self, request: u64, parts: &[u64], written: Duration) {
         self.next_upstream += 1;
         let crash = Crash {
-            upstream: format!("e-{}", self.next_upstream),
+            upstream: start_of(&format!("e-{}", self.next_upstream), 1),
             request,
             parts: parts.to_vec(),
             was_writing: true,
@@ -187,7 +194,7 @@
 
     for n in 0..5_u64 {
         let crash = scene.crash(n, &[CRASHING]);
-        scene.crash_of(&crash.upstream, 100 + n, &[COMMON, RARE], false);
+        scene.crash_of(&crash.upstream.id, 100 + n, &[COMMON, RARE], false);
         scene.wait(Duration::from_millis(700));
     }
     scene.wait(DELAY);
@@ -403,3 +410,26 @@
         assert!(!scene.is_refused(10, &[RARE]), "beside {sound_time} ms");
     }
 }
+
+/// Guards against crashes that are counted by ids where upstreams come back under these, and
+/// against a crash that counts twice because a node of an earlier build does not tell the start.
+#[test]
+fn each_start_of_an_upstream_counts_once() {
+    let mut scene = Scene::new();
+    let starts = [("a", 1), ("a", 0), ("b", 0), ("b", 1), ("a", 2), ("b", 2)];
+    let mut refused = Vec::new();
+    for (request, (id, born)) in (1..).zip(starts) {
+        let crash = Crash {
+            upstream: start_of(id, born),
+            ..scene.crash(request, &[RARE])
+        };
+        let parts = vec![CRASHING];
+        scene
+            .detector
+            .record_crash(Crash { parts, ..crash }, scene.now);
+        scene.wait(2 * DELAY);
+        refused.push(scene.is_refused(20, &[CRASHING]));
+    }
+
+    assert_eq!(refused, [false, false, false, false, true, true]);
+}
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -39,7 +39,12 @@
     /// Events of the answers to the crashing prompts, and to the sound ones.
     events: (u64, u64),
     crash_interval: Duration,
-    outage_interval: Duration,
+    sound_interval: Duration,
+    /// Time between two crashes of a data centre, if there are any.
+    outage_interval: Option<Duration>,
+    engine_count: usize,
+    /// Engines come back under the ids that they had.
+    has_stable_ids: bool,
 }
 
 impl Scene {
@@ -49,7 +54,10 @@
             sound,
             events: (20, 60),
             crash_interval: Duration::from_millis(150),
-            outage_interval: OUTAGE_INTERVAL,
+            sound_interval: Duration::from_millis(60),
+            outage_interval: Some(OUTAGE_INTERVAL),
+            engine_count: ENGINE_COUNT,
+            has_stable_ids: false,
         }
     }
 }
@@ -108,7 +116,7 @@
                     async move { send_prompt(&caller, shared_parts, scene.events.1).await },
                 );
             sent.push((sent_at, sending));
-            tokio::time::sleep(Duration::from_millis(60)).await;
+            tokio::time::sleep(scene.sound_interval).await;
         }
         let mut requests = Vec::new();
         for (sent_at, sending) in sent {
@@ -154,10 +162,13 @@
 /// Crashes all engines of one data centre again and again.
 fn crash_a_data_centre_in_turn(
     environment: &TestEnvironment,
-    interval: Duration,
+    interval: Option<Duration>,
 ) -> JoinHandle<()> {
     let engines = environment.engines.clone();
     tokio::spawn(async move {
+        let Some(interval) = interval else {
+            return;
+        };
         loop {
             tokio::time::sleep(interval).await;
             for engine in engines.iter().skip(1).step_by(2) {
@@ -174,13 +185,17 @@
 async fn assert_part_is_found(scene: Scene) {
     let mut crashing = scene.crashing.iter();
     assert!(crashing.all(|parts| parts.contains(CRASHING_PART)));
-    let environment = TestEnvironment::start(ENGINE_COUNT).await;
+    let environment = TestEnvironment::start(scene.engine_count).await;
     for engine in &environment.engines {
         *engine.prefill_time.lock().expect("unpoisoned") = Duration::from_millis(300);
         *engine.event_interval.lock().expect("unpoisoned") = Duration::from_millis(15);
     }
     let (_nodes, callers) = environment.start_ready_nodes(NODE_COUNT).await;
-    let restarting = environment.restart_crashed_engines(ENGINE_DOWN_TIME);
+    let restarting = if scene.has_stable_ids {
+        environment.restart_crashed_engines_under_same_ids(ENGINE_DOWN_TIME)
+    } else {
+        environment.restart_crashed_engines(ENGINE_DOWN_TIME)
+    };
     let is_over = Arc::new(AtomicBool::new(false));
     let sound = send_sound_parts(&callers, scene, &is_over);
     tokio::time::sleep(Duration::from_secs(2)).await;
@@ -249,7 +264,7 @@
     Scene {
         events: (120, 120),
         crash_interval: Duration::from_millis(300),
-        outage_interval: Duration::from_secs(4),
+        outage_interval: Some(Duration::from_secs(4)),
         ..Scene::new(crashing, sound)
     }
 }
@@ -279,3 +294,31 @@
     const SOUND: &[&str] = &["aa:200,", "aa:200,bb:50,", "aa:200,cc:40,"];
     assert_part_is_found(long_streams(CRASHING, SOUND)).await;
 }
+
+/// Few engines, which come back under the ids that they had.
+fn stable_ids(engine_count: usize) -> Scene {
+    Scene {
+        crash_interval: Duration::from_millis(600),
+        sound_interval: Duration::from_millis(90),
+        outage_interval: None,
+        engine_count,
+        has_stable_ids: true,
+        ..Scene::new(
+            &["aa:200,dead0:300,", "dead0:300,"],
+            &["aa:200,", "aa:200,cc:40,"],
+        )
+    }
+}
+
+/// Guards against crashes that are counted by the ids of engines: with two ids nothing reaches
+/// the three crashes of a conviction.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_where_two_engines_come_back_under_the_same_ids() {
+    assert_part_is_found(stable_ids(2)).await;
+}
+
+/// Guards against the same with three ids, of which each counts once in half an hour.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_where_three_engines_come_back_under_the_same_ids() {
+    assert_part_is_found(stable_ids(3)).await;
+}
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -262,6 +262,23 @@
         (nodes, callers)
     }
 
+    /// Restarts crashed engines under their ids, each after it was down for `down_time`, until
+    /// the returned task is aborted.
+    pub fn restart_crashed_engines_under_same_ids(&self, down_time: Duration) -> JoinHandle<()> {
+        let (engines, store) = (self.engines.clone(), self.store.clone());
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                for engine in &engines {
+                    if engine.down_time().is_some_and(|time| time >= down_time) {
+                        engine.restart_under_same_id().await;
+                        store.put("servers", &engine.id(), engine.entry("ready"));
+                    }
+                }
+            }
+        })
+    }
+
     /// Restarts crashed engines, each after it was down for `down_time`, until the
     /// returned task is aborted.
     pub fn restart_crashed_engines(&self, down_time: Duration) -> JoinHandle<()> {
