Keep the crashes on which convictions rest in the store, for nodes that start

Evidence lived in the memory of nodes only. After all were killed at once a crashing part had to be found a second time. One node writes the last 24 crashes of each conviction to an object of the store now, with the revision as condition, and each node reads it once after its start. While the store is away, nodes go on with what they know and try again.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -20,6 +20,7 @@
 pub(crate) mod settings;
 pub(crate) mod status_api;
 pub(crate) mod store_watch;
+pub(crate) mod stored_crashes;
 pub(crate) mod stored_run_origin_reader;
 pub(crate) mod stored_run_origins;
 pub(crate) mod unanswered_call;
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -24,6 +24,7 @@
 use super::settings::EdgeSettings;
 use super::status_api::StatusApi;
 use super::store_watch::{ROUTING_DOCUMENT, StoreWatch};
+use super::stored_crashes::StoredCrashes;
 use super::stored_run_origins::StoredRunOrigins;
 use crate::clock::unix_ms;
 use crate::configuration::document::DocumentStore;
@@ -158,6 +159,11 @@
             forwarder: forwarder.clone(),
         };
         tokio::spawn(served_versions.run());
+        let stored_crashes = StoredCrashes {
+            store: store.with_own_connections(),
+            forwarder: forwarder.clone(),
+        };
+        tokio::spawn(stored_crashes.run());
         let status_api = Arc::new(StatusApi {
             forwarder: forwarder.clone(),
             address_ttl_max: settings.address_keep,
--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -14,7 +14,7 @@
 use super::request::Call;
 use super::upstream::Upstream;
 use crate::clock::unix_ms;
-use crate::policy::crash_evidence::{Clearance, Crash, Incarnation};
+use crate::policy::crash_evidence::{Clearance, Crash, EVIDENCE_TTL, Incarnation, StoredCrash};
 use crate::policy::crash_time::{CrashTime, SURVIVAL_TIME, Survival};
 use crate::policy::failure_response::GiveUpReason;
 use crate::policy::poison_detector::{Decision, PoisonDetector};
@@ -119,6 +119,30 @@
         self.lock().record_crash(crash, Instant::now());
     }
 
+    /// Applies a crash from the store that became known so long ago.
+    pub(crate) fn apply_stored_crash(&self, crash: Crash, age: Duration) {
+        let now = Instant::now();
+        if age < EVIDENCE_TTL {
+            let known_at = now.checked_sub(age).unwrap_or(now);
+            self.lock().record_crash(crash, known_at);
+        }
+    }
+
+    /// The crashes on which the present convictions rest.
+    pub(crate) fn convicting_crashes(&self) -> Vec<StoredCrash> {
+        let mut detector = self.lock();
+        if detector.is_empty() {
+            return Vec::new();
+        }
+        let crashes = detector.convicting_crashes(Instant::now()).into_iter();
+        let now_unix_ms = unix_ms();
+        let stored = crashes.map(|(crash, age)| StoredCrash {
+            crash,
+            known_unix_ms: now_unix_ms.saturating_sub(age.as_millis() as u64),
+        });
+        stored.collect()
+    }
+
     /// Applies a clearance that a peer found.
     pub(crate) fn apply_clearance(&self, clearance: Clearance) {
         self.lock().apply_clearance(clearance, Instant::now());
--- a/src/policy/crash_evidence.rs
+++ b/src/policy/crash_evidence.rs
@@ -54,6 +54,14 @@
     pub(crate) version: Version,
 }
 
+/// A crash as the store keeps it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct StoredCrash {
+    pub(crate) crash: Crash,
+    /// When it became known to the node that wrote it.
+    pub(crate) known_unix_ms: u64,
+}
+
 /// States that a feature did not cause the crashes up to a version, as far as these came no
 /// later in their answers than `longest`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -237,6 +245,14 @@
         }
     }
 
+    /// The known crashes with their ages, in the order in which they became known.
+    pub(crate) fn crashes(&self, now: Instant) -> impl Iterator<Item = (&Crash, Duration)> {
+        let age = move |at: Instant| now.saturating_duration_since(at);
+        self.crashes
+            .iter()
+            .map(move |k| (&k.crash, age(k.known_at)))
+    }
+
     pub(crate) fn crash_count(&self) -> usize {
         self.crashes.len()
     }
--- a/src/policy/crash_time.rs
+++ b/src/policy/crash_time.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// The crash time that a record states.
+    pub(crate) fn from_ms(ms: u32) -> Self {
+        Self::of(Duration::from_millis(ms.into()))
+    }
+
     pub(crate) fn as_ms(self) -> u32 {
         self.ms
     }
--- a/src/policy/poison_detector.rs
+++ b/src/policy/poison_detector.rs
@@ -43,6 +43,10 @@
 const TRIAL_GAP: Duration = Duration::from_secs(4);
 /// Time after which a trial that ended in neither way is repeated.
 const TRIAL_DURATION_MAX: Duration = Duration::from_secs(15);
+/// Maximum number of convictions that are kept in the store.
+const STORED_CONVICTIONS_MAX: usize = 16;
+/// Maximum number of crashes of one conviction that are kept in the store.
+const STORED_CRASHES_MAX: usize = 24;
 /// Number of known crashes above which the evidence is evaluated at intervals only.
 const EVALUATED_AT_ONCE_MAX: usize = 24;
 /// Shortest time between two evaluations of many crashes.
@@ -113,6 +117,15 @@
         self.features.iter().all(|feature| crash.has(*feature))
     }
 
+    /// The crash with no parts but those that are convicted.
+    fn reduce(&self, crash: &Crash) -> Crash {
+        let parts = crash.parts.iter().copied();
+        Crash {
+            parts: parts.filter(|part| self.features.contains(part)).collect(),
+            ..crash.clone()
+        }
+    }
+
     fn applies_to(&self, features: &[Fingerprint], now: Instant) -> bool {
         now >= self.effective_at && self.features.iter().all(|f| features.contains(f))
     }
@@ -159,6 +172,22 @@
         self.is_outdated |= self.evidence.add_clearance(clearance, now);
     }
 
+    /// The last crashes on which the present convictions rest, each with its age. Between them no
+    /// crash is left out, since a pause counts as a trial that failed.
+    pub(crate) fn convicting_crashes(&mut self, now: Instant) -> Vec<(Crash, Duration)> {
+        self.evaluate(now);
+        let convictions = self.convictions.iter().take(STORED_CONVICTIONS_MAX);
+        let of_conviction = |conviction: &Conviction| {
+            let known = self.evidence.crashes(now);
+            let resting = known.filter(|(crash, _)| conviction.rests_on(crash));
+            let mut crashes: Vec<(Crash, Duration)> = resting
+                .map(|(crash, age)| (conviction.reduce(crash), age))
+                .collect();
+            crashes.split_off(crashes.len().saturating_sub(STORED_CRASHES_MAX))
+        };
+        convictions.flat_map(of_conviction).collect()
+    }
+
     /// Number of convictions. Without one, no request is refused.
     pub(crate) fn conviction_count(&mut self, now: Instant) -> usize {
         self.evaluate(now);
--- a/src/policy/tests/poison_detector.rs
+++ b/src/policy/tests/poison_detector.rs
@@ -433,3 +433,37 @@
 
     assert_eq!(refused, [false, false, false, false, true, true]);
 }
+
+/// Guards against nodes that know nothing of a conviction after all of them were killed, and
+/// against one that they would never try again.
+#[test]
+fn a_conviction_holds_after_a_restart_with_the_crashes_from_the_store() {
+    let mut scene = Scene::new();
+    for request in 1..=30 {
+        let crash_time = Duration::from_millis(880);
+        scene.late_crash(request, &[COMMON, CRASHING], crash_time);
+        scene.wait(Duration::from_millis(700));
+    }
+    scene.survival_of(40, &[COMMON], Duration::from_secs(4));
+    let stored = scene.detector.convicting_crashes(scene.now);
+
+    let mut restarted = Scene::new();
+    restarted.wait(Duration::from_secs(100));
+    for (crash, age) in &stored {
+        restarted
+            .detector
+            .record_crash(crash.clone(), restarted.now - *age);
+    }
+
+    assert!(stored.len() <= 24, "{} crashes", stored.len());
+    for parts in [&[CRASHING][..], &[COMMON, CRASHING], &[COMMON], &[RARE]] {
+        let before = scene.verdict(50, parts);
+        assert_eq!(restarted.verdict(50, parts), before, "{parts:?}");
+    }
+    assert!(restarted.is_refused(50, &[CRASHING]));
+    restarted.wait(Duration::from_secs(6));
+    assert!(matches!(
+        restarted.verdict(50, &[CRASHING]),
+        Verdict::TrialDue(_)
+    ));
+}
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -7,9 +7,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use support::edge_environment::TestEnvironment;
 use support::edge_environment::caller::Caller;
 use support::edge_environment::engine::CRASHING_PART;
+use support::edge_environment::{KillableNode, NodeSpec, TestEnvironment};
 use tokio::task::JoinHandle;
 
 /// Time after which all nodes know what one of them saw.
@@ -322,3 +322,51 @@
 async fn a_part_is_found_where_three_engines_come_back_under_the_same_ids() {
     assert_part_is_found(stable_ids(3)).await;
 }
+
+async fn start_nodes(specs: &[NodeSpec], environment: &TestEnvironment) -> Vec<KillableNode> {
+    let mut nodes = Vec::new();
+    for spec in specs {
+        nodes.push(KillableNode::start(spec, environment.store.address).await);
+    }
+    for spec in specs {
+        Caller::new(spec).wait_until_ready().await;
+    }
+    nodes
+}
+
+/// Guards against evidence that only lives in the memory of nodes: after all of them are killed,
+/// the part would have to be found a second time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_known_to_nodes_that_were_all_killed_at_once() {
+    let scene = Scene {
+        crash_interval: Duration::from_millis(300),
+        ..Scene::new(&["aa:200,dead0:300,", "dead0:300,"], &[])
+    };
+    let environment = TestEnvironment::start(scene.engine_count).await;
+    let specs = NodeSpec::cluster(NODE_COUNT);
+    let nodes = start_nodes(&specs, &environment).await;
+    let callers: Vec<Caller> = specs.iter().map(Caller::new).collect();
+    let restarting = environment.restart_crashed_engines(ENGINE_DOWN_TIME);
+    let crashing = send_crashing_parts(&callers, scene);
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    nodes.into_iter().for_each(KillableNode::kill);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let nodes = start_nodes(&specs, &environment).await;
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    crashing.abort();
+    restarting.abort();
+    nodes.into_iter().for_each(KillableNode::kill);
+
+    let crashes = part_crashes(&environment);
+    let counted_crash = crashes[COUNTED_CRASHES - 1];
+    let late = arrivals(&environment, CRASHING_PART).into_iter();
+    let late_count = late.filter(|at| *at > counted_crash + CONTACT_TIME).count();
+    println!(
+        "engines crashed {}, late arrivals {late_count}",
+        crashes.len()
+    );
+    assert!(
+        late_count <= LATE_ARRIVALS_MAX,
+        "{late_count} late arrivals"
+    );
+}
