Order the versions of crashes whatever the clocks of nodes say

A clearance names the version of the last crash that it covers, in Unix milliseconds of the node that saw that crash. A node whose clock was ahead, or jumped back, thereby cleared the part of crashes that others saw later. A node gives a crash a version above all that it knows now, and ages of stored crashes don't depend on the writer's clock.

a_clearance_by_a_clock_that_is_ahead_clears_no_later_crash fails with plain Unix milliseconds as versions, in one run, and passes now; 166 unit tests pass. No run with real processes, whose clocks can't be set apart in one test process.

--- a/src/edge/stored_crashes.rs
+++ b/src/edge/stored_crashes.rs
@@ -14,7 +14,7 @@
 use crate::id::Version;
 use crate::observe::metrics::Counter;
 use crate::platform::store::{Store, StoreFailure};
-use crate::policy::crash_evidence::StoredCrash;
+use crate::policy::crash_evidence::{Crash, StoredCrash};
 
 /// Interval at which a node compares its convictions with what the store has, and tries to read
 /// the object until it could.
@@ -83,12 +83,9 @@
                 crashes: Vec::new(),
             });
         };
-        let now_unix_ms = unix_ms();
-        for stored in &object.crashes {
-            let age_ms = now_unix_ms.saturating_sub(stored.known_unix_ms);
-            let age = Duration::from_millis(age_ms);
+        for (crash, age) in ages(&object.crashes, unix_ms()) {
             let crashes = &self.forwarder.request_crashes;
-            crashes.apply_stored_crash(stored.crash.clone(), age);
+            crashes.apply_stored_crash(crash.clone(), age);
         }
         let count = object.crashes.len();
         log::info!("event=stored_crashes_read crashes={count}");
@@ -110,3 +107,12 @@
         Ok(())
     }
 }
+
+/// The crashes with their ages. If the clock of the node that wrote them was ahead, the last
+/// counts as just known, and the times between them hold.
+pub(crate) fn ages(stored: &[StoredCrash], now_unix_ms: u64) -> Vec<(&Crash, Duration)> {
+    let newest = stored.iter().map(|s| s.known_unix_ms).max().unwrap_or(0);
+    let now_unix_ms = now_unix_ms.max(newest);
+    let age = |stored: &StoredCrash| Duration::from_millis(now_unix_ms - stored.known_unix_ms);
+    stored.iter().map(|s| (&s.crash, age(s))).collect()
+}
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -5,5 +5,6 @@
 mod run_origin_log;
 mod store_eras;
 mod store_watch;
+mod stored_crashes;
 mod stored_run_origins;
 mod upstream_log;
--- a/src/fleet/part_crashes.rs
+++ b/src/fleet/part_crashes.rs
@@ -105,7 +105,7 @@
             parts: detector.suspect_parts(parts.hashes()),
             was_writing: phase == RunPhase::Beginning,
             time: CrashTime::IMMEDIATE,
-            version: unix_ms(),
+            version: detector.next_version(unix_ms()),
         };
         let is_new = detector.record_crash(crash.clone(), Instant::now());
         drop(detector);
--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -171,7 +171,7 @@
             parts: detector.suspect_parts(call.shared_parts()),
             was_writing,
             time: CrashTime::of(written),
-            version: unix_ms(),
+            version: detector.next_version(unix_ms()),
         };
         let is_new = detector.record_crash(crash.clone(), now);
         let verdict = detector.verdict(&call.features(), now);
--- a/src/policy/crash_evidence.rs
+++ b/src/policy/crash_evidence.rs
@@ -50,7 +50,8 @@
     pub(crate) was_writing: bool,
     /// How long it had written the answer.
     pub(crate) time: CrashTime,
-    /// Unix milliseconds at the node that saw the crash.
+    /// Unix milliseconds at the node that saw the crash, or later: see
+    /// [`CrashEvidence::next_version`].
     pub(crate) version: Version,
 }
 
@@ -156,6 +157,15 @@
         true
     }
 
+    /// The version of a crash that this node sees now. It is above all that are known, so that
+    /// what was cleared before does not clear it, whatever the clocks of nodes say.
+    pub(crate) fn next_version(&self, now_unix_ms: u64) -> Version {
+        let crashes = self.crashes.iter().map(|known| known.crash.version);
+        let clearances = self.clearances.values().map(|(up_to, _)| *up_to);
+        let highest = crashes.chain(clearances).max().unwrap_or(0);
+        now_unix_ms.max(highest.saturating_add(1))
+    }
+
     /// Takes the start of an upstream whose start is unknown, as records of earlier builds leave
     /// it, from another crash under its id, so that one crash does not count as two.
     fn complete_start(&mut self, upstream: &mut Incarnation) {
--- a/src/policy/poison_detector.rs
+++ b/src/policy/poison_detector.rs
@@ -20,7 +20,7 @@
 use super::crash_time::Survival;
 use super::sound_parts::SoundParts;
 use crate::hash::Fnv;
-use crate::id::Fingerprint;
+use crate::id::{Fingerprint, Version};
 
 /// Number of crashes that must count against a feature to convict it.
 const CONVICTION_CRASHES_MIN: usize = 3;
@@ -142,6 +142,11 @@
         is_new
     }
 
+    /// The version of a crash that this node sees now.
+    pub(crate) fn next_version(&self, now_unix_ms: u64) -> Version {
+        self.evidence.next_version(now_unix_ms)
+    }
+
     /// Chooses the parts of a prompt against which the crash of its upstream is evidence.
     pub(crate) fn suspect_parts(&self, parts: Vec<Fingerprint>) -> Vec<Fingerprint> {
         let mut suspects = self.sound_parts.rank_suspects(parts);
--- a/src/policy/tests/poison_detector.rs
+++ b/src/policy/tests/poison_detector.rs
@@ -467,3 +467,38 @@
         Verdict::TrialDue(_)
     ));
 }
+
+/// Guards against a node whose clock is ahead, or was until it jumped back, whose sound run
+/// clears the part of crashes that nodes with a correct clock see later.
+#[test]
+fn a_clearance_by_a_clock_that_is_ahead_clears_no_later_crash() {
+    const AHEAD_MS: u64 = 8_000;
+    let mut scene = Scene::new();
+    let first = scene.crash(1, &[CRASHING]);
+    let ahead = Crash {
+        upstream: start_of("ahead", 1),
+        version: first.version + AHEAD_MS,
+        ..first.clone()
+    };
+    scene.detector.record_crash(ahead.clone(), scene.now);
+    let clearance = Clearance {
+        feature: CRASHING,
+        up_to: ahead.version,
+        longest: CrashTime::IMMEDIATE,
+    };
+    scene.detector.apply_clearance(clearance, scene.now);
+
+    for request in 2..=4_u64 {
+        scene.wait(Duration::from_millis(500));
+        let crash = Crash {
+            upstream: start_of("correct", request),
+            request,
+            version: scene.detector.next_version(first.version + 500 * request),
+            ..first.clone()
+        };
+        scene.detector.record_crash(crash, scene.now);
+    }
+    scene.wait(DELAY);
+
+    assert!(scene.is_refused(10, &[CRASHING]));
+}
