Let streams that are cheap to resume choose their engines first

After a loss, streams that read their prompts again could take the retry budget and the idle engines before those with replicas.

--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -34,6 +34,7 @@
 use crate::forward::observation::Observations;
 use crate::forward::reach_monitor::ReachMonitor;
 use crate::forward::request_crashes::RequestCrashes;
+use crate::forward::resume_queue::ResumeQueue;
 use crate::forward::retry_budgets::RetryBudgets;
 use crate::forward::run_origin::RunOrigins;
 use crate::forward::sessions::Sessions;
@@ -114,6 +115,7 @@
             budgets: RetryBudgets::new(settings.retry_limits()),
             request_crashes: RequestCrashes::new(observation_channel.clone()),
             sessions: Sessions::new(observation_channel.clone()),
+            resumes: ResumeQueue::default(),
             run_origins: RunOrigins::default(),
             observations: observation_channel,
             metrics,
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -17,6 +17,7 @@
 use super::relay::RelayPeer;
 use super::request::Call;
 use super::request_crashes::{Permission, RequestCrashes};
+use super::resume_queue::ResumeQueue;
 use super::retry_budgets::RetryBudgets;
 use super::route_table::{AdmissionError, MatchedRoute, RouteTable};
 use super::run_origin::{OriginSearch, RunKey, RunOrigin, RunOrigins};
@@ -119,6 +120,8 @@
     pub(crate) request_crashes: RequestCrashes,
     /// Engines at which the prompts of recent streams are cached.
     pub(crate) sessions: Sessions,
+    /// The streams that have lost their upstreams and have not chosen others yet.
+    pub(crate) resumes: ResumeQueue,
     /// Where recent runs began.
     pub(crate) run_origins: RunOrigins,
     /// Publishes to other nodes what this node observes.
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -34,6 +34,7 @@
 mod reported_start;
 pub(crate) mod request;
 pub(crate) mod request_crashes;
+pub(crate) mod resume_queue;
 pub(crate) mod retry_budgets;
 pub(crate) mod route_table;
 pub(crate) mod run_origin;
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -230,6 +230,7 @@
     async fn next_upstream(&mut self) -> Result<NextUpstream, OpenFailure> {
         self.await_crash_check().await;
         self.check_may_send()?;
+        let _turn = self.wait_for_turn().await;
         let upstream = self.choose_upstream().await?;
         self.spend_retry().await?;
         Ok(self.next_at(upstream))
--- a/src/forward/stream_choice.rs
+++ b/src/forward/stream_choice.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use super::forwarder::NodeContext;
+use super::resume_queue::ResumeTurn;
 use super::run_replica::{RunReplica, lock};
 use super::stream_call::{NextUpstream, OpenFailure, StreamRun};
 use super::upstream::Upstream;
@@ -11,6 +12,7 @@
 use crate::observe::metrics::Counter;
 use crate::policy::failure_response::GiveUpReason;
 use crate::policy::placement::{choose_engine, knows_speed};
+use crate::policy::resume_order::ResumeRank;
 
 impl<N: NodeContext> StreamRun<N> {
     /// Chooses an upstream that has room for the call. A stream that has begun waits for a
@@ -40,6 +42,22 @@
         }
     }
 
+    /// Waits until those of the node's streams that lost their upstreams and go first have
+    /// chosen others. Only where the configuration makes streams differ in what a resumption
+    /// costs or in how urgent it is, and only after a send to another upstream.
+    pub(super) async fn wait_for_turn(&self) -> Option<ResumeTurn> {
+        let priority_class = self.call.priority_class;
+        let may_differ = self.can_be_replicated() || priority_class.is_some();
+        if self.tried.is_empty() || !may_differ {
+            return None;
+        }
+        let has_replica = lock(&self.replica)
+            .as_ref()
+            .is_some_and(|replica| self.can_resume_from(replica));
+        let rank = ResumeRank::new(has_replica, priority_class);
+        Some(self.forwarder.resumes.wait_for_turn(rank).await)
+    }
+
     /// Chooses the holder of the run's replica if there is one, otherwise the
     /// engine that has the prompt cached, otherwise the least busy engine.
     fn candidate(&self, excluded: &[Arc<Upstream>]) -> Option<Arc<Upstream>> {
--- a/src/forward/stream_move.rs
+++ b/src/forward/stream_move.rs
@@ -144,6 +144,7 @@
             ));
         }
         self.check_may_send()?;
+        let _turn = self.wait_for_turn().await;
         for _ in 0..CANDIDATES_MAX {
             let upstream = self.choose_upstream().await?;
             if self.forwarder.responds(&upstream).await {
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -4,5 +4,6 @@
 mod connection;
 mod departed_notices;
 mod probe;
+mod resume_queue;
 mod run_origin;
 mod send_history;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod placement;
 pub(crate) mod poison_detector;
 pub(crate) mod priority_class;
+pub(crate) mod resume_order;
 pub(crate) mod retry_budget_share;
 pub(crate) mod send_decision;
 pub(crate) mod send_probe;
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -8,6 +8,7 @@
 mod outage;
 mod placement;
 mod poison_detector;
+mod resume_order;
 mod retry_budget_share;
 mod send_probe;
 mod store_contact;
