--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -39,6 +39,7 @@
 use crate::forward::reach_monitor::ReachMonitor;
 use crate::forward::request_crashes::RequestCrashes;
 use crate::forward::reread_line::RereadLine;
+use crate::forward::resume_queue::ResumeQueue;
 use crate::forward::retry_budgets::RetryBudgets;
 use crate::forward::rollouts::Rollouts;
 use crate::forward::run_origin::RunOrigins;
@@ -128,6 +129,7 @@
             request_crashes: RequestCrashes::new(observation_channel.clone()),
             sessions: Sessions::new(observation_channel.clone()),
             rollouts: Rollouts::new(settings.rollouts),
+            resumes: ResumeQueue::default(),
             run_origins: RunOrigins::default(),
             observations: observation_channel,
             memory: MemoryBudget::new(MemoryShares::of_process(settings.memory_mb)),
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -19,6 +19,7 @@
 use super::request::Call;
 use super::request_crashes::{Permission, RequestCrashes};
 use super::reread_line::RereadLine;
+use super::resume_queue::ResumeQueue;
 use super::retry_budgets::RetryBudgets;
 use super::rollouts::Rollouts;
 use super::route_table::{AdmissionError, MatchedRoute, RouteTable};
@@ -137,6 +138,8 @@
     pub(crate) sessions: Sessions,
     /// Rollouts of new software versions of the services.
     pub(crate) rollouts: Rollouts,
+    /// The streams that have lost their upstreams and have not chosen others yet.
+    pub(crate) resumes: ResumeQueue,
     /// Where recent runs began.
     pub(crate) run_origins: RunOrigins,
     /// Publishes to other nodes what this node observes.
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -38,6 +38,7 @@
 pub(crate) mod request;
 pub(crate) mod request_crashes;
 pub(crate) mod reread_line;
+pub(crate) mod resume_queue;
 pub(crate) mod retry_budgets;
 pub(crate) mod rollouts;
 pub(crate) mod route_table;
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -6,5 +6,6 @@
 mod hedges;
 mod probe;
 mod reread_line;
+mod resume_queue;
 mod run_origin;
 mod send_history;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -19,6 +19,7 @@
 pub(crate) mod poison_detector;
 pub(crate) mod priority_class;
 pub(crate) mod reread_line;
+pub(crate) mod resume_order;
 pub(crate) mod retry_budget_share;
 pub(crate) mod rollout;
 pub(crate) mod rollout_evidence;
--- a/src/policy/tests/mod.rs
+++ b/src/policy/tests/mod.rs
@@ -11,6 +11,7 @@
 mod outage;
 mod placement;
 mod poison_detector;
+mod resume_order;
 mod retry_budget_share;
 mod rollout;
 mod rollout_scene;
