Begin the scenes of a lost store with their heartbeat

Contacts of one time keep the order given now; at later times a failure follows a heartbeat, which is the harder order.

--- a/src/policy/tests/store_contact.rs
+++ b/src/policy/tests/store_contact.rs
@@ -16,9 +16,10 @@
 }
 
 /// What a node learns of the store: heartbeats from peers (true) and failures of its own,
-/// in the order of the times in ms.
+/// in the order of the times in ms. Those of one time stay in the order given: the scenes begin
+/// with a heartbeat, without which a node can't tell how long the store had been away.
 fn apply(expiry: &mut EntryExpiry, start: Instant, mut contacts: Vec<(u64, bool)>) {
-    contacts.sort_unstable();
+    contacts.sort_by_key(|(at_ms, _)| *at_ms);
     for (at_ms, is_heartbeat) in contacts {
         let at = start + ms(at_ms);
         if is_heartbeat {
