Let whole answers refute crashes up to their length

Late crashes had made an opposite error possible: a whole answer refuted only crashes of two thirds of its length, so nothing cleared the first part of sound streams of a second that were lost with a data centre every 7 s. Only the rest of a resumed answer needs to outlast a crash by half now.

--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -88,9 +88,14 @@
 
     /// Records that an upstream wrote the call's whole answer from `began_at` on.
     pub(crate) fn record_whole_answer(&self, call: &Call, began_at: Instant) {
-        let now = Instant::now();
-        self.lock().record_sound_parts(&call.shared_parts(), now);
-        self.record_survival(call, Survival::of_whole_answer(began_at, now));
+        self.record_end(call, Survival::of_whole_answer(began_at, Instant::now()));
+    }
+
+    /// Records that an upstream wrote the call's answer to its end.
+    pub(crate) fn record_end(&self, call: &Call, survival: Survival) {
+        self.lock()
+            .record_sound_parts(&call.shared_parts(), Instant::now());
+        self.record_survival(call, survival);
     }
 
     /// Records that an upstream goes on with the call's answer.
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -184,6 +184,7 @@
         let deadline = self.call.deadline.into();
         let mut is_handed_over = false;
         let mut survival_due = SURVIVAL_TIME;
+        let is_resumed = self.last_event.is_some();
         loop {
             let frame = tokio::select! {
                 () = forwarder.node.shutdown_imminent(), if !is_handed_over => {
@@ -242,7 +243,7 @@
                     self.free_current_replica(&upstream);
                     // An upstream that crashes may seem to end such an answer.
                     if !is_close_delimited {
-                        self.record_whole_answer(first_event_at);
+                        self.record_end(first_event_at, is_resumed);
                     }
                     return SegmentEnd::Complete;
                 }
@@ -359,11 +360,18 @@
         }
     }
 
-    /// Records that an upstream wrote the answer to its end.
-    fn record_whole_answer(&self, first_event_at: Option<Instant>) {
-        let began_at = first_event_at.unwrap_or_else(Instant::now);
-        let crashes = &self.forwarder.request_crashes;
-        crashes.record_whole_answer(&self.call, began_at);
+    /// Records that an upstream wrote the answer, or the rest of a resumed one, to its end.
+    fn record_end(&self, first_event_at: Option<Instant>, is_resumed: bool) {
+        let now = Instant::now();
+        let began_at = first_event_at.unwrap_or(now);
+        let survival = if is_resumed {
+            Survival::of_rest(began_at, now)
+        } else {
+            Survival::of_whole_answer(began_at, now)
+        };
+        self.forwarder
+            .request_crashes
+            .record_end(&self.call, survival);
     }
 
     /// Checks what became of an upstream whose connection broke. One that had sent
--- a/src/policy/crash_time.rs
+++ b/src/policy/crash_time.rs
@@ -78,9 +78,18 @@
         })
     }
 
-    /// A run whose answer is whole. It refutes clearly shorter crash times: a short answer may end
-    /// just before the upstream would have crashed.
+    /// A run that wrote a whole answer. It refutes the crashes that took no longer, since sound
+    /// runs of the same length can do no more.
     pub(crate) fn of_whole_answer(began_at: Instant, now: Instant) -> Self {
+        Self {
+            began_at,
+            refutes: CrashTime::of(now.saturating_duration_since(began_at)),
+        }
+    }
+
+    /// A run that wrote the rest of an answer. It refutes clearly shorter crash times: the rest
+    /// may end just before the upstream would have crashed.
+    pub(crate) fn of_rest(began_at: Instant, now: Instant) -> Self {
         Self {
             began_at,
             refutes: CrashTime::of(now.saturating_duration_since(began_at) * 2 / 3),
--- a/src/policy/tests/poison_detector.rs
+++ b/src/policy/tests/poison_detector.rs
@@ -502,3 +502,25 @@
 
     assert!(scene.is_refused(10, &[CRASHING]));
 }
+
+/// Guards against a sound part of short streams that nothing clears of the losses of data centres:
+/// a whole answer goes on for no longer than such a stream can.
+#[test]
+fn whole_answers_clear_the_crashes_of_streams_of_their_length() {
+    let mut scene = Scene::new();
+
+    for loss in 0..4 {
+        scene.late_crash(loss, &[COMMON], Duration::from_millis(940));
+        scene.late_crash(10 + loss, &[COMMON], Duration::from_millis(800));
+        scene.wait(Duration::from_millis(100));
+        let began_at = scene.now;
+        scene.wait(Duration::from_millis(960));
+        let survival = Survival::of_whole_answer(began_at, scene.now);
+        let features = features(50, &[COMMON]);
+        scene
+            .detector
+            .record_survival(&features, survival, scene.now);
+        scene.wait(Duration::from_secs(6));
+        assert!(!scene.is_refused(60, &[COMMON]), "loss {loss}");
+    }
+}
