Test that bodies without room are refused with a promise

A crowd that announces bodies and sends none of them fills the budget. It was not run on the code before the budget.

--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -124,7 +124,7 @@
 struct Scene {
     node: NodeProcess,
     limits: ProcessLimits,
-    _environment: TestEnvironment,
+    environment: TestEnvironment,
     _only: MutexGuard<'static, ()>,
 }
 
@@ -139,7 +139,7 @@
         Self {
             node,
             limits,
-            _environment: environment,
+            environment,
             _only: only,
         }
     }
@@ -318,6 +318,25 @@
     scene.check(crowd).await;
 }
 
+// Guards against refusals without a promise that the call never runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_that_find_no_room_are_refused_with_408_or_503_and_do_not_run() {
+    let mut scene = Scene::start("no-room", LIMITS).await;
+    let sending = Sending::announced(BODY_BYTES, Vec::new());
+    let (mut crowd, _) = send_all(&scene.node.caller, sending).await;
+
+    let answers = join_all(crowd.iter_mut().map(read_response)).await;
+
+    assert_eq!(answers.len(), CALLER_COUNT);
+    assert!(answers.iter().any(|answer| answer.status == 503));
+    for answer in &answers {
+        assert!(matches!(answer.status, 408 | 503), "{answer:?}");
+        assert!(answer.header("retry-after").is_some(), "{answer:?}");
+    }
+    assert_eq!(scene.environment.executed_count(), 0);
+    scene.check(crowd).await;
+}
+
 // Guards against limits that refuse what today's callers send.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_bodies_over_slow_links_are_served_while_there_is_room() {
