--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -169,7 +169,11 @@
         };
         let paused_ms = prefill_ms * f64::from(candidate.call_count) * PAUSE_WEIGHT;
         let cost_ms = queue_ms + prefill_ms + others_ms + paused_ms;
-        (cost_ms / TIME_RESOLUTION_MS) as u64
+        // Of engines that cost the same, the one with the fewest calls: the pause that a short
+        // prompt causes is below the resolution.
+        let steps = (cost_ms / TIME_RESOLUTION_MS) as u64;
+        let ranked = steps.saturating_mul(1 << 32);
+        ranked.saturating_add(u64::from(candidate.call_count))
     })
 }
 
--- a/src/policy/tests/placement.rs
+++ b/src/policy/tests/placement.rs
@@ -154,6 +154,19 @@
     assert_eq!(choose_for_prompt(&[other, waiting, other]), Some(1));
 }
 
+/// The prefill of a short prompt costs so little that an idle engine seemed as good as one
+/// that runs a stream.
+#[test]
+fn a_short_prompt_goes_to_an_idle_engine_before_one_that_runs_a_stream() {
+    let idle = engine_of_speed("idle", 1.0);
+    let mut running = engine_of_speed("running", 1.0);
+    running.call_count = 1;
+
+    for draw in 0..10 {
+        assert_eq!(choose_engine(&[running, idle], 200, draw), Some(1));
+    }
+}
+
 /// The prefill of a prompt pauses all streams that run at the engine.
 #[test]
 fn of_two_equal_engines_the_one_with_fewer_streams_reads_the_prompt() {
