Leave streams that are taken up out of the wait at the start

Change: a call that takes up a stream is refused at once, as before; new calls wait. A quarter of the engines, in place of a half, reads prompts again at once.

--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -220,7 +220,8 @@
     }
 
     /// Waits for a limited time if this node has just started and can't serve the call yet, as
-    /// `is_servable` tells.
+    /// `is_servable` tells. A call that takes up a stream does not wait: the pause has made it
+    /// late, and its prompt would be read again before those of callers who can be on time.
     async fn wait_at_startup(
         &self,
         headers: &CallHeaders,
@@ -231,7 +232,11 @@
             arrived_at,
             caller_time: headers.max_wait.unwrap_or(CALLER_TIME_DEFAULT),
         };
-        if self.node.is_draining() || !self.startup_wait.wait(call, &is_servable).await {
+        let takes_up_stream = headers.last_event.is_some();
+        if takes_up_stream
+            || self.node.is_draining()
+            || !self.startup_wait.wait(call, &is_servable).await
+        {
             return;
         }
         self.metrics.add(Counter::CallsHeldAtStartup, 1);
--- a/src/policy/reread_line.rs
+++ b/src/policy/reread_line.rs
@@ -14,7 +14,7 @@
 /// Part of the caller's remaining time that the wait may take.
 const TIME_LEFT_DIVISOR: u32 = 4;
 /// One in so many engines reads prompts again at the same time, over all nodes.
-const ENGINES_PER_REREAD: usize = 2;
+const ENGINES_PER_REREAD: usize = 4;
 
 /// Number of prompts that one of `node_count` nodes has read again at once.
 pub(crate) fn rereads_max(engine_count: usize, node_count: usize) -> usize {
