--- a/src/edge/observations.rs
+++ b/src/edge/observations.rs
@@ -22,16 +22,16 @@
 use crate::policy::upstream_limit::{PEER_LIMIT_TTL, Rate};
 
 /// Topic of upstreams that a node can no longer reach.
-const LOSS_TOPIC: u32 = 5;
+pub(super) const LOSS_TOPIC: u32 = 5;
 /// Topic of upstreams that a node discovered while the store was unavailable.
-const DISCOVERY_TOPIC: u32 = 6;
+pub(super) const DISCOVERY_TOPIC: u32 = 6;
 /// Topic of the upstreams that have the prompts of aborted streams cached.
-const HANDOVER_TOPIC: u32 = 7;
+pub(super) const HANDOVER_TOPIC: u32 = 7;
 
 /// Topic of the limits that upstreams name.
-const LIMIT_TOPIC: u32 = 9;
+pub(super) const LIMIT_TOPIC: u32 = 9;
 /// Topic of the services that a node can't reach.
-const UNREACHABLE_TOPIC: u32 = 10;
+pub(super) const UNREACHABLE_TOPIC: u32 = 10;
 
 /// Lifetime of a handover announcement; the caller retries within seconds.
 const HANDOVER_TTL: Duration = Duration::from_secs(8);
--- a/src/edge/rollout_messages.rs
+++ b/src/edge/rollout_messages.rs
@@ -15,7 +15,7 @@
 use crate::store::revision::Revision;
 
 /// Topic of the announcements of rollouts.
-pub(crate) const ROLLOUT_TOPIC: u32 = 11;
+pub(crate) const ROLLOUT_TOPIC: u32 = 12;
 /// Lifetime of such an announcement. A node that starts later reads the store.
 const ROLLOUT_TTL: Duration = Duration::from_secs(120);
 /// Bits of an announcement's version that hold the number of the store's revision, below
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -8,4 +8,5 @@
 mod store_watch;
 mod stored_crashes;
 mod stored_run_origins;
+mod topics;
 mod upstream_log;
