Ask the store less often for rollouts and stored crashes

Change: a watch of rollouts waits for 2 s, and nodes that neither watch for others nor own a rollout ask again after 5 s, for stored crashes after 2.5 s. Peers tell them what changes.

--- a/src/edge/rollout_watch.rs
+++ b/src/edge/rollout_watch.rs
@@ -26,11 +26,14 @@
 /// Wait of one watch by an owner. Each answer confirms that no other owner has settled the
 /// rollout.
 const OWNER_WATCH_TIMEOUT: Duration = Duration::from_millis(400);
+/// Wait of one watch by another node. A watch on a connection that fell silent is given up after
+/// it, well within the time in which a version has to be rolled back.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause after the store failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 /// Factor by which the pause is longer at nodes that neither watch for others nor own a
-/// rollout. In a large cluster they would be hundreds.
-const OTHERS_PAUSE_FACTOR: u32 = 5;
+/// rollout. In a large cluster they would be hundreds, and peers tell them what changes.
+const OTHERS_PAUSE_FACTOR: u32 = 25;
 
 impl RolloutCoordinator {
     /// Follows the rollouts in the store. Never returns; it ends with the runtime.
@@ -80,11 +83,10 @@
         let Some(revision) = revision else {
             return self.list().await;
         };
-        let usual = self.forwarder.node.config_watch_timeout(true);
         let wait = if self.is_any_owner() {
             OWNER_WATCH_TIMEOUT
         } else {
-            usual
+            WATCH_TIMEOUT
         };
         let changes = self.store.watch_rollouts(revision, wait).await?;
         for change in changes.changes {
--- a/src/edge/stored_crashes.rs
+++ b/src/edge/stored_crashes.rs
@@ -21,6 +21,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest time between two writes.
 const WRITE_INTERVAL_MIN: Duration = Duration::from_secs(1);
+/// Pause after the store failed, which all nodes notice together.
+const FAILURE_PAUSE: Duration = Duration::from_millis(2_500);
 
 /// Reads and writes the object.
 pub(crate) struct StoredCrashes {
@@ -42,7 +44,7 @@
             if let Err(failure) = self.update(&mut held).await {
                 held = None;
                 log::warn!("event=stored_crashes_failed cause={failure}");
-                tokio::time::sleep(WRITE_INTERVAL_MIN).await;
+                tokio::time::sleep(FAILURE_PAUSE).await;
             }
             tokio::time::sleep(CHECK_INTERVAL).await;
         }
