Refuse calls at once where the list of upstreams says that there are none

Cause: the wait at the start took a service without upstreams for one whose upstreams are not known yet. Change: unless the store failed since the start, the node waits for the list alone.

--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -44,6 +44,8 @@
     departed_notices: DepartedNotices,
     /// When the last upstream became known.
     joined_at: Option<Instant>,
+    /// Whether a whole list of upstreams was applied.
+    is_listed: bool,
 }
 
 impl State {
@@ -191,6 +193,7 @@
     pub(crate) fn replace_all(&self, entries: Vec<UpstreamEntry>, now: Instant) {
         let listed: Vec<UpstreamId> = entries.iter().map(|entry| entry.id.clone()).collect();
         let listed_count = entries.len();
+        self.lock().is_listed = true;
         let new = entries.into_iter().filter_map(|entry| self.apply(entry));
         let new_count = new.count();
         log::info!("event=upstreams_listed listed={listed_count} new={new_count}");
@@ -242,6 +245,11 @@
             .collect()
     }
 
+    /// Whether a whole list of upstreams was applied.
+    pub(crate) fn is_listed(&self) -> bool {
+        self.lock().is_listed
+    }
+
     /// When the last upstream became known.
     pub(crate) fn last_joined_at(&self) -> Option<Instant> {
         self.lock().joined_at
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -249,11 +249,15 @@
         );
     }
 
-    /// Whether the upstreams are known again whose entries may have expired with the store.
-    fn have_upstreams_returned(&self) -> bool {
+    /// Whether this node, which has just started, knows the upstreams of the service. Those
+    /// whose entries expired with the store return one after the other.
+    fn are_upstreams_known(&self, service: &str, is_stream: bool) -> bool {
+        if !self.startup_wait.has_store_failed() {
+            return self.directory.is_listed();
+        }
         let last_joined_at = self.directory.last_joined_at();
-        !self.startup_wait.has_store_failed()
-            || have_upstreams_returned(last_joined_at, Instant::now())
+        self.directory.has_upstreams_of(service)
+            && (!is_stream || have_upstreams_returned(last_joined_at, Instant::now()))
     }
 
     fn admit(
@@ -302,8 +306,7 @@
         };
         let kind = matched.route.kind;
         self.wait_at_startup(&headers, arrived_at, || {
-            self.directory.has_upstreams_of(&service)
-                && (!kind.is_stream() || self.have_upstreams_returned())
+            self.are_upstreams_known(&service, kind.is_stream())
         })
         .await;
         let mut call = Call::new(parts, headers, body, matched, service, arrived_at);
