Call the wait for prompts that are read again a queue, and restart engines of scenes in one place

A read of the whole change found a line beside the resume queue for the same kind of thing, and the loop that restarts crashed engines written twice in the support of the tests.

--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -38,7 +38,7 @@
 use crate::forward::observation::Observations;
 use crate::forward::reach_monitor::ReachMonitor;
 use crate::forward::request_crashes::RequestCrashes;
-use crate::forward::reread_line::RereadLine;
+use crate::forward::reread_queue::RereadQueue;
 use crate::forward::resume_queue::ResumeQueue;
 use crate::forward::retry_budgets::RetryBudgets;
 use crate::forward::rollouts::Rollouts;
@@ -123,7 +123,7 @@
             directory: Directory::new(observation_channel.clone()),
             reach: ReachMonitor::default(),
             departures: CallerDepartures::default(),
-            rereads: RereadLine::default(),
+            rereads: RereadQueue::default(),
             budgets: RetryBudgets::new(settings.retry_limits()),
             hedges: Hedges::new(settings.hedge_limits.clone()),
             request_crashes: RequestCrashes::new(observation_channel.clone()),
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -18,7 +18,7 @@
 use super::relay::RelayPeer;
 use super::request::Call;
 use super::request_crashes::{Permission, RequestCrashes};
-use super::reread_line::RereadLine;
+use super::reread_queue::RereadQueue;
 use super::resume_queue::ResumeQueue;
 use super::retry_budgets::RetryBudgets;
 use super::rollouts::Rollouts;
@@ -119,7 +119,7 @@
 pub(crate) struct Forwarder<N> {
     /// The configuration in force, if there is one.
     pub(crate) route_table: ArcSwapOption<RouteTable>,
-    /// Calls that wait for the first configuration.
+    /// Calls that wait for the first configuration and upstreams.
     pub(crate) startup_wait: StartupWait,
     pub(crate) directory: Directory,
     /// Which services' upstreams this node can't reach.
@@ -129,7 +129,7 @@
     /// The shares that this node has of the services' retry budgets.
     pub(crate) budgets: RetryBudgets,
     /// Streams that were taken up and wait to have their prompts read again.
-    pub(crate) rereads: RereadLine,
+    pub(crate) rereads: RereadQueue,
     /// When plain calls are hedged.
     pub(crate) hedges: Hedges,
     /// Requests suspected of crashing their upstreams.
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -37,7 +37,7 @@
 mod reported_start;
 pub(crate) mod request;
 pub(crate) mod request_crashes;
-pub(crate) mod reread_line;
+pub(crate) mod reread_queue;
 pub(crate) mod resume_queue;
 pub(crate) mod retry_budgets;
 pub(crate) mod rollouts;
--- a/src/forward/reread_line.rs
+++ b/src/forward/reread_queue.rs
@@ -1,4 +1,4 @@
-//! The line of streams that were taken up and wait to have their prompts read again.
+//! The queue of streams that were taken up and wait to have their prompts read again.
 
 use std::collections::BTreeMap;
 use std::mem;
@@ -7,13 +7,13 @@
 
 use tokio::sync::oneshot;
 
-/// Place in the line: the route's priority, and then the order of arrival.
+/// Place in the queue: the route's priority, and then the order of arrival.
 type Place = (u32, u64);
 
 /// Streams whose prompts are read again, and those that wait for it. The more urgent enter
 /// first.
 #[derive(Debug, Default)]
-pub(crate) struct RereadLine {
+pub(crate) struct RereadQueue {
     state: Arc<Mutex<State>>,
 }
 
@@ -32,7 +32,7 @@
     state: Arc<Mutex<State>>,
 }
 
-impl RereadLine {
+impl RereadQueue {
     /// Waits for a turn, for `wait_max` at most; then the stream gets one although `reading_max`
     /// prompts are read again.
     pub(crate) async fn wait_for_turn(
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -19,7 +19,7 @@
 use super::probe::LossWatch;
 use super::request::Call;
 use super::request_crashes::{AnswerPhase, Permission};
-use super::reread_line::RereadTurn;
+use super::reread_queue::RereadTurn;
 use super::run_origin::RunOrigin;
 use super::run_replica::{ReplicaSlot, ReplicatedRun, RunReplica, choose_holder, lock};
 use super::send_history::SendHistory;
@@ -30,7 +30,7 @@
 use crate::platform::call::{ReplicaRef, UpstreamHeaders};
 use crate::policy::failure_response::{GiveUpReason, Progress};
 use crate::policy::liveness::StreamPhase;
-use crate::policy::reread_line::{PROMPT_TOKENS_MIN, rereads_max, wait_max};
+use crate::policy::reread_queue::{PROMPT_TOKENS_MIN, rereads_max, wait_max};
 
 /// Number of sends that reached no upstream, or another one than intended, after
 /// which a call is given up.
@@ -175,7 +175,7 @@
         self.open().await
     }
 
-    /// Waits in line if the call takes up a stream whose prompt has to be read again. Such a
+    /// Waits in a queue if the call takes up a stream whose prompt has to be read again. Such a
     /// stream has paused for longer than its caller allows, so new prompts go first.
     async fn wait_for_reread_turn(&mut self) {
         let reads_again = self.last_event.is_some()
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -5,7 +5,7 @@
 mod departed_notices;
 mod hedges;
 mod probe;
-mod reread_line;
+mod reread_queue;
 mod resume_queue;
 mod run_origin;
 mod send_history;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -18,7 +18,7 @@
 pub(crate) mod placement;
 pub(crate) mod poison_detector;
 pub(crate) mod priority_class;
-pub(crate) mod reread_line;
+pub(crate) mod reread_queue;
 pub(crate) mod resume_order;
 pub(crate) mod retry_budget_share;
 pub(crate) mod rollout;
--- a/src/policy/reread_line.rs
+++ b/src/policy/reread_queue.rs
@@ -1,15 +1,15 @@
-//! Decides how many prompts a node has read again at once, and how long others wait.
+//! Decides how many prompts a node has read again at once, and how long the others wait in a queue.
 //!
 //! When nodes or engines are lost together, their callers take up hundreds of streams at the
 //! same moment, each of which reads its prompt again for a second. If all are sent at once,
 //! every engine has several prompts to read, and new callers wait behind streams that are late
-//! already. So a part of the engines is kept for new prompts, and the others wait in line.
+//! already. So a part of the engines is kept for new prompts, and the others wait in a queue.
 
 use std::time::Duration;
 
 /// Number of prompt tokens below which reading a prompt again delays nobody for long.
 pub(crate) const PROMPT_TOKENS_MIN: u64 = 2_000;
-/// Longest wait in line. Callers of streams give up after a longer silence.
+/// Longest wait in the queue. Callers of streams give up after a longer silence.
 const WAIT_MAX: Duration = Duration::from_secs(4);
 /// Part of the caller's remaining time that the wait may take.
 const TIME_LEFT_DIVISOR: u32 = 4;
@@ -22,7 +22,7 @@
     engine_count.div_ceil(divisor).max(1)
 }
 
-/// How long a stream waits in line whose caller waits for `time_left`. Then it is sent all the
+/// How long a stream waits in the queue whose caller waits for `time_left`. Then it is sent all the
 /// same.
 pub(crate) fn wait_max(time_left: Duration) -> Duration {
     (time_left / TIME_LEFT_DIVISOR).min(WAIT_MAX)
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -270,33 +270,31 @@
     /// Restarts crashed engines under their ids, each after it was down for `down_time`, until
     /// the returned task is aborted.
     pub fn restart_crashed_engines_under_same_ids(&self, down_time: Duration) -> JoinHandle<()> {
-        let (engines, store) = (self.engines.clone(), self.store.clone());
-        tokio::spawn(async move {
-            loop {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                for engine in &engines {
-                    if engine.down_time().is_some_and(|time| time >= down_time) {
-                        engine.restart_under_same_id().await;
-                        store.put("servers", &engine.id(), engine.entry("ready"));
-                    }
-                }
-            }
-        })
+        self.restart_crashed(down_time, true)
     }
 
     /// Restarts crashed engines, each after it was down for `down_time`, until the
     /// returned task is aborted.
     pub fn restart_crashed_engines(&self, down_time: Duration) -> JoinHandle<()> {
+        self.restart_crashed(down_time, false)
+    }
+
+    fn restart_crashed(&self, down_time: Duration, keeps_ids: bool) -> JoinHandle<()> {
         let (engines, store) = (self.engines.clone(), self.store.clone());
         tokio::spawn(async move {
             loop {
                 tokio::time::sleep(Duration::from_millis(20)).await;
                 for engine in &engines {
-                    if engine.down_time().is_some_and(|time| time >= down_time) {
+                    if engine.down_time().is_none_or(|time| time < down_time) {
+                        continue;
+                    }
+                    if keeps_ids {
+                        engine.restart_under_same_id().await;
+                    } else {
                         store.delete("servers", &engine.id());
                         engine.restart().await;
-                        store.put("servers", &engine.id(), engine.entry("ready"));
                     }
+                    store.put("servers", &engine.id(), engine.entry("ready"));
                 }
             }
         })
