Take back retries of which no byte left the node

Callers saw streams end for want of a retry while upstreams had received fewer than the budget allows. Cause: a retry is spent before its upstream is connected to, and was lost if no connection came about, if the upstream was found silent or resting, or if the engine that a stream was about to leave went on. Only arrivals at upstreams count towards the bound, so these retries can be spent once more without exceeding it.

The unit test does not compile before, since the method is new. Plain calls keep the retry that they spent.

--- a/src/forward/retry_budgets.rs
+++ b/src/forward/retry_budgets.rs
@@ -46,6 +46,11 @@
         })
     }
 
+    /// Takes back one retry of a service of which no byte left this node.
+    pub(crate) fn take_back(&self, service: &ServiceId) {
+        self.with_share(service, RetryBudgetShare::take_back);
+    }
+
     fn with_share<T>(
         &self,
         service: &ServiceId,
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -211,6 +211,7 @@
             let NextUpstream { upstream, replica } = next;
             self.tried.push(upstream.clone());
             let written = std::mem::take(&mut self.next_write);
+            let is_retry = self.sends.sent_count() > 0;
             self.sends.begin_with(&written);
             self.has_upstream_sent_event = false;
             self.sent_at = Instant::now();
@@ -229,6 +230,9 @@
             if written.written_at().is_none() {
                 self.next_write = written;
             }
+            if is_retry && failure.is_unsent() {
+                self.forwarder.budgets.take_back(&self.call.service);
+            }
             if self.sends.record_failure(&failure) {
                 // The run did not begin, so no replica of it was streamed.
                 lock(&self.replica).take();
--- a/src/forward/stream_move.rs
+++ b/src/forward/stream_move.rs
@@ -84,7 +84,9 @@
         let had_upstream_sent_event = self.has_upstream_sent_event;
         let outcome = self.race_move(present, sender).await;
         // Set if the present upstream went on just when the move was prepared.
-        self.next = None;
+        if self.next.take().is_some() {
+            self.forwarder.budgets.take_back(&self.call.service);
+        }
         if !matches!(outcome, MoveOutcome::Moved(..)) && self.tried.len() > tried_count {
             // The slot has the replica of a run that did not begin.
             lock(&self.replica).take();
--- a/src/policy/retry_budget_share.rs
+++ b/src/policy/retry_budget_share.rs
@@ -83,6 +83,15 @@
         true
     }
 
+    /// Takes back one retry of which no byte left this node: only arrivals at upstreams count
+    /// towards the budget.
+    pub(crate) fn take_back(&mut self) {
+        let mut newest_first = self.buckets.iter_mut().rev();
+        if let Some(bucket) = newest_first.find(|bucket| bucket.retry_count > 0) {
+            bucket.retry_count -= 1;
+        }
+    }
+
     fn current_share(&self, limits: &RetryLimits, node_count: usize, now: Instant) -> f64 {
         let window = limits.window;
         let age = |since: Instant| now.saturating_duration_since(since);
--- a/src/policy/tests/retry_budget_share.rs
+++ b/src/policy/tests/retry_budget_share.rs
@@ -151,3 +151,24 @@
     assert!(spent_at(limits.window / 2) <= 75);
     assert!(spent_at(limits.window) >= 140);
 }
+
+/// Guards against streams that end for want of a retry while upstreams received fewer than the
+/// budget allows, because nodes spent theirs on upstreams that they could not connect to.
+#[test]
+fn retries_that_were_not_sent_are_left_for_others() {
+    let now = Instant::now();
+    let mut share = settled_share(0, 1, now);
+    let spend_all = |share: &mut RetryBudgetShare| {
+        let mut spent = 0;
+        while share.try_spend(&limits(), 1, now) {
+            spent += 1;
+        }
+        spent
+    };
+    let allowed = spend_all(&mut share);
+
+    (0..allowed).for_each(|_| share.take_back());
+    share.take_back();
+
+    assert_eq!(spend_all(&mut share), allowed);
+}
