Count crashes of upstreams while no other one can be reached

Cause: a node counts a crash only if it reaches another upstream of the service, since else its own paths may be lost.

The node now waits for up to 10 s for a later start of the upstream, under its id or at its address. A node whose paths were lost and come back sees the same start, so it still counts nothing then. The waiting task holds neither the body of the call nor its place among the calls in flight.

--- a/src/forward/directory.rs
+++ b/src/forward/directory.rs
@@ -479,6 +479,16 @@
         known.any(|u| u.entry.service == entry.service && u.entry.precedes(entry))
     }
 
+    /// Whether a later start of the entry's upstream is known, so that the entry's has ended. It
+    /// has the same id or the same address.
+    pub(crate) fn has_later_start(&self, entry: &UpstreamEntry) -> bool {
+        let state = self.lock();
+        let of_id = state.upstreams.get(&entry.id);
+        let is_later = |known: &Arc<Upstream>| known.entry.born_unix_ms > entry.born_unix_ms;
+        entry.born_unix_ms != 0
+            && (of_id.is_some_and(is_later) || state.has_later_incarnation(entry))
+    }
+
     /// Removes the upstream, whose address turned out to belong to another one.
     pub(crate) fn remove_misdirected(&self, upstream: &Upstream, now: Instant) {
         let mut state = self.lock();
--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -14,6 +14,7 @@
 use super::request::Call;
 use super::upstream::Upstream;
 use crate::clock::unix_ms;
+use crate::id::Fingerprint;
 use crate::policy::crash_evidence::{Clearance, Crash, EVIDENCE_TTL, Incarnation, StoredCrash};
 use crate::policy::crash_time::{CrashTime, SURVIVAL_TIME, Survival};
 use crate::policy::failure_response::GiveUpReason;
@@ -21,6 +22,10 @@
 
 /// Time after a crash until the upstream's port refuses connections.
 const PORT_CLOSE_DELAY: Duration = Duration::from_millis(20);
+/// Time for which a node waits for a later start of an upstream that it lost.
+const RETURN_WAIT_MAX: Duration = Duration::from_secs(10);
+/// Interval at which it looks for that start.
+const RETURN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Whether a call may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +47,18 @@
     Writing(Duration),
 }
 
+/// A call under which an upstream may have crashed, as far as the evidence needs it. It holds
+/// neither the call's body nor its place among the calls in flight.
+#[derive(Clone, Debug)]
+struct SuspectCall {
+    call_id: String,
+    request: Fingerprint,
+    shared_parts: Vec<Fingerprint>,
+    parts_for_log: String,
+    upstream: Arc<Upstream>,
+    phase: AnswerPhase,
+}
+
 /// The crashes of upstreams under the calls of this node and of its peers.
 #[derive(Debug)]
 pub(crate) struct RequestCrashes {
@@ -49,6 +66,23 @@
     observations: Observations,
 }
 
+impl SuspectCall {
+    fn new(call: &Call, upstream: &Arc<Upstream>, phase: AnswerPhase) -> Self {
+        Self {
+            call_id: call.id().to_owned(),
+            request: call.fingerprint(),
+            shared_parts: call.shared_parts(),
+            parts_for_log: call.shared_parts_for_log(),
+            upstream: upstream.clone(),
+            phase,
+        }
+    }
+
+    fn features(&self) -> Vec<Fingerprint> {
+        [&[self.request], self.shared_parts.as_slice()].concat()
+    }
+}
+
 impl RequestCrashes {
     /// Creates a record without crashes, which publishes what this node sees to
     /// `observations`.
@@ -159,9 +193,11 @@
         !detector.is_empty() && detector.is_suspect(&call.features(), Instant::now())
     }
 
-    /// Records that the upstream crashed under the call.
-    fn record_crash(&self, call: &Call, upstream: &Upstream, phase: AnswerPhase) {
-        let (was_writing, written) = match phase {
+    /// Records that the upstream crashed under the call. `proof` names what showed it, for the
+    /// log.
+    fn record_crash(&self, suspect: &SuspectCall, proof: &str) {
+        let upstream = &suspect.upstream;
+        let (was_writing, written) = match suspect.phase {
             AnswerPhase::Waiting => (false, Duration::ZERO),
             AnswerPhase::Writing(written) => (true, written),
         };
@@ -172,21 +208,21 @@
                 id: upstream.entry.id.clone(),
                 born_unix_ms: upstream.entry.born_unix_ms,
             },
-            request: call.fingerprint(),
-            parts: detector.suspect_parts(call.shared_parts()),
+            request: suspect.request,
+            parts: detector.suspect_parts(suspect.shared_parts.clone()),
             was_writing,
             time: CrashTime::of(written),
             version: detector.next_version(unix_ms()),
         };
         let is_new = detector.record_crash(crash.clone(), now);
-        let verdict = detector.verdict(&call.features(), now);
+        let verdict = detector.verdict(&suspect.features(), now);
         let conviction_count = detector.conviction_count(now);
         drop(detector);
         log::warn!(
-            "event=crash_suspected call={} request={:016x} parts={} upstream={} born={} version={} writing={was_writing} wrote_ms={} verdict={verdict:?} convictions={conviction_count}",
-            call.id(),
+            "event=crash_suspected call={} request={:016x} parts={} upstream={} born={} version={} writing={was_writing} wrote_ms={} proof={proof} verdict={verdict:?} convictions={conviction_count}",
+            suspect.call_id,
             crash.request,
-            call.shared_parts_for_log(),
+            suspect.parts_for_log,
             crash.upstream.id,
             crash.upstream.born_unix_ms,
             crash.version,
@@ -211,7 +247,8 @@
 
     /// Connects to the upstream again, after it broke off, to check whether it has
     /// crashed. If it cannot be reached, but another one can, counts the crash
-    /// against the call.
+    /// against the call. If no other one can either, the paths of this node may be lost, and the
+    /// crash counts once a later start of the upstream is known.
     /// `phase` tells how far it had got with the answer.
     pub(crate) fn check_for_crash(
         self: &Arc<Self>,
@@ -219,16 +256,32 @@
         upstream: &Arc<Upstream>,
         phase: AnswerPhase,
     ) -> JoinHandle<()> {
-        let (forwarder, call, upstream) = (self.clone(), call.clone(), upstream.clone());
+        let forwarder = self.clone();
+        let suspect = SuspectCall::new(call, upstream, phase);
         tokio::spawn(async move {
             tokio::time::sleep(PORT_CLOSE_DELAY).await;
-            if upstream.pool.keeps_connection().await {
+            if suspect.upstream.pool.keeps_connection().await {
                 return;
             }
-            if forwarder.reaches_another(&upstream).await {
-                let crashes = &forwarder.request_crashes;
-                crashes.record_crash(&call, &upstream, phase);
+            if forwarder.reaches_another(&suspect.upstream).await {
+                forwarder
+                    .request_crashes
+                    .record_crash(&suspect, "unreachable");
+            } else {
+                tokio::spawn(forwarder.await_later_start(suspect));
             }
         })
     }
+
+    /// Counts a crash against the call if a later start of its upstream becomes known in time.
+    async fn await_later_start(self: Arc<Self>, suspect: SuspectCall) {
+        let began_at = Instant::now();
+        while began_at.elapsed() < RETURN_WAIT_MAX {
+            if self.directory.has_later_start(&suspect.upstream.entry) {
+                self.request_crashes.record_crash(&suspect, "later_start");
+                return;
+            }
+            tokio::time::sleep(RETURN_CHECK_INTERVAL).await;
+        }
+    }
 }
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -270,17 +270,28 @@
     /// Restarts crashed engines under their ids, each after it was down for `down_time`, until
     /// the returned task is aborted.
     pub fn restart_crashed_engines_under_same_ids(&self, down_time: Duration) -> JoinHandle<()> {
-        self.restart_crashed(down_time, true)
+        self.restart_crashed(self.engines.clone(), down_time, true)
+    }
+
+    /// Restarts one engine under its id each time that it was down for `down_time`, until the
+    /// returned task is aborted.
+    pub fn restart_under_same_id(&self, engine: usize, down_time: Duration) -> JoinHandle<()> {
+        self.restart_crashed(vec![self.engines[engine].clone()], down_time, true)
     }
 
     /// Restarts crashed engines, each after it was down for `down_time`, until the
     /// returned task is aborted.
     pub fn restart_crashed_engines(&self, down_time: Duration) -> JoinHandle<()> {
-        self.restart_crashed(down_time, false)
+        self.restart_crashed(self.engines.clone(), down_time, false)
     }
 
-    fn restart_crashed(&self, down_time: Duration, keeps_ids: bool) -> JoinHandle<()> {
-        let (engines, store) = (self.engines.clone(), self.store.clone());
+    fn restart_crashed(
+        &self,
+        engines: Vec<Arc<Engine>>,
+        down_time: Duration,
+        keeps_ids: bool,
+    ) -> JoinHandle<()> {
+        let store = self.store.clone();
         tokio::spawn(async move {
             loop {
                 tokio::time::sleep(Duration::from_millis(20)).await;
