Convict parts that no sound prompt had before those that many have

What callers saw: requests with a crashing part were passed on although three crashes under it were counted, and sound prompts that share the first part were refused meanwhile.

Cause: the detector convicts the feature with the most crashes first and drops all crashes of the upstreams at which it stood. The first part of most sound prompts runs wherever an upstream crashes, so it had as many crashes as the part that causes them and explained them, until sound runs had cleared it of each crash time.

Parts that a whole answer had lately (`SoundParts`, which ranks suspects already) now come after those that none had. The rest of a resumed answer no longer makes the parts of its prompt sound: upstreams may have crashed under its earlier segments. A part that is the only one with three crashes is convicted as before.

--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -122,14 +122,15 @@
 
     /// Records that an upstream wrote the call's whole answer from `began_at` on.
     pub(crate) fn record_whole_answer(&self, call: &Call, began_at: Instant) {
-        self.record_end(call, Survival::of_whole_answer(began_at, Instant::now()));
+        let now = Instant::now();
+        self.lock().record_sound_parts(&call.shared_parts(), now);
+        self.record_survival(call, Survival::of_whole_answer(began_at, now));
     }
 
-    /// Records that an upstream wrote the call's answer to its end.
-    pub(crate) fn record_end(&self, call: &Call, survival: Survival) {
-        self.lock()
-            .record_sound_parts(&call.shared_parts(), Instant::now());
-        self.record_survival(call, survival);
+    /// Records that an upstream wrote the rest of the call's resumed answer from `began_at` on.
+    /// The parts of the prompt don't count as sound: other upstreams may have crashed under them.
+    pub(crate) fn record_rest(&self, call: &Call, began_at: Instant) {
+        self.record_survival(call, Survival::of_rest(began_at, Instant::now()));
     }
 
     /// Records that an upstream goes on with the call's answer.
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -402,16 +402,13 @@
 
     /// Records that an upstream wrote the answer, or the rest of a resumed one, to its end.
     fn record_end(&self, first_event_at: Option<Instant>, is_resumed: bool) {
-        let now = Instant::now();
-        let began_at = first_event_at.unwrap_or(now);
-        let survival = if is_resumed {
-            Survival::of_rest(began_at, now)
+        let began_at = first_event_at.unwrap_or_else(Instant::now);
+        let crashes = &self.forwarder.request_crashes;
+        if is_resumed {
+            crashes.record_rest(&self.call, began_at);
         } else {
-            Survival::of_whole_answer(began_at, now)
-        };
-        self.forwarder
-            .request_crashes
-            .record_end(&self.call, survival);
+            crashes.record_whole_answer(&self.call, began_at);
+        }
     }
 
     /// Checks what became of an upstream whose connection broke. One that had sent
--- a/src/policy/poison_detector.rs
+++ b/src/policy/poison_detector.rs
@@ -281,7 +281,7 @@
         let mut suspicions = self.evidence.suspicions();
         self.crash_counts = count_events(&suspicions);
         self.convictions.clear();
-        while let Some(conviction) = convict(&suspicions) {
+        while let Some(conviction) = convict(&suspicions, &self.sound_parts) {
             remove_explained(&mut suspicions, &conviction.features);
             self.convictions.push(conviction);
         }
@@ -297,13 +297,16 @@
         .collect()
 }
 
-/// Convicts the feature that explains most crashes, with what accompanied it.
-fn convict(suspicions: &[Suspicion]) -> Option<Conviction> {
-    let counts = count_events(suspicions);
-    let (cause, event_count) = counts.into_iter().max_by_key(|(_, count)| *count)?;
-    if event_count < CONVICTION_CRASHES_MIN {
-        return None;
-    }
+/// Convicts the feature that explains most crashes, with what accompanied it. Features under
+/// which no upstream went on lately come first: a part that many sound prompts have stands in
+/// the crashes of most upstreams, and would explain those of the part that causes them.
+fn convict(suspicions: &[Suspicion], sound_parts: &SoundParts) -> Option<Conviction> {
+    let mut counts = count_events(suspicions);
+    counts.retain(|_, count| *count >= CONVICTION_CRASHES_MIN);
+    let is_preferred = |feature: &Fingerprint| !sound_parts.contains(*feature);
+    let (cause, event_count) = counts
+        .into_iter()
+        .max_by_key(|(feature, count)| (is_preferred(feature), *count))?;
     let is_under_cause = |s: &&Suspicion| s.features.contains_key(&cause);
     let under_cause: Vec<&Suspicion> = suspicions.iter().filter(is_under_cause).collect();
     let features = accompanying_features(&under_cause, cause, event_count);
--- a/src/policy/sound_parts.rs
+++ b/src/policy/sound_parts.rs
@@ -33,6 +33,11 @@
         }
     }
 
+    /// Whether a recent sound prompt had the part.
+    pub(crate) fn contains(&self, part: Fingerprint) -> bool {
+        self.young.contains_key(&part) || self.old.contains_key(&part)
+    }
+
     /// Orders the parts of a prompt under which an upstream crashed, the most suspicious
     /// first: those that no sound prompt had, and then those whose last one is longest ago.
     /// Of two equal ones the later comes first, since prompts differ towards their end.
--- a/src/policy/tests/poison_detector.rs
+++ b/src/policy/tests/poison_detector.rs
@@ -524,3 +524,23 @@
         assert!(!scene.is_refused(60, &[COMMON]), "loss {loss}");
     }
 }
+
+/// Guards against a crashing part that is sent on while a part of most sound prompts is convicted
+/// of its crashes, and explains them, until sound runs clear that.
+#[test]
+fn a_part_of_many_sound_prompts_does_not_hide_the_part_that_crashes() {
+    let mut scene = Scene::new();
+    scene.detector.record_sound_parts(&[COMMON], scene.now);
+    for n in 1..=4_u64 {
+        let crashed = format!("e-{n}");
+        if n > 1 {
+            scene.crash_of(&crashed, n, &[CRASHING], true);
+        }
+        scene.crash_of(&crashed, 10 + n, &[COMMON], true);
+        scene.wait(Duration::from_millis(600));
+    }
+    scene.wait(DELAY);
+
+    assert!(scene.is_refused(21, &[CRASHING]));
+    assert!(!scene.is_refused(22, &[COMMON]));
+}
