Deny a reverted version under later requests of its service too

Callers would get failures from a version that was reverted as bad: as soon as the operator requested another version, the nodes sent calls to the reverted one again, whose upstreams drain for some seconds. These calls also come later than `rollback-ms` after the 50th bad answer, and no request allows them.

Cause: a node keeps only the newest request of a service, and an unfinished or reverted one denies only its own target. A version that an earlier request reverted counted as an old one.

A node now keeps the versions that earlier requests of the service reverted, and each admission leaves them out, also for streams and where no upstream of the target takes the call. A request with such a version as its target ends that.

Evidence: `a_reverted_version_stays_denied_when_another_one_is_requested` failed before (`AllBut("v3")` admitted v2) and passes now; all 15 tests of `policy::tests::rollout` pass. In `a_further_request_under_the_same_name_is_followed` one upstream now stays at the reverted version and must get no call; one run, passed (13.7 s). That scene was not run on the earlier code.

--- a/src/forward/rollouts.rs
+++ b/src/forward/rollouts.rs
@@ -66,13 +66,16 @@
             return;
         };
         let mut services = self.lock();
-        if let Some(followed) = services.get_mut(&rollout.service)
-            && followed.rollout.update(rollout)
-        {
-            return followed.rollout.learn_age(age, now);
+        let earlier = services.get_mut(&rollout.service);
+        let mut followed = NodeRollout::new(rollout.clone(), age, &bounds, node_count, now);
+        if let Some(earlier) = earlier {
+            if earlier.rollout.update(rollout) {
+                return earlier.rollout.learn_age(age, now);
+            }
+            followed.deny_reverted(&earlier.rollout);
         }
         let followed = Followed {
-            rollout: NodeRollout::new(rollout.clone(), age, &bounds, node_count, now),
+            rollout: followed,
             has_new_failure: false,
             reported_at: None,
         };
--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -2,6 +2,8 @@
 //! target, and when it has succeeded or failed. `docs/design/rollouts.md` describes the
 //! rules and what was weighed.
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::rollout_evidence::{Evidence, Side};
@@ -279,17 +281,21 @@
     }
 }
 
+/// Versions that get no calls. Each call takes a clone.
+pub(crate) type DeniedVersions = Arc<BTreeSet<SoftwareVersion>>;
+
 /// Which upstreams of a service a call may be sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum VersionAdmission {
     All,
-    AllBut(SoftwareVersion),
+    AllBut(DeniedVersions),
     /// Those of this version.
     Only(SoftwareVersion),
-    /// The first upstream of this version, and all others if it takes no call.
-    OnlyFirstOf(SoftwareVersion),
-    /// Those of this version, and all others if none takes the call.
-    Prefer(SoftwareVersion),
+    /// The first upstream of this version, and all but those that are denied if it takes no
+    /// call.
+    OnlyFirstOf(SoftwareVersion, DeniedVersions),
+    /// Those of this version, and all but those that are denied if none takes the call.
+    Prefer(SoftwareVersion, DeniedVersions),
 }
 
 impl VersionAdmission {
@@ -298,16 +304,18 @@
     pub(crate) fn admits(&self, version: Option<&SoftwareVersion>, is_first: bool) -> bool {
         match self {
             Self::All => true,
-            Self::AllBut(denied) => version != Some(denied),
-            Self::Only(wanted) | Self::Prefer(wanted) => version == Some(wanted),
-            Self::OnlyFirstOf(wanted) => version == Some(wanted) && is_first,
+            Self::AllBut(denied) => version.is_none_or(|version| !denied.contains(version)),
+            Self::Only(wanted) | Self::Prefer(wanted, _) => version == Some(wanted),
+            Self::OnlyFirstOf(wanted, _) => version == Some(wanted) && is_first,
         }
     }
 
     /// What applies if none of the admitted upstreams takes the call.
     pub(crate) fn otherwise(&self) -> Option<Self> {
         match self {
-            Self::Prefer(target) | Self::OnlyFirstOf(target) => Some(Self::AllBut(target.clone())),
+            Self::Prefer(_, denied) | Self::OnlyFirstOf(_, denied) => {
+                Some(Self::AllBut(denied.clone()))
+            }
             Self::All | Self::AllBut(_) | Self::Only(_) => None,
         }
     }
@@ -335,6 +343,10 @@
     /// What this node counted since it learned of the request.
     pub(crate) evidence: Evidence,
     credit: ExposureCredit,
+    /// Versions that earlier requests reverted. Their upstreams may still drain.
+    reverted: DeniedVersions,
+    /// Those versions and the target.
+    denied: DeniedVersions,
     /// The last grant, and when it expires.
     grant: Option<(Grant, Instant)>,
 }
@@ -348,15 +360,31 @@
         node_count: usize,
         now: Instant,
     ) -> Self {
+        let denied = BTreeSet::from([rollout.target.clone()]);
         Self {
             rollout,
             requested_at: now.checked_sub(age).unwrap_or(now),
             evidence: Evidence::default(),
             credit: ExposureCredit::new(bounds, node_count),
+            reverted: DeniedVersions::default(),
+            denied: denied.into(),
             grant: None,
         }
     }
 
+    /// Keeps denying what the earlier request of the same service, and those before it,
+    /// reverted.
+    pub(crate) fn deny_reverted(&mut self, earlier: &Self) {
+        let mut reverted = BTreeSet::clone(&earlier.reverted);
+        if earlier.rollout.state == RolloutState::Reverted {
+            reverted.insert(earlier.rollout.target.clone());
+        }
+        reverted.remove(&self.rollout.target);
+        self.reverted = reverted.clone().into();
+        reverted.insert(self.rollout.target.clone());
+        self.denied = reverted.into();
+    }
+
     /// Applies what the store says now. Returns false if that is another request, which
     /// needs a new [`NodeRollout`].
     pub(crate) fn update(&mut self, rollout: &Rollout) -> bool {
@@ -409,33 +437,34 @@
         let target = || self.rollout.target.clone();
         match self.rollout.state {
             RolloutState::Completed if send.is_pinned || send.target_count == 0 => {
-                VersionAdmission::All
+                VersionAdmission::AllBut(self.reverted.clone())
             }
             RolloutState::Completed => VersionAdmission::Only(target()),
-            RolloutState::Reverted => VersionAdmission::AllBut(target()),
+            RolloutState::Reverted => VersionAdmission::AllBut(self.denied.clone()),
             RolloutState::Requested | RolloutState::InProgress => self.granted(send, now),
         }
     }
 
     fn granted(&self, send: &SendContext, now: Instant) -> VersionAdmission {
         let target = || self.rollout.target.clone();
+        let denied = || self.denied.clone();
         let valid = self.grant.filter(|(_, expires_at)| now < *expires_at);
         let Some((grant, _)) = valid else {
-            return VersionAdmission::AllBut(target());
+            return VersionAdmission::AllBut(denied());
         };
         if send.is_pinned {
-            return VersionAdmission::All;
+            return VersionAdmission::AllBut(self.reverted.clone());
         }
         if send.is_retry && grant.stage != Stage::HandOver {
-            return VersionAdmission::AllBut(target());
+            return VersionAdmission::AllBut(denied());
         }
         if !self.credit.allows_send() {
             // The old upstreams stop as soon as the rollout is completed.
             let may_leave = grant.stage == Stage::HandOver && send.is_retry;
             return if may_leave {
-                VersionAdmission::Prefer(target())
+                VersionAdmission::Prefer(target(), denied())
             } else {
-                VersionAdmission::AllBut(target())
+                VersionAdmission::AllBut(denied())
             };
         }
         let share = match grant.stage {
@@ -443,9 +472,9 @@
             Stage::Canary | Stage::HandOver => grant.share,
         };
         match grant.stage {
-            _ if send.draw >= share => VersionAdmission::AllBut(target()),
-            Stage::Ramp => VersionAdmission::OnlyFirstOf(target()),
-            Stage::Canary | Stage::HandOver => VersionAdmission::Prefer(target()),
+            _ if send.draw >= share => VersionAdmission::AllBut(denied()),
+            Stage::Ramp => VersionAdmission::OnlyFirstOf(target(), denied()),
+            Stage::Canary | Stage::HandOver => VersionAdmission::Prefer(target(), denied()),
         }
     }
 }
--- a/src/policy/tests/rollout.rs
+++ b/src/policy/tests/rollout.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::rollout_scene::{BOUNDS, Behaviour, Counts, DURATION_MS, Fault, SLOW, Scene, Sent};
+use crate::forward::rollouts::Rollouts;
 use crate::policy::rollout::{Grant, NodeRollout, Rollout, RolloutState, SendContext, Stage};
 use crate::policy::rollout_evidence::{Evidence, Outcome, Side};
 
@@ -318,3 +319,54 @@
             .is_some_and(|cause| cause.contains("disburse"))
     );
 }
+
+fn request_of(target: &str, state: RolloutState) -> Rollout {
+    Rollout {
+        service: "pay".to_owned(),
+        target: target.to_owned(),
+        duration: Duration::from_millis(DURATION_MS),
+        state,
+    }
+}
+
+/// Guards against calls to a reverted version, whose upstreams still drain, as soon as the
+/// operator requests another one.
+#[test]
+fn a_reverted_version_stays_denied_when_another_one_is_requested() {
+    let now = Instant::now();
+    let rollouts = Rollouts::new(Some(BOUNDS));
+    let requests = [
+        request_of("v2", RolloutState::Reverted),
+        request_of("v3", RolloutState::Requested),
+        request_of("v3", RolloutState::Reverted),
+        request_of("v4", RolloutState::InProgress),
+        request_of("v4", RolloutState::Completed),
+    ];
+    for request in &requests {
+        rollouts.apply(request, Duration::ZERO, 1, now);
+        for (draw, is_pinned, target_count) in [(0.9, false, 0), (0.0, false, 2), (0.0, true, 2)] {
+            let send = SendContext {
+                draw,
+                is_pinned,
+                is_retry: false,
+                target_count,
+            };
+            let admission = rollouts.with("pay", |rollout| {
+                let grant = Grant {
+                    stage: Stage::Canary,
+                    share: 0.5,
+                };
+                rollout.set_grant(Some(grant), now, &BOUNDS);
+                rollout.admission(&send, now)
+            });
+            let admission = admission.expect("the service has a rollout");
+
+            let version = "v2".to_owned();
+            let otherwise = admission.otherwise();
+            for admission in [Some(admission), otherwise].into_iter().flatten() {
+                let admits = admission.admits(Some(&version), true);
+                assert!(!admits, "{request:?} {send:?} {admission:?}");
+            }
+        }
+    }
+}
--- a/src/policy/tests/rollout_scene.rs
+++ b/src/policy/tests/rollout_scene.rs
@@ -305,12 +305,12 @@
             target_count: 4,
         };
         let admission = node.own.admission(&context, now);
-        let is_concentrated = matches!(admission, VersionAdmission::OnlyFirstOf(_));
+        let is_concentrated = matches!(admission, VersionAdmission::OnlyFirstOf(..));
         let side = match admission {
             VersionAdmission::All | VersionAdmission::AllBut(_) => Side::Old,
             VersionAdmission::Only(_)
-            | VersionAdmission::OnlyFirstOf(_)
-            | VersionAdmission::Prefer(_) => Side::Target,
+            | VersionAdmission::OnlyFirstOf(..)
+            | VersionAdmission::Prefer(..) => Side::Target,
         };
         let route = ROUTES[usize::from(draw(2) < 0.2)];
         let outcome = (self.behaviour)(&Sent {
--- a/tests/rollouts/main.rs
+++ b/tests/rollouts/main.rs
@@ -167,7 +167,8 @@
     scene.assert_exposure_bound();
 }
 
-/// Guards against an outcome that holds for a later request of another version too.
+/// Guards against an outcome that holds for a later request of another version too, and
+/// against calls to the reverted version, of which one upstream is still there.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_further_request_under_the_same_name_is_followed() {
     let _running = RUNNING.lock().await;
@@ -179,14 +180,16 @@
     scene.request_rollout();
     scene.call_for(&scene.callers, DURATION / 2).await;
     let first_state = scene.state();
-    for service in &scene.new {
-        service.failure_percent.store(0, Ordering::Relaxed);
-        *service.software_version.lock().expect("unpoisoned") = "v3".to_owned();
-    }
+    let (reverted, replaced) = (&scene.new[0], &scene.new[1]);
+    let received_before = reverted.received().len();
+    replaced.failure_percent.store(0, Ordering::Relaxed);
+    *replaced.software_version.lock().expect("unpoisoned") = "v3".to_owned();
     scene.register_new();
     request_rollout_of(&scene.environment, "pay", "v3");
     scene.call_for(&scene.callers, DURATION).await;
 
     assert_eq!(first_state, "reverted v2");
     assert_eq!(scene.state(), "completed v3");
+    let received = reverted.received().len() - received_before;
+    assert_eq!(received, 0, "calls reach the reverted version");
 }
