Round the exposure credit of nodes at random

A good version of a service with few calls at each node was reverted without a single call to it: at 59 nodes and 15 calls a second, in 12 s.

Cause: the initial credit is 30 calls divided by the number of nodes, 0.51 at 59 nodes and 0.08 at 390, and 0.06 for each send. A node sends to the target only with a whole credit, so nodes with fewer than 8 or 16 calls send none, although the bound allows 68 in sum.

Each node now adds a random number below one to its credit. The mean of the whole credits of all nodes is then the credit that was divided, and their spread (three standard deviations: 16 calls where no credit is earned, 30 at 390 nodes) lies within the part of the bound that nodes don't spend.

Evidence: `a_good_version_with_few_calls_at_each_node_is_completed` failed before (59 nodes, 15 calls a second: 0 sends, reverted). Now 32 sends, completed; 34 at 6 nodes and 8 a second, 43 at 59 and 40. All 16 tests of `policy::tests::rollout` pass. Not reached: 390 nodes with 60 calls a second or fewer (8 sends in a trial, reverted).

--- a/src/forward/rollouts.rs
+++ b/src/forward/rollouts.rs
@@ -7,6 +7,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use rand::RngExt;
+
 use super::attempt::AttemptFailure;
 use super::forwarder::{Forwarder, NodeContext};
 use super::request::Call;
@@ -67,7 +69,8 @@
         };
         let mut services = self.lock();
         let earlier = services.get_mut(&rollout.service);
-        let mut followed = NodeRollout::new(rollout.clone(), age, &bounds, node_count, now);
+        let draw = rand::rng().random();
+        let mut followed = NodeRollout::new(rollout.clone(), age, &bounds, node_count, draw, now);
         if let Some(earlier) = earlier {
             if earlier.rollout.update(rollout) {
                 return earlier.rollout.learn_age(age, now);
--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -258,11 +258,12 @@
 }
 
 impl ExposureCredit {
-    /// The credit of one of `node_count` nodes at the beginning of a rollout.
-    pub(crate) fn new(bounds: &RolloutBounds, node_count: usize) -> Self {
+    /// The credit of one of `node_count` nodes at the beginning of a rollout. `draw` rounds it
+    /// at random: without it, none of many nodes would have credit for a whole call.
+    pub(crate) fn new(bounds: &RolloutBounds, node_count: usize, draw: f64) -> Self {
         let tolerance = bounds.exposure_tolerance * TOLERANCE_PART;
         Self {
-            balance: tolerance / node_count.max(1) as f64,
+            balance: tolerance / node_count.max(1) as f64 + draw,
             earned_per_send: bounds.exposure_share * CREDIT_PART,
         }
     }
@@ -352,12 +353,14 @@
 }
 
 impl NodeRollout {
-    /// Begins to follow a rollout of this age, as one of `node_count` nodes.
+    /// Begins to follow a rollout of this age, as one of `node_count` nodes, each of which has
+    /// another `draw` from 0 to below 1.
     pub(crate) fn new(
         rollout: Rollout,
         age: Duration,
         bounds: &RolloutBounds,
         node_count: usize,
+        draw: f64,
         now: Instant,
     ) -> Self {
         let denied = BTreeSet::from([rollout.target.clone()]);
@@ -365,7 +368,7 @@
             rollout,
             requested_at: now.checked_sub(age).unwrap_or(now),
             evidence: Evidence::default(),
-            credit: ExposureCredit::new(bounds, node_count),
+            credit: ExposureCredit::new(bounds, node_count, draw),
             reverted: DeniedVersions::default(),
             denied: denied.into(),
             grant: None,
--- a/src/policy/tests/rollout.rs
+++ b/src/policy/tests/rollout.rs
@@ -141,6 +141,25 @@
     }
 }
 
+/// Guards against a credit that is below one call at each of many nodes, so that the target
+/// gets no call and a good version is reverted.
+#[test]
+fn a_good_version_with_few_calls_at_each_node_is_completed() {
+    for (node_count, calls_per_s) in [(6, 8), (59, 15), (59, 40), (390, 500)] {
+        let scene = Scene {
+            node_count,
+            calls_per_s,
+            ..scene(good, &[])
+        };
+
+        let counts = scene.run();
+
+        let (sends, state) = (counts.target_sends, counts.state);
+        println!("{node_count} nodes, {calls_per_s}/s: {sends} sends, {state:?}");
+        assert_completed(&counts);
+    }
+}
+
 /// Guards against a target that gets calls without an owner, and against an outcome that
 /// nobody writes.
 #[test]
@@ -213,7 +232,7 @@
         duration: Duration::from_millis(DURATION_MS),
         state: RolloutState::InProgress,
     };
-    let mut node = NodeRollout::new(rollout, Duration::ZERO, &BOUNDS, 1, now);
+    let mut node = NodeRollout::new(rollout, Duration::ZERO, &BOUNDS, 1, 0.0, now);
     let grant = Grant {
         stage: Stage::Canary,
         share: 1.0,
--- a/src/policy/tests/rollout_scene.rs
+++ b/src/policy/tests/rollout_scene.rs
@@ -116,12 +116,14 @@
             duration: Duration::from_millis(DURATION_MS),
             state: RolloutState::Requested,
         };
-        let new_node = |_| Node {
+        let draw = |index| Fnv::new().number(index as u64).finish() as f64 / u64::MAX as f64;
+        let new_node = |index| Node {
             own: NodeRollout::new(
                 rollout.clone(),
                 Duration::ZERO,
                 &BOUNDS,
                 self.node_count,
+                draw(index),
                 start,
             ),
             reports: vec![None; self.node_count],
