Revert a version whose outcome could not be written in time

Callers were moved to a bad version after an outage of the store.

Cause: without the store the owners grant nothing, so the evidence ends with the outage. What the owner settles by when the store is back is as old as the outage is long, and need not hold an answer of the ramp or under load.

Later than the age up to which an owner's knowledge counts (0.3 x `rollback-ms`, 1.5 s) after the deadline, the outcome is now `reverted`. A good version misses its deadline then in any case.

Evidence: `a_version_is_not_accepted_by_evidence_from_before_a_long_outage` failed before (completed) and passes now with the store away from 4, 5 and 6 s.

--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -178,7 +178,7 @@
         OwnerRank::Standby => settle_at + margin / 2,
     };
     if age >= own_settle_at {
-        return settle(situation);
+        return settle(situation, bounds);
     }
     if !is_known {
         return Step::Withhold;
@@ -190,7 +190,7 @@
     Step::Grant(grant(situation, settle_at, bounds))
 }
 
-fn settle(situation: &Situation<'_>) -> Step {
+fn settle(situation: &Situation<'_>, bounds: &RolloutBounds) -> Step {
     if !situation.is_evidence_whole {
         // A node apart from most others must not decide for them.
         let is_given_up = situation.age >= situation.rollout.duration + WHOLE_EVIDENCE_WAIT;
@@ -200,6 +200,10 @@
             Step::Withhold
         };
     }
+    if situation.age >= situation.rollout.duration + bounds.knowledge_max_age() {
+        // The target has had no calls for as long, and may have turned bad since.
+        return Step::Revert("no outcome could be written in time".to_owned());
+    }
     match situation.evidence.objection() {
         Some(cause) => Step::Revert(cause),
         None => Step::Complete,
--- a/src/policy/tests/rollout.rs
+++ b/src/policy/tests/rollout.rs
@@ -222,6 +222,15 @@
     assert_reverted(&bad);
 }
 
+/// Guards against a version that is accepted after an outage of the store, although it turned
+/// bad when it got no calls any more.
+#[test]
+fn a_version_is_not_accepted_by_evidence_from_before_a_long_outage() {
+    for away_ms in [4_000, 5_000, 6_000] {
+        assert_reverted(&run(bad_later, &[Fault::StoreAway(away_ms, 16_000)]));
+    }
+}
+
 /// Guards against a grant that outlives the connection to its owner.
 #[test]
 fn a_grant_expires() {
