--- a/src/policy/tests/rollout.rs
+++ b/src/policy/tests/rollout.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::rollout_scene::{BOUNDS, Behaviour, Counts, DURATION_MS, Fault, SLOW, Scene, Sent};
+use crate::forward::rollouts::Rollouts;
 use crate::policy::rollout::{Grant, NodeRollout, Rollout, RolloutState, SendContext, Stage};
 use crate::policy::rollout_evidence::{Evidence, Outcome, Side};
 
@@ -140,6 +141,25 @@
     }
 }
 
+/// Guards against a credit that is below one call at each of many nodes, so that the target
+/// gets no call and a good version is reverted.
+#[test]
+fn a_good_version_with_few_calls_at_each_node_is_completed() {
+    for (node_count, calls_per_s) in [(6, 8), (59, 15), (59, 40), (390, 500)] {
+        let scene = Scene {
+            node_count,
+            calls_per_s,
+            ..scene(good, &[])
+        };
+
+        let counts = scene.run();
+
+        let (sends, state) = (counts.target_sends, counts.state);
+        println!("{node_count} nodes, {calls_per_s}/s: {sends} sends, {state:?}");
+        assert_completed(&counts);
+    }
+}
+
 /// Guards against a target that gets calls without an owner, and against an outcome that
 /// nobody writes.
 #[test]
@@ -202,6 +222,15 @@
     assert_reverted(&bad);
 }
 
+/// Guards against a version that is accepted after an outage of the store, although it turned
+/// bad when it got no calls any more.
+#[test]
+fn a_version_is_not_accepted_by_evidence_from_before_a_long_outage() {
+    for away_ms in [4_000, 5_000, 6_000] {
+        assert_reverted(&run(bad_later, &[Fault::StoreAway(away_ms, 16_000)]));
+    }
+}
+
 /// Guards against a grant that outlives the connection to its owner.
 #[test]
 fn a_grant_expires() {
@@ -212,7 +241,7 @@
         duration: Duration::from_millis(DURATION_MS),
         state: RolloutState::InProgress,
     };
-    let mut node = NodeRollout::new(rollout, Duration::ZERO, &BOUNDS, 1, now);
+    let mut node = NodeRollout::new(rollout, Duration::ZERO, &BOUNDS, 1, 0.0, now);
     let grant = Grant {
         stage: Stage::Canary,
         share: 1.0,
@@ -318,3 +347,54 @@
             .is_some_and(|cause| cause.contains("disburse"))
     );
 }
+
+fn request_of(target: &str, state: RolloutState) -> Rollout {
+    Rollout {
+        service: "pay".to_owned(),
+        target: target.to_owned(),
+        duration: Duration::from_millis(DURATION_MS),
+        state,
+    }
+}
+
+/// Guards against calls to a reverted version, whose upstreams still drain, as soon as the
+/// operator requests another one.
+#[test]
+fn a_reverted_version_stays_denied_when_another_one_is_requested() {
+    let now = Instant::now();
+    let rollouts = Rollouts::new(Some(BOUNDS));
+    let requests = [
+        request_of("v2", RolloutState::Reverted),
+        request_of("v3", RolloutState::Requested),
+        request_of("v3", RolloutState::Reverted),
+        request_of("v4", RolloutState::InProgress),
+        request_of("v4", RolloutState::Completed),
+    ];
+    for request in &requests {
+        rollouts.apply(request, Duration::ZERO, 1, now);
+        for (draw, is_pinned, target_count) in [(0.9, false, 0), (0.0, false, 2), (0.0, true, 2)] {
+            let send = SendContext {
+                draw,
+                is_pinned,
+                is_retry: false,
+                target_count,
+            };
+            let admission = rollouts.with("pay", |rollout| {
+                let grant = Grant {
+                    stage: Stage::Canary,
+                    share: 0.5,
+                };
+                rollout.set_grant(Some(grant), now, &BOUNDS);
+                rollout.admission(&send, now)
+            });
+            let admission = admission.expect("the service has a rollout");
+
+            let version = "v2".to_owned();
+            let otherwise = admission.otherwise();
+            for admission in [Some(admission), otherwise].into_iter().flatten() {
+                let admits = admission.admits(Some(&version), true);
+                assert!(!admits, "{request:?} {send:?} {admission:?}");
+            }
+        }
+    }
+}
--- a/src/policy/tests/rollout_scene.rs
+++ b/src/policy/tests/rollout_scene.rs
@@ -116,12 +116,14 @@
             duration: Duration::from_millis(DURATION_MS),
             state: RolloutState::Requested,
         };
-        let new_node = |_| Node {
+        let draw = |index| Fnv::new().number(index as u64).finish() as f64 / u64::MAX as f64;
+        let new_node = |index| Node {
             own: NodeRollout::new(
                 rollout.clone(),
                 Duration::ZERO,
                 &BOUNDS,
                 self.node_count,
+                draw(index),
                 start,
             ),
             reports: vec![None; self.node_count],
@@ -305,12 +307,12 @@
             target_count: 4,
         };
         let admission = node.own.admission(&context, now);
-        let is_concentrated = matches!(admission, VersionAdmission::OnlyFirstOf(_));
+        let is_concentrated = matches!(admission, VersionAdmission::OnlyFirstOf(..));
         let side = match admission {
             VersionAdmission::All | VersionAdmission::AllBut(_) => Side::Old,
             VersionAdmission::Only(_)
-            | VersionAdmission::OnlyFirstOf(_)
-            | VersionAdmission::Prefer(_) => Side::Target,
+            | VersionAdmission::OnlyFirstOf(..)
+            | VersionAdmission::Prefer(..) => Side::Target,
         };
         let route = ROUTES[usize::from(draw(2) < 0.2)];
         let outcome = (self.behaviour)(&Sent {
