Count crashes of upstreams that are back when they are checked

Cause: a node counts a crash if the upstream refuses a connection 20 ms after the end of the connection was read. An upstream that is back by then passes for one that never left.

The node now waits for a later start of such an upstream too, as it does where no other one can be reached. Connections that were reset while the upstream went on count for nothing, as before.

--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -248,8 +248,8 @@
 
     /// Connects to the upstream again, after it broke off, to check whether it has
     /// crashed. If it cannot be reached, but another one can, counts the crash
-    /// against the call. If no other one can either, the paths of this node may be lost, and the
-    /// crash counts once a later start of the upstream is known.
+    /// against the call. Otherwise the paths of this node may have been lost, or the upstream
+    /// is back already, and the crash counts once a later start of it is known.
     /// `phase` tells how far it had got with the answer.
     pub(crate) fn check_for_crash(
         self: &Arc<Self>,
@@ -261,10 +261,8 @@
         let suspect = SuspectCall::new(call, upstream, phase);
         tokio::spawn(async move {
             tokio::time::sleep(PORT_CLOSE_DELAY).await;
-            if suspect.upstream.pool.keeps_connection().await {
-                return;
-            }
-            if forwarder.reaches_another(&suspect.upstream).await {
+            let is_reached = suspect.upstream.pool.keeps_connection().await;
+            if !is_reached && forwarder.reaches_another(&suspect.upstream).await {
                 forwarder
                     .request_crashes
                     .record_crash(&suspect, "unreachable");
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -326,29 +326,33 @@
     assert_part_is_found(stable_ids(3)).await;
 }
 
-/// Guards against crashes that count for nothing because no other engine can be reached when
-/// they are checked: the engine's return as a later start tells that it crashed.
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn a_part_is_found_that_crashes_the_only_engine_that_is_left() {
+/// Sends prompts with a crashing part to a node one after the other, where the first of two engines
+/// comes back after `down_time`, and checks how many of them reach engines.
+async fn assert_part_is_found_at_one_engine(is_other_down: bool, down_time: Duration) {
     const REQUEST_COUNT: usize = 12;
     const REQUEST_INTERVAL: Duration = Duration::from_millis(1_500);
     let environment = TestEnvironment::start(2).await;
     let (_node, caller) = environment.start_ready_node("n-0").await;
-    environment.engines[1].crash();
-    let restarting = environment.restart_under_same_id(0, ENGINE_DOWN_TIME);
+    if is_other_down {
+        environment.engines[1].crash();
+    }
+    let restarting = environment.restart_under_same_id(0, down_time);
+    let restarting_other =
+        (!is_other_down).then(|| environment.restart_under_same_id(1, down_time));
     for _ in 0..REQUEST_COUNT {
         let caller = caller.clone();
         tokio::spawn(async move { send_prompt(&caller, "dead0:300,", 20).await });
         tokio::time::sleep(REQUEST_INTERVAL).await;
     }
     restarting.abort();
+    restarting_other.iter().for_each(JoinHandle::abort);
 
     let crashes = part_crashes(&environment);
     let last_counted = crashes[COUNTED_CRASHES.min(crashes.len()) - 1];
     let late = arrivals(&environment, CRASHING_PART).into_iter();
     let late_count = late.filter(|at| *at > last_counted + CONTACT_TIME).count();
     println!(
-        "engine crashed {}, late arrivals {late_count}",
+        "engines crashed {}, late arrivals {late_count}",
         crashes.len()
     );
     assert!(
@@ -357,6 +361,20 @@
     );
 }
 
+/// Guards against crashes that count for nothing because no other engine can be reached when
+/// they are checked: the engine's return as a later start tells that it crashed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_that_crashes_the_only_engine_that_is_left() {
+    assert_part_is_found_at_one_engine(true, ENGINE_DOWN_TIME).await;
+}
+
+/// Guards against crashes that count for nothing because the engine is back at its address when
+/// they are checked.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_where_engines_are_back_at_once() {
+    assert_part_is_found_at_one_engine(false, Duration::ZERO).await;
+}
+
 async fn start_nodes(specs: &[NodeSpec], environment: &TestEnvironment) -> Vec<KillableNode> {
     let mut nodes = Vec::new();
     for spec in specs {
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -59,6 +59,10 @@
 pub const FORGED_RELAY_HEADERS: &str =
     "x-relay-sends-left: 0\r\nx-relay-counted: 1\r\nx-relay-refused: 1\r\n";
 
+/// Interval at which crashed engines are looked for, below the time after which a node connects to
+/// an upstream that broke off.
+const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// The addresses that [`free_address`] returned. Their ports are free again until the
 /// stand-ins listen at them.
 static GIVEN_OUT: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
@@ -294,7 +298,7 @@
         let store = self.store.clone();
         tokio::spawn(async move {
             loop {
-                tokio::time::sleep(Duration::from_millis(20)).await;
+                tokio::time::sleep(RESTART_CHECK_INTERVAL).await;
                 for engine in &engines {
                     if engine.down_time().is_none_or(|time| time < down_time) {
                         continue;
