Count crashes that leave connections open and silent

Cause: a stream whose upstream is lost to silence moves away without counting anything against its call, since only a broken connection starts the check for a crash. Where the connection broke during the move, the check came when the move had ended, up to seconds later, and the silence counted as time that the upstream had written.

A stream that finds its upstream lost now waits for a later start of it, beside its move; the move may take seconds. The crash time ends with the last event. Silence without a new start counts for nothing, so that paused upstreams and silent links are not blamed.

--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -272,6 +272,18 @@
         })
     }
 
+    /// Counts a crash against the call, whose upstream is silent, if a later start of the upstream
+    /// becomes known in time.
+    pub(crate) fn check_for_later_start(
+        self: &Arc<Self>,
+        call: &Call,
+        upstream: &Arc<Upstream>,
+        phase: AnswerPhase,
+    ) {
+        let suspect = SuspectCall::new(call, upstream, phase);
+        tokio::spawn(self.clone().await_later_start(suspect));
+    }
+
     /// Counts a crash against the call if a later start of its upstream becomes known in time.
     async fn await_later_start(self: Arc<Self>, suspect: SuspectCall) {
         let began_at = Instant::now();
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -208,6 +208,7 @@
         let deadline = self.call.deadline.into();
         let mut is_handed_over = false;
         let mut survival_due = SURVIVAL_TIME;
+        let mut is_start_awaited = false;
         let is_resumed = self.last_event.is_some();
         loop {
             let frame = tokio::select! {
@@ -221,6 +222,9 @@
                 frame = answer.body.frame() => frame,
                 loss = loss_watch.wait_for_loss(&forwarder.directory, phase, &forwarder.metrics) => {
                     let began_at = Instant::now();
+                    if !std::mem::replace(&mut is_start_awaited, true) {
+                        self.check_for_later_start(&upstream, first_event_at);
+                    }
                     let present = PresentAnswer::new(answer, &upstream, self.call.id());
                     match self.try_move(present, sender).await {
                         MoveOutcome::GoesOn(present, frame) => {
@@ -415,13 +419,31 @@
     /// events for long did not crash under the call.
     fn handle_disconnect(&mut self, upstream: &Arc<Upstream>, first_event_at: Option<Instant>) {
         upstream.avoid(Instant::now());
-        let written = first_event_at.map_or(Duration::ZERO, |at| at.elapsed());
+        let written = self.time_written(first_event_at);
         if written < LATE_CRASH_MAX {
             self.check_for_crash(upstream, AnswerPhase::Writing(written));
         }
         self.forwarder.probe_after_disconnect(upstream);
     }
 
+    /// Time from the first event of an upstream to its last one. A crash may leave the connection
+    /// open and silent for seconds.
+    fn time_written(&self, first_event_at: Option<Instant>) -> Duration {
+        let since_first = first_event_at.map_or(Duration::ZERO, |at| at.elapsed());
+        since_first.saturating_sub(self.silence())
+    }
+
+    /// Checks whether an upstream that is silent has crashed and left its connection open, which
+    /// its next start tells. The stream may take seconds to leave it.
+    fn check_for_later_start(&self, upstream: &Arc<Upstream>, first_event_at: Option<Instant>) {
+        let written = self.time_written(first_event_at);
+        if written < LATE_CRASH_MAX {
+            let phase = AnswerPhase::Writing(written);
+            self.forwarder
+                .check_for_later_start(&self.call, upstream, phase);
+        }
+    }
+
     /// Applies what the move of the stream away from an upstream says of that upstream.
     fn handle_departure(
         &mut self,
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -45,6 +45,8 @@
     engine_count: usize,
     /// Engines come back under the ids that they had.
     has_stable_ids: bool,
+    /// Engines fall silent for this time and leave their connections open, if it is set.
+    silence: Option<Duration>,
     /// Time during which the crashing part is sent.
     duration: Duration,
 }
@@ -60,6 +62,7 @@
             outage_interval: Some(OUTAGE_INTERVAL),
             engine_count: ENGINE_COUNT,
             has_stable_ids: false,
+            silence: None,
             duration: CRASHING_TIME,
         }
     }
@@ -192,12 +195,15 @@
     for engine in &environment.engines {
         *engine.prefill_time.lock().expect("unpoisoned") = Duration::from_millis(300);
         *engine.event_interval.lock().expect("unpoisoned") = Duration::from_millis(15);
+        let is_silent = scene.silence.is_some();
+        engine.crashes_silently.store(is_silent, Ordering::Relaxed);
     }
     let (_nodes, callers) = environment.start_ready_nodes(NODE_COUNT).await;
+    let down_time = scene.silence.unwrap_or(ENGINE_DOWN_TIME);
     let restarting = if scene.has_stable_ids {
-        environment.restart_crashed_engines_under_same_ids(ENGINE_DOWN_TIME)
+        environment.restart_crashed_engines_under_same_ids(down_time)
     } else {
-        environment.restart_crashed_engines(ENGINE_DOWN_TIME)
+        environment.restart_crashed_engines(down_time)
     };
     let is_over = Arc::new(AtomicBool::new(false));
     let sound = send_sound_parts(&callers, scene, &is_over);
@@ -375,6 +381,32 @@
     assert_part_is_found_at_one_engine(false, Duration::ZERO).await;
 }
 
+/// Engines that fall silent for three seconds before they come back.
+fn silent_crashes(has_stable_ids: bool) -> Scene {
+    Scene {
+        crash_interval: Duration::from_millis(600),
+        outage_interval: None,
+        has_stable_ids,
+        silence: Some(Duration::from_secs(3)),
+        ..Scene::new(
+            &["aa:200,dead0:300,", "dead0:300,"],
+            &["aa:200,", "aa:200,cc:40,"],
+        )
+    }
+}
+
+/// Guards against crashes that count for nothing because they leave the connections open.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_that_silences_engines_which_return_under_new_ids() {
+    assert_part_is_found(silent_crashes(false)).await;
+}
+
+/// Guards against the same at engines that return under the ids that they had.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_that_silences_engines_which_return_under_the_same_ids() {
+    assert_part_is_found(silent_crashes(true)).await;
+}
+
 async fn start_nodes(specs: &[NodeSpec], environment: &TestEnvironment) -> Vec<KillableNode> {
     let mut nodes = Vec::new();
     for spec in specs {
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -68,6 +68,9 @@
     /// When prompts with a [crashing part](CRASHING_PART) crashed this engine.
     part_crashes: Mutex<Vec<(String, Instant)>>,
     crashed_at: Mutex<Option<Instant>>,
+    /// Falls silent where a crashing part crashes it, and leaves its connections open until it
+    /// restarts.
+    pub crashes_silently: AtomicBool,
     /// Number of new connections that wait to be accepted, from the next start on.
     pub listen_queue: AtomicU32,
     /// Resets new connections; open ones are served.
@@ -143,6 +146,7 @@
             next_break: Mutex::default(),
             part_crashes: Mutex::default(),
             crashed_at: Mutex::default(),
+            crashes_silently: AtomicBool::new(false),
             listen_queue: AtomicU32::new(LISTEN_QUEUE),
             refuses_connections: AtomicBool::new(false),
             is_full: AtomicBool::new(false),
@@ -261,6 +265,10 @@
 
     /// Listens again, as a new incarnation with the id that it had.
     pub async fn restart_under_same_id(self: &Arc<Self>) {
+        if self.crashes_silently.load(Ordering::Relaxed) {
+            self.crash();
+            self.set_frozen(false);
+        }
         self.incarnation.fetch_add(1, Ordering::Relaxed);
         self.named_limit.record_start();
         self.asked_rest.record_start();
@@ -425,7 +433,12 @@
             .lock()
             .expect("unpoisoned")
             .push((part.to_owned(), Instant::now()));
-        self.crash();
+        if self.crashes_silently.load(Ordering::Relaxed) {
+            self.set_frozen(true);
+            *self.crashed_at.lock().expect("unpoisoned") = Some(Instant::now());
+        } else {
+            self.crash();
+        }
         std::future::pending().await
     }
 
