Play a crashing part while nodes are cut off from each other

Drops the hypothesis that evidence which arises while nodes are partitioned breaks the bound. No logic changes.

The scene counts from the end of the cut, as the bound holds for nodes that are connected.

--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -3,12 +3,14 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use support::edge_environment::caller::Caller;
 use support::edge_environment::engine::CRASHING_PART;
+use support::edge_environment::silent_links::set_cut;
 use support::edge_environment::{KillableNode, NodeSpec, TestEnvironment};
 use tokio::task::JoinHandle;
 
@@ -20,6 +22,8 @@
 /// [`CONTACT_TIME`] after the last counted crash.
 const LATE_ARRIVALS_MAX: usize = 3;
 const NODE_COUNT: usize = 4;
+/// Port at which nodes listen to each other.
+const PEER_PORT: u16 = 7340;
 const ENGINE_COUNT: usize = 16;
 const ENGINE_DOWN_TIME: Duration = Duration::from_millis(700);
 /// Time during which the crashing part is sent.
@@ -47,6 +51,8 @@
     has_stable_ids: bool,
     /// Engines fall silent for this time and leave their connections open, if it is set.
     silence: Option<Duration>,
+    /// Nodes are cut off from each other for this time when the crashing part is first sent.
+    peer_cut: Option<Duration>,
     /// Time during which the crashing part is sent.
     duration: Duration,
 }
@@ -63,6 +69,7 @@
             engine_count: ENGINE_COUNT,
             has_stable_ids: false,
             silence: None,
+            peer_cut: None,
             duration: CRASHING_TIME,
         }
     }
@@ -199,6 +206,8 @@
         engine.crashes_silently.store(is_silent, Ordering::Relaxed);
     }
     let (_nodes, callers) = environment.start_ready_nodes(NODE_COUNT).await;
+    let peers = callers.iter().map(|caller| caller.address.ip());
+    let peers: Vec<SocketAddr> = peers.map(|ip| (ip, PEER_PORT).into()).collect();
     let down_time = scene.silence.unwrap_or(ENGINE_DOWN_TIME);
     let restarting = if scene.has_stable_ids {
         environment.restart_crashed_engines_under_same_ids(down_time)
@@ -212,7 +221,14 @@
     let began_at = Instant::now();
     let crashing = send_crashing_parts(&callers, scene);
     let outages = crash_a_data_centre_in_turn(&environment, scene.outage_interval);
-    tokio::time::sleep(scene.duration).await;
+    let cut_time = scene.peer_cut.unwrap_or_default();
+    if scene.peer_cut.is_some() {
+        set_cut(&peers, true);
+        tokio::time::sleep(cut_time).await;
+        set_cut(&peers, false);
+    }
+    let connected_at = Instant::now();
+    tokio::time::sleep(scene.duration - cut_time).await;
     is_over.store(true, Ordering::Relaxed);
     let sound = sound.await.expect("no panic");
     crashing.abort();
@@ -220,7 +236,12 @@
     restarting.abort();
 
     let crashes = part_crashes(&environment);
-    let counted_crash = *crashes.get(COUNTED_CRASHES - 1).unwrap_or(&began_at);
+    let fifth_crash = *crashes.get(COUNTED_CRASHES - 1).unwrap_or(&began_at);
+    // The bounds hold for nodes that are connected.
+    let counted_crash = match scene.peer_cut {
+        Some(_) => fifth_crash.max(connected_at),
+        None => fifth_crash,
+    };
     let late = arrivals(&environment, CRASHING_PART);
     let late = late.iter().filter(|at| **at > counted_crash + CONTACT_TIME);
     let late_count = late.count();
@@ -407,6 +428,21 @@
     assert_part_is_found(silent_crashes(true)).await;
 }
 
+/// Guards against evidence that does not reach all nodes after they were cut off from each other
+/// while it arose, or that contradicts itself then.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_whose_crashes_began_while_nodes_were_cut_off_from_each_other() {
+    const CRASHING: &[&str] = &["aa:200,dead0:300,", "dead0:300,"];
+    const SOUND: &[&str] = &["aa:200,", "aa:200,bb:50,", "aa:200,cc:40,"];
+    assert_part_is_found(Scene {
+        crash_interval: Duration::from_millis(300),
+        peer_cut: Some(Duration::from_secs(4)),
+        duration: Duration::from_secs(18),
+        ..Scene::new(CRASHING, SOUND)
+    })
+    .await;
+}
+
 async fn start_nodes(specs: &[NodeSpec], environment: &TestEnvironment) -> Vec<KillableNode> {
     let mut nodes = Vec::new();
     for spec in specs {
--- a/tests/support/edge_environment/silent_links.rs
+++ b/tests/support/edge_environment/silent_links.rs
@@ -1,5 +1,6 @@
 //! Open connections that fall silent for good, without a reset, while new ones work.
 
+use std::net::SocketAddr;
 use std::os::fd::{BorrowedFd, RawFd};
 
 use socket2::{SockFilter, SockRef, Type};
@@ -40,3 +41,23 @@
     let ports = [local, peer].map(|end| end.as_socket().map(|address| address.port()));
     ports.contains(&Some(port))
 }
+
+/// Drops all that arrives at sockets of this process with one of these addresses at either end,
+/// listeners and datagram sockets included, or ends that.
+pub fn set_cut(addresses: &[SocketAddr], is_cut: bool) {
+    for descriptor in open_descriptors() {
+        // SAFETY: as in `silence`.
+        let descriptor = unsafe { BorrowedFd::borrow_raw(descriptor) };
+        let socket = SockRef::from(&descriptor);
+        let ends = [socket.local_addr(), socket.peer_addr()].map(|end| end.ok()?.as_socket());
+        if !ends.iter().flatten().any(|end| addresses.contains(end)) {
+            continue;
+        }
+        // Fails only if the socket was closed, or opened during the cut.
+        let _ = if is_cut {
+            socket.attach_filter(&[SockFilter::new(RETURN_CONSTANT, 0, 0, 0)])
+        } else {
+            socket.detach_filter()
+        };
+    }
+}
