--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -3,12 +3,14 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use support::edge_environment::caller::Caller;
 use support::edge_environment::engine::CRASHING_PART;
+use support::edge_environment::silent_links::set_cut;
 use support::edge_environment::{KillableNode, NodeSpec, TestEnvironment};
 use tokio::task::JoinHandle;
 
@@ -20,6 +22,8 @@
 /// [`CONTACT_TIME`] after the last counted crash.
 const LATE_ARRIVALS_MAX: usize = 3;
 const NODE_COUNT: usize = 4;
+/// Port at which nodes listen to each other.
+const PEER_PORT: u16 = 7340;
 const ENGINE_COUNT: usize = 16;
 const ENGINE_DOWN_TIME: Duration = Duration::from_millis(700);
 /// Time during which the crashing part is sent.
@@ -45,6 +49,10 @@
     engine_count: usize,
     /// Engines come back under the ids that they had.
     has_stable_ids: bool,
+    /// Engines fall silent for this time and leave their connections open, if it is set.
+    silence: Option<Duration>,
+    /// Nodes are cut off from each other for this time when the crashing part is first sent.
+    peer_cut: Option<Duration>,
     /// Time during which the crashing part is sent.
     duration: Duration,
 }
@@ -60,6 +68,8 @@
             outage_interval: Some(OUTAGE_INTERVAL),
             engine_count: ENGINE_COUNT,
             has_stable_ids: false,
+            silence: None,
+            peer_cut: None,
             duration: CRASHING_TIME,
         }
     }
@@ -192,12 +202,17 @@
     for engine in &environment.engines {
         *engine.prefill_time.lock().expect("unpoisoned") = Duration::from_millis(300);
         *engine.event_interval.lock().expect("unpoisoned") = Duration::from_millis(15);
+        let is_silent = scene.silence.is_some();
+        engine.crashes_silently.store(is_silent, Ordering::Relaxed);
     }
     let (_nodes, callers) = environment.start_ready_nodes(NODE_COUNT).await;
+    let peers = callers.iter().map(|caller| caller.address.ip());
+    let peers: Vec<SocketAddr> = peers.map(|ip| (ip, PEER_PORT).into()).collect();
+    let down_time = scene.silence.unwrap_or(ENGINE_DOWN_TIME);
     let restarting = if scene.has_stable_ids {
-        environment.restart_crashed_engines_under_same_ids(ENGINE_DOWN_TIME)
+        environment.restart_crashed_engines_under_same_ids(down_time)
     } else {
-        environment.restart_crashed_engines(ENGINE_DOWN_TIME)
+        environment.restart_crashed_engines(down_time)
     };
     let is_over = Arc::new(AtomicBool::new(false));
     let sound = send_sound_parts(&callers, scene, &is_over);
@@ -206,7 +221,14 @@
     let began_at = Instant::now();
     let crashing = send_crashing_parts(&callers, scene);
     let outages = crash_a_data_centre_in_turn(&environment, scene.outage_interval);
-    tokio::time::sleep(scene.duration).await;
+    let cut_time = scene.peer_cut.unwrap_or_default();
+    if scene.peer_cut.is_some() {
+        set_cut(&peers, true);
+        tokio::time::sleep(cut_time).await;
+        set_cut(&peers, false);
+    }
+    let connected_at = Instant::now();
+    tokio::time::sleep(scene.duration - cut_time).await;
     is_over.store(true, Ordering::Relaxed);
     let sound = sound.await.expect("no panic");
     crashing.abort();
@@ -214,7 +236,12 @@
     restarting.abort();
 
     let crashes = part_crashes(&environment);
-    let counted_crash = *crashes.get(COUNTED_CRASHES - 1).unwrap_or(&began_at);
+    let fifth_crash = *crashes.get(COUNTED_CRASHES - 1).unwrap_or(&began_at);
+    // The bounds hold for nodes that are connected.
+    let counted_crash = match scene.peer_cut {
+        Some(_) => fifth_crash.max(connected_at),
+        None => fifth_crash,
+    };
     let late = arrivals(&environment, CRASHING_PART);
     let late = late.iter().filter(|at| **at > counted_crash + CONTACT_TIME);
     let late_count = late.count();
@@ -326,29 +353,33 @@
     assert_part_is_found(stable_ids(3)).await;
 }
 
-/// Guards against crashes that count for nothing because no other engine can be reached when
-/// they are checked: the engine's return as a later start tells that it crashed.
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn a_part_is_found_that_crashes_the_only_engine_that_is_left() {
+/// Sends prompts with a crashing part to a node one after the other, where the first of two engines
+/// comes back after `down_time`, and checks how many of them reach engines.
+async fn assert_part_is_found_at_one_engine(is_other_down: bool, down_time: Duration) {
     const REQUEST_COUNT: usize = 12;
     const REQUEST_INTERVAL: Duration = Duration::from_millis(1_500);
     let environment = TestEnvironment::start(2).await;
     let (_node, caller) = environment.start_ready_node("n-0").await;
-    environment.engines[1].crash();
-    let restarting = environment.restart_under_same_id(0, ENGINE_DOWN_TIME);
+    if is_other_down {
+        environment.engines[1].crash();
+    }
+    let restarting = environment.restart_under_same_id(0, down_time);
+    let restarting_other =
+        (!is_other_down).then(|| environment.restart_under_same_id(1, down_time));
     for _ in 0..REQUEST_COUNT {
         let caller = caller.clone();
         tokio::spawn(async move { send_prompt(&caller, "dead0:300,", 20).await });
         tokio::time::sleep(REQUEST_INTERVAL).await;
     }
     restarting.abort();
+    restarting_other.iter().for_each(JoinHandle::abort);
 
     let crashes = part_crashes(&environment);
     let last_counted = crashes[COUNTED_CRASHES.min(crashes.len()) - 1];
     let late = arrivals(&environment, CRASHING_PART).into_iter();
     let late_count = late.filter(|at| *at > last_counted + CONTACT_TIME).count();
     println!(
-        "engine crashed {}, late arrivals {late_count}",
+        "engines crashed {}, late arrivals {late_count}",
         crashes.len()
     );
     assert!(
@@ -357,6 +388,61 @@
     );
 }
 
+/// Guards against crashes that count for nothing because no other engine can be reached when
+/// they are checked: the engine's return as a later start tells that it crashed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_that_crashes_the_only_engine_that_is_left() {
+    assert_part_is_found_at_one_engine(true, ENGINE_DOWN_TIME).await;
+}
+
+/// Guards against crashes that count for nothing because the engine is back at its address when
+/// they are checked.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_where_engines_are_back_at_once() {
+    assert_part_is_found_at_one_engine(false, Duration::ZERO).await;
+}
+
+/// Engines that fall silent for three seconds before they come back.
+fn silent_crashes(has_stable_ids: bool) -> Scene {
+    Scene {
+        crash_interval: Duration::from_millis(600),
+        outage_interval: None,
+        has_stable_ids,
+        silence: Some(Duration::from_secs(3)),
+        ..Scene::new(
+            &["aa:200,dead0:300,", "dead0:300,"],
+            &["aa:200,", "aa:200,cc:40,"],
+        )
+    }
+}
+
+/// Guards against crashes that count for nothing because they leave the connections open.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_that_silences_engines_which_return_under_new_ids() {
+    assert_part_is_found(silent_crashes(false)).await;
+}
+
+/// Guards against the same at engines that return under the ids that they had.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_that_silences_engines_which_return_under_the_same_ids() {
+    assert_part_is_found(silent_crashes(true)).await;
+}
+
+/// Guards against evidence that does not reach all nodes after they were cut off from each other
+/// while it arose, or that contradicts itself then.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_whose_crashes_began_while_nodes_were_cut_off_from_each_other() {
+    const CRASHING: &[&str] = &["aa:200,dead0:300,", "dead0:300,"];
+    const SOUND: &[&str] = &["aa:200,", "aa:200,bb:50,", "aa:200,cc:40,"];
+    assert_part_is_found(Scene {
+        crash_interval: Duration::from_millis(300),
+        peer_cut: Some(Duration::from_secs(4)),
+        duration: Duration::from_secs(18),
+        ..Scene::new(CRASHING, SOUND)
+    })
+    .await;
+}
+
 async fn start_nodes(specs: &[NodeSpec], environment: &TestEnvironment) -> Vec<KillableNode> {
     let mut nodes = Vec::new();
     for spec in specs {
