Raise the share of a canary whose answers stay away

Good versions were reverted as little known where their upstreams register late (200 calls a second, from 10.5 s of 12 s: 5 calls of the target) or where few of many nodes have credit (390 nodes, 60 calls a second: 8 calls).

Cause: the share that should bring 60 answers was worked out once from the rate of calls and the time before the ramp, whatever the target had answered.

The owner now also divides the answers that are missing by the calls that it expects until the ramp, or after its beginning until the outcome. The share stays below 0.5 and only grows compared with the earlier rule; what nodes send stays bounded by their credit.

A bad version that registers as late is reverted.

--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -214,7 +214,7 @@
     let Situation { rollout, age, .. } = *situation;
     let duration = rollout.duration;
     let hand_over_time = duration.mul_f64(HAND_OVER_PART).max(HAND_OVER_MIN);
-    let share = canary_share(situation, bounds);
+    let share = canary_share(situation, settle_at, bounds);
     if age >= settle_at.saturating_sub(hand_over_time) {
         // A version that would be refused now gets no more calls than before.
         return match situation.evidence.objection() {
@@ -233,18 +233,24 @@
     Grant { stage, share }
 }
 
-/// Share of the canary, by which it brings enough answers before the ramp.
-fn canary_share(situation: &Situation<'_>, bounds: &RolloutBounds) -> f64 {
+/// Share of the canary, by which it brings the answers that are still wanted before the ramp,
+/// or before the outcome. A target that registers late, or gets fewer calls than the share says
+/// since few nodes have credit, gets a larger one.
+fn canary_share(situation: &Situation<'_>, settle_at: Duration, bounds: &RolloutBounds) -> f64 {
+    let Situation { rollout, age, .. } = *situation;
     let usual = bounds.exposure_share * CANARY_PART;
-    if situation.age < RATE_KNOWN_AGE {
+    if age < RATE_KNOWN_AGE {
         return usual;
     }
-    let evidence = situation.evidence;
-    let answers =
-        evidence.total(Side::Old).answer_count + evidence.total(Side::Target).answer_count;
-    let rate_per_s = f64::from(answers.max(1)) / situation.age.as_secs_f64();
-    let until_ramp_s = situation.rollout.duration.as_secs_f64() * RAMP_BEGIN;
-    let wanted = CANARY_ANSWERS / (rate_per_s * until_ramp_s);
+    let of_old = situation.evidence.total(Side::Old).answer_count;
+    let of_target = situation.evidence.total(Side::Target).answer_count;
+    let rate_per_s = f64::from((of_old + of_target).max(1)) / age.as_secs_f64();
+    let ramp_at = rollout.duration.mul_f64(RAMP_BEGIN);
+    let due_at = if age < ramp_at { ramp_at } else { settle_at };
+    let time_left = due_at.saturating_sub(age).max(HAND_OVER_MIN);
+    let missing = (CANARY_ANSWERS - f64::from(of_target)).max(0.0);
+    let planned = CANARY_ANSWERS / (rate_per_s * ramp_at.as_secs_f64());
+    let wanted = planned.max(missing / (rate_per_s * time_left.as_secs_f64()));
     wanted.clamp(usual, CANARY_SHARE_MAX.max(usual))
 }
 
--- a/src/policy/tests/rollout.rs
+++ b/src/policy/tests/rollout.rs
@@ -60,6 +60,7 @@
     Scene {
         node_count: 6,
         calls_per_s: 200,
+        registered_at_ms: 0,
         behaviour,
         faults: faults.to_vec(),
     }
@@ -145,7 +146,7 @@
 /// gets no call and a good version is reverted.
 #[test]
 fn a_good_version_with_few_calls_at_each_node_is_completed() {
-    for (node_count, calls_per_s) in [(6, 8), (59, 15), (59, 40), (390, 500)] {
+    for (node_count, calls_per_s) in [(6, 8), (59, 15), (59, 40), (390, 60), (390, 500)] {
         let scene = Scene {
             node_count,
             calls_per_s,
@@ -160,6 +161,27 @@
     }
 }
 
+/// Guards against a share that is too small for the time that is left once the target has
+/// upstreams, and against one that takes a bad version for good.
+#[test]
+fn a_target_that_registers_late_is_judged_by_enough_answers() {
+    for (calls_per_s, registered_at_ms) in [(10, 6_000), (50, 9_000), (200, 10_500), (500, 10_900)]
+    {
+        let late = |behaviour| Scene {
+            calls_per_s,
+            registered_at_ms,
+            ..scene(behaviour, &[])
+        };
+
+        let (good, bad) = (late(good).run(), late(bad_at_once).run());
+
+        let (sends, state) = (good.target_sends, good.state);
+        println!("{calls_per_s}/s from {registered_at_ms} ms: {sends} sends, {state:?}");
+        assert_completed(&good);
+        assert_reverted(&bad);
+    }
+}
+
 /// Guards against a target that gets calls without an owner, and against an outcome that
 /// nobody writes.
 #[test]
--- a/src/policy/tests/rollout_scene.rs
+++ b/src/policy/tests/rollout_scene.rs
@@ -94,6 +94,8 @@
 pub(super) struct Scene {
     pub(super) node_count: usize,
     pub(super) calls_per_s: u64,
+    /// When the upstreams of the target register, in milliseconds since the request.
+    pub(super) registered_at_ms: u64,
     pub(super) behaviour: Behaviour,
     pub(super) faults: Vec<Fault>,
 }
@@ -309,6 +311,7 @@
         let admission = node.own.admission(&context, now);
         let is_concentrated = matches!(admission, VersionAdmission::OnlyFirstOf(..));
         let side = match admission {
+            _ if at_ms < self.registered_at_ms => Side::Old,
             VersionAdmission::All | VersionAdmission::AllBut(_) => Side::Old,
             VersionAdmission::Only(_)
             | VersionAdmission::OnlyFirstOf(..)
