Move the ramp of a rollout where an outage took its time

A version that is bad under load only was completed, and kept its calls: with a store away for 4.5 s over the ramp (6 s to 10.5 s of 12 s), or with both owners killed at its begin.

Cause: the ramp was a span of the request's age. While the owners grant nothing, that span passes, and neither the hand-over nor the outcome asked whether it had taken place.

The owners now measure for how long they have granted the ramp. It lasts until that is 0.15 of the duration; the hand-over waits for 0.02, and a target without it is reverted. Owner and standby measure it on their own, so that a killed owner does no harm.

Evidence: `a_version_is_tried_under_load_after_an_outage_in_the_ramp` failed before (completed) and passes now with good versions completed in all its six scenes.

--- a/src/edge/rollouts.rs
+++ b/src/edge/rollouts.rs
@@ -22,7 +22,7 @@
 use crate::platform::rollout_objects::{RolloutObject, StatusWrite};
 use crate::platform::store::Store;
 use crate::policy::rollout::{
-    Grant, OwnerRank, Rollout, RolloutBounds, RolloutState, Situation, Step, next_step,
+    Grant, OwnerRank, Rollout, RolloutBounds, RolloutState, Situation, Stage, Step, next_step,
 };
 use crate::policy::rollout_evidence::Evidence;
 
@@ -71,6 +71,8 @@
     since: Instant,
     reports: BTreeMap<NodeId, (Evidence, Instant)>,
     granted: Option<(Grant, Instant)>,
+    /// For how long this node has granted the ramp.
+    ramp_time: Duration,
     /// Why the target is to be reverted, once that is decided.
     verdict: Option<String>,
 }
@@ -82,6 +84,7 @@
             since: now,
             reports: BTreeMap::new(),
             granted: None,
+            ramp_time: Duration::ZERO,
             verdict: None,
         }
     }
@@ -93,6 +96,16 @@
         sum
     }
 
+    /// Ends what is granted, and returns its stage.
+    fn take_granted_stage(&mut self, now: Instant) -> Option<Stage> {
+        let (grant, granted_at) = self.granted.take()?;
+        if grant.stage == Stage::Ramp {
+            let granted_time = now.saturating_duration_since(granted_at);
+            self.ramp_time += granted_time.min(DECISION_MAX_AGE);
+        }
+        Some(grant.stage)
+    }
+
     /// Whether most of the nodes have reported lately.
     fn is_whole(&self, node_count: usize, now: Instant) -> bool {
         let recent_time = report_interval(node_count) * 3 + REPORT_TIMEOUT;
@@ -330,7 +343,7 @@
         if collected.target != rollout.target {
             *collected = Collected::new(&rollout.target, now);
         }
-        let granted_before = collected.granted.take().map(|(grant, _)| grant.stage);
+        let granted_before = collected.take_granted_stage(now);
         if rollout.state.is_settled() {
             return Step::Withhold;
         }
@@ -343,6 +356,7 @@
             age: age.unwrap_or_default(),
             evidence: &collected.evidence(),
             is_evidence_whole: collected.is_whole(node_count, now),
+            ramp_time: collected.ramp_time,
             knowledge_age: store_answered_at.map(|at| now.saturating_duration_since(at)),
         };
         let step = next_step(&situation, bounds);
--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -24,9 +24,11 @@
 const CANARY_ANSWERS: f64 = 60.0;
 /// Age from which on the rate of calls is known well enough to set the share by it.
 const RATE_KNOWN_AGE: Duration = Duration::from_millis(1_000);
-/// Parts of the duration after which the ramp begins and ends.
+/// Part of the duration after which the ramp begins.
 const RAMP_BEGIN: f64 = 0.6;
-const RAMP_END: f64 = 0.75;
+/// Part of the duration that the ramp takes, and that it must have taken before the hand-over.
+const RAMP_PART: f64 = 0.15;
+const RAMP_MIN_PART: f64 = 0.02;
 /// Part of the duration that the hand-over takes, and the shortest such time.
 const HAND_OVER_PART: f64 = 0.02;
 const HAND_OVER_MIN: Duration = Duration::from_millis(500);
@@ -144,6 +146,8 @@
     /// Whether most nodes have reported to this one lately, and for long enough that none of
     /// the others lags behind.
     pub(crate) is_evidence_whole: bool,
+    /// For how long this node has granted the ramp.
+    pub(crate) ramp_time: Duration,
     /// Time since the store last told this node the state; `None` if it never did.
     pub(crate) knowledge_age: Option<Duration>,
 }
@@ -206,16 +210,25 @@
     }
     match situation.evidence.objection() {
         Some(cause) => Step::Revert(cause),
+        None if !was_tried_under_load(situation) => {
+            Step::Revert("the target was not tried under load".to_owned())
+        }
         None => Step::Complete,
     }
 }
 
+/// Whether the ramp took long enough. An outage may have lasted as long as it.
+fn was_tried_under_load(situation: &Situation<'_>) -> bool {
+    situation.ramp_time >= situation.rollout.duration.mul_f64(RAMP_MIN_PART)
+}
+
 fn grant(situation: &Situation<'_>, settle_at: Duration, bounds: &RolloutBounds) -> Grant {
     let Situation { rollout, age, .. } = *situation;
     let duration = rollout.duration;
     let hand_over_time = duration.mul_f64(HAND_OVER_PART).max(HAND_OVER_MIN);
     let share = canary_share(situation, settle_at, bounds);
-    if age >= settle_at.saturating_sub(hand_over_time) {
+    let is_hand_over = age >= settle_at.saturating_sub(hand_over_time);
+    if is_hand_over && was_tried_under_load(situation) {
         // A version that would be refused now gets no more calls than before.
         return match situation.evidence.objection() {
             None => Grant {
@@ -228,7 +241,8 @@
             },
         };
     }
-    let is_ramp = (duration.mul_f64(RAMP_BEGIN)..duration.mul_f64(RAMP_END)).contains(&age);
+    let is_ramp_due = age >= duration.mul_f64(RAMP_BEGIN);
+    let is_ramp = is_ramp_due && situation.ramp_time < duration.mul_f64(RAMP_PART);
     let stage = if is_ramp { Stage::Ramp } else { Stage::Canary };
     Grant { stage, share }
 }
--- a/src/policy/tests/rollout.rs
+++ b/src/policy/tests/rollout.rs
@@ -182,6 +182,25 @@
     }
 }
 
+/// Guards against a version that is accepted without a ramp, since the store was away or
+/// both owners were gone during it.
+#[test]
+fn a_version_is_tried_under_load_after_an_outage_in_the_ramp() {
+    let killed = [Fault::Killed(0, 6_000), Fault::Killed(1, 6_700)];
+    let away = |from_ms| [Fault::StoreAway(from_ms, from_ms + 4_500)];
+    for faults in [killed.as_slice(), &away(4_500), &away(6_000)] {
+        for calls_per_s in [100, 500] {
+            let of = |behaviour| Scene {
+                calls_per_s,
+                ..scene(behaviour, faults)
+            };
+
+            assert_completed(&of(good).run());
+            assert_reverted(&of(bad_under_load).run());
+        }
+    }
+}
+
 /// Guards against a target that gets calls without an owner, and against an outcome that
 /// nobody writes.
 #[test]
--- a/src/policy/tests/rollout_scene.rs
+++ b/src/policy/tests/rollout_scene.rs
@@ -5,7 +5,7 @@
 use crate::hash::Fnv;
 use crate::policy::rollout::{
     Grant, NodeRollout, OwnerRank, Rollout, RolloutBounds, RolloutState, SendContext, Situation,
-    Step, VersionAdmission, next_step,
+    Stage, Step, VersionAdmission, next_step,
 };
 use crate::policy::rollout_evidence::{Evidence, Outcome, Side};
 
@@ -107,6 +107,7 @@
     /// What the node knows of the store, and when it heard that.
     known: (RolloutState, u64),
     granted: Option<Grant>,
+    ramp_ms: u64,
 }
 
 impl Scene {
@@ -131,6 +132,7 @@
             reports: vec![None; self.node_count],
             known: (RolloutState::Requested, 0),
             granted: None,
+            ramp_ms: 0,
         };
         let mut nodes: Vec<Node> = (0..self.node_count).map(new_node).collect();
         let mut store = RolloutState::Requested;
@@ -274,6 +276,7 @@
             age: node.own.age(now),
             evidence: &evidence,
             is_evidence_whole: recent_count * 2 > self.node_count,
+            ramp_time: Duration::from_millis(node.ramp_ms),
             knowledge_age: Some(Duration::from_millis(at_ms - node.known.1)),
         };
         match next_step(&situation, &BOUNDS) {
@@ -281,6 +284,9 @@
             Step::Record => Some(RolloutState::InProgress),
             Step::Grant(grant) => {
                 node.granted = Some(grant);
+                if grant.stage == Stage::Ramp {
+                    node.ramp_ms += OWNER_INTERVAL_MS;
+                }
                 None
             }
             Step::Complete => Some(RolloutState::Completed),
