Leave half of the credit to the ramp and the hand-over

A version that is bad under load only was completed in services with few calls (10 a second in 12 s, 100 a second in 4 s), without any outage.

Cause: the canary asks for 60 answers. Where the credit until the ramp is less (30 calls and 0.06 of those of the service), it spent all of it, and the ramp sent next to nothing.

The canary now asks for half of that credit at most until the ramp begins. That is 15 answers at least, of the 12 that an outcome needs.

Evidence: `a_version_with_few_calls_is_tried_under_load` failed before (10 a second: completed) and passes now, good versions completed. All 20 tests of `policy::tests::rollout` pass. `tests/rollouts` was not run again on this commit.

--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -22,6 +22,9 @@
 const CANARY_SHARE_MAX: f64 = 0.5;
 /// Answers of the target that the canary should bring before the ramp.
 const CANARY_ANSWERS: f64 = 60.0;
+/// Part of the nodes' credit that it should take at most. Without the rest, the target would
+/// get no calls in the ramp.
+const CANARY_CREDIT_PART: f64 = 0.5;
 /// Age from which on the rate of calls is known well enough to set the share by it.
 const RATE_KNOWN_AGE: Duration = Duration::from_millis(1_000);
 /// Part of the duration after which the ramp begins.
@@ -260,10 +263,18 @@
     let of_target = situation.evidence.total(Side::Target).answer_count;
     let rate_per_s = f64::from((of_old + of_target).max(1)) / age.as_secs_f64();
     let ramp_at = rollout.duration.mul_f64(RAMP_BEGIN);
-    let due_at = if age < ramp_at { ramp_at } else { settle_at };
+    let calls_until_ramp = rate_per_s * ramp_at.as_secs_f64();
+    let credit_until_ramp = bounds.exposure_tolerance * TOLERANCE_PART
+        + bounds.exposure_share * CREDIT_PART * calls_until_ramp;
+    let answers_until_ramp = CANARY_ANSWERS.min(credit_until_ramp * CANARY_CREDIT_PART);
+    let (answers, due_at) = if age < ramp_at {
+        (answers_until_ramp, ramp_at)
+    } else {
+        (CANARY_ANSWERS, settle_at)
+    };
     let time_left = due_at.saturating_sub(age).max(HAND_OVER_MIN);
-    let missing = (CANARY_ANSWERS - f64::from(of_target)).max(0.0);
-    let planned = CANARY_ANSWERS / (rate_per_s * ramp_at.as_secs_f64());
+    let missing = (answers - f64::from(of_target)).max(0.0);
+    let planned = answers_until_ramp / calls_until_ramp;
     let wanted = planned.max(missing / (rate_per_s * time_left.as_secs_f64()));
     wanted.clamp(usual, CANARY_SHARE_MAX.max(usual))
 }
--- a/src/policy/tests/rollout.rs
+++ b/src/policy/tests/rollout.rs
@@ -201,6 +201,26 @@
     }
 }
 
+/// Guards against a canary that spends the credit of the ramp in a service with few calls.
+#[test]
+fn a_version_with_few_calls_is_tried_under_load() {
+    for calls_per_s in [10, 15, 20, 30] {
+        let of = |behaviour| Scene {
+            calls_per_s,
+            ..scene(behaviour, &[])
+        };
+
+        let (good, bad) = (of(good).run(), of(bad_under_load).run());
+
+        println!(
+            "{calls_per_s}/s: {} and {}",
+            good.target_sends, bad.target_sends
+        );
+        assert_completed(&good);
+        assert_reverted(&bad);
+    }
+}
+
 /// Guards against a target that gets calls without an owner, and against an outcome that
 /// nobody writes.
 #[test]
