Require half a second of the ramp of a rollout

A version that is bad under load only was completed, and kept its calls beyond `rollback-ms`, where an outage of the store left an instant for the ramp (300 calls a second, 8 s, store away from 3 to 7.5 s).

Cause: 0.02 of the duration, 0.16 s here, is less than one round of reports (250 ms), so the outcome was written before the nodes had the grant, or the owner their answers.

The ramp must now have taken 0.5 s, two rounds in a small cluster, or its whole length if that is less.

Evidence: `a_version_is_not_accepted_by_a_ramp_of_an_instant` failed before (completed) and passes now. All 21 tests of `policy::tests::rollout` pass. `tests/rollouts` was not run on this commit before it was made.

--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -29,9 +29,11 @@
 const RATE_KNOWN_AGE: Duration = Duration::from_millis(1_000);
 /// Part of the duration after which the ramp begins.
 const RAMP_BEGIN: f64 = 0.6;
-/// Part of the duration that the ramp takes, and that it must have taken before the hand-over.
+/// Part of the duration that the ramp takes.
 const RAMP_PART: f64 = 0.15;
-const RAMP_MIN_PART: f64 = 0.02;
+/// Time that the ramp must have taken before the hand-over: two rounds of reports, which bring
+/// the grant to the nodes and their answers to the owners.
+const RAMP_MIN: Duration = Duration::from_millis(500);
 /// Part of the duration that the hand-over takes, and the shortest such time.
 const HAND_OVER_PART: f64 = 0.02;
 const HAND_OVER_MIN: Duration = Duration::from_millis(500);
@@ -222,7 +224,7 @@
 
 /// Whether the ramp took long enough. An outage may have lasted as long as it.
 fn was_tried_under_load(situation: &Situation<'_>) -> bool {
-    situation.ramp_time >= situation.rollout.duration.mul_f64(RAMP_MIN_PART)
+    situation.ramp_time >= RAMP_MIN.min(situation.rollout.duration.mul_f64(RAMP_PART))
 }
 
 fn grant(situation: &Situation<'_>, settle_at: Duration, bounds: &RolloutBounds) -> Grant {
--- a/src/policy/tests/rollout.rs
+++ b/src/policy/tests/rollout.rs
@@ -60,6 +60,7 @@
     Scene {
         node_count: 6,
         calls_per_s: 200,
+        duration_ms: DURATION_MS,
         registered_at_ms: 0,
         behaviour,
         faults: faults.to_vec(),
@@ -201,6 +202,21 @@
     }
 }
 
+/// Guards against a ramp that ends before the answers in it reach the owners.
+#[test]
+fn a_version_is_not_accepted_by_a_ramp_of_an_instant() {
+    let away = [Fault::StoreAway(3_000, 7_500)];
+    for calls_per_s in [100, 200, 300, 500] {
+        let scene = Scene {
+            calls_per_s,
+            duration_ms: 8_000,
+            ..scene(bad_under_load, &away)
+        };
+
+        assert_reverted(&scene.run());
+    }
+}
+
 /// Guards against a canary that spends the credit of the ramp in a service with few calls.
 #[test]
 fn a_version_with_few_calls_is_tried_under_load() {
--- a/src/policy/tests/rollout_scene.rs
+++ b/src/policy/tests/rollout_scene.rs
@@ -94,6 +94,7 @@
 pub(super) struct Scene {
     pub(super) node_count: usize,
     pub(super) calls_per_s: u64,
+    pub(super) duration_ms: u64,
     /// When the upstreams of the target register, in milliseconds since the request.
     pub(super) registered_at_ms: u64,
     pub(super) behaviour: Behaviour,
@@ -116,7 +117,7 @@
         let rollout = Rollout {
             service: "pay".to_owned(),
             target: "v2".to_owned(),
-            duration: Duration::from_millis(DURATION_MS),
+            duration: Duration::from_millis(self.duration_ms),
             state: RolloutState::Requested,
         };
         let draw = |index| Fnv::new().number(index as u64).finish() as f64 / u64::MAX as f64;
@@ -139,7 +140,7 @@
         let mut changed_at_ms = 0;
         let mut counts = Counts::default();
         let mut call_number = 0;
-        for at_ms in (0..DURATION_MS + 14_000).step_by(TICK_MS as usize) {
+        for at_ms in (0..self.duration_ms + 14_000).step_by(TICK_MS as usize) {
             let now = start + Duration::from_millis(at_ms);
             for index in 0..self.node_count {
                 self.learn(&mut nodes[index], index, store, changed_at_ms, at_ms);
@@ -333,9 +334,9 @@
         });
         node.own.record_send(side);
         node.own.evidence.record(route, side, outcome);
-        counts.sends += usize::from(at_ms < DURATION_MS);
+        counts.sends += usize::from(at_ms < self.duration_ms);
         if side == Side::Target {
-            counts.target_sends += usize::from(at_ms < DURATION_MS);
+            counts.target_sends += usize::from(at_ms < self.duration_ms);
             counts.last_target_send_ms = at_ms;
             if node.own.rollout.state != RolloutState::Completed {
                 counts.unfinished_target_sends.push((index, at_ms));
