--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -22,11 +22,18 @@
 const CANARY_SHARE_MAX: f64 = 0.5;
 /// Answers of the target that the canary should bring before the ramp.
 const CANARY_ANSWERS: f64 = 60.0;
+/// Part of the nodes' credit that it should take at most. Without the rest, the target would
+/// get no calls in the ramp.
+const CANARY_CREDIT_PART: f64 = 0.5;
 /// Age from which on the rate of calls is known well enough to set the share by it.
 const RATE_KNOWN_AGE: Duration = Duration::from_millis(1_000);
-/// Parts of the duration after which the ramp begins and ends.
+/// Part of the duration after which the ramp begins.
 const RAMP_BEGIN: f64 = 0.6;
-const RAMP_END: f64 = 0.75;
+/// Part of the duration that the ramp takes.
+const RAMP_PART: f64 = 0.15;
+/// Time that the ramp must have taken before the hand-over: two rounds of reports, which bring
+/// the grant to the nodes and their answers to the owners.
+const RAMP_MIN: Duration = Duration::from_millis(500);
 /// Part of the duration that the hand-over takes, and the shortest such time.
 const HAND_OVER_PART: f64 = 0.02;
 const HAND_OVER_MIN: Duration = Duration::from_millis(500);
@@ -144,6 +151,8 @@
     /// Whether most nodes have reported to this one lately, and for long enough that none of
     /// the others lags behind.
     pub(crate) is_evidence_whole: bool,
+    /// For how long this node has granted the ramp.
+    pub(crate) ramp_time: Duration,
     /// Time since the store last told this node the state; `None` if it never did.
     pub(crate) knowledge_age: Option<Duration>,
 }
@@ -206,16 +215,25 @@
     }
     match situation.evidence.objection() {
         Some(cause) => Step::Revert(cause),
+        None if !was_tried_under_load(situation) => {
+            Step::Revert("the target was not tried under load".to_owned())
+        }
         None => Step::Complete,
     }
 }
 
+/// Whether the ramp took long enough. An outage may have lasted as long as it.
+fn was_tried_under_load(situation: &Situation<'_>) -> bool {
+    situation.ramp_time >= RAMP_MIN.min(situation.rollout.duration.mul_f64(RAMP_PART))
+}
+
 fn grant(situation: &Situation<'_>, settle_at: Duration, bounds: &RolloutBounds) -> Grant {
     let Situation { rollout, age, .. } = *situation;
     let duration = rollout.duration;
     let hand_over_time = duration.mul_f64(HAND_OVER_PART).max(HAND_OVER_MIN);
-    let share = canary_share(situation, bounds);
-    if age >= settle_at.saturating_sub(hand_over_time) {
+    let share = canary_share(situation, settle_at, bounds);
+    let is_hand_over = age >= settle_at.saturating_sub(hand_over_time);
+    if is_hand_over && was_tried_under_load(situation) {
         // A version that would be refused now gets no more calls than before.
         return match situation.evidence.objection() {
             None => Grant {
@@ -228,23 +246,38 @@
             },
         };
     }
-    let is_ramp = (duration.mul_f64(RAMP_BEGIN)..duration.mul_f64(RAMP_END)).contains(&age);
+    let is_ramp_due = age >= duration.mul_f64(RAMP_BEGIN);
+    let is_ramp = is_ramp_due && situation.ramp_time < duration.mul_f64(RAMP_PART);
     let stage = if is_ramp { Stage::Ramp } else { Stage::Canary };
     Grant { stage, share }
 }
 
-/// Share of the canary, by which it brings enough answers before the ramp.
-fn canary_share(situation: &Situation<'_>, bounds: &RolloutBounds) -> f64 {
+/// Share of the canary, by which it brings the answers that are still wanted before the ramp,
+/// or before the outcome. A target that registers late, or gets fewer calls than the share says
+/// since few nodes have credit, gets a larger one.
+fn canary_share(situation: &Situation<'_>, settle_at: Duration, bounds: &RolloutBounds) -> f64 {
+    let Situation { rollout, age, .. } = *situation;
     let usual = bounds.exposure_share * CANARY_PART;
-    if situation.age < RATE_KNOWN_AGE {
+    if age < RATE_KNOWN_AGE {
         return usual;
     }
-    let evidence = situation.evidence;
-    let answers =
-        evidence.total(Side::Old).answer_count + evidence.total(Side::Target).answer_count;
-    let rate_per_s = f64::from(answers.max(1)) / situation.age.as_secs_f64();
-    let until_ramp_s = situation.rollout.duration.as_secs_f64() * RAMP_BEGIN;
-    let wanted = CANARY_ANSWERS / (rate_per_s * until_ramp_s);
+    let of_old = situation.evidence.total(Side::Old).answer_count;
+    let of_target = situation.evidence.total(Side::Target).answer_count;
+    let rate_per_s = f64::from((of_old + of_target).max(1)) / age.as_secs_f64();
+    let ramp_at = rollout.duration.mul_f64(RAMP_BEGIN);
+    let calls_until_ramp = rate_per_s * ramp_at.as_secs_f64();
+    let credit_until_ramp = bounds.exposure_tolerance * TOLERANCE_PART
+        + bounds.exposure_share * CREDIT_PART * calls_until_ramp;
+    let answers_until_ramp = CANARY_ANSWERS.min(credit_until_ramp * CANARY_CREDIT_PART);
+    let (answers, due_at) = if age < ramp_at {
+        (answers_until_ramp, ramp_at)
+    } else {
+        (CANARY_ANSWERS, settle_at)
+    };
+    let time_left = due_at.saturating_sub(age).max(HAND_OVER_MIN);
+    let missing = (answers - f64::from(of_target)).max(0.0);
+    let planned = answers_until_ramp / calls_until_ramp;
+    let wanted = planned.max(missing / (rate_per_s * time_left.as_secs_f64()));
     wanted.clamp(usual, CANARY_SHARE_MAX.max(usual))
 }
 
--- a/src/policy/tests/rollout.rs
+++ b/src/policy/tests/rollout.rs
@@ -60,6 +60,8 @@
     Scene {
         node_count: 6,
         calls_per_s: 200,
+        duration_ms: DURATION_MS,
+        registered_at_ms: 0,
         behaviour,
         faults: faults.to_vec(),
     }
@@ -145,7 +147,7 @@
 /// gets no call and a good version is reverted.
 #[test]
 fn a_good_version_with_few_calls_at_each_node_is_completed() {
-    for (node_count, calls_per_s) in [(6, 8), (59, 15), (59, 40), (390, 500)] {
+    for (node_count, calls_per_s) in [(6, 8), (59, 15), (59, 40), (390, 60), (390, 500)] {
         let scene = Scene {
             node_count,
             calls_per_s,
@@ -160,6 +162,81 @@
     }
 }
 
+/// Guards against a share that is too small for the time that is left once the target has
+/// upstreams, and against one that takes a bad version for good.
+#[test]
+fn a_target_that_registers_late_is_judged_by_enough_answers() {
+    for (calls_per_s, registered_at_ms) in [(10, 6_000), (50, 9_000), (200, 10_500), (500, 10_900)]
+    {
+        let late = |behaviour| Scene {
+            calls_per_s,
+            registered_at_ms,
+            ..scene(behaviour, &[])
+        };
+
+        let (good, bad) = (late(good).run(), late(bad_at_once).run());
+
+        let (sends, state) = (good.target_sends, good.state);
+        println!("{calls_per_s}/s from {registered_at_ms} ms: {sends} sends, {state:?}");
+        assert_completed(&good);
+        assert_reverted(&bad);
+    }
+}
+
+/// Guards against a version that is accepted without a ramp, since the store was away or
+/// both owners were gone during it.
+#[test]
+fn a_version_is_tried_under_load_after_an_outage_in_the_ramp() {
+    let killed = [Fault::Killed(0, 6_000), Fault::Killed(1, 6_700)];
+    let away = |from_ms| [Fault::StoreAway(from_ms, from_ms + 4_500)];
+    for faults in [killed.as_slice(), &away(4_500), &away(6_000)] {
+        for calls_per_s in [100, 500] {
+            let of = |behaviour| Scene {
+                calls_per_s,
+                ..scene(behaviour, faults)
+            };
+
+            assert_completed(&of(good).run());
+            assert_reverted(&of(bad_under_load).run());
+        }
+    }
+}
+
+/// Guards against a ramp that ends before the answers in it reach the owners.
+#[test]
+fn a_version_is_not_accepted_by_a_ramp_of_an_instant() {
+    let away = [Fault::StoreAway(3_000, 7_500)];
+    for calls_per_s in [100, 200, 300, 500] {
+        let scene = Scene {
+            calls_per_s,
+            duration_ms: 8_000,
+            ..scene(bad_under_load, &away)
+        };
+
+        assert_reverted(&scene.run());
+    }
+}
+
+/// Guards against a canary that spends the credit of the ramp in a service with few calls.
+#[test]
+fn a_version_with_few_calls_is_tried_under_load() {
+    for calls_per_s in [10, 15, 20, 30] {
+        let of = |behaviour| Scene {
+            calls_per_s,
+            ..scene(behaviour, &[])
+        };
+
+        let (good, bad) = (of(good).run(), of(bad_under_load).run());
+
+        println!(
+            "{calls_per_s}/s: {} and {}",
+            good.target_sends, bad.target_sends
+        );
+        assert_completed(&good);
+        assert_reverted(&bad);
+    }
+}
+
 /// Guards against a target that gets calls without an owner, and against an outcome that
 /// nobody writes.
 #[test]
--- a/src/policy/tests/rollout_scene.rs
+++ b/src/policy/tests/rollout_scene.rs
@@ -5,7 +5,7 @@
 use crate::hash::Fnv;
 use crate::policy::rollout::{
     Grant, NodeRollout, OwnerRank, Rollout, RolloutBounds, RolloutState, SendContext, Situation,
-    Step, VersionAdmission, next_step,
+    Stage, Step, VersionAdmission, next_step,
 };
 use crate::policy::rollout_evidence::{Evidence, Outcome, Side};
 
@@ -94,6 +94,9 @@
 pub(super) struct Scene {
     pub(super) node_count: usize,
     pub(super) calls_per_s: u64,
+    pub(super) duration_ms: u64,
+    /// When the upstreams of the target register, in milliseconds since the request.
+    pub(super) registered_at_ms: u64,
     pub(super) behaviour: Behaviour,
     pub(super) faults: Vec<Fault>,
 }
@@ -105,6 +108,7 @@
     /// What the node knows of the store, and when it heard that.
     known: (RolloutState, u64),
     granted: Option<Grant>,
+    ramp_ms: u64,
 }
 
 impl Scene {
@@ -113,7 +117,7 @@
         let rollout = Rollout {
             service: "pay".to_owned(),
             target: "v2".to_owned(),
-            duration: Duration::from_millis(DURATION_MS),
+            duration: Duration::from_millis(self.duration_ms),
             state: RolloutState::Requested,
         };
         let draw = |index| Fnv::new().number(index as u64).finish() as f64 / u64::MAX as f64;
@@ -129,13 +133,14 @@
             reports: vec![None; self.node_count],
             known: (RolloutState::Requested, 0),
             granted: None,
+            ramp_ms: 0,
         };
         let mut nodes: Vec<Node> = (0..self.node_count).map(new_node).collect();
         let mut store = RolloutState::Requested;
         let mut changed_at_ms = 0;
         let mut counts = Counts::default();
         let mut call_number = 0;
-        for at_ms in (0..DURATION_MS + 14_000).step_by(TICK_MS as usize) {
+        for at_ms in (0..self.duration_ms + 14_000).step_by(TICK_MS as usize) {
             let now = start + Duration::from_millis(at_ms);
             for index in 0..self.node_count {
                 self.learn(&mut nodes[index], index, store, changed_at_ms, at_ms);
@@ -272,6 +277,7 @@
             age: node.own.age(now),
             evidence: &evidence,
             is_evidence_whole: recent_count * 2 > self.node_count,
+            ramp_time: Duration::from_millis(node.ramp_ms),
             knowledge_age: Some(Duration::from_millis(at_ms - node.known.1)),
         };
         match next_step(&situation, &BOUNDS) {
@@ -279,6 +285,9 @@
             Step::Record => Some(RolloutState::InProgress),
             Step::Grant(grant) => {
                 node.granted = Some(grant);
+                if grant.stage == Stage::Ramp {
+                    node.ramp_ms += OWNER_INTERVAL_MS;
+                }
                 None
             }
             Step::Complete => Some(RolloutState::Completed),
@@ -309,6 +318,7 @@
         let admission = node.own.admission(&context, now);
         let is_concentrated = matches!(admission, VersionAdmission::OnlyFirstOf(..));
         let side = match admission {
+            _ if at_ms < self.registered_at_ms => Side::Old,
             VersionAdmission::All | VersionAdmission::AllBut(_) => Side::Old,
             VersionAdmission::Only(_)
             | VersionAdmission::OnlyFirstOf(..)
@@ -324,9 +334,9 @@
         });
         node.own.record_send(side);
         node.own.evidence.record(route, side, outcome);
-        counts.sends += usize::from(at_ms < DURATION_MS);
+        counts.sends += usize::from(at_ms < self.duration_ms);
         if side == Side::Target {
-            counts.target_sends += usize::from(at_ms < DURATION_MS);
+            counts.target_sends += usize::from(at_ms < self.duration_ms);
             counts.last_target_send_ms = at_ms;
             if node.own.rollout.state != RolloutState::Completed {
                 counts.unfinished_target_sends.push((index, at_ms));
