Compare a configuration with the version that a running node has in force

A node serves its readiness, the addresses and /metrics on its status listeners. Nothing was added to the node, and no key leaves it. What differs field by field still needs --in-force FILE.

The command line was not run against a running node.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -136,6 +136,9 @@
         /// Configuration in force, to list what differs from it
         #[bpaf(argument("FILE"), optional)]
         in_force: Option<PathBuf>,
+        /// Address at which a node serves /metrics, to compare the version with its own
+        #[bpaf(argument("ADDRESS"), optional)]
+        node: Option<SocketAddr>,
         /// Settings of a node, whose limits the configuration must not contradict
         #[bpaf(argument("FILE"), optional)]
         settings: Option<PathBuf>,
--- a/src/command.rs
+++ b/src/command.rs
@@ -13,6 +13,7 @@
     Caller, CompletionParams, Demo, DemoOptions, EdgeNode, EdgeSettings, Intent, Metrics,
     ModelVersion, Node, Operator, OperatorError, RunnerProfile, Settings, SettingsError, Severity,
     StandIn, StandInPlatform, StandInRunner, StandInService, Vm, check_configuration,
+    check_version, version_in_force,
 };
 
 use crate::cli::{CallArgs, CheckArgs, Command, FileKind, Format, OperatorArgs, StandInArgs};
@@ -72,6 +73,7 @@
             CheckArgs::Configuration {
                 configuration,
                 in_force,
+                node: node_address,
                 settings,
                 options,
                 json,
@@ -81,7 +83,11 @@
                     return Err(SettingsError { problems }.into());
                 }
                 let node = settings.map(|settings| EdgeFiles { settings, options });
-                check_configuration_file(&configuration, in_force.as_deref(), node, json)
+                let version = match node_address {
+                    Some(address) => Some(version_in_force(address).await?),
+                    None => None,
+                };
+                check_configuration_file(&configuration, in_force.as_deref(), version, node, json)
             }
         },
         Command::Intent { operator, file } => {
@@ -258,13 +264,17 @@
 fn check_configuration_file(
     path: &Path,
     in_force: Option<&Path>,
+    version_in_force: Option<u64>,
     node: Option<EdgeFiles>,
     json: bool,
 ) -> Result<(), Failure> {
     let settings = node.map(|files| files.load()).transpose()?;
     let text = std::fs::read_to_string(path)?;
     let in_force = in_force.map(std::fs::read_to_string).transpose()?;
-    let report = check_configuration(&text, in_force.as_deref(), settings.as_ref());
+    let mut report = check_configuration(&text, in_force.as_deref(), settings.as_ref());
+    if let Some(version) = version_in_force {
+        check_version(&mut report, &text, version);
+    }
     let is_coloured = io::stdout().is_terminal();
     let described = describe_check(&report, is_coloured);
     let (errors, warnings) = (
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -23,6 +23,14 @@
     format!("{PREFIX}_{name} {value}\n")
 }
 
+/// Reads the value of a line that [`gauge_line`] wrote.
+pub(crate) fn gauge_value(text: &str, name: &str) -> Option<u64> {
+    let name = format!("{PREFIX}_{name}");
+    let mut values = text.lines().filter_map(|line| line.split_once(' '));
+    let (_, value) = values.find(|(found, _)| *found == name)?;
+    value.parse().ok()
+}
+
 /// One counter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(usize)]
--- a/src/operator/client.rs
+++ b/src/operator/client.rs
@@ -32,6 +32,9 @@
     /// The node did not answer, so a change may have taken effect.
     #[error("node {0} did not answer; check the status to see what is in force")]
     NoAnswer(SocketAddr),
+    /// The node did not say which version of the configuration it has in force.
+    #[error("node {0} does not state its version in force at /metrics")]
+    NoVersion(SocketAddr),
 }
 
 /// A client with one operator's key for the operator API of one node.
