--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -31,6 +31,9 @@
 const PIECE_INTERVAL: Duration = Duration::from_millis(10);
 const CHUNK_BYTES: usize = 64 * 1_024;
 const SMALL_CHUNK_COUNT: usize = 100_000;
+/// Sizes of the chunks of a body in very small chunks, which follow each other in turn.
+const TINY_CHUNK_SIZES: std::ops::RangeInclusive<usize> = 1..=64;
+const TINY_CHUNKS_BODY_BYTES: usize = 1_000_000;
 const FAR_OVER_LIMIT_BYTES: usize = 400_000_000;
 /// Bytes that one caller far over the limit may get rid of until its connection is
 /// closed, most of which lie in buffers of the kernel.
@@ -53,6 +56,11 @@
     memory_mb: 40,
     ..LIMITS
 };
+/// For bodies of which the node reads a few hundred kilobytes each in the time of a test.
+const REDUCED_MEMORY: ProcessLimits = ProcessLimits {
+    memory_mb: 60,
+    ..LIMITS
+};
 const LOW_DESCRIPTORS: ProcessLimits = ProcessLimits {
     descriptors_max: 128,
     ..LIMITS
@@ -120,6 +128,14 @@
     vec![piece; count / CHUNKS_PER_PIECE]
 }
 
+/// Chunks of [`TINY_CHUNK_SIZES`] with about `bytes` in all, without the last chunk.
+fn tiny_chunks(bytes: usize) -> Vec<Bytes> {
+    let cycle_bytes: usize = TINY_CHUNK_SIZES.sum();
+    let chunk = |length: usize| format!("{length:x}\r\n{}\r\n", "0".repeat(length));
+    let cycle: String = TINY_CHUNK_SIZES.map(chunk).collect();
+    vec![Bytes::from(cycle); bytes / cycle_bytes]
+}
+
 /// A node with its environment, for one crowd.
 struct Scene {
     node: NodeProcess,
@@ -275,6 +291,15 @@
     scene.check_beside_crowd(Sending::chunked(body)).await;
 }
 
+// Guards against bodies of small chunks that grow without a reservation.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_in_chunks_of_1_to_64_bytes_stay_within_the_memory() {
+    let mut scene = Scene::start("tiny-chunks", REDUCED_MEMORY).await;
+    let body = tiny_chunks(TINY_CHUNKS_BODY_BYTES);
+
+    scene.check_beside_crowd(Sending::chunked(body)).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn chunked_bodies_without_end_stay_within_the_memory() {
     let mut scene = Scene::start("endless-chunks", LIMITS).await;
