Bound the connections and the messages of peers

Seen on the code before (debug build, 1 run each): 200 connections to the listener for peers that each send 1 MiB less 10 bytes as one message take a node with memory-mb 110 to 239 MB; 200 silent ones take one with max-fds 128 to 222 descriptors.

Cause: the listener accepted without a bound, each connection buffered a whole frame and up to 1,024 replies, and each request became a task whose reply waited for room in the queue. Without a free descriptor the accept loop also span.

Connections now have a bound of their own, at which the one without a request for longest is closed. Memory is reserved by the length that a message states before it is read, and by the size of a reply before it is encoded, from a budget that callers can't take.

Not run: a crowd of peers that send requests and read no replies.

--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -50,7 +50,8 @@
 use crate::membership::gossip::{Membership, MembershipSettings};
 use crate::membership::link_faults::LinkFaults;
 use crate::membership::members::Member;
-use crate::membership::peer::{PeerClient, serve_peers};
+use crate::membership::peer::PeerClient;
+use crate::membership::peer_server::serve_peers;
 use crate::memory::budget::MemoryBudget;
 use crate::observe::metrics::Metrics;
 use crate::platform::store::Store;
@@ -287,12 +288,21 @@
     shutdown: &Shutdown,
 ) -> io::Result<()> {
     let exchange = &watch.exchange;
+    let shares = ConnectionShares::of_process(settings.descriptors_max, settings.memory_mb);
+    let forwarder = watch.forwarder.clone();
+    let connections = ConnectionBound::new(
+        shares.peers_max,
+        forwarder.memory.clone(),
+        forwarder.metrics.clone(),
+    );
     let api = Arc::new(EdgePeerApi {
         membership: exchange.membership.clone(),
         documents: exchange.documents.clone(),
         upstreams: watch.upstreams.clone(),
-        forwarder: watch.forwarder.clone(),
+        forwarder,
         rollouts: rollouts.clone(),
+        connections,
+        message_shares: MemoryShares::of_peer_messages(settings.memory_mb),
     });
     let traffic = exchange.peers.traffic().clone();
     let listener = bind(settings.peers)?;
--- a/src/edge/peer_api.rs
+++ b/src/edge/peer_api.rs
@@ -16,6 +16,7 @@
 use super::upstream_log::{UpstreamLog, decode};
 use crate::configuration::document::DocumentStore;
 use crate::configuration::peer_fetches::PeerFetches;
+use crate::connection_bound::ConnectionBound;
 use crate::forward::forwarder::Forwarder;
 use crate::forward::run_origin::OriginSearch;
 use crate::membership::gossip::{Membership, MembershipEvent};
@@ -23,7 +24,8 @@
     DocumentReply, DocumentVersion, ReplyBody, RequestBody, RetryReply, RunOriginReply,
     RunOriginRequest,
 };
-use crate::membership::peer::PeerHandler;
+use crate::membership::peer_server::PeerHandler;
+use crate::policy::memory_shares::MemoryShares;
 use crate::store::revision::Revision;
 
 /// Time-out for fetching upstream changes from a peer.
@@ -36,6 +38,8 @@
     pub(crate) upstreams: Arc<UpstreamLog>,
     pub(crate) forwarder: Arc<Forwarder<ClusterView>>,
     pub(crate) rollouts: RolloutCoordinator,
+    pub(crate) connections: Arc<ConnectionBound>,
+    pub(crate) message_shares: MemoryShares,
 }
 
 impl EdgePeerApi {
@@ -89,6 +93,14 @@
 }
 
 impl PeerHandler for EdgePeerApi {
+    fn connection_bound(&self) -> Option<Arc<ConnectionBound>> {
+        Some(self.connections.clone())
+    }
+
+    fn message_shares(&self) -> MemoryShares {
+        self.message_shares
+    }
+
     async fn handle(&self, request: RequestBody) -> Option<ReplyBody> {
         match request {
             RequestBody::Sync(request) => {
--- a/src/membership/gossip/synchronisation.rs
+++ b/src/membership/gossip/synchronisation.rs
@@ -7,7 +7,7 @@
 use crate::membership::gossip::Membership;
 use crate::membership::gossip::updates::Source;
 use crate::membership::message::{Datagram, ReplyBody, RequestBody, SyncReply, SyncRequest};
-use crate::membership::peer::PeerHandler;
+use crate::membership::peer_server::PeerHandler;
 use crate::membership::state::State;
 
 /// Time-out of a synchronisation request to a peer.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod members;
 pub(crate) mod message;
 pub(crate) mod peer;
+pub(crate) mod peer_server;
 pub(crate) mod state;
 pub(crate) mod update_queue;
 
--- a/src/membership/peer.rs
+++ b/src/membership/peer.rs
@@ -5,7 +5,6 @@
 //! request knows whether that is safe.
 
 use std::collections::BTreeMap;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -14,32 +13,20 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::membership::message::{PeerReply, PeerRequest, ReplyBody, RequestBody};
-use crate::shutdown::Shutdown;
+use crate::policy::memory_shares::PEER_MESSAGE_MAX_BYTES;
 
-/// Maximum frame size: 1 MiB, the size of the largest object that the platform
-/// stores, and the fields of the message around the object.
-const FRAME_MAX_BYTES: usize = 1024 * 1024 + 4096;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Time without a request after which the server closes a connection, which its client has
-/// closed before, or can't reach it any more.
-const SERVER_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time without a frame after which a connection on which a reply is due counts as silent.
 const SILENCE_MAX: Duration = Duration::from_millis(250);
-/// Requests or replies that may be queued for one connection.
+/// Requests that may be queued for one connection.
 const QUEUE_CAPACITY: usize = 1024;
 
-/// Handles the requests of other nodes.
-pub(crate) trait PeerHandler: Send + Sync + 'static {
-    /// Handles one request. Returns `None` if this node cannot reply to it.
-    fn handle(&self, request: RequestBody) -> impl Future<Output = Option<ReplyBody>> + Send;
-}
-
 /// A request got no reply: the queue of its connection was full, no connection
 /// could be made, the connection ended first, no reply arrived in time, or the
 /// reply was empty.
@@ -57,12 +44,12 @@
 }
 
 impl PeerTraffic {
-    fn count_sent(&self, frame: &[u8]) {
+    pub(crate) fn count_sent(&self, frame: &[u8]) {
         self.sent_bytes
             .fetch_add(frame.len() as u64, Ordering::Relaxed);
     }
 
-    fn count_received(&self, frame: &[u8]) {
+    pub(crate) fn count_received(&self, frame: &[u8]) {
         self.received_bytes
             .fetch_add(frame.len() as u64, Ordering::Relaxed);
     }
@@ -269,76 +256,6 @@
 
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
-        .max_frame_length(FRAME_MAX_BYTES)
+        .max_frame_length(PEER_MESSAGE_MAX_BYTES)
         .new_codec()
 }
-
-/// Serves the requests of other nodes until `shutdown` begins.
-pub(crate) async fn serve_peers<H: PeerHandler>(
-    listener: TcpListener,
-    handler: Arc<H>,
-    traffic: Arc<PeerTraffic>,
-    mut shutdown: Shutdown,
-) -> io::Result<()> {
-    loop {
-        let (stream, _) = tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok(accepted) => accepted,
-                Err(_) => continue,
-            },
-            () = shutdown.wait_for_closing() => return Ok(()),
-        };
-        let _ = stream.set_nodelay(true);
-        tokio::spawn(serve_connection(
-            stream,
-            handler.clone(),
-            traffic.clone(),
-            shutdown.clone(),
-        ));
-    }
-}
-
-async fn serve_connection<H: PeerHandler>(
-    stream: TcpStream,
-    handler: Arc<H>,
-    traffic: Arc<PeerTraffic>,
-    mut shutdown: Shutdown,
-) {
-    let (mut sink, mut requests) = Framed::new(stream, codec()).split();
-    let (reply_sender, mut reply_receiver) = mpsc::channel::<Bytes>(QUEUE_CAPACITY);
-    loop {
-        tokio::select! {
-            frame = requests.next() => {
-                // A frame that cannot be decoded closes this connection only.
-                let Some(Ok(frame)) = frame else { return };
-                traffic.count_received(&frame);
-                let Ok(request) = PeerRequest::decode(frame) else { return };
-                tokio::spawn(serve_request(request, handler.clone(), reply_sender.clone()));
-            }
-            Some(frame) = reply_receiver.recv() => {
-                traffic.count_sent(&frame);
-                if sink.send(frame).await.is_err() {
-                    return;
-                }
-            }
-            () = tokio::time::sleep(SERVER_IDLE_TIMEOUT) => return,
-            () = shutdown.wait_for_closing() => return,
-        }
-    }
-}
-
-async fn serve_request<H: PeerHandler>(
-    request: PeerRequest,
-    handler: Arc<H>,
-    reply_sender: mpsc::Sender<Bytes>,
-) {
-    let body = match request.body {
-        Some(body) => handler.handle(body).await,
-        None => None,
-    };
-    let reply = PeerReply {
-        id: request.id,
-        body,
-    };
-    let _ = reply_sender.send(reply.encode_to_vec().into()).await;
-}
--- a/src/policy/connection_shares.rs
+++ b/src/policy/connection_shares.rs
@@ -16,6 +16,10 @@
 /// Part of the callers' connections that readers of addresses, readiness and counters may
 /// open in addition.
 const STATUS_DIVISOR: u64 = 8;
+/// Part of the descriptors that connections of peers for membership may take in addition.
+const PEER_DESCRIPTORS_DIVISOR: u64 = 4;
+/// Least number of connections of peers by memory, so that each of 390 nodes can have one.
+const PEERS_BY_MEMORY_MIN: u64 = 512;
 
 /// Numbers of connections that the listeners of a process keep open at once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,6 +27,7 @@
     pub(crate) callers_max: usize,
     pub(crate) relay_max: usize,
     pub(crate) status_max: usize,
+    pub(crate) peers_max: usize,
 }
 
 impl ConnectionShares {
@@ -33,12 +38,16 @@
             .saturating_mul(BYTES_PER_MB);
         let by_memory = memory_bytes / MEMORY_DIVISOR / CONNECTION_BYTES;
         let by_descriptors = descriptors_max.map_or(u64::MAX, |max| max / CALLER_DIVISOR);
+        let peers_by_descriptors =
+            descriptors_max.map_or(u64::MAX, |max| max / PEER_DESCRIPTORS_DIVISOR);
+        let peers = peers_by_descriptors.min(PEERS_BY_MEMORY_MIN.max(by_memory / STATUS_DIVISOR));
         let callers = by_memory.min(by_descriptors);
         let count = |part: u64| usize::try_from(part.max(1)).unwrap_or(usize::MAX);
         Self {
             callers_max: count(callers),
             relay_max: count(callers / RELAY_DIVISOR),
             status_max: count(callers / STATUS_DIVISOR),
+            peers_max: count(peers),
         }
     }
 }
--- a/src/policy/memory_shares.rs
+++ b/src/policy/memory_shares.rs
@@ -16,6 +16,13 @@
 const BUDGET_DIVISOR: u64 = 3;
 /// The part of the budget that large bodies can't take.
 const SMALL_SHARE_DIVISOR: u64 = 4;
+/// The messages of peers may take this part of the process's memory beside the budget.
+const PEER_MESSAGES_DIVISOR: u64 = 16;
+/// Two of the largest messages of peers always fit.
+const PEER_MESSAGES_LARGE_MIN_BYTES: usize = 2 * PEER_MESSAGE_MAX_BYTES;
+/// Largest message of a peer: 1 MiB, the size of the largest object that the platform
+/// stores, and the fields of the message around the object.
+pub(crate) const PEER_MESSAGE_MAX_BYTES: usize = 1024 * 1024 + 4096;
 /// Largest reservation that may take the share for small ones.
 pub(crate) const SMALL_RESERVATION_BYTES: usize = 64 * 1024;
 /// First capacity of a body whose length is not announced.
@@ -36,8 +43,21 @@
 impl MemoryShares {
     /// Shares of a process with this much memory.
     pub(crate) fn of_process(memory_mb: Option<u64>) -> Self {
+        Self::of_part(memory_mb, BUDGET_DIVISOR)
+    }
+
+    /// Shares of the messages that a process with this much memory holds for its peers.
+    pub(crate) fn of_peer_messages(memory_mb: Option<u64>) -> Self {
+        let shares = Self::of_part(memory_mb, PEER_MESSAGES_DIVISOR);
+        Self {
+            large_bytes: shares.large_bytes.max(PEER_MESSAGES_LARGE_MIN_BYTES),
+            ..shares
+        }
+    }
+
+    fn of_part(memory_mb: Option<u64>, divisor: u64) -> Self {
         let memory_mb = memory_mb.unwrap_or(MEMORY_DEFAULT_MB);
-        let budget = memory_mb.saturating_mul(BYTES_PER_MB) / BUDGET_DIVISOR;
+        let budget = memory_mb.saturating_mul(BYTES_PER_MB) / divisor;
         let budget = usize::try_from(budget).unwrap_or(usize::MAX);
         let small_bytes = budget / SMALL_SHARE_DIVISOR as usize;
         Self {
--- a/src/policy/tests/connection_shares.rs
+++ b/src/policy/tests/connection_shares.rs
@@ -10,6 +10,7 @@
     assert_eq!(shares.callers_max, 341);
     assert_eq!(shares.relay_max, 85);
     assert_eq!(shares.status_max, 42);
+    assert_eq!(shares.peers_max, 256);
 }
 
 // Guards against buffers that fill the memory where many descriptors are allowed.
@@ -18,4 +19,5 @@
     let shares = ConnectionShares::of_process(None, Some(110));
 
     assert_eq!(shares.callers_max, 1_678);
+    assert_eq!(shares.peers_max, 512);
 }
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -61,6 +61,9 @@
     memory_mb: 60,
     ..LIMITS
 };
+/// Length of the largest message of a peer, which its first four bytes state.
+const PEER_MESSAGE_BYTES: u32 = 1_024 * 1_024;
+const PEER_CONNECTION_COUNT: usize = 200;
 const LOW_DESCRIPTORS: ProcessLimits = ProcessLimits {
     descriptors_max: 128,
     ..LIMITS
@@ -436,3 +439,42 @@
 
     scene.check(crowd).await;
 }
+
+/// Opens [`PEER_CONNECTION_COUNT`] connections to the node's listener for peers, and sends the
+/// same bytes over each for up to [`CROWD_TIME`].
+async fn send_as_peers(node: &NodeProcess, bytes: Bytes) -> Vec<TcpStream> {
+    let address = node.peers;
+    let mut senders = JoinSet::new();
+    for _ in 0..PEER_CONNECTION_COUNT {
+        let bytes = bytes.clone();
+        senders.spawn(async move {
+            let mut stream = TcpStream::connect(address).await.expect("connected");
+            // The node may close the connection before.
+            let _ = tokio::time::timeout(CROWD_TIME, stream.write_all(&bytes)).await;
+            stream
+        });
+    }
+    senders.join_all().await
+}
+
+// Guards against messages of peers that are held without a bound.
+#[tokio::test(flavor = "multi_thread")]
+async fn messages_of_peers_that_stop_short_of_their_end_stay_within_the_memory() {
+    let mut scene = Scene::start("peer-messages", LIMITS).await;
+    let sent_bytes = PEER_MESSAGE_BYTES as usize - HELD_BACK_BYTES;
+    let message = [&PEER_MESSAGE_BYTES.to_be_bytes()[..], &zeros(sent_bytes)].concat();
+
+    let crowd = send_as_peers(&scene.node, message.into()).await;
+
+    scene.check(crowd).await;
+}
+
+// Guards against a node whose peers leave it no descriptors.
+#[tokio::test(flavor = "multi_thread")]
+async fn more_connections_of_peers_than_descriptors_leave_some_for_calls() {
+    let mut scene = Scene::start("peer-connections", LOW_DESCRIPTORS).await;
+
+    let crowd = send_as_peers(&scene.node, Bytes::new()).await;
+
+    scene.check(crowd).await;
+}
--- a/tests/support/edge_environment/node_process.rs
+++ b/tests/support/edge_environment/node_process.rs
@@ -20,6 +20,8 @@
     child: Child,
     settings: PathBuf,
     pub caller: Caller,
+    /// Where the node listens for its peers.
+    pub peers: SocketAddr,
 }
 
 impl NodeProcess {
@@ -49,6 +51,7 @@
             child,
             settings,
             caller,
+            peers: spec.peers,
         }
     }
 
