Reserve the buffers of connections whose bodies are read

Cause, by reading and the runs per crowd: a body in chunks holds a piece that has no room yet and what its connection has read after that, outside its reservation. 32 KiB are now reserved for these until the body is read, at most an announced length, so that fewer such bodies are read at once and the others wait unread. An answer of an announced length now has its memory before its body is asked for.

--- a/src/forward/answer_body.rs
+++ b/src/forward/answer_body.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body as _, Frame, Incoming};
 use hyper::http::response::Parts;
 use tokio_util::sync::CancellationToken;
 
@@ -81,7 +81,12 @@
     memory: &MemoryBudget,
 ) -> Result<BodyStart, hyper::Error> {
     let mut start = BytesMut::new();
+    // An answer that waits for memory would fill the buffers of its connection if its body
+    // had been asked for.
     let mut charge = None;
+    if body.size_hint().lower() > UNCHARGED_BYTES as u64 {
+        charge = Some(reserve(memory, READ_AHEAD_BYTES).await);
+    }
     while start.len() < READ_AHEAD_BYTES {
         let Some(frame) = body.frame().await else {
             return Ok(BodyStart::Whole(whole(start, charge)));
--- a/src/memory/request_body.rs
+++ b/src/memory/request_body.rs
@@ -15,6 +15,10 @@
 /// Time within which a caller must send the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Bytes of a body that lie in the buffers of its connection while it is read: a piece of it
+/// that has no room yet, and what has arrived after that.
+const CONNECTION_BUFFERS_BYTES: usize = 32 * 1024;
+
 /// Why the body of a request was not read.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum BodyRefusal {
@@ -67,7 +71,10 @@
     head_bytes: usize,
     max_bytes: usize,
 ) -> Result<Bytes, BodyRefusal> {
-    let room = budget.reservation_max_bytes().saturating_sub(head_bytes);
+    let overhead_bytes = head_bytes + CONNECTION_BUFFERS_BYTES;
+    let room = budget
+        .reservation_max_bytes()
+        .saturating_sub(overhead_bytes);
     let max_bytes = max_bytes.min(room);
     let announced = body.size_hint();
     if announced.lower() > max_bytes as u64 {
@@ -78,8 +85,14 @@
         .map_or(FIRST_CAPACITY_BYTES.min(max_bytes), |length| {
             length as usize
         });
+    let buffers_bytes = announced
+        .exact()
+        .map_or(CONNECTION_BUFFERS_BYTES, |length| {
+            CONNECTION_BUFFERS_BYTES.min(length as usize)
+        });
     let reading = async {
-        let reader = BodyReader::start(budget, head_bytes, first_capacity, max_bytes).await?;
+        let reader =
+            BodyReader::start(budget, head_bytes, buffers_bytes, first_capacity, max_bytes).await?;
         reader.read(body).await
     };
     let read = tokio::time::timeout(BODY_TIMEOUT, reading).await;
@@ -92,6 +105,8 @@
     registration: Registration,
     bytes: Vec<u8>,
     head_bytes: usize,
+    /// Reserved until the body is read.
+    buffers_bytes: usize,
     max_bytes: usize,
 }
 
@@ -99,16 +114,19 @@
     async fn start(
         budget: &Arc<MemoryBudget>,
         head_bytes: usize,
+        buffers_bytes: usize,
         capacity: usize,
         max_bytes: usize,
     ) -> Result<Self, BodyRefusal> {
-        let reserved = budget.reserve(head_bytes + capacity).await;
+        let bytes = head_bytes + buffers_bytes + capacity;
+        let reserved = budget.reserve(bytes).await;
         Ok(Self {
             charge: reserved.ok_or(BodyRefusal::Full)?,
-            registration: budget.register(head_bytes + capacity),
+            registration: budget.register(bytes),
             budget: budget.clone(),
             bytes: Vec::with_capacity(capacity),
             head_bytes,
+            buffers_bytes,
             max_bytes,
         })
     }
@@ -141,7 +159,7 @@
         }
         self.bytes.extend_from_slice(data);
         self.registration
-            .record_progress(self.head_bytes + self.bytes.capacity());
+            .record_progress(self.reserved_bytes(self.bytes.capacity()));
         Ok(())
     }
 
@@ -150,13 +168,17 @@
     async fn grow(&mut self, needed: usize) -> Result<(), BodyRefusal> {
         let capacity = next_capacity(self.bytes.capacity(), needed, self.max_bytes);
         self.registration.record_own_wait();
-        let reserved = self.budget.reserve(self.head_bytes + capacity).await;
+        let reserved = self.budget.reserve(self.reserved_bytes(capacity)).await;
         let charge = reserved.ok_or(BodyRefusal::Full)?;
         self.bytes.reserve_exact(capacity - self.bytes.len());
         self.charge = charge;
         Ok(())
     }
 
+    fn reserved_bytes(&self, capacity: usize) -> usize {
+        self.head_bytes + self.buffers_bytes + capacity
+    }
+
     fn into_bytes(mut self) -> Bytes {
         if self.bytes.is_empty() {
             self.bytes = Vec::new();
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -61,6 +61,21 @@
     memory_mb: 60,
     ..LIMITS
 };
+/// The two smallest machines that sites have.
+const SMALLEST_MACHINES: [ProcessLimits; 2] = [
+    ProcessLimits {
+        memory_mb: 88,
+        descriptors_max: 4_100,
+    },
+    ProcessLimits {
+        memory_mb: 96,
+        descriptors_max: 3_075,
+    },
+];
+/// Connections of each crowd where all crowds come at once.
+const JOINT_CROWD_COUNT: usize = 250;
+/// A little less than the longest head that the node reads.
+const HALF_HEAD_BYTES: usize = 15 * 1_024;
 /// Length of the largest message of a peer, which its first four bytes state.
 const PEER_MESSAGE_BYTES: u32 = 1_024 * 1_024;
 const PEER_CONNECTION_COUNT: usize = 200;
@@ -72,6 +87,7 @@
 /// What each caller of a crowd sends after the start of its request's head.
 #[derive(Clone, Debug)]
 struct Sending {
+    path: String,
     framing: String,
     pieces: Vec<Bytes>,
     interval: Duration,
@@ -80,6 +96,7 @@
 impl Sending {
     fn announced(announced_bytes: usize, pieces: Vec<Bytes>) -> Self {
         Self {
+            path: IDEMPOTENT_PATH.to_owned(),
             framing: format!("content-length: {announced_bytes}\r\n"),
             pieces,
             interval: Duration::ZERO,
@@ -88,6 +105,7 @@
 
     fn chunked(pieces: Vec<Bytes>) -> Self {
         Self {
+            path: IDEMPOTENT_PATH.to_owned(),
             framing: "transfer-encoding: chunked\r\n".to_owned(),
             pieces,
             interval: Duration::ZERO,
@@ -214,11 +232,21 @@
 /// Sends requests of [`CALLER_COUNT`] callers at once, and returns the connections that
 /// could send everything, and the number of bytes that were sent.
 async fn send_all(caller: &Caller, sending: Sending) -> (Vec<TcpStream>, u64) {
-    let sending = Arc::new(sending);
+    send_each(caller, vec![sending], CALLER_COUNT).await
+}
+
+/// Like [`send_all`], with `caller_count` callers for each of the sendings.
+async fn send_each(
+    caller: &Caller,
+    sendings: Vec<Sending>,
+    caller_count: usize,
+) -> (Vec<TcpStream>, u64) {
     let sent_bytes = Arc::new(AtomicU64::new(0));
     let mut callers = JoinSet::new();
-    for _ in 0..CALLER_COUNT {
-        callers.spawn(send(caller.clone(), sending.clone(), sent_bytes.clone()));
+    for sending in sendings.into_iter().map(Arc::new) {
+        for _ in 0..caller_count {
+            callers.spawn(send(caller.clone(), sending.clone(), sent_bytes.clone()));
+        }
     }
     let mut open = Vec::new();
     while let Some(sent) = callers.join_next().await {
@@ -235,7 +263,7 @@
     sent_bytes: Arc<AtomicU64>,
 ) -> Option<TcpStream> {
     let mut stream = TcpStream::connect(caller.address).await.ok()?;
-    let head = caller.head("POST", IDEMPOTENT_PATH, &new_call_id(), &sending.framing);
+    let head = caller.head("POST", &sending.path, &new_call_id(), &sending.framing);
     let sends = async {
         stream.write_all(format!("{head}\r\n").as_bytes()).await?;
         for piece in &sending.pieces {
@@ -478,3 +506,36 @@
 
     scene.check(crowd).await;
 }
+
+// Guards against shares that are each within the memory, but not their sum.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_crowds_at_once_stay_within_the_memory_of_the_smallest_machines() {
+    for (number, limits) in SMALLEST_MACHINES.into_iter().enumerate() {
+        let mut scene = Scene::start(&format!("smallest-{number}"), limits).await;
+        let body_bytes = BODY_BYTES - HELD_BACK_BYTES;
+        let in_pieces = Sending {
+            interval: PIECE_INTERVAL,
+            ..Sending::announced(BODY_BYTES, pieces(body_bytes, PIECE_COUNT))
+        };
+        let half_head = Sending {
+            framing: format!("x-padding: {}", "0".repeat(HALF_HEAD_BYTES)),
+            ..Sending::announced(0, Vec::new())
+        };
+        let unread = Sending {
+            path: format!("{IDEMPOTENT_PATH}?answer-bytes={BODY_BYTES}&answer-ms=1"),
+            ..Sending::announced(0, Vec::new())
+        };
+        let crowds = vec![
+            Sending::announced(BODY_BYTES, pieces(body_bytes, 1)),
+            in_pieces,
+            Sending::chunked(large_chunks(body_bytes)),
+            Sending::chunked(tiny_chunks(TINY_CHUNKS_BODY_BYTES)),
+            half_head,
+            unread,
+        ];
+
+        let (crowd, _) = send_each(&scene.node.caller, crowds, JOINT_CROWD_COUNT).await;
+
+        scene.check(crowd).await;
+    }
+}
