--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -31,6 +31,9 @@
 const PIECE_INTERVAL: Duration = Duration::from_millis(10);
 const CHUNK_BYTES: usize = 64 * 1_024;
 const SMALL_CHUNK_COUNT: usize = 100_000;
+/// Sizes of the chunks of a body in very small chunks, which follow each other in turn.
+const TINY_CHUNK_SIZES: std::ops::RangeInclusive<usize> = 1..=64;
+const TINY_CHUNKS_BODY_BYTES: usize = 1_000_000;
 const FAR_OVER_LIMIT_BYTES: usize = 400_000_000;
 /// Bytes that one caller far over the limit may get rid of until its connection is
 /// closed, most of which lie in buffers of the kernel.
@@ -53,6 +56,29 @@
     memory_mb: 40,
     ..LIMITS
 };
+/// For bodies of which the node reads a few hundred kilobytes each in the time of a test.
+const REDUCED_MEMORY: ProcessLimits = ProcessLimits {
+    memory_mb: 60,
+    ..LIMITS
+};
+/// The two smallest machines that sites have.
+const SMALLEST_MACHINES: [ProcessLimits; 2] = [
+    ProcessLimits {
+        memory_mb: 88,
+        descriptors_max: 4_100,
+    },
+    ProcessLimits {
+        memory_mb: 96,
+        descriptors_max: 3_075,
+    },
+];
+/// Connections of each crowd where all crowds come at once.
+const JOINT_CROWD_COUNT: usize = 250;
+/// A little less than the longest head that the node reads.
+const HALF_HEAD_BYTES: usize = 15 * 1_024;
+/// Length of the largest message of a peer, which its first four bytes state.
+const PEER_MESSAGE_BYTES: u32 = 1_024 * 1_024;
+const PEER_CONNECTION_COUNT: usize = 200;
 const LOW_DESCRIPTORS: ProcessLimits = ProcessLimits {
     descriptors_max: 128,
     ..LIMITS
@@ -61,6 +87,7 @@
 /// What each caller of a crowd sends after the start of its request's head.
 #[derive(Clone, Debug)]
 struct Sending {
+    path: String,
     framing: String,
     pieces: Vec<Bytes>,
     interval: Duration,
@@ -69,6 +96,7 @@
 impl Sending {
     fn announced(announced_bytes: usize, pieces: Vec<Bytes>) -> Self {
         Self {
+            path: IDEMPOTENT_PATH.to_owned(),
             framing: format!("content-length: {announced_bytes}\r\n"),
             pieces,
             interval: Duration::ZERO,
@@ -77,6 +105,7 @@
 
     fn chunked(pieces: Vec<Bytes>) -> Self {
         Self {
+            path: IDEMPOTENT_PATH.to_owned(),
             framing: "transfer-encoding: chunked\r\n".to_owned(),
             pieces,
             interval: Duration::ZERO,
@@ -120,6 +149,14 @@
     vec![piece; count / CHUNKS_PER_PIECE]
 }
 
+/// Chunks of [`TINY_CHUNK_SIZES`] with about `bytes` in all, without the last chunk.
+fn tiny_chunks(bytes: usize) -> Vec<Bytes> {
+    let cycle_bytes: usize = TINY_CHUNK_SIZES.sum();
+    let chunk = |length: usize| format!("{length:x}\r\n{}\r\n", "0".repeat(length));
+    let cycle: String = TINY_CHUNK_SIZES.map(chunk).collect();
+    vec![Bytes::from(cycle); bytes / cycle_bytes]
+}
+
 /// A node with its environment, for one crowd.
 struct Scene {
     node: NodeProcess,
@@ -195,11 +232,21 @@
 /// Sends requests of [`CALLER_COUNT`] callers at once, and returns the connections that
 /// could send everything, and the number of bytes that were sent.
 async fn send_all(caller: &Caller, sending: Sending) -> (Vec<TcpStream>, u64) {
-    let sending = Arc::new(sending);
+    send_each(caller, vec![sending], CALLER_COUNT).await
+}
+
+/// Like [`send_all`], with `caller_count` callers for each of the sendings.
+async fn send_each(
+    caller: &Caller,
+    sendings: Vec<Sending>,
+    caller_count: usize,
+) -> (Vec<TcpStream>, u64) {
     let sent_bytes = Arc::new(AtomicU64::new(0));
     let mut callers = JoinSet::new();
-    for _ in 0..CALLER_COUNT {
-        callers.spawn(send(caller.clone(), sending.clone(), sent_bytes.clone()));
+    for sending in sendings.into_iter().map(Arc::new) {
+        for _ in 0..caller_count {
+            callers.spawn(send(caller.clone(), sending.clone(), sent_bytes.clone()));
+        }
     }
     let mut open = Vec::new();
     while let Some(sent) = callers.join_next().await {
@@ -216,7 +263,7 @@
     sent_bytes: Arc<AtomicU64>,
 ) -> Option<TcpStream> {
     let mut stream = TcpStream::connect(caller.address).await.ok()?;
-    let head = caller.head("POST", IDEMPOTENT_PATH, &new_call_id(), &sending.framing);
+    let head = caller.head("POST", &sending.path, &new_call_id(), &sending.framing);
     let sends = async {
         stream.write_all(format!("{head}\r\n").as_bytes()).await?;
         for piece in &sending.pieces {
@@ -275,6 +322,15 @@
     scene.check_beside_crowd(Sending::chunked(body)).await;
 }
 
+// Guards against bodies of small chunks that grow without a reservation.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_in_chunks_of_1_to_64_bytes_stay_within_the_memory() {
+    let mut scene = Scene::start("tiny-chunks", REDUCED_MEMORY).await;
+    let body = tiny_chunks(TINY_CHUNKS_BODY_BYTES);
+
+    scene.check_beside_crowd(Sending::chunked(body)).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn chunked_bodies_without_end_stay_within_the_memory() {
     let mut scene = Scene::start("endless-chunks", LIMITS).await;
@@ -411,3 +467,75 @@
 
     scene.check(crowd).await;
 }
+
+/// Opens [`PEER_CONNECTION_COUNT`] connections to the node's listener for peers, and sends the
+/// same bytes over each for up to [`CROWD_TIME`].
+async fn send_as_peers(node: &NodeProcess, bytes: Bytes) -> Vec<TcpStream> {
+    let address = node.peers;
+    let mut senders = JoinSet::new();
+    for _ in 0..PEER_CONNECTION_COUNT {
+        let bytes = bytes.clone();
+        senders.spawn(async move {
+            let mut stream = TcpStream::connect(address).await.expect("connected");
+            // The node may close the connection before.
+            let _ = tokio::time::timeout(CROWD_TIME, stream.write_all(&bytes)).await;
+            stream
+        });
+    }
+    senders.join_all().await
+}
+
+// Guards against messages of peers that are held without a bound.
+#[tokio::test(flavor = "multi_thread")]
+async fn messages_of_peers_that_stop_short_of_their_end_stay_within_the_memory() {
+    let mut scene = Scene::start("peer-messages", LIMITS).await;
+    let sent_bytes = PEER_MESSAGE_BYTES as usize - HELD_BACK_BYTES;
+    let message = [&PEER_MESSAGE_BYTES.to_be_bytes()[..], &zeros(sent_bytes)].concat();
+
+    let crowd = send_as_peers(&scene.node, message.into()).await;
+
+    scene.check(crowd).await;
+}
+
+// Guards against a node whose peers leave it no descriptors.
+#[tokio::test(flavor = "multi_thread")]
+async fn more_connections_of_peers_than_descriptors_leave_some_for_calls() {
+    let mut scene = Scene::start("peer-connections", LOW_DESCRIPTORS).await;
+
+    let crowd = send_as_peers(&scene.node, Bytes::new()).await;
+
+    scene.check(crowd).await;
+}
+
+// Guards against shares that are each within the memory, but not their sum.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_crowds_at_once_stay_within_the_memory_of_the_smallest_machines() {
+    for (number, limits) in SMALLEST_MACHINES.into_iter().enumerate() {
+        let mut scene = Scene::start(&format!("smallest-{number}"), limits).await;
+        let body_bytes = BODY_BYTES - HELD_BACK_BYTES;
+        let in_pieces = Sending {
+            interval: PIECE_INTERVAL,
+            ..Sending::announced(BODY_BYTES, pieces(body_bytes, PIECE_COUNT))
+        };
+        let half_head = Sending {
+            framing: format!("x-padding: {}", "0".repeat(HALF_HEAD_BYTES)),
+            ..Sending::announced(0, Vec::new())
+        };
+        let unread = Sending {
+            path: format!("{IDEMPOTENT_PATH}?answer-bytes={BODY_BYTES}&answer-ms=1"),
+            ..Sending::announced(0, Vec::new())
+        };
+        let crowds = vec![
+            Sending::announced(BODY_BYTES, pieces(body_bytes, 1)),
+            in_pieces,
+            Sending::chunked(large_chunks(body_bytes)),
+            Sending::chunked(tiny_chunks(TINY_CHUNKS_BODY_BYTES)),
+            half_head,
+            unread,
+        ];
+
+        let (crowd, _) = send_each(&scene.node.caller, crowds, JOINT_CROWD_COUNT).await;
+
+        scene.check(crowd).await;
+    }
+}
