Bound connections of callers by the memory that one really takes

Counted at 40 KiB, 537 connections are open at 88 MB and 671 at 110, in place of 1,342 and 1,678; the one that was idle longest is closed at the bound, as before.

The number in the unit test follows the constant.

--- a/src/policy/connection_shares.rs
+++ b/src/policy/connection_shares.rs
@@ -6,8 +6,8 @@
 const BYTES_PER_MB: u64 = 1_000_000;
 /// The buffers of all accepted connections may take this part of the memory.
 const MEMORY_DIVISOR: u64 = 4;
-/// Memory of one connection that has sent a part of a head.
-const CONNECTION_BYTES: u64 = 16 * 1024;
+/// Memory of one connection: its task, and the buffers in which a head or an answer waits.
+const CONNECTION_BYTES: u64 = 40 * 1024;
 /// Each call needs a connection to an upstream beside that of its caller, and peers, the
 /// store and the other listeners need some as well.
 const CALLER_DIVISOR: u64 = 3;
--- a/src/policy/tests/connection_shares.rs
+++ b/src/policy/tests/connection_shares.rs
@@ -18,6 +18,6 @@
 fn accepted_connections_are_bounded_by_the_memory_too() {
     let shares = ConnectionShares::of_process(None, Some(110));
 
-    assert_eq!(shares.callers_max, 1_678);
+    assert_eq!(shares.callers_max, 671);
     assert_eq!(shares.peers_max, 512);
 }
