Count no crash against a call whose silent upstream went on

A reader of the change found that the wait for a later start of a silent upstream went on after the upstream had sent further events: a restart within 10 s, under whatever call, then counted against this one, so that a sound part could gather crashes. The wait now ends with the next bytes, and a further silence starts another. The time for which an upstream wrote ends with its last bytes, and no longer with the last event that a slow caller took.

The scenes now check that crashes happened, and that the cut met sockets. Constants and fields are named for what they hold.

--- a/src/fleet/part_crashes.rs
+++ b/src/fleet/part_crashes.rs
@@ -124,7 +124,7 @@
         let survival = Survival {
             began_at,
             refutes: CrashTime::IMMEDIATE,
-            refutes_unproven: CrashTime::IMMEDIATE,
+            refutes_for_unseen_parts: CrashTime::IMMEDIATE,
         };
         let cleared = detector.record_survival(&parts.features(), survival, Instant::now());
         drop(detector);
--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use tokio::task::JoinHandle;
+use tokio::task::{AbortHandle, JoinHandle};
 
 use super::forwarder::{Forwarder, NodeContext};
 use super::observation::{Observation, Observations};
@@ -23,9 +23,9 @@
 /// Time after a crash until the upstream's port refuses connections.
 const PORT_CLOSE_DELAY: Duration = Duration::from_millis(20);
 /// Time for which a node waits for a later start of an upstream that it lost.
-const RETURN_WAIT_MAX: Duration = Duration::from_secs(10);
+const LATER_START_WAIT_MAX: Duration = Duration::from_secs(10);
 /// Interval at which it looks for that start.
-const RETURN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const LATER_START_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Whether a call may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -273,26 +273,26 @@
     }
 
     /// Counts a crash against the call, whose upstream is silent, if a later start of the upstream
-    /// becomes known in time.
+    /// becomes known in time. The caller aborts the wait if the upstream goes on.
     pub(crate) fn check_for_later_start(
         self: &Arc<Self>,
         call: &Call,
         upstream: &Arc<Upstream>,
         phase: AnswerPhase,
-    ) {
+    ) -> AbortHandle {
         let suspect = SuspectCall::new(call, upstream, phase);
-        tokio::spawn(self.clone().await_later_start(suspect));
+        tokio::spawn(self.clone().await_later_start(suspect)).abort_handle()
     }
 
     /// Counts a crash against the call if a later start of its upstream becomes known in time.
     async fn await_later_start(self: Arc<Self>, suspect: SuspectCall) {
         let began_at = Instant::now();
-        while began_at.elapsed() < RETURN_WAIT_MAX {
+        while began_at.elapsed() < LATER_START_WAIT_MAX {
             if self.directory.has_later_start(&suspect.upstream.entry) {
                 self.request_crashes.record_crash(&suspect, "later_start");
                 return;
             }
-            tokio::time::sleep(RETURN_CHECK_INTERVAL).await;
+            tokio::time::sleep(LATER_START_CHECK_INTERVAL).await;
         }
     }
 }
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -13,6 +13,7 @@
 use hyper::body::Frame;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -208,7 +209,7 @@
         let deadline = self.call.deadline.into();
         let mut is_handed_over = false;
         let mut survival_due = SURVIVAL_TIME;
-        let mut is_start_awaited = false;
+        let mut later_start_wait: Option<AbortHandle> = None;
         let is_resumed = self.last_event.is_some();
         loop {
             let frame = tokio::select! {
@@ -222,8 +223,8 @@
                 frame = answer.body.frame() => frame,
                 loss = loss_watch.wait_for_loss(&forwarder.directory, phase, &forwarder.metrics) => {
                     let began_at = Instant::now();
-                    if !std::mem::replace(&mut is_start_awaited, true) {
-                        self.check_for_later_start(&upstream, first_event_at);
+                    if later_start_wait.is_none() {
+                        later_start_wait = self.check_for_later_start(&upstream, first_event_at);
                     }
                     let present = PresentAnswer::new(answer, &upstream, self.call.id());
                     match self.try_move(present, sender).await {
@@ -286,6 +287,10 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             upstream.record_contact(Instant::now());
+            // The upstream goes on, so a later restart of it is no crash under this call.
+            if let Some(wait) = later_start_wait.take() {
+                wait.abort();
+            }
             if events.push(&data).is_err() {
                 return SegmentEnd::Lost("an event exceeds the maximum size".to_owned());
             }
@@ -419,29 +424,37 @@
     /// events for long did not crash under the call.
     fn handle_disconnect(&mut self, upstream: &Arc<Upstream>, first_event_at: Option<Instant>) {
         upstream.avoid(Instant::now());
-        let written = self.time_written(first_event_at);
+        let written = self.time_written(upstream, first_event_at);
         if written < LATE_CRASH_MAX {
             self.check_for_crash(upstream, AnswerPhase::Writing(written));
         }
         self.forwarder.probe_after_disconnect(upstream);
     }
 
-    /// Time from the first event of an upstream to its last one. A crash may leave the connection
-    /// open and silent for seconds.
-    fn time_written(&self, first_event_at: Option<Instant>) -> Duration {
+    /// Time from the first event of an upstream to the last bytes from it. A crash may leave the
+    /// connection open and silent for seconds.
+    fn time_written(&self, upstream: &Upstream, first_event_at: Option<Instant>) -> Duration {
         let since_first = first_event_at.map_or(Duration::ZERO, |at| at.elapsed());
-        since_first.saturating_sub(self.silence())
+        let silence = upstream.time_since_contact(Instant::now());
+        since_first.saturating_sub(silence.unwrap_or_default())
     }
 
     /// Checks whether an upstream that is silent has crashed and left its connection open, which
     /// its next start tells. The stream may take seconds to leave it.
-    fn check_for_later_start(&self, upstream: &Arc<Upstream>, first_event_at: Option<Instant>) {
-        let written = self.time_written(first_event_at);
-        if written < LATE_CRASH_MAX {
-            let phase = AnswerPhase::Writing(written);
-            self.forwarder
-                .check_for_later_start(&self.call, upstream, phase);
+    fn check_for_later_start(
+        &self,
+        upstream: &Arc<Upstream>,
+        first_event_at: Option<Instant>,
+    ) -> Option<AbortHandle> {
+        let written = self.time_written(upstream, first_event_at);
+        if written >= LATE_CRASH_MAX {
+            return None;
         }
+        let phase = AnswerPhase::Writing(written);
+        let wait = self
+            .forwarder
+            .check_for_later_start(&self.call, upstream, phase);
+        Some(wait)
     }
 
     /// Applies what the move of the stream away from an upstream says of that upstream.
--- a/src/policy/crash_time.rs
+++ b/src/policy/crash_time.rs
@@ -31,9 +31,9 @@
     pub(crate) began_at: Instant,
     /// The longest crash time that the run refutes.
     pub(crate) refutes: CrashTime,
-    /// The longest crash time that it refutes for a part under which no upstream wrote a whole
-    /// answer lately. The run itself may still end in a crash.
-    pub(crate) refutes_unproven: CrashTime,
+    /// The longest crash time that it refutes for parts that no recent whole answer had. The run
+    /// itself may still end in a crash.
+    pub(crate) refutes_for_unseen_parts: CrashTime,
 }
 
 impl CrashTime {
@@ -76,11 +76,11 @@
         let written = now.saturating_duration_since(began_at);
         let beyond = written.checked_sub(SURVIVAL_TIME)?;
         let refutes = CrashTime::of(beyond * 2 / 3);
-        let is_past_crashes = written >= LATE_CRASH_MAX;
+        let has_outlasted_late_crashes = written >= LATE_CRASH_MAX;
         Some(Self {
             began_at,
             refutes,
-            refutes_unproven: if is_past_crashes {
+            refutes_for_unseen_parts: if has_outlasted_late_crashes {
                 refutes
             } else {
                 CrashTime::IMMEDIATE
@@ -95,7 +95,7 @@
         Self {
             began_at,
             refutes,
-            refutes_unproven: refutes,
+            refutes_for_unseen_parts: refutes,
         }
     }
 
@@ -105,7 +105,7 @@
         Self {
             began_at,
             refutes: CrashTime::of(now.saturating_duration_since(began_at) * 2 / 3),
-            refutes_unproven: CrashTime::IMMEDIATE,
+            refutes_for_unseen_parts: CrashTime::IMMEDIATE,
         }
     }
 }
--- a/src/policy/poison_detector.rs
+++ b/src/policy/poison_detector.rs
@@ -172,7 +172,7 @@
             if request == Some(&feature) || self.sound_parts.contains(feature) {
                 survival.refutes
             } else {
-                survival.refutes_unproven
+                survival.refutes_for_unseen_parts
             }
         };
         let refutation = self
@@ -313,10 +313,10 @@
 fn convict(suspicions: &[Suspicion], sound_parts: &SoundParts) -> Option<Conviction> {
     let mut counts = count_events(suspicions);
     counts.retain(|_, count| *count >= CONVICTION_CRASHES_MIN);
-    let is_preferred = |feature: &Fingerprint| !sound_parts.contains(*feature);
+    let is_unseen = |feature: &Fingerprint| !sound_parts.contains(*feature);
     let (cause, event_count) = counts
         .into_iter()
-        .max_by_key(|(feature, count)| (is_preferred(feature), *count))?;
+        .max_by_key(|(feature, count)| (is_unseen(feature), *count))?;
     let is_under_cause = |s: &&Suspicion| s.features.contains_key(&cause);
     let under_cause: Vec<&Suspicion> = suspicions.iter().filter(is_under_cause).collect();
     let features = accompanying_features(&under_cause, cause, event_count);
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -223,7 +223,7 @@
     let outages = crash_a_data_centre_in_turn(&environment, scene.outage_interval);
     let cut_time = scene.peer_cut.unwrap_or_default();
     if scene.peer_cut.is_some() {
-        set_cut(&peers, true);
+        assert!(set_cut(&peers, true) > 0, "no socket was cut");
         tokio::time::sleep(cut_time).await;
         set_cut(&peers, false);
     }
@@ -375,6 +375,7 @@
     restarting_other.iter().for_each(JoinHandle::abort);
 
     let crashes = part_crashes(&environment);
+    assert!(crashes.len() >= 3, "{} crashes", crashes.len());
     let last_counted = crashes[COUNTED_CRASHES.min(crashes.len()) - 1];
     let late = arrivals(&environment, CRASHING_PART).into_iter();
     let late_count = late.filter(|at| *at > last_counted + CONTACT_TIME).count();
--- a/tests/support/edge_environment/silent_links.rs
+++ b/tests/support/edge_environment/silent_links.rs
@@ -43,8 +43,9 @@
 }
 
 /// Drops all that arrives at sockets of this process with one of these addresses at either end,
-/// listeners and datagram sockets included, or ends that.
-pub fn set_cut(addresses: &[SocketAddr], is_cut: bool) {
+/// listeners and datagram sockets included, or ends that. Returns the number of sockets.
+pub fn set_cut(addresses: &[SocketAddr], is_cut: bool) -> usize {
+    let mut changed_count = 0;
     for descriptor in open_descriptors() {
         // SAFETY: as in `silence`.
         let descriptor = unsafe { BorrowedFd::borrow_raw(descriptor) };
@@ -54,10 +55,12 @@
             continue;
         }
         // Fails only if the socket was closed, or opened during the cut.
-        let _ = if is_cut {
+        let changed = if is_cut {
             socket.attach_filter(&[SockFilter::new(RETURN_CONSTANT, 0, 0, 0)])
         } else {
             socket.detach_filter()
         };
+        changed_count += usize::from(changed.is_ok());
     }
+    changed_count
 }
