Keep the connections of peers apart from the memory of callers

Each connection that the listener for peers refused made a stalled body of a caller lose its memory, since the bound had the callers' budget: that freed no connection of a peer. The bound now has the budget of the messages of peers. Connections of callers, upstreams, relays, readers and peers together could exceed max-fds by a 24th; peers get an eighth of it now, and the unit test adds the shares up.

--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -290,9 +290,10 @@
     let exchange = &watch.exchange;
     let shares = ConnectionShares::of_process(settings.descriptors_max, settings.memory_mb);
     let forwarder = watch.forwarder.clone();
+    let message_memory = MemoryBudget::new(MemoryShares::of_peer_messages(settings.memory_mb));
     let connections = ConnectionBound::new(
         shares.peers_max,
-        forwarder.memory.clone(),
+        message_memory.clone(),
         forwarder.metrics.clone(),
     );
     let api = Arc::new(EdgePeerApi {
@@ -302,7 +303,7 @@
         forwarder,
         rollouts: rollouts.clone(),
         connections,
-        message_shares: MemoryShares::of_peer_messages(settings.memory_mb),
+        message_memory,
     });
     let traffic = exchange.peers.traffic().clone();
     let listener = bind(settings.peers)?;
--- a/src/edge/peer_api.rs
+++ b/src/edge/peer_api.rs
@@ -25,7 +25,7 @@
     RunOriginRequest,
 };
 use crate::membership::peer_server::PeerHandler;
-use crate::policy::memory_shares::MemoryShares;
+use crate::memory::budget::MemoryBudget;
 use crate::store::revision::Revision;
 
 /// Time-out for fetching upstream changes from a peer.
@@ -39,7 +39,7 @@
     pub(crate) forwarder: Arc<Forwarder<ClusterView>>,
     pub(crate) rollouts: RolloutCoordinator,
     pub(crate) connections: Arc<ConnectionBound>,
-    pub(crate) message_shares: MemoryShares,
+    pub(crate) message_memory: Arc<MemoryBudget>,
 }
 
 impl EdgePeerApi {
@@ -97,8 +97,8 @@
         Some(self.connections.clone())
     }
 
-    fn message_shares(&self) -> MemoryShares {
-        self.message_shares
+    fn message_memory(&self) -> Arc<MemoryBudget> {
+        self.message_memory.clone()
     }
 
     async fn handle(&self, request: RequestBody) -> Option<ReplyBody> {
--- a/src/membership/peer_server.rs
+++ b/src/membership/peer_server.rs
@@ -1,7 +1,9 @@
-//! Serves the requests of other nodes, within bounds on their connections and messages.
+//! Serves the requests of other nodes, within bounds on their messages and, at entry nodes, on
+//! their connections.
 //!
-//! A peer that sends without end, stops within a message or reads no replies holds no more
-//! memory than the share for messages of peers. `docs/design/memory-budget.md` states it.
+//! The encoded messages of peers that send without end, stop within a message or read no replies
+//! hold no more memory than their share. Decoded requests, and replies that wait for memory, are
+//! not charged. `docs/design/memory-budget.md` states the share.
 
 use std::io;
 use std::sync::Arc;
@@ -23,8 +25,8 @@
 use crate::policy::memory_shares::{MemoryShares, PEER_MESSAGE_MAX_BYTES};
 use crate::shutdown::Shutdown;
 
-/// Time without a request after which the server closes a connection, which its client has
-/// closed before, or can't reach it any more.
+/// Time without a request after which the server closes a connection. It exceeds the idle
+/// time-out of clients, so that only connections of lost clients reach it.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time within which a message must be received or sent once it has memory.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -47,9 +49,9 @@
         None
     }
 
-    /// Shares of the memory that the messages of all connections may hold at once.
-    fn message_shares(&self) -> MemoryShares {
-        MemoryShares::of_peer_messages(None)
+    /// Memory that the messages of all connections may hold at once.
+    fn message_memory(&self) -> Arc<MemoryBudget> {
+        MemoryBudget::new(MemoryShares::of_peer_messages(None))
     }
 }
 
@@ -73,7 +75,7 @@
     traffic: Arc<PeerTraffic>,
     mut shutdown: Shutdown,
 ) -> io::Result<()> {
-    let memory = MemoryBudget::new(handler.message_shares());
+    let memory = handler.message_memory();
     let server = Arc::new(PeerServer {
         handler,
         traffic,
--- a/src/policy/connection_shares.rs
+++ b/src/policy/connection_shares.rs
@@ -16,10 +16,14 @@
 /// Part of the callers' connections that readers of addresses, readiness and counters may
 /// open in addition.
 const STATUS_DIVISOR: u64 = 8;
-/// Part of the descriptors that connections of peers for membership may take in addition.
-const PEER_DESCRIPTORS_DIVISOR: u64 = 4;
-/// Least number of connections of peers by memory, so that each of 390 nodes can have one.
-const PEERS_BY_MEMORY_MIN: u64 = 512;
+/// Part of the descriptors that connections of peers for membership may take in addition. With
+/// those of callers, their upstreams, other nodes and readers, a twelfth is left for the store and
+/// for connections to peers.
+const PEER_DESCRIPTORS_DIVISOR: u64 = 8;
+/// Part of the callers' connections, as far as memory allows those, that peers may open.
+const PEER_MEMORY_DIVISOR: u64 = 8;
+/// Connections of peers that memory always allows: one for each of 390 nodes, with a margin.
+const PEER_CONNECTIONS_MIN: u64 = 512;
 
 /// Numbers of connections that the listeners of a process keep open at once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,7 +44,8 @@
         let by_descriptors = descriptors_max.map_or(u64::MAX, |max| max / CALLER_DIVISOR);
         let peers_by_descriptors =
             descriptors_max.map_or(u64::MAX, |max| max / PEER_DESCRIPTORS_DIVISOR);
-        let peers = peers_by_descriptors.min(PEERS_BY_MEMORY_MIN.max(by_memory / STATUS_DIVISOR));
+        let peers =
+            peers_by_descriptors.min(PEER_CONNECTIONS_MIN.max(by_memory / PEER_MEMORY_DIVISOR));
         let callers = by_memory.min(by_descriptors);
         let count = |part: u64| usize::try_from(part.max(1)).unwrap_or(usize::MAX);
         Self {
--- a/src/policy/tests/connection_shares.rs
+++ b/src/policy/tests/connection_shares.rs
@@ -10,7 +10,10 @@
     assert_eq!(shares.callers_max, 341);
     assert_eq!(shares.relay_max, 85);
     assert_eq!(shares.status_max, 42);
-    assert_eq!(shares.peers_max, 256);
+    assert_eq!(shares.peers_max, 128);
+    let to_upstreams = shares.callers_max;
+    let accepted = shares.callers_max + shares.relay_max + shares.status_max + shares.peers_max;
+    assert!(accepted + to_upstreams < 1_024);
 }
 
 // Guards against buffers that fill the memory where many descriptors are allowed.
