--- a/src/operator/node_version.rs
+++ b/src/operator/node_version.rs
@@ -22,6 +22,7 @@
     let exchanged = client.exchange(node, request, REQUEST_TIMEOUT).await;
     let response = exchanged.map_err(|_| OperatorError::NoVersion(node))?;
     let text = String::from_utf8_lossy(response.body());
-    let version = gauge_value(&text, "config_version");
+    // A node without a configuration states version 0.
+    let version = gauge_value(&text, "config_version").filter(|version| *version > 0);
     version.ok_or(OperatorError::NoVersion(node))
 }
