--- a/src/forward/answer_body.rs
+++ b/src/forward/answer_body.rs
@@ -81,8 +81,8 @@
     memory: &MemoryBudget,
 ) -> Result<BodyStart, hyper::Error> {
     let mut start = BytesMut::new();
-    // An answer that waits for memory would fill the buffers of its connection if its body
-    // had been asked for.
+    // Reserves before the first read: a body that was asked for fills the buffers of its
+    // connection.
     let mut charge = None;
     if body.size_hint().lower() > UNCHARGED_BYTES as u64 {
         charge = Some(reserve(memory, READ_AHEAD_BYTES).await);
--- a/src/forward/rollouts.rs
+++ b/src/forward/rollouts.rs
@@ -68,17 +68,18 @@
             return;
         };
         let mut services = self.lock();
-        let earlier = services.get_mut(&rollout.service);
+        if let Some(known) = services.get_mut(&rollout.service)
+            && known.rollout.update(rollout)
+        {
+            return known.rollout.learn_age(age, now);
+        }
         let draw = rand::rng().random();
-        let mut followed = NodeRollout::new(rollout.clone(), age, &bounds, node_count, draw, now);
-        if let Some(earlier) = earlier {
-            if earlier.rollout.update(rollout) {
-                return earlier.rollout.learn_age(age, now);
-            }
-            followed.deny_reverted(&earlier.rollout);
+        let mut new = NodeRollout::new(rollout.clone(), age, &bounds, node_count, draw, now);
+        if let Some(earlier) = services.get(&rollout.service) {
+            new.deny_reverted(&earlier.rollout);
         }
         let followed = Followed {
-            rollout: followed,
+            rollout: new,
             has_new_failure: false,
             reported_at: None,
         };
--- a/src/memory/request_body.rs
+++ b/src/memory/request_body.rs
@@ -15,8 +15,7 @@
 /// Time within which a caller must send the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Bytes of a body that lie in the buffers of its connection while it is read: a piece of it
-/// that has no room yet, and what has arrived after that.
+/// Received bytes of a body that its connection buffers before the reader has room for them.
 const CONNECTION_BUFFERS_BYTES: usize = 32 * 1024;
 
 /// Why the body of a request was not read.
--- a/src/policy/connection_shares.rs
+++ b/src/policy/connection_shares.rs
@@ -1,9 +1,8 @@
 //! Bounds the connections that a process accepts, so that descriptors are left for those to
 //! upstreams, peers and the store, and memory for bodies and answers.
 
-/// Memory of a process whose settings name none.
-const MEMORY_DEFAULT_MB: u64 = 256;
-const BYTES_PER_MB: u64 = 1_000_000;
+use super::memory_shares::memory_bytes;
+
 /// The buffers of all accepted connections may take this part of the memory.
 const MEMORY_DIVISOR: u64 = 4;
 /// Memory of one connection: its task, and the buffers in which a head or an answer waits.
@@ -37,10 +36,7 @@
 impl ConnectionShares {
     /// Shares of a process with these limits, as far as its settings name them.
     pub(crate) fn of_process(descriptors_max: Option<u64>, memory_mb: Option<u64>) -> Self {
-        let memory_bytes = memory_mb
-            .unwrap_or(MEMORY_DEFAULT_MB)
-            .saturating_mul(BYTES_PER_MB);
-        let by_memory = memory_bytes / MEMORY_DIVISOR / CONNECTION_BYTES;
+        let by_memory = memory_bytes(memory_mb) / MEMORY_DIVISOR / CONNECTION_BYTES;
         let by_descriptors = descriptors_max.map_or(u64::MAX, |max| max / CALLER_DIVISOR);
         let peers_by_descriptors =
             descriptors_max.map_or(u64::MAX, |max| max / PEER_DESCRIPTORS_DIVISOR);
--- a/src/policy/memory_shares.rs
+++ b/src/policy/memory_shares.rs
@@ -31,6 +31,13 @@
 /// shorter pauses.
 const STALL_TIME: Duration = Duration::from_secs(1);
 
+/// Memory of a process in bytes, as its settings name it in megabytes.
+pub(crate) fn memory_bytes(memory_mb: Option<u64>) -> u64 {
+    memory_mb
+        .unwrap_or(MEMORY_DEFAULT_MB)
+        .saturating_mul(BYTES_PER_MB)
+}
+
 /// Sizes of the two shares of a budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct MemoryShares {
@@ -56,8 +63,7 @@
     }
 
     fn of_part(memory_mb: Option<u64>, divisor: u64) -> Self {
-        let memory_mb = memory_mb.unwrap_or(MEMORY_DEFAULT_MB);
-        let budget = memory_mb.saturating_mul(BYTES_PER_MB) / divisor;
+        let budget = memory_bytes(memory_mb) / divisor;
         let budget = usize::try_from(budget).unwrap_or(usize::MAX);
         let small_bytes = budget / SMALL_SHARE_DIVISOR as usize;
         Self {
--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -210,7 +210,7 @@
         };
     }
     if situation.age >= situation.rollout.duration + bounds.knowledge_max_age() {
-        // The target has had no calls for as long, and may have turned bad since.
+        // The evidence is older than the limit on knowledge.
         return Step::Revert("no outcome could be written in time".to_owned());
     }
     match situation.evidence.objection() {
@@ -222,7 +222,7 @@
     }
 }
 
-/// Whether the ramp took long enough. An outage may have lasted as long as it.
+/// Whether the ramp took long enough; an outage may have covered it.
 fn was_tried_under_load(situation: &Situation<'_>) -> bool {
     situation.ramp_time >= RAMP_MIN.min(situation.rollout.duration.mul_f64(RAMP_PART))
 }
--- a/src/policy/tests/poison_detector.rs
+++ b/src/policy/tests/poison_detector.rs
@@ -548,8 +548,7 @@
     assert!(!scene.is_refused(22, &[COMMON]));
 }
 
-/// Guards against runs that clear the crashing part of late crashes and then crash too: under
-/// load their crashes take two to three times as long.
+/// Guards against runs that clear a part of late crashes and then crash themselves, only later.
 #[test]
 fn runs_under_a_part_that_had_no_whole_answer_do_not_clear_it_before_they_crash() {
     let mut scene = Scene::new();
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -172,6 +172,21 @@
     crashes
 }
 
+/// Checks how many prompts with the crashing part arrived at engines too late after the last
+/// counted crash.
+fn assert_few_late_arrivals(environment: &TestEnvironment, counted_crash: Instant) {
+    let late = arrivals(environment, CRASHING_PART).into_iter();
+    let late_count = late.filter(|at| *at > counted_crash + CONTACT_TIME).count();
+    println!(
+        "engines crashed {}, late arrivals {late_count}",
+        part_crashes(environment).len()
+    );
+    assert!(
+        late_count <= LATE_ARRIVALS_MAX,
+        "{late_count} late arrivals"
+    );
+}
+
 /// Crashes all engines of one data centre again and again.
 fn crash_a_data_centre_in_turn(
     environment: &TestEnvironment,
@@ -377,16 +392,7 @@
     let crashes = part_crashes(&environment);
     assert!(crashes.len() >= 3, "{} crashes", crashes.len());
     let last_counted = crashes[COUNTED_CRASHES.min(crashes.len()) - 1];
-    let late = arrivals(&environment, CRASHING_PART).into_iter();
-    let late_count = late.filter(|at| *at > last_counted + CONTACT_TIME).count();
-    println!(
-        "engines crashed {}, late arrivals {late_count}",
-        crashes.len()
-    );
-    assert!(
-        late_count <= LATE_ARRIVALS_MAX,
-        "{late_count} late arrivals"
-    );
+    assert_few_late_arrivals(&environment, last_counted);
 }
 
 /// Guards against crashes that count for nothing because no other engine can be reached when
@@ -480,16 +486,7 @@
 
     let crashes = part_crashes(&environment);
     let counted_crash = crashes[COUNTED_CRASHES - 1];
-    let late = arrivals(&environment, CRASHING_PART).into_iter();
-    let late_count = late.filter(|at| *at > counted_crash + CONTACT_TIME).count();
-    println!(
-        "engines crashed {}, late arrivals {late_count}",
-        crashes.len()
-    );
-    assert!(
-        late_count <= LATE_ARRIVALS_MAX,
-        "{late_count} late arrivals"
-    );
+    assert_few_late_arrivals(&environment, counted_crash);
 }
 
 /// Guards against sound prompts that are refused because short streams ran wherever a data centre
--- a/tests/hedged_requests.rs
+++ b/tests/hedged_requests.rs
@@ -81,9 +81,8 @@
     }
 }
 
-/// Guards against a hedge that isn't sent, or whose answer isn't taken. A node on a busy
-/// machine may have no target for the hedge, as one of the two upstreams seemed slow, or
-/// none left of its limit. The next node is tried then, and only then.
+/// Guards against a hedge that isn't sent, or whose answer isn't taken. Another node is tried
+/// only if the hedge had no target or exceeded the limit.
 #[tokio::test]
 async fn a_call_without_an_answer_is_answered_by_its_hedge() {
     for _ in 0..NODES_MAX {
