Send sound prompts until 9 s after the fifth crash in the scenes of crashing parts

a_part_is_found_where_two_engines_come_back_under_the_same_ids failed in 2 of 7 runs with "0 requests counted": four crashes convict the part, the fifth is a trial 11 s into the 14 s of the scene, and no sound prompt was left 6 s after it. The end of all scenes of this kind now is at least 9 s after the fifth crash, or after nodes were connected again, so that at least 20 sound prompts are counted. Requests with the part are sent until then too. The bounds are unchanged.

--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -28,6 +28,9 @@
 const ENGINE_DOWN_TIME: Duration = Duration::from_millis(700);
 /// Time during which the crashing part is sent.
 const CRASHING_TIME: Duration = Duration::from_secs(14);
+/// Minimum time for which prompts are sent after the last counted crash. The fifth crash may be a
+/// trial that comes late, and at least 20 sound prompts must follow 6 s after it.
+const TIME_AFTER_COUNTED_CRASH: Duration = Duration::from_secs(9);
 /// Time between two crashes of a data centre.
 const OUTAGE_INTERVAL: Duration = Duration::from_millis(1_500);
 
@@ -53,7 +56,7 @@
     silence: Option<Duration>,
     /// Nodes are cut off from each other for this time when the crashing part is first sent.
     peer_cut: Option<Duration>,
-    /// Time during which the crashing part is sent.
+    /// Minimum time during which the crashing part is sent.
     duration: Duration,
 }
 
@@ -244,6 +247,17 @@
     }
     let connected_at = Instant::now();
     tokio::time::sleep(scene.duration - cut_time).await;
+    let fifth_crash = part_crashes(&environment)
+        .get(COUNTED_CRASHES - 1)
+        .copied()
+        .unwrap_or(began_at);
+    // The bounds hold for nodes that are connected.
+    let counted_crash = match scene.peer_cut {
+        Some(_) => fifth_crash.max(connected_at),
+        None => fifth_crash,
+    };
+    let end = counted_crash + TIME_AFTER_COUNTED_CRASH;
+    tokio::time::sleep_until(end.into()).await;
     is_over.store(true, Ordering::Relaxed);
     let sound = sound.await.expect("no panic");
     crashing.abort();
@@ -251,12 +265,6 @@
     restarting.abort();
 
     let crashes = part_crashes(&environment);
-    let fifth_crash = *crashes.get(COUNTED_CRASHES - 1).unwrap_or(&began_at);
-    // The bounds hold for nodes that are connected.
-    let counted_crash = match scene.peer_cut {
-        Some(_) => fifth_crash.max(connected_at),
-        None => fifth_crash,
-    };
     let late = arrivals(&environment, CRASHING_PART);
     let late = late.iter().filter(|at| **at > counted_crash + CONTACT_TIME);
     let late_count = late.count();
