Test that a silent upstream which goes on gathers no crash under its call

Three engines write a stream each with one sound part, fall silent for 2.6 s, write their streams to the end and restart. Sound prompts with the part must be served after that.

--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -11,7 +11,7 @@
 use support::edge_environment::caller::Caller;
 use support::edge_environment::engine::CRASHING_PART;
 use support::edge_environment::silent_links::set_cut;
-use support::edge_environment::{KillableNode, NodeSpec, TestEnvironment};
+use support::edge_environment::{KillableNode, NodeSpec, TestEnvironment, eventually};
 use tokio::task::JoinHandle;
 
 /// Time after which all nodes know what one of them saw.
@@ -443,6 +443,63 @@
     assert_part_is_found(silent_crashes(true)).await;
 }
 
+/// Guards against a crash that counts against a call whose silent upstream went on: a restart for
+/// another reason, soon after, would make each of its parts a suspect. Three such calls at three
+/// engines would convict their sound part.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_not_convicted_of_restarts_of_engines_that_went_on_after_a_silence() {
+    const SOUND_PART: &str = "aa:200,";
+    /// Over the 2 s of silence after which an engine is taken for lost.
+    const SILENCE: Duration = Duration::from_millis(2_600);
+    /// Beyond the time within which late crashes count as one.
+    const RESTART_INTERVAL: Duration = Duration::from_millis(700);
+    /// Beyond the time after which a conviction takes effect, and before its first trial.
+    const CONVICTION_TIME: Duration = Duration::from_millis(2_500);
+    let environment = TestEnvironment::start(3).await;
+    let (_node, caller) = environment.start_ready_node("n-0").await;
+    let mut streams = Vec::new();
+    for n in 1..=environment.engines.len() {
+        let caller = caller.clone();
+        streams.push(tokio::spawn(async move {
+            send_prompt(&caller, SOUND_PART, 60).await
+        }));
+        let engines = || environment.engines.iter();
+        let has_begun = || {
+            engines()
+                .filter(|engine| engine.running_count() == 1)
+                .count()
+                == n
+        };
+        eventually("the stream runs at an engine of its own", has_begun).await;
+    }
+    environment.wait_for_running_stream().await;
+    for engine in &environment.engines {
+        // The streams can't leave their engines.
+        engine.is_full.store(true, Ordering::Relaxed);
+    }
+    environment.set_all_engines_frozen(true);
+    tokio::time::sleep(SILENCE).await;
+    environment.set_all_engines_frozen(false);
+    for stream in streams {
+        assert!(stream.await.expect("no panic"), "a stream is not whole");
+    }
+    assert_eq!(environment.run_count(), 3, "a stream left its engine");
+
+    for engine in &environment.engines {
+        engine.is_full.store(false, Ordering::Relaxed);
+        engine.crash();
+        engine.restart_under_same_id().await;
+        let entry = engine.entry("ready");
+        environment.store.put("servers", &engine.id(), entry);
+        tokio::time::sleep(RESTART_INTERVAL).await;
+    }
+    tokio::time::sleep(CONVICTION_TIME).await;
+    for _ in 0..3 {
+        let is_served = send_prompt(&caller, SOUND_PART, 3).await;
+        assert!(is_served, "a sound part is refused");
+    }
+}
+
 /// Guards against evidence that does not reach all nodes after they were cut off from each other
 /// while it arose, or that contradicts itself then.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
