Add scenes of crashes after which engines are silent for 5 and 8 s

Engines were silent for 3 s in the scenes so far. The four new ones have 5 and 8 s, with engines that return under new ids and under the same ids; the bounds are the same.

A silent crash counts once a later start of the engine is known. By the third of them, five engines have crashed and the time of the bound has passed.

--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -417,13 +417,13 @@
     assert_part_is_found_at_one_engine(false, Duration::ZERO).await;
 }
 
-/// Engines that fall silent for three seconds before they come back.
-fn silent_crashes(has_stable_ids: bool) -> Scene {
+/// Engines that fall silent for this time before they come back.
+fn silent_crashes(silence: Duration, has_stable_ids: bool) -> Scene {
     Scene {
         crash_interval: Duration::from_millis(600),
         outage_interval: None,
         has_stable_ids,
-        silence: Some(Duration::from_secs(3)),
+        silence: Some(silence),
         ..Scene::new(
             &["aa:200,dead0:300,", "dead0:300,"],
             &["aa:200,", "aa:200,cc:40,"],
@@ -434,13 +434,39 @@
 /// Guards against crashes that count for nothing because they leave the connections open.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_part_is_found_that_silences_engines_which_return_under_new_ids() {
-    assert_part_is_found(silent_crashes(false)).await;
+    assert_part_is_found(silent_crashes(Duration::from_secs(3), false)).await;
 }
 
 /// Guards against the same at engines that return under the ids that they had.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_part_is_found_that_silences_engines_which_return_under_the_same_ids() {
-    assert_part_is_found(silent_crashes(true)).await;
+    assert_part_is_found(silent_crashes(Duration::from_secs(3), true)).await;
+}
+
+/// Guards against silent crashes that are known only once the engine is back: with 5 s of silence
+/// five engines crash before the third crash is known.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_that_silences_engines_for_5_s_which_return_under_new_ids() {
+    assert_part_is_found(silent_crashes(Duration::from_secs(5), false)).await;
+}
+
+/// Guards against the same at engines that return under the ids that they had.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_that_silences_engines_for_5_s_which_return_under_the_same_ids() {
+    assert_part_is_found(silent_crashes(Duration::from_secs(5), true)).await;
+}
+
+/// Guards against the same with 8 s of silence, which is close to the time for which a node waits
+/// for a later start.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_that_silences_engines_for_8_s_which_return_under_new_ids() {
+    assert_part_is_found(silent_crashes(Duration::from_secs(8), false)).await;
+}
+
+/// Guards against the same at engines that return under the ids that they had.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_that_silences_engines_for_8_s_which_return_under_the_same_ids() {
+    assert_part_is_found(silent_crashes(Duration::from_secs(8), true)).await;
 }
 
 /// Guards against a crash that counts against a call whose silent upstream went on: a restart for
