--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -11,7 +11,7 @@
 use support::edge_environment::caller::Caller;
 use support::edge_environment::engine::CRASHING_PART;
 use support::edge_environment::silent_links::set_cut;
-use support::edge_environment::{KillableNode, NodeSpec, TestEnvironment};
+use support::edge_environment::{KillableNode, NodeSpec, TestEnvironment, eventually};
 use tokio::task::JoinHandle;
 
 /// Time after which all nodes know what one of them saw.
@@ -28,6 +28,9 @@
 const ENGINE_DOWN_TIME: Duration = Duration::from_millis(700);
 /// Time during which the crashing part is sent.
 const CRASHING_TIME: Duration = Duration::from_secs(14);
+/// Minimum time for which prompts are sent after the last counted crash. The fifth crash may be a
+/// trial that comes late, and at least 20 sound prompts must follow 6 s after it.
+const TIME_AFTER_COUNTED_CRASH: Duration = Duration::from_secs(9);
 /// Time between two crashes of a data centre.
 const OUTAGE_INTERVAL: Duration = Duration::from_millis(1_500);
 
@@ -53,7 +56,7 @@
     silence: Option<Duration>,
     /// Nodes are cut off from each other for this time when the crashing part is first sent.
     peer_cut: Option<Duration>,
-    /// Time during which the crashing part is sent.
+    /// Minimum time during which the crashing part is sent.
     duration: Duration,
 }
 
@@ -244,6 +247,17 @@
     }
     let connected_at = Instant::now();
     tokio::time::sleep(scene.duration - cut_time).await;
+    let fifth_crash = part_crashes(&environment)
+        .get(COUNTED_CRASHES - 1)
+        .copied()
+        .unwrap_or(began_at);
+    // The bounds hold for nodes that are connected.
+    let counted_crash = match scene.peer_cut {
+        Some(_) => fifth_crash.max(connected_at),
+        None => fifth_crash,
+    };
+    let end = counted_crash + TIME_AFTER_COUNTED_CRASH;
+    tokio::time::sleep_until(end.into()).await;
     is_over.store(true, Ordering::Relaxed);
     let sound = sound.await.expect("no panic");
     crashing.abort();
@@ -251,12 +265,6 @@
     restarting.abort();
 
     let crashes = part_crashes(&environment);
-    let fifth_crash = *crashes.get(COUNTED_CRASHES - 1).unwrap_or(&began_at);
-    // The bounds hold for nodes that are connected.
-    let counted_crash = match scene.peer_cut {
-        Some(_) => fifth_crash.max(connected_at),
-        None => fifth_crash,
-    };
     let late = arrivals(&environment, CRASHING_PART);
     let late = late.iter().filter(|at| **at > counted_crash + CONTACT_TIME);
     let late_count = late.count();
@@ -409,13 +417,13 @@
     assert_part_is_found_at_one_engine(false, Duration::ZERO).await;
 }
 
-/// Engines that fall silent for three seconds before they come back.
-fn silent_crashes(has_stable_ids: bool) -> Scene {
+/// Engines that fall silent for this time before they come back.
+fn silent_crashes(silence: Duration, has_stable_ids: bool) -> Scene {
     Scene {
         crash_interval: Duration::from_millis(600),
         outage_interval: None,
         has_stable_ids,
-        silence: Some(Duration::from_secs(3)),
+        silence: Some(silence),
         ..Scene::new(
             &["aa:200,dead0:300,", "dead0:300,"],
             &["aa:200,", "aa:200,cc:40,"],
@@ -426,13 +434,96 @@
 /// Guards against crashes that count for nothing because they leave the connections open.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_part_is_found_that_silences_engines_which_return_under_new_ids() {
-    assert_part_is_found(silent_crashes(false)).await;
+    assert_part_is_found(silent_crashes(Duration::from_secs(3), false)).await;
 }
 
 /// Guards against the same at engines that return under the ids that they had.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_part_is_found_that_silences_engines_which_return_under_the_same_ids() {
-    assert_part_is_found(silent_crashes(true)).await;
+    assert_part_is_found(silent_crashes(Duration::from_secs(3), true)).await;
+}
+
+/// Guards against silent crashes that are known only once the engine is back: with 5 s of silence
+/// five engines crash before the third crash is known.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_that_silences_engines_for_5_s_which_return_under_new_ids() {
+    assert_part_is_found(silent_crashes(Duration::from_secs(5), false)).await;
+}
+
+/// Guards against the same at engines that return under the ids that they had.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_that_silences_engines_for_5_s_which_return_under_the_same_ids() {
+    assert_part_is_found(silent_crashes(Duration::from_secs(5), true)).await;
+}
+
+/// Guards against the same with 8 s of silence, which is close to the time for which a node waits
+/// for a later start.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_that_silences_engines_for_8_s_which_return_under_new_ids() {
+    assert_part_is_found(silent_crashes(Duration::from_secs(8), false)).await;
+}
+
+/// Guards against the same at engines that return under the ids that they had.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_found_that_silences_engines_for_8_s_which_return_under_the_same_ids() {
+    assert_part_is_found(silent_crashes(Duration::from_secs(8), true)).await;
+}
+
+/// Guards against a crash that counts against a call whose silent upstream went on: a restart for
+/// another reason, soon after, would make each of its parts a suspect. Three such calls at three
+/// engines would convict their sound part.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_is_not_convicted_of_restarts_of_engines_that_went_on_after_a_silence() {
+    const SOUND_PART: &str = "aa:200,";
+    /// Over the 2 s of silence after which an engine is taken for lost.
+    const SILENCE: Duration = Duration::from_millis(2_600);
+    /// Beyond the time within which late crashes count as one.
+    const RESTART_INTERVAL: Duration = Duration::from_millis(700);
+    /// Beyond the time after which a conviction takes effect, and before its first trial.
+    const CONVICTION_TIME: Duration = Duration::from_millis(2_500);
+    let environment = TestEnvironment::start(3).await;
+    let (_node, caller) = environment.start_ready_node("n-0").await;
+    let mut streams = Vec::new();
+    for n in 1..=environment.engines.len() {
+        let caller = caller.clone();
+        streams.push(tokio::spawn(async move {
+            send_prompt(&caller, SOUND_PART, 60).await
+        }));
+        let engines = || environment.engines.iter();
+        let has_begun = || {
+            engines()
+                .filter(|engine| engine.running_count() == 1)
+                .count()
+                == n
+        };
+        eventually("the stream runs at an engine of its own", has_begun).await;
+    }
+    environment.wait_for_running_stream().await;
+    for engine in &environment.engines {
+        // The streams can't leave their engines.
+        engine.is_full.store(true, Ordering::Relaxed);
+    }
+    environment.set_all_engines_frozen(true);
+    tokio::time::sleep(SILENCE).await;
+    environment.set_all_engines_frozen(false);
+    for stream in streams {
+        assert!(stream.await.expect("no panic"), "a stream is not whole");
+    }
+    assert_eq!(environment.run_count(), 3, "a stream left its engine");
+
+    for engine in &environment.engines {
+        engine.is_full.store(false, Ordering::Relaxed);
+        engine.crash();
+        engine.restart_under_same_id().await;
+        let entry = engine.entry("ready");
+        environment.store.put("servers", &engine.id(), entry);
+        tokio::time::sleep(RESTART_INTERVAL).await;
+    }
+    tokio::time::sleep(CONVICTION_TIME).await;
+    for _ in 0..3 {
+        let is_served = send_prompt(&caller, SOUND_PART, 3).await;
+        assert!(is_served, "a sound part is refused");
+    }
 }
 
 /// Guards against evidence that does not reach all nodes after they were cut off from each other
