Set the break in tests/errors_in_streams.rs before the call

Cause: the scenario, not the product. The test set the break 250 to 262 ms after the start of a stream that ends after 285 ms. A delay of some 20 ms let the stream end before its engine was told to break it off.

Now all engines have the same break, set before the call, and the first run to reach it uses it up. Checks and bounds are unchanged.

--- a/tests/errors_in_streams.rs
+++ b/tests/errors_in_streams.rs
@@ -3,10 +3,11 @@
 mod support;
 
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use support::edge_environment::caller::{Caller, Response};
-use support::edge_environment::engine::{Engine, StreamBreak};
+use support::edge_environment::engine::{Engine, SharedBreak, StreamBreak};
 use support::edge_environment::error_answer::{ERROR_TEXT, ErrorAnswer};
 use support::edge_environment::{STREAM_PATH, TestEnvironment};
 use zinniawing::EdgeNode;
@@ -32,18 +33,24 @@
     *engine.error_answers.lock().expect("unpoisoned") = errors;
 }
 
-/// Makes a call whose first run, at one of the engines, breaks off.
+/// Makes a call whose first run breaks off, whichever engine the node chooses for it. The
+/// break is set before the call: a stream that ends before its break is set stays whole.
 async fn call_that_breaks(environment: &TestEnvironment, caller: &Caller) -> Response {
     environment.set_event_interval(EVENT_INTERVAL);
-    let caller = caller.clone();
-    let call = tokio::spawn(async move { caller.call("POST", STREAM_PATH, HEADERS).await });
-    environment.wait_for_running_stream().await;
-    environment.running_engine().break_next_stream(StreamBreak {
+    let shared: SharedBreak = Arc::new(Mutex::new(Some(StreamBreak {
         after_events: BREAK_AFTER,
         is_inside_event: false,
         resets: true,
-    });
-    call.await.expect("no panic")
+    })));
+    for engine in &environment.engines {
+        engine.share_next_break(&shared);
+    }
+
+    let got = caller.call("POST", STREAM_PATH, HEADERS).await;
+
+    let is_met = shared.lock().expect("unpoisoned").is_none();
+    assert!(is_met, "no run has met the break: {got:?}");
+    got
 }
 
 fn assert_no_error_in(got: &Response, what: impl std::fmt::Debug) {
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -55,6 +55,9 @@
     pub resets: bool,
 }
 
+/// A break at several engines that only the first run to reach it meets.
+pub type SharedBreak = Arc<Mutex<Option<StreamBreak>>>;
+
 pub struct Engine {
     pub address: SocketAddr,
     /// Address in its entry in the store; in the soak it is the address of a proxy.
@@ -64,7 +67,7 @@
     pub event_interval: Mutex<Duration>,
     /// Answers have neither a length nor chunks, and end with their connections.
     pub is_close_delimited: AtomicBool,
-    next_break: Mutex<Option<StreamBreak>>,
+    next_break: Mutex<SharedBreak>,
     /// When prompts with a [crashing part](CRASHING_PART) crashed this engine.
     part_crashes: Mutex<Vec<(String, Instant)>>,
     crashed_at: Mutex<Option<Instant>>,
@@ -235,13 +238,23 @@
 
     /// Breaks off the next stream, or the one that runs.
     pub fn break_next_stream(&self, at: StreamBreak) {
-        *self.next_break.lock().expect("unpoisoned") = Some(at);
+        self.share_next_break(&Arc::new(Mutex::new(Some(at))));
+    }
+
+    /// Replaces the break of the next stream, or of the one that runs, by one that this engine
+    /// has in common with others.
+    pub fn share_next_break(&self, shared: &SharedBreak) {
+        *self.next_break.lock().expect("unpoisoned") = shared.clone();
+    }
+
+    fn shared_break(&self) -> SharedBreak {
+        self.next_break.lock().expect("unpoisoned").clone()
     }
 
     /// Whether no stream was broken off since the last call of
     /// [`Self::break_next_stream`].
     pub fn has_break_ahead(&self) -> bool {
-        self.next_break.lock().expect("unpoisoned").is_some()
+        self.shared_break().lock().expect("unpoisoned").is_some()
     }
 
     /// When prompts with a crashing part, whose name begins so, crashed this engine.
@@ -422,7 +435,8 @@
 
     /// The break at the event with this number within its run, if one is due.
     fn take_break(&self, number: u64) -> Option<StreamBreak> {
-        let mut next = self.next_break.lock().expect("unpoisoned");
+        let shared = self.shared_break();
+        let mut next = shared.lock().expect("unpoisoned");
         next.take_if(|at| number > at.after_events)
     }
 
