Reserve a long answer in one step, and keep its start at the size that is reserved

Callers that read nothing took a node over its memory: 1,500 of them with answers of 4 MB, memory-mb 88, max-fds 4,100, peak 101 MB in a debug build (1 run; a second run failed too, its peak was not kept).

Cause, by reading: an answer reserved 64 KiB, read its start, and then waited for 160 KiB. Up to 114 such answers fit the share for small reservations. Each held a start that had grown twofold to 128 KiB with the whole of its last frame, and what its connection had buffered, of which 64 KiB were reserved.

An answer with an announced length now reserves all 160 KiB before its body is read, one without a length once 32 KiB have arrived, and the start is cut at 64 KiB.

--- a/src/forward/answer_body.rs
+++ b/src/forward/answer_body.rs
@@ -4,7 +4,7 @@
 
 use std::time::Instant;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
@@ -26,6 +26,9 @@
 const READ_AHEAD_BYTES: usize = 64 * 1024;
 /// Size up to which an answer is covered by what its call has reserved.
 const UNCHARGED_BYTES: usize = 4 * 1024;
+/// Start of an answer without an announced length that [`READ_AHEAD_BYTES`] cover together
+/// with the buffer of the upstream's connection.
+const SHORT_START_BYTES: usize = READ_AHEAD_BYTES - READ_BUFFER_MAX_BYTES;
 /// Bytes that are held for an answer that is longer than its start: the start, a frame of
 /// it at the caller's connection, one on its way there, and one at the upstream's.
 const LONG_ANSWER_BYTES: usize = READ_AHEAD_BYTES + 3 * READ_BUFFER_MAX_BYTES;
@@ -38,7 +41,8 @@
 
 /// The start of a body, what follows it, and the reservation for both.
 pub(super) struct LongBody {
-    start: Bytes,
+    /// The first [`READ_AHEAD_BYTES`], and the rest of the frame in which they end.
+    start: [Bytes; 2],
     rest: Incoming,
     charge: Charge,
 }
@@ -80,38 +84,85 @@
     mut body: Incoming,
     memory: &MemoryBudget,
 ) -> Result<BodyStart, hyper::Error> {
-    let mut start = BytesMut::new();
+    let mut reader = StartReader::new(body.size_hint().exact());
     // Reserves before the first read: a body that was asked for fills the buffers of its
     // connection.
-    let mut charge = None;
-    if body.size_hint().lower() > UNCHARGED_BYTES as u64 {
-        charge = Some(reserve(memory, READ_AHEAD_BYTES).await);
-    }
-    while start.len() < READ_AHEAD_BYTES {
+    let announced_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    reader.reserve(announced_bytes, memory).await;
+    loop {
         let Some(frame) = body.frame().await else {
-            return Ok(BodyStart::Whole(whole(start, charge)));
+            return Ok(BodyStart::Whole(reader.into_whole()));
         };
-        let Ok(data) = frame?.into_data() else {
+        let Ok(mut data) = frame?.into_data() else {
             continue;
         };
-        if charge.is_none() && start.len() + data.len() > UNCHARGED_BYTES {
-            charge = Some(reserve(memory, READ_AHEAD_BYTES).await);
+        reader
+            .reserve(reader.bytes.len() + data.len(), memory)
+            .await;
+        let room = READ_AHEAD_BYTES - reader.bytes.len();
+        let start = data.split_to(room.min(data.len()));
+        reader.bytes.extend_from_slice(&start);
+        if reader.bytes.len() == READ_AHEAD_BYTES
+            && let Some(charge) = reader.charge
+        {
+            return Ok(BodyStart::Long(LongBody {
+                start: [reader.bytes.into(), data],
+                rest: body,
+                charge,
+            }));
         }
-        start.extend_from_slice(&data);
     }
-    Ok(BodyStart::Long(LongBody {
-        charge: reserve(memory, LONG_ANSWER_BYTES).await,
-        start: start.freeze(),
-        rest: body,
-    }))
 }
 
-fn whole(bytes: BytesMut, charge: Option<Charge>) -> Bytes {
-    let Some(mut charge) = charge else {
-        return bytes.freeze();
-    };
-    charge.shrink_to(bytes.capacity());
-    charged(bytes, charge)
+/// The bytes read so far, and the reservation for them and for the buffers of the connection.
+struct StartReader {
+    /// Length of a body that ends within [`READ_AHEAD_BYTES`], if it is announced.
+    short_length: Option<usize>,
+    bytes: Vec<u8>,
+    charge: Option<Charge>,
+    reserved_bytes: usize,
+}
+
+impl StartReader {
+    fn new(length: Option<u64>) -> Self {
+        let length = length.and_then(|length| usize::try_from(length).ok());
+        Self {
+            short_length: length.filter(|length| *length < READ_AHEAD_BYTES),
+            bytes: Vec::new(),
+            charge: None,
+            reserved_bytes: 0,
+        }
+    }
+
+    /// Reserves what an answer of which `needed` bytes are known to exist holds. A reservation
+    /// that only grew when the start is complete would leave each waiting answer with up to
+    /// 128 KiB of which 64 are reserved.
+    async fn reserve(&mut self, needed: usize, memory: &MemoryBudget) {
+        let (reserved_bytes, capacity) = if needed <= UNCHARGED_BYTES {
+            return;
+        } else if let Some(length) = self.short_length {
+            (READ_AHEAD_BYTES, length)
+        } else if needed <= SHORT_START_BYTES {
+            (READ_AHEAD_BYTES, SHORT_START_BYTES)
+        } else {
+            (LONG_ANSWER_BYTES, READ_AHEAD_BYTES)
+        };
+        if reserved_bytes <= self.reserved_bytes {
+            return;
+        }
+        self.charge = Some(reserve(memory, reserved_bytes).await);
+        self.reserved_bytes = reserved_bytes;
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+    }
+
+    fn into_whole(mut self) -> Bytes {
+        let Some(mut charge) = self.charge else {
+            return self.bytes.into();
+        };
+        self.bytes.shrink_to_fit();
+        charge.shrink_to(self.bytes.len());
+        charged(self.bytes, charge)
+    }
 }
 
 /// Waits for memory as long as it takes.
@@ -152,11 +203,12 @@
         let registration = forwarder.memory.register(LONG_ANSWER_BYTES);
         let end = forwarder.answer_end(call, registration.reclaimed().clone());
         let held = (registration, self.charge, kept);
-        let state = (Some(self.start), self.rest, held);
-        let frames = stream::unfold(state, move |(start, mut body, held)| async move {
-            if let Some(start) = start {
+        let start = self.start.into_iter().filter(|bytes| !bytes.is_empty());
+        let state = (start, self.rest, held);
+        let frames = stream::unfold(state, move |(mut start, mut body, held)| async move {
+            if let Some(bytes) = start.next() {
                 held.0.record_progress(LONG_ANSWER_BYTES);
-                return Some((Ok(Frame::data(start)), (None, body, held)));
+                return Some((Ok(Frame::data(bytes)), (start, body, held)));
             }
             held.0.record_own_wait();
             // The time-out alone would not end a body that always has a frame.
@@ -171,7 +223,7 @@
                 Some(frame) => frame?.map_err(|_| TruncatedResponse),
                 None => Err(TruncatedResponse),
             };
-            Some((passed_on, (None, body, held)))
+            Some((passed_on, (start, body, held)))
         });
         let body = StreamBody::new(frames).boxed_unsync();
         let mut response = HttpResponse::from_parts(head, body);
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -450,6 +450,22 @@
     );
 }
 
+// Guards against answers that wait for memory, each with what its connections hold, beyond what
+// is reserved for those that are passed on.
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_answers_of_1500_callers_stay_within_the_memory_of_the_smallest_machine() {
+    const READER_COUNT: usize = 1_500;
+    let mut scene = Scene::start("unread-1500", SMALLEST_MACHINES[0]).await;
+    let unread = Sending {
+        path: format!("{IDEMPOTENT_PATH}?answer-bytes={BODY_BYTES}&answer-ms=1"),
+        ..Sending::announced(0, Vec::new())
+    };
+
+    let (crowd, _) = send_each(&scene.node.caller, vec![unread], READER_COUNT).await;
+
+    scene.check(crowd).await;
+}
+
 // Guards against a node that has no descriptors left for its upstreams.
 #[tokio::test(flavor = "multi_thread")]
 async fn more_connections_than_descriptors_leave_some_for_other_calls() {
