Charge streams that a peer relays at the node that passes them on

A node that reaches no upstream of a service passes on what a peer relays to it. The peer charged the events that waited for the caller; this node held bytes of the same stream beside its memory budget, so that callers that read no relayed streams were bounded only by the number of connections.

--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use bytes::Bytes;
 use futures_util::{TryFutureExt, stream};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use hyper::{HeaderMap, Response};
 use tokio_util::sync::CancellationToken;
 
@@ -17,8 +18,10 @@
 use super::request::Call;
 use super::run_origin::RunKey;
 use super::send_history::SendHistory;
+use super::stream_relay::charged_event;
 use crate::http::{self, HttpResponse, TruncatedResponse};
 use crate::id::NodeId;
+use crate::memory::budget::MemoryBudget;
 use crate::observe::metrics::Counter;
 use crate::platform::answer;
 use crate::platform::call::{self, RelayHeaders};
@@ -223,7 +226,7 @@
             let withdrawn = self
                 .clone()
                 .wait_until_withdrawn(call.new_run(), call.deadline);
-            let frames = body.into_frames(withdrawn);
+            let frames = body.into_frames(withdrawn, self.memory.clone(), call.deadline);
             let end = self.answer_end(call, CancellationToken::new());
             head.extensions.insert(end);
             return RelayOutcome::Answered(HttpResponse::from_parts(head, frames));
@@ -272,20 +275,38 @@
 }
 
 impl RelayedBody {
-    /// The frames of the body, once `ready` has completed.
+    /// The frames of the body, once `ready` has completed. They wait for memory until
+    /// `deadline`: this node holds them until its caller reads them, beside what the peer holds.
     fn into_frames(
         self,
         ready: impl Future<Output = Result<(), TruncatedResponse>> + Send + 'static,
+        memory: Arc<MemoryBudget>,
+        deadline: Instant,
     ) -> http::ResponseBody {
-        let frames = stream::unfold(self, |mut relayed| async move {
+        let frames = stream::unfold((self, memory), move |(mut relayed, memory)| async move {
             let frame = relayed.body.frame().await?;
-            Some((frame.map_err(|_| TruncatedResponse), relayed))
+            let passed_on = charged_frame(&memory, frame, deadline).await;
+            Some((passed_on, (relayed, memory)))
         });
         let frames = ready.map_ok(|()| frames).try_flatten_stream();
         BodyExt::boxed_unsync(StreamBody::new(frames))
     }
 }
 
+async fn charged_frame(
+    memory: &MemoryBudget,
+    frame: Result<Frame<Bytes>, hyper::Error>,
+    deadline: Instant,
+) -> Result<Frame<Bytes>, TruncatedResponse> {
+    let data = match frame.map_err(|_| TruncatedResponse)?.into_data() {
+        Ok(data) => data,
+        Err(trailers) => return Ok(trailers),
+    };
+    let charging = charged_event(memory, data);
+    let charged = tokio::time::timeout_at(deadline.into(), charging).await;
+    charged.map(Frame::data).map_err(|_| TruncatedResponse)
+}
+
 async fn relay_to(peer: &RelayPeer, call: &Call, headers: RelayHeaders) -> PeerAnswer {
     let _peer_call = peer.calls.clone();
     let Some(time_left) = call.time_for_upstream(Instant::now()) else {
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -559,7 +559,7 @@
 }
 
 /// Reserves memory for an event that is too large for what its call has reserved.
-async fn charged_event(memory: &MemoryBudget, event: Bytes) -> Bytes {
+pub(super) async fn charged_event(memory: &MemoryBudget, event: Bytes) -> Bytes {
     if event.len() <= UNCHARGED_EVENT_BYTES {
         return event;
     }
--- a/tests/cut_nodes/one_call.rs
+++ b/tests/cut_nodes/one_call.rs
@@ -1,17 +1,20 @@
 //! Single calls to nodes that are cut, after the time that nodes have to notice it.
 
-use std::time::Duration;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 use crate::scene::{CUT_TIME, Scene};
-use crate::support::edge_environment::caller::{Caller, Response};
+use crate::support::edge_environment::caller::{Caller, Response, get, new_call_id};
 use crate::support::edge_environment::first_tries::{CONTACT_TIME, FirstTries};
 use crate::support::edge_environment::proxy::Mode;
 use crate::support::edge_environment::raw::RawRequest;
 use crate::support::edge_environment::service::NextFault;
 use crate::support::edge_environment::{
-    FORGED_RELAY_HEADERS, IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH,
+    FORGED_RELAY_HEADERS, IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, STREAM_PATH,
 };
 
 /// Time within which a call that can't be served is answered.
@@ -22,6 +25,12 @@
 /// Most bytes of an answer that a node holds.
 const HELD_MAX_BYTES: usize = 64 * 1024;
 
+/// More than a call without a body is charged, and less than what waits in the queues of a
+/// stream that is not read.
+const EVENT_BYTES: usize = 16 * 1024;
+/// Time within which the buffers of the kernel are full, if a stream is not read.
+const HELD_TIME_MAX: Duration = Duration::from_secs(5);
+
 /// More calls than one node takes from others at a time.
 const CALLS_BEYOND_BOUND: usize = 300;
 
@@ -124,6 +133,43 @@
     assert_eq!(running_count, 0);
 }
 
+/// Guards against nodes that hold events of relayed streams beyond their memory budgets.
+#[tokio::test]
+async fn a_relayed_stream_that_is_not_read_is_charged_at_both_nodes() {
+    let scene = start_with_cut_nodes(3, &[0]).await;
+    for engine in &scene.environment.engines {
+        engine.event_padding.store(EVENT_BYTES, Ordering::Relaxed);
+        *engine.event_interval.lock().expect("unpoisoned") = Duration::from_millis(1);
+    }
+    let headers = "x-zinniawing-deadline-ms: 20000\r\nx-zinniawing-token-usage: 800,8000\r\n\
+                   content-length: 0\r\n\r\n";
+    let request = scene.callers[0].head("POST", STREAM_PATH, &new_call_id(), headers);
+    let connecting = TcpStream::connect(scene.callers[0].address);
+    let mut unread = connecting.await.expect("connected");
+
+    unread.write_all(request.as_bytes()).await.expect("sent");
+
+    let mut most_held = [0; 3];
+    let since = Instant::now();
+    while since.elapsed() < HELD_TIME_MAX {
+        for (most, caller) in most_held.iter_mut().zip(&scene.callers) {
+            *most = held_bytes(caller).await.max(*most);
+        }
+        if most_held[0] >= EVENT_BYTES && most_held[1].max(most_held[2]) >= EVENT_BYTES {
+            return;
+        }
+    }
+    panic!("bytes held at the cut node and at the others: {most_held:?}");
+}
+
+/// Bytes that a node has charged to its budget for calls.
+async fn held_bytes(caller: &Caller) -> usize {
+    let counters = get(caller.readiness, "/metrics").await.expect("counters");
+    let mut lines = counters.body.lines();
+    let held = lines.find_map(|line| line.strip_prefix("zinniawing_memory_held_bytes "));
+    held.and_then(|held| held.parse().ok()).expect("a number")
+}
+
 #[tokio::test]
 async fn calls_are_refused_at_once_while_no_node_reaches_an_upstream() {
     let nodes = [0, 1, 2];
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -62,6 +62,8 @@
     pub data_centre: String,
     pub prefill_time: Mutex<Duration>,
     pub event_interval: Mutex<Duration>,
+    /// Bytes that each event has in addition to its text.
+    pub event_padding: AtomicUsize,
     /// Answers have neither a length nor chunks, and end with their connections.
     pub is_close_delimited: AtomicBool,
     next_break: Mutex<Option<StreamBreak>>,
@@ -142,6 +144,7 @@
             data_centre: data_centre.to_owned(),
             prefill_time: Mutex::new(Duration::from_millis(30)),
             event_interval: Mutex::new(Duration::from_millis(10)),
+            event_padding: AtomicUsize::new(0),
             is_close_delimited: AtomicBool::new(false),
             next_break: Mutex::default(),
             part_crashes: Mutex::default(),
@@ -384,7 +387,9 @@
             {
                 self.crash_under_part(part).await;
             }
-            let event = format!("id: {id}\n: {software_version}\ndata: {call_id} piece {id}\n\n");
+            let padding = "x".repeat(self.event_padding.load(Ordering::Relaxed));
+            let event =
+                format!("id: {id}\n: {software_version}\ndata: {call_id} piece {id}{padding}\n\n");
             if let Some(at) = self.take_break(id - from_event) {
                 if at.is_inside_event {
                     let half = &event.as_bytes()[..event.len() / 2];
