--- a/src/membership/tests/mod.rs
+++ b/src/membership/tests/mod.rs
@@ -1,2 +1,3 @@
 mod crash_announcement;
+mod peer_server;
 mod update_queue;
