Take back the bound on replies to peers

A reader of the change found that Sync and Fetch requests which wait for one of the four turns keep their encoded message charged, while the requests that have a turn wait for memory of the same budget, and that the turns of one peer's 64 requests come before those of all other peers. Only time-outs of 2 s would end such a wait, and replies would be lost meanwhile; fetches of a configuration have 0.8 s. Nobody has seen replies to peers take too much memory, so nothing is better than that bound. This reverts with its test, from reading; docs/design/memory-budget.md keeps what was measured.

--- a/src/membership/peer_server.rs
+++ b/src/membership/peer_server.rs
@@ -2,9 +2,8 @@
 //! their connections.
 //!
 //! The encoded messages of peers that send without end, stop within a message or read no replies
-//! hold no more memory than their share. A decoded request lives no longer than the charge for its
-//! encoded form, and few replies with lists or documents exist before they are charged.
-//! `docs/design/memory-budget.md` states the share.
+//! hold no more memory than their share. Decoded requests, and replies that wait for memory, are
+//! not charged. `docs/design/memory-budget.md` states the share.
 
 use std::io;
 use std::sync::Arc;
@@ -35,9 +34,6 @@
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// Requests of one connection that are in progress at once.
 const CONNECTION_REQUESTS_MAX: usize = 64;
-/// Replies with lists or documents that wait for memory at once, over all connections. Peers that
-/// read no replies could otherwise have this node hold 64 of them for each connection.
-pub(super) const LARGE_REPLIES_MAX: usize = 4;
 /// Read buffer of a connection. Most messages are shorter.
 const READ_BUFFER_BYTES: usize = 2 * 1024;
 /// Bytes before each message, which state its length.
@@ -70,8 +66,6 @@
     traffic: Arc<PeerTraffic>,
     /// Apart from the budget for calls, so that callers can't keep nodes from each other.
     memory: Arc<MemoryBudget>,
-    /// Bounds the replies with lists or documents that are not charged yet.
-    large_replies: Semaphore,
 }
 
 /// Serves the requests of other nodes until `shutdown` begins.
@@ -86,7 +80,6 @@
         handler,
         traffic,
         memory,
-        large_replies: Semaphore::new(LARGE_REPLIES_MAX),
     });
     loop {
         let accepted = tokio::select! {
@@ -182,27 +175,6 @@
         _active: ActiveRequest,
         replies: mpsc::Sender<ChargedMessage>,
     ) {
-        if let Some(reply) = self.charged_reply(request, message).await {
-            let _ = replies.send(reply).await;
-        }
-    }
-
-    /// Handles a request, and encodes the reply once its memory is reserved.
-    async fn charged_reply(
-        &self,
-        request: PeerRequest,
-        message: ChargedMessage,
-    ) -> Option<ChargedMessage> {
-        let has_large_reply = matches!(
-            request.body,
-            Some(RequestBody::Sync(_) | RequestBody::Fetch(_))
-        );
-        let _turn = if has_large_reply {
-            let turn = timeout(MESSAGE_TIMEOUT, self.large_replies.acquire());
-            Some(turn.await.ok()?.ok()?)
-        } else {
-            None
-        };
         let body = match request.body {
             Some(body) => self.handler.handle(body).await,
             None => None,
@@ -213,11 +185,14 @@
             id: request.id,
             body,
         };
-        let charge = self.reserve(reply.encoded_len()).await?;
-        Some(ChargedMessage {
+        let Some(charge) = self.reserve(reply.encoded_len()).await else {
+            return;
+        };
+        let message = ChargedMessage {
             bytes: encode_frame(&reply),
             _charge: charge,
-        })
+        };
+        let _ = replies.send(message).await;
     }
 
     /// Writes replies until the peer does not read one in time.
--- a/src/membership/tests/mod.rs
+++ b/src/membership/tests/mod.rs
@@ -1,3 +1,2 @@
 mod crash_announcement;
-mod peer_server;
 mod update_queue;
