--- a/src/forward/answer_body.rs
+++ b/src/forward/answer_body.rs
@@ -1,6 +1,6 @@
 //! Reads the start of an answer's body before the caller gets any of it, so that
 //! a short answer reaches the caller completely or not at all. A node never holds more than
-//! this start of an answer, however long it is.
+//! [`LONG_ANSWER_BYTES`] of an answer, however long it is.
 
 use std::time::Instant;
 
@@ -26,8 +26,8 @@
 const READ_AHEAD_BYTES: usize = 64 * 1024;
 /// Size up to which an answer is covered by what its call has reserved.
 const UNCHARGED_BYTES: usize = 4 * 1024;
-/// Start of an answer without an announced length that [`READ_AHEAD_BYTES`] cover together
-/// with the buffer of the upstream's connection.
+/// Largest start of an answer without an announced length that fits into [`READ_AHEAD_BYTES`]
+/// together with the read buffer of the upstream's connection.
 const SHORT_START_BYTES: usize = READ_AHEAD_BYTES - READ_BUFFER_MAX_BYTES;
 /// Bytes that are held for an answer that is longer than its start: the start, a frame of
 /// it at the caller's connection, one on its way there, and one at the upstream's.
@@ -134,9 +134,9 @@
         }
     }
 
-    /// Reserves what an answer of which `needed` bytes are known to exist holds. A reservation
-    /// that only grew when the start is complete would leave each waiting answer with up to
-    /// 128 KiB of which 64 are reserved.
+    /// Reserves memory for an answer of at least `needed` bytes. A long one is reserved before
+    /// its start is complete, since an answer that waits for memory would otherwise hold more
+    /// than is reserved for it.
     async fn reserve(&mut self, needed: usize, memory: &MemoryBudget) {
         let (reserved_bytes, capacity) = if needed <= UNCHARGED_BYTES {
             return;
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -275,8 +275,9 @@
 }
 
 impl RelayedBody {
-    /// The frames of the body, once `ready` has completed. They wait for memory until
-    /// `deadline`: this node holds them until its caller reads them, beside what the peer holds.
+    /// The frames of the body, once `ready` has completed. Each frame is charged to the budget of
+    /// this node, which holds it until the caller reads it. The stream is cut if no memory is free
+    /// by the `deadline`.
     fn into_frames(
         self,
         ready: impl Future<Output = Result<(), TruncatedResponse>> + Send + 'static,
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -450,20 +450,22 @@
     assert_part_is_found(silent_crashes(Duration::from_secs(5), false)).await;
 }
 
-/// Guards against the same at engines that return under the ids that they had.
+/// Guards against silent crashes that are known only once the engine is back, after 5 s and under
+/// the id that it had.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_part_is_found_that_silences_engines_for_5_s_which_return_under_the_same_ids() {
     assert_part_is_found(silent_crashes(Duration::from_secs(5), true)).await;
 }
 
-/// Guards against the same with 8 s of silence, which is close to the time for which a node waits
-/// for a later start.
+/// Guards against silent crashes that are known only after 8 s, close to the time for which a node
+/// waits for a later start of a silent engine.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_part_is_found_that_silences_engines_for_8_s_which_return_under_new_ids() {
     assert_part_is_found(silent_crashes(Duration::from_secs(8), false)).await;
 }
 
-/// Guards against the same at engines that return under the ids that they had.
+/// Guards against silent crashes that are known only after 8 s, at engines that return under the
+/// ids that they had.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_part_is_found_that_silences_engines_for_8_s_which_return_under_the_same_ids() {
     assert_part_is_found(silent_crashes(Duration::from_secs(8), true)).await;
@@ -475,6 +477,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_part_is_not_convicted_of_restarts_of_engines_that_went_on_after_a_silence() {
     const SOUND_PART: &str = "aa:200,";
+    /// Events of a stream, so many that all three run when the engines fall silent.
+    const EVENT_COUNT: u64 = 120;
     /// Over the 2 s of silence after which an engine is taken for lost.
     const SILENCE: Duration = Duration::from_millis(2_600);
     /// Beyond the time within which late crashes count as one.
@@ -487,7 +491,7 @@
     for n in 1..=environment.engines.len() {
         let caller = caller.clone();
         streams.push(tokio::spawn(async move {
-            send_prompt(&caller, SOUND_PART, 60).await
+            send_prompt(&caller, SOUND_PART, EVENT_COUNT).await
         }));
         let engines = || environment.engines.iter();
         let has_begun = || {
--- a/tests/cut_nodes/one_call.rs
+++ b/tests/cut_nodes/one_call.rs
@@ -133,7 +133,8 @@
     assert_eq!(running_count, 0);
 }
 
-/// Guards against nodes that hold events of relayed streams beyond their memory budgets.
+/// Guards against events of a relayed stream that one of its two nodes does not charge to its
+/// memory budget.
 #[tokio::test]
 async fn a_relayed_stream_that_is_not_read_is_charged_at_both_nodes() {
     let scene = start_with_cut_nodes(3, &[0]).await;
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -450,8 +450,8 @@
     );
 }
 
-// Guards against answers that wait for memory, each with what its connections hold, beyond what
-// is reserved for those that are passed on.
+// Guards against a process that exceeds its memory because each answer that waits for memory holds
+// more than is reserved for it.
 #[tokio::test(flavor = "multi_thread")]
 async fn unread_answers_of_1500_callers_stay_within_the_memory_of_the_smallest_machine() {
     const READER_COUNT: usize = 1_500;
--- a/tests/rollouts/main.rs
+++ b/tests/rollouts/main.rs
@@ -16,7 +16,7 @@
 /// Time after which nothing is granted without the store: 0.7 of 5 s, and one round of
 /// reports.
 const STOP_TIME: Duration = Duration::from_millis(4_000);
-/// Time of an answer with which each node has three or more calls in flight.
+/// Answer time at which each node has at least three calls in flight.
 const OVERLAPPING_ANSWER_TIME: Duration = Duration::from_millis(60);
 
 /// Guards against a rollout that does not end, or that callers notice.
--- a/tests/support/edge_environment/engine.rs
+++ b/tests/support/edge_environment/engine.rs
@@ -254,8 +254,8 @@
         self.next_break.lock().expect("unpoisoned").clone()
     }
 
-    /// Whether no stream was broken off since the last call of
-    /// [`Self::break_next_stream`].
+    /// Whether no stream was broken off since the last call of [`Self::break_next_stream`] or
+    /// [`Self::share_next_break`].
     pub fn has_break_ahead(&self) -> bool {
         self.shared_break().lock().expect("unpoisoned").is_some()
     }
