Review case 8: streams broken off at their end are ended at no node

Change: the case takes the place of the lesser one on crash evidence, which stays as a scene of review/cases-2.rs; the cases on memory and on odd entries are now 9 and 10, by gravity. The program is unchanged.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case "poison-from-copy" once; claim.txt says what it shows. It exits with 1 if the rule was
+# Plays the case "shadowed-runners" once; claim.txt says what it shows. It exits with 1 if the rule was
 # broken, 0 if it held, and 2 if it could not run. With TROUBLE=0 it leaves the disruption out.
 set -u
 cd "$(dirname "$0")/../.."
@@ -7,4 +7,4 @@
     echo "build with the command of deploy/system.toml and review/build-2.sh first" >&2
     exit 2
 fi
-exec target/review-2/cases poison-from-copy review/10/record.txt
+exec target/review-2/cases shadowed-runners review/10/record.txt
--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -696,6 +696,9 @@
     crash_count: AtomicUsize,
     /// Sends a stream whose first event never ends, up to this many bytes.
     unfinished_bytes: AtomicUsize,
+    /// Of so many streams that begin, one breaks off after its last event, before its end.
+    breaks_one_of: AtomicUsize,
+    begun: AtomicUsize,
 }
 
 struct RunnerAnswers(Arc<Runner>);
@@ -797,6 +800,14 @@
             }
             thread::sleep(self.interval);
         }
+        let one_of = self.breaks_one_of.load(Relaxed);
+        if first == 1 && one_of > 0 && (self.begun.fetch_add(1, Relaxed) + 1) % one_of == 0 {
+            self.record.add(format!(
+                "runner {}: breaks {call} off before its end",
+                self.id
+            ));
+            return false;
+        }
         self.completed.fetch_add(1, Relaxed);
         !is_gone() && stream.write_all(b"0\r\n\r\n").is_ok()
     }
@@ -1146,6 +1157,8 @@
             crashing_text: Mutex::default(),
             crash_count: AtomicUsize::new(0),
             unfinished_bytes: AtomicUsize::new(0),
+            breaks_one_of: AtomicUsize::new(0),
+            begun: AtomicUsize::new(0),
         });
         self.runners.push(runner.clone());
         runner
@@ -1896,6 +1909,89 @@
     Ok(faulty < 2)
 }
 
+/// LOST: of 12 or more streams that clients take up again, the share that goes on is not under
+/// half of the share of new streams that begin. Half of the engines break off one in 34 of their
+/// answers, after the last event, for 5 s at a time.
+fn broken_off_at_the_end(record: &Arc<Record>, has_trouble: bool) -> Verdict {
+    const ENGINES: usize = 8;
+    const BREAKS_ONE_OF: usize = 34;
+    const EVENTS: u64 = 10;
+    const SPAN: Duration = ms_const(5_000);
+    const TAKEN_UP_MIN: usize = 12;
+    let mut deployment = Deployment::start(record).map_err(text_of)?;
+    deployment.configure(1);
+    for number in 0..ENGINES {
+        deployment
+            .start_runner("llm", ZONES[number % 3], 0)
+            .map_err(text_of)?;
+    }
+    if !deployment.start_nodes(3, &[], "").map_err(text_of)? {
+        return Err("the nodes are not ready".to_owned());
+    }
+    thread::sleep(ms(4_000));
+    let (new, begun) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    let (taken_up, gone_on) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    let deployment = &deployment;
+    thread::scope(|scope| {
+        let began_at = Instant::now();
+        let mut number = 0;
+        while began_at.elapsed() < SPAN * 8 {
+            number += 1;
+            let span = began_at.elapsed().as_secs() / SPAN.as_secs();
+            let breaks = has_trouble && span % 2 == 0;
+            for engine in deployment.runners.iter().step_by(2) {
+                let one_of = if breaks { BREAKS_ONE_OF } else { 0 };
+                engine.breaks_one_of.store(one_of, Relaxed);
+            }
+            let (new, begun, taken_up, gone_on) = (&new, &begun, &taken_up, &gone_on);
+            scope.spawn(move || {
+                let part = format!(
+                    "x-zinniawing-model: m\r\nx-zinniawing-token-usage: 800,{EVENTS}\r\nx-zinniawing-prefix-hash: 5c1e07a2:200,{number:08x}:600\r\n"
+                );
+                let path = format!("/chat/{number:x}");
+                let open = |node: usize, more: &str| {
+                    let (id, handle) =
+                        deployment.send("chat", node, "POST", &path, 25_000, more, "prompt");
+                    let _ = handle.join();
+                    let outcomes = deployment.outcomes.lock().unwrap();
+                    let outcome = outcomes.iter().rev().find(|outcome| outcome.call == id);
+                    (id, outcome.map(|o| o.answer.clone()).unwrap_or_default())
+                };
+                let (id, answer) = open(number % 3, &part);
+                new.fetch_add(1, Relaxed);
+                let events = answer.events();
+                let Some((last, _)) = events.last() else {
+                    return;
+                };
+                begun.fetch_add(1, Relaxed);
+                if answer.is_complete {
+                    return;
+                }
+                record.add(format!("client got {id} without its end, after event {last}"));
+                let more = format!("{part}last-event-id: {last}\r\nresumes: {id}\r\n");
+                let (_, rest) = open((number + 1) % 3, &more);
+                taken_up.fetch_add(1, Relaxed);
+                let is_whole = rest.events().last().map_or(*last, |(last, _)| *last) == EVENTS;
+                if rest.is_served() && is_whole {
+                    gone_on.fetch_add(1, Relaxed);
+                }
+            });
+            thread::sleep(ms(16));
+        }
+    });
+    let count = |number: &AtomicUsize| number.load(Relaxed);
+    let (new, begun) = (count(&new), count(&begun));
+    let (taken_up, gone_on) = (count(&taken_up), count(&gone_on));
+    record.add(format!(
+        "{begun} of {new} new streams began; {gone_on} of {taken_up} streams that were taken up went on to their end"
+    ));
+    if has_trouble && taken_up < TAKEN_UP_MIN {
+        return Err(format!("only {taken_up} streams were taken up"));
+    }
+    let share = gone_on as f64 / taken_up.max(1) as f64;
+    Ok(taken_up < TAKEN_UP_MIN || share >= begun as f64 / new as f64 / 2.0)
+}
+
 const fn ms_const(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -1923,6 +2019,7 @@
         "shadowed-runners" => shadowed_runners(&record, has_trouble),
         "rollout-from-copy" => rollout_from_copy(&record, has_trouble),
         "poison-from-copy" => poison_from_copy(&record, has_trouble),
+        "broken-off-at-the-end" => broken_off_at_the_end(&record, has_trouble),
         "endless-streams" => endless_streams(&record, has_trouble),
         _ => Err(format!("no case {name}")),
     };
