Entries decide nothing about an address before an answer from there

Cause: `Directory::apply` took any entry with the same address, another id and a later `born` for the next start of the upstream, removed the earlier one and kept it out. By the same belief runs there were told that they were lost, and a connection that broke counted as a crash of its request.

Change: all entries stay in use until an answer shows who is at the address. One that looks like the next start gets the calls first, and a 421 brings the earlier one back. Beside any other one the upstream goes on. What is refuted is kept aside and returns if the other one leaves. Streams ask for the report of a claimed engine; a later start that only another id's entry states is asked for before it counts as a crash. A 421 uses up no attempt of a call. A service that is not configured makes no node ready or listed, and its versions are not written to the store.

--- a/src/edge/served_versions.rs
+++ b/src/edge/served_versions.rs
@@ -58,6 +58,7 @@
         }
         let now = Instant::now();
         let mut assigned = self.forwarder.directory.versions_by_service(now);
+        assigned.retain(|service, _| self.forwarder.is_configured(service));
         assigned.retain(|service, _| node.is_assigned(Fnv::new().text(service).finish()));
         if assigned.is_empty() {
             *known = None;
--- a/src/edge/status_api.rs
+++ b/src/edge/status_api.rs
@@ -29,7 +29,7 @@
 impl StatusApi {
     fn is_ready(&self) -> bool {
         let has_config = self.forwarder.route_table.load().is_some();
-        let has_upstreams = self.forwarder.directory.count() > 0;
+        let has_upstreams = !self.forwarder.known_services().is_empty();
         has_config && has_upstreams && !self.forwarder.node.is_draining()
     }
 
@@ -45,7 +45,7 @@
 
     fn addresses(&self, query: Option<&str>) -> HttpResponse {
         let data_centre = address::caller_data_centre(query);
-        let services = self.forwarder.directory.services();
+        let services = self.forwarder.known_services();
         let addresses = self.forwarder.node.addresses(data_centre, &services);
         if addresses.is_empty() {
             return http::error_response(&Error::new(
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -39,7 +39,7 @@
     /// Status and headers of the answer.
     pub(crate) headers: AnswerHeaders,
     /// When the call was sent.
-    sent_at: Instant,
+    pub(crate) sent_at: Instant,
 }
 
 /// One send of a call to one upstream.
--- a/src/forward/directory.rs
+++ b/src/forward/directory/mod.rs
@@ -3,12 +3,16 @@
 //! An upstream registers with an entry in the platform's store. Each start of it
 //! is an incarnation of its own, identified by its id and start time.
 
+mod claims;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
 use tokio::sync::broadcast;
 
+pub(crate) use self::claims::LaterStart;
+use self::claims::RefutedEntries;
 use super::departed_notices::DepartedNotices;
 use super::observation::{Observation, Observations};
 use super::probe::ProbeFailure;
@@ -38,6 +42,7 @@
 #[derive(Debug, Default)]
 struct State {
     upstreams: BTreeMap<UpstreamId, Arc<Upstream>>,
+    refuted: RefutedEntries,
     expiry: EntryExpiry,
     outage_detector: OutageDetector,
     version_history: VersionHistory,
@@ -49,23 +54,6 @@
 }
 
 impl State {
-    /// Whether the directory has an upstream that started later than the entry's
-    /// at the same address.
-    fn has_later_incarnation(&self, entry: &UpstreamEntry) -> bool {
-        let mut known = self.upstreams.values();
-        known.any(|known| entry.precedes(&known.entry))
-    }
-
-    fn take_earlier_incarnations(&mut self, entry: &UpstreamEntry) -> Vec<Arc<Upstream>> {
-        let known = self.upstreams.values();
-        let earlier = known.filter(|known| known.entry.precedes(entry));
-        let earlier: Vec<Arc<Upstream>> = earlier.cloned().collect();
-        for upstream in &earlier {
-            self.remove(&upstream.entry.id, Instant::now());
-        }
-        earlier
-    }
-
     /// Brings an entry of a copy up to date with what is known of its incarnation;
     /// `None` if that has left.
     fn update_copied(&self, mut entry: UpstreamEntry) -> Option<UpstreamEntry> {
@@ -81,6 +69,7 @@
     fn remove(&mut self, id: &UpstreamId, now: Instant) {
         if let Some(upstream) = self.upstreams.remove(id) {
             self.record_departure(&upstream, now);
+            self.update_rivals(upstream.entry.address, now);
         }
     }
 
@@ -89,11 +78,14 @@
         self.departed_notices.keep(upstream);
     }
 
-    /// Adds the upstream that an entry describes, and returns the one that it replaces.
+    /// Adds the upstream that an entry describes, and returns the one with the same id that
+    /// it replaces.
     fn insert(&mut self, entry: UpstreamEntry) -> Option<Arc<Upstream>> {
+        let now = Instant::now();
+        let address = entry.address;
         let replaced = self.upstreams.remove(&entry.id);
         if let Some(replaced) = &replaced {
-            self.record_departure(replaced, Instant::now());
+            self.record_departure(replaced, now);
         }
         let notices = self
             .departed_notices
@@ -103,7 +95,12 @@
         let speed = self.departed_notices.find_speed(&entry).unwrap_or_default();
         let upstream = Arc::new(Upstream::with_history(entry, notices, speed));
         self.upstreams.insert(id, upstream);
-        self.joined_at = Some(Instant::now());
+        self.joined_at = Some(now);
+        self.update_rivals(address, now);
+        let other_address = replaced.as_ref().map(|replaced| replaced.entry.address);
+        if let Some(other_address) = other_address.filter(|other| *other != address) {
+            self.update_rivals(other_address, now);
+        }
         replaced
     }
 }
@@ -118,8 +115,8 @@
         }
     }
 
-    /// Adds or updates the upstream that an entry describes, unless a later
-    /// incarnation of it is known.
+    /// Adds or updates the upstream that an entry describes, unless answers from its address
+    /// have refuted the entry.
     pub(crate) fn put(&self, entry: UpstreamEntry) {
         if let Some(entry) = self.apply(entry) {
             log::info!(
@@ -155,13 +152,12 @@
             }
             return None;
         }
-        if state.has_later_incarnation(&entry) {
+        if state.is_refuted(&entry) {
             return None;
         }
-        let mut superseded = state.take_earlier_incarnations(&entry);
-        superseded.extend(state.insert(entry.clone()));
+        let superseded = state.insert(entry.clone());
         drop(state);
-        for upstream in superseded {
+        if let Some(upstream) = superseded {
             self.notify_lost(&upstream, "superseded", Instant::now());
         }
         Some(entry)
@@ -170,12 +166,20 @@
     /// Handles the removal of the upstream's entry from the store.
     pub(crate) fn entry_removed(&self, id: &UpstreamId, now: Instant) {
         let mut state = self.lock();
-        let Some(upstream) = state.upstreams.get(id) else {
+        state.refuted.remove(id);
+        let Some(upstream) = state.upstreams.get(id).cloned() else {
             return;
         };
+        if upstream.is_replaced() {
+            // Its calls go to the next start already.
+            log::info!("event=upstream_gone upstream={id} cause=replaced");
+            return state.remove(id, now);
+        }
         let service = upstream.entry.service.clone();
         let known = state.upstreams.values();
-        let service_size = known.filter(|u| u.entry.service == service).count();
+        let service_size = known
+            .filter(|u| u.entry.service == service && !u.is_replaced())
+            .count();
         match state.expiry.entry_removed(id, &service, service_size, now) {
             ExpiryDecision::Remove => {
                 log::info!("event=upstream_gone upstream={id}");
@@ -197,7 +201,10 @@
         let new = entries.into_iter().filter_map(|entry| self.apply(entry));
         let new_count = new.count();
         log::info!("event=upstreams_listed listed={listed_count} new={new_count}");
-        let known: Vec<UpstreamId> = self.lock().upstreams.keys().cloned().collect();
+        let state = self.lock();
+        let known = state.upstreams.keys().chain(state.refuted.ids());
+        let known: Vec<UpstreamId> = known.cloned().collect();
+        drop(state);
         for id in known.iter().filter(|id| !listed.contains(id)) {
             self.entry_removed(id, now);
         }
@@ -236,11 +243,12 @@
         }
     }
 
-    /// The upstreams of a service that accept new calls.
+    /// The upstreams of a service that accept new calls. Those whose calls are tried at their
+    /// next start are left out.
     pub(crate) fn serving(&self, service: &str) -> Vec<Arc<Upstream>> {
         let state = self.lock();
         let all = state.upstreams.values();
-        all.filter(|u| u.entry.service == service && !u.is_draining())
+        all.filter(|u| u.entry.service == service && !u.is_draining() && !u.is_replaced())
             .cloned()
             .collect()
     }
@@ -365,11 +373,6 @@
         self.lock().upstreams.contains_key(id)
     }
 
-    /// Number of known upstreams, whatever their service.
-    pub(crate) fn count(&self) -> usize {
-        self.lock().upstreams.len()
-    }
-
     /// Marks the upstream as lost: informs all calls that run at it and all runs
     /// that have a replica at it, and publishes the loss to other nodes.
     pub(crate) fn mark_lost(&self, upstream: &Upstream, cause: &str, now: Instant) {
@@ -404,6 +407,7 @@
                 self.mark_lost(upstream, cause, now);
             }
             ProbeFailure::Broken => self.mark_lost(upstream, cause, now),
+            ProbeFailure::Replaced => upstream.end_runs(),
         }
     }
 
@@ -417,6 +421,12 @@
         }
     }
 
+    fn notify_all_lost(&self, upstreams: &[Arc<Upstream>], cause: &str, now: Instant) {
+        for upstream in upstreams {
+            self.notify_lost(upstream, cause, now);
+        }
+    }
+
     /// Informs all calls that run at the upstream, and all runs that have a
     /// replica at it, that it is lost.
     fn notify_lost(&self, upstream: &Upstream, cause: &str, now: Instant) {
@@ -471,35 +481,6 @@
         self.outages.subscribe()
     }
 
-    /// Whether an earlier incarnation with the entry's address and service is
-    /// known.
-    pub(crate) fn has_earlier_incarnation(&self, entry: &UpstreamEntry) -> bool {
-        let state = self.lock();
-        let mut known = state.upstreams.values();
-        known.any(|u| u.entry.service == entry.service && u.entry.precedes(entry))
-    }
-
-    /// Whether a later start of the entry's upstream is known, so that the entry's has ended. It
-    /// has the same id or the same address.
-    pub(crate) fn has_later_start(&self, entry: &UpstreamEntry) -> bool {
-        let state = self.lock();
-        let of_id = state.upstreams.get(&entry.id);
-        let is_later = |known: &Arc<Upstream>| known.entry.born_unix_ms > entry.born_unix_ms;
-        entry.born_unix_ms != 0
-            && (of_id.is_some_and(is_later) || state.has_later_incarnation(entry))
-    }
-
-    /// Removes the upstream, whose address turned out to belong to another one.
-    pub(crate) fn remove_misdirected(&self, upstream: &Upstream, now: Instant) {
-        let mut state = self.lock();
-        let known = state.upstreams.get(&upstream.entry.id);
-        if known.is_some_and(|known| known.is_same_incarnation(&upstream.entry)) {
-            state.remove(&upstream.entry.id, now);
-        }
-        drop(state);
-        self.notify_lost(upstream, "misdirected", now);
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -174,6 +174,20 @@
         self.route_table.load().as_ref().map_or(0, |t| t.version)
     }
 
+    /// The services of the configuration in force that have upstreams. An entry of another
+    /// service names no upstream to use.
+    pub(crate) fn known_services(&self) -> BTreeSet<ServiceId> {
+        let mut services = self.directory.services();
+        services.retain(|service| self.is_configured(service));
+        services
+    }
+
+    /// Whether the configuration in force names the service.
+    pub(crate) fn is_configured(&self, service: &str) -> bool {
+        let table = self.route_table.load();
+        table.as_ref().is_some_and(|t| t.names_service(service))
+    }
+
     /// Answers one call of a caller.
     pub(crate) async fn forward(self: Arc<Self>, request: Request<Incoming>) -> HttpResponse {
         self.forward_from(request, None).await
--- a/src/forward/hedged_call.rs
+++ b/src/forward/hedged_call.rs
@@ -132,7 +132,7 @@
 
     /// Whether the call may be sent once more. A trial of a suspected request runs once.
     fn may_hedge(&self, call: &Call, state: &PlainCallState) -> bool {
-        state.sends.sent_count() < call.sends_max
+        state.sends.attempt_count() < call.sends_max
             && !call.is_trial
             && !self.is_refused(call, false)
             && !self.should_relay(call, &state.sends)
--- a/src/forward/incarnation_check.rs
+++ b/src/forward/incarnation_check.rs
@@ -80,6 +80,17 @@
         if is_unknown || registered == reported {
             return Ok(());
         }
+        // The report may be that of another upstream, whose address the entry names.
+        let is_reported = |other: &UpstreamEntry| other.born_unix_ms == reported;
+        let now = Instant::now();
+        if self
+            .directory
+            .record_answer_at(entry.address, is_reported, now)
+        {
+            return Err(AttemptFailure::NotSent(
+                "another upstream reports from this address",
+            ));
+        }
         log::info!(
             "event=upstream_restarted upstream={} born={registered} reported={reported}",
             entry.id
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -15,6 +15,7 @@
 //! `docs/OPERATIONS.md` traces failed calls through their log lines, and
 //! `docs/RESUME.md` explains how a stream resumes at another upstream.
 
+mod address_check;
 pub(crate) mod answer_body;
 pub(crate) mod attempt;
 mod call_body;
--- a/src/forward/plain_call.rs
+++ b/src/forward/plain_call.rs
@@ -408,9 +408,10 @@
         call: &Call,
         state: &mut PlainCallState,
     ) -> Option<Arc<Upstream>> {
-        let sent_count = state.sends.sent_count();
-        let is_first = sent_count == 0;
-        if !is_first && sent_count >= call.sends_max || self.should_relay(call, &state.sends) {
+        let is_first = state.sends.sent_count() == 0;
+        let attempt_count = state.sends.attempt_count();
+        let has_attempts_left = attempt_count == 0 || attempt_count < call.sends_max;
+        if !has_attempts_left || self.should_relay(call, &state.sends) {
             return None;
         }
         if call.time_for_upstream(Instant::now()).is_none() {
@@ -500,8 +501,14 @@
         read.map_err(|error| AttemptFailure::MayHaveRun(error.to_string()))
     }
 
-    /// Records that an upstream answered, if that shows that it can be reached.
+    /// Records that an upstream answered, which shows that it is at its address and, over a
+    /// new connection, that it can be reached.
     pub(crate) fn record_connected(&self, answered: &Attempt<Answered>) {
+        let Attempt {
+            upstream, state, ..
+        } = answered;
+        self.directory
+            .record_present(upstream, state.sent_at, "answered");
         if !answered.state.connection.is_reused() {
             self.reach
                 .record_connected(&answered.upstream.entry.service);
@@ -531,7 +538,8 @@
         }
         match failure {
             AttemptFailure::Misdirected(actual) => {
-                self.directory.remove_misdirected(upstream, now);
+                let directory = &self.directory;
+                directory.remove_misdirected(upstream, actual.as_ref(), now);
                 if let Some(actual) = actual {
                     self.find_successor(upstream.entry.clone(), actual.clone());
                 }
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -18,9 +18,9 @@
 use super::forwarder::{Forwarder, NodeContext};
 use super::reported_start::ReportedStart;
 use super::upstream::Upstream;
-use crate::id::DataCentreId;
+use crate::id::{DataCentreId, UpstreamId};
 use crate::observe::metrics::{Counter, Metrics};
-use crate::platform::answer::{AnswerOwner, owner, stated_rest};
+use crate::platform::answer::{AnswerOwner, actual_upstream, owner, stated_rest};
 use crate::platform::engine::{EngineReport, REPORT_PATH, read_report};
 use crate::policy::liveness::{
     OUTAGE_ALERT_DURATION, SOUND_SILENCE_MAX, StreamPhase, probe_delay, stall_timeout,
@@ -52,6 +52,8 @@
     upstream: Arc<Upstream>,
     watching_since: Instant,
     losses: watch::Receiver<u64>,
+    /// Changes when other upstreams register with the address.
+    rivals: watch::Receiver<Vec<Arc<Upstream>>>,
     outages: broadcast::Receiver<DataCentreId>,
     /// Until this time the upstream is probed after a shorter silence, because an
     /// outage of its data centre was suspected.
@@ -65,6 +67,7 @@
         Self {
             watching_since: Instant::now(),
             losses: upstream.subscribe_losses(),
+            rivals: upstream.subscribe_rivals(),
             outages: directory.subscribe_outages(),
             outage_alert_until: None,
             held_until: None,
@@ -113,6 +116,13 @@
                     }
                     continue;
                 }
+                // Its sender lives as long as the upstream.
+                Ok(()) = self.rivals.changed() => {
+                    if self.is_replaced(directory, metrics).await {
+                        return LossReason::UpstreamLost;
+                    }
+                    continue;
+                }
                 () = tokio::time::sleep_until(next_check.into()) => {}
             }
             let is_silent = self.silence(Instant::now()) >= delay;
@@ -127,6 +137,30 @@
         }
     }
 
+    /// Probes the upstream, with whose address another one has registered, and returns
+    /// whether it has ended.
+    async fn is_replaced(&self, directory: &Directory, metrics: &Metrics) -> bool {
+        let upstream = &self.upstream;
+        if !upstream.begin_probe(Instant::now()) {
+            return false;
+        }
+        metrics.add(Counter::EngineProbes, 1);
+        let began_at = Instant::now();
+        let probed = check_alive(upstream).await;
+        let reported = upstream.reported_start(Instant::now());
+        if probed.is_ok()
+            && !upstream.counts_probes()
+            && reported == Some(upstream.entry.born_unix_ms)
+        {
+            directory.record_present(upstream, began_at, "report");
+        }
+        let is_replaced = probed == Err(ProbeFailure::Replaced);
+        if let Err(failure) = probed {
+            directory.apply_probe_failure(upstream, failure, "claimed", Instant::now());
+        }
+        is_replaced
+    }
+
     /// Probes the upstream, which is silent, and returns whether it is lost: its host did
     /// not take a connection or broke it, or the probe met silence like one before, after
     /// a longer silence than a sound upstream's. The streams at an upstream share their
@@ -173,6 +207,8 @@
     Unreachable,
     /// The connection was refused or broken, or the answer is no report.
     Broken,
+    /// Another incarnation reports from the address: this one has ended, or was never there.
+    Replaced,
 }
 
 /// Whether an engine answers a probe. One that rests or limits its requests is only
@@ -185,7 +221,8 @@
 /// life.
 pub(crate) async fn check_alive(upstream: &Arc<Upstream>) -> Result<(), ProbeFailure> {
     if !upstream.counts_probes() {
-        let probed = probe_engine(upstream).await.map(drop);
+        let probed = probe_engine(upstream).await;
+        let probed = probed.and_then(|report| check_start(upstream, &report));
         // An engine that asks for rest is alive, whatever became of its report.
         if probed != Err(ProbeFailure::Broken) || !upstream.is_resting() {
             return probed;
@@ -199,6 +236,19 @@
     }
 }
 
+/// Whether the report may be that of the incarnation that registered.
+fn check_start(upstream: &Upstream, report: &EngineReport) -> Result<(), ProbeFailure> {
+    let (registered, reported) = (upstream.entry.born_unix_ms, report.born_unix_ms);
+    if registered == 0 || reported == 0 || registered == reported {
+        return Ok(());
+    }
+    log::info!(
+        "event=another_start_reported upstream={} born={registered} reported={reported}",
+        upstream.entry.id
+    );
+    Err(ProbeFailure::Replaced)
+}
+
 /// Probes an engine by requesting its report.
 ///
 /// One that a probe found silent gets no other before [`SOUND_SILENCE_MAX`] has passed: a
@@ -300,10 +350,9 @@
 pub(crate) async fn send_control_request(
     upstream: &Upstream,
     request: Request<Full<Bytes>>,
-) -> Option<(StatusCode, Bytes)> {
+) -> Option<ControlResponse> {
     let connection = upstream.pool.take().await.ok()?;
-    let response = send_over(upstream, connection, request).await?;
-    Some((response.status, response.body))
+    send_over(upstream, connection, request).await
 }
 
 /// Sends the request over a connection. If the answer there is one to a call, written
@@ -332,9 +381,11 @@
 }
 
 /// The answer to a request that is no call.
-struct ControlResponse {
-    status: StatusCode,
-    body: Bytes,
+pub(crate) struct ControlResponse {
+    pub(crate) status: StatusCode,
+    /// Id of the upstream that answered, if the answer states it.
+    pub(crate) upstream: Option<UpstreamId>,
+    pub(crate) body: Bytes,
     /// Of the connection that brought it.
     life: ConnectionLife,
 }
@@ -357,6 +408,7 @@
         return Some(ControlAnswer::OfCall);
     }
     let status = response.status();
+    let answering = actual_upstream(headers);
     if let Some(rest) = stated_rest(status, headers) {
         upstream.record_rest(rest);
     }
@@ -364,7 +416,12 @@
     let body = body.collect().await.ok()?.to_bytes();
     let life = connection.life();
     upstream.pool.put(connection, None);
-    Some(ControlAnswer::Own(ControlResponse { status, body, life }))
+    Some(ControlAnswer::Own(ControlResponse {
+        status,
+        upstream: answering,
+        body,
+        life,
+    }))
 }
 
 impl<N: NodeContext> Forwarder<N> {
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -118,7 +118,10 @@
     ) -> Option<HttpResponse> {
         let may_repeat = call.matched.route.kind.may_repeat();
         let may_be_sent = sends.progress() == Progress::NotRun || may_repeat;
-        if !may_be_sent || sends.sent_count() >= call.sends_max || !self.should_relay(call, sends) {
+        if !may_be_sent
+            || sends.attempt_count() >= call.sends_max
+            || !self.should_relay(call, sends)
+        {
             return None;
         }
         if sends.sent_count() > 0 && !self.spend_own_retry(call) {
@@ -159,7 +162,7 @@
             };
             tried.push(peer.node.clone());
             let headers = RelayHeaders {
-                sends_left: call.sends_max.saturating_sub(sends.sent_count()),
+                sends_left: call.sends_max.saturating_sub(sends.attempt_count()),
                 is_counted,
             };
             let answer = tokio::select! {
--- a/src/forward/request_crashes.rs
+++ b/src/forward/request_crashes.rs
@@ -288,7 +288,7 @@
     async fn await_later_start(self: Arc<Self>, suspect: SuspectCall) {
         let began_at = Instant::now();
         while began_at.elapsed() < LATER_START_WAIT_MAX {
-            if self.directory.has_later_start(&suspect.upstream.entry) {
+            if self.has_later_start(&suspect.upstream).await {
                 self.request_crashes.record_crash(&suspect, "later_start");
                 return;
             }
--- a/src/forward/route_table.rs
+++ b/src/forward/route_table.rs
@@ -283,6 +283,13 @@
             .map(|(service, _)| service)
     }
 
+    /// Whether the configuration names the service, by itself or in a route.
+    pub(crate) fn names_service(&self, service: &str) -> bool {
+        let mut routes = self.routes.values().flatten();
+        let is_routed_to = |route: &Arc<Route>| route.services.iter().any(|s| s.service == service);
+        self.services.contains_key(service) || routes.any(is_routed_to)
+    }
+
     /// The configuration of a service; the default if it has none.
     pub(crate) fn service(&self, service: &str) -> ServiceOptions {
         self.services.get(service).cloned().unwrap_or_default()
--- a/src/forward/run_replica.rs
+++ b/src/forward/run_replica.rs
@@ -93,10 +93,12 @@
     }
 
     /// Whether the run can resume at the holder, which must be neither lost nor
-    /// silent nor draining.
+    /// silent nor draining, nor be replaced by its next start, which has no replicas.
     pub(crate) fn is_usable(&self) -> bool {
         let is_lost = self.losses.has_changed().unwrap_or(true);
-        !is_lost && !self.holder.has_silent_probe(Instant::now()) && !self.holder.is_draining()
+        let holder = &self.holder;
+        let is_silent = holder.has_silent_probe(Instant::now());
+        !is_lost && !is_silent && !holder.is_draining() && !holder.is_replaced()
     }
 
     fn needs_refresh(&self) -> bool {
@@ -229,7 +231,7 @@
         tokio::time::timeout(REPLICA_TIMEOUT, send_control_request(source, request)).await;
     let answer = answered.ok().flatten();
     let reply: Option<ReplicaReply> =
-        answer.and_then(|(status, body)| engine::read_replica_reply(status, &body));
+        answer.and_then(|answer| engine::read_replica_reply(answer.status, &answer.body));
     log::info!(
         "event=copy_asked_for call={} source={} keeper={} made={reply:?}",
         run.call_id,
--- a/src/forward/send_history.rs
+++ b/src/forward/send_history.rs
@@ -10,6 +10,7 @@
     sent_count: u32,
     undelivered_count: u32,
     unconnected_count: u32,
+    misdirected_count: u32,
     /// Sends that were begun, less those that ended and cannot have run the call.
     may_have_run_count: u32,
     /// The sends that were begun, less those that ended unsent.
@@ -23,6 +24,7 @@
             sent_count: 0,
             undelivered_count: 0,
             unconnected_count: 0,
+            misdirected_count: 0,
             may_have_run_count: 0,
             writes: Vec::new(),
         }
@@ -57,7 +59,10 @@
                 self.undelivered_count += 1;
             }
             AttemptFailure::Silent | AttemptFailure::Resting => self.sent_count -= 1,
-            AttemptFailure::Misdirected(_) => self.undelivered_count += 1,
+            AttemptFailure::Misdirected(_) => {
+                self.undelivered_count += 1;
+                self.misdirected_count += 1;
+            }
             AttemptFailure::NotExecuted => {}
             AttemptFailure::MayHaveRun(_) | AttemptFailure::Abandoned(_) => return false,
         }
@@ -81,6 +86,13 @@
         self.sent_count
     }
 
+    /// Number of sends that count towards the most that the call's route allows. One that
+    /// reached another upstream than intended does not: an entry that is wrong must not use up
+    /// the only attempt of a call. It takes a retry from the budget like others.
+    pub(crate) fn attempt_count(&self) -> u32 {
+        self.sent_count - self.misdirected_count
+    }
+
     /// Number of sends that reached no upstream, or another one than intended.
     pub(crate) fn undelivered_count(&self) -> u32 {
         self.undelivered_count
--- a/src/forward/send_probe.rs
+++ b/src/forward/send_probe.rs
@@ -228,7 +228,8 @@
         true
     }
 
-    fn probe_path(&self, upstream: &Upstream) -> Option<String> {
+    /// Path that the upstream answers without a call, if one is known.
+    pub(super) fn probe_path(&self, upstream: &Upstream) -> Option<String> {
         let table = self.route_table.load();
         let options = table.as_ref()?.service(&upstream.entry.service);
         if options.engine.is_some() {
--- a/src/forward/stream_call.rs
+++ b/src/forward/stream_call.rs
@@ -296,7 +296,7 @@
         if self.forwarder.should_relay(&self.call, &self.sends) {
             return Err(OpenFailure::no_path());
         }
-        if self.sends.sent_count() >= self.call.sends_max
+        if self.sends.attempt_count() >= self.call.sends_max
             || self.sends.undelivered_count() >= UNDELIVERED_SENDS_MAX
         {
             return Err(OpenFailure::given_up(
@@ -463,7 +463,7 @@
         attempt: Attempt<Answered>,
     ) -> Result<AttemptFailure, OpenFailure> {
         let status = attempt.state.headers.status;
-        let may_be_sent = self.sends.sent_count() < self.call.sends_max;
+        let may_be_sent = self.sends.attempt_count() < self.call.sends_max;
         let is_retried = status.is_server_error() && self.may_repeat() && may_be_sent;
         // The caller would take the body for the next part of its stream.
         let is_no_part = status.is_success() && self.last_event.is_some();
--- a/src/forward/tests/departed_notices.rs
+++ b/src/forward/tests/departed_notices.rs
@@ -31,7 +31,7 @@
     let directory = Directory::new(Observations::default());
     directory.put(entry(1));
     let earlier = directory.get(&"u1".to_owned()).expect("known");
-    directory.remove_misdirected(&earlier, Instant::now());
+    directory.remove_misdirected(&earlier, None, Instant::now());
     directory.put(entry(1));
     assert!(!is_resting(&directory));
 
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of single parts of the forwarder, without callers or running
 //! upstreams.
 
+mod claimed_addresses;
 mod connection;
 mod departed_notices;
 mod hedges;
--- a/src/forward/tests/send_history.rs
+++ b/src/forward/tests/send_history.rs
@@ -38,6 +38,17 @@
     assert_eq!((history.sent_count(), history.undelivered_count()), (2, 2));
 }
 
+/// A call that may be sent once is not refused because an entry led it to another upstream.
+#[test]
+fn a_misdirected_send_is_no_attempt() {
+    let history = history_of_failed_sends(&[
+        AttemptFailure::Misdirected(None),
+        AttemptFailure::NotExecuted,
+    ]);
+
+    assert_eq!((history.sent_count(), history.attempt_count()), (2, 1));
+}
+
 #[test]
 fn a_call_may_have_run_when_a_refusal_follows_a_broken_connection() {
     let history = history_of_failed_sends(&[broken_connection(), AttemptFailure::NotExecuted]);
--- a/src/forward/upstream/health.rs
+++ b/src/forward/upstream/health.rs
@@ -23,6 +23,8 @@
 pub(super) struct Health {
     contacted_at: Option<Instant>,
     avoided_until: Option<Instant>,
+    /// Until when calls go to others first because a later entry names its address.
+    disputed_until: Option<Instant>,
     /// Start of the first send since the last answer or event, whether or not its
     /// caller still waits.
     unanswered_since: Option<Instant>,
@@ -46,6 +48,7 @@
         let mut health = self.health();
         health.contacted_at = Some(now);
         health.avoided_until = None;
+        health.disputed_until = None;
         health.unanswered_since = None;
         health.silent_probe_at = None;
         health.is_unreachable = false;
@@ -221,9 +224,21 @@
         health.avoided_until = Some(health.avoided_until.map_or(until, |at| at.max(until)));
     }
 
+    /// Uses the upstream behind others until it is heard, at the longest until `until`.
+    pub(super) fn dispute_until(&self, until: Instant) {
+        self.health().disputed_until = Some(until);
+    }
+
+    /// Uses the upstream like others again.
+    pub(super) fn end_dispute(&self) {
+        self.health().disputed_until = None;
+    }
+
     /// Time until which the upstream is avoided, if it is.
     pub(crate) fn avoided_until(&self, now: Instant) -> Option<Instant> {
-        self.health().avoided_until.filter(|until| *until > now)
+        let health = *self.health();
+        let until = health.avoided_until.max(health.disputed_until);
+        until.filter(|until| *until > now)
     }
 
     fn health(&self) -> MutexGuard<'_, Health> {
--- a/src/forward/upstream/mod.rs
+++ b/src/forward/upstream/mod.rs
@@ -3,6 +3,7 @@
 
 mod health;
 mod load;
+mod rivals;
 mod statements;
 
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -13,6 +14,7 @@
 
 use self::health::Health;
 pub(crate) use self::load::{SharedSpeed, Work};
+use self::rivals::Rivals;
 pub(crate) use self::statements::{SharedNotices, lock_notices, log_leaving};
 use super::connection::ConnectionPool;
 use super::reported_start::ReportedStart;
@@ -27,6 +29,8 @@
 pub(crate) struct Upstream {
     pub(crate) entry: UpstreamEntry,
     pub(crate) pool: ConnectionPool,
+    /// When this node began to use the entry.
+    pub(crate) known_since: Instant,
     /// Whether the upstream is draining now; `entry` holds the state at which it
     /// became known.
     draining: AtomicBool,
@@ -44,6 +48,9 @@
     /// Whether a call or connection of this node failed here since the upstream became known, or
     /// since its last report showed the incarnation of its entry.
     has_broken: AtomicBool,
+    /// Whether other upstreams that are in use register with the same address.
+    has_rivals: AtomicBool,
+    rivals: Rivals,
     /// Its last report on itself.
     reported_start: Mutex<Option<ReportedStart>>,
     /// Number of times that the upstream was marked as lost.
@@ -69,6 +76,7 @@
         }
         Self {
             pool: ConnectionPool::new(entry.address),
+            known_since: Instant::now(),
             software_version,
             draining: AtomicBool::new(entry.draining),
             pending_prompt_tokens: AtomicU64::new(0),
@@ -80,6 +88,8 @@
             notices,
             send_probe: SendProbe::default(),
             has_broken: AtomicBool::new(false),
+            has_rivals: AtomicBool::new(false),
+            rivals: Rivals::default(),
             reported_start: Mutex::default(),
             losses: watch::Sender::new(0),
             entry,
@@ -148,6 +158,14 @@
     /// replica at it, that it has ended or is unreachable.
     pub(crate) fn mark_lost(&self, now: Instant) {
         self.avoid(now);
+        self.end_runs();
+    }
+
+    /// Informs all calls and replicas that this incarnation has ended, while another one
+    /// answers at its address. It is not avoided: the refusal of the next call names the other
+    /// one, which may be unable to register.
+    pub(crate) fn end_runs(&self) {
+        self.has_broken.store(true, Ordering::Relaxed);
         self.pool.clear();
         self.losses.send_modify(|count| *count += 1);
     }
--- a/src/forward/upstream_entry.rs
+++ b/src/forward/upstream_entry.rs
@@ -58,13 +58,13 @@
         self.id == start.id && (own_born == born || own_born == 0 || born == 0)
     }
 
-    /// Whether `other` is a later incarnation at the same address. After a crash,
-    /// the store keeps the old entry beside the successor's until it expires,
-    /// which takes some heartbeat intervals.
+    /// Whether `other` has another id and states a later start at the same address. After a
+    /// crash, the store keeps the old entry beside the successor's until it expires, which
+    /// takes some heartbeat intervals. Whether `other` is there is told by what answers.
     pub(crate) fn precedes(&self, other: &Self) -> bool {
         self.address == other.address
             && self.id != other.id
-            && self.born_unix_ms < other.born_unix_ms
+            && self.address_claim().precedes(&other.address_claim())
     }
 }
 
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -147,6 +147,8 @@
     EngineProbes,
     /// Probes of upstreams before calls are sent to them.
     SendProbes,
+    /// Requests that ask which of several registered upstreams is at an address.
+    AddressChecks,
     /// Connections opened to find out whether upstreams can be reached.
     ReachProbes,
     /// KV cache replicas requested from engines.
@@ -171,7 +173,7 @@
 
 impl Counter {
     /// All counters, in the order of the list in `docs/OPERATIONS.md`.
-    pub const ALL: [Self; 63] = [
+    pub const ALL: [Self; 64] = [
         Self::Completions,
         Self::Refused,
         Self::Tokens,
@@ -225,6 +227,7 @@
         Self::SendsOverLimit,
         Self::EngineProbes,
         Self::SendProbes,
+        Self::AddressChecks,
         Self::ReachProbes,
         Self::CopiesAskedFor,
         Self::StreamsLost,
@@ -294,6 +297,7 @@
             Self::SendsOverLimit => "sends_over_limit_count",
             Self::EngineProbes => "engine_probes_count",
             Self::SendProbes => "send_probes_count",
+            Self::AddressChecks => "address_checks_count",
             Self::ReachProbes => "reach_probes_count",
             Self::CopiesAskedFor => "copies_asked_for_count",
             Self::StreamsLost => "streams_lost_count",
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Each module describes the failures that it handles; `tests` replays them.
 
+pub(crate) mod address_claim;
 pub(crate) mod answer_class;
 pub(crate) mod connection_shares;
 pub(crate) mod crash_evidence;
--- a/tests/support/edge_environment/service.rs
+++ b/tests/support/edge_environment/service.rs
@@ -3,13 +3,14 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 use super::asked_rest::AskedRest;
 use super::named_limit::NamedLimit;
@@ -133,6 +134,8 @@
     shared_fault: Mutex<SharedFault>,
     received: Mutex<Vec<RawRequest>>,
     executed: Mutex<Vec<RawRequest>>,
+    misdirected: AtomicUsize,
+    server: Mutex<Option<JoinHandle<()>>>,
 }
 
 impl Service {
@@ -142,7 +145,11 @@
 
     /// Starts an upstream of the service with the name `service`.
     pub async fn start_in(id: &str, service: &str) -> Arc<Self> {
-        let address = free_address();
+        Self::start_at(id, service, free_address()).await
+    }
+
+    /// Starts an upstream at an address where none listens.
+    pub async fn start_at(id: &str, service: &str, address: SocketAddr) -> Arc<Self> {
         let service = Arc::new(Self {
             id: id.to_owned(),
             named_limit: NamedLimit::default(),
@@ -162,14 +169,29 @@
             shared_fault: Mutex::default(),
             received: Mutex::default(),
             executed: Mutex::default(),
+            misdirected: AtomicUsize::new(0),
+            server: Mutex::default(),
         });
         let serving = service
             .process
             .spawn(serve(service.address, service.clone()));
-        serving.await.expect("no panic");
+        let server = serving.await.expect("no panic");
+        *service.server.lock().expect("unpoisoned") = Some(server);
         service
     }
 
+    /// Resets all connections and stops listening, as the end of a process does.
+    pub fn stop(&self) {
+        if let Some(server) = self.server.lock().expect("unpoisoned").take() {
+            server.abort();
+        }
+    }
+
+    /// Number of calls that were meant for another upstream.
+    pub fn misdirected_count(&self) -> usize {
+        self.misdirected.load(Ordering::Relaxed)
+    }
+
     pub fn entry(&self, state: &str) -> Value {
         json!({ "service": self.service, "address": self.advertised_address.lock().expect("unpoisoned").to_string(), "zone": "dc-a",
                 "version": *self.software_version.lock().expect("unpoisoned"), "slots": 6, "state": state, "sequence": 1, "born": 1000 })
@@ -230,6 +252,11 @@
         self.executed.lock().expect("unpoisoned").clone()
     }
 
+    /// Forgets the calls that this service executed.
+    pub fn clear_executed(&self) {
+        self.executed.lock().expect("unpoisoned").clear();
+    }
+
     /// Calls that this service received, executed or not.
     pub fn received(&self) -> Vec<RawRequest> {
         self.received.lock().expect("unpoisoned").clone()
@@ -280,6 +307,12 @@
         if let Some(refusal) = self.asked_rest.refusal(stream) {
             return reply(stream, 503, &(own_id + &refusal), b"").await;
         }
+        let expected = request.header("x-zinniawing-expect-instance");
+        if expected.is_some_and(|expected| expected != self.id) {
+            self.misdirected.fetch_add(1, Ordering::Relaxed);
+            let instance_header = format!("{own_id}x-zinniawing-instance-id: {}\r\n", self.id);
+            return reply(stream, 421, &instance_header, b"").await;
+        }
         self.received
             .lock()
             .expect("unpoisoned")
