A status that no final answer has is no answer

What callers saw: status 101, 600 or 999 of an upstream as the answer to their call, directly, through a peer and on the `serve` road; after 101 their connection was no HTTP any more. On the `serve` road the status was recorded as the outcome of a claimed call.

Cause: the HTTP library hands over any status from 100 to 999, and nobody asked whether a final answer may have it.

Change: a final answer has a status of 200 to 599, checked where all heads arrive: connections to upstreams and peers, and the client of the `serve` road. Anything else may have run, and its connection is closed; a kept one went back to its pool before.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -209,6 +209,7 @@
             SendFailure::NotSent(cause) => Self::NotSent(cause),
             SendFailure::Withheld => Self::Resting,
             SendFailure::NoAnswer(error) => Self::MayHaveRun(error.to_string()),
+            failure @ SendFailure::NoFinalStatus(_) => Self::MayHaveRun(failure.to_string()),
         }
     }
 }
--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -18,6 +18,8 @@
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::http::is_final_status;
+
 /// Longest time that opening a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time within which a connection that was accepted for an upstream that is down is
@@ -54,6 +56,9 @@
     /// The request may have arrived.
     #[error("connection failed before the answer: {0}")]
     NoAnswer(hyper::Error),
+    /// The request may have arrived, and what came is no answer.
+    #[error("no final answer has the status {0}")]
+    NoFinalStatus(u16),
 }
 
 /// An open connection that has been taken out of its pool.
@@ -128,16 +133,22 @@
         self.sender.is_closed()
     }
 
-    /// Sends a request and waits for the head of the answer.
+    /// Sends a request and waits for the head of the answer. After a failure the connection
+    /// must not be used again.
     pub(crate) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendFailure> {
         let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut failure| match failure.take_message() {
+        let response = sent.map_err(|mut failure| match failure.take_message() {
             Some(_) => SendFailure::NotSent("connection closed before the request was sent"),
             None => SendFailure::NoAnswer(failure.into_error()),
-        })
+        })?;
+        let status = response.status();
+        if !is_final_status(status) {
+            return Err(SendFailure::NoFinalStatus(status.as_u16()));
+        }
+        Ok(response)
     }
 }
 
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -323,6 +323,8 @@
         }
         Ok((connection, response)) => PeerAnswer::Answered(Box::new(response), connection),
         Err(SendFailure::NoAnswer(error)) => PeerAnswer::MayHaveRun(error.to_string()),
+        // A peer of an earlier version passes such a status on.
+        Err(failure @ SendFailure::NoFinalStatus(_)) => PeerAnswer::MayHaveRun(failure.to_string()),
         Err(SendFailure::NotConnected(cause) | SendFailure::NotSent(cause)) => {
             PeerAnswer::NotRun(cause)
         }
--- a/src/http.rs
+++ b/src/http.rs
@@ -7,6 +7,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,7 +19,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -57,6 +58,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long the client pool keeps an unused connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Statuses that a final answer may have.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Largest response that is read completely into memory.
 pub(crate) const ANSWER_MAX_BYTES: usize = 2 * 1024 * 1024;
 
@@ -415,18 +418,37 @@
         .build(connector)
 }
 
+/// Whether a final answer may have the status. Others are interim, or no answer at all: what
+/// follows on their connection is no HTTP that this program speaks.
+pub(crate) fn is_final_status(status: StatusCode) -> bool {
+    FINAL_STATUSES.contains(&status.as_u16())
+}
+
 async fn send_with(
     client: &Client<HttpConnector, Full<Bytes>>,
     address: SocketAddr,
-    request: Request<Full<Bytes>>,
+    mut request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, SendError> {
-    client.request(request).await.map_err(|e| {
+    let connection = capture_connection(&mut request);
+    let response = client.request(request).await.map_err(|e| {
         if e.is_connect() {
             SendError::NotSent(address)
         } else {
             SendError::NoAnswer(address)
         }
-    })
+    })?;
+    if is_final_status(response.status()) {
+        return Ok(response);
+    }
+    log::warn!(
+        "event=no_final_status address={address} status={}",
+        response.status().as_u16()
+    );
+    if let Some(connected) = connection.connection_metadata().as_ref() {
+        // Takes the connection out of the pool.
+        connected.poison();
+    }
+    Err(SendError::NoAnswer(address))
 }
 
 /// Creates a request to `address`. The path must start with a slash.
--- a/tests/support/edge_environment/mod.rs
+++ b/tests/support/edge_environment/mod.rs
@@ -8,6 +8,7 @@
 pub mod caller;
 pub mod client_process;
 pub mod double_run;
+pub mod early_answer;
 pub mod engine;
 pub mod error_answer;
 pub mod first_tries;
