An entry with a runner's name does not move it while it answers

What callers of the `serve` road would see: of two entries of the platform's list of VMs with one name the last decided where a runner is and whether it leaves, so that an entry of another writer took a sound runner out of use.

Cause: as in the entries of upstreams, an entry was believed for what only the address tells.

Change: a runner keeps all addresses at which it is listed, uses the one at which it answers, and looks at the next one when nothing answers.

--- a/src/fleet/runner_state.rs
+++ b/src/fleet/runner_state.rs
@@ -1,6 +1,8 @@
 //! What a node knows of one runner.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -15,10 +17,12 @@
 #[derive(Clone, Debug)]
 pub(super) struct RunnerState {
     pub(super) address: SocketAddr,
+    /// The addresses at which the platform lists the runner, and whether its VM is leaving
+    /// there. More than one if another writer has left an entry with its name; which one is
+    /// right is told by what answers.
+    listings: BTreeMap<SocketAddr, bool>,
     pub(super) data_centre: DataCentreId,
     pub(super) checks_fence: bool,
-    /// Whether the platform lists the VM as leaving.
-    pub(super) vm_leaving: bool,
     pub(super) incarnation: Incarnation,
     /// Whether the runner itself reported that it is leaving.
     pub(super) leaving: bool,
@@ -46,9 +50,9 @@
     pub(super) fn new(vm: &Vm, checks_fence: bool) -> Self {
         Self {
             address: vm.address,
+            listings: BTreeMap::new(),
             data_centre: vm.data_centre.clone(),
             checks_fence,
-            vm_leaving: false,
             incarnation: 0,
             leaving: false,
             unreachable_until: None,
@@ -64,6 +68,31 @@
         }
     }
 
+    /// Sets at which addresses the platform lists the runner, and whether its VM is leaving
+    /// there. The address in use stays so if it is among them.
+    pub(super) fn set_listings(&mut self, listings: BTreeMap<SocketAddr, bool>) {
+        self.listings = listings;
+        if !self.listings.contains_key(&self.address) {
+            self.use_next_address();
+        }
+    }
+
+    /// Records that nothing answers at the address, and uses the next one that is listed.
+    pub(super) fn mark_unreachable(&mut self, until: Instant) {
+        self.unreachable_until = Some(until);
+        self.last_report_at = None;
+        self.use_next_address();
+    }
+
+    fn use_next_address(&mut self) {
+        let after = (Bound::Excluded(self.address), Bound::Unbounded);
+        let mut later = self.listings.range(after);
+        let next = later.next().or_else(|| self.listings.first_key_value());
+        if let Some((next, _)) = next {
+            self.address = *next;
+        }
+    }
+
     pub(super) fn mark_reachable(&mut self, incarnation: Incarnation, leaving: bool) {
         self.incarnation = incarnation;
         self.leaving = leaving;
@@ -80,7 +109,7 @@
     }
 
     pub(super) fn is_leaving(&self) -> bool {
-        self.leaving || self.vm_leaving
+        self.leaving || self.listings.get(&self.address) == Some(&true)
     }
 
     pub(super) fn can_serve(&self, model: &str, version: &str, now: Instant) -> bool {
--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -62,15 +62,16 @@
         let listed: BTreeSet<&str> = vms.iter().map(|vm| vm.vm.as_str()).collect();
         runners.retain(|name, state| listed.contains(name.as_str()) || state.own_count > 0);
         let mut services: BTreeMap<ServiceId, Vec<Instance>> = BTreeMap::new();
+        let mut listings: BTreeMap<&str, BTreeMap<SocketAddr, bool>> = BTreeMap::new();
         for vm in vms {
             let leaving = vm.state == VmState::Leaving;
             match &vm.role {
                 VmRole::Runner { checks_fence } => {
-                    let state = runners
+                    runners
                         .entry(vm.vm.clone())
                         .or_insert_with(|| RunnerState::new(vm, *checks_fence));
-                    state.address = vm.address;
-                    state.vm_leaving = leaving;
+                    let of_runner = listings.entry(vm.vm.as_str()).or_default();
+                    of_runner.insert(vm.address, leaving);
                 }
                 VmRole::Service { service } => {
                     let instance = Instance {
@@ -81,6 +82,12 @@
                 }
             }
         }
+        for (name, listings) in listings {
+            if let Some(state) = runners.get_mut(name) {
+                state.set_listings(listings);
+            }
+        }
+        drop(runners);
         *self.services.lock().unwrap_or_else(PoisonError::into_inner) = services;
     }
 
@@ -206,8 +213,7 @@
     /// Records that `runner` could not be reached.
     pub(crate) fn mark_unreachable(&self, runner: &str, now: Instant) {
         if let Some(state) = self.runners().get_mut(runner) {
-            state.unreachable_until = Some(now + UNREACHABLE_BACKOFF);
-            state.last_report_at = None;
+            state.mark_unreachable(now + UNREACHABLE_BACKOFF);
         }
     }
 
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,3 +1,4 @@
-//! Tests of the detection of poison requests.
+//! Tests of what a node knows of its runners.
 
+mod listed_addresses;
 mod poison;
