The soak writes entries with the addresses of sound upstreams

Another writer claims the address of an engine or a service, under the same service, another one, one that is not named, another version or as draining, or takes such an entry away.

--- a/tests/soak/fault_kind.rs
+++ b/tests/soak/fault_kind.rs
@@ -63,6 +63,9 @@
     /// Another writer puts an entry among those of the upstreams that can't be read. It is
     /// injected only by its name.
     OddEntry,
+    /// Another writer puts an entry with the address of an upstream among those of the
+    /// upstreams, or takes one away. It is injected only by its name.
+    ClaimAddress,
     /// A service writes an earlier refusal where the answer to a call is due. It is injected
     /// only by its name.
     EarlierRefusal,
@@ -121,13 +124,14 @@
 ];
 
 /// Kinds that are injected only by their names.
-const NAMED_KINDS: [FaultKind; 8] = [
+const NAMED_KINDS: [FaultKind; 9] = [
     FaultKind::MuteLink,
     FaultKind::MuteNode,
     FaultKind::AskForRest,
     FaultKind::RestoreStore,
     FaultKind::SeverLinks,
     FaultKind::OddEntry,
+    FaultKind::ClaimAddress,
     FaultKind::EarlierRefusal,
     FaultKind::ErrorInStream,
 ];
@@ -160,6 +164,7 @@
             Self::CrashEngine
                 | Self::DrainEngine
                 | Self::OddEntry
+                | Self::ClaimAddress
                 | Self::EarlierRefusal
                 | Self::ErrorInStream
         )
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -156,6 +156,9 @@
             }
             FaultKind::SeverLinks => environment.sever_links(),
             FaultKind::OddEntry => outside::put_odd_entry(environment, &mut self.random),
+            FaultKind::ClaimAddress => {
+                outside::claim_address(environment, upstream, &mut self.random);
+            }
             FaultKind::EarlierRefusal => {
                 let faults = NextFault::EARLIER;
                 let fault = faults[self.random.random_range(0..faults.len())];
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -71,6 +71,9 @@
 const CI_OUTSIDE_SEED: u64 = 7000;
 const OUTSIDE_KINDS: &str =
     "SeverLinks,OddEntry,EarlierRefusal,ErrorInStream,CrashEngine,DrainEngine,ChangeRoutes";
+/// Seed that CI runs with entries of another writer that name the addresses of upstreams.
+const CI_CLAIMS_SEED: u64 = 8000;
+const CLAIMS_KINDS: &str = "ClaimAddress,CrashEngine,DrainEngine,KillNode,ChangeRoutes";
 /// Seed that CI would run with rests and silent upstreams.
 const CI_SILENT_REST_SEED: u64 = 4031;
 const SILENT_REST_KINDS: &str = "AskForRest,Silence,Suspend,ChangeVersion";
@@ -146,8 +149,9 @@
     let rests = (CI_REST_SEED, FaultKind::named(REST_KINDS));
     let restores = (CI_RESTORE_SEED, FaultKind::named(RESTORE_KINDS));
     let outside = (CI_OUTSIDE_SEED, FaultKind::named(OUTSIDE_KINDS));
+    let claims = (CI_CLAIMS_SEED, FaultKind::named(CLAIMS_KINDS));
     runs.into_iter()
-        .chain([cut_nodes, rests, restores, outside])
+        .chain([cut_nodes, rests, restores, outside, claims])
         .collect()
 }
 
