Silent streams ask at once who is at the address of their engine

What callers could see: a stream at an engine that fell silent and started again waited up to 2 s for its move, where the entry of the next start had moved it at once before.

Cause: the check of a claimed engine went through the probe of a silent one, which asks nothing again within 2 s.

Change: the report is asked for directly, since something is expected to answer there, and only by streams that are silent. An address is asked for a suspected crash no more often than a silent engine is probed.

--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -325,7 +325,7 @@
     let membership = exchange.membership.clone();
     tokio::spawn(observations::exchange(membership, watch.forwarder.clone()));
     tokio::spawn(watch.forwarder.clone().watch_reach());
-    tokio::spawn(watch.forwarder.clone().watch_claims());
+    tokio::spawn(watch.forwarder.clone().watch_address_conflicts());
     tokio::spawn(async move { exchange.follow_peers().await });
     tokio::spawn(watch.clone().follow_peers());
     tokio::spawn(watch.clone().follow_config());
--- a/src/forward/address_check.rs
+++ b/src/forward/address_check.rs
@@ -3,7 +3,7 @@
 //! Calls find that out by themselves, since they name the upstream that they are meant for.
 //! It is asked where a conclusion must not rest on an entry alone, and where no call has
 //! found it out for longer than the entry of an ended upstream stays in the store: by one
-//! request a second of each node at most, see `docs/CAPACITY.md`.
+//! request a second of each node at most, see `docs/incidents/claimed-addresses.md`.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -48,19 +48,20 @@
 impl<N: NodeContext> Forwarder<N> {
     /// Asks at addresses that several upstreams have registered with for long. Never returns;
     /// it ends with the runtime.
-    pub(crate) async fn watch_claims(self: Arc<Self>) {
+    pub(crate) async fn watch_address_conflicts(self: Arc<Self>) {
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
             let disputed = self.directory.disputed_for(DISPUTE_MAX, Instant::now());
             let chosen = disputed.choose(&mut rand::rng()).cloned();
             if let Some(upstream) = &chosen {
-                self.settle_claims(upstream).await;
+                self.settle_address(upstream).await;
             }
         }
     }
 
     /// Whether a later start of the entry's upstream is known. One that an entry of another id
-    /// alone states is asked for, and believed if there is nothing that could be asked.
+    /// alone states is asked for, and believed if there is nothing that could be asked. False
+    /// while the upstream was asked too lately.
     pub(super) async fn has_later_start(&self, upstream: &Arc<Upstream>) -> bool {
         let entry = &upstream.entry;
         let claimant = match self.directory.later_start(entry) {
@@ -73,13 +74,16 @@
                 .address_claim()
                 .is_replaced_by(&claimant.address_claim());
         }
-        let answerer = self.settle_claims(upstream).await;
+        if !upstream.begin_probe(Instant::now()) {
+            return false;
+        }
+        let answerer = self.settle_address(upstream).await;
         answerer.is_some_and(|answerer| answerer.is(&claimant.entry))
     }
 
     /// Asks at the address of the upstream, and records which of those that register with it
     /// is there.
-    async fn settle_claims(&self, upstream: &Arc<Upstream>) -> Option<Answerer> {
+    async fn settle_address(&self, upstream: &Arc<Upstream>) -> Option<Answerer> {
         let asked_at = Instant::now();
         let answerer = self.ask(upstream).await?;
         let address = upstream.entry.address;
@@ -89,6 +93,8 @@
         Some(answerer)
     }
 
+    /// Asks what answers at the address of the upstream: its report if it is an engine, else its
+    /// health path. `None` if there is nothing that can be asked now, or no answer tells.
     async fn ask(&self, upstream: &Arc<Upstream>) -> Option<Answerer> {
         let path = self.probe_path(upstream)?;
         if upstream.counts_probes() {
--- a/src/forward/directory/claims.rs
+++ b/src/forward/directory/addresses.rs
@@ -53,10 +53,12 @@
         })
     }
 
+    /// Forgets the entry with this id, if it is one of these.
     pub(super) fn remove(&mut self, id: &UpstreamId) -> Option<UpstreamEntry> {
         self.entries.remove(id).map(|known| known.entry)
     }
 
+    /// The ids of the entries.
     pub(super) fn ids(&self) -> impl Iterator<Item = &UpstreamId> {
         self.entries.keys()
     }
@@ -74,6 +76,7 @@
 /// What is known of a later start at the address of an upstream.
 #[derive(Clone, Debug)]
 pub(crate) enum LaterStart {
+    /// Nothing states one.
     None,
     /// The upstream has ended.
     Known,
@@ -82,6 +85,7 @@
 }
 
 impl State {
+    /// The upstreams in use that register with the address.
     pub(super) fn at_address(&self, address: SocketAddr) -> impl Iterator<Item = &Arc<Upstream>> {
         let known = self.upstreams.values();
         known.filter(move |known| known.entry.address == address)
@@ -101,7 +105,7 @@
 
     /// Tells the upstreams with the address of each other, after one of them came or went. If
     /// none is left, uses the entries that another one's answers had refuted.
-    pub(super) fn update_rivals(&mut self, address: SocketAddr, now: Instant) {
+    pub(super) fn update_conflicts(&mut self, address: SocketAddr, now: Instant) {
         let group: Vec<Arc<Upstream>> = self.at_address(address).cloned().collect();
         if group.is_empty() {
             for entry in self.refuted.take_at(address) {
@@ -111,7 +115,7 @@
         }
         for upstream in &group {
             let later = group.iter().filter(|o| upstream.entry.precedes(&o.entry));
-            let new = upstream.set_rivals(group.len() > 1, later.cloned().collect(), now);
+            let new = upstream.set_conflicts(group.len() > 1, later.cloned().collect(), now);
             for other in new {
                 log::info!(
                     "event=address_claimed upstream={} by={} service={} by_service={} address={address} is_replaced={}",
@@ -143,7 +147,7 @@
 
     /// Takes all upstreams with the address of `present` that were known at `since` out of
     /// use. Returns these.
-    fn refute_rivals_of(
+    fn refute_others_than(
         &mut self,
         present: &Arc<Upstream>,
         since: Instant,
@@ -153,17 +157,37 @@
         let address = present.entry.address;
         let is_refuted =
             |other: &&Arc<Upstream>| !Arc::ptr_eq(other, present) && other.known_since <= since;
-        let rivals: Vec<Arc<Upstream>> = self
+        let conflicts: Vec<Arc<Upstream>> = self
             .at_address(address)
             .filter(is_refuted)
             .cloned()
             .collect();
-        for rival in &rivals {
-            let refutation = Refutation::of(&rival.address_claim(), &present.address_claim());
-            self.refute(rival, refutation, cause, now);
+        for other in &conflicts {
+            let refutation = Refutation::of(&other.address_claim(), &present.address_claim());
+            self.refute(other, refutation, cause, now);
         }
-        self.update_rivals(address, now);
-        rivals
+        self.update_conflicts(address, now);
+        conflicts
+    }
+
+    /// Takes out an upstream that is not at its address. If others register with it, the entry
+    /// is not used again while these are known.
+    fn remove_disproved(&mut self, upstream: &Upstream, now: Instant) {
+        let entry = &upstream.entry;
+        let known = self.upstreams.get(&entry.id);
+        if !known.is_some_and(|known| known.is_same_incarnation(entry)) {
+            return;
+        }
+        if !upstream.has_conflicts() {
+            return self.remove(&entry.id, now);
+        }
+        let refutation = if upstream.later_conflicts().is_empty() {
+            Refutation::NeverThere
+        } else {
+            Refutation::Ended
+        };
+        self.refute(upstream, refutation, "misdirected", now);
+        self.update_conflicts(entry.address, now);
     }
 
     /// The upstream with this id at the address, if it is known or was refuted.
@@ -183,7 +207,7 @@
     /// Records that an upstream is at its address, as its answer to something that was sent at
     /// `sent_at` shows. The others that had registered with the address by then are not.
     pub(crate) fn record_present(&self, upstream: &Arc<Upstream>, sent_at: Instant, cause: &str) {
-        if !upstream.has_rivals() {
+        if !upstream.has_conflicts() {
             return;
         }
         let now = Instant::now();
@@ -192,7 +216,7 @@
         if !known.is_some_and(|known| Arc::ptr_eq(known, upstream)) {
             return;
         }
-        let refuted = state.refute_rivals_of(upstream, sent_at, cause, now);
+        let refuted = state.refute_others_than(upstream, sent_at, cause, now);
         drop(state);
         self.notify_all_lost(&refuted, cause, now);
     }
@@ -223,7 +247,9 @@
         let is_old =
             |other: &Arc<Upstream>| now.saturating_duration_since(other.known_since) >= age;
         let known = state.upstreams.values();
-        let disputed = known.filter(|known| known.later_rivals().iter().any(is_old));
+        let disputed = known
+            .filter(|known| known.has_conflicts())
+            .filter(|known| known.later_conflicts().iter().any(is_old));
         disputed.cloned().collect()
     }
 
@@ -241,7 +267,7 @@
         let present = actual.and_then(|actual| state.claimant(actual, entry.address));
         let mut lost = Vec::new();
         if let Some(present) = present {
-            lost = state.refute_rivals_of(&present, now, "misdirected", now);
+            lost = state.refute_others_than(&present, now, "misdirected", now);
         } else {
             state.remove_disproved(upstream, now);
         }
@@ -276,25 +302,3 @@
         later.map_or(LaterStart::None, |later| LaterStart::Claimed(later.clone()))
     }
 }
-
-impl State {
-    /// Takes out an upstream that is not at its address. If others register with it, the entry
-    /// is not used again while these are known.
-    fn remove_disproved(&mut self, upstream: &Upstream, now: Instant) {
-        let entry = &upstream.entry;
-        let known = self.upstreams.get(&entry.id);
-        if !known.is_some_and(|known| known.is_same_incarnation(entry)) {
-            return;
-        }
-        if !upstream.has_rivals() {
-            return self.remove(&entry.id, now);
-        }
-        let refutation = if upstream.later_rivals().is_empty() {
-            Refutation::NeverThere
-        } else {
-            Refutation::Ended
-        };
-        self.refute(upstream, refutation, "misdirected", now);
-        self.update_rivals(entry.address, now);
-    }
-}
--- a/src/forward/directory/mod.rs
+++ b/src/forward/directory/mod.rs
@@ -3,7 +3,7 @@
 //! An upstream registers with an entry in the platform's store. Each start of it
 //! is an incarnation of its own, identified by its id and start time.
 
-mod claims;
+mod addresses;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,8 +11,8 @@
 
 use tokio::sync::broadcast;
 
-pub(crate) use self::claims::LaterStart;
-use self::claims::RefutedEntries;
+pub(crate) use self::addresses::LaterStart;
+use self::addresses::RefutedEntries;
 use super::departed_notices::DepartedNotices;
 use super::observation::{Observation, Observations};
 use super::probe::ProbeFailure;
@@ -69,7 +69,7 @@
     fn remove(&mut self, id: &UpstreamId, now: Instant) {
         if let Some(upstream) = self.upstreams.remove(id) {
             self.record_departure(&upstream, now);
-            self.update_rivals(upstream.entry.address, now);
+            self.update_conflicts(upstream.entry.address, now);
         }
     }
 
@@ -96,10 +96,10 @@
         let upstream = Arc::new(Upstream::with_history(entry, notices, speed));
         self.upstreams.insert(id, upstream);
         self.joined_at = Some(now);
-        self.update_rivals(address, now);
+        self.update_conflicts(address, now);
         let other_address = replaced.as_ref().map(|replaced| replaced.entry.address);
         if let Some(other_address) = other_address.filter(|other| *other != address) {
-            self.update_rivals(other_address, now);
+            self.update_conflicts(other_address, now);
         }
         replaced
     }
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -30,6 +30,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long the host of an engine may take to complete a handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(60);
+/// Interval at which a stream looks whether another one has found out who is at the address of
+/// its upstream.
+const CLAIM_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// How long a call stays at a silent upstream after no other upstream could take
 /// it.
 const HOLD_DURATION: Duration = Duration::from_millis(300);
@@ -53,7 +56,7 @@
     watching_since: Instant,
     losses: watch::Receiver<u64>,
     /// Changes when other upstreams register with the address.
-    rivals: watch::Receiver<Vec<Arc<Upstream>>>,
+    conflicts: watch::Receiver<Vec<Arc<Upstream>>>,
     outages: broadcast::Receiver<DataCentreId>,
     /// Until this time the upstream is probed after a shorter silence, because an
     /// outage of its data centre was suspected.
@@ -67,7 +70,7 @@
         Self {
             watching_since: Instant::now(),
             losses: upstream.subscribe_losses(),
-            rivals: upstream.subscribe_rivals(),
+            conflicts: upstream.subscribe_conflicts(),
             outages: directory.subscribe_outages(),
             outage_alert_until: None,
             held_until: None,
@@ -117,8 +120,9 @@
                     continue;
                 }
                 // Its sender lives as long as the upstream.
-                Ok(()) = self.rivals.changed() => {
-                    if self.is_replaced(directory, metrics).await {
+                Ok(()) = self.conflicts.changed() => {
+                    let is_silent = self.silence(Instant::now()) >= delay;
+                    if is_silent && self.is_replaced(directory, metrics).await {
                         return LossReason::UpstreamLost;
                     }
                     continue;
@@ -137,28 +141,36 @@
         }
     }
 
-    /// Probes the upstream, with whose address another one has registered, and returns
-    /// whether it has ended.
+    /// Asks for the report of the upstream, which is silent and with whose address another one
+    /// has registered, and returns whether the upstream has ended. The streams there share
+    /// their requests. Unlike after silence alone, something is expected to answer.
     async fn is_replaced(&self, directory: &Directory, metrics: &Metrics) -> bool {
         let upstream = &self.upstream;
-        if !upstream.begin_probe(Instant::now()) {
+        while !upstream.begin_probe(Instant::now()) {
+            tokio::time::sleep(CLAIM_CHECK_INTERVAL).await;
+            if self.losses.has_changed().unwrap_or(true) {
+                return true;
+            }
+            if upstream.later_conflicts().is_empty() {
+                return false;
+            }
+        }
+        if upstream.counts_probes() {
             return false;
         }
         metrics.add(Counter::EngineProbes, 1);
         let began_at = Instant::now();
-        let probed = check_alive(upstream).await;
-        let reported = upstream.reported_start(Instant::now());
-        if probed.is_ok()
-            && !upstream.counts_probes()
-            && reported == Some(upstream.entry.born_unix_ms)
-        {
-            directory.record_present(upstream, began_at, "report");
+        let Ok(report) = fetch_report_or_connect(upstream).await else {
+            return false;
+        };
+        if let Err(replaced) = check_start(upstream, &report) {
+            directory.apply_probe_failure(upstream, replaced, "claimed", Instant::now());
+            return true;
         }
-        let is_replaced = probed == Err(ProbeFailure::Replaced);
-        if let Err(failure) = probed {
-            directory.apply_probe_failure(upstream, failure, "claimed", Instant::now());
+        if report.born_unix_ms != 0 {
+            directory.record_present(upstream, began_at, "report");
         }
-        is_replaced
+        false
     }
 
     /// Probes the upstream, which is silent, and returns whether it is lost: its host did
--- a/src/forward/upstream/rivals.rs
+++ b/src/forward/upstream/conflicts.rs
@@ -14,7 +14,7 @@
 
 /// What is known of the upstreams that register with the same address.
 #[derive(Debug, Default)]
-pub(super) struct Rivals {
+pub(super) struct Conflicts {
     later: watch::Sender<LaterUpstreams>,
 }
 
@@ -29,45 +29,45 @@
     }
 
     /// Whether other upstreams that are in use register with the same address.
-    pub(crate) fn has_rivals(&self) -> bool {
-        self.has_rivals.load(Ordering::Relaxed)
+    pub(crate) fn has_conflicts(&self) -> bool {
+        self.has_conflicts.load(Ordering::Relaxed)
     }
 
     /// Whether calls are tried at another upstream in place of this one.
     pub(crate) fn is_replaced(&self) -> bool {
-        if !self.has_rivals() {
+        if !self.has_conflicts() {
             return false;
         }
         let own = self.address_claim();
-        let later = self.rivals.later.borrow();
+        let later = self.conflicts.later.borrow();
         later
             .iter()
             .any(|other| own.is_replaced_by(&other.address_claim()))
     }
 
     /// The upstreams with the same address that state a later start.
-    pub(crate) fn later_rivals(&self) -> LaterUpstreams {
-        self.rivals.later.borrow().clone()
+    pub(crate) fn later_conflicts(&self) -> LaterUpstreams {
+        self.conflicts.later.borrow().clone()
     }
 
     /// Returns a receiver that changes whenever other upstreams with a later start
     /// register with the address.
-    pub(crate) fn subscribe_rivals(&self) -> watch::Receiver<LaterUpstreams> {
-        self.rivals.later.subscribe()
+    pub(crate) fn subscribe_conflicts(&self) -> watch::Receiver<LaterUpstreams> {
+        self.conflicts.later.subscribe()
     }
 
     /// Sets which upstreams in use register with the same address: whether there are any, and
     /// those with a later start. If one of these is new, calls go to others first until this
     /// one is heard, and its idle connections are closed: they may lead to a process that has
     /// ended. Returns the new ones.
-    pub(crate) fn set_rivals(
+    pub(crate) fn set_conflicts(
         &self,
-        has_rivals: bool,
+        has_conflicts: bool,
         later: LaterUpstreams,
         now: Instant,
     ) -> LaterUpstreams {
-        self.has_rivals.store(has_rivals, Ordering::Relaxed);
-        let known = self.later_rivals();
+        self.has_conflicts.store(has_conflicts, Ordering::Relaxed);
+        let known = self.later_conflicts();
         let is_known = |other: &Arc<Upstream>| known.iter().any(|known| Arc::ptr_eq(known, other));
         let new: LaterUpstreams = later
             .iter()
@@ -76,12 +76,12 @@
             .collect();
         let is_settled = later.is_empty() && !known.is_empty();
         if new.is_empty() {
-            self.rivals.later.send_if_modified(|known| {
+            self.conflicts.later.send_if_modified(|known| {
                 *known = later;
                 false
             });
         } else {
-            self.rivals.later.send_replace(later);
+            self.conflicts.later.send_replace(later);
             self.pool.clear();
             self.dispute_until(now + DISPUTE_MAX);
         }
--- a/src/forward/upstream/mod.rs
+++ b/src/forward/upstream/mod.rs
@@ -1,9 +1,9 @@
 //! One incarnation of an upstream: one start of it, with its registration, its
 //! recent health, and the load that this node puts on it.
 
+mod conflicts;
 mod health;
 mod load;
-mod rivals;
 mod statements;
 
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -12,9 +12,9 @@
 
 use tokio::sync::watch;
 
+use self::conflicts::Conflicts;
 use self::health::Health;
 pub(crate) use self::load::{SharedSpeed, Work};
-use self::rivals::Rivals;
 pub(crate) use self::statements::{SharedNotices, lock_notices, log_leaving};
 use super::connection::ConnectionPool;
 use super::reported_start::ReportedStart;
@@ -49,8 +49,8 @@
     /// since its last report showed the incarnation of its entry.
     has_broken: AtomicBool,
     /// Whether other upstreams that are in use register with the same address.
-    has_rivals: AtomicBool,
-    rivals: Rivals,
+    has_conflicts: AtomicBool,
+    conflicts: Conflicts,
     /// Its last report on itself.
     reported_start: Mutex<Option<ReportedStart>>,
     /// Number of times that the upstream was marked as lost.
@@ -88,8 +88,8 @@
             notices,
             send_probe: SendProbe::default(),
             has_broken: AtomicBool::new(false),
-            has_rivals: AtomicBool::new(false),
-            rivals: Rivals::default(),
+            has_conflicts: AtomicBool::new(false),
+            conflicts: Conflicts::default(),
             reported_start: Mutex::default(),
             losses: watch::Sender::new(0),
             entry,
